--- /dev/null
+++ b/src/violethatch/_callers.py
@@ -0,0 +1,518 @@
+# SPDX-License-Identifier: MIT
+"""The listener for callers: completions, and plain services passed through."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import hashlib
+import secrets
+import time
+
+from collections.abc import AsyncGenerator, Iterator
+from typing import Annotated, Any, Literal, NamedTuple, TypedDict
+
+import msgspec
+
+from aiohttp import web
+
+from . import events
+from ._driver import Driver, Generation, Piece
+from ._http import bearer_digest, problem_response, problems, same_digest
+from ._keyed import Answer, KeyedCalls
+from ._metrics import Metrics
+from ._services import Call, PlainServices
+from .claims import Claim, claim_row_key
+from .errors import (
+    BadRequestError,
+    DrainingError,
+    NotConfiguredError,
+    OverloadedError,
+    UnauthorizedError,
+    UnknownTargetError,
+    VioletHatchError,
+)
+from .limits import WorkspaceLimiter, WorkspaceLimits
+from .revisions import NO_REVISION, Revision, WorkspaceSpec
+
+
+_MAX_KEY_CHARS = 255
+_DEFAULT_MAX_TOKENS = 64
+_FORWARDED_HEADERS = ("Content-Type", "Accept")
+_RETRY_AFTER_S = 1.0
+_DONE = b"data: [DONE]\n\n"
+
+
+class _ContentPart(TypedDict, total=False):
+    type: str
+    text: str
+
+
+class _Message(TypedDict):
+    role: str
+    content: str | list[_ContentPart]
+
+
+class _CompletionBody(TypedDict, total=False):
+    """The members of a completion's body that are understood."""
+
+    model: str
+    prompt: str
+    messages: list[_Message]
+    max_tokens: Annotated[int, msgspec.Meta(ge=1, le=1_000_000)] | None
+    max_completion_tokens: Annotated[int, msgspec.Meta(ge=1, le=1_000_000)] | None
+    stream: bool | None
+
+
+_decode_body = msgspec.json.Decoder(_CompletionBody).decode
+
+
+class Caller(NamedTuple):
+    """Who calls."""
+
+    workspace: str
+    spec: WorkspaceSpec
+
+
+class CallerLimits(NamedTuple):
+    """What one instance takes on.
+
+    Attributes:
+        requests: Requests in progress at the same time.
+        body_bytes: A body's size.
+        deadline_s: How long a generation may take, in seconds.
+    """
+
+    requests: int
+    body_bytes: int
+    deadline_s: float
+
+
+class Callers:
+    """Serves callers.
+
+    Args:
+        driver: Runs generations.
+        services: Sends calls to plain services.
+        keyed: Runs keyed calls at most once.
+        metrics: Where to count.
+        limits: What to take on.
+        owner: What claims call this process.
+    """
+
+    def __init__(
+        self,
+        *,
+        driver: Driver,
+        services: PlainServices,
+        keyed: KeyedCalls,
+        metrics: Metrics,
+        limits: CallerLimits,
+        owner: str,
+    ) -> None:
+        self._driver = driver
+        self._services = services
+        self._keyed = keyed
+        self._metrics = metrics
+        self._limits = limits
+        self._owner = owner
+        self._revision: Revision = NO_REVISION
+        self._workspace_by_digest: dict[str, str] = {}
+        self._limiters: dict[str, WorkspaceLimiter] = {}
+        self._share = 1.0
+        self.in_flight = 0
+        self.is_draining = False
+        self.is_closed = False
+
+    def application(self) -> web.Application:
+        """Return the HTTP application."""
+        app = web.Application(
+            middlewares=[problems], client_max_size=self._limits.body_bytes
+        )
+        app.router.add_post("/v1/chat/completions", self._serve_chat)
+        app.router.add_post("/v1/completions", self._serve_completion)
+        app.router.add_get("/v1/models", self._serve_models)
+        app.router.add_route("*", "/services/{name}/{path:.*}", self._serve_service)
+        app.router.add_get("/healthz", self._serve_health)
+        app.router.add_get("/readyz", self._serve_readiness)
+        app.router.add_route("*", "/{path:.*}", self._serve_unknown)
+        return app
+
+    def follow(self, revision: Revision) -> None:
+        """Apply a configuration."""
+        self._revision = revision
+        workspaces = revision["document"]["workspaces"]
+        self._workspace_by_digest = {
+            spec["key_sha256"]: name for name, spec in workspaces.items()
+        }
+        for name in set(self._limiters) - set(workspaces):
+            del self._limiters[name]
+        for name, limiter in self._limiters.items():
+            limiter.limits = _limits_of(workspaces[name])
+
+    def set_share(self, share: float) -> None:
+        """Set this instance's share of all workspaces' limits."""
+        self._share = share
+        for limiter in self._limiters.values():
+            limiter.share = share
+
+    async def wait_idle(self, timeout_s: float) -> bool:
+        """Wait until no request is in progress; tell whether that came."""
+        give_up_s = time.monotonic() + timeout_s
+        while self.in_flight or self._keyed.unsettled:
+            if time.monotonic() > give_up_s:
+                return False
+            await asyncio.sleep(0.02)
+        return True
+
+    async def _serve_health(self, request: web.Request) -> web.Response:
+        return web.json_response({"alive": True})
+
+    async def _serve_readiness(self, request: web.Request) -> web.Response:
+        """Tell the balancer whether to send requests here."""
+        ready = not self.is_draining and self._revision["revision"] > 0
+        return web.json_response({"ready": ready}, status=200 if ready else 503)
+
+    async def _serve_unknown(self, request: web.Request) -> web.Response:
+        raise UnknownTargetError(request.path)
+
+    async def _serve_models(self, request: web.Request) -> web.Response:
+        """List the models, as ordinary clients expect it."""
+        self._authenticate(request)
+        models = [
+            {"id": name, "object": "model", "owned_by": "violethatch"}
+            for name in sorted(self._revision["document"]["models"])
+        ]
+        return web.json_response({"object": "list", "data": models})
+
+    async def _serve_chat(self, request: web.Request) -> web.StreamResponse:
+        return await self._serve_generation(request, _ChatShape)
+
+    async def _serve_completion(self, request: web.Request) -> web.StreamResponse:
+        return await self._serve_generation(request, _TextShape)
+
+    async def _serve_generation(
+        self, request: web.Request, shape_class: type[_Shape]
+    ) -> web.StreamResponse:
+        """Serve one completion, streamed or whole."""
+        caller = self._authenticate(request)
+        with self._admitted(caller, "generation"):
+            body = _parse_body(await request.read())
+            if "Idempotency-Key" in request.headers:
+                msg = "completions are repeatable and take no Idempotency-Key"
+                raise BadRequestError(msg)
+            job = self._job(body, caller, shape_class)
+            shape = shape_class(job.request_id, job.model)
+            if body.get("stream"):
+                return await self._stream(request, job, shape)
+            pieces = [piece async for piece in self._pieces(job)]
+            return web.Response(
+                body=shape.whole(pieces), content_type="application/json"
+            )
+
+    async def _stream(
+        self, request: web.Request, job: Generation, shape: _Shape
+    ) -> web.StreamResponse:
+        """Write the answer as server-sent events."""
+        # The first piece decides whether there is an error to answer with.
+        pieces = self._pieces(job)
+        response = web.StreamResponse(
+            headers={"Content-Type": "text/event-stream", "Cache-Control": "no-cache"}
+        )
+        try:
+            async for piece in pieces:
+                if not response.prepared:
+                    await response.prepare(request)
+                await response.write(shape.chunk(piece))
+            await response.write(_DONE)
+        except VioletHatchError as error:
+            if not response.prepared:
+                return problem_response(error)
+            # The status line is gone; the error travels in the stream, and
+            # the missing [DONE] shows that the answer is not whole.
+            await response.write(_sse({"error": error.problem()}))
+        finally:
+            await pieces.aclose()
+        await response.write_eof()
+        return response
+
+    async def _pieces(self, job: Generation) -> AsyncGenerator[Piece, None]:
+        """Yield a generation's pieces, measuring the first."""
+        started_s = time.monotonic()
+        generation = self._driver.generate(job)
+        is_first = True
+        try:
+            async for piece in generation:
+                if is_first:
+                    elapsed_s = time.monotonic() - started_s
+                    self._metrics.first_token_s.observe({"model": job.model}, elapsed_s)
+                    is_first = False
+                yield piece
+        except VioletHatchError as error:
+            events.log(
+                events.REQUEST_FAILED,
+                request=job.request_id,
+                code=error.code,
+                ran=error.ran.value,
+                detail=error.detail,
+            )
+            raise
+        finally:
+            await generation.aclose()
+
+    def _job(
+        self, body: _CompletionBody, caller: Caller, shape_class: type[_Shape]
+    ) -> Generation:
+        """Return the generation that a body asks for."""
+        name = body.get("model", "")
+        model = self._revision["document"]["models"].get(name)
+        if model is None:
+            msg = f"no model {name!r}"
+            raise UnknownTargetError(msg)
+        wanted = body.get("max_completion_tokens") or body.get("max_tokens")
+        return Generation(
+            request_id=secrets.token_hex(8),
+            model=name,
+            version=model["version"],
+            layer_count=model["layer_count"],
+            prompt=shape_class.prompt(body),
+            max_tokens=wanted or _DEFAULT_MAX_TOKENS,
+            priority=caller.spec["priority"],
+            deadline_s=time.monotonic() + self._limits.deadline_s,
+        )
+
+    async def _serve_service(self, request: web.Request) -> web.Response:
+        """Pass a call through to a plain service."""
+        caller = self._authenticate(request)
+        name = request.match_info["name"]
+        spec = self._revision["document"]["services"].get(name)
+        if spec is None:
+            msg = f"no service {name!r}"
+            raise UnknownTargetError(msg)
+        with self._admitted(caller, "service"):
+            call = await self._call(request)
+            idempotency_key = request.headers.get("Idempotency-Key")
+            if idempotency_key is None:
+                answer = await self._services.send(
+                    name, call, repeatable=spec["repeatable"]
+                )
+            else:
+                claim = self._claim(caller, name, call, idempotency_key)
+                # Under a claim a call is sent at most once, whatever its kind.
+                answer = await self._keyed.run(
+                    claim, lambda: self._services.send(name, call, repeatable=False)
+                )
+        return _answer_response(answer)
+
+    async def _call(self, request: web.Request) -> Call:
+        """Return the call as it is sent on."""
+        headers = {
+            name: request.headers[name]
+            for name in _FORWARDED_HEADERS
+            if name in request.headers
+        }
+        path = "/" + request.raw_path.split("/", 3)[3]
+        return Call(request.method, path, headers, await request.read())
+
+    def _claim(
+        self, caller: Caller, service: str, call: Call, idempotency_key: str
+    ) -> Claim:
+        """Return the claim of a keyed call.
+
+        Raises:
+            BadRequestError: The key is empty or too long.
+        """
+        if not 1 <= len(idempotency_key) <= _MAX_KEY_CHARS:
+            msg = f"Idempotency-Key needs 1 to {_MAX_KEY_CHARS} characters"
+            raise BadRequestError(msg)
+        digest = hashlib.sha256()
+        for part in (service, call.method, call.path):
+            digest.update(part.encode("utf-8", "surrogateescape") + b"\0")
+        digest.update(call.body)
+        return Claim(
+            row_key=claim_row_key(caller.workspace, idempotency_key),
+            op_id=secrets.token_hex(8),
+            request_digest=digest.hexdigest(),
+            owner=self._owner,
+        )
+
+    def _authenticate(self, request: web.Request) -> Caller:
+        """Return who calls.
+
+        Raises:
+            NotConfiguredError: No configuration is known yet.
+            UnauthorizedError: The key is missing or unknown.
+        """
+        if self._revision["revision"] == 0:
+            raise NotConfiguredError(retry_after_s=_RETRY_AFTER_S)
+        digest = bearer_digest(request)
+        name = self._workspace_by_digest.get(digest)
+        if name is None:
+            raise UnauthorizedError
+        spec = self._revision["document"]["workspaces"][name]
+        if not same_digest(spec["key_sha256"], digest):
+            raise UnauthorizedError
+        return Caller(name, spec)
+
+    @contextlib.contextmanager
+    def _admitted(self, caller: Caller, kind: str) -> Iterator[None]:
+        """Count a request in and out, within all limits.
+
+        Raises:
+            DrainingError: The instance is leaving.
+            OverloadedError: Too many requests are in progress here.
+            RateLimitedError: The workspace's limits are reached.
+        """
+        if self.is_closed:
+            raise DrainingError(retry_after_s=0.0)
+        if self.in_flight >= self._limits.requests:
+            msg = f"{self.in_flight} requests in progress"
+            raise OverloadedError(msg, retry_after_s=_RETRY_AFTER_S)
+        limiter = self._limiter(caller)
+        limiter.admit(time.monotonic())
+        self.in_flight += 1
+        self._metrics.in_flight.set({}, self.in_flight)
+        outcome = "failed"
+        try:
+            yield
+            outcome = "ok"
+        finally:
+            limiter.release()
+            self.in_flight -= 1
+            self._metrics.in_flight.set({}, self.in_flight)
+            self._metrics.requests.inc({"kind": kind, "outcome": outcome})
+
+    def _limiter(self, caller: Caller) -> WorkspaceLimiter:
+        """Return the workspace's limiter on this instance."""
+        limiter = self._limiters.get(caller.workspace)
+        if limiter is None:
+            limits = _limits_of(caller.spec)
+            limiter = WorkspaceLimiter(
+                limits, share=self._share, now_s=time.monotonic()
+            )
+            self._limiters[caller.workspace] = limiter
+        return limiter
+
+
+class _Shape:
+    """How answers are written in the OpenAI style."""
+
+    chunk_kind = ""
+    whole_kind = ""
+
+    def __init__(self, request_id: str, model: str) -> None:
+        self._common = {
+            "id": f"{self.whole_kind}-{request_id}",
+            "created": int(time.time()),
+            "model": model,
+        }
+
+    @staticmethod
+    def prompt(body: _CompletionBody) -> str:
+        """Return the prompt that a body gives."""
+        raise NotImplementedError
+
+    def choice(self, text: str, finish: str | None, *, is_chunk: bool) -> Any:
+        """Return a choice's members."""
+        raise NotImplementedError
+
+    def chunk(self, piece: Piece) -> bytes:
+        """Return a piece as a server-sent event."""
+        choice = self.choice(piece.text, _finish(piece), is_chunk=True)
+        body = {**self._common, "object": self.chunk_kind, "choices": [choice]}
+        return _sse(body)
+
+    def whole(self, pieces: list[Piece]) -> bytes:
+        """Return the whole answer."""
+        text = "".join(piece.text for piece in pieces)
+        finish = _finish(pieces[-1]) or "length"
+        choice = self.choice(text, finish, is_chunk=False)
+        usage = {"completion_tokens": len(pieces)}
+        body = {**self._common, "object": self.whole_kind, "choices": [choice]}
+        return msgspec.json.encode({**body, "usage": usage})
+
+
+class _ChatShape(_Shape):
+    """Chat completions."""
+
+    chunk_kind = "chat.completion.chunk"
+    whole_kind = "chat.completion"
+
+    @staticmethod
+    def prompt(body: _CompletionBody) -> str:
+        """Return the messages as one prompt."""
+        if not body.get("messages"):
+            msg = "messages: missing or empty"
+            raise BadRequestError(msg)
+        return "\n".join(
+            f"{message['role']}: {_text(message)}" for message in body["messages"]
+        )
+
+    def choice(self, text: str, finish: str | None, *, is_chunk: bool) -> Any:
+        """Return a choice with a message or a part of one."""
+        member = "delta" if is_chunk else "message"
+        message = {"role": "assistant", "content": text}
+        return {"index": 0, member: message, "finish_reason": finish}
+
+
+class _TextShape(_Shape):
+    """Plain completions."""
+
+    chunk_kind = "text_completion"
+    whole_kind = "text_completion"
+
+    @staticmethod
+    def prompt(body: _CompletionBody) -> str:
+        """Return the prompt."""
+        if not body.get("prompt"):
+            msg = "prompt: missing or empty"
+            raise BadRequestError(msg)
+        return body["prompt"]
+
+    def choice(self, text: str, finish: str | None, *, is_chunk: bool) -> Any:
+        """Return a choice with text."""
+        return {"index": 0, "text": text, "finish_reason": finish, "logprobs": None}
+
+
+def _finish(piece: Piece) -> Literal["stop"] | None:
+    """Return why the answer ends with this piece, if it does."""
+    return "stop" if piece.end else None
+
+
+def _text(message: _Message) -> str:
+    """Return a message's text."""
+    content = message["content"]
+    if isinstance(content, str):
+        return content
+    return "".join(part.get("text", "") for part in content)
+
+
+def _parse_body(data: bytes) -> _CompletionBody:
+    """Decode a completion's body.
+
+    Raises:
+        BadRequestError: It is malformed; says where.
+    """
+    try:
+        return _decode_body(data)
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        raise BadRequestError(str(error)) from error
+
+
+def _sse(body: Any) -> bytes:
+    """Return a server-sent event."""
+    return b"data: " + msgspec.json.encode(body) + b"\n\n"
+
+
+def _limits_of(spec: WorkspaceSpec) -> WorkspaceLimits:
+    """Return a workspace's limits."""
+    return WorkspaceLimits(spec["requests_per_s"], spec["concurrent"])
+
+
+def _answer_response(answer: Answer) -> web.Response:
+    """Return a plain service's answer to the caller."""
+    return web.Response(
+        status=answer.status,
+        body=answer.body,
+        headers={"Content-Type": answer.content_type},
+    )
--- /dev/null
+++ b/src/violethatch/_entry.py
@@ -0,0 +1,335 @@
+# SPDX-License-Identifier: MIT
+"""An entry instance: the parts put together, started, drained and stopped."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import os
+import random
+import resource
+import signal
+import ssl
+import time
+
+from collections.abc import Coroutine
+from typing import Any, TypedDict
+
+import aiohttp
+
+from aiohttp import web
+
+from . import events
+from ._callers import CallerLimits, Callers
+from ._config import ConfigKeeper
+from ._driver import Driver
+from ._fleet import Fleet, RunnerState
+from ._keyed import ClaimWriter, KeyedCalls
+from ._metrics import Metrics
+from ._operators import Operators
+from ._peers import Peers
+from ._platform import HttpInstanceList, HttpObjectStore, HttpTable
+from ._services import PlainServices
+from .errors import TableUnavailableError
+from .gossip import Gossip
+from .retries import RetryBudget
+from .revisions import Revision
+from .settings import ListenSection, Settings
+
+
+_SHUTDOWN_TIMEOUT_S = 1.0
+
+
+class ProcessState(TypedDict):
+    """The dump of a process's state; it holds no secret."""
+
+    instance_id: str
+    availability_zone: str
+    process_id: int
+    uptime_s: float
+    draining: bool
+    revision: int
+    config_digest: str
+    in_flight: int
+    outcomes_unsettled: int
+    zone_members: list[str]
+    runners: list[RunnerState]
+    retry_budget: float
+    cpu_s: float
+    resident_kb: int
+
+
+class Entry:
+    """One entry instance.
+
+    Args:
+        settings: Its settings.
+    """
+
+    def __init__(self, settings: Settings) -> None:
+        self._settings = settings
+        policy, limits = settings.policy, settings.limits
+        self._rng = random.Random(settings.instance.id)
+        self._started_s = time.monotonic()
+        self._incarnation = time.time_ns() // 1_000_000
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._stop = asyncio.Event()
+        self._runners: list[web.AppRunner] = []
+        self._metrics = Metrics()
+        self._budget = RetryBudget()
+        self._fleet = Fleet(policy, rng=self._rng)
+        self._services = PlainServices(
+            self._budget, timeout_s=policy.request_deadline_s
+        )
+        self._driver = Driver(
+            self._fleet,
+            budget=self._budget,
+            metrics=self._metrics,
+            recovery=policy.recovery,
+            recovery_wait_s=policy.recovery_wait_s,
+            retain_limit_bytes=limits.retain_bytes_per_request,
+        )
+        silence_limit_s = policy.heartbeat_interval_s * policy.heartbeat_misses
+        self._gossip = Gossip(
+            instance_id=settings.instance.id,
+            availability_zone=settings.instance.availability_zone,
+            incarnation=self._incarnation,
+            silence_limit_s=silence_limit_s,
+        )
+
+    async def run(self) -> None:
+        """Serve until SIGTERM, then drain."""
+        platform, policy = self._settings.platform, self._settings.policy
+        timeout = aiohttp.ClientTimeout(total=platform.timeout_s)
+        async with aiohttp.ClientSession(timeout=timeout) as session:
+            self._build(session)
+            await self._fleet.start()
+            await self._services.start()
+            ports = await self._listen()
+            self._spawn(self._writer.run())
+            self._spawn(self._config.run())
+            self._spawn(self._peers.run(lambda: self._config.revision))
+            self._spawn(self._follow_list(session))
+            self._handle_signals()
+            events.log(events.STARTED, **ports)
+            # Whoever started the process learns the free ports from here.
+            print(json.dumps(ports), flush=True)
+            await self._stop.wait()
+            await self._drain()
+            await self._close()
+        events.log(events.STOPPED, policy=policy.route_policy)
+
+    def _build(self, session: aiohttp.ClientSession) -> None:
+        """Make the parts that need the platform."""
+        settings = self._settings
+        platform, policy = settings.platform, settings.policy
+        table = HttpTable(
+            session,
+            url=platform.table_url,
+            timeout_s=platform.timeout_s,
+            metrics=self._metrics,
+        )
+        objects = HttpObjectStore(
+            session, url=platform.objects_url, timeout_s=platform.timeout_s
+        )
+        self._writer = ClaimWriter(
+            table,
+            interval_s=policy.table_write_interval_s,
+            give_up_s=platform.timeout_s,
+        )
+        keyed = KeyedCalls(
+            table,
+            self._writer,
+            objects,
+            outcome_wait_s=policy.outcome_wait_s,
+            is_gone=self._is_gone,
+            spawn=self._spawn,
+        )
+        self._keyed = keyed
+        self._callers = Callers(
+            driver=self._driver,
+            services=self._services,
+            keyed=keyed,
+            metrics=self._metrics,
+            limits=CallerLimits(
+                requests=settings.limits.requests,
+                body_bytes=settings.limits.body_bytes,
+                deadline_s=policy.request_deadline_s,
+            ),
+            owner=self._owner(self._incarnation),
+        )
+        self._config = ConfigKeeper(
+            table,
+            poll_interval_s=policy.poll_interval_s,
+            rng=self._rng,
+            on_applied=self._apply,
+            push=lambda encoded: self._peers.push(encoded),
+            fetch=lambda: self._peers.fetch_revision(),
+        )
+        self._peers = Peers(
+            self._gossip,
+            key=settings.keys.peers_key,
+            interval_s=policy.heartbeat_interval_s,
+            rng=self._rng,
+            encoded_revision=self._config.encoded,
+            take_revision=self._config.take_encoded,
+        )
+        self._operators = Operators(
+            config=self._config,
+            metrics=self._metrics,
+            key=settings.keys.operators_key,
+            state=self.state,
+            body_bytes=settings.limits.body_bytes,
+        )
+
+    async def _listen(self) -> dict[str, int]:
+        """Open all listeners; return their ports."""
+        listen = self._settings.listen
+        context = _server_context(listen)
+        applications = {
+            "callers_port": (self._callers.application(), listen.callers_port),
+            "operators_port": (self._operators.application(), listen.operators_port),
+        }
+        ports = {}
+        for name, (application, port) in applications.items():
+            runner = web.AppRunner(
+                application,
+                access_log=None,
+                handler_cancellation=True,
+                shutdown_timeout=_SHUTDOWN_TIMEOUT_S,
+            )
+            await runner.setup()
+            await web.TCPSite(runner, listen.address, port, ssl_context=context).start()
+            self._runners.append(runner)
+            ports[name] = int(runner.addresses[0][1])
+        ports["peers_port"] = await self._peers.start(listen.address, listen.peers_port)
+        return ports
+
+    def _apply(self, revision: Revision) -> None:
+        """Put a configuration into force."""
+        self._callers.follow(revision)
+        self._follow_operators()
+        self._metrics.revision.set({}, revision["revision"])
+
+    def _follow_operators(self) -> None:
+        """Take out the runners that operators want out."""
+        runners = self._config.current["document"]["runners"]
+        leaving = {name for name, spec in runners.items() if spec["leaving"]}
+        self._fleet.follow_operators(leaving)
+
+    async def _follow_list(self, session: aiohttp.ClientSession) -> None:
+        """Follow the platform's instance list until cancelled."""
+        platform = self._settings.platform
+        instance_list = HttpInstanceList(
+            session, url=platform.instances_url, timeout_s=platform.timeout_s
+        )
+        zone = self._settings.instance.availability_zone
+        while True:
+            # While the list can't be read, what is known stays in use.
+            with contextlib.suppress(TableUnavailableError):
+                listed = await instance_list.instances()
+                self._fleet.follow(listed)
+                self._services.follow(listed, availability_zone=zone)
+                self._peers.follow(listed)
+                self._follow_operators()
+                self._callers.set_share(1.0 / self._peers.instance_count())
+            pause_s = self._settings.policy.poll_interval_s
+            await asyncio.sleep(pause_s * self._rng.uniform(0.5, 1.0))
+
+    async def _drain(self) -> None:
+        """Leave: be unready, finish what is in progress, cut nothing off."""
+        limits = self._settings.limits
+        events.log(events.DRAINING, in_flight=self._callers.in_flight)
+        self._callers.is_draining = True
+        await self._peers.announce_leaving()
+        # The balancer needs a while to notice; until then requests are served.
+        await asyncio.sleep(limits.drain_grace_s)
+        self._callers.is_closed = True
+        await self._callers.wait_idle(limits.drain_limit_s)
+
+    async def _close(self) -> None:
+        """Close everything."""
+        for runner in self._runners:
+            await runner.cleanup()
+        for task in list(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._peers.stop()
+        await self._fleet.stop()
+        await self._services.stop()
+
+    def state(self) -> ProcessState:
+        """Return the process's state."""
+        instance = self._settings.instance
+        usage = resource.getrusage(resource.RUSAGE_SELF)
+        return ProcessState(
+            instance_id=instance.id,
+            availability_zone=instance.availability_zone,
+            process_id=os.getpid(),
+            uptime_s=round(time.monotonic() - self._started_s, 3),
+            draining=self._callers.is_draining,
+            revision=self._config.revision,
+            config_digest=self._config.current["digest"],
+            in_flight=self._callers.in_flight,
+            outcomes_unsettled=self._keyed.unsettled,
+            zone_members=self._gossip.zone_members(),
+            runners=self._fleet.state(),
+            retry_budget=round(self._budget.balance, 2),
+            cpu_s=round(usage.ru_utime + usage.ru_stime, 3),
+            resident_kb=usage.ru_maxrss,
+        )
+
+    def _owner(self, incarnation: int) -> str:
+        """Return what claims call this process."""
+        instance = self._settings.instance
+        return f"{instance.availability_zone}/{instance.id}/{incarnation}"
+
+    def _is_gone(self, owner: str) -> bool:
+        """Tell whether a claim's owner is known to be gone.
+
+        Only peers of the own zone are known well enough to say so.
+        """
+        zone, instance_id, incarnation = owner.split("/")
+        instance = self._settings.instance
+        if zone != instance.availability_zone:
+            return False
+        if instance_id == instance.id:
+            # Its own claims in progress were looked for before.
+            return True
+        return not self._gossip.is_live(instance_id, incarnation=int(incarnation))
+
+    def _handle_signals(self) -> None:
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self._stop.set)
+        loop.add_signal_handler(signal.SIGUSR1, self._dump_state)
+
+    def _dump_state(self) -> None:
+        events.log(events.STATE_DUMPED, state=self.state())
+
+    def _spawn(self, coroutine: Coroutine[None, None, None]) -> None:
+        """Run a background task; a failure is logged and ends only the task."""
+        task = asyncio.create_task(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._ended)
+
+    def _ended(self, task: asyncio.Task[None]) -> None:
+        self._tasks.discard(task)
+        if not task.cancelled() and (error := task.exception()) is not None:
+            events.log(events.TASK_FAILED, task=str(task.get_coro()), error=repr(error))
+
+
+def _server_context(listen: ListenSection) -> ssl.SSLContext | None:
+    """Return the TLS context that the settings ask for, if any."""
+    if not listen.certificate_file:
+        return None
+    context = ssl.create_default_context(ssl.Purpose.CLIENT_AUTH)
+    context.minimum_version = ssl.TLSVersion.TLSv1_2
+    context.load_cert_chain(listen.certificate_file, listen.certificate_key_file)
+    return context
+
+
+async def serve(settings: Settings) -> Any:
+    """Run an entry instance until it is told to stop."""
+    await Entry(settings).run()
--- /dev/null
+++ b/src/violethatch/_fleet.py
@@ -0,0 +1,250 @@
+# SPDX-License-Identifier: MIT
+"""The runners that an instance is connected to, and the choice among them."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import time
+
+from collections.abc import Collection, Iterable
+from typing import TypedDict
+
+import aiohttp
+
+from . import events
+from ._engine_link import EngineLink
+from .layers import LayerRange
+from .membership import LeavingMarks
+from .ports import ListedInstance
+from .routes import (
+    Candidate,
+    LeastInFlightHops,
+    MarginalCost,
+    RandomHops,
+    RoundRobinHops,
+    RoutePolicy,
+)
+from .settings import PolicySection
+
+
+#: How long a runner may send nothing, in heartbeat intervals of ours.
+_SILENCE_HEARTBEATS = 3.0
+
+
+class RunnerState(TypedDict):
+    """A runner as the state dump shows it."""
+
+    runner_id: str
+    connected: bool
+    stalled: bool
+    leaving: list[str]
+    layers: list[int]
+    kind: str
+    own: int
+    others: int
+    quickest_ms: float
+    late_results: int
+
+
+def make_policy(name: str, rng: random.Random) -> RoutePolicy:
+    """Return the route policy of that name in the settings."""
+    if name == "random":
+        return RandomHops(rng)
+    if name == "round_robin":
+        return RoundRobinHops()
+    if name == "least_own":
+        return LeastInFlightHops()
+    return MarginalCost(sees_others=name != "own_only")
+
+
+class Fleet:
+    """Connections to runners; routes over them.
+
+    Args:
+        policy: The constants of the decisions.
+        rng: Randomness for policies that need it.
+    """
+
+    def __init__(self, policy: PolicySection, *, rng: random.Random) -> None:
+        self._policy = policy
+        self._route_policy = make_policy(policy.route_policy, rng)
+        self._links: dict[str, EngineLink] = {}
+        self._tasks: dict[str, asyncio.Task[None]] = {}
+        self._changed = asyncio.Event()
+        self._session: aiohttp.ClientSession | None = None
+        self.marks = LeavingMarks()
+
+    async def start(self) -> None:
+        """Prepare for connections."""
+        connector = aiohttp.TCPConnector(limit=0)
+        timeout = aiohttp.ClientTimeout(total=None, sock_connect=1.0)
+        self._session = aiohttp.ClientSession(connector=connector, timeout=timeout)
+
+    async def stop(self) -> None:
+        """Close all connections."""
+        tasks = list(self._tasks.values())
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        if self._session is not None:
+            await self._session.close()
+
+    def follow(self, listed: Iterable[ListedInstance]) -> None:
+        """Connect to the runners in the list.
+
+        A runner that is no longer listed is kept while its connection is up:
+        the list lags, and a stream may still be running.
+        """
+        seen = set()
+        for entry in listed:
+            if entry["role"] != "engine":
+                continue
+            runner_id = entry["id"]
+            seen.add(runner_id)
+            self._follow_one(runner_id, entry["address"])
+            self._mark(runner_id, "list", entry["leaving"])
+        for runner_id in set(self._links) - seen:
+            self._mark(runner_id, "list", True)
+            link = self._links[runner_id]
+            if link.hello is None and link.view.own == 0:
+                self._drop(runner_id)
+
+    def follow_operators(self, leaving: Collection[str]) -> None:
+        """Mark the runners that operators take out, and lift other marks."""
+        for runner_id in self._links:
+            self._mark(runner_id, "operator", runner_id in leaving)
+
+    def choose_route(
+        self, model: str, version: str, *, layer_count: int, excluded: Collection[str]
+    ) -> tuple[Candidate, ...] | None:
+        """Return a route through a model's layers, or None."""
+        candidates = self._candidates(model, version)
+        preferred = [item for item in candidates if item.runner_id not in excluded]
+        return self._route_policy.choose(
+            preferred, layer_count=layer_count
+        ) or self._route_policy.choose(candidates, layer_count=layer_count)
+
+    def choose_replacement(
+        self, model: str, version: str, layers: LayerRange, *, excluded: Collection[str]
+    ) -> Candidate | None:
+        """Return the best runner with exactly these layers, or None."""
+        same = [
+            item._replace(layers=LayerRange(0, 1))
+            for item in self._candidates(model, version)
+            if item.layers == layers
+        ]
+        preferred = [item for item in same if item.runner_id not in excluded]
+        chosen = self._route_policy.choose(preferred or same, layer_count=1)
+        return chosen[0]._replace(layers=layers) if chosen else None
+
+    async def wait_changed(self, timeout_s: float) -> None:
+        """Wait until some runner's state changes, at most *timeout_s*."""
+        self._changed.clear()
+        try:
+            await asyncio.wait_for(self._changed.wait(), timeout_s)
+        except TimeoutError:
+            return
+
+    def open(self, runner_id: str) -> EngineLink:
+        """Count a stream in; return the connection to its runner."""
+        link = self._links[runner_id]
+        link.view.opened(now_s=time.monotonic())
+        return link
+
+    def close(self, link: EngineLink, request: str, epoch: int) -> None:
+        """Count a stream out and let the runner forget it."""
+        link.view.closed(now_s=time.monotonic())
+        link.cancel(request, epoch)
+
+    def refused_as_leaving(self, runner_id: str) -> None:
+        """Note that a runner refused a request because it is leaving."""
+        self._mark(runner_id, "refusal", True)
+
+    def links(self) -> list[EngineLink]:
+        """Return the connections."""
+        return list(self._links.values())
+
+    def state(self) -> list[RunnerState]:
+        """Return what is known of each runner."""
+        return [self._runner_state(link) for link in self._links.values()]
+
+    def _runner_state(self, link: EngineLink) -> RunnerState:
+        hello = link.hello
+        return RunnerState(
+            runner_id=link.runner_id,
+            connected=hello is not None,
+            stalled=link.is_stalled,
+            leaving=self.marks.sources(link.runner_id),
+            layers=list(hello.layers) if hello else [],
+            kind=hello.kind if hello else "",
+            own=link.view.own,
+            others=link.view.others,
+            quickest_ms=round(link.view.quickest_s * 1000, 3),
+            late_results=link.late_results,
+        )
+
+    def _candidates(self, model: str, version: str) -> list[Candidate]:
+        """Return the runners that may get new work for a model's version."""
+        return [
+            Candidate(
+                runner_id=link.runner_id,
+                layers=link.hello.layers,
+                peak_tokens_per_s=link.hello.peak_tokens_per_s,
+                quickest_s=link.view.quickest_s,
+                own=link.view.own,
+                others=link.view.others,
+            )
+            for link in self._links.values()
+            if link.hello is not None
+            and link.is_usable
+            and link.hello.model == model
+            and link.hello.version == version
+            and not self.marks.is_leaving(link.runner_id)
+        ]
+
+    def _follow_one(self, runner_id: str, address: str) -> None:
+        """Connect to a runner, anew if its address has changed."""
+        url = f"http://{address}/engine"
+        link = self._links.get(runner_id)
+        if link is not None and link.url == url:
+            return
+        if link is not None:
+            self._drop(runner_id)
+        link = EngineLink(
+            runner_id=runner_id,
+            url=url,
+            stall_initial_s=self._policy.stall_initial_s,
+            stall_floor_s=self._policy.stall_floor_s,
+            silence_limit_s=self._policy.heartbeat_interval_s * _SILENCE_HEARTBEATS,
+            on_change=lambda: self._on_change(runner_id),
+        )
+        self._links[runner_id] = link
+        assert self._session is not None
+        self._tasks[runner_id] = asyncio.create_task(link.run(self._session))
+
+    def _on_change(self, runner_id: str) -> None:
+        """React to news of a runner."""
+        link = self._links.get(runner_id)
+        if link is None:
+            return
+        if link.hello is None:
+            # Whoever answers there next has not said that it is leaving.
+            self.marks.lift(runner_id, "refusal")
+            self.marks.lift(runner_id, "report")
+        else:
+            self._mark(runner_id, "report", link.load.leaving)
+        self._changed.set()
+
+    def _mark(self, runner_id: str, source: str, leaving: bool) -> None:
+        """Set or lift one source's mark."""
+        if not leaving:
+            self.marks.lift(runner_id, source)
+        elif self.marks.mark(runner_id, source):
+            events.log(events.RUNNER_LEAVING, runner=runner_id, source=source)
+
+    def _drop(self, runner_id: str) -> None:
+        """Forget a runner."""
+        self._tasks.pop(runner_id).cancel()
+        del self._links[runner_id]
+        self.marks.forget(runner_id)
--- /dev/null
+++ b/src/violethatch/_keyed.py
@@ -0,0 +1,338 @@
+# SPDX-License-Identifier: MIT
+"""Keyed calls: claim, send, store the outcome; or answer with a stored one."""
+
+from __future__ import annotations
+
+import asyncio
+import base64
+import functools
+import random
+import time
+
+from collections.abc import Awaitable, Callable, Coroutine
+from typing import NamedTuple, TypeVar
+
+from . import events
+from .claims import Claim, ClaimState, Outcome, Verdict, is_own_write
+from .errors import (
+    ClaimRefusedError,
+    KeyReusedError,
+    MayHaveRunError,
+    Ran,
+    TableUnavailableError,
+    VioletHatchError,
+)
+from .ports import ABSENT, AnswerLostError, ObjectStore, Put, Row, Table
+
+
+#: Larger bodies go to the object store.
+_INLINE_BODY_BYTES = 16_384
+_POLL_FIRST_S = 0.1
+_POLL_MOST_S = 1.0
+_RETRY_FIRST_S = 0.2
+_RETRY_MOST_S = 5.0
+#: Writes of one transaction.
+_BATCH_MOST = 100
+
+T = TypeVar("T")
+
+
+class Answer(NamedTuple):
+    """A plain service's whole answer."""
+
+    status: int
+    content_type: str
+    body: bytes
+
+
+#: A write and the future of its outcome.
+_Waiting = tuple[Put, "asyncio.Future[Row | None]"]
+
+
+class ClaimWriter:
+    """Groups writes, so that their number grows with time and not with calls.
+
+    Args:
+        table: Where to write.
+        interval_s: The least time between transactions, in seconds.
+        give_up_s: How long to try a write whose answers are lost, in seconds.
+    """
+
+    def __init__(self, table: Table, *, interval_s: float, give_up_s: float) -> None:
+        self._table = table
+        self._interval_s = interval_s
+        self._give_up_s = give_up_s
+        self._queue: list[_Waiting] = []
+        self._wake = asyncio.Event()
+
+    async def write(self, put: Put) -> Row | None:
+        """Write conditionally; return the row in the way, or None if written.
+
+        Raises:
+            TableUnavailableError: It was not written and won't be.
+            AnswerLostError: It may have been written, or may yet be.
+        """
+        future = asyncio.get_running_loop().create_future()
+        self._queue.append((put, future))
+        self._wake.set()
+        row: Row | None = await future
+        if row is not None and is_own_write(put, row):
+            return None
+        return row
+
+    async def run(self) -> None:
+        """Write until cancelled."""
+        while True:
+            await self._wake.wait()
+            self._wake.clear()
+            while self._queue:
+                started_s = time.monotonic()
+                await self._write_batch(self._take_batch())
+                pause_s = self._interval_s - (time.monotonic() - started_s)
+                await asyncio.sleep(max(0.0, pause_s))
+
+    def _take_batch(self) -> list[_Waiting]:
+        """Take writes of different rows off the queue, in order.
+
+        Two writes of one row must not share a transaction: each has to see
+        what the other did.
+        """
+        taken: dict[str, _Waiting] = {}
+        left = []
+        for waiting in self._queue:
+            if len(taken) < _BATCH_MOST and waiting[0].key not in taken:
+                taken[waiting[0].key] = waiting
+            else:
+                left.append(waiting)
+        self._queue = left
+        return list(taken.values())
+
+    async def _write_batch(self, batch: list[_Waiting]) -> None:
+        """Write a batch; those with conflicts drop out and the rest goes again."""
+        may_be_written = False
+        give_up_s = time.monotonic() + self._give_up_s
+        while batch:
+            error: Exception
+            try:
+                conflicts = await self._table.transact([put for put, _ in batch])
+            except AnswerLostError as lost:
+                may_be_written, error = True, lost
+            except TableUnavailableError as unavailable:
+                error = unavailable
+            else:
+                batch = _settle(batch, conflicts)
+                continue
+            if not may_be_written or time.monotonic() > give_up_s:
+                # Not written for certain only if no try's answer was lost.
+                final = AnswerLostError(str(error)) if may_be_written else error
+                for _, future in batch:
+                    if not future.done():
+                        future.set_exception(final)
+                return
+            # Writing again is safe: it conflicts with itself if it was written.
+            await asyncio.sleep(self._interval_s)
+
+
+def _settle(batch: list[_Waiting], conflicts: list[Row]) -> list[_Waiting]:
+    """Resolve what a transaction decided; return what has to go again."""
+    in_the_way = {row.key: row for row in conflicts}
+    remaining = []
+    for put, future in batch:
+        row = in_the_way.get(put.key)
+        if conflicts and row is None:
+            remaining.append((put, future))
+        elif not future.done():
+            future.set_result(row)
+    return remaining
+
+
+class KeyedCalls:
+    """Runs keyed calls at most once over all instances.
+
+    Args:
+        table: Where claims are read.
+        writer: Writes claims and outcomes.
+        objects: Keeps large answers.
+        outcome_wait_s: How long to wait for another claimant, in seconds.
+        is_gone: Tells whether the instance that owns a claim is known gone.
+        spawn: Starts a background task.
+    """
+
+    def __init__(
+        self,
+        table: Table,
+        writer: ClaimWriter,
+        objects: ObjectStore,
+        *,
+        outcome_wait_s: float,
+        is_gone: Callable[[str], bool],
+        spawn: Callable[[Coroutine[None, None, None]], object],
+    ) -> None:
+        self._table = table
+        self._writer = writer
+        self._objects = objects
+        self._outcome_wait_s = outcome_wait_s
+        self._is_gone = is_gone
+        self._spawn = spawn
+        #: This process's operations whose outcome is yet to be stored.
+        self._unsettled: set[str] = set()
+
+    async def run(self, claim: Claim, send: Callable[[], Awaitable[Answer]]) -> Answer:
+        """Run *send* under *claim*, or answer with what another run gave.
+
+        Raises:
+            ClaimRefusedError: The claim can't be made now; not run.
+            KeyReusedError: The key was used with another request.
+            MayHaveRunError: An earlier call's outcome can't be learnt.
+            VioletHatchError: The call itself failed.
+        """
+        row = await self._claim(claim)
+        if row is not None:
+            return await self._follow(claim, row)
+        self._unsettled.add(claim.op_id)
+        try:
+            answer = await send()
+        except VioletHatchError as error:
+            if error.ran is Ran.NO:
+                self._spawn(self._release(claim))
+            else:
+                self._unsettled.discard(claim.op_id)
+            raise
+        except BaseException:
+            self._unsettled.discard(claim.op_id)
+            raise
+        self._spawn(self._record(claim, answer))
+        return answer
+
+    async def _claim(self, claim: Claim) -> Row | None:
+        """Make the claim; return the row that stands in the way, if any."""
+        put = claim.insert()
+        while True:
+            try:
+                row = await self._writer.write(put)
+            except TableUnavailableError as error:
+                raise ClaimRefusedError(str(error), retry_after_s=2.0) from error
+            except AnswerLostError as error:
+                # It may yet be written, but nothing will be sent under it.
+                events.log(events.CLAIM_UNSETTLED, operation=claim.op_id)
+                self._spawn(self._release(claim))
+                raise ClaimRefusedError(str(error), retry_after_s=2.0) from error
+            if row is None or claim.judge(row) is not Verdict.RECLAIM:
+                return row
+            put = claim.insert(over=row)
+
+    async def _follow(self, claim: Claim, row: Row) -> Answer:
+        """Answer with another operation's outcome, waiting for it if need be."""
+        give_up_s = time.monotonic() + self._outcome_wait_s
+        pause_s = _POLL_FIRST_S
+        while True:
+            verdict = claim.judge(row)
+            if verdict is Verdict.MISMATCH:
+                raise KeyReusedError
+            if verdict is Verdict.REPLAY:
+                return await self._stored(row)
+            if verdict is Verdict.RECLAIM:
+                msg = "an earlier call with this key was not run; ask again"
+                raise ClaimRefusedError(msg, retry_after_s=0.0)
+            if self._owner_is_gone(row):
+                msg = "the instance that ran the earlier call is gone"
+                raise MayHaveRunError(msg)
+            if time.monotonic() > give_up_s:
+                raise MayHaveRunError(retry_after_s=2.0)
+            await asyncio.sleep(pause_s * random.uniform(0.5, 1.0))
+            pause_s = min(_POLL_MOST_S, pause_s * 2)
+            row = await self._read(row)
+
+    def _owner_is_gone(self, row: Row) -> bool:
+        """Tell whether nobody is left to store the claim's outcome."""
+        return row.value["op_id"] not in self._unsettled and self._is_gone(
+            row.value["owner"]
+        )
+
+    @property
+    def unsettled(self) -> int:
+        """How many operations' outcomes are yet to be stored."""
+        return len(self._unsettled)
+
+    async def _read(self, row: Row) -> Row:
+        """Read a claim again; the old row if the table does not answer."""
+        try:
+            rows = await self._table.read([row.key])
+        except TableUnavailableError:
+            return row
+        return rows.get(row.key, row)
+
+    async def _stored(self, row: Row) -> Answer:
+        """Return the stored answer.
+
+        Raises:
+            MayHaveRunError: It did run, but the object store does not answer.
+        """
+        outcome: Outcome = row.value["outcome"]
+        if outcome["object_key"]:
+            try:
+                body = await self._objects.get(outcome["object_key"])
+            except TableUnavailableError as error:
+                msg = f"the stored answer can't be read: {error}"
+                raise MayHaveRunError(msg, retry_after_s=2.0) from error
+        else:
+            body = base64.b64decode(outcome["body"])
+        return Answer(outcome["status"], outcome["content_type"], body)
+
+    async def _record(self, claim: Claim, answer: Answer) -> None:
+        """Store the outcome, however long the table is out."""
+        outcome = Outcome(
+            status=answer.status,
+            content_type=answer.content_type,
+            body=base64.b64encode(answer.body).decode(),
+            object_key="",
+        )
+        if len(answer.body) > _INLINE_BODY_BYTES:
+            object_key = f"outcomes/{claim.op_id}"
+            await _persist(lambda: self._objects.put(object_key, answer.body))
+            outcome["body"], outcome["object_key"] = "", object_key
+        await self._conclude(claim, outcome)
+
+    async def _release(self, claim: Claim) -> None:
+        """Give a claim back that nothing was or will be sent under."""
+        await self._conclude(claim, None)
+
+    async def _conclude(self, claim: Claim, outcome: Outcome | None) -> None:
+        """Replace the own claim's row; leave another operation's alone.
+
+        A release may find the claim unwritten, or a released one that it was
+        to replace.  It then writes a released row of its own there, so that
+        the claim can't appear any more.  An outcome whose row is gone (the
+        table was restored) is stored anew.
+        """
+        version = ABSENT
+        while True:
+            put = (
+                claim.release(version=version)
+                if outcome is None
+                else claim.finish(outcome, version=version)
+            )
+            row = await _persist(functools.partial(self._writer.write, put))
+            if row is None or not _may_replace(claim, row):
+                self._unsettled.discard(claim.op_id)
+                return
+            version = row.version
+
+
+def _may_replace(claim: Claim, row: Row) -> bool:
+    """Tell whether a claim's conclusion may replace the row in its way."""
+    if row.version == ABSENT or row.value["op_id"] == claim.op_id:
+        return True
+    return ClaimState(row.value["state"]) is ClaimState.RELEASED
+
+
+async def _persist(call: Callable[[], Awaitable[T]]) -> T:
+    """Repeat a call until the platform answers it."""
+    pause_s = _RETRY_FIRST_S
+    while True:
+        try:
+            return await call()
+        except (TableUnavailableError, AnswerLostError) as error:
+            events.log(events.OUTCOME_UNRECORDED, error=str(error))
+        await asyncio.sleep(pause_s * random.uniform(0.5, 1.0))
+        pause_s = min(_RETRY_MOST_S, pause_s * 2)
--- /dev/null
+++ b/src/violethatch/_platform.py
@@ -0,0 +1,172 @@
+# SPDX-License-Identifier: MIT
+"""Adapters to the platform's table, object store and instance list."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+
+import aiohttp
+import msgspec
+
+from ._metrics import Metrics
+from .errors import TableUnavailableError
+from .ports import AnswerLostError, ListedInstance, Put, Row
+
+
+_CONFLICT = 409
+#: Answers that say that nothing was written.
+_REFUSALS = frozenset({400, 401, 403, 429, 503})
+
+
+class HttpTable:
+    """The table over HTTP.
+
+    Args:
+        session: Makes the calls.
+        url: The table's address.
+        timeout_s: How long a call may take, in seconds.
+        metrics: Where to count.
+    """
+
+    def __init__(
+        self,
+        session: aiohttp.ClientSession,
+        *,
+        url: str,
+        timeout_s: float,
+        metrics: Metrics,
+    ) -> None:
+        self._session = session
+        self._url = url.rstrip("/")
+        self._timeout = aiohttp.ClientTimeout(total=timeout_s)
+        self._metrics = metrics
+
+    async def read(self, keys: Sequence[str]) -> dict[str, Row]:
+        """Return the rows that exist.
+
+        Raises:
+            TableUnavailableError: The table does not answer.
+        """
+        body = msgspec.json.encode({"keys": list(keys)})
+        try:
+            async with self._session.post(
+                f"{self._url}/read", data=body, timeout=self._timeout
+            ) as answer:
+                data = await answer.read()
+                answer.raise_for_status()
+        except (aiohttp.ClientError, TimeoutError) as error:
+            self._count("read", "failed")
+            raise TableUnavailableError(_describe(error), retry_after_s=2.0) from error
+        self._count("read", "ok")
+        return {row.key: row for row in _rows(data, "rows")}
+
+    async def transact(self, puts: Sequence[Put]) -> list[Row]:
+        """Write all of *puts* or nothing; return the conflicting rows.
+
+        Raises:
+            TableUnavailableError: Nothing was written.
+            AnswerLostError: All was written, or nothing; it can't be told.
+        """
+        body = msgspec.json.encode({"puts": [put._asdict() for put in puts]})
+        try:
+            async with self._session.post(
+                f"{self._url}/transact", data=body, timeout=self._timeout
+            ) as answer:
+                data = await answer.read()
+                status = answer.status
+        except aiohttp.ClientConnectorError as error:
+            self._count("write", "failed")
+            raise TableUnavailableError(_describe(error), retry_after_s=2.0) from error
+        except (aiohttp.ClientError, TimeoutError) as error:
+            self._count("write", "answer_lost")
+            raise AnswerLostError(_describe(error)) from error
+        if status in _REFUSALS:
+            self._count("write", "failed")
+            msg = f"table answered {status}"
+            raise TableUnavailableError(msg, retry_after_s=2.0)
+        if status == _CONFLICT:
+            self._count("write", "conflict")
+            return _rows(data, "conflicts")
+        if status >= 300:
+            self._count("write", "answer_lost")
+            msg = f"table answered {status}"
+            raise AnswerLostError(msg)
+        self._count("write", "ok")
+        return []
+
+    def _count(self, call: str, outcome: str) -> None:
+        self._metrics.table_calls.inc({"call": call, "outcome": outcome})
+
+
+class HttpObjectStore:
+    """The object store over HTTP."""
+
+    def __init__(
+        self, session: aiohttp.ClientSession, *, url: str, timeout_s: float
+    ) -> None:
+        self._session = session
+        self._url = url.rstrip("/")
+        self._timeout = aiohttp.ClientTimeout(total=timeout_s)
+
+    async def put(self, key: str, data: bytes) -> None:
+        """Store an object.
+
+        Raises:
+            TableUnavailableError: The store does not answer.
+        """
+        await self._call("PUT", key, data)
+
+    async def get(self, key: str) -> bytes:
+        """Return an object.
+
+        Raises:
+            TableUnavailableError: The store does not answer.
+        """
+        return await self._call("GET", key, None)
+
+    async def _call(self, method: str, key: str, data: bytes | None) -> bytes:
+        try:
+            async with self._session.request(
+                method, f"{self._url}/{key}", data=data, timeout=self._timeout
+            ) as answer:
+                answer.raise_for_status()
+                return await answer.read()
+        except (aiohttp.ClientError, TimeoutError) as error:
+            raise TableUnavailableError(_describe(error), retry_after_s=2.0) from error
+
+
+class HttpInstanceList:
+    """The instance list over HTTP."""
+
+    def __init__(
+        self, session: aiohttp.ClientSession, *, url: str, timeout_s: float
+    ) -> None:
+        self._session = session
+        self._url = url
+        self._timeout = aiohttp.ClientTimeout(total=timeout_s)
+
+    async def instances(self) -> list[ListedInstance]:
+        """Return the list.
+
+        Raises:
+            TableUnavailableError: The platform does not answer.
+        """
+        try:
+            async with self._session.get(self._url, timeout=self._timeout) as answer:
+                answer.raise_for_status()
+                data = await answer.read()
+        except (aiohttp.ClientError, TimeoutError) as error:
+            raise TableUnavailableError(_describe(error)) from error
+        decoded = msgspec.json.decode(data, type=dict[str, list[ListedInstance]])
+        return decoded["instances"]
+
+
+def _rows(data: bytes, name: str) -> list[Row]:
+    """Decode a list of rows; NamedTuples don't decode from JSON objects."""
+    decoded = msgspec.json.decode(data)
+    return [Row(row["key"], row["version"], row["value"]) for row in decoded[name]]
+
+
+def _describe(error: BaseException) -> str:
+    """Return an error's text; a timeout has none of its own."""
+    return str(error) or type(error).__name__
--- /dev/null
+++ b/src/violethatch/claims.py
@@ -0,0 +1,142 @@
+# SPDX-License-Identifier: MIT
+"""Claims: at most one run for each idempotency key, over all instances.
+
+A claim is a row of the platform's table.  It is inserted, on the condition
+that it is absent, before the first byte goes to a backend server, and carries
+the claimant's own operation id, so that a lost answer of the insert is
+settled by writing again: a conflict with one's own operation id is a success.
+Only the claimant sends.  The outcome is stored in the row afterwards; a claim
+whose call was certainly not run is released and may be claimed anew.
+
+.. versionadded:: 26.1.0
+"""
+
+from __future__ import annotations
+
+import enum
+import hashlib
+
+from typing import Any, NamedTuple, TypedDict, cast
+
+from .ports import ABSENT, Put, Row
+
+
+class ClaimState(enum.StrEnum):
+    """Where a claimed call stands.
+
+    .. versionadded:: 26.1.0
+    """
+
+    #: The claimant may send, or has sent.
+    RUNNING = "running"
+    #: The outcome is known and stored.
+    DONE = "done"
+    #: It was certainly not run and won't be under this operation id.
+    RELEASED = "released"
+
+
+class Outcome(TypedDict):
+    """An answer as it is stored for callers who ask again."""
+
+    status: int
+    content_type: str
+    body: str
+    object_key: str
+
+
+class ClaimValue(TypedDict):
+    """The value of a claim's row."""
+
+    op_id: str
+    state: str
+    request_digest: str
+    owner: str
+    outcome: Outcome | None
+
+
+class Verdict(enum.Enum):
+    """What a caller's instance has to do, given the claim's row.
+
+    .. versionadded:: 26.1.0
+    """
+
+    #: The claim is this operation's: send.
+    SEND = enum.auto()
+    #: Another operation runs: wait for its outcome.
+    WAIT = enum.auto()
+    #: The outcome is stored: answer with it.
+    REPLAY = enum.auto()
+    #: A released claim: try to claim it anew.
+    RECLAIM = enum.auto()
+    #: The key was used with another request.
+    MISMATCH = enum.auto()
+
+
+class Claim(NamedTuple):
+    """One operation's wish to run a keyed call.
+
+    .. versionadded:: 26.1.0
+    """
+
+    row_key: str
+    op_id: str
+    request_digest: str
+    owner: str
+
+    def insert(self, *, over: Row | None = None) -> Put:
+        """Return the write that makes the claim.
+
+        Args:
+            over: A released claim to replace.
+        """
+        version = ABSENT if over is None else over.version
+        return Put(self.row_key, self._value(ClaimState.RUNNING, None), version)
+
+    def finish(self, outcome: Outcome, *, version: int) -> Put:
+        """Return the write that stores the outcome."""
+        return Put(self.row_key, self._value(ClaimState.DONE, outcome), version)
+
+    def release(self, *, version: int) -> Put:
+        """Return the write that gives the claim back, not run."""
+        return Put(self.row_key, self._value(ClaimState.RELEASED, None), version)
+
+    def judge(self, row: Row) -> Verdict:
+        """Tell what to do, given the row that stands in the table."""
+        if row.value["request_digest"] != self.request_digest:
+            return Verdict.MISMATCH
+        state = ClaimState(row.value["state"])
+        if state is ClaimState.RELEASED:
+            return Verdict.RECLAIM
+        if state is ClaimState.DONE:
+            return Verdict.REPLAY
+        return Verdict.SEND if row.value["op_id"] == self.op_id else Verdict.WAIT
+
+    def _value(self, state: ClaimState, outcome: Outcome | None) -> dict[str, Any]:
+        """Return the row's value in *state*."""
+        value = ClaimValue(
+            op_id=self.op_id,
+            state=state.value,
+            request_digest=self.request_digest,
+            owner=self.owner,
+            outcome=outcome,
+        )
+        return cast("dict[str, Any]", value)
+
+
+def claim_row_key(workspace: str, idempotency_key: str) -> str:
+    """Return the key of the row that claims a workspace's idempotency key.
+
+    .. versionadded:: 26.1.0
+    """
+    digest = hashlib.sha256(idempotency_key.encode()).hexdigest()
+    return f"claim/{workspace}/{digest}"
+
+
+def is_own_write(put: Put, row: Row) -> bool:
+    """Tell whether the row that stands in *put*'s way is *put* itself.
+
+    That is how a write whose answer was lost is found to have taken effect.
+
+    .. versionadded:: 26.1.0
+    """
+    return all(row.value.get(name) == put.value[name] for name in ("op_id", "state"))
--- /dev/null
+++ b/src/violethatch/events.py
@@ -0,0 +1,78 @@
+# SPDX-License-Identifier: MIT
+"""Numbered log events, written through eliot.
+
+The catalogue in ``docs/events.md`` is held against this module by a test.
+Fields whose name suggests a secret are never written.
+
+.. versionadded:: 26.1.0
+"""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+import eliot
+
+
+class Event(NamedTuple):
+    """One kind of log event."""
+
+    number: int
+    name: str
+    summary: str
+
+
+STARTED = Event(2001, "started", "The process listens on all its addresses.")
+DRAINING = Event(2002, "draining", "The instance takes no new requests.")
+STOPPED = Event(2003, "stopped", "The process ends.")
+STATE_DUMPED = Event(2004, "state_dumped", "The state was dumped on a signal.")
+TASK_FAILED = Event(2005, "task_failed", "A background task met an error; it goes on.")
+
+RUNNER_FOUND = Event(2101, "runner_found", "A runner's connection is up.")
+RUNNER_LOST = Event(2102, "runner_lost", "A runner's connection broke.")
+RUNNER_STALLED = Event(2103, "runner_stalled", "A step took longer than its limit.")
+RUNNER_LEAVING = Event(2104, "runner_leaving", "A runner gets no new work.")
+LATE_RESULT = Event(2105, "late_result", "Answers to superseded steps were dropped.")
+
+STAGE_REPLACED = Event(2201, "stage_replaced", "A stage was replaced in place.")
+ROUTE_REBUILT = Event(2202, "route_rebuilt", "A request went on over a new route.")
+REQUEST_FAILED = Event(2203, "request_failed", "A request got an error.")
+
+CLAIM_UNSETTLED = Event(2301, "claim_unsettled", "A claim's write went unanswered.")
+OUTCOME_UNRECORDED = Event(2302, "outcome_unrecorded", "An outcome waits to be stored.")
+
+REVISION_APPLIED = Event(2401, "revision_applied", "A configuration is in force.")
+REVISION_ACCEPTED = Event(2402, "revision_accepted", "A confirmed plan was stored.")
+TABLE_REPAIRED = Event(2403, "table_repaired", "An older table got the revision back.")
+REVISION_FORKED = Event(2404, "revision_forked", "One revision, two contents.")
+TABLE_UNREACHABLE = Event(2405, "table_unreachable", "The table can't be read.")
+TABLE_REACHABLE = Event(2406, "table_reachable", "The table answers again.")
+
+PEER_FOUND = Event(2501, "peer_found", "A peer answers heartbeats.")
+PEER_LOST = Event(2502, "peer_lost", "A peer missed its heartbeats.")
+PEER_REFUSED = Event(2503, "peer_refused", "A peer failed to authenticate.")
+
+LEASE_WON = Event(2601, "lease_won", "The instance holds a job's lease.")
+LEASE_LOST = Event(2602, "lease_lost", "The instance no longer holds the lease.")
+ORDER_DONE = Event(2603, "order_done", "A runner carried out a fenced order.")
+ORDER_REFUSED = Event(2604, "order_refused", "A runner refused a fenced order.")
+
+ALL_EVENTS = tuple(value for value in list(globals().values()) if type(value) is Event)
+
+_SECRET_WORDS = ("key", "token", "secret", "authorization", "password")
+
+
+def log(event: Event, **fields: object) -> None:
+    """Write *event* with *fields*, leaving out those that may hold secrets.
+
+    .. versionadded:: 26.1.0
+    """
+    safe = {name: value for name, value in fields.items() if not _is_secret(name)}
+    eliot.log_message(
+        message_type=f"violethatch:{event.name}", number=event.number, **safe
+    )
+
+
+def _is_secret(name: str) -> bool:
+    """Tell whether a field's name suggests that its value is a secret."""
+    return any(word in name.split("_") for word in _SECRET_WORDS)
--- /dev/null
+++ b/src/violethatch/leases.py
@@ -0,0 +1,136 @@
+# SPDX-License-Identifier: MIT
+"""Leases with epochs, judged by each side's own monotonic clock.
+
+A lease is a row of the platform's table.  Its epoch only grows and is the
+fence of every order that its holder gives.  No wall clock is compared: an
+observer takes a lease over once it has seen the row unchanged for its whole
+duration, and the holder stops a margin earlier, counted from before it sent
+the write that renewed it.
+
+.. versionadded:: 26.1.0
+"""
+
+from __future__ import annotations
+
+from typing import Any, TypedDict, cast
+
+from .ports import ABSENT, Put, Row
+
+
+class LeaseValue(TypedDict):
+    """The value of a lease's row."""
+
+    holder: str
+    epoch: int
+    renewal: int
+    duration_s: float
+
+
+class Lease:
+    """One process's view of one lease.
+
+    Args:
+        row_key: The row's key.
+        holder: This process's id.
+        duration_s: How long a renewal lasts, in seconds.
+        margin_s: How much earlier the holder stops, in seconds.
+
+    .. versionadded:: 26.1.0
+    """
+
+    __slots__ = (
+        "_confirmed_s",
+        "_row",
+        "_seen_s",
+        "duration_s",
+        "holder",
+        "margin_s",
+        "row_key",
+    )
+
+    def __init__(
+        self, *, row_key: str, holder: str, duration_s: float, margin_s: float
+    ) -> None:
+        if not 0 < margin_s < duration_s:
+            msg = f"need 0 < margin_s < duration_s, not {margin_s} and {duration_s}"
+            raise ValueError(msg)
+        self.row_key = row_key
+        self.holder = holder
+        self.duration_s = duration_s
+        self.margin_s = margin_s
+        self._row = Row(row_key, ABSENT, {})
+        self._seen_s: float | None = None
+        self._confirmed_s: float | None = None
+
+    def observe(self, row: Row | None, *, now_s: float) -> None:
+        """Take note of the row as it was read at *now_s*."""
+        seen = row or Row(self.row_key, ABSENT, {})
+        if self._seen_s is None or seen.version != self._row.version:
+            self._row = seen
+            self._seen_s = now_s
+            self._confirmed_s = None
+
+    def wanted_write(self, *, now_s: float) -> Put | None:
+        """Return the write that renews or takes the lease, if one is due."""
+        if self._seen_s is None:
+            return None
+        row = self._row
+        if row.version == ABSENT:
+            return self._put(epoch=1, renewal=0)
+        if self.held_epoch(now_s=now_s) is not None:
+            renewal = int(row.value["renewal"]) + 1
+            return self._put(epoch=int(row.value["epoch"]), renewal=renewal)
+        if now_s - self._seen_s >= float(row.value["duration_s"]):
+            return self._put(epoch=int(row.value["epoch"]) + 1, renewal=0)
+        return None
+
+    def written(self, put: Put, *, sent_s: float) -> None:
+        """Note that *put*, sent at *sent_s*, has taken effect."""
+        self._row = Row(self.row_key, put.if_version + 1, dict(put.value))
+        self._seen_s = sent_s
+        self._confirmed_s = sent_s
+
+    def held_epoch(self, *, now_s: float) -> int | None:
+        """Return the epoch under which orders may be given now, if any."""
+        if self._confirmed_s is None:
+            return None
+        if now_s - self._confirmed_s >= self.duration_s - self.margin_s:
+            return None
+        return int(self._row.value["epoch"])
+
+    def resigned(self) -> Put | None:
+        """Return the write that lets others take over at once, if held."""
+        if self._confirmed_s is None:
+            return None
+        self._confirmed_s = None
+        value = dict(self._row.value) | {"duration_s": 0.0}
+        return Put(self.row_key, value, self._row.version)
+
+    def _put(self, *, epoch: int, renewal: int) -> Put:
+        """Return a write that makes this process the holder."""
+        value = LeaseValue(
+            holder=self.holder,
+            epoch=epoch,
+            renewal=renewal,
+            duration_s=self.duration_s,
+        )
+        return Put(self.row_key, cast("dict[str, Any]", value), self._row.version)
+
+
+class Fence:
+    """The receiving end: refuses orders of a superseded holder.
+
+    .. versionadded:: 26.1.0
+    """
+
+    __slots__ = ("known_epoch",)
+
+    def __init__(self) -> None:
+        self.known_epoch = 0
+
+    def admit(self, epoch: int) -> bool:
+        """Tell whether an order under *epoch* may be carried out."""
+        if epoch < self.known_epoch:
+            return False
+        self.known_epoch = epoch
+        return True
--- /dev/null
+++ b/tests/conftest.py
@@ -0,0 +1,57 @@
+# SPDX-License-Identifier: MIT
+"""Fixtures of the integration tests: real processes on loopback."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from violethatch_emulator import Cluster, RunnerPlan
+from violethatch_emulator.callers import standard_intent
+
+
+LAYERS = 6
+#: Two runners for each range, so that any one may fail.
+RUNNERS = tuple(
+    RunnerPlan(f"r{first}{copy}", first, first + 2)
+    for first in (0, 2, 4)
+    for copy in "ab"
+)
+
+
+class Bench:
+    """Sets up what an integration test needs of a cluster."""
+
+    def __init__(self, cluster):
+        self.cluster = cluster
+
+    async def start(
+        self, *, entries=("e1",), zones=(), runners=RUNNERS, proxied=(), **options
+    ):
+        """Start runners and entry instances; declare the standard intent."""
+        cluster = self.cluster
+        await asyncio.gather(
+            *(
+                cluster.start_runner(plan, proxied=plan.runner_id in proxied)
+                for plan in runners
+            )
+        )
+        await asyncio.gather(
+            *(
+                cluster.start_entry(
+                    name, zone=zones[number] if zones else "z1", **options
+                )
+                for number, name in enumerate(entries)
+            )
+        )
+        intent = standard_intent(model=cluster.model, layer_count=LAYERS)
+        await cluster.declare(entries[0], intent)
+        await cluster.wait_ready(*entries, runners=len(runners))
+
+
+@pytest.fixture
+async def bench():
+    """A cluster with a platform, and no other process yet."""
+    async with Cluster(layer_count=LAYERS) as cluster:
+        yield Bench(cluster)
--- /dev/null
+++ b/tests/test_path.py
@@ -0,0 +1,101 @@
+# SPDX-License-Identifier: MIT
+"""The main job over real processes."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+
+import openai
+
+from conftest import LAYERS
+
+from violethatch_emulator import expected_text
+from violethatch_emulator.callers import stream, workspace_key
+
+
+class TestCompletions:
+    async def test_ordinary_client_streams_a_chat(self, bench):
+        """An OpenAI client gets the model's answer, piece by piece."""
+        await bench.start()
+        cluster = bench.cluster
+        async with openai.AsyncOpenAI(
+            base_url=cluster.url("e1", "/v1"),
+            api_key=workspace_key("clinic"),
+            max_retries=0,
+        ) as client:
+            pieces = await client.chat.completions.create(
+                model=cluster.model,
+                messages=[{"role": "user", "content": "no nuts"}],
+                max_tokens=12,
+                stream=True,
+            )
+            text = "".join([piece.choices[0].delta.content async for piece in pieces])
+            whole = await client.chat.completions.create(
+                model=cluster.model,
+                messages=[{"role": "user", "content": "no nuts"}],
+                max_tokens=12,
+            )
+        wanted = expected_text("user: no nuts", layer_count=LAYERS, limit=12)
+        assert wanted == text
+        assert wanted == whole.choices[0].message.content
+
+    async def test_many_callers_get_their_own_answers(self, bench):
+        """120 requests of two workspaces over three instances don't mix."""
+        entries = ("e1", "e2", "e3")
+        await bench.start(entries=entries, zones=("z1", "z1", "z2"))
+        cluster = bench.cluster
+
+        async def one(number):
+            prompt = f"household {number} wants a menu"
+            answer = await stream(
+                cluster.http,
+                cluster.url(entries[number % 3]),
+                workspace=("clinic", "outlet")[number % 2],
+                model=cluster.model,
+                prompt=prompt,
+                max_tokens=16,
+            )
+            wanted = expected_text(prompt, layer_count=LAYERS, limit=16)
+            return answer.is_whole and answer.text == wanted
+
+        assert all(await asyncio.gather(*(one(number) for number in range(120))))
+        ledger = cluster.ledger()
+        assert 120 == len(ledger.requests)
+        assert [] == ledger.faults(layer_count=LAYERS)
+
+
+class TestProcess:
+    async def test_serving_process_keeps_the_platforms_rules(self, bench):
+        """No io_uring, no child process, no shared memory, the usual libc."""
+        await bench.start()
+        cluster = bench.cluster
+        await stream(
+            cluster.http,
+            cluster.url("e1"),
+            workspace="clinic",
+            model=cluster.model,
+            prompt="a kit",
+            max_tokens=4,
+        )
+        pid = cluster.processes["e1"].pid
+        links = []
+        for number in os.listdir(f"/proc/{pid}/fd"):
+            try:
+                links.append(os.readlink(f"/proc/{pid}/fd/{number}"))
+            except FileNotFoundError:
+                continue
+        assert not [link for link in links if "io_uring" in link]
+        tasks = os.listdir(f"/proc/{pid}/task")
+        children = [
+            child
+            for task in tasks
+            for child in open(f"/proc/{pid}/task/{task}/children").read().split()
+        ]
+        assert [] == children
+        maps = open(f"/proc/{pid}/maps").read()
+        assert "/dev/shm" not in maps
+        # libc maps its read-only gconv cache as shared; only writable ones count.
+        modes = [line.split()[1] for line in maps.splitlines()]
+        assert not [mode for mode in modes if mode[1] == "w" and mode[3] == "s"]
+        assert "/libc.so" in maps or "/libc-" in maps
