--- a/src/violethatch/_engine_link.py
+++ b/src/violethatch/_engine_link.py
@@ -52,6 +52,11 @@
     positions: int
 
 
+def _label(message: wire.Step | wire.Result) -> _Label:
+    """Return what a step and its result have in common, and no other step."""
+    return message.request, message.epoch, message.position
+
+
 class EngineLink:
     """A connection that is kept up, and what is learnt over it.
 
@@ -109,7 +114,7 @@
         if self.hello is None:
             future.set_exception(StageFailedError(self.runner_id, "not connected"))
             return future
-        label = (step.request, step.epoch, step.position)
+        label = _label(step)
         self._pending[label] = _Pending(
             future, time.monotonic(), max(1, step.positions)
         )
@@ -218,7 +223,7 @@
 
     def _take_result(self, result: wire.Result, now_s: float) -> None:
         """Give a result to whoever waits for exactly that step."""
-        label = (result.request, result.epoch, result.position)
+        label = _label(result)
         pending = self._pending.pop(label, None)
         if pending is None:
             self.late_results += 1
--- a/src/violethatch_emulator/cluster.py
+++ b/src/violethatch_emulator/cluster.py
@@ -25,6 +25,8 @@
 
 OPERATORS_KEY = "operators-key-for-tests"
 PEERS_KEY = "peers-key-for-tests"
+_EMULATOR = ("-m", "violethatch_emulator")
+_ENTRY = ("-m", "violethatch")
 _START_TIMEOUT_S = 20.0
 _STOP_TIMEOUT_S = 10.0
 
@@ -111,7 +113,7 @@
         )
         await self._start(
             "platform",
-            "violethatch_emulator",
+            _EMULATOR,
             "platform",
             f"--list-lag-s={self._list_lag_s}",
             f"--writes-per-s={self._writes_per_s}",
@@ -161,7 +163,7 @@
             "ledger_path": str(self.path / f"{plan.runner_id}.ledger"),
         }
         process = await self._start(
-            plan.runner_id, "violethatch_emulator", "engine", json.dumps(options)
+            plan.runner_id, _EMULATOR, "engine", json.dumps(options)
         )
         port = process.ports["port"]
         if proxied:
@@ -180,7 +182,7 @@
         """Start a plain service's server and list it."""
         process = await self._start(
             server_id,
-            "violethatch_emulator",
+            _EMULATOR,
             "service",
             server_id,
             f"--delay-s={delay_s}",
@@ -200,8 +202,21 @@
         policy: Mapping[str, object] | None = None,
         limits: Mapping[str, object] | None = None,
         listen: Mapping[str, object] | None = None,
+        program: tuple[str, ...] = _ENTRY,
+        peers_proxied: bool = False,
     ) -> None:
-        """Start an entry instance and list it."""
+        """Start an entry instance and list it.
+
+        Args:
+            instance_id: Its id.
+            zone: Its availability zone.
+            platform_port: The platform's port, or that of a proxy before it.
+            policy: Settings of that section.
+            limits: Settings of that section.
+            listen: Settings of that section.
+            program: What to run in place of the product.
+            peers_proxied: Whether peers reach it through a proxy.
+        """
         settings = self._settings_text(
             instance_id, zone, platform_port or self.platform_port
         )
@@ -214,10 +229,10 @@
             settings += "\n".join([f"[{section}]", *lines, ""])
         path = self.path / f"{instance_id}.ini"
         path.write_text(settings)
-        process = await self._start(
-            instance_id, "violethatch", "serve", f"--settings={path}"
-        )
+        process = await self._start(instance_id, program, "serve", f"--settings={path}")
         peers_port = process.ports["peers_port"]
+        if peers_proxied:
+            peers_port = (await self.add_proxy(f"{instance_id}-peers", peers_port)).port
         await self.list_instance(instance_id, "entry", peers_port, zone=zone)
 
     async def list_instance(
@@ -346,12 +361,14 @@
         async with self.http.put(url, json=self._listed[name]) as answer:
             answer.raise_for_status()
 
-    async def _start(self, name: str, *arguments: str) -> Process:
+    async def _start(
+        self, name: str, program: tuple[str, ...], *arguments: str
+    ) -> Process:
         """Start a process and wait for the line that tells its ports."""
         with (self.path / f"{name}.log").open("ab") as log:
             process = await asyncio.create_subprocess_exec(
                 sys.executable,
-                "-m",
+                *program,
                 *arguments,
                 stdout=asyncio.subprocess.PIPE,
                 stderr=log,
--- a/src/violethatch_emulator/platform.py
+++ b/src/violethatch_emulator/platform.py
@@ -30,6 +30,7 @@
         self._refilled_s = time.monotonic()
         self._snapshots: dict[str, dict[str, dict[str, Any]]] = {}
         self.outage = False
+        self.list_outage = False
         self.delay_s = 0.0
         self.lose_write_answers = 0
         self.counts = {"reads": 0, "writes": 0, "throttled": 0, "lost_answers": 0}
@@ -127,7 +128,8 @@
         return web.json_response({})
 
     async def _list_instances(self, request: web.Request) -> web.Response:
-        await self._meet_faults()
+        if self.list_outage:
+            raise web.HTTPServiceUnavailable(text="outage")
         return web.json_response({"instances": self._listed})
 
     async def _put_instance(self, request: web.Request) -> web.Response:
@@ -142,6 +144,7 @@
     async def _control(self, request: web.Request) -> web.Response:
         wanted = await request.json()
         self.outage = bool(wanted.get("outage", self.outage))
+        self.list_outage = bool(wanted.get("list_outage", self.list_outage))
         self.delay_s = float(wanted.get("delay_s", self.delay_s))
         lost = wanted.get("lose_write_answers", self.lose_write_answers)
         self.lose_write_answers = int(lost)
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -52,6 +52,6 @@
 
 @pytest.fixture
 async def bench():
-    """A cluster with a platform, and no other process yet."""
+    """Provide a cluster with a platform, and no other process yet."""
     async with Cluster(layer_count=LAYERS) as cluster:
         yield Bench(cluster)
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -5,11 +5,11 @@
 
 import asyncio
 import os
+import pathlib
 
 import openai
 
 from conftest import LAYERS
-
 from violethatch_emulator import expected_text
 from violethatch_emulator.callers import stream, workspace_key
 
@@ -61,8 +61,8 @@
 
         assert all(await asyncio.gather(*(one(number) for number in range(120))))
         ledger = cluster.ledger()
-        assert 120 == len(ledger.requests)
-        assert [] == ledger.faults(layer_count=LAYERS)
+        assert len(ledger.requests) == 120
+        assert ledger.faults(layer_count=LAYERS) == []
 
 
 class TestProcess:
@@ -87,13 +87,14 @@
                 continue
         assert not [link for link in links if "io_uring" in link]
         tasks = os.listdir(f"/proc/{pid}/task")
+        process = pathlib.Path(f"/proc/{pid}")
         children = [
             child
             for task in tasks
-            for child in open(f"/proc/{pid}/task/{task}/children").read().split()
+            for child in (process / "task" / task / "children").read_text().split()
         ]
-        assert [] == children
-        maps = open(f"/proc/{pid}/maps").read()
+        assert children == []
+        maps = (process / "maps").read_text()
         assert "/dev/shm" not in maps
         # libc maps its read-only gconv cache as shared; only writable ones count.
         modes = [line.split()[1] for line in maps.splitlines()]
