--- a/bench/__init__.py
+++ /dev/null
@@ -1,2 +0,0 @@
-# SPDX-License-Identifier: MIT
-"""Measurements of violethatch on real processes; see docs/measurements.md."""
--- a/src/violethatch/_engine_link.py
+++ b/src/violethatch/_engine_link.py
@@ -62,6 +62,7 @@
 
     Args:
         runner_id: The runner's id in the platform's list.
+        availability_zone: Where the runner is.
         url: Its WebSocket's address.
         stall_initial_s: The stall limit before anything is learnt, in seconds.
         stall_floor_s: The least stall limit, in seconds.
@@ -73,6 +74,7 @@
         self,
         *,
         runner_id: str,
+        availability_zone: str,
         url: str,
         stall_initial_s: float,
         stall_floor_s: float,
@@ -80,6 +82,7 @@
         on_change: Callable[[], None],
     ) -> None:
         self.runner_id = runner_id
+        self.availability_zone = availability_zone
         self.url = url
         self.hello: wire.Hello | None = None
         self.load = wire.Load(0, 0, False, [])
--- a/src/violethatch/_entry.py
+++ b/src/violethatch/_entry.py
@@ -18,14 +18,16 @@
 
 import aiohttp
 
-from aiohttp import web
-
 from . import events
 from ._callers import CallerLimits, Callers
+from ._claim_writer import ClaimWriter, ZoneClaimWriter, reply_to
 from ._config import ConfigKeeper
 from ._driver import Driver
+from ._engine_link import EngineLink
 from ._fleet import Fleet, RunnerState
-from ._keyed import ClaimWriter, KeyedCalls
+from ._jobs import AdapterKeeper, LeaseKeeper
+from ._keyed import KeyedCalls
+from ._listener import Listener
 from ._metrics import Metrics
 from ._operators import Operators
 from ._peers import Peers
@@ -33,12 +35,17 @@
 from ._services import PlainServices
 from .errors import TableUnavailableError
 from .gossip import Gossip
+from .leases import Lease
+from .membership import rendezvous
 from .retries import RetryBudget
 from .revisions import Revision
 from .settings import ListenSection, Settings
 
 
-_SHUTDOWN_TIMEOUT_S = 1.0
+#: The job of giving orders to a zone's runners.
+_ORDERS_JOB = "orders"
+#: The job of writing a zone's claims.
+_CLAIMS_JOB = "claims"
 
 
 class ProcessState(TypedDict):
@@ -54,6 +61,7 @@
     in_flight: int
     outcomes_unsettled: int
     zone_members: list[str]
+    orders_epoch: int | None
     runners: list[RunnerState]
     retry_budget: float
     cpu_s: float
@@ -75,7 +83,7 @@
         self._incarnation = time.time_ns() // 1_000_000
         self._tasks: set[asyncio.Task[None]] = set()
         self._stop = asyncio.Event()
-        self._runners: list[web.AppRunner] = []
+        self._listeners: list[Listener] = []
         self._metrics = Metrics()
         self._budget = RetryBudget()
         self._fleet = Fleet(policy, rng=self._rng)
@@ -107,10 +115,13 @@
             await self._fleet.start()
             await self._services.start()
             ports = await self._listen()
+            self._spawn(self._local_writer.run())
             self._spawn(self._writer.run())
             self._spawn(self._config.run())
             self._spawn(self._peers.run(lambda: self._config.revision))
             self._spawn(self._follow_list(session))
+            self._spawn(self._lease.run())
+            self._spawn(self._adapters.run())
             self._handle_signals()
             events.log(events.STARTED, **ports)
             # Whoever started the process learns the free ports from here.
@@ -133,11 +144,17 @@
         objects = HttpObjectStore(
             session, url=platform.objects_url, timeout_s=platform.timeout_s
         )
-        self._writer = ClaimWriter(
+        self._local_writer = ClaimWriter(
             table,
             interval_s=policy.table_write_interval_s,
             give_up_s=platform.timeout_s,
         )
+        self._writer = ZoneClaimWriter(
+            self._local_writer,
+            chosen=lambda: self._chosen_for(_CLAIMS_JOB),
+            own_id=settings.instance.id,
+            forward=lambda peer_id, puts: self._peers.forward(peer_id, puts),
+        )
         keyed = KeyedCalls(
             table,
             self._writer,
@@ -174,6 +191,24 @@
             rng=self._rng,
             encoded_revision=self._config.encoded,
             take_revision=self._config.take_encoded,
+            write=lambda put: reply_to(self._local_writer, put),
+            connections=settings.limits.connections,
+        )
+        self._lease = LeaseKeeper(
+            table,
+            Lease(
+                row_key=f"lease/{settings.instance.availability_zone}/{_ORDERS_JOB}",
+                holder=settings.instance.id,
+                duration_s=policy.lease_duration_s,
+                margin_s=policy.lease_margin_s,
+            ),
+            is_chosen=lambda: self._has_job(_ORDERS_JOB),
+        )
+        self._adapters = AdapterKeeper(
+            self._lease,
+            links=self._zone_links,
+            adapters=self._declared_adapters,
+            interval_s=policy.heartbeat_interval_s,
         )
         self._operators = Operators(
             config=self._config,
@@ -193,16 +228,11 @@
         }
         ports = {}
         for name, (application, port) in applications.items():
-            runner = web.AppRunner(
-                application,
-                access_log=None,
-                handler_cancellation=True,
-                shutdown_timeout=_SHUTDOWN_TIMEOUT_S,
+            listener = Listener(
+                application, connections=self._settings.limits.connections
             )
-            await runner.setup()
-            await web.TCPSite(runner, listen.address, port, ssl_context=context).start()
-            self._runners.append(runner)
-            ports[name] = int(runner.addresses[0][1])
+            self._listeners.append(listener)
+            ports[name] = await listener.start(listen.address, port, context)
         ports["peers_port"] = await self._peers.start(listen.address, listen.peers_port)
         return ports
 
@@ -212,6 +242,26 @@
         self._follow_operators()
         self._metrics.revision.set({}, revision["revision"])
 
+    def _chosen_for(self, job: str) -> str:
+        """Return the id of the instance that has one of the zone's jobs."""
+        return rendezvous(job, self._gossip.zone_members())[0]
+
+    def _has_job(self, job: str) -> bool:
+        """Tell whether this instance has one of the zone's jobs."""
+        if self._callers.is_draining:
+            return False
+        return self._chosen_for(job) == self._settings.instance.id
+
+    def _zone_links(self) -> list[EngineLink]:
+        """Return the connections to the own zone's runners."""
+        zone = self._settings.instance.availability_zone
+        return [link for link in self._fleet.links() if link.availability_zone == zone]
+
+    def _declared_adapters(self) -> dict[str, list[str]]:
+        """Return the adapters that each model should have loaded."""
+        models = self._config.current["document"]["models"]
+        return {name: spec["adapters"] for name, spec in models.items()}
+
     def _follow_operators(self) -> None:
         """Take out the runners that operators want out."""
         runners = self._config.current["document"]["runners"]
@@ -243,6 +293,7 @@
         events.log(events.DRAINING, in_flight=self._callers.in_flight)
         self._callers.is_draining = True
         await self._peers.announce_leaving()
+        await self._lease.resign()
         # The balancer needs a while to notice; until then requests are served.
         await asyncio.sleep(limits.drain_grace_s)
         self._callers.is_closed = True
@@ -250,8 +301,8 @@
 
     async def _close(self) -> None:
         """Close everything."""
-        for runner in self._runners:
-            await runner.cleanup()
+        for listener in self._listeners:
+            await listener.stop()
         for task in list(self._tasks):
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
@@ -274,6 +325,7 @@
             in_flight=self._callers.in_flight,
             outcomes_unsettled=self._keyed.unsettled,
             zone_members=self._gossip.zone_members(),
+            orders_epoch=self._lease.epoch(),
             runners=self._fleet.state(),
             retry_budget=round(self._budget.balance, 2),
             cpu_s=round(usage.ru_utime + usage.ru_stime, 3),
--- a/src/violethatch/_fleet.py
+++ b/src/violethatch/_fleet.py
@@ -102,7 +102,7 @@
                 continue
             runner_id = entry["id"]
             seen.add(runner_id)
-            self._follow_one(runner_id, entry["address"])
+            self._follow_one(entry)
             self._mark(runner_id, "list", entry["leaving"])
         for runner_id in set(self._links) - seen:
             self._mark(runner_id, "list", True)
@@ -203,9 +203,10 @@
             and not self.marks.is_leaving(link.runner_id)
         ]
 
-    def _follow_one(self, runner_id: str, address: str) -> None:
+    def _follow_one(self, entry: ListedInstance) -> None:
         """Connect to a runner, anew if its address has changed."""
-        url = f"http://{address}/engine"
+        runner_id = entry["id"]
+        url = f"http://{entry['address']}/engine"
         link = self._links.get(runner_id)
         if link is not None and link.url == url:
             return
@@ -213,6 +214,7 @@
             self._drop(runner_id)
         link = EngineLink(
             runner_id=runner_id,
+            availability_zone=entry["availability_zone"],
             url=url,
             stall_initial_s=self._policy.stall_initial_s,
             stall_floor_s=self._policy.stall_floor_s,
--- a/src/violethatch/_keyed.py
+++ b/src/violethatch/_keyed.py
@@ -13,7 +13,8 @@
 from typing import NamedTuple, TypeVar
 
 from . import events
-from .claims import Claim, ClaimState, Outcome, Verdict, is_own_write
+from ._claim_writer import RowWriter
+from .claims import Claim, ClaimState, Outcome, Verdict
 from .errors import (
     ClaimRefusedError,
     KeyReusedError,
@@ -22,7 +23,7 @@
     TableUnavailableError,
     VioletHatchError,
 )
-from .ports import ABSENT, AnswerLostError, ObjectStore, Put, Row, Table
+from .ports import ABSENT, AnswerLostError, ObjectStore, Row, Table
 
 
 #: Larger bodies go to the object store.
@@ -31,9 +32,6 @@
 _POLL_MOST_S = 1.0
 _RETRY_FIRST_S = 0.2
 _RETRY_MOST_S = 5.0
-#: Writes of one transaction.
-_BATCH_MOST = 100
-
 T = TypeVar("T")
 
 
@@ -45,107 +43,6 @@
     body: bytes
 
 
-#: A write and the future of its outcome.
-_Waiting = tuple[Put, "asyncio.Future[Row | None]"]
-
-
-class ClaimWriter:
-    """Groups writes, so that their number grows with time and not with calls.
-
-    Args:
-        table: Where to write.
-        interval_s: The least time between transactions, in seconds.
-        give_up_s: How long to try a write whose answers are lost, in seconds.
-    """
-
-    def __init__(self, table: Table, *, interval_s: float, give_up_s: float) -> None:
-        self._table = table
-        self._interval_s = interval_s
-        self._give_up_s = give_up_s
-        self._queue: list[_Waiting] = []
-        self._wake = asyncio.Event()
-
-    async def write(self, put: Put) -> Row | None:
-        """Write conditionally; return the row in the way, or None if written.
-
-        Raises:
-            TableUnavailableError: It was not written and won't be.
-            AnswerLostError: It may have been written, or may yet be.
-        """
-        future = asyncio.get_running_loop().create_future()
-        self._queue.append((put, future))
-        self._wake.set()
-        row: Row | None = await future
-        if row is not None and is_own_write(put, row):
-            return None
-        return row
-
-    async def run(self) -> None:
-        """Write until cancelled."""
-        while True:
-            await self._wake.wait()
-            self._wake.clear()
-            while self._queue:
-                started_s = time.monotonic()
-                await self._write_batch(self._take_batch())
-                pause_s = self._interval_s - (time.monotonic() - started_s)
-                await asyncio.sleep(max(0.0, pause_s))
-
-    def _take_batch(self) -> list[_Waiting]:
-        """Take writes of different rows off the queue, in order.
-
-        Two writes of one row must not share a transaction: each has to see
-        what the other did.
-        """
-        taken: dict[str, _Waiting] = {}
-        left = []
-        for waiting in self._queue:
-            if len(taken) < _BATCH_MOST and waiting[0].key not in taken:
-                taken[waiting[0].key] = waiting
-            else:
-                left.append(waiting)
-        self._queue = left
-        return list(taken.values())
-
-    async def _write_batch(self, batch: list[_Waiting]) -> None:
-        """Write a batch; those with conflicts drop out and the rest goes again."""
-        may_be_written = False
-        give_up_s = time.monotonic() + self._give_up_s
-        while batch:
-            error: Exception
-            try:
-                conflicts = await self._table.transact([put for put, _ in batch])
-            except AnswerLostError as lost:
-                may_be_written, error = True, lost
-            except TableUnavailableError as unavailable:
-                error = unavailable
-            else:
-                batch = _settle(batch, conflicts)
-                continue
-            if not may_be_written or time.monotonic() > give_up_s:
-                # Not written for certain only if no try's answer was lost.
-                final = AnswerLostError(str(error)) if may_be_written else error
-                for _, future in batch:
-                    if not future.done():
-                        future.set_exception(final)
-                return
-            # Writing again is safe: it conflicts with itself if it was written.
-            await asyncio.sleep(self._interval_s)
-
-
-def _settle(batch: list[_Waiting], conflicts: list[Row]) -> list[_Waiting]:
-    """Resolve what a transaction decided; return what has to go again."""
-    in_the_way = {row.key: row for row in conflicts}
-    remaining = []
-    for put, future in batch:
-        row = in_the_way.get(put.key)
-        if conflicts and row is None:
-            remaining.append((put, future))
-        elif not future.done():
-            future.set_result(row)
-    return remaining
-
-
 class KeyedCalls:
     """Runs keyed calls at most once over all instances.
 
@@ -161,7 +58,7 @@
     def __init__(
         self,
         table: Table,
-        writer: ClaimWriter,
+        writer: RowWriter,
         objects: ObjectStore,
         *,
         outcome_wait_s: float,
--- a/src/violethatch/_peer_wire.py
+++ b/src/violethatch/_peer_wire.py
@@ -19,13 +19,19 @@
 import pathlib
 import secrets
 
-from collections.abc import Iterable
-from typing import Any
+from collections.abc import Iterable, Sequence
+from typing import Any, TypeVar
 
 import capnp
+import msgspec
 
+from ._claim_writer import WriteReply
 from .errors import PeerRefusedError
 from .gossip import Beat
+from .ports import Put
+
+
+T = TypeVar("T")
 
 
 _schema = capnp.load(str(pathlib.Path(__file__).with_name("peers.capnp")))
@@ -214,6 +220,42 @@
     return _schema.Message.new_message(taken=None)
 
 
+def write_message(puts: Sequence[Put]) -> Any:
+    """Return a message that asks for conditional writes."""
+    return _schema.Message.new_message(write=msgspec.json.encode(list(puts)))
+
+
+def read_puts(data: bytes) -> list[Put]:
+    """Return the writes of a message.
+
+    Raises:
+        PeerRefusedError: They are malformed.
+    """
+    return _convert(data, list[Put])
+
+
+def written_message(replies: Sequence[WriteReply]) -> Any:
+    """Return a message with the replies to writes."""
+    return _schema.Message.new_message(written=msgspec.json.encode(list(replies)))
+
+
+def read_replies(data: bytes) -> list[WriteReply]:
+    """Return the replies of a message.
+
+    Raises:
+        PeerRefusedError: They are malformed.
+    """
+    return _convert(data, list[WriteReply])
+
+
+def _convert(data: bytes, kind: type[T]) -> T:
+    """Decode JSON into *kind*."""
+    try:
+        return msgspec.json.decode(data, type=kind)
+    except msgspec.DecodeError as error:
+        raise PeerRefusedError(str(error)) from error
+
+
 def _decode(body: bytes) -> Any:
     """Decode a message.
 
--- a/src/violethatch/_peers.py
+++ b/src/violethatch/_peers.py
@@ -7,10 +7,11 @@
 import random
 import time
 
-from collections.abc import Awaitable, Callable, Iterable
+from collections.abc import Awaitable, Callable, Iterable, Sequence
 from typing import Any
 
 from . import events
+from ._claim_writer import WriteReply
 from ._peer_wire import (
     PeerChannel,
     accept_peer,
@@ -18,17 +19,23 @@
     connect_peer,
     fetch_message,
     read_beats,
+    read_puts,
+    read_replies,
     revision_message,
     taken_message,
+    write_message,
+    written_message,
 )
 from .errors import PeerRefusedError
 from .gossip import Beat, Gossip, choose_targets
-from .ports import ListedInstance
+from .ports import ListedInstance, Put
 
 
 _FANOUT = 3
 #: How long a peer may take to authenticate, in seconds.
 _HANDSHAKE_S = 2.0
+#: How long a peer may take over writes; the table may be slow.
+_WRITE_S = 5.0
 #: What ends a connection without being a fault of this process.
 _BROKEN = (OSError, TimeoutError, asyncio.IncompleteReadError, PeerRefusedError)
 
@@ -43,6 +50,8 @@
         rng: Whom to talk to.
         encoded_revision: Returns the revision in force, as JSON.
         take_revision: Takes a revision that a peer offers.
+        write: Does a conditional write for a peer.
+        connections: The most connections of peers at one time.
     """
 
     def __init__(
@@ -54,16 +63,23 @@
         rng: random.Random,
         encoded_revision: Callable[[], bytes],
         take_revision: Callable[[bytes], Awaitable[None]],
+        write: Callable[[Put], Awaitable[WriteReply]],
+        connections: int,
     ) -> None:
         self.gossip = gossip
         self._encoded_revision = encoded_revision
         self._take_revision = take_revision
+        self._write = write
+        self._connections = connections
+        self._open = 0
         self._is_leaving = False
         self._key = key.encode()
         self._interval_s = interval_s
         self._rng = rng
         self._addresses: dict[str, tuple[str, str]] = {}
         self._callers: dict[str, _PeerCaller] = {}
+        # Writes wait for the table; heartbeats must not wait behind them.
+        self._writers: dict[str, _PeerCaller] = {}
         self._channels: set[PeerChannel] = set()
         self._server: asyncio.Server | None = None
 
@@ -78,7 +94,7 @@
             self._server.close()
         for channel in list(self._channels):
             channel.close()
-        for caller in self._callers.values():
+        for caller in [*self._callers.values(), *self._writers.values()]:
             caller.disconnect()
 
     def follow(self, listed: Iterable[ListedInstance]) -> None:
@@ -89,8 +105,9 @@
             for entry in listed
             if entry["role"] == "entry" and entry["id"] != own_id
         }
-        for peer_id in set(self._callers) - set(self._addresses):
-            self._callers.pop(peer_id).disconnect()
+        for callers in (self._callers, self._writers):
+            for peer_id in set(callers) - set(self._addresses):
+                callers.pop(peer_id).disconnect()
 
     def instance_count(self) -> int:
         """Return how many entry instances are listed, at least this one."""
@@ -126,10 +143,36 @@
                 return bytes(answer.revision)
         return None
 
+    async def forward(
+        self, peer_id: str, puts: Sequence[Put]
+    ) -> Sequence[WriteReply] | None:
+        """Have a peer do conditional writes; None if it does not answer."""
+        answer = await self._call(
+            peer_id, write_message(puts), callers=self._writers, timeout_s=_WRITE_S
+        )
+        if answer is None or answer.which() != "written":
+            return None
+        replies = read_replies(bytes(answer.written))
+        return replies if len(replies) == len(puts) else None
+
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
-        """Serve one connection of a peer."""
+        """Serve one connection of a peer, if there is room for it."""
+        if self._open >= self._connections:
+            writer.transport.abort()
+            return
+        self._open += 1
+        try:
+            await self._serve_channel(reader, writer)
+        finally:
+            self._open -= 1
+            writer.transport.abort()
+
+    async def _serve_channel(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        """Authenticate a peer and answer its messages."""
         channel: PeerChannel | None = None
         try:
             async with asyncio.timeout(_HANDSHAKE_S):
@@ -145,7 +188,6 @@
         finally:
             if channel is not None:
                 self._channels.discard(channel)
-            writer.transport.abort()
 
     async def _answer(self, message: Any) -> Any:
         """Return the answer to a peer's message."""
@@ -159,6 +201,10 @@
         if kind == "revision":
             await self._take_revision(bytes(message.revision))
             return taken_message()
+        if kind == "write":
+            puts = read_puts(bytes(message.write))
+            replies = await asyncio.gather(*(self._write(put) for put in puts))
+            return written_message(replies)
         msg = f"unexpected {kind}"
         raise PeerRefusedError(msg)
 
@@ -188,20 +234,28 @@
         remote = [key for key, (_, at) in self._addresses.items() if at != own_zone]
         return zone, remote
 
-    async def _call(self, peer_id: str, message: Any) -> Any:
+    async def _call(
+        self,
+        peer_id: str,
+        message: Any,
+        *,
+        callers: dict[str, _PeerCaller] | None = None,
+        timeout_s: float = 0.0,
+    ) -> Any:
         """Call a peer; None if it does not answer."""
         listed = self._addresses.get(peer_id)
         if listed is None:
             return None
-        caller = self._callers.get(peer_id)
+        callers = self._callers if callers is None else callers
+        caller = callers.get(peer_id)
         if caller is None or caller.address != listed[0]:
             if caller is not None:
                 caller.disconnect()
-            caller = self._callers[peer_id] = _PeerCaller(
+            caller = callers[peer_id] = _PeerCaller(
                 listed[0],
                 own_id=self.gossip.own.instance_id,
                 key=self._key,
-                timeout_s=max(0.5, self._interval_s),
+                timeout_s=timeout_s or max(0.5, self._interval_s),
             )
         return await caller.call(message)
 
--- a/src/violethatch/peers.capnp
+++ b/src/violethatch/peers.capnp
@@ -34,5 +34,8 @@
     taken @6 :Void;
     # The number of an error.
     refused @7 :UInt16;
+    # Conditional writes to be done for the caller, as JSON; their replies.
+    write @8 :Data;
+    written @9 :Data;
   }
 }
--- a/src/violethatch/settings.py
+++ b/src/violethatch/settings.py
@@ -67,6 +67,7 @@
     """Bounds on what one instance takes on."""
 
     requests: PositiveInt = 2000
+    connections: PositiveInt = 4096
     body_bytes: PositiveInt = 1_048_576
     retain_bytes_per_request: PositiveInt = 4_194_304
     drain_grace_s: Positive = 1.0
--- a/src/violethatch_emulator/cluster.py
+++ b/src/violethatch_emulator/cluster.py
@@ -44,6 +44,7 @@
     checks_fence: bool = True
     version: str = "v1"
     kind: str = "a"
+    link_s: float = 0.0
 
 
 class Process:
@@ -62,8 +63,10 @@
 
     def send(self, number: signal.Signals) -> None:
         """Send a signal, if the process still runs."""
-        with contextlib.suppress(ProcessLookupError):
-            self._process.send_signal(number)
+        # Not the library's method: it may reap the process behind the loop's back.
+        if self._process.returncode is None:
+            with contextlib.suppress(ProcessLookupError):
+                os.kill(self.pid, number)
 
     async def kill(self) -> None:
         """Kill it at once."""
@@ -160,6 +163,7 @@
             "stream_s": plan.stream_s,
             "batch_limit": plan.batch_limit,
             "checks_fence": plan.checks_fence,
+            "link_s": plan.link_s,
             "ledger_path": str(self.path / f"{plan.runner_id}.ledger"),
         }
         process = await self._start(
--- a/src/violethatch_emulator/engine.py
+++ b/src/violethatch_emulator/engine.py
@@ -42,6 +42,7 @@
     batch_limit: int = 32
     queue_limit: int = 4096
     state_limit: int = 4096
+    link_s: float = 0.0
     load_interval_s: float = 0.2
     checks_fence: bool = True
     ledger_path: str = ""
@@ -56,7 +57,7 @@
 class _RequestState:
     """What the engine keeps of a request."""
 
-    __slots__ = ("epoch", "prompt_count", "stack")
+    __slots__ = ("epoch", "stack")
 
     def __init__(self, epoch: int, stack: arithmetic.LayerStack) -> None:
         self.epoch = epoch
@@ -72,6 +73,11 @@
         self.socket = socket
         self.results: list[wire.Result] = []
 
+    def take(self) -> list[wire.Result]:
+        """Return the results that wait to be sent."""
+        results, self.results = self.results, []
+        return results
+
     async def send(self, kind: wire.FrameKind, body: object) -> None:
         """Send a frame; a broken connection shows in the reading loop."""
         try:
@@ -98,6 +104,7 @@
         self._arrivals = 0
         self._wake = asyncio.Event()
         self._links: set[_Link] = set()
+        self._sending: set[asyncio.Task[None]] = set()
 
     def application(self) -> web.Application:
         """Return the engine's HTTP application."""
@@ -235,11 +242,26 @@
                 await asyncio.sleep(wait_s)
             debt_s = min(0.05, max(0.0, time.monotonic() - started_s - wait_s))
             self._ledger.write(lines)
-            await self._send_results({link for *_, link in batch})
-
-    async def _send_results(self, links: set[_Link]) -> None:
-        for link in links:
-            results, link.results = link.results, []
+            # The link there and back delays a result, but not the next batch.
+            links = {link for *_, link in batch}
+            if options.link_s:
+                self._send_later(links)
+            else:
+                await self._send_results([(link, link.take()) for link in links])
+
+    def _send_later(self, links: set[_Link]) -> None:
+        """Send the results that links have gathered, after the link's delay."""
+        ready = [(link, link.take()) for link in links]
+
+        def send() -> None:
+            task = asyncio.create_task(self._send_results(ready))
+            self._sending.add(task)
+            task.add_done_callback(self._sending.discard)
+
+        asyncio.get_running_loop().call_later(self.options.link_s, send)
+
+    async def _send_results(self, ready: list[tuple[_Link, list[wire.Result]]]) -> None:
+        for link, results in ready:
             await link.send(wire.FrameKind.RESULTS, results)
 
     def _run_step(self, step: wire.Step, lines: list[LedgerLine]) -> wire.Result:
--- a/tests/broken.py
+++ b/tests/broken.py
@@ -43,9 +43,9 @@
 
 def settling():
     """Take the trace of one's own lost write for another's."""
-    from violethatch import _keyed
+    from violethatch import _claim_writer
 
-    _keyed.is_own_write = lambda put, row: False
+    _claim_writer.is_own_write = lambda put, row: False
 
 
 def single_send():
--- /dev/null
+++ b/tests/test_attempts.py
@@ -0,0 +1,68 @@
+# SPDX-License-Identifier: MIT
+"""The attempt's labels, epochs and retained inputs."""
+
+from __future__ import annotations
+
+import pytest
+
+from violethatch import Attempt
+
+
+def two_stages(*, retain_limit_bytes=100):
+    """Return an attempt whose first stage has run the prompt."""
+    attempt = Attempt(stage_count=2, retain_limit_bytes=retain_limit_bytes)
+    attempt.advance()
+    attempt.note_input(b"abc")
+    return attempt
+
+
+class TestAttempt:
+    def test_takes_only_the_label_waited_for(self):
+        """A result of another epoch or position does not count."""
+        attempt = Attempt(stage_count=1)
+        assert attempt.accepts(epoch=1, position=0)
+        assert not attempt.accepts(epoch=2, position=0)
+        assert not attempt.accepts(epoch=1, position=1)
+
+    def test_replacement_makes_earlier_results_late(self):
+        """After a replacement the old epoch's result is refused."""
+        attempt = two_stages()
+        attempt.replace_stage()
+        assert not attempt.accepts(epoch=1, position=0)
+        assert attempt.accepts(epoch=2, position=0)
+
+    def test_replacement_waits_for_position_zero(self):
+        """A rebuilt stage answers from position zero, then goes on."""
+        attempt = two_stages()
+        attempt.complete(7, count=3)
+        attempt.advance()
+        attempt.note_input(b"d")
+        attempt.replace_stage()
+        assert attempt.stage_inputs() == [b"abc", b"d"]
+        assert attempt.accepts(epoch=2, position=0)
+        attempt.rebuilt()
+        assert attempt.accepts(epoch=2, position=3)
+
+    def test_inputs_over_the_limit_are_dropped(self):
+        """Beyond the limit a stage can't be replaced in place."""
+        attempt = two_stages(retain_limit_bytes=2)
+        assert not attempt.retains
+        with pytest.raises(ValueError, match="not retained"):
+            attempt.replace_stage()
+
+    def test_restart_keeps_the_tokens(self):
+        """A new route starts at position zero with the tokens so far."""
+        attempt = two_stages()
+        attempt.complete(7, count=3)
+        attempt.restart(stage_count=3)
+        assert (attempt.epoch, attempt.position, attempt.tokens) == (2, 0, [7])
+        assert attempt.retains
+
+    def test_last_stage_completes_a_token(self):
+        """Going on past the last stage is an error, and so is ending early."""
+        attempt = Attempt(stage_count=2)
+        with pytest.raises(ValueError, match="not the last"):
+            attempt.complete(1, count=1)
+        attempt.advance()
+        with pytest.raises(ValueError, match="completes a token"):
+            attempt.advance()
--- /dev/null
+++ b/tests/test_decisions.py
@@ -0,0 +1,341 @@
+# SPDX-License-Identifier: MIT
+"""Retries, limits, membership, leases, loads: the small decisions."""
+
+from __future__ import annotations
+
+import random
+
+import pytest
+import simpy
+
+from violethatch import (
+    ABSENT,
+    Fence,
+    Gossip,
+    Lease,
+    LeavingMarks,
+    LoadView,
+    PeerTable,
+    RetryBudget,
+    Row,
+    StallLimit,
+    WorkspaceLimiter,
+    WorkspaceLimits,
+    demand_shares,
+    rendezvous,
+)
+from violethatch.errors import RateLimitedError
+from violethatch.gossip import choose_targets
+
+
+class TestRetryBudget:
+    def test_reserve_then_ratio(self):
+        """After the reserve, retries are a part of the successes."""
+        budget = RetryBudget(ratio=0.1, reserve=2)
+        assert [budget.withdraw() for _ in range(3)] == [True, True, False]
+        for _ in range(11):
+            budget.deposit()
+        assert [budget.withdraw() for _ in range(2)] == [True, False]
+
+    def test_no_storm_while_all_fails(self):
+        """However many requests fail, only the reserve is retried."""
+        budget = RetryBudget(reserve=50)
+        assert sum(budget.withdraw() for _ in range(10_000)) == 50
+
+    def test_refuses_nonsense(self):
+        """A reserve below one would never let a retry through."""
+        with pytest.raises(ValueError, match="reserve"):
+            RetryBudget(reserve=0)
+
+
+class TestStallLimit:
+    def test_initial_until_learnt(self):
+        """Nothing learnt: the initial limit."""
+        assert StallLimit(initial_s=2.0).limit_s() == 2.0
+
+    def test_learns_from_step_times(self):
+        """Steady steps bring the limit close to them, but not below the floor."""
+        limit = StallLimit(floor_s=0.001)
+        for _ in range(100):
+            limit.observe(0.1)
+        assert 0.1 <= limit.limit_s() < 0.12
+        assert StallLimit(floor_s=0.25, initial_s=0.1).floor_s == 0.25
+
+    def test_prefill_gets_longer(self):
+        """Many positions at once get at least the initial limit."""
+        limit = StallLimit(initial_s=2.0)
+        limit.observe(0.01)
+        assert limit.limit_s(positions=500) >= 2.0
+
+
+class TestWorkspaceLimiter:
+    def test_concurrency(self):
+        """Requests beyond the share are refused, and admitted after a release."""
+        limiter = WorkspaceLimiter(WorkspaceLimits(1000.0, 4), share=0.5, now_s=0.0)
+        limiter.admit(0.0)
+        limiter.admit(0.0)
+        with pytest.raises(RateLimitedError, match="2 allowed"):
+            limiter.admit(0.0)
+        limiter.release()
+        limiter.admit(0.0)
+
+    def test_rate_says_when_to_come_back(self):
+        """The error's Retry-After is when the next token is there."""
+        limiter = WorkspaceLimiter(WorkspaceLimits(2.0, 100), now_s=0.0)
+        limiter.admit(0.0)
+        limiter.admit(0.0)
+        with pytest.raises(RateLimitedError) as caught:
+            limiter.admit(0.0)
+        assert caught.value.retry_after_s == pytest.approx(0.5)
+        limiter.admit(0.5)
+
+    def test_rate_over_instances_under_simulated_load(self):
+        """Two instances with half a limit each admit the limit together."""
+        env = simpy.Environment()
+        limits = WorkspaceLimits(20.0, 1000)
+        limiters = [WorkspaceLimiter(limits, share=0.5, now_s=0.0) for _ in range(2)]
+        admitted = []
+
+        def caller(limiter, rng):
+            while True:
+                yield env.timeout(rng.expovariate(40.0))
+                try:
+                    limiter.admit(env.now)
+                except RateLimitedError:
+                    continue
+                limiter.release()
+                admitted.append(env.now)
+
+        for seed, limiter in enumerate(limiters):
+            env.process(caller(limiter, random.Random(seed)))
+        env.run(until=60.0)
+        assert len(admitted) == pytest.approx(20.0 * 60.0, rel=0.05)
+
+
+class TestDemandShares:
+    def test_follows_demand_above_a_floor(self):
+        """The busy instance gets most, the idle one keeps a part."""
+        shares = demand_shares({"a": 9.0, "b": 1.0}, floor=0.2)
+        assert shares == pytest.approx({"a": 0.82, "b": 0.18})
+        assert sum(shares.values()) == pytest.approx(1.0)
+
+    def test_equal_without_demand(self):
+        """No demand known: an equal split; nobody there: nothing."""
+        assert demand_shares({"a": 0.0, "b": 0.0}) == {"a": 0.5, "b": 0.5}
+        assert demand_shares({}) == {}
+
+
+class TestPeerTable:
+    def test_silence_ends_a_peer(self):
+        """A peer is dropped after the limit, not before."""
+        peers = PeerTable(silence_limit_s=2.0)
+        assert peers.heard("p", now_s=0.0)
+        assert not peers.heard("p", now_s=1.0)
+        assert peers.expire(now_s=3.0) == []
+        assert peers.expire(now_s=3.1) == ["p"]
+        assert peers.live == []
+
+
+class TestLeavingMarks:
+    def test_one_source_alone_does_not_put_back(self):
+        """The list's word does not lift an operator's."""
+        marks = LeavingMarks()
+        assert marks.mark("r", "operator")
+        assert not marks.mark("r", "list")
+        marks.lift("r", "list")
+        assert marks.is_leaving("r")
+        marks.lift("r", "operator")
+        assert not marks.is_leaving("r")
+
+
+class TestRendezvous:
+    def test_same_for_all_and_stable(self):
+        """Order does not matter, and a leaver moves only its own jobs."""
+        members = [f"m{number}" for number in range(7)]
+        jobs = [f"job{number}" for number in range(200)]
+        before = {job: rendezvous(job, members)[0] for job in jobs}
+        after = {job: rendezvous(job, reversed(members[:-1]))[0] for job in jobs}
+        moved = [job for job in jobs if before[job] != after[job]]
+        assert {before[job] for job in moved} == {"m6"}
+
+
+class TestGossip:
+    @staticmethod
+    def make(name, zone="z1"):
+        """Return the gossip of an instance."""
+        return Gossip(
+            instance_id=name,
+            availability_zone=zone,
+            incarnation=1,
+            silence_limit_s=2.0,
+        )
+
+    def test_spreads_over_a_third(self):
+        """Whom a peer knows becomes known without talking to it."""
+        a, b, c = (self.make(name) for name in "abc")
+        for gossip in (a, b, c):
+            gossip.tick(revision=1, leaving=False)
+        b.merge(c.beats_for("z1"), now_s=0.0)
+        assert a.merge(b.beats_for("z1"), now_s=0.0) == ["b", "c"]
+        assert a.zone_members() == ["a", "b", "c"]
+
+    def test_old_counters_don_t_keep_a_peer_alive(self):
+        """A dead peer that others still mention expires all the same."""
+        a, b, c = (self.make(name) for name in "abc")
+        c.tick(revision=1, leaving=False)
+        b.merge(c.beats_for("z1"), now_s=0.0)
+        for round_s in range(5):
+            b.tick(revision=1, leaving=False)
+            a.merge(b.beats_for("z1"), now_s=float(round_s))
+        assert a.expire(now_s=4.0) == ["c"]
+
+    def test_other_zones_hear_only_of_oneself(self):
+        """To a remote peer an instance speaks for itself."""
+        a, b = self.make("a"), self.make("b")
+        b.tick(revision=1, leaving=False)
+        a.merge(b.beats_for("z1"), now_s=0.0)
+        assert [beat.instance_id for beat in a.beats_for("z2")] == ["a"]
+
+    def test_restart_outranks(self):
+        """A restarted instance's low counter counts."""
+        a, b = self.make("a"), self.make("b")
+        for _ in range(9):
+            b.tick(revision=1, leaving=False)
+        a.merge([b.own], now_s=0.0)
+        a.merge([b.own._replace(incarnation=2, counter=1)], now_s=1.0)
+        assert a.is_live("b", incarnation=2)
+        assert not a.is_live("b", incarnation=1)
+
+    def test_leaver_is_gone_at_once(self):
+        """A leaving mark does not wait for silence."""
+        a, b = self.make("a"), self.make("b")
+        b.tick(revision=1, leaving=False)
+        a.merge([b.own], now_s=0.0)
+        b.tick(revision=1, leaving=True)
+        a.merge([b.own], now_s=0.1)
+        assert a.zone_members() == ["a"]
+
+    def test_detection_at_fifty_peers(self):
+        """With a fanout of three, fifty instances all notice a death in time."""
+        rng = random.Random(4)
+        names = [f"i{number}" for number in range(50)]
+        gossips = {name: self.make(name) for name in names}
+        dead = "i7"
+        for tick in range(40):
+            now_s = tick * 0.5
+            live = [name for name in names if name != dead or tick < 20]
+            for name in live:
+                own = gossips[name]
+                own.tick(revision=1, leaving=False)
+                others = [other for other in names if other != name]
+                targets = choose_targets(others, [], fanout=3, rng=rng)
+                for target in targets:
+                    if target in live:
+                        gossips[target].merge(own.beats_for("z1"), now_s=now_s)
+                        own.merge(gossips[target].beats_for("z1"), now_s=now_s)
+                own.expire(now_s=now_s)
+            if tick == 19:
+                assert all(len(gossips[n].zone_members()) == 50 for n in live)
+        assert all(dead not in gossips[name].zone_members() for name in live)
+
+
+class TestLease:
+    @staticmethod
+    def make(holder):
+        """Return a holder's view."""
+        return Lease(row_key="lease", holder=holder, duration_s=6.0, margin_s=2.0)
+
+    def test_takes_an_absent_lease(self):
+        """The first one to write holds epoch one."""
+        lease = self.make("a")
+        lease.observe(None, now_s=0.0)
+        put = lease.wanted_write(now_s=0.0)
+        assert put.if_version == ABSENT
+        lease.written(put, sent_s=0.0)
+        assert lease.held_epoch(now_s=3.9) == 1
+        assert lease.held_epoch(now_s=4.0) is None
+
+    def test_takes_over_only_after_the_whole_duration(self):
+        """A foreign lease is left alone until it stood still long enough."""
+        lease = self.make("b")
+        value = {"holder": "a", "epoch": 3, "renewal": 5, "duration_s": 6.0}
+        lease.observe(Row("lease", 9, value), now_s=10.0)
+        assert lease.wanted_write(now_s=15.9) is None
+        put = lease.wanted_write(now_s=16.0)
+        assert (put.value["epoch"], put.if_version) == (4, 9)
+
+    def test_renewal_seen_puts_the_takeover_off(self):
+        """Each change of the row starts the wait anew."""
+        lease = self.make("b")
+        value = {"holder": "a", "epoch": 3, "renewal": 5, "duration_s": 6.0}
+        lease.observe(Row("lease", 9, value), now_s=0.0)
+        lease.observe(Row("lease", 10, value), now_s=5.0)
+        assert lease.wanted_write(now_s=8.0) is None
+
+    def test_paused_holder_stops_before_anyone_takes_over(self):
+        """Whatever the pause, two never hold it at one time."""
+        rng = random.Random(2)
+        for _ in range(200):
+            a, b = self.make("a"), self.make("b")
+            a.observe(None, now_s=0.0)
+            put = a.wanted_write(now_s=0.0)
+            sent_s = rng.uniform(0.0, 1.0)
+            a.written(put, sent_s=sent_s)
+            # The write takes effect after it was sent, and is seen after that.
+            seen_s = sent_s + rng.uniform(0.0, 3.0)
+            b.observe(Row("lease", 1, dict(put.value)), now_s=seen_s)
+            now_s = seen_s + rng.uniform(0.0, 12.0)
+            taken = b.wanted_write(now_s=now_s)
+            assert taken is None or a.held_epoch(now_s=now_s) is None
+
+    def test_resigning_lets_others_in(self):
+        """A drained holder's lease need not run out."""
+        a, b = self.make("a"), self.make("b")
+        a.observe(None, now_s=0.0)
+        put = a.wanted_write(now_s=0.0)
+        a.written(put, sent_s=0.0)
+        resigned = a.resigned()
+        assert a.held_epoch(now_s=0.0) is None
+        b.observe(Row("lease", 2, dict(resigned.value)), now_s=0.1)
+        assert b.wanted_write(now_s=0.1).value["epoch"] == 2
+
+
+class TestFence:
+    def test_refuses_a_superseded_epoch(self):
+        """Once a higher epoch was seen, lower ones are refused."""
+        fence = Fence()
+        assert [fence.admit(epoch) for epoch in (1, 3, 2, 3)] == [
+            True,
+            True,
+            False,
+            True,
+        ]
+
+
+class TestLoadView:
+    def test_own_streams_of_the_reports_time_are_taken_off(self):
+        """Streams opened since the report was made are not others'."""
+        view = LoadView(report_lag_s=0.2)
+        view.opened(now_s=0.0)
+        view.opened(now_s=0.9)
+        view.reported(5, now_s=1.0)
+        assert (view.own, view.others) == (2, 4)
+
+    def test_closing_since_the_report(self):
+        """Streams closed since the report are not others' either."""
+        view = LoadView(report_lag_s=0.2)
+        view.opened(now_s=0.0)
+        view.opened(now_s=0.0)
+        view.closed(now_s=0.9)
+        view.reported(2, now_s=1.0)
+        assert (view.own, view.others) == (1, 0)
+
+    def test_quickest_step_is_forgotten_slowly(self):
+        """A link that got slow raises the cost after some steps."""
+        view = LoadView()
+        view.observed(0.01)
+        view.observed(1.0)
+        assert view.quickest_s < 0.02
+        for _ in range(500):
+            view.observed(1.0)
+        assert view.quickest_s == pytest.approx(1.0)
