--- a/src/violethatch/_driver.py
+++ b/src/violethatch/_driver.py
@@ -19,7 +19,7 @@
 from ._engine_link import EngineLink, StageFailedError
 from ._fleet import Fleet
 from ._metrics import Metrics
-from .attempts import Attempt
+from .attempts import Attempt, RetainPool
 from .errors import DeadlineError, NoRouteError, PipelineFailedError, Ran
 from .layers import LayerRange, tiles
 from .retries import RetryBudget
@@ -81,7 +81,7 @@
         recovery: ``in_place``, ``new_route`` or ``restart``; the latter two
             are the baselines that the first is measured against.
         recovery_wait_s: How long to look for a replacement, in seconds.
-        retain_limit_bytes: Stage inputs to keep for each request.
+        retained: Bounds the stage inputs that are kept.
     """
 
     def __init__(
@@ -92,14 +92,14 @@
         metrics: Metrics,
         recovery: str,
         recovery_wait_s: float,
-        retain_limit_bytes: int,
+        retained: RetainPool,
     ) -> None:
         self._fleet = fleet
         self._budget = budget
         self._metrics = metrics
         self._recovery = recovery
         self._recovery_wait_s = recovery_wait_s
-        self._retain_limit_bytes = retain_limit_bytes
+        self._retained = retained
 
     async def generate(self, job: Generation) -> AsyncGenerator[Piece, None]:
         """Yield the answer's pieces as they come.
@@ -109,7 +109,7 @@
             PipelineFailedError: A stage failed and could not be replaced.
             DeadlineError: The deadline passed.
         """
-        run = _Run(self._fleet, job, retain_limit_bytes=self._retain_limit_bytes)
+        run = _Run(self._fleet, job, retained=self._retained)
         run.start()
         try:
             for _ in range(job.max_tokens):
@@ -172,16 +172,14 @@
 class _Run:
     """One generation in progress."""
 
-    def __init__(
-        self, fleet: Fleet, job: Generation, *, retain_limit_bytes: int
-    ) -> None:
+    def __init__(self, fleet: Fleet, job: Generation, *, retained: RetainPool) -> None:
         self.job = job
         self.excluded: set[str] = set()
         self.tokens_to_skip = 0
         self._fleet = fleet
         self._links: list[EngineLink] = []
         self._layers: list[LayerRange] = []
-        self._attempt = Attempt(stage_count=1, retain_limit_bytes=retain_limit_bytes)
+        self._attempt = Attempt(stage_count=1, pool=retained)
         self._input = _Input(wire.PayloadKind.TOKENS, 0, b"")
         self._has_submitted = False
 
@@ -198,6 +196,7 @@
 
     def close(self) -> None:
         """Let go of all stages."""
+        self._attempt.release()
         for link in self._links:
             self._fleet.close(link, self.job.request_id, self._attempt.epoch)
         self._links = []
--- a/src/violethatch/_engine_link.py
+++ b/src/violethatch/_engine_link.py
@@ -25,7 +25,6 @@
 
 _RECONNECT_FIRST_S = 0.05
 _RECONNECT_MOST_S = 1.0
-_SWEEP_INTERVAL_S = 0.05
 #: A step may outlast the limit this often while others get results.
 _BUSY_FACTOR = 8.0
 #: Labels of given-up steps to remember, so that late results still teach.
@@ -165,7 +164,7 @@
     async def _serve(self, socket: aiohttp.ClientWebSocketResponse) -> None:
         """Read and write frames until the connection breaks."""
         writer = asyncio.create_task(self._write_loop(socket))
-        sweeper = asyncio.create_task(self._sweep_loop())
+        self._heard_s = time.monotonic()
         try:
             async for message in socket:
                 if message.type is not aiohttp.WSMsgType.BINARY:
@@ -179,8 +178,7 @@
                 error=str(error),
             )
         finally:
-            for task in (writer, sweeper):
-                task.cancel()
+            writer.cancel()
 
     async def _write_loop(self, socket: aiohttp.ClientWebSocketResponse) -> None:
         """Write what has gathered, one frame of a kind at a time."""
@@ -250,17 +248,17 @@
         self.stall.observe(elapsed_s)
         self.view.observed(elapsed_s)
 
-    async def _sweep_loop(self) -> None:
-        """Give up on steps that take too long."""
-        self._heard_s = time.monotonic()
-        while True:
-            await asyncio.sleep(_SWEEP_INTERVAL_S)
-            self._sweep(time.monotonic())
-
-    def _sweep(self, now_s: float) -> None:
+    def sweep(self, now_s: float) -> None:
         """Fail overdue steps; judge the runner by whether it makes progress."""
+        if self.hello is None:
+            return
         if now_s - self._heard_s > self._silence_limit_s:
             self._stalled("silent")
+        if self._pending:
+            self._fail_overdue(now_s)
+
+    def _fail_overdue(self, now_s: float) -> None:
+        """Fail the steps that have waited too long."""
         overdue = [
             label
             for label, pending in self._pending.items()
--- a/src/violethatch/_entry.py
+++ b/src/violethatch/_entry.py
@@ -33,6 +33,7 @@
 from ._peers import Peers
 from ._platform import HttpInstanceList, HttpObjectStore, HttpTable
 from ._services import PlainServices
+from .attempts import RetainPool
 from .errors import TableUnavailableError
 from .gossip import Gossip
 from .leases import Lease
@@ -63,6 +64,7 @@
     zone_members: list[str]
     orders_epoch: int | None
     runners: list[RunnerState]
+    retained_bytes: int
     retry_budget: float
     cpu_s: float
     resident_kb: int
@@ -86,6 +88,7 @@
         self._listeners: list[Listener] = []
         self._metrics = Metrics()
         self._budget = RetryBudget()
+        self._retained = RetainPool(limits.retain_bytes)
         self._fleet = Fleet(policy, rng=self._rng)
         self._services = PlainServices(
             self._budget, timeout_s=policy.request_deadline_s
@@ -96,7 +99,7 @@
             metrics=self._metrics,
             recovery=policy.recovery,
             recovery_wait_s=policy.recovery_wait_s,
-            retain_limit_bytes=limits.retain_bytes_per_request,
+            retained=self._retained,
         )
         silence_limit_s = policy.heartbeat_interval_s * policy.heartbeat_misses
         self._gossip = Gossip(
@@ -104,6 +107,7 @@
             availability_zone=settings.instance.availability_zone,
             incarnation=self._incarnation,
             silence_limit_s=silence_limit_s,
+            rng=self._rng,
         )
 
     async def run(self) -> None:
@@ -327,6 +331,7 @@
             zone_members=self._gossip.zone_members(),
             orders_epoch=self._lease.epoch(),
             runners=self._fleet.state(),
+            retained_bytes=self._retained.used_bytes,
             retry_budget=round(self._budget.balance, 2),
             cpu_s=round(usage.ru_utime + usage.ru_stime, 3),
             resident_kb=usage.ru_maxrss,
--- a/src/violethatch/_fleet.py
+++ b/src/violethatch/_fleet.py
@@ -30,6 +30,8 @@
 
 #: How long a runner may send nothing, in heartbeat intervals of ours.
 _SILENCE_HEARTBEATS = 3.0
+#: How often to look for overdue steps, in seconds.
+_SWEEP_INTERVAL_S = 0.05
 
 
 class RunnerState(TypedDict):
@@ -80,16 +82,25 @@
         connector = aiohttp.TCPConnector(limit=0)
         timeout = aiohttp.ClientTimeout(total=None, sock_connect=1.0)
         self._session = aiohttp.ClientSession(connector=connector, timeout=timeout)
+        self._sweeper = asyncio.create_task(self._sweep_loop())
 
     async def stop(self) -> None:
         """Close all connections."""
-        tasks = list(self._tasks.values())
+        tasks = [self._sweeper, *self._tasks.values()]
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
         if self._session is not None:
             await self._session.close()
 
+    async def _sweep_loop(self) -> None:
+        """Look for overdue steps on all connections."""
+        while True:
+            await asyncio.sleep(_SWEEP_INTERVAL_S)
+            now_s = time.monotonic()
+            for link in self._links.values():
+                link.sweep(now_s)
+
     def follow(self, listed: Iterable[ListedInstance]) -> None:
         """Connect to the runners in the list.
 
--- a/src/violethatch/_peer_wire.py
+++ b/src/violethatch/_peer_wire.py
@@ -64,7 +64,7 @@
 
     async def send(self, message: Any) -> None:
         """Send a message."""
-        body = message.to_bytes()
+        body = message.to_bytes_packed()
         code = _code(self._send_key, self._sent, body)
         self._sent += 1
         length = len(body).to_bytes(_LENGTH_BYTES, "big")
@@ -263,9 +263,8 @@
         PeerRefusedError: It is malformed.
     """
     try:
-        with _schema.Message.from_bytes(body) as message:
-            # A builder's copy outlives the bytes that it was read from.
-            return message.as_builder()
+        # A builder's copy does not depend on the bytes that it was read from.
+        return _schema.Message.from_bytes_packed(body).as_builder()
     except (capnp.KjException, ValueError) as error:
         raise PeerRefusedError(str(error)) from error
 
--- a/src/violethatch/_peers.py
+++ b/src/violethatch/_peers.py
@@ -31,7 +31,7 @@
 from .ports import ListedInstance, Put
 
 
-_FANOUT = 3
+_FANOUT = 2
 #: How long a peer may take to authenticate, in seconds.
 _HANDSHAKE_S = 2.0
 #: How long a peer may take over writes; the table may be slow.
--- a/src/violethatch/attempts.py
+++ b/src/violethatch/attempts.py
@@ -13,19 +13,46 @@
 from __future__ import annotations
 
 
+class RetainPool:
+    """Bounds the stage inputs that all requests of a process keep.
+
+    Args:
+        limit_bytes: The most bytes to keep.
+
+    .. versionadded:: 26.1.0
+    """
+
+    __slots__ = ("limit_bytes", "used_bytes")
+
+    def __init__(self, limit_bytes: int) -> None:
+        self.limit_bytes = limit_bytes
+        self.used_bytes = 0
+
+    def take(self, size_bytes: int) -> bool:
+        """Take room for an input; tell whether there was any."""
+        if self.used_bytes + size_bytes > self.limit_bytes:
+            return False
+        self.used_bytes += size_bytes
+        return True
+
+    def give_back(self, size_bytes: int) -> None:
+        """Return room."""
+        self.used_bytes -= size_bytes
+
+
 class Attempt:
     """Progress of one request over a route.
 
     Args:
         stage_count: How many stages the route has.
-        retain_limit_bytes: How many bytes of stage inputs to keep, so that a
-            stage can be replaced without running the earlier ones again.
+        pool: Where the stage inputs are counted that are kept so that a stage
+            can be replaced without running the earlier ones again.
 
     .. versionadded:: 26.1.0
     """
 
     __slots__ = (
-        "_retain_limit_bytes",
+        "_pool",
         "_retained",
         "_retained_bytes",
         "epoch",
@@ -36,7 +63,7 @@
         "tokens",
     )
 
-    def __init__(self, *, stage_count: int, retain_limit_bytes: int = 0) -> None:
+    def __init__(self, *, stage_count: int, pool: RetainPool | None = None) -> None:
         if stage_count < 1:
             msg = f"stage_count must be at least 1, not {stage_count}"
             raise ValueError(msg)
@@ -50,7 +77,7 @@
         #: The stage that is being filled with earlier positions, if any.
         self.rebuilding = False
         self.tokens: list[int] = []
-        self._retain_limit_bytes = retain_limit_bytes
+        self._pool = pool or RetainPool(0)
         self._retained: list[list[bytes]] | None = [[] for _ in range(stage_count)]
         self._retained_bytes = 0
 
@@ -65,17 +92,17 @@
         return epoch == self.epoch and position == expected
 
     def note_input(self, payload: bytes) -> None:
-        """Keep the current stage's input, within the limit.
+        """Keep the current stage's input, if the pool has room for it.
 
         The first stage's inputs are the prompt and the tokens, which are kept
         anyway.
         """
         if self._retained is None or self.stage == 0:
             return
-        self._retained_bytes += len(payload)
-        if self._retained_bytes > self._retain_limit_bytes:
-            self._retained = None
+        if not self._pool.take(len(payload)):
+            self.release()
             return
+        self._retained_bytes += len(payload)
         self._retained[self.stage].append(payload)
 
     def advance(self) -> None:
@@ -140,5 +167,11 @@
         self.stage = 0
         self.position = 0
         self.rebuilding = False
+        self.release()
         self._retained = [[] for _ in range(stage_count)]
+
+    def release(self) -> None:
+        """Keep no inputs any more, and give their room back."""
+        self._pool.give_back(self._retained_bytes)
         self._retained_bytes = 0
+        self._retained = None
--- a/src/violethatch/gossip.py
+++ b/src/violethatch/gossip.py
@@ -2,10 +2,11 @@
 """Heartbeats that spread from peer to peer.
 
 Each round an instance raises its own counter and exchanges what it knows with
-a few peers, so its cost does not grow with the number of peers.  A counter
-that has not grown for the silence limit is a peer that is gone.  Entries of
-the own availability zone are passed on; to peers of other zones an instance
-speaks only for itself.
+a few peers: its own beat and a random few of the others', so its cost does not
+grow with the number of peers.  A counter that has not grown for the silence
+limit is a peer that is gone; the limit grows with the zone, as news then takes
+longer to come round.  Beats of the own availability zone are passed on; to
+peers of other zones an instance speaks only for itself.
 
 .. versionadded:: 26.1.0
 """
@@ -20,6 +21,10 @@
 from .membership import PeerTable
 
 
+#: How many of the others' beats travel with one's own.
+RELAYED_BEATS = 8
+
+
 class Beat(NamedTuple):
     """What is known of one instance."""
 
@@ -39,7 +44,9 @@
         instance_id: This instance.
         availability_zone: Where it is.
         incarnation: Its start time, in ms.
-        silence_limit_s: How long a live peer's counter may stand, in seconds.
+        silence_limit_s: How long a live peer's counter may stand in a zone of
+            up to `RELAYED_BEATS` peers, in seconds.
+        rng: Which beats to pass on.
 
     .. versionadded:: 26.1.0
     """
@@ -51,7 +58,10 @@
         availability_zone: str,
         incarnation: int,
         silence_limit_s: float,
+        rng: random.Random,
     ) -> None:
+        self._silence_limit_s = silence_limit_s
+        self._rng = rng
         self.own = Beat(instance_id, availability_zone, incarnation, 0, 0, False)
         self.peers = PeerTable(silence_limit_s=silence_limit_s)
         self._beats: dict[str, Beat] = {}
@@ -66,7 +76,9 @@
         """Return what to tell a peer of that zone."""
         if availability_zone != self.own.availability_zone:
             return [self.own]
-        return [self.own, *(self._beats[peer_id] for peer_id in self.zone_peers())]
+        peers = self.zone_peers()
+        relayed = self._rng.sample(peers, min(RELAYED_BEATS, len(peers)))
+        return [self.own, *(self._beats[peer_id] for peer_id in relayed)]
 
     def merge(self, beats: Iterable[Beat], *, now_s: float) -> list[str]:
         """Take in what a peer knows; return the ids of new peers."""
@@ -92,6 +104,8 @@
 
     def expire(self, *, now_s: float) -> list[str]:
         """Return the peers that fell silent."""
+        rounds = max(1.0, len(self.peers.live) / RELAYED_BEATS)
+        self.peers.silence_limit_s = self._silence_limit_s * rounds
         return self.peers.expire(now_s=now_s)
 
     def zone_peers(self) -> list[str]:
--- a/src/violethatch/settings.py
+++ b/src/violethatch/settings.py
@@ -69,7 +69,7 @@
     requests: PositiveInt = 2000
     connections: PositiveInt = 4096
     body_bytes: PositiveInt = 1_048_576
-    retain_bytes_per_request: PositiveInt = 4_194_304
+    retain_bytes: PositiveInt = 33_554_432
     drain_grace_s: Positive = 1.0
     drain_limit_s: Positive = 120.0
 
--- a/src/violethatch_emulator/callers.py
+++ b/src/violethatch_emulator/callers.py
@@ -76,8 +76,19 @@
     model: str,
     prompt: str,
     max_tokens: int,
+    times_s: list[float] | None = None,
 ) -> Streamed:
-    """Call ``/v1/completions`` and read the stream to its end."""
+    """Call ``/v1/completions`` and read the stream to its end.
+
+    Args:
+        http: Makes the call.
+        url: The entry instance's address.
+        workspace: Who calls.
+        model: The model.
+        prompt: The prompt.
+        max_tokens: The most tokens to generate.
+        times_s: Filled with the times of the pieces as they come.
+    """
     body = {
         "model": model,
         "prompt": prompt,
@@ -86,7 +97,7 @@
     }
     headers = {"Authorization": f"Bearer {workspace_key(workspace)}"}
     texts: list[str] = []
-    times_s: list[float] = []
+    times_s = [] if times_s is None else times_s
     problem = None
     is_whole = False
     async with http.post(f"{url}/v1/completions", json=body, headers=headers) as answer:
