--- a/tests/test_promises.py
+++ b/tests/test_promises.py
@@ -9,66 +9,15 @@
 from __future__ import annotations
 
 import asyncio
-import pathlib
 import signal
 import time
 
 import pytest
 
 from conftest import LAYERS, RUNNERS
-from violethatch_emulator import RunnerPlan, expected_text
-from violethatch_emulator.callers import call_service, stream, workspace_spec
-
-
-STREAM_TIMEOUT_S = 20
-BROKEN = str(pathlib.Path(__file__).with_name("broken.py"))
-
-
-def program(broken):
-    """Return start_entry's program: the product, or a broken one."""
-    return {"program": (BROKEN, broken)} if broken else {}
-
-
-def answer_fault(name, answer, prompt, limit):
-    """Return what is wrong with a streamed answer, as a list."""
-    if answer.text != expected_text(prompt, layer_count=LAYERS, limit=limit):
-        return [f"{name}: not its own whole answer: {answer.problem}"]
-    return [] if answer.is_whole else [f"{name}: cut off"]
-
-
-async def stream_many(cluster, entries, *, count, limit):
-    """Stream to several entry instances; return what was wrong."""
-
-    async def one(number):
-        prompt = f"claim {number} of an outlet"
-        try:
-            async with asyncio.timeout(STREAM_TIMEOUT_S):
-                answer = await stream(
-                    cluster.http,
-                    cluster.url(entries[number % len(entries)]),
-                    workspace="outlet",
-                    model=cluster.model,
-                    prompt=prompt,
-                    max_tokens=limit,
-                )
-        except TimeoutError:
-            return [f"stream {number}: no answer"]
-        return answer_fault(f"stream {number}", answer, prompt, limit)
-
-    results = await asyncio.gather(*(one(number) for number in range(count)))
-    return [fault for faults in results for fault in faults]
-
-
-async def label(cluster, entry, key, body="kit 17"):
-    """Print a label."""
-    return await call_service(
-        cluster.http,
-        cluster.url(entry),
-        workspace="clinic",
-        service="labels",
-        body=body,
-        idempotency_key=key,
-    )
+from proving import label, program, stream_many
+from violethatch_emulator import RunnerPlan
+from violethatch_emulator.callers import call_service, workspace_spec
 
 
 async def stage_killed(bench, broken):
