Fail what waits on a dropped connection, and keep background loops running

Causes, found by reading: a connection that was dropped because a runner's address changed was cancelled without failing its steps, so their streams would wait for ever; a malformed answer of the table raised a decoding error that ended the claim writer's loop, after which every keyed call would hang; event 2005 said that a task goes on, but it ended.

Change: a connection's end fails its steps whatever ended it; malformed answers count as none (reads) or as lost (writes); loops start again after an error.

The loops' restart has no test yet.

--- a/src/violethatch/_engine_link.py
+++ b/src/violethatch/_engine_link.py
@@ -197,7 +197,14 @@
         return answer
 
     async def run(self, session: aiohttp.ClientSession) -> None:
-        """Keep the connection up until cancelled."""
+        """Keep the connection up until cancelled; then fail what waits."""
+        try:
+            await self._keep_up(session)
+        finally:
+            self._lost()
+
+    async def _keep_up(self, session: aiohttp.ClientSession) -> None:
+        """Connect again and again."""
         pause_s = _RECONNECT_FIRST_S
         while True:
             with contextlib.suppress(aiohttp.ClientError, OSError, TimeoutError):
--- a/src/violethatch/_entry.py
+++ b/src/violethatch/_entry.py
@@ -13,7 +13,7 @@
 import ssl
 import time
 
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine
 from typing import Any, TypedDict
 
 import aiohttp
@@ -43,6 +43,8 @@
 from .settings import ListenSection, Settings
 
 
+#: Before a background task that met an error starts again, in seconds.
+_RESTART_PAUSE_S = 0.5
 #: The job of giving orders to a zone's runners.
 _ORDERS_JOB = "orders"
 #: The job of writing a zone's claims.
@@ -119,13 +121,16 @@
             await self._fleet.start()
             await self._services.start()
             ports = await self._listen()
-            self._spawn(self._local_writer.run())
-            self._spawn(self._writer.run())
-            self._spawn(self._config.run())
-            self._spawn(self._peers.run(lambda: self._config.revision))
-            self._spawn(self._follow_list(session))
-            self._spawn(self._lease.run())
-            self._spawn(self._adapters.run())
+            for loop in (
+                self._local_writer.run,
+                self._writer.run,
+                self._config.run,
+                lambda: self._peers.run(lambda: self._config.revision),
+                lambda: self._follow_list(session),
+                self._lease.run,
+                self._adapters.run,
+            ):
+                self._spawn(self._keep_running(loop))
             self._handle_signals()
             events.log(events.STARTED, **ports)
             # Whoever started the process learns the free ports from here.
@@ -365,6 +370,17 @@
     def _dump_state(self) -> None:
         events.log(events.STATE_DUMPED, state=self.state())
 
+    async def _keep_running(
+        self, loop: Callable[[], Coroutine[None, None, None]]
+    ) -> None:
+        """Run a loop, and again after an error: the instance needs them all."""
+        while True:
+            try:
+                await loop()
+            except Exception as error:
+                events.log(events.TASK_FAILED, task=repr(loop), error=repr(error))
+            await asyncio.sleep(_RESTART_PAUSE_S)
+
     def _spawn(self, coroutine: Coroutine[None, None, None]) -> None:
         """Run a background task; a failure is logged and ends only the task."""
         task = asyncio.create_task(coroutine)
--- a/src/violethatch/_platform.py
+++ b/src/violethatch/_platform.py
@@ -4,6 +4,7 @@
 from __future__ import annotations
 
 from collections.abc import Sequence
+from typing import Any, TypedDict
 
 import aiohttp
 import msgspec
@@ -58,8 +59,13 @@
         except (aiohttp.ClientError, TimeoutError) as error:
             self._count("read", "failed")
             raise TableUnavailableError(_describe(error), retry_after_s=2.0) from error
+        rows = _rows(data, "rows")
+        if rows is None:
+            self._count("read", "failed")
+            msg = "the table's answer is malformed"
+            raise TableUnavailableError(msg, retry_after_s=2.0)
         self._count("read", "ok")
-        return {row.key: row for row in _rows(data, "rows")}
+        return {row.key: row for row in rows}
 
     async def transact(self, puts: Sequence[Put]) -> list[Row]:
         """Write all of *puts* or nothing; return the conflicting rows.
@@ -85,10 +91,12 @@
             self._count("write", "failed")
             msg = f"table answered {status}"
             raise TableUnavailableError(msg, retry_after_s=2.0)
-        if status == _CONFLICT:
+        conflicts = _rows(data, "conflicts") if status == _CONFLICT else None
+        if conflicts:
             self._count("write", "conflict")
-            return _rows(data, "conflicts")
+            return conflicts
         if status >= 300:
+            # A conflict that can't be read is no better than no answer.
             self._count("write", "answer_lost")
             msg = f"table answered {status}"
             raise AnswerLostError(msg)
@@ -165,16 +173,33 @@
                 data = await answer.read()
         except (aiohttp.ClientError, TimeoutError) as error:
             raise TableUnavailableError(_describe(error)) from error
-        decoded = msgspec.json.decode(data, type=dict[str, list[ListedInstance]])
-        self._listed = decoded["instances"]
+        try:
+            decoded = msgspec.json.decode(data, type=dict[str, list[ListedInstance]])
+            self._listed = decoded["instances"]
+        except (msgspec.DecodeError, UnicodeDecodeError, KeyError) as error:
+            msg = f"the list is malformed: {error}"
+            raise TableUnavailableError(msg) from error
         self._etag = answer.headers.get("ETag", "")
         return self._listed
 
 
-def _rows(data: bytes, name: str) -> list[Row]:
-    """Decode a list of rows; NamedTuples don't decode from JSON objects."""
-    decoded = msgspec.json.decode(data)
-    return [Row(row["key"], row["version"], row["value"]) for row in decoded[name]]
+class _WireRow(TypedDict):
+    """A row as the table sends it; NamedTuples don't decode from objects."""
+
+    key: str
+    version: int
+    value: dict[str, Any]
+
+
+def _rows(data: bytes, name: str) -> list[Row] | None:
+    """Decode a list of rows, None if it is malformed."""
+    try:
+        decoded = msgspec.json.decode(data, type=dict[str, list[_WireRow]])
+    except (msgspec.DecodeError, UnicodeDecodeError):
+        return None
+    return [
+        Row(row["key"], row["version"], row["value"]) for row in decoded.get(name, [])
+    ]
 
 
 def _describe(error: BaseException) -> str:
