Find a lease's own renewal by reading when its answer was lost

Cause: a holder whose renewal took effect without an answer saw its own row as another's and waited its whole duration before it took the next epoch.

Change: a row equal to the latest wanted write counts from when that was sent, which is no later than when it took effect, so the model's argument stands.

Ruled out: counting from the reading; it would outlast an observer's wait.

Before: no holder for a lease's duration after one lost answer. After: none lost; shown by a unit test, not measured on processes.

--- a/src/violethatch/leases.py
+++ b/src/violethatch/leases.py
@@ -39,6 +39,7 @@
     """
 
     __slots__ = (
+        "_asked",
         "_confirmed_s",
         "_row",
         "_seen_s",
@@ -61,17 +62,36 @@
         self._row = Row(row_key, ABSENT, {})
         self._seen_s: float | None = None
         self._confirmed_s: float | None = None
+        #: The latest write that was wanted, and when.
+        self._asked: tuple[Put, float] | None = None
 
     def observe(self, row: Row | None, *, now_s: float) -> None:
-        """Take note of the row as it was read at *now_s*."""
+        """Take note of the row as it was read at *now_s*.
+
+        A row that is one's own write, whose answer was lost, counts from when
+        that write was wanted.
+        """
         seen = row or Row(self.row_key, ABSENT, {})
+        if self._asked is not None and _is_row_of(self._asked[0], seen):
+            self.written(self._asked[0], sent_s=self._asked[1])
+            return
         if self._seen_s is None or seen.version != self._row.version:
             self._row = seen
             self._seen_s = now_s
             self._confirmed_s = None
 
     def wanted_write(self, *, now_s: float) -> Put | None:
-        """Return the write that renews or takes the lease, if one is due."""
+        """Return the write that renews or takes the lease, if one is due.
+
+        It has to be sent at once: the lease counts from *now_s*.
+        """
+        put = self._due_write(now_s)
+        if put is not None:
+            self._asked = (put, now_s)
+        return put
+
+    def _due_write(self, now_s: float) -> Put | None:
+        """Return the write that is due, if any."""
         if self._seen_s is None:
             return None
         row = self._row
@@ -86,6 +106,7 @@
 
     def written(self, put: Put, *, sent_s: float) -> None:
         """Note that *put*, sent at *sent_s*, has taken effect."""
+        self._asked = None
         self._row = Row(self.row_key, put.if_version + 1, dict(put.value))
         self._seen_s = sent_s
         self._confirmed_s = sent_s
@@ -102,7 +123,7 @@
         """Return the write that lets others take over at once, if held."""
         if self._confirmed_s is None:
             return None
-        self._confirmed_s = None
+        self._confirmed_s = self._asked = None
         value = dict(self._row.value) | {"duration_s": 0.0}
         return Put(self.row_key, value, self._row.version)
 
@@ -117,6 +138,11 @@
         return Put(self.row_key, cast("dict[str, Any]", value), self._row.version)
 
 
+def _is_row_of(put: Put, row: Row) -> bool:
+    """Tell whether *row* is what *put* has written."""
+    return row.version == put.if_version + 1 and row.value == dict(put.value)
+
+
 class Fence:
     """The receiving end: refuses orders of a superseded holder.
 
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -307,6 +307,15 @@
             taken = b.wanted_write(now_s=now_s)
             assert taken is None or a.held_epoch(now_s=now_s) is None
 
+    def test_own_write_is_found_by_reading(self):
+        """A renewal whose answer was lost counts, from when it was sent."""
+        lease = self.make("a")
+        lease.observe(None, now_s=0.0)
+        put = lease.wanted_write(now_s=0.0)
+        lease.observe(Row("lease", 1, dict(put.value)), now_s=3.0)
+        assert lease.held_epoch(now_s=3.9) == 1
+        assert lease.held_epoch(now_s=4.0) is None
+
     def test_resigning_lets_others_in(self):
         """A drained holder's lease need not run out."""
         a, b = self.make("a"), self.make("b")
