--- a/src/violethatch/_callers.py
+++ b/src/violethatch/_callers.py
@@ -10,9 +10,7 @@
 import time
 
 from collections.abc import AsyncGenerator, Iterator
-from typing import Annotated, Any, Literal, NamedTuple, TypedDict
-
-import msgspec
+from typing import NamedTuple
 
 from aiohttp import web
 
@@ -21,6 +19,7 @@
 from ._http import bearer_digest, problem_response, problems, same_digest
 from ._keyed import Answer, KeyedCalls
 from ._metrics import Metrics
+from ._openai import ChatShape, CompletionBody, Shape, TextShape, parse_body, sse
 from ._services import Call, PlainServices
 from .claims import Claim, claim_row_key
 from .errors import (
@@ -43,30 +42,6 @@
 _DONE = b"data: [DONE]\n\n"
 
 
-class _ContentPart(TypedDict, total=False):
-    type: str
-    text: str
-
-
-class _Message(TypedDict):
-    role: str
-    content: str | list[_ContentPart]
-
-
-class _CompletionBody(TypedDict, total=False):
-    """The members of a completion's body that are understood."""
-
-    model: str
-    prompt: str
-    messages: list[_Message]
-    max_tokens: Annotated[int, msgspec.Meta(ge=1, le=1_000_000)] | None
-    max_completion_tokens: Annotated[int, msgspec.Meta(ge=1, le=1_000_000)] | None
-    stream: bool | None
-
-
-_decode_body = msgspec.json.Decoder(_CompletionBody).decode
-
-
 class Caller(NamedTuple):
     """Who calls."""
 
@@ -186,18 +161,18 @@
         return web.json_response({"object": "list", "data": models})
 
     async def _serve_chat(self, request: web.Request) -> web.StreamResponse:
-        return await self._serve_generation(request, _ChatShape)
+        return await self._serve_generation(request, ChatShape)
 
     async def _serve_completion(self, request: web.Request) -> web.StreamResponse:
-        return await self._serve_generation(request, _TextShape)
+        return await self._serve_generation(request, TextShape)
 
     async def _serve_generation(
-        self, request: web.Request, shape_class: type[_Shape]
+        self, request: web.Request, shape_class: type[Shape]
     ) -> web.StreamResponse:
         """Serve one completion, streamed or whole."""
         caller = self._authenticate(request)
         with self._admitted(caller, "generation"):
-            body = _parse_body(await request.read())
+            body = parse_body(await request.read())
             if "Idempotency-Key" in request.headers:
                 msg = "completions are repeatable and take no Idempotency-Key"
                 raise BadRequestError(msg)
@@ -211,7 +186,7 @@
             )
 
     async def _stream(
-        self, request: web.Request, job: Generation, shape: _Shape
+        self, request: web.Request, job: Generation, shape: Shape
     ) -> web.StreamResponse:
         """Write the answer as server-sent events."""
         # The first piece decides whether there is an error to answer with.
@@ -230,7 +205,7 @@
                 return problem_response(error)
             # The status line is gone; the error travels in the stream, and
             # the missing [DONE] shows that the answer is not whole.
-            await response.write(_sse({"error": error.problem()}))
+            await response.write(sse({"error": error.problem()}))
         finally:
             await pieces.aclose()
         await response.write_eof()
@@ -261,7 +236,7 @@
             await generation.aclose()
 
     def _job(
-        self, body: _CompletionBody, caller: Caller, shape_class: type[_Shape]
+        self, body: CompletionBody, caller: Caller, shape_class: type[Shape]
     ) -> Generation:
         """Return the generation that a body asks for."""
         name = body.get("model", "")
@@ -394,116 +369,6 @@
         return limiter
 
 
-class _Shape:
-    """How answers are written in the OpenAI style."""
-
-    chunk_kind = ""
-    whole_kind = ""
-
-    def __init__(self, request_id: str, model: str) -> None:
-        self._common = {
-            "id": f"{self.whole_kind}-{request_id}",
-            "created": int(time.time()),
-            "model": model,
-        }
-
-    @staticmethod
-    def prompt(body: _CompletionBody) -> str:
-        """Return the prompt that a body gives."""
-        raise NotImplementedError
-
-    def choice(self, text: str, finish: str | None, *, is_chunk: bool) -> Any:
-        """Return a choice's members."""
-        raise NotImplementedError
-
-    def chunk(self, piece: Piece) -> bytes:
-        """Return a piece as a server-sent event."""
-        choice = self.choice(piece.text, _finish(piece), is_chunk=True)
-        body = {**self._common, "object": self.chunk_kind, "choices": [choice]}
-        return _sse(body)
-
-    def whole(self, pieces: list[Piece]) -> bytes:
-        """Return the whole answer."""
-        text = "".join(piece.text for piece in pieces)
-        finish = _finish(pieces[-1]) or "length"
-        choice = self.choice(text, finish, is_chunk=False)
-        usage = {"completion_tokens": len(pieces)}
-        body = {**self._common, "object": self.whole_kind, "choices": [choice]}
-        return msgspec.json.encode({**body, "usage": usage})
-
-
-class _ChatShape(_Shape):
-    """Chat completions."""
-
-    chunk_kind = "chat.completion.chunk"
-    whole_kind = "chat.completion"
-
-    @staticmethod
-    def prompt(body: _CompletionBody) -> str:
-        """Return the messages as one prompt."""
-        if not body.get("messages"):
-            msg = "messages: missing or empty"
-            raise BadRequestError(msg)
-        return "\n".join(
-            f"{message['role']}: {_text(message)}" for message in body["messages"]
-        )
-
-    def choice(self, text: str, finish: str | None, *, is_chunk: bool) -> Any:
-        """Return a choice with a message or a part of one."""
-        member = "delta" if is_chunk else "message"
-        message = {"role": "assistant", "content": text}
-        return {"index": 0, member: message, "finish_reason": finish}
-
-
-class _TextShape(_Shape):
-    """Plain completions."""
-
-    chunk_kind = "text_completion"
-    whole_kind = "text_completion"
-
-    @staticmethod
-    def prompt(body: _CompletionBody) -> str:
-        """Return the prompt."""
-        if not body.get("prompt"):
-            msg = "prompt: missing or empty"
-            raise BadRequestError(msg)
-        return body["prompt"]
-
-    def choice(self, text: str, finish: str | None, *, is_chunk: bool) -> Any:
-        """Return a choice with text."""
-        return {"index": 0, "text": text, "finish_reason": finish, "logprobs": None}
-
-
-def _finish(piece: Piece) -> Literal["stop"] | None:
-    """Return why the answer ends with this piece, if it does."""
-    return "stop" if piece.end else None
-
-
-def _text(message: _Message) -> str:
-    """Return a message's text."""
-    content = message["content"]
-    if isinstance(content, str):
-        return content
-    return "".join(part.get("text", "") for part in content)
-
-
-def _parse_body(data: bytes) -> _CompletionBody:
-    """Decode a completion's body.
-
-    Raises:
-        BadRequestError: It is malformed; says where.
-    """
-    try:
-        return _decode_body(data)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
-        raise BadRequestError(str(error)) from error
-
-
-def _sse(body: Any) -> bytes:
-    """Return a server-sent event."""
-    return b"data: " + msgspec.json.encode(body) + b"\n\n"
-
-
 def _limits_of(spec: WorkspaceSpec) -> WorkspaceLimits:
     """Return a workspace's limits."""
     return WorkspaceLimits(spec["requests_per_s"], spec["concurrent"])
--- a/src/violethatch/_driver.py
+++ b/src/violethatch/_driver.py
@@ -241,12 +241,7 @@
         if not attempt.retains:
             return False
         stage = attempt.stage
-        replacement = self._fleet.choose_replacement(
-            self.job.model,
-            self.job.version,
-            self._layers[stage],
-            excluded=self.excluded,
-        )
+        replacement = self._find_replacement(stage)
         if replacement is None:
             return False
         old = self._links[stage]
@@ -280,12 +275,7 @@
         attempt, old = self._attempt, self._links[stage]
         if attempt.position == 0 or old.runner_id in self._kept:
             return False
-        replacement = self._fleet.choose_replacement(
-            self.job.model,
-            self.job.version,
-            self._layers[stage],
-            excluded=self.excluded,
-        )
+        replacement = self._find_replacement(stage)
         if replacement is None:
             return False
         new = self._fleet.open(replacement.runner_id)
@@ -329,6 +319,15 @@
         self._take_route(route)
         return True
 
+    def _find_replacement(self, stage: int) -> Candidate | None:
+        """Return the best other runner for a stage, if there is one."""
+        return self._fleet.choose_replacement(
+            self.job.model,
+            self.job.version,
+            self._layers[stage],
+            excluded=self.excluded,
+        )
+
     def forget_tokens(self) -> None:
         """Generate anew what the caller has already got, and don't repeat it."""
         attempt = self._attempt
