Give the stand-in engines prefix caches, and test each source of a leaving mark

Cause: the stand-in engines did not cache prompt prefixes nor publish cache events, which engines do late and with gaps; of the four sources that mark a runner as leaving only the list was shown on processes.

Tests that list, report and operator mark and lift independently, and that a refusing runner's request goes on elsewhere. The router does not use cache events yet.

--- a/src/violethatch/wire.py
+++ b/src/violethatch/wire.py
@@ -31,6 +31,7 @@
     RESULTS = 11  # list[Result]
     LOAD = 12  # Load
     ORDERED = 13  # Ordered
+    CACHED = 14  # CacheReport
     EXPORTED = 15  # Cache
     IMPORTED = 16  # Imported
 
@@ -146,6 +147,17 @@
     known_fence: int
 
 
+class CacheReport(NamedTuple):
+    """Blocks of prompt prefixes that an engine gained or lost.
+
+    Reports come late and some never; the sequence shows the gaps.
+    """
+
+    sequence: int
+    added: list[int]
+    removed: list[int]
+
+
 class Export(NamedTuple):
     """Give out a request's KV cache; the engine keeps it until cancelled."""
 
--- a/src/violethatch_emulator/engine.py
+++ b/src/violethatch_emulator/engine.py
@@ -25,6 +25,7 @@
 
 from . import arithmetic
 from .ledger import LedgerLine, LedgerWriter
+from .prefixes import PrefixCache
 
 
 class EngineOptions(NamedTuple):
@@ -42,6 +43,8 @@
     batch_limit: int = 32
     queue_limit: int = 4096
     state_limit: int = 4096
+    prefix_blocks: int = 256
+    cache_report_s: float = 1.0
     link_s: float = 0.0
     load_interval_s: float = 0.2
     checks_fence: bool = True
@@ -96,6 +99,7 @@
         self.fence = Fence()
         self.orders: list[wire.Order] = []
         self._ledger = LedgerWriter(options.ledger_path)
+        self._prefixes = PrefixCache(options.prefix_blocks)
         # Least recently stepped first; the oldest goes when memory is full.
         self._states: collections.OrderedDict[str, _RequestState] = (
             collections.OrderedDict()
@@ -119,6 +123,7 @@
         tasks = [
             asyncio.create_task(self._batch_loop()),
             asyncio.create_task(self._load_loop()),
+            asyncio.create_task(self._cache_loop()),
         ]
         yield
         for task in tasks:
@@ -136,6 +141,7 @@
         return web.json_response(
             {
                 "requests": len(self._states),
+                "prefix_blocks": len(self._prefixes),
                 "fence": self.fence.known_epoch,
                 "orders": [list(order) for order in self.orders],
                 "adapters": self.adapters,
@@ -248,6 +254,15 @@
             for link in list(self._links):
                 await link.send(wire.FrameKind.LOAD, load)
 
+    async def _cache_loop(self) -> None:
+        """Publish changes of the prefix cache, late and with gaps."""
+        while True:
+            report = self._prefixes.report()
+            await asyncio.sleep(self.options.cache_report_s)
+            if report is not None:
+                for link in list(self._links):
+                    await link.send(wire.FrameKind.CACHED, report)
+
     async def _batch_loop(self) -> None:
         """Run batch after batch."""
         options = self.options
@@ -263,8 +278,8 @@
             lines: list[LedgerLine] = []
             positions = 0
             for _, _, step, link in batch:
-                result = self._run_step(step, lines)
-                positions += result.positions
+                result, cached = self._run_step(step, lines)
+                positions += result.positions - cached
                 link.results.append(result)
             busy_s = options.base_s + options.stream_s * len(batch)
             busy_s += options.prefill_s * max(0, positions - len(batch))
@@ -296,15 +311,23 @@
         for link, results in ready:
             await link.send(wire.FrameKind.RESULTS, results)
 
-    def _run_step(self, step: wire.Step, lines: list[LedgerLine]) -> wire.Result:
-        """Run one step, or refuse it."""
+    def _run_step(
+        self, step: wire.Step, lines: list[LedgerLine]
+    ) -> tuple[wire.Result, int]:
+        """Run one step, or refuse it.
+
+        Returns:
+            The result, and how many of its positions cost no prefill time.
+        """
         refusal = self._refusal(step)
         if refusal:
-            return wire.Result(
+            refused = wire.Result(
                 step.request, step.epoch, step.position, 0, refusal, b"", -1, False
             )
+            return refused, 0
         state = self._state_for(step)
         hidden = self._inputs(step)
+        cached = self._prefixes.take(hidden) if step.position == 0 else 0
         outputs = [state.stack.run(item) for item in hidden]
         layers = self.options.layers
         lines.append(
@@ -323,7 +346,7 @@
             token = arithmetic.sample(outputs[-1])
             end = token < arithmetic.END_TOKENS
             payload = b"" if end else arithmetic.text_of(token).encode()
-        return wire.Result(
+        result = wire.Result(
             step.request,
             step.epoch,
             step.position,
@@ -333,6 +356,7 @@
             token,
             end,
         )
+        return result, cached
 
     def _refusal(self, step: wire.Step) -> wire.Refusal:
         """Tell why a step can't be run, if so."""
--- a/tests/test_edges.py
+++ b/tests/test_edges.py
@@ -184,6 +184,43 @@
                         await asyncio.sleep(0.05)
 
 
+class TestLeaving:
+    async def test_each_source_marks_and_lifts_its_own(self, bench):
+        """Report, list and operator each show in the state, and go by themselves."""
+        await bench.start()
+        cluster = bench.cluster
+
+        async def wait_sources(*wanted):
+            def check(state):
+                runner = [x for x in state["runners"] if x["runner_id"] == "r2a"]
+                return runner[0]["leaving"] == list(wanted)
+
+            await cluster.wait_state("e1", check)
+
+        await cluster.control("r2a", leaving=True)
+        await wait_sources("report")
+        await cluster.list_leaving("r2a")
+        await wait_sources("list", "report")
+        word = {"set": {"runners": {"r2a": {"leaving": True}}}}
+        await cluster.declare("e1", word)
+        await wait_sources("list", "operator", "report")
+        await cluster.control("r2a", leaving=False)
+        await wait_sources("list", "operator")
+        await cluster.declare("e1", {"remove": {"runners": ["r2a"]}})
+        await wait_sources("list")
+
+    async def test_refusal_marks(self, bench):
+        """A runner that refuses a request is left alone, and the request goes on."""
+        await bench.start()
+        cluster = bench.cluster
+        body = json.dumps({"model": cluster.model, "prompt": "a", "max_tokens": 2})
+        await cluster.control("r2a", leaving=True)
+        for _ in range(6):
+            answer = await post(cluster, "/v1/completions", data=body)
+            assert answer[0] == 200
+        assert "r2a" not in {line.runner_id for line in cluster.ledger().lines}
+
+
 class TestSecrets:
     async def test_no_secret_in_log_dump_or_metrics(self, bench):
         """Keys of operators, peers and workspaces show up nowhere."""
