Don't believe an instance list without any instance

Cause, found by reading: a list that comes back empty (a fault of the platform) marked every runner as leaving, and all requests were refused until it filled.

Change: a list that holds no entry instance can't be right, as it would have to hold the reader; what was listed last stays in use.

Ruled out: ignoring any list that shrinks much; zones and racks do go.

Before (check off): 5 of 5 streams fail after 2.5 s.

--- a/src/violethatch/_entry.py
+++ b/src/violethatch/_entry.py
@@ -38,6 +38,7 @@
 from .gossip import Gossip
 from .leases import Lease
 from .membership import rendezvous
+from .ports import ListedInstance
 from .retries import RetryBudget
 from .revisions import Revision
 from .settings import ListenSection, Settings
@@ -283,19 +284,24 @@
         instance_list = HttpInstanceList(
             session, url=platform.instances_url, timeout_s=platform.timeout_s
         )
-        zone = self._settings.instance.availability_zone
         while True:
             # While the list can't be read, what is known stays in use.
             with contextlib.suppress(TableUnavailableError):
                 listed = await instance_list.instances()
-                self._fleet.follow(listed)
-                self._services.follow(listed, availability_zone=zone)
-                self._peers.follow(listed)
-                self._follow_operators()
-                self._callers.set_share(1.0 / self._peers.instance_count())
+                if _is_plausible(listed):
+                    self._take_list(listed)
             pause_s = self._settings.policy.poll_interval_s
             await asyncio.sleep(pause_s * self._rng.uniform(0.5, 1.0))
 
+    def _take_list(self, listed: list[ListedInstance]) -> None:
+        """Follow a list that was read."""
+        zone = self._settings.instance.availability_zone
+        self._fleet.follow(listed)
+        self._services.follow(listed, availability_zone=zone)
+        self._peers.follow(listed)
+        self._follow_operators()
+        self._callers.set_share(1.0 / self._peers.instance_count())
+
     async def _drain(self) -> None:
         """Leave: be unready, finish what is in progress, cut nothing off."""
         limits = self._settings.limits
@@ -393,6 +399,15 @@
             events.log(events.TASK_FAILED, task=str(task.get_coro()), error=repr(error))
 
 
+def _is_plausible(listed: list[ListedInstance]) -> bool:
+    """Tell whether a list can be right.
+
+    One without any instance can't: it would have to hold this one.  Following
+    it would take all runners out of service at once.
+    """
+    return any(entry["role"] == "entry" for entry in listed)
+
+
 def _server_context(listen: ListenSection) -> ssl.SSLContext | None:
     """Return the TLS context that the settings ask for, if any."""
     if not listen.certificate_file:
--- a/src/violethatch_emulator/platform.py
+++ b/src/violethatch_emulator/platform.py
@@ -33,6 +33,7 @@
         self._snapshots: dict[str, dict[str, dict[str, Any]]] = {}
         self.outage = False
         self.list_outage = False
+        self.list_empty = False
         self.delay_s = 0.0
         self.lose_write_answers = 0
         self.counts = {"reads": 0, "writes": 0, "throttled": 0, "lost_answers": 0}
@@ -132,7 +133,8 @@
     async def _list_instances(self, request: web.Request) -> web.Response:
         if self.list_outage:
             raise web.HTTPServiceUnavailable(text="outage")
-        body = json.dumps({"instances": self._listed}, sort_keys=True)
+        shown = [] if self.list_empty else self._listed
+        body = json.dumps({"instances": shown}, sort_keys=True)
         etag = f'"{hashlib.sha256(body.encode()).hexdigest()[:16]}"'
         if request.headers.get("If-None-Match") == etag:
             return web.Response(status=304, headers={"ETag": etag})
@@ -151,6 +153,7 @@
         wanted = await request.json()
         self.outage = bool(wanted.get("outage", self.outage))
         self.list_outage = bool(wanted.get("list_outage", self.list_outage))
+        self.list_empty = bool(wanted.get("list_empty", self.list_empty))
         self.delay_s = float(wanted.get("delay_s", self.delay_s))
         lost = wanted.get("lose_write_answers", self.lose_write_answers)
         self.lose_write_answers = int(lost)
--- a/tests/broken.py
+++ b/tests/broken.py
@@ -84,6 +84,13 @@
     _driver._Run.leave_runners = leave_runners
 
 
+def list_check():
+    """Follow whatever list is read."""
+    from violethatch import _entry
+
+    _entry._is_plausible = lambda listed: True
+
+
 def drain():
     """Stop without waiting for requests in progress."""
     from violethatch import _callers
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -179,6 +179,17 @@
     return found
 
 
+async def list_goes_empty(bench, broken):
+    """The platform's list shows nobody for a while; requests are served."""
+    await bench.start(**program(broken))
+    cluster = bench.cluster
+    await cluster.control("platform", list_empty=True)
+    await asyncio.sleep(2.5)
+    found = await stream_many(cluster, ["e1"], count=5, limit=5)
+    await cluster.control("platform", list_empty=False)
+    return found
+
+
 FAILURES = (
     (rolling_replacement, "drain"),
     (runner_joins, None),
@@ -187,6 +198,7 @@
     (table_out_and_instance_killed, "claims"),
     (stage_killed_while_others_leave, "rebuilding"),
     (zone_cut_while_operators_confirm, None),
+    (list_goes_empty, "list_check"),
 )
 BREAKABLE = [(proof, broken) for proof, broken in FAILURES if broken]
 
