Wait for what proofs need instead of sleeping, and bound each proof

Cause: a clean clone's run hung: a proof slept a fixed time until its instance should know the service, called too early on a loaded machine, and then waited for a run that never came.

Change: the state shows how many servers each service has and proofs wait for that; a call that ends without running fails its proof at once; each proof has 120 s. No expectation is loosened.

--- a/src/violethatch/_entry.py
+++ b/src/violethatch/_entry.py
@@ -67,6 +67,7 @@
     zone_members: list[str]
     orders_epoch: int | None
     runners: list[RunnerState]
+    service_servers: dict[str, int]
     retained_bytes: int
     retry_budget: float
     cpu_s: float
@@ -342,6 +343,7 @@
             zone_members=self._gossip.zone_members(),
             orders_epoch=self._lease.epoch(),
             runners=self._fleet.state(),
+            service_servers=self._services.counts(),
             retained_bytes=self._retained.used_bytes,
             retry_budget=round(self._budget.balance, 2),
             cpu_s=round(usage.ru_utime + usage.ru_stime, 3),
--- a/src/violethatch/_services.py
+++ b/src/violethatch/_services.py
@@ -82,6 +82,10 @@
             )
         self._servers = servers
 
+    def counts(self) -> dict[str, int]:
+        """Return how many servers each service has."""
+        return {service: len(servers) for service, servers in self._servers.items()}
+
     async def send(self, service: str, call: Call, *, repeatable: bool) -> Answer:
         """Send a call; to another server only if that can't make it run twice.
 
--- a/src/violethatch_emulator/cluster.py
+++ b/src/violethatch_emulator/cluster.py
@@ -345,6 +345,14 @@
                 ),
             )
 
+    async def wait_services(self, *instance_ids: str, servers: int = 1) -> None:
+        """Wait until instances know so many servers of plain services."""
+        for instance_id in instance_ids:
+            await self.wait_state(
+                instance_id,
+                lambda state: sum(state["service_servers"].values()) >= servers,
+            )
+
     def ledger(self) -> Ledger:
         """Return what the engines ran so far."""
         return Ledger(self.path)
--- a/tests/proving.py
+++ b/tests/proving.py
@@ -15,6 +15,8 @@
 
 
 STREAM_TIMEOUT_S = 20
+#: A proof that takes longer has failed; none takes half of it.
+TEST_TIMEOUT_S = 120
 BROKEN = str(pathlib.Path(__file__).with_name("broken.py"))
 
 
@@ -53,6 +55,15 @@
     return [fault for faults in results for fault in faults]
 
 
+async def wait_running(cluster, call):
+    """Wait until a service runs a call that was started as a task."""
+    while not cluster.service_calls():
+        if call.done():
+            msg = f"the call ended without running: {call.result()}"
+            raise AssertionError(msg)
+        await asyncio.sleep(0.02)
+
+
 async def label(cluster, entry, key, body="kit 17"):
     """Print a label."""
     return await call_service(
--- a/tests/test_edges.py
+++ b/tests/test_edges.py
@@ -79,7 +79,7 @@
         await bench.start(runners=())
         cluster = bench.cluster
         await cluster.start_service("s1", "labels")
-        await asyncio.sleep(1.5)
+        await cluster.wait_services("e1")
         path = "/services/labels/print"
         key = {"Idempotency-Key": "k"}
         assert (await post(cluster, path, data="one", **key))[0] == 201
@@ -103,7 +103,7 @@
         small = {"set": {"workspaces": {"clinic": workspace_spec("clinic")}}}
         small["set"]["workspaces"]["clinic"]["requests_per_s"] = 1.0
         await cluster.declare("e1", small)
-        await asyncio.sleep(1.5)
+        await cluster.wait_services("e1")
         path = "/services/lookup/x"
         answers = [await post(cluster, path, data="") for _ in range(3)]
         status, headers, problem = answers[-1]
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -13,7 +13,14 @@
 import pytest
 
 from conftest import LAYERS, RUNNERS
-from proving import answer_fault, label, program, stream_many
+from proving import (
+    TEST_TIMEOUT_S,
+    answer_fault,
+    label,
+    program,
+    stream_many,
+    wait_running,
+)
 from violethatch_emulator import RunnerPlan
 from violethatch_emulator.callers import stream, workspace_spec
 
@@ -90,10 +97,9 @@
     cluster = bench.cluster
     await cluster.start_service("s1", "labels", delay_s=0.5)
     await cluster.wait_state("e2", lambda state: len(state["zone_members"]) == 2)
-    await asyncio.sleep(1.0)
+    await cluster.wait_services("e1", "e2")
     first = asyncio.create_task(label(cluster, "e1", "k1"))
-    while not cluster.service_calls():
-        await asyncio.sleep(0.02)
+    await wait_running(cluster, first)
     cluster.processes["e1"].send(signal.SIGSTOP)
     await cluster.wait_state("e2", lambda state: len(state["zone_members"]) == 1)
     status, problem = await label(cluster, "e2", "k1")
@@ -115,10 +121,9 @@
     await bench.start(entries=("e1", "e2"), runners=(), **program(broken))
     cluster = bench.cluster
     await cluster.start_service("s1", "labels", delay_s=0.5)
-    await asyncio.sleep(1.5)
+    await cluster.wait_services("e1", "e2")
     first = asyncio.create_task(label(cluster, "e1", "k1"))
-    while not cluster.service_calls():
-        await asyncio.sleep(0.02)
+    await wait_running(cluster, first)
     await cluster.control("platform", outage=True)
     status, _ = await first
     await cluster.processes["e1"].kill()
@@ -209,11 +214,13 @@
     )
     async def test_holds(self, bench, proof):
         """The promises hold under the failure."""
-        assert await proof(bench, None) == []
+        async with asyncio.timeout(TEST_TIMEOUT_S):
+            assert await proof(bench, None) == []
 
     @pytest.mark.parametrize(
         ("proof", "mechanism"), BREAKABLE, ids=[p.__name__ for p, _ in BREAKABLE]
     )
     async def test_fails_without_its_mechanism(self, bench, proof, mechanism):
         """The proof finds a violation once the mechanism is off."""
-        assert await proof(bench, mechanism) != []
+        async with asyncio.timeout(TEST_TIMEOUT_S):
+            assert await proof(bench, mechanism) != []
--- a/tests/test_promises.py
+++ b/tests/test_promises.py
@@ -15,7 +15,7 @@
 import pytest
 
 from conftest import LAYERS, RUNNERS
-from proving import label, program, stream_many
+from proving import TEST_TIMEOUT_S, label, program, stream_many, wait_running
 from violethatch_emulator import RunnerPlan
 from violethatch_emulator.callers import call_service, workspace_spec
 
@@ -58,7 +58,7 @@
     await bench.start(runners=(), **program(broken))
     cluster = bench.cluster
     await cluster.start_service("s1", "labels", proxied=True)
-    await asyncio.sleep(1.5)
+    await cluster.wait_services("e1")
     cluster.proxies["s1"].answers_to_swallow = 1
     status, problem = await call_service(
         cluster.http, cluster.url("e1"), workspace="clinic", service="labels"
@@ -75,7 +75,7 @@
     cluster = bench.cluster
     await cluster.start_service("s1", "labels", proxied=True)
     await cluster.start_service("s2", "labels", proxied=True)
-    await asyncio.sleep(1.5)
+    await cluster.wait_services("e1", servers=2)
     for proxy in cluster.proxies.values():
         proxy.answers_to_swallow = 1
     # PUT: the HTTP library would repeat it by itself if it were let.
@@ -95,10 +95,9 @@
     await bench.start(entries=("e1", "e2"), runners=(), **program(broken))
     cluster = bench.cluster
     await cluster.start_service("s1", "labels", delay_s=1.0)
-    await asyncio.sleep(1.5)
+    await cluster.wait_services("e1", "e2")
     first = asyncio.create_task(label(cluster, "e1", "k1"))
-    while not cluster.service_calls():
-        await asyncio.sleep(0.02)
+    await wait_running(cluster, first)
     await cluster.processes["e1"].kill()
     await asyncio.gather(first, return_exceptions=True)
     status, problem = await label(cluster, "e2", "k1")
@@ -114,7 +113,7 @@
     await bench.start(entries=("e1", "e2"), runners=(), **program(broken))
     cluster = bench.cluster
     await cluster.start_service("s1", "labels")
-    await asyncio.sleep(1.5)
+    await cluster.wait_services("e1", "e2")
     await cluster.control("platform", lose_write_answers=1)
     status, answer = await label(cluster, "e1", "k1")
     again = await label(cluster, "e2", "k1")
@@ -130,7 +129,7 @@
     await bench.start(runners=(), **program(broken))
     cluster = bench.cluster
     await cluster.start_service("s1", "labels")
-    await asyncio.sleep(1.5)
+    await cluster.wait_services("e1")
     await cluster.control("platform", outage=True)
     status, problem = await label(cluster, "e1", "k1")
     found = []
@@ -323,9 +322,11 @@
     @pytest.mark.parametrize("proof", [proof for proof, _ in PROOFS], ids=IDS)
     async def test_holds(self, bench, proof):
         """The promise holds under the failure."""
-        assert await proof(bench, None) == []
+        async with asyncio.timeout(TEST_TIMEOUT_S):
+            assert await proof(bench, None) == []
 
     @pytest.mark.parametrize(("proof", "mechanism"), PROOFS, ids=IDS)
     async def test_fails_without_its_mechanism(self, bench, proof, mechanism):
         """The proof finds a violation once the mechanism is off."""
-        assert await proof(bench, mechanism) != []
+        async with asyncio.timeout(TEST_TIMEOUT_S):
+            assert await proof(bench, mechanism) != []
