Finish a keyed call whose caller has gone away

Cause, found by reading: a caller who hung up cancelled its keyed call. The claim stayed, its outcome was never stored, and the resend that is to be expected then was told "may have run" though the answer had been on its way.

Change: a keyed call runs in a task of its own, as the claim's owner; the caller only waits for it. Unkeyed calls and completions are cancelled as before.

Ruled out: releasing the claim on cancellation; the call may have run.

Before (checked with the change taken out): the unit test's resend raises MayHaveRunError. After: it gets the outcome, with one run; the same over real processes and two instances.

--- a/src/violethatch/_keyed.py
+++ b/src/violethatch/_keyed.py
@@ -32,6 +32,7 @@
 _POLL_MOST_S = 1.0
 _RETRY_FIRST_S = 0.2
 _RETRY_MOST_S = 5.0
+
 T = TypeVar("T")
 
 
@@ -77,12 +78,38 @@
     async def run(self, claim: Claim, send: Callable[[], Awaitable[Answer]]) -> Answer:
         """Run *send* under *claim*, or answer with what another run gave.
 
+        It goes on when the caller goes away: whoever lost patience comes back
+        with the same key, and has to find the outcome then.
+
         Raises:
             ClaimRefusedError: The claim can't be made now; not run.
             KeyReusedError: The key was used with another request.
             MayHaveRunError: An earlier call's outcome can't be learnt.
             VioletHatchError: The call itself failed.
         """
+        answer = asyncio.get_running_loop().create_future()
+        self._spawn(self._run_into(answer, claim, send))
+        result: Answer = await answer
+        return result
+
+    async def _run_into(
+        self,
+        answer: asyncio.Future[Answer],
+        claim: Claim,
+        send: Callable[[], Awaitable[Answer]],
+    ) -> None:
+        """Run the call and give what comes of it to whoever still waits."""
+        try:
+            result = await self._run(claim, send)
+        except Exception as error:
+            if not answer.done():
+                answer.set_exception(error)
+            return
+        if not answer.done():
+            answer.set_result(result)
+
+    async def _run(self, claim: Claim, send: Callable[[], Awaitable[Answer]]) -> Answer:
+        """Claim, send, and store the outcome in the background."""
         row = await self._claim(claim)
         if row is not None:
             return await self._follow(claim, row)
--- a/tests/test_edges.py
+++ b/tests/test_edges.py
@@ -13,6 +13,7 @@
 import aiohttp
 import pytest
 
+from proving import label, wait_running
 from violethatch_emulator.callers import (
     call_service,
     stream,
@@ -183,6 +184,19 @@
                     while (await cluster.status(plan))["requests"]:
                         await asyncio.sleep(0.05)
 
+    async def test_keyed_call_outlives_its_caller(self, bench):
+        """Who hung up and asks again elsewhere gets the outcome of the one run."""
+        await bench.start(entries=("e1", "e2"), runners=())
+        cluster = bench.cluster
+        await cluster.start_service("s1", "labels", delay_s=1.0)
+        await cluster.wait_services("e1", "e2")
+        first = asyncio.create_task(label(cluster, "e1", "k1"))
+        await wait_running(cluster, first)
+        first.cancel()
+        status, answer = await label(cluster, "e2", "k1")
+        assert (status, answer["run"]) == (201, 1)
+        assert len(cluster.service_calls()) == 1
+
 
 class TestLeaving:
     async def test_each_source_marks_and_lifts_its_own(self, bench):
--- a/tests/test_keyed.py
+++ b/tests/test_keyed.py
@@ -148,6 +148,28 @@
             assert await caller.call("op2") == OK
             assert caller.sent == 1
 
+    async def test_caller_who_goes_away_finds_the_outcome_later(self):
+        """The call goes on without its caller; the resend gets its outcome."""
+        async with Caller(FakeTable()) as caller:
+            release = asyncio.Event()
+
+            async def send():
+                caller.sent += 1
+                await release.wait()
+                return OK
+
+            claim = Claim("claim/w/k", "op1", "d", "z1/e1/op1")
+            call = asyncio.create_task(caller.keyed.run(claim, send))
+            while not caller.sent:
+                await asyncio.sleep(0.001)
+            call.cancel()
+            with pytest.raises(asyncio.CancelledError):
+                await call
+            release.set()
+            await caller.settle()
+            assert await caller.call("op2") == OK
+            assert caller.sent == 1
+
     async def test_large_outcome_goes_to_the_object_store(self):
         """The row stays small."""
         large = Answer(200, "text/plain", b"x" * 50_000)
