Count a keyed operation as unsettled from before its claim

Cause: while the answer of a claim's write was lost, a resend at the same instance found the claim, did not find its operation among those in progress, took its owner for gone and answered 1305 too early; and a stop did not wait for a claim under way whose caller had left.

Change: an operation counts from before its claim is written.

Before: the new unit test raises MayHaveRunError (checked). After: it gets the outcome.

--- a/src/violethatch/_keyed.py
+++ b/src/violethatch/_keyed.py
@@ -110,10 +110,12 @@
 
     async def _run(self, claim: Claim, send: Callable[[], Awaitable[Answer]]) -> Answer:
         """Claim, send, and store the outcome in the background."""
+        # From here on: a resend may find the claim before its answer is here.
+        self._unsettled.add(claim.op_id)
         row = await self._claim(claim)
         if row is not None:
+            self._unsettled.discard(claim.op_id)
             return await self._follow(claim, row)
-        self._unsettled.add(claim.op_id)
         try:
             answer = await send()
         except VioletHatchError as error:
@@ -135,6 +137,7 @@
             try:
                 row = await self._writer.write(put)
             except TableUnavailableError as error:
+                self._unsettled.discard(claim.op_id)
                 raise ClaimRefusedError(str(error), retry_after_s=2.0) from error
             except AnswerLostError as error:
                 # It may yet be written, but nothing will be sent under it.
--- a/tests/test_keyed.py
+++ b/tests/test_keyed.py
@@ -185,6 +185,17 @@
             assert await caller.call() == OK
             assert caller.sent == 1
 
+    async def test_resend_while_the_claims_answer_is_lost(self):
+        """A resend here must not take the claim's owner for gone."""
+        async with Caller(FakeTable("lost", "out"), gone=True, give_up_s=1.0) as caller:
+            first = asyncio.create_task(caller.call("op1"))
+            while not caller.table.rows:
+                await asyncio.sleep(0.001)
+            claim = Claim("claim/w/k", "op2", "d", "z1/e1/op2")
+            row = caller.table.rows["claim/w/k"]
+            assert await caller.keyed._follow(claim, row) == OK
+            assert await first == OK
+
     async def test_given_up_claim_can_not_appear_later(self):
         """Refused as not run, the operation's delayed write is shut out."""
         table = FakeTable("late", "late", "late")
