Give proofs streams that last, so that their verdict is the same every run

Change: prompts are chosen whose answers last to their limit, before anything is timed; callers go on until all instances are replaced.

--- a/tests/proving.py
+++ b/tests/proving.py
@@ -7,14 +7,15 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 import pathlib
 
 from conftest import LAYERS
-from violethatch_emulator import expected_text
+from violethatch_emulator import expected_text, expected_tokens
 from violethatch_emulator.callers import call_service, stream
 
 
-STREAM_TIMEOUT_S = 20
+STREAM_TIMEOUT_S = 40
 #: A proof that takes longer has failed; none takes half of it.
 TEST_TIMEOUT_S = 120
 BROKEN = str(pathlib.Path(__file__).with_name("broken.py"))
@@ -32,11 +33,29 @@
     return [] if answer.is_whole else [f"{name}: cut off"]
 
 
-async def stream_many(cluster, entries, *, count, limit):
-    """Stream to several entry instances; return what was wrong."""
+def long_prompt(text, limit):
+    """Return a prompt that begins with *text* and is answered to the limit."""
+    for number in itertools.count():
+        prompt = f"{text} {number}"
+        tokens = expected_tokens(prompt, layer_count=LAYERS, limit=limit)
+        # The last one may end the answer: it stays as long all the same.
+        if len(tokens) == limit:
+            return prompt
+    raise AssertionError
+
+
+def stream_many(cluster, entries, *, count, limit):
+    """Stream to several entry instances; awaited, return what was wrong."""
+    # Before anything is awaited: it takes a while for long answers.
+    prompts = [long_prompt(f"claim {n} of an outlet", limit) for n in range(count)]
+    return _stream_all(cluster, entries, prompts, limit)
+
+
+async def _stream_all(cluster, entries, prompts, limit):
+    """Stream each prompt's answer; return what was wrong."""
 
     async def one(number):
-        prompt = f"claim {number} of an outlet"
+        prompt = prompts[number]
         try:
             async with asyncio.timeout(STREAM_TIMEOUT_S):
                 answer = await stream(
@@ -51,7 +70,7 @@
             return [f"stream {number}: no answer"]
         return answer_fault(f"stream {number}", answer, prompt, limit)
 
-    results = await asyncio.gather(*(one(number) for number in range(count)))
+    results = await asyncio.gather(*(one(number) for number in range(len(prompts))))
     return [fault for faults in results for fault in faults]
 
 
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 import signal
 
 import pytest
@@ -17,6 +18,7 @@
     TEST_TIMEOUT_S,
     answer_fault,
     label,
+    long_prompt,
     program,
     stream_many,
     wait_running,
@@ -25,6 +27,10 @@
 from violethatch_emulator.callers import stream, workspace_spec
 
 
+#: Long enough to outlast the second that a stop waits even without its drain.
+ROLLING_TOKENS = 600
+
+
 async def rolling_replacement(bench, broken):
     """All instances are replaced, one after the other, under load."""
     options = {"limits": {"drain_grace_s": 0.3}, **program(broken)}
@@ -33,9 +39,14 @@
     ready = ["e1", "e2"]
     found = []
 
+    prompts = [long_prompt(f"caller {number}", ROLLING_TOKENS) for number in range(16)]
+    is_over = asyncio.Event()
+
     async def call_on(number):
-        for turn in range(3):
-            prompt = f"caller {number} turn {turn}"
+        for turn in itertools.count():
+            if is_over.is_set():
+                return
+            prompt = prompts[number]
             entry = ready[(number + turn) % len(ready)]
             answer = await stream(
                 cluster.http,
@@ -43,11 +54,11 @@
                 workspace="clinic",
                 model=cluster.model,
                 prompt=prompt,
-                max_tokens=300,
+                max_tokens=ROLLING_TOKENS,
             )
-            found.extend(answer_fault(f"{entry}, {prompt}", answer, prompt, 300))
+            found.extend(answer_fault(entry, answer, prompt, ROLLING_TOKENS))
 
-    callers = [asyncio.create_task(call_on(number)) for number in range(8)]
+    callers = [asyncio.create_task(call_on(number)) for number in range(16)]
     for number, old in enumerate(("e1", "e2")):
         new = f"n{number}"
         await cluster.start_entry(new, **options)
@@ -58,6 +69,7 @@
         await cluster.unlist(old)
         if status != 0:
             found.append(f"{old} ended with {status}")
+    is_over.set()
     results = await asyncio.gather(*callers, return_exceptions=True)
     found += [repr(error) for error in results if isinstance(error, BaseException)]
     return found + cluster.ledger().faults(layer_count=LAYERS)
--- a/tests/test_promises.py
+++ b/tests/test_promises.py
@@ -164,7 +164,7 @@
     """Streams move off a leaving runner with their caches, and stay right."""
     await bench.start(**program(broken))
     cluster = bench.cluster
-    streams = asyncio.create_task(stream_many(cluster, ["e1"], count=20, limit=400))
+    streams = asyncio.create_task(stream_many(cluster, ["e1"], count=20, limit=600))
     await asyncio.sleep(0.5)
     held = (await cluster.status("r2a"))["requests"]
     found = [] if held else ["not provoked: the runner had no streams"]
