Remove a log event that nothing writes

Cause: event 2105 stood in the catalogue, but no code logs it; late results are counted in the state (`late_results`) instead. The catalogue's test compares names and numbers and could not see that.

Change: the event and its line are gone; its number stays unused. No behaviour changes. The catalogue's, connection's and path's tests pass (13), as do the linter and the type checker.

--- a/src/violethatch/events.py
+++ b/src/violethatch/events.py
@@ -32,7 +32,6 @@
 RUNNER_LOST = Event(2102, "runner_lost", "A runner's connection broke.")
 RUNNER_STALLED = Event(2103, "runner_stalled", "A step took longer than its limit.")
 RUNNER_LEAVING = Event(2104, "runner_leaving", "A runner gets no new work.")
-LATE_RESULT = Event(2105, "late_result", "Answers to superseded steps were dropped.")
 
 STAGE_REPLACED = Event(2201, "stage_replaced", "A stage was replaced in place.")
 ROUTE_REBUILT = Event(2202, "route_rebuilt", "A request went on over a new route.")
