Order only where list and runner agree, and keep empty runners for holes

Cause: the next holder of the lease planned from a list that did not show the orders of the one before, and shrank three first runners, so that no zone had a whole chain; runners that replaced others were spent on copies before the old ones had left, so that the zones' holes stayed. Ruled out: slow engines (servers' pace 1.0), the store (all orders begun). Change: an order needs the runner's own report to match the list; the lease is kept until others see the list too; an empty runner waits for a hole and gets copies only after 6 s; a runner with only copies moves to a hole.

--- a/src/violethatch/_placing.py
+++ b/src/violethatch/_placing.py
@@ -40,6 +40,12 @@
 _LIST_LAG_S = 3.0
 #: How long to leave a runner alone whose order failed, in seconds.
 _ORDER_REST_S = 2.0
+#: How long the lease is kept after the list shows all orders, in seconds:
+#: others see the same list by then, and don't order anew.
+_RESIGN_PAUSE_S = 1.5
+#: How long a runner stays empty before it gets copies of layers that others
+#: hold, in seconds: replacements come some seconds before who they replace.
+_IDLE_S = 6.0
 #: Orders that are under way at one time.
 _ORDERS_AT_ONCE = 8
 
@@ -106,6 +112,8 @@
         self._seen_changed_s = 0.0
         self._seen_first_s: float | None = None
         self._next_try_s = 0.0
+        self._last_order_s = 0.0
+        self._empty_since_s: dict[str, float] = {}
 
     @property
     def is_holder(self) -> bool:
@@ -143,7 +151,8 @@
         self._forget_done(now_s)
         if not plans:
             if not self._ordered:
-                await self.resign()
+                if now_s - self._last_order_s >= _RESIGN_PAUSE_S:
+                    await self.resign()
             elif self.is_holder:
                 await self._renew(now_s)
             return
@@ -169,11 +178,28 @@
             if not self._is_settled(servers, now_s):
                 continue
             hosts = [self._host(server) for server in servers.values()]
-            for server_id, layers in plan_placement(hosts, service.engine).items():
+            plan = plan_placement(
+                hosts, service.engine, copying=self._idle_for_long(servers, now_s)
+            )
+            for server_id, layers in plan.items():
                 if now_s >= self._rest_until_s.get(server_id, 0.0):
                     due.append((service, servers[server_id], layers))
         return due
 
+    def _idle_for_long(
+        self, servers: dict[str, BackendServer], now_s: float
+    ) -> frozenset[str]:
+        """Return the runners that nobody has needed for a while."""
+        empty = {one.id for one in servers.values() if not one.layers}
+        self._empty_since_s = {
+            server_id: self._empty_since_s.get(server_id, now_s) for server_id in empty
+        }
+        return frozenset(
+            server_id
+            for server_id, since_s in self._empty_since_s.items()
+            if now_s - since_s >= _IDLE_S
+        )
+
     def _host(self, server: BackendServer) -> Host:
         """Return a runner as placement sees it, with what it was ordered."""
         ordered = self._ordered.get(server.id)
@@ -201,6 +227,7 @@
             server = self._routing.backends.get(server_id)
             if server is None or server.layers == layers or now_s >= until_s:
                 del self._ordered[server_id]
+                self._last_order_s = now_s
 
     async def _hold(self, now_s: float) -> bool:
         """Hold the lease; tell whether orders may be given."""
@@ -270,6 +297,17 @@
         if report is None or report.is_busy:
             self._rest(server.id)
             return
+        if report.layers != server.layers:
+            # The plan was made from an older list: a newer holder of the
+            # lease would undo what the one before has ordered.
+            events.log(
+                events.ORDER_WITHHELD,
+                server_id=server.id,
+                listed=list(server.layers) if server.layers else None,
+                reported=list(report.layers) if report.layers else None,
+            )
+            self._rest(server.id)
+            return
         answer = await self._routing.client.place(
             server, layers, fence=epoch, expected_sequence=report.sequence
         )
@@ -286,7 +324,8 @@
             assert service.engine is not None
             share = (layers.end - layers.first) / service.engine.layer_count
             wait_s = _LIST_LAG_S + 2 * service.engine.load_s * share
-            self._ordered[server.id] = (layers, time.monotonic() + wait_s)
+            self._last_order_s = time.monotonic()
+            self._ordered[server.id] = (layers, self._last_order_s + wait_s)
             return
         self._rest(server.id)
 
--- a/src/violethatch/_streams.py
+++ b/src/violethatch/_streams.py
@@ -373,6 +373,11 @@
             request_id=self._call.id,
             first=first.id,
             waits_for=culprit.id if culprit else None,
+            path=[stage.server.id for stage in self.path.stages],
+            waiting=report.waiting,
+            running=report.running,
+            kv_used_part=round(report.kv_used_part, 3),
+            slowness=report.slowness,
         )
         if culprit is None:
             return
--- a/src/violethatch/placement.py
+++ b/src/violethatch/placement.py
@@ -18,7 +18,7 @@
 import math
 
 from collections import defaultdict
-from collections.abc import Mapping, Sequence
+from collections.abc import Collection, Mapping, Sequence
 from typing import NamedTuple
 
 from .engine_model import AcceleratorKind, EngineSpec
@@ -35,8 +35,7 @@
 _KV_PARTS = tuple(part / 20 for part in range(4, 20))
 #: The fewest usual requests whose KV cache a runner has to have room for.
 _LEAST_REQUESTS = 6
-#: What layers lacking everywhere and lacking in the zone weigh, against
-#: another copy of layers that are there.
+#: What layers lacking everywhere weigh against layers lacking in the zone.
 _UNHELD_NEED = 16.0
 _UNHELD_IN_ZONE_NEED = 4.0
 
@@ -60,12 +59,20 @@
     requests_per_s: float
 
 
-def plan_placement(hosts: Sequence[Host], engine: EngineSpec) -> dict[str, LayerRange]:
+def plan_placement(
+    hosts: Sequence[Host],
+    engine: EngineSpec,
+    *,
+    copying: Collection[str] = (),
+) -> dict[str, LayerRange]:
     """Return the layers that runners have to be ordered to hold.
 
     Args:
         hosts: All runners of the service that may get work.
         engine: What the service states of its engine.
+        copying: Empty runners that may hold further copies of layers.  The
+            others wait for a runner to leave, since replacements start before
+            that one does.
 
     Returns:
         By runner, the range to be ordered; runners that stay are left out.
@@ -75,7 +82,8 @@
     known = sorted((host for host in hosts if host.kind in engine.kinds), key=_by_id)
     if not any(host.held for host in known):
         return divide(known, engine)
-    orders = _fill_empty(known, engine)
+    orders = _fill_empty(known, engine, copying=copying)
+    orders |= _move_copies(known, orders, engine)
     held = [host._replace(held=orders.get(host.id, host.held)) for host in known]
     return orders | _extend_over_holes(held, engine)
 
@@ -95,7 +103,10 @@
         for chain in _best_chains(group, engine):
             orders.update(chain.layers)
     placed = [host._replace(held=orders.get(host.id)) for host in hosts]
-    return orders | _fill_empty(placed, engine) if orders else orders
+    if not orders:
+        return orders
+    ids = {host.id for host in hosts}
+    return orders | _fill_empty(placed, engine, copying=ids)
 
 
 def _zone_groups(hosts: Sequence[Host], engine: EngineSpec) -> list[list[Host]]:
@@ -277,7 +288,9 @@
     return writing_ms + _usual_read_ms(engine, kind, layers)
 
 
-def _fill_empty(hosts: Sequence[Host], engine: EngineSpec) -> dict[str, LayerRange]:
+def _fill_empty(
+    hosts: Sequence[Host], engine: EngineSpec, *, copying: Collection[str]
+) -> dict[str, LayerRange]:
     """Return what empty hosts take over, where others hold layers already."""
     orders: dict[str, LayerRange] = {}
     held = [host for host in hosts if host.held]
@@ -285,6 +298,8 @@
         if host.held:
             continue
         layers = _lacking_layers(host, held, engine)
+        if layers is None and host.id in copying:
+            layers = _scarcest_layers(host, held, engine)
         if layers is not None:
             orders[host.id] = layers
             held.append(host._replace(held=layers))
@@ -294,26 +309,72 @@
 def _lacking_layers(
     host: Host, held: Sequence[Host], engine: EngineSpec
 ) -> LayerRange | None:
-    """Return the layers that a host's zone lacks most, as far as they fit."""
+    """Return layers that a host's zone lacks, as far as they fit."""
+    need = _need_by_layer(host.availability_zone, held, engine)
+    window = _neediest_window(host, held, need, engine)
+    lacking = [layer for layer in range(*window) if need[layer]]
+    if not lacking:
+        return None
+    return LayerRange(lacking[0], lacking[-1] + 1)
+
+
+def _scarcest_layers(
+    host: Host, held: Sequence[Host], engine: EngineSpec
+) -> LayerRange | None:
+    """Return the layers whose holders have the least room for KV cache."""
+    room_tokens = [0.0] * engine.layer_count
+    for other in held:
+        if other.held is None:
+            continue
+        tokens = engine.kv_tokens(engine.kinds[other.kind], _size(other.held))
+        for layer in range(*other.held):
+            room_tokens[layer] += tokens
+    need = [1.0 / (1.0 + tokens) for tokens in room_tokens]
+    window = _neediest_window(host, held, need, engine)
+    return window if _size(window) else None
+
+
+def _neediest_window(
+    host: Host, held: Sequence[Host], need: Sequence[float], engine: EngineSpec
+) -> LayerRange:
+    """Return the range of as many layers as fit that is needed most."""
     most = engine.most_layers(
         engine.kinds[host.kind], kv_tokens=_zone_kv_tokens(host, held, engine)
     )
-    if not most:
-        return None
-    need = _need_by_layer(host.availability_zone, held, engine)
     starts = range(engine.layer_count - most + 1)
     first = max(starts, key=lambda start: (sum(need[start : start + most]), -start))
-    window = range(first, first + most)
-    lacking = [layer for layer in window if need[layer] >= _UNHELD_IN_ZONE_NEED]
-    if lacking:
-        return LayerRange(lacking[0], lacking[-1] + 1)
     return LayerRange(first, first + most)
 
 
+def _size(layers: LayerRange) -> int:
+    """Return how many layers a range has."""
+    return layers.end - layers.first
+
+
+def _move_copies(
+    hosts: Sequence[Host], orders: Mapping[str, LayerRange], engine: EngineSpec
+) -> dict[str, LayerRange]:
+    """Move runners that only hold copies to layers that their zone lacks."""
+    held = [host._replace(held=orders.get(host.id, host.held)) for host in hosts]
+    moves: dict[str, LayerRange] = {}
+    for host in held:
+        if host.held is None or host.id in orders:
+            continue
+        others = [one for one in held if one.id != host.id]
+        need = _need_by_layer(host.availability_zone, others, engine)
+        if any(need[layer] for layer in range(*host.held)):
+            continue
+        layers = _lacking_layers(host, others, engine)
+        if layers is not None:
+            moves[host.id] = layers
+            held = [*others, host._replace(held=layers)]
+    return moves
+
+
 def _zone_kv_tokens(host: Host, held: Sequence[Host], engine: EngineSpec) -> float:
     """Return the KV cache that the zone's holders have room for."""
     rooms = [
-        engine.kv_tokens(engine.kinds[other.kind], other.held.end - other.held.first)
+        engine.kv_tokens(engine.kinds[other.kind], _size(other.held))
         for other in held
         if other.held and other.availability_zone == host.availability_zone
     ]
@@ -322,7 +383,7 @@
 
 
 def _need_by_layer(zone: str, held: Sequence[Host], engine: EngineSpec) -> list[float]:
-    """Return how much each layer lacks another holder in a zone."""
+    """Return how much each layer lacks a holder in a zone; zero if it has one."""
     anywhere = [0] * engine.layer_count
     in_zone = [0] * engine.layer_count
     for host in held:
@@ -332,9 +393,7 @@
             anywhere[layer] += 1
             in_zone[layer] += host.availability_zone == zone
     return [
-        _UNHELD_NEED * (not everywhere)
-        + _UNHELD_IN_ZONE_NEED * (not here)
-        + 1.0 / (1 + here)
+        _UNHELD_NEED * (not everywhere) + _UNHELD_IN_ZONE_NEED * (not here)
         for everywhere, here in zip(anywhere, in_zone, strict=True)
     ]
 
@@ -386,4 +445,4 @@
     most = engine.most_layers(
         engine.kinds[host.kind], kv_tokens=_LEAST_REQUESTS * engine.usual_tokens
     )
-    return layers.end - layers.first <= most
+    return _size(layers) <= most
--- a/src/violethatch/platform/_runners.py
+++ b/src/violethatch/platform/_runners.py
@@ -215,6 +215,10 @@
         return RunnerReport(
             sequence=report.sequence,
             is_busy=report.busy,
+            waiting=report.waiting,
+            running=report.running,
+            kv_used_part=report.kv_used / report.kv_total if report.kv_total else 0.0,
+            slowness=report.pace,
             layers=held_range(report.layers),
             stalled={one.id: one.address for one in report.stalled},
         )
--- a/src/violethatch/platform/_wire.py
+++ b/src/violethatch/platform/_wire.py
@@ -234,6 +234,12 @@
 
     sequence: int = msgspec.field(name="Sequence", default=0)
     busy: bool = msgspec.field(name="Busy", default=False)
+    waiting: int = msgspec.field(name="Waiting", default=0)
+    running: int = msgspec.field(name="Running", default=0)
+    # Both are counted in tokens times layers.
+    kv_used: float = msgspec.field(name="KvUsed", default=0.0)
+    kv_total: float = msgspec.field(name="KvTotal", default=0.0)
+    pace: float = 1.0
     layers: LayersHeld | None = None
     stalled: list[Stalled] = []
 
--- /dev/null
+++ b/src/violethatch/stream_loads.py
@@ -0,0 +1,94 @@
+# SPDX-License-Identifier: MIT
+"""How full runners are, as far as one instance can tell without asking.
+
+An instance knows its own streams exactly.  How many all instances have at a
+first runner comes with that runner's answers, for nothing; the ratio of the
+two, learnt over time, scales the own streams on all other runners.
+
+.. versionadded:: 26.1.0
+"""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+
+from .engine_model import EngineSpec
+from .paths import Path, Stage
+from .upstream import ServerLoad
+
+
+#: How fast the ratio follows what runners tell, per answer.
+_RATIO_GAIN = 0.05
+#: The most instances that the ratio can stand for.
+_MOST_RATIO = 400.0
+#: Estimates are cut here, so that a full runner stays comparable.
+_MOST_FULLNESS = 0.95
+
+
+class StreamLoads:
+    """One instance's view of the streams on runners.
+
+    .. versionadded:: 26.1.0
+    """
+
+    def __init__(self) -> None:
+        self._own_token_layers: dict[str, float] = {}
+        self._own_by_first: dict[str, int] = {}
+        self._told_sum = 1.0
+        self._own_sum = 1.0
+
+    @property
+    def ratio(self) -> float:
+        """All instances' streams for each of one's own."""
+        return max(1.0, min(_MOST_RATIO, self._told_sum / self._own_sum))
+
+    def started(self, path: Path, tokens: float) -> None:
+        """Count a stream in on each runner of its path."""
+        first_id = path.first.id
+        self._own_by_first[first_id] = self._own_by_first.get(first_id, 0) + 1
+        for stage in path.stages:
+            self._add(stage, tokens)
+
+    def ended(self, path: Path, tokens: float) -> None:
+        """Count a stream out again."""
+        first_id = path.first.id
+        own = self._own_by_first.get(first_id, 0) - 1
+        if own > 0:
+            self._own_by_first[first_id] = own
+        else:
+            self._own_by_first.pop(first_id, None)
+        for stage in path.stages:
+            self._add(stage, -tokens)
+
+    def told(self, first_id: str, load: ServerLoad) -> None:
+        """Take in a first runner's word on the streams it has from all."""
+        own = self._own_by_first.get(first_id, 0)
+        if own:
+            told = load.running + load.waiting
+            self._told_sum += _RATIO_GAIN * (told - self._told_sum)
+            self._own_sum += _RATIO_GAIN * (own - self._own_sum)
+
+    def fullness(self, stage: Stage, engine: EngineSpec) -> float:
+        """Return the part of a runner's KV cache that is thought to be taken."""
+        own = self._own_token_layers.get(stage.server.id, 0.0)
+        layers = stage.server.layers
+        if not own or layers is None:
+            return 0.0
+        size = layers.end - layers.first
+        room = engine.kv_tokens(engine.kinds[stage.server.kind], size) * size
+        if room <= 0:
+            return _MOST_FULLNESS
+        return min(_MOST_FULLNESS, own * self.ratio / room)
+
+    def state(self) -> Mapping[str, float]:
+        """Return the estimates' inputs, for a dump."""
+        return {"ratio": round(self.ratio, 2), "runners": len(self._own_token_layers)}
+
+    def _add(self, stage: Stage, tokens: float) -> None:
+        """Add to a runner's tokens times layers."""
+        added = tokens * (stage.layers.end - stage.layers.first)
+        own = self._own_token_layers.get(stage.server.id, 0.0) + added
+        if own > 1e-6:
+            self._own_token_layers[stage.server.id] = own
+        else:
+            self._own_token_layers.pop(stage.server.id, None)
--- a/src/violethatch/upstream.py
+++ b/src/violethatch/upstream.py
@@ -136,11 +136,19 @@
     Attributes:
         sequence: Orders it has taken since its start.
         is_busy: An order is under way.
+        waiting: Requests that wait at it.
+        running: Requests that it runs.
+        kv_used_part: The part of its KV cache that is taken.
+        slowness: Above 1, how much slower it is than its kind.
         stalled: By call, the address of the runner that it waits for.
     """
 
     sequence: int
     is_busy: bool
+    waiting: int
+    running: int
+    kv_used_part: float
+    slowness: float
     layers: LayerRange | None
     stalled: Mapping[str, str]
 
