Pass an unframed answer on unframed, and choose paths by fullness

All zones' requests went along one zone's path while others had room. Ruled out: a reset that was overlooked (the connection ended orderly). Change: such an answer ends with its connection for the caller too; a path's cost counts what is taken on its runners, learnt from own streams and from first runners' own word.

--- a/src/violethatch/_plain_calls.py
+++ b/src/violethatch/_plain_calls.py
@@ -40,11 +40,19 @@
 
 
 class _Whole(NamedTuple):
-    """A backend server's whole answer."""
+    """A backend server's answer, whole as far as can be told."""
 
     status: int
     headers: Headers
     body: bytes
+    is_framed: bool
+
+    async def give(self, responder: Responder) -> int:
+        """Give the answer to the caller; return its status."""
+        await responder.answer(
+            self.status, self.headers, self.body, is_framed=self.is_framed
+        )
+        return self.status
 
 
 class PlainCall:
@@ -82,13 +90,11 @@
             if answer is None:
                 continue
             if answer.status < _SERVER_ERROR or not self._route.is_repeatable:
-                await responder.answer(answer.status, answer.headers, answer.body)
-                return answer.status
+                return await answer.give(responder)
             failed = answer
         if failed is None:
             raise self._failure()
-        await responder.answer(failed.status, failed.headers, failed.body)
-        return failed.status
+        return await failed.give(responder)
 
     def _may_send_again(self) -> bool:
         """Tell whether another send is allowed and paid for."""
@@ -174,7 +180,7 @@
             )
         else:
             self._routing.health.worked(server_id)
-        return _Whole(answer.status, answer.headers, body)
+        return _Whole(answer.status, answer.headers, body, answer.is_framed)
 
     def _limit_s(self, now_s: float) -> float:
         """Return how long this send may take, in seconds.
--- a/src/violethatch/_routing.py
+++ b/src/violethatch/_routing.py
@@ -14,14 +14,10 @@
 from .router_settings import RouterSettings
 from .runner_health import RunnerHealth, Trouble
 from .server_choice import ServerChoice
+from .stream_loads import StreamLoads
 from .upstream import RunnerClient
 
 
-#: Paths remembered between changes of the list; each set of resting runners
-#: has its own.
-_MOST_PATHS = 64
-
-
 class Routing:
     """Shared by all calls of one router."""
 
@@ -33,9 +29,8 @@
         self.backends = BackendTable()
         self.health = RunnerHealth()
         self.choice = ServerChoice(rng)
+        self.loads = StreamLoads()
         self._budgets: dict[str, RetryBudget] = {}
-        self._paths: dict[tuple[str, str, frozenset[str]], Path | None] = {}
-        self._paths_revision = -1
 
     def count_request(self, service: str) -> None:
         """Note a caller's request, which earns a part of a retry."""
@@ -71,15 +66,21 @@
         now_s = time.monotonic()
         self.backends.expire(now_s=now_s)
         left_out = self.health.resting(now_s=now_s) | avoided
-        if self._paths_revision != self.backends.revision:
-            self._paths.clear()
-            self._paths_revision = self.backends.revision
-        key = (service.name, first.id if first else "", left_out)
-        if key not in self._paths:
-            if len(self._paths) >= _MOST_PATHS:
-                self._paths.clear()
-            self._paths[key] = self._search(service, left_out, first)
-        return self._paths[key]
+        servers = [
+            server
+            for server in self.backends.usable(service.name)
+            if server.id not in left_out
+        ]
+        return find_path(
+            servers,
+            service.engine,
+            zone=self.settings.instance.availability_zone,
+            fullness={
+                server.id: self.loads.fullness(server, service.engine, now_s=now_s)
+                for server in servers
+            },
+            first=first,
+        )
 
     def note_trouble(
         self, server: BackendServer, trouble: Trouble, request_id: str, reason: str
@@ -117,23 +118,3 @@
             )
             self._budgets[service] = budget
         return budget
-
-    def _search(
-        self,
-        service: ServiceSpec,
-        left_out: frozenset[str],
-        first: BackendServer | None,
-    ) -> Path | None:
-        """Search a path over all runners but some."""
-        servers = [
-            server
-            for server in self.backends.usable(service.name)
-            if server.id not in left_out
-        ]
-        assert service.engine is not None
-        return find_path(
-            servers,
-            service.engine,
-            zone=self.settings.instance.availability_zone,
-            first=first,
-        )
--- a/src/violethatch/_streams.py
+++ b/src/violethatch/_streams.py
@@ -80,8 +80,10 @@
             call.deadline_s, call.received_s + admitted.route.timeout_s
         )
         self._progress = StreamProgress(last_id=call.last_event_id)
+        self._tokens = _expected_tokens(call, admitted.service)
         self._avoided: frozenset[str] = frozenset()
         self._is_started = False
+        self._is_framed = True
         self._refusals = 0
         self.runs = 0
         self.repaths = 0
@@ -143,7 +145,16 @@
             last_event_id=self._progress.last_id,
             is_connection_fresh=not self._route.is_resumable,
         )
-        run = _Run(self._routing, self._service, send, path)
+        run = _Run(self._routing, self._service, send, path, tokens=self._tokens)
+        run.count_in()
+        try:
+            return await self._run_counted(run, responder)
+        finally:
+            run.count_out()
+
+    async def _run_counted(self, run: _Run, responder: Responder) -> tuple[_End, int]:
+        """Send the call and pass its events on."""
+        path = run.path
         try:
             answer = await run.open()
         except NotSentError as error:
@@ -154,6 +165,9 @@
             self.runs += 1
             self._leave_first(path.first, str(error) or "no answer in time")
             return _End.LOST, 0
+        if answer.load is not None:
+            now_s = time.monotonic()
+            self._routing.loads.told(path.first.id, answer.load, now_s=now_s)
         try:
             return await self._take(answer, run, responder)
         finally:
@@ -207,7 +221,9 @@
         except (AnswerLostError, TimeoutError):
             return _End.LOST, 0
         run.is_whole = True
-        await responder.answer(answer.status, answer.headers, body)
+        await responder.answer(
+            answer.status, answer.headers, body, is_framed=answer.is_framed
+        )
         return _End.PASSED_ON, answer.status
 
     async def _pass_on(self, answer: Answer, run: _Run, responder: Responder) -> None:
@@ -228,16 +244,23 @@
             if not wanted:
                 continue
             if not self._is_started:
-                self._is_started = True
                 self.first_event_s = time.monotonic() - self._call.received_s
-                await responder.start(answer.status, answer.headers)
+                await self._start(answer, responder)
             await responder.write(b"".join(wanted))
         if splitter.has_rest:
             msg = "the stream ended within an event"
             raise SpoiltStreamError(msg)
         if not self._is_started:
-            self._is_started = True
-            await responder.start(answer.status, answer.headers)
+            await self._start(answer, responder)
+        if self._is_framed and not answer.is_framed:
+            msg = "the stream's end can't be told from a cut"
+            raise AnswerLostError(msg)
+
+    async def _start(self, answer: Answer, responder: Responder) -> None:
+        """Begin the answer as its first run has begun."""
+        self._is_started = True
+        self._is_framed = answer.is_framed
+        await responder.start(answer.status, answer.headers, is_framed=answer.is_framed)
 
     def _leave_first(self, server: BackendServer, reason: str) -> None:
         """Leave a first runner alone that gave no answer."""
@@ -272,9 +295,16 @@
     """One run of a stream along a path, which may change under way."""
 
     def __init__(
-        self, routing: Routing, service: ServiceSpec, send: Send, path: Path
+        self,
+        routing: Routing,
+        service: ServiceSpec,
+        send: Send,
+        path: Path,
+        *,
+        tokens: float,
     ) -> None:
         self._routing = routing
+        self._tokens = tokens
         self._service = service
         self._call = send.call
         self._send = send
@@ -286,6 +316,14 @@
         #: Runners to leave out when the call is sent again.
         self.suspects: frozenset[str] = frozenset()
 
+    def count_in(self) -> None:
+        """Count the run in on its path's runners."""
+        self._routing.loads.started(self.path, self._tokens)
+
+    def count_out(self) -> None:
+        """Count the run out again."""
+        self._routing.loads.ended(self.path, self._tokens)
+
     async def open(self) -> Answer:
         """Send the call; return its answer's head.
 
@@ -406,7 +444,9 @@
                 path=[stage.server.id for stage in path.stages],
             )
             if order.outcome in (OrderOutcome.DONE, OrderOutcome.BEGUN):
+                self.count_out()
                 self.path = path
+                self.count_in()
                 self.repaths += 1
                 return True
             obstacle = _stage_of(path, order.address)
@@ -420,6 +460,14 @@
         return _stage_of(self.path, address)
 
 
+def _expected_tokens(call: Call, service: ServiceSpec) -> float:
+    """Return the tokens whose KV cache a call is expected to need on average."""
+    assert service.engine is not None
+    if call.prompt_tokens is None:
+        return service.engine.usual_tokens
+    return call.prompt_tokens + service.engine.usual_answer_tokens / 2
+
+
 def _stage_of(path: Path, address: str | None) -> BackendServer | None:
     """Return a path's runner at an address."""
     for stage in path.stages:
--- a/src/violethatch/paths.py
+++ b/src/violethatch/paths.py
@@ -11,7 +11,7 @@
 from __future__ import annotations
 
 from collections import defaultdict
-from collections.abc import Callable, Mapping, Sequence
+from collections.abc import Mapping, Sequence
 from typing import NamedTuple
 
 from .backends import BackendServer
@@ -23,7 +23,9 @@
 _HOP_MS = 0.2
 #: What a hop to another zone costs beside its delay, in ms: bytes between
 #: zones are dear, and such a path depends on two zones.
-_OTHER_ZONE_MS = 5.0
+_OTHER_ZONE_MS = 0.5
+#: From here on a runner counts as full.
+_MOST_FULLNESS = 0.95
 #: The most stages of a path (the engines' limit).
 MAX_STAGES = 32
 
@@ -71,7 +73,7 @@
     engine: EngineSpec,
     *,
     zone: str,
-    slowness: Callable[[str], float] = lambda _: 1.0,
+    fullness: Mapping[str, float] | None = None,
     first: BackendServer | None = None,
 ) -> Path | None:
     """Return the quickest path, or None if some layer can't be reached.
@@ -80,7 +82,8 @@
         servers: The runners that may be used.
         engine: The engine's figures.
         zone: The zone to stay in where possible.
-        slowness: By runner's id, how much slower it is than its kind.
+        fullness: By runner's id, the part of its room that is taken; a full
+            one counts as many times slower.
         first: The runner that has to come first, if one has to.
 
     .. versionadded:: 26.1.0
@@ -102,7 +105,7 @@
                 boundary,
                 sorted(by_boundary),
                 engine=engine,
-                slowness=slowness(server.id),
+                slowness=_slowness((fullness or {}).get(server.id, 0.0)),
                 before=before,
                 entry_ms=entry_ms,
             )
@@ -150,6 +153,14 @@
     return best, best_ms
 
 
+def _slowness(fullness: float) -> float:
+    """Return how much slower a runner counts for being full.
+
+    As in a queue, time grows with what is taken of what is left.
+    """
+    return 1.0 / (1.0 - min(_MOST_FULLNESS, fullness))
+
+
 def _hop_ms(zone: str, other: str, engine: EngineSpec) -> float:
     """Return what a hop costs a token, in ms."""
     if zone == other:
--- a/src/violethatch/platform/_headers.py
+++ b/src/violethatch/platform/_headers.py
@@ -17,6 +17,8 @@
 NOT_RUN = "Violethatch-Not-Executed"
 #: Running, waiting and slots, with commas between.
 LOAD = "Violethatch-Server-Load"
+#: The prompt's tokens and the most to come out, with a comma between.
+TOKEN_COUNT = "Violethatch-Token-Count"
 LAST_EVENT_ID = "Last-Event-Id"
 PRIORITY = "Priority"
 PATH = "Path"
--- a/src/violethatch/platform/_listener.py
+++ b/src/violethatch/platform/_listener.py
@@ -35,6 +35,12 @@
 _UNAVAILABLE = 503
 
 
+class _Unframed(StreamResponse):
+    """An answer that ends with its connection, and doesn't claim to be whole."""
+
+    _length_check = False
+
+
 class _Responder:
     """Answers one caller."""
 
@@ -43,17 +49,29 @@
         self._is_last = is_last
         self.response: StreamResponse | None = None
 
-    async def answer(self, status: int, headers: Headers, body: bytes) -> None:
-        """Give a whole answer."""
+    async def answer(
+        self, status: int, headers: Headers, body: bytes, *, is_framed: bool = True
+    ) -> None:
+        """Give an answer; one that isn't framed ends with its connection."""
+        if not is_framed:
+            await self.start(status, headers, is_framed=False)
+            await self.write(body)
+            await self.finish()
+            return
         self.response = Response(status=status, body=body)
         self._fill(self.response, headers)
         await self.response.prepare(self._request)
         await self.response.write_eof()
 
-    async def start(self, status: int, headers: Headers) -> None:
+    async def start(
+        self, status: int, headers: Headers, *, is_framed: bool = True
+    ) -> None:
         """Begin an answer that comes in parts."""
-        self.response = StreamResponse(status=status)
+        kind = StreamResponse if is_framed else _Unframed
+        self.response = kind(status=status)
         self._fill(self.response, headers)
+        if not is_framed:
+            self.response.force_close()
         await self.response.prepare(self._request)
 
     async def write(self, data: bytes) -> None:
@@ -157,6 +175,7 @@
             received_s=started_s,
             deadline_s=started_s + _deadline_s(request),
             last_event_id=_last_event_id(request),
+            prompt_tokens=_prompt_tokens(request),
         )
 
     async def _read_body(self, request: BaseRequest) -> bytes:
@@ -254,6 +273,12 @@
         raise BadRequestError(msg) from None
 
 
+def _prompt_tokens(request: BaseRequest) -> int | None:
+    """Return the size of the prompt, if the caller tells it."""
+    prompt, _, _ = request.headers.get(_headers.TOKEN_COUNT, "").partition(",")
+    return int(prompt) if prompt.isdecimal() else None
+
+
 def _last_event_id(request: BaseRequest) -> int | None:
     """Return the event after which the caller resumes a stream, if it does.
 
--- a/src/violethatch/platform/_runners.py
+++ b/src/violethatch/platform/_runners.py
@@ -116,6 +116,9 @@
     def __init__(self, answer: aiohttp.ClientResponse) -> None:
         self._answer = answer
         self.status = answer.status
+        self.is_framed = "Content-Length" in answer.headers or (
+            "chunked" in answer.headers.get("Transfer-Encoding", "").lower()
+        )
         raw = [
             (name.decode("latin-1"), value.decode("latin-1"))
             for name, value in answer.raw_headers
--- a/src/violethatch/stream_loads.py
+++ b/src/violethatch/stream_loads.py
@@ -12,6 +12,7 @@
 
 from collections.abc import Mapping
 
+from .backends import BackendServer
 from .engine_model import EngineSpec
 from .paths import Path, Stage
 from .upstream import ServerLoad
@@ -21,8 +22,8 @@
 _RATIO_GAIN = 0.05
 #: The most instances that the ratio can stand for.
 _MOST_RATIO = 400.0
-#: Estimates are cut here, so that a full runner stays comparable.
-_MOST_FULLNESS = 0.95
+#: How long a first runner's word counts, in seconds; some requests' time.
+_TOLD_LIFE_S = 2.0
 
 
 class StreamLoads:
@@ -34,6 +35,7 @@
     def __init__(self) -> None:
         self._own_token_layers: dict[str, float] = {}
         self._own_by_first: dict[str, int] = {}
+        self._told_by_first: dict[str, tuple[ServerLoad, float]] = {}
         self._told_sum = 1.0
         self._own_sum = 1.0
 
@@ -60,25 +62,34 @@
         for stage in path.stages:
             self._add(stage, -tokens)
 
-    def told(self, first_id: str, load: ServerLoad) -> None:
+    def told(self, first_id: str, load: ServerLoad, *, now_s: float) -> None:
         """Take in a first runner's word on the streams it has from all."""
+        self._told_by_first[first_id] = (load, now_s)
         own = self._own_by_first.get(first_id, 0)
         if own:
             told = load.running + load.waiting
             self._told_sum += _RATIO_GAIN * (told - self._told_sum)
             self._own_sum += _RATIO_GAIN * (own - self._own_sum)
 
-    def fullness(self, stage: Stage, engine: EngineSpec) -> float:
-        """Return the part of a runner's KV cache that is thought to be taken."""
-        own = self._own_token_layers.get(stage.server.id, 0.0)
-        layers = stage.server.layers
-        if not own or layers is None:
-            return 0.0
-        size = layers.end - layers.first
-        room = engine.kv_tokens(engine.kinds[stage.server.kind], size) * size
-        if room <= 0:
-            return _MOST_FULLNESS
-        return min(_MOST_FULLNESS, own * self.ratio / room)
+    def fullness(
+        self, server: BackendServer, engine: EngineSpec, *, now_s: float
+    ) -> float:
+        """Return the part of a runner's room that is thought to be taken.
+
+        Its room is its KV cache, and its slots where it was told of them.
+        """
+        told = self._told_by_first.get(server.id)
+        taken = 0.0
+        if told is not None and now_s - told[1] < _TOLD_LIFE_S:
+            load = told[0]
+            taken = (load.running + load.waiting) / max(1, load.slots)
+        own = self._own_token_layers.get(server.id, 0.0)
+        kind = engine.kinds.get(server.kind)
+        if not own or server.layers is None or kind is None:
+            return taken
+        size = server.layers.end - server.layers.first
+        room = engine.kv_tokens(kind, size) * size
+        return max(taken, own * self.ratio / max(room, 1.0))
 
     def state(self) -> Mapping[str, float]:
         """Return the estimates' inputs, for a dump."""
--- a/src/violethatch/upstream.py
+++ b/src/violethatch/upstream.py
@@ -32,6 +32,7 @@
         headers: What is passed on: no header of a single connection, no key.
         deadline_s: Until when the caller waits, in monotonic seconds.
         last_event_id: The event after which a resumed stream goes on.
+        prompt_tokens: The prompt's size, where the caller tells it.
     """
 
     id: str
@@ -44,6 +45,7 @@
     received_s: float
     deadline_s: float
     last_event_id: int | None
+    prompt_tokens: int | None
 
 
 class Send(NamedTuple):
@@ -90,9 +92,15 @@
 
 
 class Answer(Protocol):
-    """A backend server's answer, its body still to come."""
+    """A backend server's answer, its body still to come.
+
+    Attributes:
+        is_framed: Whether the answer itself tells where it ends.  One that
+            ends with its connection may have been cut off.
+    """
 
     status: int
+    is_framed: bool
     headers: Headers
     refusal: Refusal | None
     load: ServerLoad | None
@@ -186,10 +194,14 @@
 class Responder(Protocol):
     """Answers a caller."""
 
-    async def answer(self, status: int, headers: Headers, body: bytes) -> None:
-        """Give a whole answer."""
+    async def answer(
+        self, status: int, headers: Headers, body: bytes, *, is_framed: bool = True
+    ) -> None:
+        """Give an answer; one that isn't framed ends with its connection."""
 
-    async def start(self, status: int, headers: Headers) -> None:
+    async def start(
+        self, status: int, headers: Headers, *, is_framed: bool = True
+    ) -> None:
         """Begin an answer that comes in parts."""
 
     async def write(self, data: bytes) -> None:
