Make zones whole again after runners are lost

Ruled out: the choice of paths (the pipe between zones was the limit). Change: neighbours of a hole take it over where they have the memory; otherwise the zone is divided anew while the others hold the whole model.

--- a/src/violethatch/_placing.py
+++ b/src/violethatch/_placing.py
@@ -46,6 +46,8 @@
 #: How long a runner stays empty before it gets copies of layers that others
 #: hold, in seconds: replacements come some seconds before who they replace.
 _IDLE_S = 6.0
+#: How long the list has to rest before held layers are moved, in seconds.
+_REPAIR_REST_S = 1.0
 #: Orders that are under way at one time.
 _ORDERS_AT_ONCE = 8
 
@@ -114,6 +116,8 @@
         self._next_try_s = 0.0
         self._last_order_s = 0.0
         self._empty_since_s: dict[str, float] = {}
+        self._last_ids: frozenset[str] = frozenset()
+        self._last_ids_s = 0.0
 
     @property
     def is_holder(self) -> bool:
@@ -179,13 +183,24 @@
                 continue
             hosts = [self._host(server) for server in servers.values()]
             plan = plan_placement(
-                hosts, service.engine, copying=self._idle_for_long(servers, now_s)
+                hosts,
+                service.engine,
+                copying=self._idle_for_long(servers, now_s),
+                is_repairing=self._is_at_rest(servers, now_s),
             )
             for server_id, layers in plan.items():
                 if now_s >= self._rest_until_s.get(server_id, 0.0):
                     due.append((service, servers[server_id], layers))
         return due
 
+    def _is_at_rest(self, servers: dict[str, BackendServer], now_s: float) -> bool:
+        """Tell whether the list has not changed for a while."""
+        ids = frozenset(servers)
+        if ids != self._last_ids:
+            self._last_ids = ids
+            self._last_ids_s = now_s
+        return now_s - self._last_ids_s >= _REPAIR_REST_S
+
     def _idle_for_long(
         self, servers: dict[str, BackendServer], now_s: float
     ) -> frozenset[str]:
--- a/src/violethatch/placement.py
+++ b/src/violethatch/placement.py
@@ -7,7 +7,7 @@
 searched with the engine's own formula for the most requests a second.
 
 Later changes are small: a runner that comes empty takes over what its zone
-lacks, and held layers move only where a layer has no holder at all.
+lacks, and a zone that stays incomplete is mended with what it has.
 
 .. versionadded:: 26.1.0
 """
@@ -64,6 +64,7 @@
     engine: EngineSpec,
     *,
     copying: Collection[str] = (),
+    is_repairing: bool = True,
 ) -> dict[str, LayerRange]:
     """Return the layers that runners have to be ordered to hold.
 
@@ -73,6 +74,8 @@
         copying: Empty runners that may hold further copies of layers.  The
             others wait for a runner to leave, since replacements start before
             that one does.
+        is_repairing: Whether runners that hold layers may be given others, so
+            that a zone is whole again.
 
     Returns:
         By runner, the range to be ordered; runners that stay are left out.
@@ -84,8 +87,15 @@
         return divide(known, engine)
     orders = _fill_empty(known, engine, copying=copying)
     orders |= _move_copies(known, orders, engine)
-    held = [host._replace(held=orders.get(host.id, host.held)) for host in known]
-    return orders | _extend_over_holes(held, engine)
+    if is_repairing:
+        held = _with_orders(known, orders)
+        orders |= _repair_zones(held, engine)
+    return orders
+
+
+def _with_orders(hosts: Sequence[Host], orders: Mapping[str, LayerRange]) -> list[Host]:
+    """Return hosts as they are once orders are carried out."""
+    return [host._replace(held=orders.get(host.id, host.held)) for host in hosts]
 
 
 def _by_id(host: Host) -> str:
@@ -355,7 +365,7 @@
     hosts: Sequence[Host], orders: Mapping[str, LayerRange], engine: EngineSpec
 ) -> dict[str, LayerRange]:
     """Move runners that only hold copies to layers that their zone lacks."""
-    held = [host._replace(held=orders.get(host.id, host.held)) for host in hosts]
+    held = _with_orders(hosts, orders)
     moves: dict[str, LayerRange] = {}
     for host in held:
         if host.held is None or host.id in orders:
@@ -398,51 +408,93 @@
     ]
 
 
-def _extend_over_holes(
-    hosts: Sequence[Host], engine: EngineSpec
-) -> dict[str, LayerRange]:
-    """Let neighbours take over layers that nobody holds.
+def _repair_zones(hosts: Sequence[Host], engine: EngineSpec) -> dict[str, LayerRange]:
+    """Make zones whole that lack layers, with the runners they have.
 
-    Only layers are added, so that nothing under way is disturbed.
+    Neighbours of a hole take it over where they have the memory; layers are
+    only added then.  Otherwise the zone is divided anew, if others hold the
+    whole model meanwhile.
     """
     orders: dict[str, LayerRange] = {}
-    for hole in _holes(hosts, engine):
-        for host in hosts:
-            grown = _grown(orders.get(host.id, host.held), hole)
-            if grown is None or not _fits(host, grown, engine):
+    for zone in sorted({host.availability_zone for host in hosts}):
+        inside = [host for host in hosts if host.availability_zone == zone]
+        holes = _holes(inside, engine)
+        if not holes or not any(host.held for host in inside):
+            continue
+        stretched = _stretch_over(inside, holes, engine)
+        if stretched is not None:
+            orders |= stretched
+            continue
+        outside = [host for host in hosts if host.availability_zone != zone]
+        if _can_hold(inside, engine) and not _holes(outside, engine):
+            for chain in _best_chains(inside, engine):
+                orders.update(chain.layers)
+    return {
+        host.id: orders[host.id]
+        for host in hosts
+        if host.id in orders and orders[host.id] != host.held
+    }
+
+
+def _stretch_over(
+    hosts: Sequence[Host], holes: Sequence[LayerRange], engine: EngineSpec
+) -> dict[str, LayerRange] | None:
+    """Let neighbours take all holes over; None if they lack the memory."""
+    orders: dict[str, LayerRange] = {}
+    for hole in holes:
+        best: dict[str, LayerRange] | None = None
+        best_tokens = _LEAST_REQUESTS * engine.usual_tokens
+        for split in range(hole.first, hole.end + 1):
+            option = _split_hole(_with_orders(hosts, orders), hole, split)
+            if option is None:
                 continue
-            orders[host.id] = grown
-            break
+            tokens = _least_room(hosts, option, engine)
+            if tokens >= best_tokens:
+                best, best_tokens = option, tokens
+        if best is None:
+            return None
+        orders |= best
     return orders
 
 
+def _split_hole(
+    hosts: Sequence[Host], hole: LayerRange, split: int
+) -> dict[str, LayerRange] | None:
+    """Give a hole's layers below *split* to the left and the others to the right."""
+    option: dict[str, LayerRange] = {}
+    if split > hole.first:
+        left = [host for host in hosts if host.held and host.held.end == hole.first]
+        if not left or left[0].held is None:
+            return None
+        option[left[0].id] = LayerRange(left[0].held.first, split)
+    if split < hole.end:
+        right = [host for host in hosts if host.held and host.held.first == hole.end]
+        if not right or right[0].held is None:
+            return None
+        option[right[0].id] = LayerRange(split, right[0].held.end)
+    return option
+
+
+def _least_room(
+    hosts: Sequence[Host], layers: Mapping[str, LayerRange], engine: EngineSpec
+) -> float:
+    """Return the least tokens whose KV cache fits beside ranges."""
+    kinds = {host.id: engine.kinds[host.kind] for host in hosts}
+    return min(
+        engine.kv_tokens(kinds[host_id], _size(each))
+        for host_id, each in layers.items()
+    )
+
+
 def _holes(hosts: Sequence[Host], engine: EngineSpec) -> list[LayerRange]:
     """Return the ranges that no host holds."""
     covered = {layer for host in hosts if host.held for layer in range(*host.held)}
-    missing = [layer for layer in range(engine.layer_count) if layer not in covered]
     holes: list[LayerRange] = []
-    for layer in missing:
+    for layer in range(engine.layer_count):
+        if layer in covered:
+            continue
         if holes and holes[-1].end == layer:
             holes[-1] = LayerRange(holes[-1].first, layer + 1)
         else:
             holes.append(LayerRange(layer, layer + 1))
     return holes
-
-
-def _grown(held: LayerRange | None, hole: LayerRange) -> LayerRange | None:
-    """Return a range grown over a hole beside it, or None if it isn't beside."""
-    if held is None:
-        return None
-    if held.end == hole.first:
-        return LayerRange(held.first, hole.end)
-    if held.first == hole.end:
-        return LayerRange(hole.first, held.end)
-    return None
-
-
-def _fits(host: Host, layers: LayerRange, engine: EngineSpec) -> bool:
-    """Tell whether a host holds a range beside a few requests."""
-    most = engine.most_layers(
-        engine.kinds[host.kind], kv_tokens=_LEAST_REQUESTS * engine.usual_tokens
-    )
-    return _size(layers) <= most
