Give the caller each event that was counted as taken

Cause: where a later event of the same bytes spoilt a run, the events before it were counted as delivered and never written; the resumed run then left them out. Ruled out: the splitter (its events were whole). Change: what was taken is written before the error goes on.

--- a/src/violethatch/_streams.py
+++ b/src/violethatch/_streams.py
@@ -236,17 +236,16 @@
         """
         splitter = EventSplitter()
         async for part in run.parts(answer):
-            wanted = [
-                event.data
-                for event in splitter.feed(part)
-                if self._progress.take(event)
-            ]
-            if not wanted:
-                continue
-            if not self._is_started:
-                self.first_event_s = time.monotonic() - self._call.received_s
-                await self._start(answer, responder)
-            await responder.write(b"".join(wanted))
+            wanted: list[bytes] = []
+            try:
+                for event in splitter.feed(part):
+                    if self._progress.take(event):
+                        wanted.append(event.data)
+            finally:
+                # What was counted as taken has to reach the caller, also when
+                # a later event of the same bytes spoils the stream.
+                if wanted:
+                    await self._give(b"".join(wanted), answer, responder)
         if splitter.has_rest:
             msg = "the stream ended within an event"
             raise SpoiltStreamError(msg)
@@ -256,6 +255,13 @@
             msg = "the stream's end can't be told from a cut"
             raise AnswerLostError(msg)
 
+    async def _give(self, data: bytes, answer: Answer, responder: Responder) -> None:
+        """Give events to the caller, after the head."""
+        if not self._is_started:
+            self.first_event_s = time.monotonic() - self._call.received_s
+            await self._start(answer, responder)
+        await responder.write(data)
+
     async def _start(self, answer: Answer, responder: Responder) -> None:
         """Begin the answer as its first run has begun."""
         self._is_started = True
--- /dev/null
+++ b/src/violethatch_emulator/path_runner.py
@@ -0,0 +1,154 @@
+# SPDX-License-Identifier: MIT
+"""A stand-in of the users' runners that chain layers, from their pages."""
+
+from __future__ import annotations
+
+import asyncio
+
+from typing import Any, NamedTuple
+
+from aiohttp import web
+
+
+_ID = "Violethatch-Attempt-Id"
+_NOT_RUN = "Violethatch-Not-Executed"
+
+
+class Seen(NamedTuple):
+    """A request as it reached a runner."""
+
+    call_id: str
+    path: str
+    headers: dict[str, str]
+    target: str
+
+
+class PathRunner:
+    """Answers with events; follows orders; can hang, cut, refuse and leave.
+
+    Args:
+        server_id: Names the runner's lifetime.
+        event_count: How many events a whole stream has.
+        pause_s: The time between events, in seconds.
+    """
+
+    def __init__(
+        self, server_id: str, *, event_count: int = 8, pause_s: float = 0.01
+    ) -> None:
+        self.server_id = server_id
+        self.event_count = event_count
+        self.pause_s = pause_s
+        self.layers: tuple[int, int] | None = None
+        self.sequence = 0
+        self.fence = 0
+        self.seen: list[Seen] = []
+        self.orders: list[dict[str, Any]] = []
+        #: Requests that were broken off by their caller.
+        self.dropped: list[str] = []
+        #: A status that requests are refused with, unrun, or zero.
+        self.refuse_with = 0
+        #: Streams stand still after this event, waiting for `stalled_at`.
+        self.hang_after: int | None = None
+        #: Streams are cut within the event after this one.
+        self.cut_after: int | None = None
+        self.stalled_at = ""
+        self.repath_status = 200
+        self._waiting: dict[str, asyncio.Event] = {}
+
+    def application(self) -> web.Application:
+        """Return the runner's HTTP application."""
+        app = web.Application()
+        app.router.add_get("/api/report", self._report)
+        app.router.add_post("/api/order", self._order)
+        app.router.add_route("*", "/{path:.*}", self._serve)
+        return app
+
+    async def _report(self, _request: web.Request) -> web.Response:
+        """Tell the runner's state."""
+        layers = None
+        if self.layers is not None:
+            first, end = self.layers
+            layers = {"From": first, "TargetVersion": end, "Version": 1}
+        stalled = [
+            {"Id": call_id, "Address": self.stalled_at} for call_id in self._waiting
+        ]
+        return web.json_response(
+            {
+                "Sequence": self.sequence,
+                "Busy": False,
+                "layers": layers,
+                "stalled": stalled if self.stalled_at else [],
+            }
+        )
+
+    async def _order(self, request: web.Request) -> web.Response:
+        """Carry an order out."""
+        order = await request.json()
+        self.orders.append(order)
+        if order["op"] == "repath":
+            waiting = self._waiting.pop(order["Id"], None)
+            if waiting is None:
+                return web.json_response({}, status=404)
+            if self.repath_status != 200:
+                self._waiting[order["Id"]] = waiting
+                return web.json_response({}, status=self.repath_status)
+            waiting.set()
+            return web.json_response({})
+        if order.get("fence", 0) < self.fence:
+            return web.json_response({}, status=412)
+        self.fence = order.get("fence", 0)
+        if order.get("ExpectedRevision", self.sequence) != self.sequence:
+            return web.json_response({}, status=409)
+        self.sequence += 1
+        self.layers = (order["From"], order["TargetVersion"])
+        return web.json_response({}, status=202)
+
+    async def _serve(self, request: web.Request) -> web.StreamResponse:
+        """Run a request, or refuse it."""
+        call_id = request.headers.get(_ID, "")
+        headers = dict(request.headers)
+        self.seen.append(
+            Seen(call_id, headers.get("Path", ""), headers, request.raw_path)
+        )
+        expected = headers.get("Violethatch-Target-Instance", self.server_id)
+        if expected != self.server_id:
+            return web.Response(status=421, headers={_ID: call_id})
+        if self.refuse_with:
+            return web.Response(
+                status=self.refuse_with, headers={_ID: call_id, _NOT_RUN: "1"}
+            )
+        return await self._stream(request, call_id)
+
+    async def _stream(self, request: web.Request, call_id: str) -> web.StreamResponse:
+        """Give the events after the one that the caller has."""
+        answer = web.StreamResponse(
+            headers={
+                _ID: call_id,
+                "Violethatch-Response-Signature": f"by-{self.server_id}",
+                "Content-Type": "text/event-stream",
+            }
+        )
+        await answer.prepare(request)
+        first = int(request.headers.get("Last-Event-Id", 0)) + 1
+        try:
+            for number in range(first, self.event_count + 1):
+                await self._hang(call_id, number)
+                if self.cut_after is not None and number > self.cut_after:
+                    await answer.write(b"id: %d\nda" % number)
+                    assert request.transport is not None
+                    request.transport.abort()
+                    return answer
+                await answer.write(b"id: %d\ndata: %d\n\n" % (number, number))
+                await asyncio.sleep(self.pause_s)
+        except (ConnectionError, asyncio.CancelledError):
+            self.dropped.append(call_id)
+            raise
+        await answer.write_eof()
+        return answer
+
+    async def _hang(self, call_id: str, number: int) -> None:
+        """Stand still where streams are to stand still."""
+        if self.hang_after is None or number != self.hang_after + 1:
+            return
+        self._waiting[call_id] = asyncio.Event()
+        await self._waiting[call_id].wait()
--- /dev/null
+++ b/tests/test_followers.py
@@ -0,0 +1,106 @@
+# SPDX-License-Identifier: MIT
+"""Following a table through outages and lost history."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import time
+
+import pytest
+
+from violethatch._followers import TableFollower
+from violethatch.errors import TableUnavailableError
+from violethatch.freshness import Freshness, StoreClock
+from violethatch.router_settings import StoreSection
+from violethatch.upstream import HistoryGoneError, TableView
+
+
+class ScriptedSource:
+    """Answers reads from a script; waits for ever at its end."""
+
+    def __init__(self, *steps):
+        self.steps = list(steps)
+        self.asked = []
+
+    async def read_table(self, table):
+        return await self._next(("table", table))
+
+    async def read_changes(self, table, *, after, wait_s):
+        return await self._next(("changes", after, wait_s))
+
+    async def _next(self, asked):
+        self.asked.append(asked)
+        if not self.steps:
+            await asyncio.Event().wait()
+        step = self.steps.pop(0)
+        if isinstance(step, Exception):
+            raise step
+        return step
+
+
+def view(version, **values):
+    """Return an answer of the store at its time `version` seconds."""
+    return TableView(values, version, float(version))
+
+
+async def follow(source):
+    """Follow until the script ends; return what was taken, and the follower."""
+    taken, returned = [], []
+    freshness = Freshness(limit_s=5.0)
+    follower = TableFollower(
+        "op",
+        source=source,
+        settings=StoreSection("127.0.0.1:1", change_pause_s=0.001, retry_pause_s=0.001),
+        clock=StoreClock(),
+        freshness=freshness,
+        take=lambda view, is_whole: taken.append((dict(view.values), is_whole)),
+        returned=lambda: returned.append(True),
+        rng=random.Random(1),
+    )
+    task = asyncio.create_task(follower.run())
+    async with asyncio.timeout(5):
+        while source.steps or not source.asked:
+            await asyncio.sleep(0.001)
+        await asyncio.sleep(0.01)
+    task.cancel()
+    return taken, returned, freshness
+
+
+class TestTableFollower:
+    async def test_table_then_changes(self):
+        """The table is read once, then only its changes."""
+        source = ScriptedSource(view(5, a=b"1"), view(7, a=b"2"))
+        taken, returned, _ = await follow(source)
+        assert taken == [({"a": b"1"}, True), ({"a": b"2"}, False)]
+        assert [one[:2] for one in source.asked] == [
+            ("table", "op"),
+            ("changes", 5),
+            ("changes", 7),
+        ]
+        assert returned == []
+
+    async def test_lost_history_reads_the_table_anew(self):
+        """After a 410 nothing in between is missed."""
+        source = ScriptedSource(view(5, a=b"1"), HistoryGoneError(), view(9, b=b"2"))
+        taken, _, _ = await follow(source)
+        assert taken[-1] == ({"b": b"2"}, True)
+
+    async def test_outage_is_asked_again_without_a_wait(self):
+        """After an outage the first read doesn't wait; the return is told."""
+        source = ScriptedSource(view(5), TableUnavailableError("away"), view(5))
+        _, returned, _ = await follow(source)
+        assert source.asked[2] == ("changes", 5, 0.0)
+        assert source.asked[3][2] > 0
+        assert returned == [True]
+
+    async def test_empty_answer_is_a_proof(self):
+        """An answer without changes proves that the view is current."""
+        _, _, freshness = await follow(ScriptedSource(view(5), view(5)))
+        assert freshness.is_fresh(now_s=time.monotonic())
+
+    @pytest.mark.parametrize("steps", [(), (TableUnavailableError("away"),)])
+    async def test_no_answer_is_no_proof(self, steps):
+        """Without an answer nothing is proven."""
+        _, _, freshness = await follow(ScriptedSource(*steps))
+        assert freshness.age_s(now_s=time.monotonic()) == float("inf")
--- /dev/null
+++ b/tests/test_placement.py
@@ -0,0 +1,217 @@
+# SPDX-License-Identifier: MIT
+"""Which runner holds which layers."""
+
+from __future__ import annotations
+
+import random
+
+import pytest
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from routing_samples import KINDS, engine
+from violethatch.layers import LayerRange
+from violethatch.placement import Host, plan_placement, split_layers
+
+
+def hosts(zone, **counts):
+    """Return empty hosts of a zone, so many of each kind."""
+    return [
+        Host(f"{zone}-{kind}-{number}", zone, kind, None)
+        for kind, count in counts.items()
+        for number in range(count)
+    ]
+
+
+SITE = (
+    hosts("z1", large=1, medium=3, small=8)
+    + hosts("z2", large=1, medium=6, small=5)
+    + hosts("z3", large=2, medium=2, small=5)
+)
+
+
+def placed(fleet, plan):
+    """Return hosts with a plan carried out."""
+    return [host._replace(held=plan.get(host.id, host.held)) for host in fleet]
+
+
+def lacking(fleet, zone):
+    """Return the layers that a zone lacks."""
+    held = {
+        layer
+        for host in fleet
+        if host.held and host.availability_zone == zone
+        for layer in range(*host.held)
+    }
+    return set(range(80)) - held
+
+
+def assert_fits(fleet):
+    """No host holds more than its memory does."""
+    for host in fleet:
+        if host.held:
+            size = host.held.end - host.held.first
+            assert size * 1750.0 <= KINDS[host.kind].memory_mb
+            assert 0 <= host.held.first < host.held.end <= 80
+
+
+class TestEmptyFleet:
+    def test_each_zone_gets_a_whole_model(self):
+        """Zones that can hold the model do, so that each can serve when cut."""
+        fleet = placed(SITE, plan_placement(SITE, engine()))
+        assert_fits(fleet)
+        for zone in ("z1", "z2", "z3"):
+            assert lacking(fleet, zone) == set()
+
+    def test_requests_have_room(self):
+        """Each runner has KV cache for many usual requests."""
+        fleet = placed(SITE, plan_placement(SITE, engine()))
+        rooms = [
+            engine().kv_tokens(KINDS[host.kind], host.held.end - host.held.first)
+            for host in fleet
+            if host.held
+        ]
+        assert min(rooms) > 30 * engine().usual_tokens
+
+    def test_zones_too_small_go_together(self):
+        """Zones that can't hold the model share one."""
+        fleet = hosts("z1", medium=3) + hosts("z2", medium=3)
+        fleet = placed(fleet, plan_placement(fleet, engine()))
+        assert lacking(fleet, "z1")
+        assert not lacking(fleet, "z1") & lacking(fleet, "z2")
+
+    def test_too_little_memory_orders_nothing(self):
+        """A fleet that can't hold the model is left alone."""
+        assert plan_placement(hosts("z1", small=3), engine()) == {}
+
+    def test_unknown_kinds_are_left_alone(self):
+        """A kind that the engine doesn't state gets no layers."""
+        fleet = [*SITE, Host("odd", "z1", "odd", None)]
+        assert "odd" not in plan_placement(fleet, engine())
+
+    @settings(max_examples=30, deadline=None)
+    @given(
+        st.lists(
+            st.tuples(st.sampled_from(["z1", "z2"]), st.sampled_from(sorted(KINDS))),
+            max_size=24,
+        )
+    )
+    def test_never_beyond_memory(self, runners):
+        """Whatever the fleet, what is ordered fits."""
+        fleet = [Host(f"h{n}", *one, None) for n, one in enumerate(runners)]
+        assert_fits(placed(fleet, plan_placement(fleet, engine())))
+
+
+class TestSplit:
+    def test_split_is_whole_and_fits(self):
+        """The counts add up to the model, within each runner's memory."""
+        kinds = [KINDS["large"], KINDS["medium"], KINDS["medium"], KINDS["small"]]
+        counts = split_layers(kinds, engine(), kv_tokens=5_000)
+        assert sum(counts) == 80
+        for kind, count in zip(kinds, counts, strict=True):
+            assert count <= engine().most_layers(kind, kv_tokens=5_000)
+
+    def test_fast_runners_hold_more(self):
+        """Layers follow the speed where memory allows."""
+        kinds = [KINDS["large"], KINDS["medium"], KINDS["small"]] * 4
+        counts = split_layers(kinds, engine(), kv_tokens=1_000)
+        assert counts[0] > counts[1] > counts[2]
+
+    def test_no_room(self):
+        """Where the cache leaves too little, there is no split."""
+        assert split_layers([KINDS["small"]] * 7, engine(), kv_tokens=50_000) is None
+
+
+@pytest.fixture
+def whole():
+    """Provide the site with all layers held."""
+    return placed(SITE, plan_placement(SITE, engine()))
+
+
+class TestChanges:
+    def test_whole_fleet_needs_no_orders(self, whole):
+        """Nothing is ordered while nothing is missing."""
+        assert plan_placement(whole, engine()) == {}
+
+    def test_replacement_takes_the_place(self, whole):
+        """An empty runner takes over what its zone lacks."""
+        lost = next(host for host in whole if host.held and host.kind == "medium")
+        rest = [host for host in whole if host.id != lost.id]
+        new = lost._replace(id="new", held=None)
+        plan = plan_placement([*rest, new], engine(), is_repairing=False)
+        assert plan == {"new": lost.held}
+
+    def test_replacement_waits_for_who_it_replaces(self, whole):
+        """While nothing is lacking, an empty runner stays empty for a while."""
+        new = Host("new", "z1", "medium", None)
+        assert plan_placement([*whole, new], engine()) == {}
+        plan = plan_placement([*whole, new], engine(), copying={"new"})
+        assert plan.keys() == {"new"}
+        assert_fits(placed([*whole, new], plan))
+
+    def test_copies_move_to_a_hole(self, whole):
+        """A runner that only holds copies takes over what is lacking."""
+        copy = next(host for host in whole if host.held and host.kind == "medium")
+        lost = next(
+            host
+            for host in whole
+            if host.availability_zone == copy.availability_zone
+            and host.kind == "small"
+            and host.held
+        )
+        fleet = [host for host in whole if host.id != lost.id]
+        fleet.append(copy._replace(id="copy"))
+        plan = plan_placement(fleet, engine(), is_repairing=False)
+        assert len(plan) == 1
+        assert lacking(placed(fleet, plan), copy.availability_zone) == set()
+
+    def test_small_hole_is_taken_over_by_neighbours(self, whole):
+        """Neighbours only add layers, so that nothing under way is disturbed."""
+        lost = next(
+            host for host in whole if host.id.startswith("z1-small") and host.held
+        )
+        fleet = [host for host in whole if host.id != lost.id]
+        plan = plan_placement(fleet, engine())
+        assert 1 <= len(plan) <= 2
+        for host in fleet:
+            if host.id in plan:
+                assert set(range(*host.held)) <= set(range(*plan[host.id]))
+        assert lacking(placed(fleet, plan), "z1") == set()
+        assert_fits(placed(fleet, plan))
+
+    def test_large_hole_divides_the_zone_anew(self, whole):
+        """A zone without its largest runner is whole again all the same."""
+        fleet = [host for host in whole if host.id != "z1-large-0"]
+        plan = plan_placement(fleet, engine())
+        assert all(host_id.startswith("z1") for host_id in plan)
+        assert lacking(placed(fleet, plan), "z1") == set()
+        assert_fits(placed(fleet, plan))
+
+    def test_no_new_division_while_others_lack_layers(self, whole):
+        """The last holders of layers are not taken away."""
+        first = next(h for h in whole if h.availability_zone == "z2" and h.held)
+        fleet = [h for h in whole if h.id not in ("z1-large-0", first.id)]
+        fleet = [h for h in fleet if h.availability_zone != "z3"]
+        held_before = set(range(80)) - lacking(fleet, "z1") - lacking(fleet, "z2")
+        plan = plan_placement(fleet, engine())
+        after = placed(fleet, plan)
+        assert held_before <= set(range(80)) - (
+            lacking(after, "z1") & lacking(after, "z2")
+        )
+
+    def test_one_round_of_losses_settles(self, whole):
+        """Carried out, a plan asks for nothing more."""
+        rng = random.Random(7)
+        for _ in range(20):
+            fleet = rng.sample(whole, len(whole) - 3)
+            fleet = placed(fleet, plan_placement(fleet, engine()))
+            fleet = placed(fleet, plan_placement(fleet, engine()))
+            assert plan_placement(fleet, engine()) == {}
+
+    def test_ranges_are_never_shrunk_for_a_hole_elsewhere(self, whole):
+        """A zone that lacks nothing keeps its layers."""
+        fleet = [host for host in whole if host.id != "z1-medium-0"]
+        plan = plan_placement(fleet, engine())
+        assert all(host_id.startswith("z1") for host_id in plan)
+        assert LayerRange(0, 0) not in plan.values()
--- /dev/null
+++ b/tests/test_plain_calls.py
@@ -0,0 +1,135 @@
+# SPDX-License-Identifier: MIT
+"""Calls to plain services: whole answers, and no second run."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+
+import pytest
+
+from router_fakes import (
+    LOST,
+    FakeAnswer,
+    FakeClient,
+    FakeResponder,
+    admitted,
+    make_call,
+    make_routing,
+    refused,
+)
+from routing_samples import call_route, plain_server
+from violethatch._plain_calls import PlainCall
+from violethatch.desired import CallKind, Split
+from violethatch.errors import (
+    DeadlineError,
+    OverloadedError,
+    ServiceLostError,
+    ServiceUnreachableError,
+)
+from violethatch.upstream import NotSentError
+
+
+SERVERS = (plain_server("a"), plain_server("b"), plain_server("c"))
+
+
+async def serve(client, *, kind=CallKind.SAFE, servers=SERVERS, wait_s=5.0, **changes):
+    """Serve a call; return what the caller got."""
+    route = call_route(
+        kind=kind,
+        is_resumable=False,
+        splits=(Split("labels", 1.0),),
+        target_latency_s=0.05,
+        **changes,
+    )
+    routing = make_routing(client, *servers, rng=random.Random(1))
+    call = PlainCall(routing, make_call(wait_s=wait_s), admitted(route))
+    responder = FakeResponder()
+    async with asyncio.timeout(10):
+        await call.serve(responder)
+    return responder
+
+
+class TestSafe:
+    async def test_answer_passes_unchanged(self):
+        """Status, headers and body are the server's."""
+        got = await serve(FakeClient(FakeAnswer(b"ab", b"c", status=201)))
+        assert (got.status, got.body, got.headers) == (201, b"abc", (("Proof", "one"),))
+
+    async def test_lost_answer_is_asked_for_elsewhere(self):
+        """A call that may run twice goes to another server."""
+        client = FakeClient(FakeAnswer(b"a", LOST), FakeAnswer(b"abc"))
+        got = await serve(client)
+        assert got.body == b"abc"
+        assert len({send.server.id for send in client.sends}) == 2
+
+    async def test_failure_is_tried_again_and_then_passed_on(self):
+        """The last failure reaches the caller with its proof."""
+        client = FakeClient(
+            FakeAnswer(b"one", status=500), FakeAnswer(b"two", status=500)
+        )
+        got = await serve(client)
+        assert (got.status, got.body, len(client.sends)) == (500, b"two", 2)
+
+    async def test_slow_server_is_given_up_on(self):
+        """Once the answer would be late anyway, another server is asked."""
+        client = FakeClient(asyncio.Event(), FakeAnswer(b"abc"))
+        got = await serve(client, wait_s=0.5)
+        assert got.body == b"abc"
+
+    async def test_refusals_cost_no_attempt(self):
+        """Servers that have not run the call don't use up its attempts."""
+        client = FakeClient(refused(), refused(), FakeAnswer(b"abc"))
+        assert (await serve(client)).body == b"abc"
+
+    async def test_unframed_answer_is_not_called_whole(self):
+        """An answer without a length is passed on without one."""
+        got = await serve(FakeClient(FakeAnswer(b"abc", is_framed=False)))
+        assert got.is_framed is False
+
+
+class TestOnce:
+    async def test_lost_answer_is_not_sent_again(self):
+        """A call that may have run is not repeated, nor said not to have run."""
+        client = FakeClient(FakeAnswer(LOST))
+        with pytest.raises(ServiceLostError) as caught:
+            await serve(client, kind=CallKind.ONCE)
+        assert (len(client.sends), caught.value.ran) == (1, "maybe")
+
+    async def test_refused_call_goes_elsewhere(self):
+        """A server's word that nothing ran allows another send."""
+        client = FakeClient(refused(), NotSentError("no"), FakeAnswer(b"abc"))
+        got = await serve(client, kind=CallKind.ONCE, max_attempts=1)
+        assert got.body == b"abc"
+
+    async def test_connections_are_fresh(self):
+        """No rested connection is used, whose close would leave it open."""
+        client = FakeClient(FakeAnswer(b"abc"))
+        await serve(client, kind=CallKind.ONCE)
+        assert client.sends[0].is_connection_fresh
+
+    async def test_failure_is_passed_on_at_once(self):
+        """A failure is the answer."""
+        got = await serve(FakeClient(FakeAnswer(b"no", status=500)), kind=CallKind.ONCE)
+        assert got.status == 500
+
+    async def test_deadline_says_maybe(self):
+        """Out of time, it is not said that nothing ran."""
+        with pytest.raises(DeadlineError) as caught:
+            await serve(FakeClient(asyncio.Event()), kind=CallKind.ONCE, wait_s=0.1)
+        assert caught.value.ran == "maybe"
+
+
+class TestRefused:
+    async def test_all_full(self):
+        """The caller hears that nothing ran, and when to come back."""
+        with pytest.raises(OverloadedError) as caught:
+            await serve(FakeClient(*(refused() for _ in range(4))))
+        assert caught.value.ran == "no"
+        assert caught.value.retry_after_s is not None
+
+    async def test_nobody_listed(self):
+        """Without any server the refusal says so."""
+        with pytest.raises(ServiceUnreachableError) as caught:
+            await serve(FakeClient(), servers=())
+        assert caught.value.ran == "no"
--- /dev/null
+++ b/tests/test_router_settings.py
@@ -0,0 +1,74 @@
+# SPDX-License-Identifier: MIT
+"""The router's settings file."""
+
+from __future__ import annotations
+
+import pathlib
+import re
+
+import pytest
+
+from violethatch.errors import SettingsError
+from violethatch.router_settings import load_router_settings, parse_router_settings
+
+
+ROOT = pathlib.Path(__file__).parent.parent
+#: What the platform fills into the template's gaps, as its pages show it.
+FIELDS = {
+    "Node": "edge-heredia-1",
+    "Zone": "heredia",
+    "Region": "valle-central",
+    "Listen.Front": "10.1.0.40:8227",
+    "Listen.Ready": "10.1.0.40:8220",
+    "InternalPorts.0": "7340",
+    "Platform.Address": "10.200.1.7:8223",
+    "Bounds.RevokeMs": "5000",
+    "Bounds.GraceS": "8",
+    "Bounds.stall_ms": "3000",
+    "Bounds.DrainMs": "2000",
+    "Bounds.RetryBudgetRatio": "0.2",
+    "Bounds.RetrySlack": "200",
+    "Limits.MemoryMb": "300",
+    "Limits.MaxFds": "4100",
+}
+
+
+def filled(**changes):
+    """Return the deployed template with its gaps filled."""
+    text = (ROOT / "deploy" / "router.ini").read_text()
+    fields = FIELDS | changes
+    return re.sub(r"\{\{(.*?)\}\}", lambda gap: fields[gap[1]], text)
+
+
+class TestRouterSettings:
+    def test_template_is_valid(self):
+        """What the platform fills in is a valid settings file."""
+        settings = parse_router_settings(filled())
+        assert settings.instance.id == "edge-heredia-1"
+        assert settings.listen.metrics_port == 7340
+        assert settings.proof_limit_s == pytest.approx(4.25)
+
+    @pytest.mark.parametrize(
+        ("changes", "message"),
+        [
+            ({"Listen.Front": "heredia:80"}, r"\[listen\] callers"),
+            ({"Bounds.RevokeMs": "-1"}, r"\[bounds\] key_removal_ms"),
+            ({"Bounds.RetryBudgetRatio": "7"}, r"\[bounds\] retry_ratio"),
+            ({"Bounds.RevokeMs": "1000"}, r"\[store\] change_wait_s"),
+        ],
+    )
+    def test_error_names_the_place(self, changes, message):
+        """A bad value is told with its section and key."""
+        with pytest.raises(SettingsError, match=message):
+            parse_router_settings(filled(**changes))
+
+    def test_lease_margin_below_duration(self):
+        """A lease that ends before it begins is refused."""
+        text = filled() + "\n[policy]\nlease_margin_s = 9\n"
+        with pytest.raises(SettingsError, match="lease_margin_s"):
+            parse_router_settings(text)
+
+    def test_missing_file(self, tmp_path):
+        """The file that can't be read is named."""
+        with pytest.raises(SettingsError, match=r"none\.ini"):
+            load_router_settings(tmp_path / "none.ini")
--- /dev/null
+++ b/tests/test_runner_health.py
@@ -0,0 +1,53 @@
+# SPDX-License-Identifier: MIT
+"""Which servers are left alone, and for how long."""
+
+from __future__ import annotations
+
+from violethatch.runner_health import RunnerHealth, Trouble
+
+
+class TestRunnerHealth:
+    def test_rest_ends_by_itself(self):
+        """A server in trouble is left alone and then tried again."""
+        health = RunnerHealth()
+        health.note("a", Trouble.SILENT, now_s=0.0)
+        assert health.resting(now_s=2.9) == {"a"}
+        assert not health.is_resting("a", now_s=3.1)
+
+    def test_work_ends_the_rest(self):
+        """A server that works is used at once."""
+        health = RunnerHealth()
+        health.note("a", Trouble.NAMED, now_s=0.0)
+        health.worked("a")
+        assert not health.is_resting("a", now_s=0.1)
+
+    def test_one_trouble_seen_by_many_counts_once(self):
+        """Requests that see the same trouble don't lengthen the rest."""
+        health = RunnerHealth()
+        for n in range(20):
+            health.note("a", Trouble.SILENT, now_s=n * 0.01)
+        assert not health.is_resting("a", now_s=3.1)
+
+    def test_trouble_again_doubles_the_rest(self):
+        """Who fails again after a rest rests longer, within a limit."""
+        health = RunnerHealth()
+        health.note("a", Trouble.SILENT, now_s=0.0)
+        health.note("a", Trouble.SILENT, now_s=3.5)
+        assert health.is_resting("a", now_s=9.0)
+        for n in range(2, 10):
+            health.note("a", Trouble.SILENT, now_s=n * 20.0)
+        assert not health.is_resting("a", now_s=9 * 20.0 + 12.1)
+
+    def test_full_server_rests_briefly(self):
+        """Room comes back soon, however often it was full."""
+        health = RunnerHealth()
+        for n in range(5):
+            health.note("a", Trouble.FULL, now_s=n * 0.5)
+        assert not health.is_resting("a", now_s=2.4)
+
+    def test_full_does_not_shorten_a_longer_rest(self):
+        """A silent server stays alone, whatever else was seen."""
+        health = RunnerHealth()
+        health.note("a", Trouble.SILENT, now_s=0.0)
+        health.note("a", Trouble.FULL, now_s=0.1)
+        assert health.is_resting("a", now_s=2.0)
--- /dev/null
+++ b/tests/test_server_choice.py
@@ -0,0 +1,53 @@
+# SPDX-License-Identifier: MIT
+"""Choosing a plain service's server."""
+
+from __future__ import annotations
+
+import random
+
+from routing_samples import plain_server
+from violethatch.server_choice import ServerChoice
+from violethatch.upstream import ServerLoad
+
+
+SERVERS = [plain_server("a"), plain_server("b"), plain_server("c")]
+
+
+def choose(choice, *, avoided=(), now_s=0.0, servers=SERVERS):
+    """Return the id of the chosen server."""
+    return choice.choose(servers, avoided=avoided, now_s=now_s).id
+
+
+class TestServerChoice:
+    def test_own_calls_are_spread(self):
+        """Calls in progress go to different servers."""
+        choice = ServerChoice(random.Random(1))
+        chosen = []
+        for _ in range(6):
+            chosen.append(choose(choice))
+            choice.started(chosen[-1])
+        assert sorted(chosen) == ["a", "a", "b", "b", "c", "c"]
+
+    def test_word_of_others_counts_while_new(self):
+        """A server that is busy for others is left alone for a while."""
+        choice = ServerChoice(random.Random(1))
+        for name in ("a", "b"):
+            choice.started(name)
+            choice.ended(name, ServerLoad(running=5, waiting=1, slots=6), now_s=0.0)
+        assert {choose(choice, now_s=0.1) for _ in range(9)} == {"c"}
+        assert {choose(choice, now_s=5.0) for _ in range(50)} == {"a", "b", "c"}
+
+    def test_slots_weigh(self):
+        """The larger server gets more."""
+        choice = ServerChoice(random.Random(1))
+        servers = [plain_server("big", slots=12), plain_server("small", slots=3)]
+        for _ in range(10):
+            choice.started(choose(choice, servers=servers))
+        assert choice._own["big"] == 8
+
+    def test_avoided_only_without_others(self):
+        """An avoided server is used when there is no other."""
+        choice = ServerChoice(random.Random(1))
+        assert choose(choice, avoided={"a", "b"}) == "c"
+        assert choose(choice, avoided={"a", "b", "c"}) in "abc"
+        assert choice.choose([], avoided=(), now_s=0.0) is None
--- /dev/null
+++ b/tests/test_streams.py
@@ -0,0 +1,265 @@
+# SPDX-License-Identifier: MIT
+"""Streams that are kept going, or cut so that it shows."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+
+import pytest
+
+from router_fakes import (
+    LOST,
+    FakeAnswer,
+    FakeClient,
+    FakeResponder,
+    admitted,
+    events,
+    make_call,
+    make_routing,
+    refused,
+    report,
+)
+from routing_samples import call_route, runner
+from violethatch._streams import StreamCall
+from violethatch.errors import (
+    NoRouteError,
+    OverloadedError,
+    PipelineFailedError,
+)
+from violethatch.upstream import (
+    NotSentError,
+    OrderAnswer,
+    OrderOutcome,
+    ServerLoad,
+)
+
+
+A = runner("a", 0, 80, kind="large")
+B = runner("b", 0, 80, kind="medium")
+HEAD = runner("head", 0, 40, kind="large")
+TAIL = runner("tail", 40, 80, kind="large")
+SPARE = runner("spare", 30, 80, kind="small")
+
+
+async def serve(client, *servers, route=None, call=None, **policy):
+    """Serve a stream; return the caller's answer and the routing."""
+    routing = make_routing(client, *servers, rng=random.Random(1), **policy)
+    stream = StreamCall(
+        routing, call or make_call(), admitted(*([route] if route else []))
+    )
+    responder = FakeResponder()
+    async with asyncio.timeout(10):
+        await stream.serve(responder)
+    return responder, routing
+
+
+class TestWhole:
+    async def test_events_pass_with_the_head(self):
+        """The caller gets the runner's head and each event."""
+        client = FakeClient(FakeAnswer(events(1), events(2, 3)))
+        got, routing = await serve(client, A)
+        assert (got.status, got.headers, got.end) == (200, (("Proof", "one"),), "whole")
+        assert got.body == events(1, 2, 3)
+        assert routing.loads.fullness(A, admitted().service.engine, now_s=0) == 0
+
+    async def test_send_names_path_and_rest_of_time(self):
+        """What is sent names the path, the workspace and the deadline."""
+        client = FakeClient(FakeAnswer(events(1)))
+        await serve(client, HEAD, TAIL)
+        send = client.sends[0]
+        assert [stage.server.id for stage in send.path.stages] == ["head", "tail"]
+        assert (send.workspace, send.last_event_id) == ("clinic", None)
+        assert send.deadline_s <= send.call.received_s + 20.0
+
+    async def test_runners_failure_is_passed_on(self):
+        """A failure of the last attempt reaches the caller as it is."""
+        failure = FakeAnswer(b"sorry", status=500)
+        got, _ = await serve(
+            FakeClient(failure), A, route=call_route(is_resumable=False)
+        )
+        assert (got.status, got.body, got.end) == (500, b"sorry", "whole")
+
+    async def test_unframed_stream_stays_unframed(self):
+        """A stream that ends with its connection isn't called whole by a frame."""
+        client = FakeClient(FakeAnswer(events(1), is_framed=False))
+        got, _ = await serve(client, A)
+        assert got.is_framed is False
+
+    async def test_first_runners_load_is_taken_in(self):
+        """What the first runner tells of its load counts at once."""
+        load = ServerLoad(running=90, waiting=0, slots=96)
+        _, routing = await serve(FakeClient(FakeAnswer(events(1), load=load)), A, B)
+        assert routing.path(admitted().service).first.id == "b"
+
+
+class TestResumed:
+    async def test_cut_stream_goes_on_elsewhere(self):
+        """After a cut the next run starts after the last whole event."""
+        client = FakeClient(
+            FakeAnswer(events(1, 2) + b"id: 3\nda", LOST),
+            FakeAnswer(events(3, 4), headers=(("Proof", "two"),)),
+        )
+        got, _ = await serve(client, A, B)
+        assert got.body == events(1, 2, 3, 4)
+        assert (got.end, got.headers) == ("whole", (("Proof", "one"),))
+        assert client.sends[1].last_event_id == 2
+
+    async def test_missing_event_is_never_passed_over(self):
+        """A run that skips an event counts as lost."""
+        client = FakeClient(FakeAnswer(events(1, 3)), FakeAnswer(events(2, 3)))
+        got, _ = await serve(client, A, B)
+        assert got.body == events(1, 2, 3)
+
+    async def test_stream_that_may_not_be_resumed_is_cut(self):
+        """Without leave to resume, the caller sees the cut."""
+        client = FakeClient(FakeAnswer(events(1), LOST))
+        got, _ = await serve(client, A, B, route=call_route(is_resumable=False))
+        assert (got.end, len(client.sends)) == ("cut", 1)
+
+    async def test_attempts_are_bounded(self):
+        """No more runs than the route allows."""
+        client = FakeClient(*(FakeAnswer(events(n), LOST) for n in (1, 2, 3)))
+        got, _ = await serve(client, A, B)
+        assert (got.end, len(client.sends)) == ("cut", 2)
+
+    async def test_unframed_end_of_a_resumed_run_is_no_end(self):
+        """A framed answer is not called whole by a run whose end is unsure."""
+        client = FakeClient(
+            FakeAnswer(events(1), LOST), FakeAnswer(events(2), is_framed=False)
+        )
+        got, _ = await serve(client, A, B)
+        assert got.end == "cut"
+
+    async def test_budget_is_asked(self):
+        """Without a retry in the budget the stream is cut."""
+        client = FakeClient(FakeAnswer(events(1), LOST), FakeAnswer(events(2)))
+        got, _ = await serve(client, A, B, retry_reserve=1, retry_part=0)
+        assert got.end == "whole"
+        routing = make_routing(client, A, B, rng=random.Random(1), retry_part=0)
+        while routing.may_retry("model"):
+            pass
+        client.answers = [FakeAnswer(events(1), LOST), FakeAnswer(events(2))]
+        responder = FakeResponder()
+        await StreamCall(routing, make_call(), admitted()).serve(responder)
+        assert responder.end == "cut"
+
+
+class TestRefused:
+    async def test_refusal_goes_to_another_runner(self):
+        """A refused request has not run and is sent elsewhere."""
+        client = FakeClient(refused(), FakeAnswer(events(1)))
+        got, _ = await serve(client, A, B)
+        assert (got.end, [s.server.id for s in client.sends]) == ("whole", ["a", "b"])
+
+    async def test_named_runner_is_left_alone(self):
+        """The runner at fault rests, not the one that was asked."""
+        client = FakeClient(refused(address=TAIL.address), FakeAnswer(events(1)))
+        got, routing = await serve(client, HEAD, TAIL, SPARE)
+        assert got.end == "whole"
+        ids = [stage.server.id for stage in client.sends[1].path.stages]
+        assert ids == ["head", "spare"]
+        assert "head" not in routing.health.resting(now_s=0.0)
+
+    async def test_refused_by_all_is_a_true_refusal(self):
+        """The caller hears that nothing ran, and when to come back."""
+        client = FakeClient(*(refused() for _ in range(9)))
+        with pytest.raises(OverloadedError) as caught:
+            await serve(client, A, B)
+        assert (caught.value.ran, caught.value.retry_after_s) == ("no", 0.5)
+
+    async def test_no_path(self):
+        """With a layer lacking, the refusal says so."""
+        with pytest.raises(NoRouteError) as caught:
+            await serve(FakeClient(), HEAD)
+        assert caught.value.retry_after_s is not None
+
+    async def test_refusal_after_a_run_is_no_refusal(self):
+        """Once a run may have begun, it is not said that nothing ran."""
+        client = FakeClient(LOST, refused(), refused(), refused())
+        with pytest.raises(PipelineFailedError) as caught:
+            await serve(client, A, B, retry_reserve=20)
+        assert caught.value.ran == "maybe"
+
+    async def test_unreachable_first_runner(self):
+        """A connection that doesn't come about has not run anything."""
+        client = FakeClient(NotSentError("refused"), FakeAnswer(events(1)))
+        got, routing = await serve(client, A, B)
+        assert got.end == "whole"
+        assert routing.health.resting(now_s=0.0) == {"a"}
+
+
+class TestSilence:
+    async def test_request_is_moved_around_a_stalled_runner(self):
+        """The first runner names who it waits for; the request goes around."""
+        moved = asyncio.Event()
+        client = FakeClient(FakeAnswer(events(1), moved, events(2)))
+        client.reports["head"] = report(stalled={"c1": TAIL.address})
+        client.on_repath = moved.set
+        got, routing = await serve(client, HEAD, TAIL, SPARE)
+        assert (got.end, got.body) == ("whole", events(1, 2))
+        assert len(client.sends) == 1
+        _, call_id, path = client.repaths[0]
+        assert call_id == "c1"
+        assert [stage.server.id for stage in path.stages] == ["head", "spare"]
+        assert "tail" in routing.health.resting(now_s=0.0)
+
+    async def test_silent_first_runner_is_left(self):
+        """A first runner without even a report is given up on."""
+        client = FakeClient(
+            FakeAnswer(events(1), asyncio.Event()), FakeAnswer(events(2))
+        )
+        got, _ = await serve(client, A, B)
+        assert (got.end, got.body) == ("whole", events(1, 2))
+        assert client.sends[1].server.id == "b"
+
+    async def test_failed_move_resumes_elsewhere(self):
+        """If the order is refused, the stream goes on by a new run."""
+        client = FakeClient(
+            FakeAnswer(events(1), asyncio.Event()), FakeAnswer(events(2))
+        )
+        client.reports["head"] = report(stalled={"c1": TAIL.address})
+        client.repath_outcome = OrderAnswer(OrderOutcome.REFUSED)
+        got, _ = await serve(client, HEAD, TAIL, SPARE, B)
+        assert got.body == events(1, 2)
+
+    async def test_long_pause_of_a_sound_path_is_waited_out(self):
+        """While nothing is stalled, a pause is no reason to start again."""
+        client = FakeClient(FakeAnswer(events(1), 0.1, events(2)))
+        client.reports["a"] = report()
+        got, _ = await serve(client, A, B)
+        assert (got.end, len(client.sends)) == ("whole", 1)
+
+    async def test_endless_silence_ends(self):
+        """A sound report does not keep a silent stream for ever."""
+        client = FakeClient(
+            FakeAnswer(events(1), asyncio.Event()), FakeAnswer(events(2))
+        )
+        client.reports["a"] = report()
+        got, _ = await serve(client, A, B)
+        assert got.body == events(1, 2)
+
+    async def test_no_head_in_time(self):
+        """A runner that never answers is given up on before any event."""
+        client = FakeClient(asyncio.Event(), FakeAnswer(events(1)))
+        got, _ = await serve(client, A, B)
+        assert got.end == "whole"
+
+
+class TestCallerLeaves:
+    async def test_run_is_broken_off(self):
+        """When the caller goes, the runner's answer is closed as cut."""
+        answer = FakeAnswer(events(1), asyncio.Event())
+        client = FakeClient(answer)
+        client.reports["a"] = report()
+        routing = make_routing(client, A, rng=random.Random(1), silence_limit_s=9)
+        stream = StreamCall(routing, make_call(), admitted())
+        responder = FakeResponder()
+        task = asyncio.create_task(stream.serve(responder))
+        async with asyncio.timeout(5):
+            while not responder.body:
+                await asyncio.sleep(0.001)
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+        assert answer.closed is False
+        assert responder.end is None
