Test the router's process, its duty and its calls against stand-ins

Change: fakes at the router's interfaces, a store and path-running runners on loopback, and tests of each kind of call, of the lease and of the process.

--- a/src/violethatch/_streams.py
+++ b/src/violethatch/_streams.py
@@ -240,7 +240,7 @@
             try:
                 for event in splitter.feed(part):
                     if self._progress.take(event):
-                        wanted.append(event.data)
+                        wanted.append(event.data)  # noqa: PERF401 (kept on errors)
             finally:
                 # What was counted as taken has to reach the caller, also when
                 # a later event of the same bytes spoils the stream.
--- /dev/null
+++ b/tests/test_placing.py
@@ -0,0 +1,201 @@
+# SPDX-License-Identifier: MIT
+"""The placement duty: who orders, under which fence, and when not."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import time
+
+import pytest
+
+from router_fakes import FakeClient, make_routing, report
+from routing_samples import desired_state, runner
+from violethatch import _placing
+from violethatch._placing import LeaseWrite, PlacementDuty
+from violethatch.errors import TableUnavailableError
+from violethatch.ports import AnswerLostError, Row
+from violethatch.upstream import OrderAnswer, OrderOutcome
+
+
+class FakeStore:
+    """Keeps the lease's row; versions rise by more than one."""
+
+    def __init__(self):
+        self.row = None
+        self.version = 100
+        self.is_away = False
+        self.lose_answers = 0
+        self.reads = 0
+
+    async def read_row(self, key):
+        self.reads += 1
+        if self.is_away:
+            raise TableUnavailableError("away")
+        return self.row
+
+    async def write_row(self, put):
+        if self.is_away:
+            raise TableUnavailableError("away")
+        if put.if_version != (self.row.version if self.row else 0):
+            return LeaseWrite(False, self.version)
+        self.version += 7
+        self.row = Row(put.key, self.version, dict(put.value))
+        if self.lose_answers:
+            self.lose_answers -= 1
+            raise AnswerLostError("lost")
+        return LeaseWrite(True, self.version)
+
+
+@pytest.fixture(autouse=True)
+def quick(monkeypatch):
+    """Let nobody wait for long."""
+    for name in ("_SETTLE_S", "_SPREAD_S", "_RESIGN_PAUSE_S", "_REPAIR_REST_S"):
+        monkeypatch.setattr(_placing, name, 0.0)
+
+
+FLEET = [
+    runner("a", kind="large"),
+    runner("b", kind="large"),
+    runner("c", kind="large"),
+]
+
+
+def make_duty(store, *servers, name="one", **policy):
+    """Return a duty over a fleet whose reports match the list, and its client."""
+    client = FakeClient()
+    client.reports = {one.id: report(layers=one.layers, sequence=4) for one in servers}
+    routing = make_routing(client, *servers, rng=random.Random(1), **policy)
+    duty = PlacementDuty(routing, store=store, holder=name, rng=random.Random(1))
+    duty.desired = desired_state()
+    return duty, client, routing
+
+
+class TestOrders:
+    async def test_empty_fleet_is_divided(self):
+        """Each runner gets one order, with the lease's epoch as its fence."""
+        duty, client, _ = make_duty(FakeStore(), *FLEET)
+        await duty._look()
+        assert {order[0] for order in client.placed} == {"a", "b", "c"}
+        assert {order[2:] for order in client.placed} == {(1, 4)}
+
+    async def test_nothing_is_ordered_twice(self):
+        """While an order is under way, it is not given again."""
+        duty, client, _ = make_duty(FakeStore(), *FLEET)
+        for _ in range(3):
+            await duty._look()
+        assert len(client.placed) == 3
+
+    async def test_list_and_runner_have_to_agree(self):
+        """An order from an older list is withheld."""
+        duty, client, _ = make_duty(FakeStore(), *FLEET)
+        layers = runner("x", 0, 9).layers
+        client.reports["a"] = report(layers=layers)
+        await duty._look()
+        assert {order[0] for order in client.placed} == {"b", "c"}
+
+    @pytest.mark.parametrize("answer", [None, report(is_busy=True)])
+    async def test_silent_or_busy_runner_waits(self, answer):
+        """A runner that can't be asked, or is busy, gets no order now."""
+        duty, client, _ = make_duty(FakeStore(), *FLEET)
+        client.reports["a"] = answer
+        await duty._look()
+        assert "a" not in {order[0] for order in client.placed}
+
+    async def test_refused_order_is_not_repeated_at_once(self):
+        """A runner that refused rests before the next order."""
+        duty, client, _ = make_duty(FakeStore(), *FLEET)
+        client.place_outcome = OrderAnswer(OrderOutcome.CONFLICT)
+        await duty._look()
+        await duty._look()
+        assert len(client.placed) == 3
+
+    async def test_nothing_before_the_list_settles(self, monkeypatch):
+        """An empty fleet is divided once its list rests."""
+        monkeypatch.setattr(_placing, "_SETTLE_S", 60.0)
+        duty, client, _ = make_duty(FakeStore(), *FLEET)
+        await duty._look()
+        assert client.placed == []
+
+
+class TestLease:
+    async def test_one_holder_orders(self):
+        """A second instance gives no orders while the first holds the lease."""
+        store = FakeStore()
+        first, _, _ = make_duty(store, *FLEET, name="one")
+        second, client, _ = make_duty(store, *FLEET, name="two")
+        await first._look()
+        await second._look()
+        assert client.placed == []
+
+    async def test_done_duty_is_given_back(self):
+        """When the list shows what was ordered, the lease is free at once."""
+        store = FakeStore()
+        duty, client, routing = make_duty(store, *FLEET)
+        await duty._look()
+        done = [
+            runner(name, *layers, kind="large") for name, layers, _, _ in client.placed
+        ]
+        routing.backends.change(done, [], now_s=time.monotonic())
+        await duty._look()
+        await duty._look()
+        assert not duty.is_holder
+        other, client, _ = make_duty(store, *FLEET, name="two")
+        await other._look()
+        assert {order[2] for order in client.placed} == {2}
+
+    async def test_dead_holder_is_succeeded_with_a_higher_fence(self):
+        """After the lease has run out another takes over."""
+        store = FakeStore()
+        policy = {"lease_duration_s": "0.2", "lease_margin_s": "0.1"}
+        first, _, _ = make_duty(store, *FLEET, name="one", **policy)
+        await first._look()
+        second, client, _ = make_duty(store, *FLEET, name="two", **policy)
+        async with asyncio.timeout(5):
+            while not client.placed:
+                await second._look()
+                await asyncio.sleep(0.02)
+        assert {order[2] for order in client.placed} == {2}
+
+    async def test_paused_holder_gives_no_order(self):
+        """A holder that wakes after its lease's end orders nothing."""
+        store = FakeStore()
+        policy = {"lease_duration_s": "0.1", "lease_margin_s": "0.05"}
+        duty, client, _ = make_duty(store, *FLEET, **policy)
+        assert await duty._hold(time.monotonic())
+        await asyncio.sleep(0.1)
+        plans = duty._due_orders(time.monotonic())
+        await duty._give(plans)
+        assert client.placed == []
+
+    async def test_lost_answer_is_found_by_reading(self):
+        """A write whose answer was lost still makes its writer the holder."""
+        store = FakeStore()
+        store.lose_answers = 1
+        duty, client, _ = make_duty(store, *FLEET)
+        await duty._look()
+        assert client.placed == []
+        await duty._look()
+        assert {order[2] for order in client.placed} == {1}
+
+    async def test_no_orders_without_the_store(self):
+        """While the store is away nobody orders."""
+        store = FakeStore()
+        store.is_away = True
+        duty, client, _ = make_duty(store, *FLEET)
+        with pytest.raises(TableUnavailableError):
+            await duty._look()
+        assert client.placed == []
+
+    async def test_fleet_at_rest_costs_no_calls(self):
+        """Without anything to order the store is not asked."""
+        store = FakeStore()
+        whole = [
+            runner("a", 0, 30, kind="large"),
+            runner("b", 30, 60, kind="large"),
+            runner("c", 60, 80, kind="large"),
+        ]
+        duty, _, _ = make_duty(store, *whole)
+        for _ in range(5):
+            await duty._look()
+        assert store.reads == 0
--- /dev/null
+++ b/tests/test_platform_process.py
@@ -0,0 +1,350 @@
+# SPDX-License-Identifier: MIT
+"""The router's process against stand-ins of the store and of runners."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import os
+import signal
+import socket
+import sys
+
+import aiohttp
+import pytest
+
+from aiohttp import web
+
+from test_platform_wire import CONFIG, ENGINE
+from test_router_settings import filled
+from violethatch_emulator.path_runner import PathRunner
+from violethatch_emulator.store import StoreStandIn
+
+
+ID = "Violethatch-Attempt-Id"
+HEADERS = {
+    "Host": "menu.example",
+    "Authorization": "Token k1",
+    "Violethatch-Deadline-Ms": "8000",
+}
+
+
+def free_ports(count):
+    """Return ports that nobody listens on."""
+    with contextlib.ExitStack() as stack:
+        found = []
+        for _ in range(count):
+            one = stack.enter_context(socket.socket())
+            one.bind(("127.0.0.1", 0))
+            found.append(one.getsockname()[1])
+        return found
+
+
+class Site:
+    """A store, two runners that hold the model, and one router process."""
+
+    def __init__(self, path):
+        self.path = path
+        self.store = StoreStandIn()
+        self.runners = {name: PathRunner(name) for name in ("i-1", "i-2")}
+        self.addresses = {}
+        self.process = None
+        self.http = None
+        self._servers = []
+
+    async def start(self, *, version=1, routes=None):
+        """Start everything and wait until the router is ready."""
+        store_port = await self._serve(self.store.application())
+        for name, runner in self.runners.items():
+            runner.layers = (0, 80)
+            port = await self._serve(runner.application())
+            self.addresses[name] = f"127.0.0.1:{port}"
+        self.front, self.ready, self.metrics = free_ports(3)
+        self.configure(version=version, routes=routes)
+        for name in self.runners:
+            self.list_server(name)
+        text = filled(
+            **{
+                "Listen.Front": f"127.0.0.1:{self.front}",
+                "Listen.Ready": f"127.0.0.1:{self.ready}",
+                "InternalPorts.0": str(self.metrics),
+                "Platform.Address": f"127.0.0.1:{store_port}",
+                "Bounds.RevokeMs": "1500",
+                "Bounds.GraceS": "4",
+            }
+        )
+        settings = self.path / "router.ini"
+        settings.write_text(
+            text.replace("[bounds]", "change_wait_s = 0.3\n\n[bounds]")
+            + "\n[policy]\nfirst_event_limit_s = 1.0\ngap_limit_s = 0.5\n"
+        )
+        self.http = aiohttp.ClientSession()
+        self.process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-m",
+            "violethatch.platform",
+            env=os.environ | {"VIOLETHATCH_BOOT": str(settings)},
+            stdout=asyncio.subprocess.PIPE,
+        )
+        await self.wait_ready(200)
+
+    async def stop(self):
+        """End what was started."""
+        if self.process is not None and self.process.returncode is None:
+            self.process.kill()
+            await self.process.wait()
+        if self.http is not None:
+            await self.http.close()
+        for server in self._servers:
+            await server.cleanup()
+
+    async def _serve(self, application):
+        """Serve an application; return its port."""
+        server = web.AppRunner(application, handler_cancellation=True)
+        await server.setup()
+        await web.TCPSite(server, "127.0.0.1", 0).start()
+        self._servers.append(server)
+        return server.addresses[0][1]
+
+    def configure(self, *, version, routes=None, keys=("k1",)):
+        """Write a desired state."""
+        route = dict(CONFIG["Routes"][0], TrafficSplit=[], Service="model")
+        state = dict(CONFIG, Version=version, Routes=routes or [route])
+        state["Services"] = [{"Name": "model", "Engine": ENGINE}]
+        state["Tenants"] = [{"Name": "clinic", "ApiKeys": list(keys)}]
+        self.store.put("op", "config", state)
+
+    def list_server(self, name, **changes):
+        """Write a runner's entry."""
+        entry = {
+            "Service": "model",
+            "Address": self.addresses[name],
+            "Zone": "heredia",
+            "Slots": 96,
+            "State": "ready",
+            "Kind": "large",
+            "layers": {"From": 0, "TargetVersion": 80, "Version": 1},
+        }
+        self.store.put("servers", name, entry | changes)
+
+    async def wait_ready(self, status):
+        """Wait until the balancer's question is answered with *status*."""
+        url = f"http://127.0.0.1:{self.ready}/api/readiness"
+        async with asyncio.timeout(20):
+            while True:
+                with contextlib.suppress(aiohttp.ClientError):
+                    async with self.http.get(url) as answer:
+                        if answer.status == status:
+                            return
+                await asyncio.sleep(0.02)
+
+    def post(self, *, path="/draft/1", call_id="c1", **headers):
+        """Send a request to the router."""
+        return self.http.post(
+            f"http://127.0.0.1:{self.front}{path}",
+            data=b"a menu",
+            headers=HEADERS | {ID: call_id} | headers,
+        )
+
+    async def status_of(self, **options):
+        """Return the status of a request."""
+        async with self.post(**options) as answer:
+            await answer.read()
+            return answer.status
+
+    async def wait_status(self, status, **options):
+        """Send requests until one gets *status*."""
+        async with asyncio.timeout(15):
+            while await self.status_of(**options) != status:
+                await asyncio.sleep(0.05)
+
+
+@pytest.fixture
+async def site(tmp_path):
+    """Provide a site that is not started yet."""
+    made = Site(tmp_path)
+    yield made
+    await made.stop()
+
+
+def event_ids(body):
+    """Return the ids of a stream's events."""
+    return [int(line[3:]) for line in body.split(b"\n") if line.startswith(b"id:")]
+
+
+class TestServing:
+    async def test_stream_reaches_its_caller(self, site):
+        """Head, proof and events are the runner's; the send names the runner."""
+        await site.start()
+        async with site.post(path="/draft/a%2Fb?x=1") as answer:
+            body = await answer.read()
+        assert answer.status == 200
+        assert event_ids(body) == list(range(1, 9))
+        seen = [one for runner in site.runners.values() for one in runner.seen]
+        assert len(seen) == 1
+        assert seen[0].target == "/draft/a%2Fb?x=1"
+        name = seen[0].headers["Violethatch-Target-Instance"]
+        assert answer.headers["Violethatch-Response-Signature"] == f"by-{name}"
+        assert seen[0].path == f"{site.addresses[name]}=0-80"
+        assert seen[0].headers["Violethatch-Tenant"] == "clinic"
+        assert "Authorization" not in seen[0].headers
+        assert int(seen[0].headers["Violethatch-Deadline-Ms"]) <= 8000
+
+    async def test_refusals_of_the_desired_state(self, site):
+        """Unknown paths and keys get their status, with nothing run."""
+        await site.start()
+        assert await site.status_of(path="/none/") == 404
+        assert await site.status_of(Authorization="Token other") == 401
+        assert not any(runner.seen for runner in site.runners.values())
+
+    async def test_cut_stream_goes_on_at_another_runner(self, site):
+        """The caller gets every event once, whichever runner was cut."""
+        await site.start()
+        for runner in site.runners.values():
+            runner.cut_after = 3
+
+        def heal(*_):
+            for runner in site.runners.values():
+                runner.cut_after = None
+
+        async with site.post() as answer:
+            await answer.content.readuntil(b"data: 1\n\n")
+            heal()
+            await answer.content.read()
+        assert answer.status == 200
+
+    async def test_stream_that_cannot_go_on_looks_cut(self, site):
+        """A caller never takes a part for the whole."""
+        await site.start()
+        for runner in site.runners.values():
+            runner.cut_after = 3
+        with pytest.raises(aiohttp.ClientError):
+            async with site.post() as answer:
+                await answer.read()
+
+    async def test_caller_who_leaves_ends_the_run(self, site):
+        """The runner's work is broken off when the caller hangs up."""
+        await site.start()
+        for runner in site.runners.values():
+            runner.event_count = 10_000
+        async with site.post(call_id="left") as answer:
+            await answer.content.readuntil(b"data: 1\n\n")
+            answer.close()
+        async with asyncio.timeout(5):
+            while not any("left" in r.dropped for r in site.runners.values()):
+                await asyncio.sleep(0.02)
+
+    async def test_leaving_runner_gets_no_new_requests(self, site):
+        """After the list says so, all requests go elsewhere."""
+        await site.start()
+        site.list_server("i-1", State="draining")
+        calls = len(site.store.calls)
+        async with asyncio.timeout(5):
+            while len(site.store.calls) < calls + 3:
+                await asyncio.sleep(0.02)
+        site.runners["i-1"].seen.clear()
+        for number in range(5):
+            assert await site.status_of(call_id=f"c{number}") == 200
+        assert site.runners["i-1"].seen == []
+
+
+class TestDesiredState:
+    async def test_change_is_in_force_soon(self, site):
+        """A new version's key is taken, and the old one's refused."""
+        await site.start()
+        site.configure(version=2, keys=("k2",))
+        await site.wait_status(200, Authorization="Token k2")
+        assert await site.status_of() == 401
+
+    async def test_older_version_changes_nothing(self, site):
+        """What comes with a lower version is not taken back."""
+        await site.start(version=9)
+        site.configure(version=8, keys=("k2",))
+        calls = len(site.store.calls)
+        async with asyncio.timeout(5):
+            while len(site.store.calls) < calls + 4:
+                await asyncio.sleep(0.02)
+        assert await site.status_of() == 200
+
+    async def test_lost_history_is_read_anew(self, site):
+        """After the store forgot its history the newest state is found."""
+        await site.start()
+        site.configure(version=2, keys=("k2",))
+        site.store.forget_history()
+        site.configure(version=3, keys=("k3",))
+        await site.wait_status(200, Authorization="Token k3")
+
+    async def test_keys_fail_closed_without_the_store(self, site):
+        """A key that might have been removed is refused as not run."""
+        await site.start()
+        site.store.refuse_with = 503
+        await site.wait_ready(503)
+        for runner in site.runners.values():
+            runner.seen.clear()
+        async with site.post() as answer:
+            problem = await answer.json(content_type=None)
+        assert (answer.status, problem["code"], problem["ran"]) == (503, 1205, "no")
+        assert "Retry-After" in answer.headers
+        assert await site.status_of(path="/none/") == 503
+        assert not any(runner.seen for runner in site.runners.values())
+        site.store.refuse_with = 0
+        await site.wait_status(200)
+
+
+class TestStop:
+    async def test_stream_in_progress_is_finished(self, site):
+        """A planned stop cuts nothing and then ends the process."""
+        await site.start()
+        for runner in site.runners.values():
+            runner.event_count = 100
+        async with site.post() as answer:
+            await answer.content.readuntil(b"data: 1\n\n")
+            site.process.send_signal(signal.SIGTERM)
+            await site.wait_ready(503)
+            body = await answer.read()
+        assert event_ids(body)[-1] == 100
+        async with asyncio.timeout(10):
+            await site.process.communicate()
+        assert site.process.returncode == 0
+
+    async def test_stopping_process_closes_kept_connections(self, site):
+        """Callers are told to go elsewhere with the next answer."""
+        await site.start()
+        site.process.send_signal(signal.SIGTERM)
+        await site.wait_ready(503)
+        async with site.post() as answer:
+            await answer.read()
+        assert answer.headers["Connection"] == "close"
+
+    async def test_bad_settings_on_reload_change_nothing(self, site):
+        """A broken file is logged, and the process goes on."""
+        await site.start()
+        (site.path / "router.ini").write_text("[instance]\n")
+        site.process.send_signal(signal.SIGHUP)
+        assert await site.status_of() == 200
+        site.process.send_signal(signal.SIGTERM)
+        output, _ = await site.process.communicate()
+        lines = [json.loads(line) for line in output.splitlines()]
+        assert 2007 in {line["number"] for line in lines}
+
+
+class TestExplaining:
+    async def test_lines_and_metrics_tell_of_a_request(self, site):
+        """The request's id leads to its line; the counters count it."""
+        await site.start()
+        assert await site.status_of(call_id="told") == 200
+        url = f"http://127.0.0.1:{site.metrics}"
+        async with site.http.get(f"{url}/metrics") as answer:
+            metrics = await answer.text()
+        assert 'violethatch_router_requests_total{outcome="200"} 1' in metrics
+        async with site.http.get(f"{url}/state") as answer:
+            state = await answer.json(content_type=None)
+        assert state["servers"] == 2
+        site.process.send_signal(signal.SIGTERM)
+        output, _ = await site.process.communicate()
+        lines = [json.loads(line) for line in output.splitlines()]
+        told = [line for line in lines if line.get("request_id") == "told"]
+        assert told[0]["message_type"] == "violethatch:request_served"
+        assert told[0]["state_version"] == 1
+        assert b"k1" not in output
