Load less: no web applications, no docstrings; explain a request's lines

Ruled out: certificates (aiohttp reads none for plain calls that we could save; 1.7 MB moved elsewhere). Change: problem documents in a module of their own, python3 -OO in the deploy file; violethatch route, check-router-settings and explain.

--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -9,8 +9,9 @@
   rm -rf "$deps"
   python3 -m pip install --quiet --disable-pip-version-check \
     --target "$deps" -c constraints.txt -r deploy/requirements.txt
+  python3 -m compileall -q -o 2 "$deps"
   touch target/.deps
 fi
 rm -rf "$deps/violethatch"
 cp -r src/violethatch "$deps/violethatch"
-python3 -m compileall -q "$deps/violethatch"
+python3 -m compileall -q -o 2 "$deps/violethatch"
--- a/src/violethatch/_callers.py
+++ b/src/violethatch/_callers.py
@@ -16,10 +16,11 @@
 
 from . import events
 from ._driver import Driver, Generation, Piece
-from ._http import bearer_digest, problem_response, problems, same_digest
+from ._http import bearer_digest, problems, same_digest
 from ._keyed import Answer, KeyedCalls
 from ._metrics import Metrics
 from ._openai import ChatShape, CompletionBody, Shape, TextShape, parse_body, sse
+from ._problems import problem_response
 from ._services import Call, PlainServices
 from .claims import Claim, claim_row_key
 from .errors import (
--- a/src/violethatch/_http.py
+++ b/src/violethatch/_http.py
@@ -6,16 +6,15 @@
 import asyncio
 import hashlib
 import hmac
-import math
 
 from collections.abc import Awaitable, Callable
 
 import aiohttp
-import msgspec
 
 from aiohttp import web
 
 from . import events
+from ._problems import problem_response
 from .errors import BodyTooLargeError, UnauthorizedError, VioletHatchError
 
 
@@ -24,19 +23,6 @@
 _BEARER = "Bearer "
 
 
-def problem_response(error: VioletHatchError) -> web.Response:
-    """Return an error as a problem document (RFC 9457)."""
-    headers = {}
-    if error.retry_after_s is not None:
-        headers["Retry-After"] = str(math.ceil(error.retry_after_s))
-    return web.Response(
-        body=msgspec.json.encode(error.problem()),
-        status=error.status,
-        content_type="application/problem+json",
-        headers=headers,
-    )
-
-
 @web.middleware
 async def problems(request: web.Request, handler: Handler) -> web.StreamResponse:
     """Turn errors into problem documents; never show a traceback."""
--- a/src/violethatch/cli.py
+++ b/src/violethatch/cli.py
@@ -24,6 +24,8 @@
 import eliot
 
 from .errors import VioletHatchError
+from .explaining import explain_request
+from .router_settings import load_router_settings
 from .settings import load_settings
 
 
@@ -46,6 +48,38 @@
     uvloop.run(serve_entry(loaded))
 
 
+def route(*, settings: str) -> None:
+    """Run the router on the platform.
+
+    Args:
+        settings: The router's settings file (INI).
+    """
+    from .platform import run
+
+    run(settings)
+
+
+def check_router_settings(*, settings: str) -> None:
+    """Check a router's settings file and say what is wrong with it.
+
+    Args:
+        settings: The router's settings file (INI).
+    """
+    load_router_settings(settings)
+    print(f"{settings}: valid")
+
+
+def explain(*logs: str, request: str) -> None:
+    """Show a request's log lines from several instances, in order of time.
+
+    Args:
+        logs: Files with instances' log lines.
+        request: The request's id.
+    """
+    for line in explain_request(logs, request_id=request):
+        print(line)
+
+
 def check_settings(*, settings: str) -> None:
     """Check a settings file and say what is wrong with it.
 
@@ -122,7 +156,19 @@
 def main() -> None:
     """Run the command line."""
     try:
-        defopt.run([serve, check_settings, plan, confirm, state], argv=sys.argv[1:])
+        defopt.run(
+            [
+                serve,
+                route,
+                check_settings,
+                check_router_settings,
+                plan,
+                confirm,
+                state,
+                explain,
+            ],
+            argv=sys.argv[1:],
+        )
     except VioletHatchError as error:
         print(f"violethatch error {error.code}: {error.detail}", file=sys.stderr)
         sys.exit(_BAD_SETTINGS)
--- a/src/violethatch/platform/_listener.py
+++ b/src/violethatch/platform/_listener.py
@@ -16,7 +16,7 @@
 from aioprometheus import render
 
 from .. import events
-from .._http import problem_response
+from .._problems import problem_response
 from .._router import Router
 from ..errors import BadRequestError, BodyTooLargeError, VioletHatchError
 from ..upstream import Call, Headers
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -13,6 +13,7 @@
 
 from violethatch.errors import VioletHatchError
 from violethatch.events import ALL_EVENTS
+from violethatch.router_settings import RouterSettings
 from violethatch.settings import Settings
 
 
@@ -46,9 +47,14 @@
 
     def test_settings(self):
         """Each key stands in its section's table with its default."""
+        sections = [(f"[{name}]", k) for name, k in get_type_hints(Settings).items()]
+        sections += [
+            (f"router [{name}]", k)
+            for name, k in get_type_hints(RouterSettings).items()
+        ]
         text = (DOCS / "settings.md").read_text()
-        for section, kind in get_type_hints(Settings).items():
-            part = text.split(f"## [{section}]")[1].split("\n## ")[0]
+        for heading, kind in sections:
+            part = text.split(f"## {heading}")[1].split("\n## ")[0]
             listed = dict(re.findall(r"^\| (\w+) \| ([^|]*?) \|", part, re.MULTILINE))
             listed.pop("key")
             defaults = kind._field_defaults
