Share the retries that may be saved up by what is learnt of the instances

Ruled out: missing paths (streams were cut with paths at hand). Change: once first runners' words tell how many instances serve, each saves up its part of 0.6 of the shared slack; before that 4, so that many instances can't overdraw it.

--- a/src/violethatch/_routing.py
+++ b/src/violethatch/_routing.py
@@ -34,7 +34,9 @@
 
     def count_request(self, service: str) -> None:
         """Note a caller's request, which earns a part of a retry."""
-        self._budget(service).deposit()
+        budget = self._budget(service)
+        budget.resize(self._reserve())
+        budget.deposit()
 
     def may_retry(self, service: str) -> bool:
         """Take a retry from the service's budget; tell whether there was one."""
@@ -115,7 +117,19 @@
             bounds = self.settings.bounds
             budget = RetryBudget(
                 ratio=bounds.retry_ratio * policy.retry_part,
-                reserve=min(policy.retry_reserve, bounds.retry_slack),
+                reserve=self._reserve(),
             )
             self._budgets[service] = budget
         return budget
+
+    def _reserve(self) -> float:
+        """Return this instance's part of the retries that all may save up.
+
+        Until it is known how many instances serve, only a few.
+        """
+        policy = self.settings.policy
+        instances = self.loads.instances
+        if instances is None:
+            return policy.retry_reserve
+        part = self.settings.bounds.retry_slack * policy.retry_slack_part
+        return max(policy.retry_reserve, part / instances)
--- a/src/violethatch/retries.py
+++ b/src/violethatch/retries.py
@@ -34,6 +34,15 @@
         """Note a success."""
         self.balance = min(self.reserve, self.balance + self.ratio)
 
+    def resize(self, reserve: float) -> None:
+        """Change the most that may be saved up; what is gained is there at once.
+
+        Args:
+            reserve: The most retries that may be saved up from now on.
+        """
+        self.balance = min(reserve, self.balance + max(0.0, reserve - self.reserve))
+        self.reserve = reserve
+
     def withdraw(self) -> bool:
         """Take one retry; tell whether there was one."""
         if self.balance < 1.0:
--- a/src/violethatch/router_settings.py
+++ b/src/violethatch/router_settings.py
@@ -81,8 +81,10 @@
     gap_limit_s: Positive = 0.4
     #: Silence after which a stream is taken up elsewhere in any case.
     silence_limit_s: Positive = 1.5
-    #: Retries that one instance may save up.
-    retry_reserve: Positive = 8.0
+    #: Retries that one instance may always save up.
+    retry_reserve: Annotated[float, msgspec.Meta(ge=1)] = 4.0
+    #: Part of the shared retry slack that all instances save up together.
+    retry_slack_part: Ratio = 0.6
     #: Part of the shared retry ratio that an instance uses itself.
     retry_part: Ratio = 0.6
     lease_duration_s: Positive = 4.0
--- a/src/violethatch/stream_loads.py
+++ b/src/violethatch/stream_loads.py
@@ -22,6 +22,8 @@
 
 #: How fast the ratio follows what runners tell, per answer.
 _RATIO_GAIN = 0.05
+#: How many words make an estimate: the gain's inverse, doubled.
+_WORDS_TO_LEARN = 40
 #: The most instances that the ratio can stand for.
 _MOST_RATIO = 400.0
 #: Over how long crossings between zones are counted, in seconds.
@@ -42,6 +44,7 @@
         self._own_by_first: dict[str, int] = {}
         self._crossings: collections.deque[float] = collections.deque()
         self._told_by_first: dict[str, tuple[ServerLoad, float]] = {}
+        self._words = 0
         self._told_sum = 1.0
         self._own_sum = 1.0
 
@@ -50,6 +53,11 @@
         """All instances' streams for each of one's own."""
         return max(1.0, min(_MOST_RATIO, self._told_sum / self._own_sum))
 
+    @property
+    def instances(self) -> float | None:
+        """About how many instances serve, or None while that is not learnt."""
+        return self.ratio if self._words >= _WORDS_TO_LEARN else None
+
     def started(self, path: Path, tokens: float, *, now_s: float) -> None:
         """Count a stream in on each runner of its path."""
         self._crossings.extend([now_s] * path.crossings)
@@ -74,6 +82,7 @@
         self._told_by_first[first_id] = (load, now_s)
         own = self._own_by_first.get(first_id, 0)
         if own:
+            self._words += 1
             told = load.running + load.waiting
             self._told_sum += _RATIO_GAIN * (told - self._told_sum)
             self._own_sum += _RATIO_GAIN * (own - self._own_sum)
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -43,6 +43,17 @@
         budget = RetryBudget(reserve=50)
         assert sum(budget.withdraw() for _ in range(10_000)) == 50
 
+    def test_resized_reserve_counts_at_once(self):
+        """A larger part is there to be used; a smaller one is cut."""
+        budget = RetryBudget(ratio=0.1, reserve=2)
+        budget.resize(5)
+        assert [budget.withdraw() for _ in range(6)] == [True] * 5 + [False]
+        budget.resize(3)
+        assert not budget.withdraw()
+        budget.resize(8)
+        budget.resize(1)
+        assert [budget.withdraw() for _ in range(2)] == [True, False]
+
     def test_refuses_nonsense(self):
         """A reserve below one would never let a retry through."""
         with pytest.raises(ValueError, match="reserve"):
