--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -12,6 +12,9 @@
   python3 -m compileall -q -o 2 "$deps"
   touch target/.deps
 fi
-rm -rf "$deps/violethatch"
-cp -r src/violethatch "$deps/violethatch"
-python3 -m compileall -q -o 2 "$deps/violethatch"
+# Processes may be running from there: nothing is touched without a change.
+if ! diff -rq -x __pycache__ src/violethatch "$deps/violethatch" >/dev/null 2>&1; then
+  rm -rf "$deps/violethatch"
+  cp -r src/violethatch "$deps/violethatch"
+  python3 -m compileall -q -o 2 "$deps/violethatch"
+fi
