Let a begun stream wait for a path, and learn from what others met

Ruled out: the retry budget (there was one left in the lines). Change: a begun stream waits up to a second for a path; a silent request goes around runners of its path that others had trouble with.

--- a/src/violethatch/_streams.py
+++ b/src/violethatch/_streams.py
@@ -50,6 +50,10 @@
 _NO_PATH_RETRY_S = 1.0
 #: The most sends of one call that were refused or not connected.
 _MOST_REFUSALS = 4
+#: How often and how long a stream that has begun waits for a path, in seconds;
+#: callers give a stream up after a gap of two.
+_ROOM_PAUSES = 5
+_ROOM_PAUSE_S = 0.2
 #: Orders onto another path that are tried in one silence.
 _MOST_REPATHS = 2
 
@@ -103,7 +107,7 @@
         while True:
             if self.sends and not self._may_send_again():
                 break
-            path = self._routing.path(self._service, avoided=self._avoided)
+            path = await self._next_path()
             if path is None:
                 break
             end, status = await self._run(path, responder)
@@ -123,6 +127,20 @@
         )
         return 0
 
+    async def _next_path(self) -> Path | None:
+        """Return the path to send along, or None if there is none.
+
+        A stream that has begun waits a little: its caller waits longer for the
+        next event than room takes to come back.
+        """
+        path = self._routing.path(self._service, avoided=self._avoided)
+        pauses = _ROOM_PAUSES if self._is_started else 0
+        while path is None and pauses:
+            pauses -= 1
+            await asyncio.sleep(_ROOM_PAUSE_S)
+            path = self._routing.path(self._service, avoided=self._avoided)
+        return path
+
     def _may_send_again(self) -> bool:
         """Tell whether another send is allowed and paid for."""
         if self._refusals >= _MOST_REFUSALS or time.monotonic() >= self._deadline_s:
@@ -413,6 +431,7 @@
             )
             raise TimeoutError
         culprit = self._stage_at(report.stalled.get(self._call.id))
+        culprit = culprit or self._resting_stage()
         events.log(
             events.SILENCE_SEEN,
             request_id=self._call.id,
@@ -462,6 +481,17 @@
             self.suspects |= {obstacle.id}
         return False
 
+    def _resting_stage(self) -> BackendServer | None:
+        """Return a runner of the path that other requests had trouble with.
+
+        A request that has not begun is not told as one that waits.
+        """
+        resting = self._routing.health.resting(now_s=time.monotonic())
+        for stage in self.path.stages[1:]:
+            if stage.server.id in resting:
+                return stage.server
+        return None
+
     def _stage_at(self, address: str | None) -> BackendServer | None:
         """Return the runner of the path at an address."""
         return _stage_of(self.path, address)
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -27,6 +27,7 @@
     OverloadedError,
     PipelineFailedError,
 )
+from violethatch.runner_health import Trouble
 from violethatch.upstream import (
     NotSentError,
     OrderAnswer,
@@ -152,6 +153,14 @@
         got, _ = await serve(client, A, B)
         assert (got.end, [s.server.id for s in client.sends]) == ("whole", ["a", "b"])
 
+    async def test_begun_stream_waits_for_room(self):
+        """A stream under way is not cut for one refusal."""
+        client = FakeClient(
+            FakeAnswer(events(1), LOST), refused(), refused(), FakeAnswer(events(2))
+        )
+        got, _ = await serve(client, A, B)
+        assert (got.end, got.body) == ("whole", events(1, 2))
+
     async def test_named_runner_is_left_alone(self):
         """The runner at fault rests, not the one that was asked."""
         client = FakeClient(refused(address=TAIL.address), FakeAnswer(events(1)))
@@ -223,6 +232,23 @@
         got, _ = await serve(client, HEAD, TAIL, SPARE, B)
         assert got.body == events(1, 2)
 
+    async def test_runner_in_trouble_elsewhere_is_gone_around(self):
+        """A silent request learns from what others had trouble with."""
+        moved = asyncio.Event()
+        client = FakeClient(FakeAnswer(moved, events(1)))
+        client.reports["head"] = report()
+        client.on_repath = moved.set
+        routing = make_routing(client, HEAD, TAIL, SPARE, rng=random.Random(1))
+        stream = StreamCall(routing, make_call(), admitted())
+        responder = FakeResponder()
+        task = asyncio.create_task(stream.serve(responder))
+        async with asyncio.timeout(5):
+            while not client.sends:
+                await asyncio.sleep(0.001)
+            routing.note_trouble(TAIL, Trouble.NAMED, "another", "waits")
+            await task
+        assert [s.server.id for s in client.repaths[0][2].stages] == ["head", "spare"]
+
     async def test_long_pause_of_a_sound_path_is_waited_out(self):
         """While nothing is stalled, a pause is no reason to start again."""
         client = FakeClient(FakeAnswer(events(1), 0.1, events(2)))
