Split placement by its jobs

`placement.py` keeps the plan; chains, needed layers, repairs of zones and the runners' room are in modules of their own, and a range tells its size in one place. Behaviour is unchanged; a test imports `split_layers` from its new module.

--- /dev/null
+++ b/src/violethatch/_chains.py
@@ -0,0 +1,211 @@
+# SPDX-License-Identifier: MIT
+"""Dividing runners into chains that tile a model.
+
+How many chains a group of runners makes, and how their layers are split, is
+searched with the engine's own formula for the most requests a second.
+"""
+
+from __future__ import annotations
+
+import itertools
+import math
+
+from collections import defaultdict
+from collections.abc import Mapping, Sequence
+from typing import NamedTuple
+
+from ._hosts import Host, can_hold
+from .engine_model import AcceleratorKind, EngineSpec
+from .layers import LayerRange
+
+
+#: A hop's share of a token's time within a zone, in ms (twice the one-way
+#: delay of 0.1 ms that the sites state).
+_HOP_MS = 0.2
+#: The part of a runner's time that requests may take up; above it queues
+#: grow without bound (M/D/1 waits double between 0.8 and 0.9).
+_BUSY_LIMIT = 0.85
+#: Sizes of KV cache that are tried, as parts of the most that fits.
+_KV_PARTS = tuple(part / 20 for part in range(4, 20))
+#: Halvings in the search for an even split; 40 leave less than a billionth of
+#: a layer.
+_SPLIT_HALVINGS = 40
+_MS_PER_S = 1000.0
+
+
+class Chain(NamedTuple):
+    """Runners that tile the model, with what they can serve."""
+
+    layers: Mapping[str, LayerRange]
+    requests_per_s: float
+
+
+def zone_groups(hosts: Sequence[Host], engine: EngineSpec) -> list[list[Host]]:
+    """Group hosts by zone; zones that can't hold the model go together."""
+    by_zone: defaultdict[str, list[Host]] = defaultdict(list)
+    for host in hosts:
+        by_zone[host.availability_zone].append(host)
+    whole = []
+    partial: list[Host] = []
+    for _, group in sorted(by_zone.items()):
+        if can_hold(group, engine):
+            whole.append(group)
+        else:
+            partial.extend(group)
+    if can_hold(partial, engine) or not whole:
+        return [*whole, partial]
+    return whole
+
+
+def best_chains(hosts: Sequence[Host], engine: EngineSpec) -> list[Chain]:
+    """Return the chains of a group that serve the most requests a second."""
+    best: list[Chain] = []
+    best_rate = 0.0
+    for count in range(1, len(hosts) + 1):
+        chains = [_best_split(deal, engine) for deal in _deal(hosts, engine, count)]
+        made = [chain for chain in chains if chain is not None]
+        if len(made) < count:
+            break
+        rate = sum(chain.requests_per_s for chain in made)
+        if rate > best_rate:
+            best, best_rate = made, rate
+    return best
+
+
+def _deal(hosts: Sequence[Host], engine: EngineSpec, count: int) -> list[list[Host]]:
+    """Deal hosts into groups with about the same memory."""
+    groups: list[list[Host]] = [[] for _ in range(count)]
+    memory_mb = [0.0] * count
+    for host in sorted(hosts, key=lambda one: _speed_order(one, engine)):
+        least = memory_mb.index(min(memory_mb))
+        groups[least].append(host)
+        memory_mb[least] += engine.kinds[host.kind].memory_mb
+    return groups
+
+
+def _speed_order(host: Host, engine: EngineSpec) -> tuple[float, str]:
+    """Sort key that puts fast hosts first."""
+    return engine.kinds[host.kind].step_factor, host.id
+
+
+def _best_split(hosts: Sequence[Host], engine: EngineSpec) -> Chain | None:
+    """Return the best split of the model over hosts, or None if none fits."""
+    kinds = [engine.kinds[host.kind] for host in hosts]
+    most_tokens = _most_kv_tokens(kinds, engine)
+    best: Chain | None = None
+    for part in _KV_PARTS:
+        counts = split_layers(kinds, engine, kv_tokens=most_tokens * part)
+        if counts is None:
+            continue
+        rate = chain_requests_per_s(kinds, counts, engine)
+        if best is None or rate > best.requests_per_s:
+            best = Chain(_tile(hosts, counts), rate)
+    return best
+
+
+def _most_kv_tokens(kinds: Sequence[AcceleratorKind], engine: EngineSpec) -> float:
+    """Return the KV cache that a chain could have if layers were divisible."""
+    memory_mb = sum(kind.memory_mb for kind in kinds)
+    left_mb = memory_mb - engine.layer_count * engine.layer_mb
+    return max(0.0, left_mb) / (engine.layer_count * engine.kv_layer_token_mb)
+
+
+def _tile(hosts: Sequence[Host], counts: Sequence[int]) -> dict[str, LayerRange]:
+    """Give each host its layers, one after the other."""
+    ends = list(itertools.accumulate(counts))
+    return {
+        host.id: LayerRange(end - count, end)
+        for host, count, end in zip(hosts, counts, ends, strict=True)
+        if count
+    }
+
+
+def split_layers(
+    kinds: Sequence[AcceleratorKind], engine: EngineSpec, *, kv_tokens: float
+) -> list[int] | None:
+    """Split the model so that no runner's steps take much longer than others'.
+
+    Args:
+        kinds: The runners' kinds, in the chain's order.
+        engine: The engine's figures.
+        kv_tokens: Tokens whose KV cache has to fit on each runner.
+
+    Returns:
+        How many layers each runner holds, or None if they don't fit.
+
+    .. versionadded:: 26.1.0
+    """
+    caps = [engine.most_layers(kind, kv_tokens=kv_tokens) for kind in kinds]
+    if sum(caps) < engine.layer_count:
+        return None
+    low, high = 0.0, engine.layer_count * max(kind.step_factor for kind in kinds)
+    for _ in range(_SPLIT_HALVINGS):
+        level = (low + high) / 2
+        if sum(_shares(kinds, caps, level)) < engine.layer_count:
+            low = level
+        else:
+            high = level
+    return _rounded(_shares(kinds, caps, high), caps, engine.layer_count)
+
+
+def _shares(
+    kinds: Sequence[AcceleratorKind], caps: Sequence[int], level: float
+) -> list[float]:
+    """Return layers by speed, up to each runner's cap."""
+    return [
+        min(float(cap), level / kind.step_factor)
+        for kind, cap in zip(kinds, caps, strict=True)
+    ]
+
+
+def _rounded(shares: Sequence[float], caps: Sequence[int], total: int) -> list[int]:
+    """Round shares to whole layers with the given total."""
+    counts = [math.floor(share) for share in shares]
+    by_rest = sorted(
+        range(len(shares)), key=lambda index: counts[index] - shares[index]
+    )
+    for index in itertools.cycle(by_rest):
+        if sum(counts) >= total:
+            return counts
+        if counts[index] < caps[index]:
+            counts[index] += 1
+    return counts
+
+
+def chain_requests_per_s(
+    kinds: Sequence[AcceleratorKind], counts: Sequence[int], engine: EngineSpec
+) -> float:
+    """Return the usual requests a second that a chain can serve.
+
+    KV memory bounds how many run at once, their tokens' time how long each
+    takes, and the busiest runner how much goes through.
+
+    .. versionadded:: 26.1.0
+    """
+    parts = [(kind, n) for kind, n in zip(kinds, counts, strict=True) if n]
+    room_tokens = min(engine.kv_tokens(kind, layers) for kind, layers in parts)
+    at_once = min(room_tokens / engine.usual_tokens, float(engine.slots))
+    if at_once < 1:
+        return 0.0
+    writers = max(1.0, at_once / len(parts))
+    token_ms = sum(
+        engine.step_ms_of(kind, layers, writers=writers) + _HOP_MS
+        for kind, layers in parts
+    )
+    read_ms = sum(_usual_read_ms(engine, kind, layers) for kind, layers in parts)
+    by_time = at_once / (engine.usual_answer_tokens * token_ms + read_ms)
+    busiest_ms = max(_busy_ms(engine, kind, layers) for kind, layers in parts)
+    return _MS_PER_S * min(by_time, _BUSY_LIMIT / busiest_ms)
+
+
+def _usual_read_ms(engine: EngineSpec, kind: AcceleratorKind, layers: int) -> float:
+    """Return how long a usual prompt's reading takes, in ms."""
+    return engine.read_ms_of(kind, layers, engine.usual_prompt_tokens)
+
+
+def _busy_ms(engine: EngineSpec, kind: AcceleratorKind, layers: int) -> float:
+    """Return a runner's time for a usual request beside a full batch, in ms."""
+    one = engine.step_ms_of(kind, layers, writers=1.0)
+    marginal_ms = engine.step_ms_of(kind, layers, writers=2.0) - one
+    writing_ms = engine.usual_answer_tokens * marginal_ms
+    return writing_ms + _usual_read_ms(engine, kind, layers)
--- a/src/violethatch/_placing.py
+++ b/src/violethatch/_placing.py
@@ -337,7 +337,7 @@
         )
         if answer.outcome in (OrderOutcome.DONE, OrderOutcome.BEGUN):
             assert service.engine is not None
-            share = (layers.end - layers.first) / service.engine.layer_count
+            share = layers.size / service.engine.layer_count
             wait_s = _LIST_LAG_S + 2 * service.engine.load_s * share
             self._last_order_s = time.monotonic()
             self._ordered[server.id] = (layers, self._last_order_s + wait_s)
--- /dev/null
+++ b/src/violethatch/_zone_repair.py
@@ -0,0 +1,101 @@
+# SPDX-License-Identifier: MIT
+"""Making zones whole that lack layers, with the runners they have."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping, Sequence
+
+from ._chains import best_chains
+from ._hosts import Host, can_hold, kv_room, least_kv_tokens, with_orders
+from .engine_model import EngineSpec
+from .layers import LayerRange
+
+
+def repair_zones(hosts: Sequence[Host], engine: EngineSpec) -> dict[str, LayerRange]:
+    """Make zones whole that lack layers, with the runners they have.
+
+    Neighbours of a hole take it over where they have the memory; layers are
+    only added then.  Otherwise the zone is divided anew, if others hold the
+    whole model meanwhile.
+    """
+    orders: dict[str, LayerRange] = {}
+    for zone in sorted({host.availability_zone for host in hosts}):
+        inside = [host for host in hosts if host.availability_zone == zone]
+        holes = _holes(inside, engine)
+        if not holes or not any(host.held for host in inside):
+            continue
+        stretched = _stretch_over(inside, holes, engine)
+        if stretched is not None:
+            orders |= stretched
+            continue
+        outside = [host for host in hosts if host.availability_zone != zone]
+        if can_hold(inside, engine) and not _holes(outside, engine):
+            for chain in best_chains(inside, engine):
+                orders.update(chain.layers)
+    return {
+        host.id: orders[host.id]
+        for host in hosts
+        if host.id in orders and orders[host.id] != host.held
+    }
+
+
+def _stretch_over(
+    hosts: Sequence[Host], holes: Sequence[LayerRange], engine: EngineSpec
+) -> dict[str, LayerRange] | None:
+    """Let neighbours take all holes over; None if they lack the memory."""
+    orders: dict[str, LayerRange] = {}
+    for hole in holes:
+        best: dict[str, LayerRange] | None = None
+        best_tokens = least_kv_tokens(engine)
+        for split in range(hole.first, hole.end + 1):
+            option = _split_hole(with_orders(hosts, orders), hole, split)
+            if option is None:
+                continue
+            tokens = _least_room(hosts, option, engine)
+            if tokens >= best_tokens:
+                best, best_tokens = option, tokens
+        if best is None:
+            return None
+        orders |= best
+    return orders
+
+
+def _split_hole(
+    hosts: Sequence[Host], hole: LayerRange, split: int
+) -> dict[str, LayerRange] | None:
+    """Give a hole's layers below *split* to the left and the others to the right."""
+    option: dict[str, LayerRange] = {}
+    if split > hole.first:
+        left = [host for host in hosts if host.held and host.held.end == hole.first]
+        if not left or left[0].held is None:
+            return None
+        option[left[0].id] = LayerRange(left[0].held.first, split)
+    if split < hole.end:
+        right = [host for host in hosts if host.held and host.held.first == hole.end]
+        if not right or right[0].held is None:
+            return None
+        option[right[0].id] = LayerRange(split, right[0].held.end)
+    return option
+
+
+def _least_room(
+    hosts: Sequence[Host], layers: Mapping[str, LayerRange], engine: EngineSpec
+) -> float:
+    """Return the least tokens whose KV cache fits beside ranges."""
+    return min(
+        kv_room(host, layers[host.id], engine) for host in hosts if host.id in layers
+    )
+
+
+def _holes(hosts: Sequence[Host], engine: EngineSpec) -> list[LayerRange]:
+    """Return the ranges that no host holds."""
+    covered = {layer for host in hosts if host.held for layer in range(*host.held)}
+    holes: list[LayerRange] = []
+    for layer in range(engine.layer_count):
+        if layer in covered:
+            continue
+        if holes and holes[-1].end == layer:
+            holes[-1] = LayerRange(holes[-1].first, layer + 1)
+        else:
+            holes.append(LayerRange(layer, layer + 1))
+    return holes
--- a/src/violethatch/layers.py
+++ b/src/violethatch/layers.py
@@ -19,6 +19,11 @@
     first: int
     end: int
 
+    @property
+    def size(self) -> int:
+        """How many layers it has."""
+        return self.end - self.first
+
 
 def tiles(ranges: Sequence[LayerRange], *, layer_count: int) -> bool:
     """Tell whether *ranges*, in order, cover each of the layers exactly once.
--- a/src/violethatch/stream_loads.py
+++ b/src/violethatch/stream_loads.py
@@ -103,7 +103,7 @@
         kind = engine.kinds.get(server.kind)
         if not own or server.layers is None or kind is None:
             return taken
-        size = server.layers.end - server.layers.first
+        size = server.layers.size
         room = engine.kv_tokens(kind, size) * size
         return max(taken, own * self.ratio / max(room, 1.0))
 
@@ -120,7 +120,7 @@
 
     def _add(self, stage: Stage, tokens: float) -> None:
         """Add to a runner's tokens times layers."""
-        added = tokens * (stage.layers.end - stage.layers.first)
+        added = tokens * stage.layers.size
         own = self._own_token_layers.get(stage.server.id, 0.0) + added
         if own > 1e-6:
             self._own_token_layers[stage.server.id] = own
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -11,8 +11,9 @@
 from hypothesis import strategies as st
 
 from routing_samples import KINDS, engine
+from violethatch._chains import split_layers
 from violethatch.layers import LayerRange
-from violethatch.placement import Host, plan_placement, split_layers
+from violethatch.placement import Host, plan_placement
 
 
 def hosts(zone, **counts):
