Keep the placement's lease and its view of the list apart

`_placing.py` is split: `_placement_lease.py` holds the lease's row, `_fleet_watch.py` how long the list has rested. Behaviour is unchanged; a test imports the moved names, and patches them, where they are now.

--- /dev/null
+++ b/src/violethatch/_placement_lease.py
@@ -0,0 +1,156 @@
+# SPDX-License-Identifier: MIT
+"""The lease of the placement duty: who may order, under which fence."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import time
+
+from typing import NamedTuple, Protocol
+
+from . import events
+from .errors import TableUnavailableError
+from .leases import Lease
+from .ports import AnswerLostError, Put, Row
+from .router_settings import RouterPolicySection
+
+
+_JOB = "placement"
+#: Longest random pause before a try for the lease, in seconds.
+_SPREAD_S = 0.8
+
+
+class LeaseWrite(NamedTuple):
+    """What came of a write of the lease's row."""
+
+    is_written: bool
+    version: int
+
+
+class LeaseStore(Protocol):
+    """Keeps the lease's row."""
+
+    async def read_row(self, key: str) -> Row | None:
+        """Return a row, or None if there is none.
+
+        Raises:
+            TableUnavailableError: The store refuses or is silent.
+        """
+
+    async def write_row(self, put: Put) -> LeaseWrite:
+        """Write a row under its condition.
+
+        Raises:
+            TableUnavailableError: Nothing was written.
+            AnswerLostError: It was written, or not; it can't be told.
+        """
+
+
+class PlacementLease:
+    """One process's part in the lease.
+
+    Args:
+        store: Keeps the lease's row.
+        holder: Names this process's lifetime.
+        policy: The lease's duration and margin.
+        rng: Spreads tries of many instances.
+    """
+
+    def __init__(
+        self,
+        store: LeaseStore,
+        *,
+        holder: str,
+        policy: RouterPolicySection,
+        rng: random.Random,
+    ) -> None:
+        self._store = store
+        self._rng = rng
+        self._lease = Lease(
+            row_key=_JOB,
+            holder=holder,
+            duration_s=policy.lease_duration_s,
+            margin_s=policy.lease_margin_s,
+        )
+        self._next_try_s = 0.0
+
+    @property
+    def epoch(self) -> int | None:
+        """The fence of orders, or None while none may be given."""
+        return self._lease.held_epoch(now_s=time.monotonic())
+
+    @property
+    def is_held(self) -> bool:
+        """Whether orders may be given now."""
+        return self.epoch is not None
+
+    def may_try(self, *, now_s: float) -> bool:
+        """Tell whether another try for the lease is due."""
+        return now_s >= self._next_try_s
+
+    def note_unreachable(self, reason: str) -> None:
+        """Leave the lease alone for a while, since the store is away."""
+        self._delay_try()
+        _log_unreachable(reason)
+
+    async def hold(self, now_s: float) -> bool:
+        """Hold the lease; tell whether orders may be given."""
+        if self.is_held:
+            await self.renew(now_s)
+            return self.is_held
+        # All instances see the same need at the same time: one pause each.
+        await asyncio.sleep(self._rng.uniform(0.0, _SPREAD_S))
+        sent_s = time.monotonic()
+        row = await self._store.read_row(self._lease.row_key)
+        self._lease.observe(row, now_s=sent_s)
+        self._delay_try()
+        return await self._write(self._lease.wanted_write(now_s=sent_s), sent_s)
+
+    async def renew(self, now_s: float) -> None:
+        """Renew the lease in good time."""
+        if self._lease.age_s(now_s=now_s) < self._lease.duration_s / 3:
+            return
+        await self._write(self._lease.wanted_write(now_s=now_s), now_s)
+
+    async def resign(self) -> None:
+        """Let others take over at once, if the lease is held."""
+        put = self._lease.resigned()
+        if put is None:
+            return
+        events.log(events.LEASE_LOST, job=_JOB, reason="resigned")
+        try:
+            await self._store.write_row(put)
+        except (TableUnavailableError, AnswerLostError) as error:
+            # The lease then runs out by itself.
+            _log_unreachable(str(error))
+
+    async def _write(self, put: Put | None, sent_s: float) -> bool:
+        """Write the lease's row; tell whether the lease is held."""
+        if put is None:
+            return False
+        try:
+            write = await self._store.write_row(put)
+        except AnswerLostError as error:
+            # The next read tells whether it is one's own.
+            _log_unreachable(str(error))
+            self._next_try_s = 0.0
+            return False
+        if not write.is_written:
+            return False
+        is_new = not self._lease.is_confirmed
+        self._lease.written(put, sent_s=sent_s, version=write.version)
+        if is_new:
+            epoch = int(put.value["epoch"])
+            events.log(events.LEASE_WON, job=_JOB, epoch=epoch)
+        return True
+
+    def _delay_try(self) -> None:
+        """Leave the lease alone for a while."""
+        pause_s = self._lease.duration_s / 2 * self._rng.uniform(0.8, 1.3)
+        self._next_try_s = time.monotonic() + pause_s
+
+
+def _log_unreachable(reason: str) -> None:
+    """Log that the lease's row can't be read or written."""
+    events.log(events.LEASE_UNREACHABLE, job=_JOB, reason=reason)
--- a/src/violethatch/platform/_store.py
+++ b/src/violethatch/platform/_store.py
@@ -12,7 +12,7 @@
 import aiohttp
 import msgspec
 
-from .._placing import LeaseWrite
+from .._placement_lease import LeaseWrite
 from .._router_metrics import RouterMetrics
 from ..errors import TableUnavailableError
 from ..ports import ABSENT, AnswerLostError, Put
--- a/tests/test_placing.py
+++ b/tests/test_placing.py
@@ -11,8 +11,9 @@
 
 from router_fakes import FakeClient, make_routing, report
 from routing_samples import desired_state, runner
-from violethatch import _placing
-from violethatch._placing import LeaseWrite, PlacementDuty
+from violethatch import _fleet_watch, _placement_lease, _placing
+from violethatch._placement_lease import LeaseWrite
+from violethatch._placing import PlacementDuty
 from violethatch.errors import TableUnavailableError
 from violethatch.ports import AnswerLostError, Row
 from violethatch.upstream import OrderAnswer, OrderOutcome
@@ -50,8 +51,10 @@
 @pytest.fixture(autouse=True)
 def quick(monkeypatch):
     """Let nobody wait for long."""
-    for name in ("_SETTLE_S", "_SPREAD_S", "_RESIGN_PAUSE_S", "_REPAIR_REST_S"):
-        monkeypatch.setattr(_placing, name, 0.0)
+    monkeypatch.setattr(_fleet_watch, "_SETTLE_S", 0.0)
+    monkeypatch.setattr(_placement_lease, "_SPREAD_S", 0.0)
+    monkeypatch.setattr(_placing, "_RESIGN_PAUSE_S", 0.0)
+    monkeypatch.setattr(_fleet_watch, "_REPAIR_REST_S", 0.0)
 
 
 FLEET = [
@@ -112,7 +115,7 @@
 
     async def test_nothing_before_the_list_settles(self, monkeypatch):
         """An empty fleet is divided once its list rests."""
-        monkeypatch.setattr(_placing, "_SETTLE_S", 60.0)
+        monkeypatch.setattr(_fleet_watch, "_SETTLE_S", 60.0)
         duty, client, _ = make_duty(FakeStore(), *FLEET)
         await duty._look()
         assert client.placed == []
@@ -162,7 +165,7 @@
         store = FakeStore()
         policy = {"lease_duration_s": "0.1", "lease_margin_s": "0.05"}
         duty, client, _ = make_duty(store, *FLEET, **policy)
-        assert await duty._hold(time.monotonic())
+        assert await duty._lease.hold(time.monotonic())
         await asyncio.sleep(0.1)
         plans = duty._due_orders(time.monotonic())
         await duty._give(plans)
