Remove what nobody uses from the router's modules

A lookup of kinds, a count of delivered events, a dump of loads and two statuses had no reader; a bound on rounding has a name. Behaviour is unchanged.

--- a/src/violethatch/engine_model.py
+++ b/src/violethatch/engine_model.py
@@ -75,10 +75,6 @@
         """Tokens that a usual request ends up with."""
         return self.usual_prompt_tokens + self.usual_answer_tokens
 
-    def kind_of(self, name: str) -> AcceleratorKind | None:
-        """Return a kind by its name, if the engine states it."""
-        return self.kinds.get(name)
-
     def step_ms_of(
         self, kind: AcceleratorKind, layers: int, *, writers: float = 1.0
     ) -> float:
--- a/src/violethatch/event_stream.py
+++ b/src/violethatch/event_stream.py
@@ -80,8 +80,6 @@
 
     def __init__(self, *, last_id: int | None = None) -> None:
         self.last_id = last_id
-        #: Events given to the caller in this answer.
-        self.delivered = 0
 
     def take(self, event: StreamEvent) -> bool:
         """Tell whether the caller gets an event; events it has are left out.
@@ -90,7 +88,6 @@
             SpoiltStreamError: An event before this one is missing.
         """
         if event.id is None:
-            self.delivered += 1
             return True
         if self.last_id is not None:
             if event.id <= self.last_id:
@@ -99,5 +96,4 @@
                 msg = f"event {event.id} follows event {self.last_id}"
                 raise SpoiltStreamError(msg)
         self.last_id = event.id
-        self.delivered += 1
         return True
--- a/src/violethatch/platform/_runners.py
+++ b/src/violethatch/platform/_runners.py
@@ -38,8 +38,6 @@
 
 _OK = 200
 _ACCEPTED = 202
-_BAD_REQUEST = 400
-_NOT_FOUND = 404
 _CONFLICT = 409
 _FENCED = 412
 _MISDIRECTED = 421
--- a/src/violethatch/stream_loads.py
+++ b/src/violethatch/stream_loads.py
@@ -12,8 +12,6 @@
 
 import collections
 
-from collections.abc import Mapping
-
 from .backends import BackendServer
 from .engine_model import EngineSpec
 from .paths import Path, Stage
@@ -29,6 +27,8 @@
 #: Over how long crossings between zones are counted, in seconds.
 _PIPE_SPAN_S = 2.0
 _MS_PER_S = 1000.0
+#: Below this a runner's tokens times layers are what rounding has left over.
+_ROUNDING = 1e-6
 #: How long a first runner's word counts, in seconds; some requests' time.
 _TOLD_LIFE_S = 2.0
 
@@ -114,15 +114,11 @@
         own_ms = len(self._crossings) * engine.crossing_ms
         return own_ms * self.ratio / (_PIPE_SPAN_S * _MS_PER_S)
 
-    def state(self) -> Mapping[str, float]:
-        """Return the estimates' inputs, for a dump."""
-        return {"ratio": round(self.ratio, 2), "runners": len(self._own_token_layers)}
-
     def _add(self, stage: Stage, tokens: float) -> None:
         """Add to a runner's tokens times layers."""
         added = tokens * stage.layers.size
         own = self._own_token_layers.get(stage.server.id, 0.0) + added
-        if own > 1e-6:
+        if own > _ROUNDING:
             self._own_token_layers[stage.server.id] = own
         else:
             self._own_token_layers.pop(stage.server.id, None)
