Join doubled logic of plain calls, streams and orders

What a refusal says of a server, until when a call may take and whether an order was taken are told in one place each. Behaviour is unchanged.

--- a/src/violethatch/_placing.py
+++ b/src/violethatch/_placing.py
@@ -20,7 +20,6 @@
 from .errors import TableUnavailableError
 from .layers import LayerRange
 from .placement import Host, plan_placement
-from .upstream import OrderOutcome
 
 
 #: How often the plan is looked at, in seconds.
@@ -28,6 +27,8 @@
 #: How long an order is waited for beside its load, in seconds: the list tells
 #: of it with the runner's next beat and some lag.
 _LIST_LAG_S = 3.0
+#: How many times its stated load an order is waited for.
+_LOAD_PATIENCE = 2
 #: How long to leave a runner alone whose order failed, in seconds.
 _ORDER_REST_S = 2.0
 #: How long the lease is kept after the list shows all orders, in seconds:
@@ -183,22 +184,26 @@
             server, layers, fence=epoch, expected_sequence=report.sequence
         )
         events.log(
-            events.ORDER_DONE
-            if answer.outcome in (OrderOutcome.DONE, OrderOutcome.BEGUN)
-            else events.ORDER_REFUSED,
+            events.ORDER_DONE if answer.is_taken else events.ORDER_REFUSED,
             server_id=server.id,
             layers=list(layers),
             epoch=epoch,
             outcome=answer.outcome.value,
         )
-        if answer.outcome in (OrderOutcome.DONE, OrderOutcome.BEGUN):
-            assert service.engine is not None
-            share = layers.size / service.engine.layer_count
-            wait_s = _LIST_LAG_S + 2 * service.engine.load_s * share
-            self._last_order_s = time.monotonic()
-            self._ordered[server.id] = (layers, self._last_order_s + wait_s)
-            return
-        self._rest(server.id)
+        if answer.is_taken:
+            self._note_taken(service, server, layers)
+        else:
+            self._rest(server.id)
+
+    def _note_taken(
+        self, service: ServiceSpec, server: BackendServer, layers: LayerRange
+    ) -> None:
+        """Wait for the list to show an order's outcome."""
+        assert service.engine is not None
+        share = layers.size / service.engine.layer_count
+        wait_s = _LIST_LAG_S + _LOAD_PATIENCE * service.engine.load_s * share
+        self._last_order_s = time.monotonic()
+        self._ordered[server.id] = (layers, self._last_order_s + wait_s)
 
     def _rest(self, server_id: str) -> None:
         """Leave a runner without orders for a while."""
--- a/src/violethatch/_plain_calls.py
+++ b/src/violethatch/_plain_calls.py
@@ -67,9 +67,7 @@
         self._call = call
         self._admitted = admitted
         self._route = admitted.route
-        self._deadline_s = min(
-            call.deadline_s, call.received_s + admitted.route.timeout_s
-        )
+        self._deadline_s = call.deadline_within_s(admitted.route.timeout_s)
         self._tried: set[str] = set()
         self._refused = False
         #: Sends that may have run.
@@ -158,10 +156,7 @@
         try:
             if answer.refusal is not None:
                 self._refused = True
-                trouble = (
-                    Trouble.NAMED if answer.refusal.is_misdirected else Trouble.FULL
-                )
-                self._routing.note_refusal(server_id, trouble, self._call.id)
+                self._routing.note_refusal(server_id, answer.refusal, self._call.id)
                 return None
             self.runs += 1
             body = b"".join([part async for part in answer.parts()])
--- a/src/violethatch/_routing.py
+++ b/src/violethatch/_routing.py
@@ -15,7 +15,7 @@
 from .runner_health import RunnerHealth, Trouble
 from .server_choice import ServerChoice
 from .stream_loads import StreamLoads
-from .upstream import RunnerClient
+from .upstream import Refusal, RunnerClient
 
 
 class Routing:
@@ -99,8 +99,9 @@
             list_revision=self.backends.revision,
         )
 
-    def note_refusal(self, server_id: str, trouble: Trouble, request_id: str) -> None:
+    def note_refusal(self, server_id: str, refusal: Refusal, request_id: str) -> None:
         """Take in that a server has refused a call without running it."""
+        trouble = Trouble.NAMED if refusal.is_misdirected else Trouble.FULL
         self.health.note(server_id, trouble, now_s=time.monotonic())
         events.log(
             events.SERVER_REFUSED,
@@ -113,12 +114,8 @@
         """Return a service's retry budget."""
         budget = self._budgets.get(service)
         if budget is None:
-            policy = self.settings.policy
-            bounds = self.settings.bounds
-            budget = RetryBudget(
-                ratio=bounds.retry_ratio * policy.retry_part,
-                reserve=self._reserve(),
-            )
+            ratio = self.settings.bounds.retry_ratio * self.settings.policy.retry_part
+            budget = RetryBudget(ratio=ratio, reserve=self._reserve())
             self._budgets[service] = budget
         return budget
 
--- a/src/violethatch/_stream_run.py
+++ b/src/violethatch/_stream_run.py
@@ -102,8 +102,7 @@
         """Leave the runner alone that a refusal names, or the first one."""
         assert answer.refusal is not None
         culprit = self._stage_at(answer.refusal.address) or self.path.first
-        trouble = Trouble.NAMED if answer.refusal.is_misdirected else Trouble.FULL
-        self._routing.note_refusal(culprit.id, trouble, self._call.id)
+        self._routing.note_refusal(culprit.id, answer.refusal, self._call.id)
 
     async def _await_progress(
         self, coming: asyncio.Future[Any], limit_s: float
@@ -180,7 +179,7 @@
                 outcome=order.outcome.value,
                 path=[stage.server.id for stage in path.stages],
             )
-            if order.outcome in (OrderOutcome.DONE, OrderOutcome.BEGUN):
+            if order.is_taken:
                 self.count_out()
                 self.path = path
                 self.count_in()
--- a/src/violethatch/_streams.py
+++ b/src/violethatch/_streams.py
@@ -73,9 +73,7 @@
         self._admitted = admitted
         self._service = admitted.service
         self._route = admitted.route
-        self._deadline_s = min(
-            call.deadline_s, call.received_s + admitted.route.timeout_s
-        )
+        self._deadline_s = call.deadline_within_s(admitted.route.timeout_s)
         self._progress = StreamProgress(last_id=call.last_event_id)
         self._tokens = _expected_tokens(call, admitted.service)
         self._avoided: frozenset[str] = frozenset()
--- a/src/violethatch/upstream.py
+++ b/src/violethatch/upstream.py
@@ -47,6 +47,10 @@
     last_event_id: int | None
     prompt_tokens: int | None
 
+    def deadline_within_s(self, timeout_s: float) -> float:
+        """Return until when the call may take, in monotonic seconds."""
+        return min(self.deadline_s, self.received_s + timeout_s)
+
 
 class Send(NamedTuple):
     """One send of a call to a backend server."""
@@ -137,6 +141,11 @@
     outcome: OrderOutcome
     address: str | None = None
 
+    @property
+    def is_taken(self) -> bool:
+        """Whether the runner carries the order out, or has done so."""
+        return self.outcome in (OrderOutcome.DONE, OrderOutcome.BEGUN)
+
 
 class RunnerReport(NamedTuple):
     """A runner's own report, which lags.
