--- a/src/violethatch/paths.py
+++ b/src/violethatch/paths.py
@@ -11,6 +11,7 @@
 from __future__ import annotations
 
 import itertools
+import math
 
 from collections import defaultdict
 from collections.abc import Mapping, Sequence
@@ -104,29 +105,18 @@
     """
     holders = [one for one in servers if one.layers and one.kind in engine.kinds]
     by_boundary = _holders_by_boundary(holders, engine)
-    reached: dict[int, dict[str, _Reached]] = defaultdict(dict)
-    pipe_ms = _pipe_ms(engine, pipe_fullness)
+    if first is not None:
+        by_boundary[0] = [one for one in by_boundary[0] if one.id == first.id]
+    search = _Search(
+        engine,
+        sorted(by_boundary),
+        zone=zone,
+        fullness=fullness or {},
+        pipe_ms=_pipe_ms(engine, pipe_fullness),
+    )
     for boundary in sorted(by_boundary):
-        arrivals = list(reached[boundary].values()) if boundary else [None]
-        for server in by_boundary[boundary]:
-            if boundary == 0 and first is not None and server.id != first.id:
-                continue
-            before, entry_ms = _best_entry(
-                arrivals, server, engine, zone=zone, pipe_ms=pipe_ms
-            )
-            if entry_ms is None:
-                continue
-            _extend(
-                reached,
-                server,
-                boundary,
-                sorted(by_boundary),
-                engine=engine,
-                slowness=_slowness((fullness or {}).get(server.id, 0.0)),
-                before=before,
-                entry_ms=entry_ms,
-            )
-    return _best_path(reached[engine.layer_count], engine)
+        search.go_on(boundary, by_boundary[boundary])
+    return _best_path(search.reached[engine.layer_count], engine)
 
 
 def _holders_by_boundary(
@@ -148,32 +138,91 @@
     }
 
 
-def _best_entry(
-    arrivals: Sequence[_Reached | None],
-    server: BackendServer,
-    engine: EngineSpec,
-    *,
-    zone: str,
-    pipe_ms: float,
-) -> tuple[_Reached | None, float | None]:
-    """Return the cheapest way into a runner, and its cost so far."""
-    best: _Reached | None = None
-    best_ms: float | None = None
-    for arrival in arrivals:
-        if arrival is None:
-            is_near = server.availability_zone == zone
-            return None, _HOP_MS if is_near else _HOP_MS + _ENTRY_MS
-        previous = arrival.stage.server
-        if previous.id == server.id:
-            continue
-        cost_ms = arrival.cost_ms + _HOP_MS
-        if previous.availability_zone != server.availability_zone:
-            cost_ms += pipe_ms + engine.delay_ms(
-                previous.availability_zone, server.availability_zone
-            )
-        if best_ms is None or cost_ms < best_ms:
-            best, best_ms = arrival, cost_ms
-    return best, best_ms
+class _Search:
+    """One search over layer boundaries, from the first to the last.
+
+    Args:
+        engine: The engine's figures.
+        boundaries: All boundaries, in rising order.
+        zone: The zone to stay in where possible.
+        fullness: By runner's id, the part of its room that is taken.
+        pipe_ms: What a hop between zones costs beside its delay, in ms.
+    """
+
+    def __init__(
+        self,
+        engine: EngineSpec,
+        boundaries: Sequence[int],
+        *,
+        zone: str,
+        fullness: Mapping[str, float],
+        pipe_ms: float,
+    ) -> None:
+        self._engine = engine
+        self._boundaries = boundaries
+        self._zone = zone
+        self._fullness = fullness
+        self._pipe_ms = pipe_ms
+        #: By boundary and runner's id, the best way that ends there.
+        self.reached: defaultdict[int, dict[str, _Reached]] = defaultdict(dict)
+
+    def go_on(self, boundary: int, servers: Sequence[BackendServer]) -> None:
+        """Go on from a boundary with each runner that can."""
+        arrivals = list(self.reached[boundary].values())
+        for server in servers:
+            if boundary == 0:
+                self._extend(server, boundary, None, self._start_ms(server))
+                continue
+            before, entry_ms = self._best_arrival(arrivals, server)
+            if before is not None:
+                self._extend(server, boundary, before, entry_ms)
+
+    def _start_ms(self, server: BackendServer) -> float:
+        """Return what sending the request to a first runner costs a token."""
+        is_near = server.availability_zone == self._zone
+        return _HOP_MS if is_near else _HOP_MS + _ENTRY_MS
+
+    def _best_arrival(
+        self, arrivals: Sequence[_Reached], server: BackendServer
+    ) -> tuple[_Reached | None, float]:
+        """Return the cheapest way into a runner, if any, and its cost so far."""
+        best: _Reached | None = None
+        best_ms = math.inf
+        zone = server.availability_zone
+        for arrival in arrivals:
+            previous = arrival.stage.server
+            if previous.id == server.id:
+                continue
+            cost_ms = arrival.cost_ms + _HOP_MS
+            if previous.availability_zone != zone:
+                cost_ms += self._pipe_ms + self._engine.delay_ms(
+                    previous.availability_zone, zone
+                )
+            if cost_ms < best_ms:
+                best, best_ms = arrival, cost_ms
+        return best, best_ms
+
+    def _extend(
+        self,
+        server: BackendServer,
+        boundary: int,
+        before: _Reached | None,
+        entry_ms: float,
+    ) -> None:
+        """Note each boundary that a runner reaches from *boundary*."""
+        if server.layers is None:
+            return
+        kind = self._engine.kinds[server.kind]
+        slowness = _slowness(self._fullness.get(server.id, 0.0))
+        for end in self._boundaries:
+            if not boundary < end <= server.layers.end:
+                continue
+            step_ms = self._engine.step_ms_of(kind, end - boundary) * slowness
+            cost_ms = entry_ms + step_ms
+            known = self.reached[end].get(server.id)
+            if known is None or cost_ms < known.cost_ms:
+                stage = Stage(server, LayerRange(boundary, end))
+                self.reached[end][server.id] = _Reached(cost_ms, stage, before)
 
 
 def _slowness(fullness: float) -> float:
@@ -190,32 +239,6 @@
     return _PIPE_WEIGHT * share_ms * _slowness(fullness)
 
 
-def _extend(
-    reached: Mapping[int, dict[str, _Reached]],
-    server: BackendServer,
-    boundary: int,
-    boundaries: Sequence[int],
-    *,
-    engine: EngineSpec,
-    slowness: float,
-    before: _Reached | None,
-    entry_ms: float,
-) -> None:
-    """Note each boundary that a runner reaches from *boundary*."""
-    if server.layers is None:
-        return
-    kind = engine.kinds[server.kind]
-    for end in boundaries:
-        if not boundary < end <= server.layers.end:
-            continue
-        step_ms = engine.step_ms_of(kind, end - boundary) * slowness
-        cost_ms = entry_ms + step_ms
-        known = reached[end].get(server.id)
-        if known is None or cost_ms < known.cost_ms:
-            stage = Stage(server, LayerRange(boundary, end))
-            reached[end][server.id] = _Reached(cost_ms, stage, before)
-
-
 def _best_path(ends: Mapping[str, _Reached], engine: EngineSpec) -> Path | None:
     """Follow the cheapest end back to the first layer."""
     for end in sorted(ends.values(), key=lambda one: one.cost_ms):
