Split long steps of plain calls and of the router's list

The choice of a server, what is sent to it and the reading of listed servers are steps of their own; a call's workspace is named by what admits it. Behaviour is unchanged.

--- a/src/violethatch/_plain_calls.py
+++ b/src/violethatch/_plain_calls.py
@@ -10,6 +10,7 @@
 
 from . import events
 from ._routing import Routing
+from .backends import BackendServer
 from .desired import Admitted
 from .errors import (
     DeadlineError,
@@ -112,30 +113,15 @@
         """
         routing = self._routing
         now_s = time.monotonic()
-        servers = routing.backends.usable(self._admitted.service.name)
-        avoided = self._tried | routing.health.resting(now_s=now_s)
-        server = routing.choice.choose(servers, avoided=avoided, now_s=now_s)
-        if server is None:
-            msg = "no backend server is listed"
-            raise ServiceUnreachableError(msg, retry_after_s=_NONE_RETRY_S)
+        server = self._choose(now_s)
         self._tried.add(server.id)
         self.sends += 1
         limit_s = self._limit_s(now_s)
-        send = Send(
-            call=self._call,
-            server=server,
-            path=None,
-            deadline_s=self._deadline_s,
-            priority=self._admitted.priority,
-            workspace=routing.workspace_name(self._admitted),
-            last_event_id=None,
-            is_connection_fresh=not self._route.is_repeatable,
-        )
         routing.choice.started(server.id)
         load: ServerLoad | None = None
         try:
             async with asyncio.timeout(limit_s):
-                answer = await routing.client.send(send)
+                answer = await routing.client.send(self._send_to(server))
                 load = answer.load
                 return await self._read(answer, server.id)
         except NotSentError as error:
@@ -150,6 +136,33 @@
             routing.choice.ended(server.id, load, now_s=time.monotonic())
         return None
 
+    def _choose(self, now_s: float) -> BackendServer:
+        """Return the server to send to.
+
+        Raises:
+            ServiceUnreachableError: No server is known.
+        """
+        servers = self._routing.backends.usable(self._admitted.service.name)
+        avoided = self._tried | self._routing.health.resting(now_s=now_s)
+        server = self._routing.choice.choose(servers, avoided=avoided, now_s=now_s)
+        if server is None:
+            msg = "no backend server is listed"
+            raise ServiceUnreachableError(msg, retry_after_s=_NONE_RETRY_S)
+        return server
+
+    def _send_to(self, server: BackendServer) -> Send:
+        """Return the call as it is sent to a server."""
+        return Send(
+            call=self._call,
+            server=server,
+            path=None,
+            deadline_s=self._deadline_s,
+            priority=self._admitted.priority,
+            workspace=self._admitted.workspace_name,
+            last_event_id=None,
+            is_connection_fresh=not self._route.is_repeatable,
+        )
+
     async def _read(self, answer: Answer, server_id: str) -> _Whole | None:
         """Read an answer whole; None if the server has not run the call."""
         is_whole = False
--- a/src/violethatch/_router.py
+++ b/src/violethatch/_router.py
@@ -13,6 +13,7 @@
 from ._router_metrics import RouterMetrics
 from ._routing import Routing
 from ._streams import StreamCall
+from .backends import BackendServer
 from .desired import Admitted, CallKind, DesiredState
 from .draining import StopPlan
 from .errors import (
@@ -131,14 +132,7 @@
     def take_servers(self, view: TableView, is_whole: bool) -> None:
         """Take the list of backend servers in."""
         now_s = time.monotonic()
-        present = []
-        for server_id, value in view.values.items():
-            if value is None:
-                continue
-            try:
-                present.append(self._decoder.backend_server(server_id, value))
-            except ValueError as error:
-                events.log(events.STATE_REFUSED, row=server_id, reason=str(error))
+        present = self._decoded_servers(view)
         backends = self.routing.backends
         if is_whole:
             change = backends.replace(present, now_s=now_s)
@@ -155,6 +149,18 @@
         for server_id in change.lost:
             self.routing.health.forget(server_id)
 
+    def _decoded_servers(self, view: TableView) -> list[BackendServer]:
+        """Return the servers of a list that can be understood."""
+        servers = []
+        for server_id, value in view.values.items():
+            if value is None:
+                continue
+            try:
+                servers.append(self._decoder.backend_server(server_id, value))
+            except ValueError as error:
+                events.log(events.STATE_REFUSED, row=server_id, reason=str(error))
+        return servers
+
     def store_returned(self) -> None:
         """Note that the list may be incomplete for a while."""
         self.routing.backends.store_returned(now_s=time.monotonic())
@@ -237,7 +243,7 @@
             request_id=call.id,
             route=admitted.route.name,
             service=admitted.service.name,
-            workspace=self.routing.workspace_name(admitted),
+            workspace=admitted.workspace_name,
             status=status,
             sends=sends,
             moves=moves,
--- a/src/violethatch/_routing.py
+++ b/src/violethatch/_routing.py
@@ -8,7 +8,7 @@
 
 from . import events
 from .backends import BackendServer, BackendTable
-from .desired import Admitted, ServiceSpec
+from .desired import ServiceSpec
 from .paths import Path, find_path
 from .retries import RetryBudget
 from .router_settings import RouterSettings
@@ -45,10 +45,6 @@
             events.log(events.RETRIES_SPENT, service=service)
         return is_paid
 
-    def workspace_name(self, admitted: Admitted) -> str | None:
-        """Return the workspace that a backend server is told."""
-        return admitted.workspace.name if admitted.workspace else None
-
     def path(
         self,
         service: ServiceSpec,
--- a/src/violethatch/_streams.py
+++ b/src/violethatch/_streams.py
@@ -150,7 +150,7 @@
             path=path,
             deadline_s=self._deadline_s,
             priority=self._admitted.priority,
-            workspace=self._routing.workspace_name(self._admitted),
+            workspace=self._admitted.workspace_name,
             last_event_id=self._progress.last_id,
             is_connection_fresh=not self._route.is_resumable,
         )
--- a/src/violethatch/desired.py
+++ b/src/violethatch/desired.py
@@ -110,6 +110,11 @@
     service: ServiceSpec
     workspace: WorkspaceEntry | None
 
+    @property
+    def workspace_name(self) -> str | None:
+        """The workspace that a backend server is told, if there is one."""
+        return self.workspace.name if self.workspace else None
+
     @property
     def priority(self) -> int:
         """The call's priority, 0 first; the workspace's goes before the route's."""
