Split the platform's listeners and runners by their jobs

Reading requests, answering callers and making sessions are modules of their own, bare numbers have names, and a revision of health that nobody read is gone. Behaviour is unchanged.

--- a/src/violethatch/platform/_headers.py
+++ b/src/violethatch/platform/_headers.py
@@ -58,6 +58,11 @@
 )
 
 
+def decoded(raw: Iterable[tuple[bytes, bytes]]) -> list[tuple[str, str]]:
+    """Return headers as text, each byte as one character."""
+    return [(name.decode("latin-1"), value.decode("latin-1")) for name, value in raw]
+
+
 def passed_on(headers: Iterable[tuple[str, str]]) -> list[tuple[str, str]]:
     """Return a request's headers that go on to a server as they are."""
     return _without(headers, _OF_CONNECTION | _SET_BY_US)
--- a/src/violethatch/platform/_listener.py
+++ b/src/violethatch/platform/_listener.py
@@ -18,86 +18,29 @@
 from .. import events
 from .._problems import problem_response
 from .._router import Router
-from ..errors import BadRequestError, BodyTooLargeError, VioletHatchError
-from ..upstream import Call, Headers
+from ..errors import VioletHatchError
+from ..upstream import Call
 from . import _headers
+from ._requests import read_call
+from ._responder import CallerResponder
 
 
-_MS_PER_S = 1000.0
-#: How long a call without a deadline may take, in seconds.
-_NO_DEADLINE_S = 60.0
 #: The largest body before any desired state says so, in bytes.
 _BODY_BYTES = 4_194_304
 #: How long idle callers' connections are kept, in seconds; callers use them
 #: for four fifths of the time that the desired state gives (15 s).
 _KEEP_S = 16.0
+#: The longest request line and header field, in bytes: what the desired state
+#: allows for all headers unless it says otherwise.
+_LINE_BYTES = 16_384
+#: How long connections get to close at the end, in seconds.
+_CLOSE_S = 0.1
+#: Connections that may wait to be accepted.
+_BACKLOG = 512
 _OK = 200
 _UNAVAILABLE = 503
 
 
-class _Unframed(StreamResponse):
-    """An answer that ends with its connection, and doesn't claim to be whole."""
-
-    _length_check = False
-
-
-class _Responder:
-    """Answers one caller."""
-
-    def __init__(self, request: BaseRequest, *, is_last: bool) -> None:
-        self._request = request
-        self._is_last = is_last
-        self.response: StreamResponse | None = None
-
-    async def answer(
-        self, status: int, headers: Headers, body: bytes, *, is_framed: bool = True
-    ) -> None:
-        """Give an answer; one that isn't framed ends with its connection."""
-        if not is_framed:
-            await self.start(status, headers, is_framed=False)
-            await self.write(body)
-            await self.finish()
-            return
-        self.response = Response(status=status, body=body)
-        self._fill(self.response, headers)
-        await self.response.prepare(self._request)
-        await self.response.write_eof()
-
-    async def start(
-        self, status: int, headers: Headers, *, is_framed: bool = True
-    ) -> None:
-        """Begin an answer that comes in parts."""
-        kind = StreamResponse if is_framed else _Unframed
-        self.response = kind(status=status)
-        self._fill(self.response, headers)
-        if not is_framed:
-            self.response.force_close()
-        await self.response.prepare(self._request)
-
-    async def write(self, data: bytes) -> None:
-        """Give a part of the answer."""
-        assert self.response is not None
-        await self.response.write(data)
-
-    async def finish(self) -> None:
-        """End the answer as whole."""
-        assert self.response is not None
-        await self.response.write_eof()
-
-    def abort(self) -> None:
-        """Break the answer off, so that it can't be taken for whole."""
-        if self._request.transport is not None:
-            self._request.transport.abort()
-
-    def _fill(self, response: StreamResponse, headers: Headers) -> None:
-        """Put a server's headers in, and none of our own."""
-        response.headers.popall("Content-Type", None)
-        for name, value in headers:
-            response.headers.add(name, value)
-        if self._is_last:
-            response.force_close()
-
-
 class CallersListener:
     """Takes callers' requests and hands them to the router."""
 
@@ -108,8 +51,8 @@
             access_log=None,
             handler_cancellation=True,
             keepalive_timeout=_KEEP_S,
-            max_line_size=16_384,
-            max_field_size=16_384,
+            max_line_size=_LINE_BYTES,
+            max_field_size=_LINE_BYTES,
             auto_decompress=False,
         )
 
@@ -119,17 +62,19 @@
 
     async def close(self) -> None:
         """Close all connections."""
-        await self._server.shutdown(timeout=0.1)
+        await self._server.shutdown(timeout=_CLOSE_S)
 
     async def _handle(self, request: BaseRequest) -> StreamResponse:
         """Serve one request."""
         started_s = time.monotonic()
         is_last = self._router.stop_plan.is_stopping
-        responder = _Responder(request, is_last=is_last)
+        responder = CallerResponder(request, is_last=is_last)
         call_id = request.headers.get(_headers.CALL_ID, "")
         call: Call | None = None
         try:
-            call = await self._read(request, call_id, started_s)
+            call = await read_call(
+                request, received_s=started_s, body_limit=self._body_limit()
+            )
             await self._router.serve(call, responder)
         except VioletHatchError as error:
             age_s = time.monotonic() - started_s
@@ -149,50 +94,10 @@
             responder.abort()
         return responder.response or Response(status=_UNAVAILABLE)
 
-    async def _read(self, request: BaseRequest, call_id: str, started_s: float) -> Call:
-        """Read a request whole.
-
-        Raises:
-            BadRequestError: Its headers can't be understood.
-            BodyTooLargeError: Its body is too large.
-        """
-        body = b""
-        if request.can_read_body:
-            body = await self._read_body(request)
-        headers = [
-            (name.decode("latin-1"), value.decode("latin-1"))
-            for name, value in request.raw_headers
-        ]
-        key = request.headers.get("Authorization")
-        return Call(
-            id=call_id,
-            method=request.method,
-            host=request.headers.get("Host", "").partition(":")[0].lower(),
-            target=request.raw_path,
-            headers=_headers.passed_on(headers),
-            body=body,
-            key=_key(key),
-            received_s=started_s,
-            deadline_s=started_s + _deadline_s(request),
-            last_event_id=_last_event_id(request),
-            prompt_tokens=_prompt_tokens(request),
-        )
-
-    async def _read_body(self, request: BaseRequest) -> bytes:
-        """Read a body within the limit.
-
-        Raises:
-            BodyTooLargeError: It is too large.
-        """
+    def _body_limit(self) -> int:
+        """Return the most bytes that a body may have."""
         desired = self._router.desired
-        limit = desired.limits.body_bytes if desired else _BODY_BYTES
-        body = bytearray()
-        async for part in request.content.iter_any():
-            body += part
-            if len(body) > limit:
-                msg = f"more than {limit} bytes"
-                raise BodyTooLargeError(msg)
-        return bytes(body)
+        return desired.limits.body_bytes if desired else _BODY_BYTES
 
     def _problem(self, error: VioletHatchError) -> Response:
         """Return an error's answer."""
@@ -215,12 +120,12 @@
 
     def __init__(self, router: Router) -> None:
         self._router = router
-        self._servers = [Server(self._ready, access_log=None)]
+        self._readiness = Server(self._ready, access_log=None)
         self._metrics = Server(self._tell, access_log=None)
 
     async def start(self, endpoint: str, metrics_port: int) -> None:
         """Listen for both on the same IP number."""
-        await _listen(self._servers[0], endpoint)
+        await _listen(self._readiness, endpoint)
         if metrics_port:
             address = endpoint.partition(":")[0]
             await _listen(self._metrics, f"{address}:{metrics_port}")
@@ -247,49 +152,4 @@
     def connect() -> RequestHandler:
         return server()
 
-    await loop.create_server(connect, address, int(port), backlog=512)
-
-
-def _key(authorization: str | None) -> str | None:
-    """Return the caller's key, if there is one."""
-    if authorization is None or not authorization.startswith(_headers.KEY_SCHEME):
-        return None
-    return authorization.removeprefix(_headers.KEY_SCHEME).strip()
-
-
-def _deadline_s(request: BaseRequest) -> float:
-    """Return how long the caller waits, in seconds.
-
-    Raises:
-        BadRequestError: The header is no number.
-    """
-    text = request.headers.get(_headers.DEADLINE_MS)
-    if text is None:
-        return _NO_DEADLINE_S
-    try:
-        return float(text) / _MS_PER_S
-    except ValueError:
-        msg = f"{_headers.DEADLINE_MS} is no number"
-        raise BadRequestError(msg) from None
-
-
-def _prompt_tokens(request: BaseRequest) -> int | None:
-    """Return the size of the prompt, if the caller tells it."""
-    prompt, _, _ = request.headers.get(_headers.TOKEN_COUNT, "").partition(",")
-    return int(prompt) if prompt.isdecimal() else None
-
-
-def _last_event_id(request: BaseRequest) -> int | None:
-    """Return the event after which the caller resumes a stream, if it does.
-
-    Raises:
-        BadRequestError: The header is no number.
-    """
-    text = request.headers.get(_headers.LAST_EVENT_ID)
-    if text is None:
-        return None
-    try:
-        return int(text)
-    except ValueError:
-        msg = f"{_headers.LAST_EVENT_ID} is no number"
-        raise BadRequestError(msg) from None
+    await loop.create_server(connect, address, int(port), backlog=_BACKLOG)
--- a/src/violethatch/platform/_process.py
+++ b/src/violethatch/platform/_process.py
@@ -24,7 +24,8 @@
 from ..router_settings import RouterSettings, load_router_settings
 from ..upstream import TableView
 from ._listener import CallersListener, ReadinessListener
-from ._runners import Runners, make_session
+from ._runners import Runners
+from ._sessions import make_session
 from ._store import Store
 from ._wire import WireDecoder
 
--- /dev/null
+++ b/src/violethatch/platform/_requests.py
@@ -0,0 +1,107 @@
+# SPDX-License-Identifier: MIT
+"""Callers' requests, read whole."""
+
+from __future__ import annotations
+
+from aiohttp.web_request import BaseRequest
+
+from ..errors import BadRequestError, BodyTooLargeError
+from ..upstream import Call
+from . import _headers
+
+
+_MS_PER_S = 1000.0
+#: How long a call without a deadline may take, in seconds.
+_NO_DEADLINE_S = 60.0
+
+
+async def read_call(
+    request: BaseRequest, *, received_s: float, body_limit: int
+) -> Call:
+    """Read a request whole.
+
+    Args:
+        request: The request, its body still to come.
+        received_s: When it came, in monotonic seconds.
+        body_limit: The most bytes that its body may have.
+
+    Raises:
+        BadRequestError: Its headers can't be understood.
+        BodyTooLargeError: Its body is too large.
+    """
+    body = b""
+    if request.can_read_body:
+        body = await _read_body(request, body_limit)
+    return Call(
+        id=request.headers.get(_headers.CALL_ID, ""),
+        method=request.method,
+        host=request.headers.get("Host", "").partition(":")[0].lower(),
+        target=request.raw_path,
+        headers=_headers.passed_on(_headers.decoded(request.raw_headers)),
+        body=body,
+        key=_key(request.headers.get("Authorization")),
+        received_s=received_s,
+        deadline_s=received_s + _deadline_s(request),
+        last_event_id=_last_event_id(request),
+        prompt_tokens=_prompt_tokens(request),
+    )
+
+
+async def _read_body(request: BaseRequest, limit: int) -> bytes:
+    """Read a body within the limit.
+
+    Raises:
+        BodyTooLargeError: It is too large.
+    """
+    body = bytearray()
+    async for part in request.content.iter_any():
+        body += part
+        if len(body) > limit:
+            msg = f"more than {limit} bytes"
+            raise BodyTooLargeError(msg)
+    return bytes(body)
+
+
+def _key(authorization: str | None) -> str | None:
+    """Return the caller's key, if there is one."""
+    if authorization is None or not authorization.startswith(_headers.KEY_SCHEME):
+        return None
+    return authorization.removeprefix(_headers.KEY_SCHEME).strip()
+
+
+def _deadline_s(request: BaseRequest) -> float:
+    """Return how long the caller waits, in seconds.
+
+    Raises:
+        BadRequestError: The header is no number.
+    """
+    text = request.headers.get(_headers.DEADLINE_MS)
+    if text is None:
+        return _NO_DEADLINE_S
+    try:
+        return float(text) / _MS_PER_S
+    except ValueError:
+        msg = f"{_headers.DEADLINE_MS} is no number"
+        raise BadRequestError(msg) from None
+
+
+def _prompt_tokens(request: BaseRequest) -> int | None:
+    """Return the size of the prompt, if the caller tells it."""
+    prompt, _, _ = request.headers.get(_headers.TOKEN_COUNT, "").partition(",")
+    return int(prompt) if prompt.isdecimal() else None
+
+
+def _last_event_id(request: BaseRequest) -> int | None:
+    """Return the event after which the caller resumes a stream, if it does.
+
+    Raises:
+        BadRequestError: The header is no number.
+    """
+    text = request.headers.get(_headers.LAST_EVENT_ID)
+    if text is None:
+        return None
+    try:
+        return int(text)
+    except ValueError:
+        msg = f"{_headers.LAST_EVENT_ID} is no number"
+        raise BadRequestError(msg) from None
--- /dev/null
+++ b/src/violethatch/platform/_responder.py
@@ -0,0 +1,72 @@
+# SPDX-License-Identifier: MIT
+"""Answers to callers, whole or in parts."""
+
+from __future__ import annotations
+
+from aiohttp.web_request import BaseRequest
+from aiohttp.web_response import Response, StreamResponse
+
+from ..upstream import Headers
+
+
+class _Unframed(StreamResponse):
+    """An answer that ends with its connection, and doesn't claim to be whole."""
+
+    _length_check = False
+
+
+class CallerResponder:
+    """Answers one caller."""
+
+    def __init__(self, request: BaseRequest, *, is_last: bool) -> None:
+        self._request = request
+        self._is_last = is_last
+        self.response: StreamResponse | None = None
+
+    async def answer(
+        self, status: int, headers: Headers, body: bytes, *, is_framed: bool = True
+    ) -> None:
+        """Give an answer; one that isn't framed ends with its connection."""
+        if not is_framed:
+            await self.start(status, headers, is_framed=False)
+            await self.write(body)
+            await self.finish()
+            return
+        self.response = Response(status=status, body=body)
+        self._fill(self.response, headers)
+        await self.response.prepare(self._request)
+        await self.response.write_eof()
+
+    async def start(
+        self, status: int, headers: Headers, *, is_framed: bool = True
+    ) -> None:
+        """Begin an answer that comes in parts."""
+        kind = StreamResponse if is_framed else _Unframed
+        self.response = kind(status=status)
+        self._fill(self.response, headers)
+        if not is_framed:
+            self.response.force_close()
+        await self.response.prepare(self._request)
+
+    async def write(self, data: bytes) -> None:
+        """Give a part of the answer."""
+        assert self.response is not None
+        await self.response.write(data)
+
+    async def finish(self) -> None:
+        """End the answer as whole."""
+        assert self.response is not None
+        await self.response.write_eof()
+
+    def abort(self) -> None:
+        """Break the answer off, so that it can't be taken for whole."""
+        if self._request.transport is not None:
+            self._request.transport.abort()
+
+    def _fill(self, response: StreamResponse, headers: Headers) -> None:
+        """Put a server's headers in, and none of our own."""
+        response.headers.popall("Content-Type", None)
+        for name, value in headers:
+            response.headers.add(name, value)
+        if self._is_last:
+            response.force_close()
--- /dev/null
+++ b/src/violethatch/platform/_sessions.py
@@ -0,0 +1,78 @@
+# SPDX-License-Identifier: MIT
+"""HTTP sessions that add nothing to a request and give up dead peers."""
+
+from __future__ import annotations
+
+import asyncio
+import functools
+import socket
+
+from typing import Any, cast
+
+import aiohttp
+
+from aiohttp.client_proto import ResponseHandler
+
+
+#: How long a connection may take to come about, in seconds: a lost opening
+#: packet is sent again after one.
+_CONNECT_S = 0.6
+#: How long idle connections are kept, in seconds; servers close theirs
+#: earlier than they say now and then.
+_KEEP_S = 4.0
+#: After how long unacknowledged bytes end a connection, in ms.
+_UNACKED_MS = 3000
+#: What aiohttp would add to a request.
+_NOT_ADDED = ("Accept", "Accept-Encoding", "User-Agent", "Content-Type")
+#: How much of an answer is read ahead of who takes it, in bytes.
+_READ_BUFFER_BYTES = 65_536
+
+
+class _Connection(ResponseHandler):
+    """Tells an answer without a length that was reset from one that is whole."""
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Spoil the answer under way if the connection broke."""
+        payload = self._payload
+        if exc is not None and payload is not None and not payload.is_eof():
+            payload.set_exception(aiohttp.ClientPayloadError("connection reset"))
+        super().connection_lost(exc)
+
+
+def _make_socket(address: Any) -> socket.socket:
+    """Return a socket that gives a dead peer up."""
+    family, kind, protocol, *_ = address
+    made = socket.socket(family, kind, protocol)
+    made.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    made.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, _UNACKED_MS)
+    return made
+
+
+def make_session(*, is_kept: bool) -> aiohttp.ClientSession:
+    """Return a session that adds nothing to what is sent.
+
+    Args:
+        is_kept: Whether connections are used again.
+    """
+    options: dict[str, Any] = (
+        {"keepalive_timeout": _KEEP_S} if is_kept else {"force_close": True}
+    )
+    connector = aiohttp.TCPConnector(
+        limit=0, use_dns_cache=False, socket_factory=_make_socket, **options
+    )
+    loop = asyncio.get_running_loop()
+    connector._factory = cast(
+        "functools.partial[ResponseHandler]",
+        functools.partial(_Connection, loop=loop),
+    )
+    session = aiohttp.ClientSession(
+        connector=connector,
+        cookie_jar=aiohttp.DummyCookieJar(),
+        auto_decompress=False,
+        skip_auto_headers=_NOT_ADDED,
+        timeout=aiohttp.ClientTimeout(total=None, sock_connect=_CONNECT_S),
+        read_bufsize=_READ_BUFFER_BYTES,
+    )
+    # A send that is repeated without our knowing would not be counted.
+    session._retry_connection = False
+    return session
--- a/src/violethatch/runner_health.py
+++ b/src/violethatch/runner_health.py
@@ -55,8 +55,6 @@
     """
 
     def __init__(self) -> None:
-        #: Grows with each change, so that what is derived can be cached.
-        self.revision = 0
         self._rests: dict[str, _Rest] = {}
 
     def note(self, server_id: str, trouble: Trouble, *, now_s: float) -> None:
@@ -70,12 +68,10 @@
         if known is not None and known.until_s > now_s + length_s:
             return
         self._rests[server_id] = _Rest(trouble, now_s + length_s, length_s)
-        self.revision += 1
 
     def worked(self, server_id: str) -> None:
         """Note that a server did its work."""
-        if self._rests.pop(server_id, None) is not None:
-            self.revision += 1
+        self._rests.pop(server_id, None)
 
     def is_resting(self, server_id: str, *, now_s: float) -> bool:
         """Tell whether a server is left alone now."""
