Name the placement's orders and the bare numbers of waits

An order to a runner has a type, a service's plan is a step of its own, and limits of waits and priorities have names. Behaviour is unchanged.

--- a/src/violethatch/_followers.py
+++ b/src/violethatch/_followers.py
@@ -16,6 +16,11 @@
 from .upstream import HistoryGoneError, TableSource, TableView
 
 
+#: Parts of the pause between retries that are drawn from, so that instances
+#: don't ask all at once.
+_PAUSE_PARTS = (0.75, 1.5)
+
+
 class TableFollower:
     """Keeps up with one table and with the age of what it knows.
 
@@ -64,7 +69,7 @@
             except TableUnavailableError as error:
                 self._note_away(error)
                 pause_s = self._settings.retry_pause_s
-                await asyncio.sleep(pause_s * self._rng.uniform(0.75, 1.5))
+                await asyncio.sleep(pause_s * self._rng.uniform(*_PAUSE_PARTS))
 
     async def _read_once(self) -> None:
         """Read the table or its next changes, and take them in."""
--- a/src/violethatch/_placement_lease.py
+++ b/src/violethatch/_placement_lease.py
@@ -19,6 +19,10 @@
 _JOB = "placement"
 #: Longest random pause before a try for the lease, in seconds.
 _SPREAD_S = 0.8
+#: Parts of half the lease's duration between tries that are drawn from.
+_PAUSE_PARTS = (0.8, 1.3)
+#: How many renewals there are in the time of a lease.
+_RENEWALS = 3
 
 
 class LeaseWrite(NamedTuple):
@@ -109,7 +113,7 @@
 
     async def renew(self, now_s: float) -> None:
         """Renew the lease in good time."""
-        if self._lease.age_s(now_s=now_s) < self._lease.duration_s / 3:
+        if self._lease.age_s(now_s=now_s) < self._lease.duration_s / _RENEWALS:
             return
         await self._write(self._lease.wanted_write(now_s=now_s), now_s)
 
@@ -147,7 +151,7 @@
 
     def _delay_try(self) -> None:
         """Leave the lease alone for a while."""
-        pause_s = self._lease.duration_s / 2 * self._rng.uniform(0.8, 1.3)
+        pause_s = self._lease.duration_s / 2 * self._rng.uniform(*_PAUSE_PARTS)
         self._next_try_s = time.monotonic() + pause_s
 
 
--- a/src/violethatch/_placing.py
+++ b/src/violethatch/_placing.py
@@ -11,6 +11,8 @@
 import random
 import time
 
+from typing import NamedTuple
+
 from . import events
 from ._fleet_watch import FleetWatch
 from ._placement_lease import LeaseStore, PlacementLease
@@ -38,6 +40,14 @@
 _ORDERS_AT_ONCE = 8
 
 
+class _Order(NamedTuple):
+    """A runner of a service, and the layers that it is to hold."""
+
+    service: ServiceSpec
+    server: BackendServer
+    layers: LayerRange
+
+
 class PlacementDuty:
     """Keeps the model's layers held, by orders under a lease.
 
@@ -88,9 +98,9 @@
     async def _look(self) -> None:
         """Give the orders that are due, if this process may."""
         now_s = time.monotonic()
-        plans = self._due_orders(now_s)
+        orders = self._due_orders(now_s)
         self._forget_done(now_s)
-        if not plans:
+        if not orders:
             if not self._ordered:
                 if now_s - self._last_order_s >= _RESIGN_PAUSE_S:
                     await self.resign()
@@ -101,34 +111,36 @@
             return
         if not await self._lease.hold(now_s):
             return
-        await self._give(plans)
+        await self._give(orders)
 
-    def _due_orders(
-        self, now_s: float
-    ) -> list[tuple[ServiceSpec, BackendServer, LayerRange]]:
-        """Return the orders that the plan asks for and nobody waits for."""
+    def _due_orders(self, now_s: float) -> list[_Order]:
+        """Return the orders that the plans ask for and nobody waits for."""
         if self.desired is None:
             return []
-        due = []
-        for service in self.desired.services.values():
-            if service.engine is None:
-                continue
-            servers = {
-                one.id: one for one in self._routing.backends.usable(service.name)
-            }
-            if not self._watch.is_settled(servers, ordered=self._ordered, now_s=now_s):
-                continue
-            hosts = [self._host(server) for server in servers.values()]
-            plan = plan_placement(
-                hosts,
-                service.engine,
-                copying=self._watch.idle_for_long(servers, now_s=now_s),
-                is_repairing=self._watch.is_at_rest(servers, now_s=now_s),
-            )
-            for server_id, layers in plan.items():
-                if now_s >= self._rest_until_s.get(server_id, 0.0):
-                    due.append((service, servers[server_id], layers))
-        return due
+        return [
+            order
+            for service in self.desired.services.values()
+            for order in self._planned_orders(service, now_s)
+            if now_s >= self._rest_until_s.get(order.server.id, 0.0)
+        ]
+
+    def _planned_orders(self, service: ServiceSpec, now_s: float) -> list[_Order]:
+        """Return the orders that a service's plan asks for now."""
+        if service.engine is None:
+            return []
+        servers = {one.id: one for one in self._routing.backends.usable(service.name)}
+        if not self._watch.is_settled(servers, ordered=self._ordered, now_s=now_s):
+            return []
+        plan = plan_placement(
+            [self._host(server) for server in servers.values()],
+            service.engine,
+            copying=self._watch.idle_for_long(servers, now_s=now_s),
+            is_repairing=self._watch.is_at_rest(servers, now_s=now_s),
+        )
+        return [
+            _Order(service, servers[server_id], layers)
+            for server_id, layers in plan.items()
+        ]
 
     def _host(self, server: BackendServer) -> Host:
         """Return a runner as placement sees it, with what it was ordered."""
@@ -144,24 +156,19 @@
                 del self._ordered[server_id]
                 self._last_order_s = now_s
 
-    async def _give(
-        self, plans: list[tuple[ServiceSpec, BackendServer, LayerRange]]
-    ) -> None:
+    async def _give(self, orders: list[_Order]) -> None:
         """Give orders, some at a time."""
         gate = asyncio.Semaphore(_ORDERS_AT_ONCE)
 
-        async def one(
-            service: ServiceSpec, server: BackendServer, layers: LayerRange
-        ) -> None:
+        async def one(order: _Order) -> None:
             async with gate:
-                await self._order(service, server, layers)
+                await self._give_one(order)
 
-        await asyncio.gather(*(one(*plan) for plan in plans))
+        await asyncio.gather(*(one(order) for order in orders))
 
-    async def _order(
-        self, service: ServiceSpec, server: BackendServer, layers: LayerRange
-    ) -> None:
-        """Order one runner to hold a range, if it is still the same runner."""
+    async def _give_one(self, order: _Order) -> None:
+        """Order one runner to hold a range, if the list is right about it."""
+        server = order.server
         report = await self._routing.client.report(server)
         epoch = self._lease.epoch
         if epoch is None:
@@ -181,29 +188,29 @@
             self._rest(server.id)
             return
         answer = await self._routing.client.place(
-            server, layers, fence=epoch, expected_sequence=report.sequence
+            server, order.layers, fence=epoch, expected_sequence=report.sequence
         )
         events.log(
             events.ORDER_DONE if answer.is_taken else events.ORDER_REFUSED,
             server_id=server.id,
-            layers=list(layers),
+            layers=list(order.layers),
             epoch=epoch,
             outcome=answer.outcome.value,
         )
         if answer.is_taken:
-            self._note_taken(service, server, layers)
+            self._note_taken(order)
         else:
             self._rest(server.id)
 
-    def _note_taken(
-        self, service: ServiceSpec, server: BackendServer, layers: LayerRange
-    ) -> None:
+    def _note_taken(self, order: _Order) -> None:
         """Wait for the list to show an order's outcome."""
-        assert service.engine is not None
-        share = layers.size / service.engine.layer_count
-        wait_s = _LIST_LAG_S + _LOAD_PATIENCE * service.engine.load_s * share
+        engine = order.service.engine
+        assert engine is not None
+        share = order.layers.size / engine.layer_count
+        wait_s = _LIST_LAG_S + _LOAD_PATIENCE * engine.load_s * share
         self._last_order_s = time.monotonic()
-        self._ordered[server.id] = (layers, self._last_order_s + wait_s)
+        until_s = self._last_order_s + wait_s
+        self._ordered[order.server.id] = (order.layers, until_s)
 
     def _rest(self, server_id: str) -> None:
         """Leave a runner without orders for a while."""
--- a/src/violethatch/_plain_calls.py
+++ b/src/violethatch/_plain_calls.py
@@ -37,6 +37,9 @@
 _NONE_RETRY_S = 0.5
 #: The most sends of one call, refusals and failed connections included.
 _MOST_SENDS = 4
+#: Into how many parts what is left of a call's time goes, of which a send that
+#: can be followed by another gets one.
+_TIME_PARTS = 3
 _SERVER_ERROR = 500
 
 
@@ -200,7 +203,7 @@
         is_last = self.runs + 1 >= self._route.max_attempts
         if not self._route.is_repeatable or is_last:
             return left_s
-        return min(left_s, max(self._route.target_latency_s, left_s / 3))
+        return min(left_s, max(self._route.target_latency_s, left_s / _TIME_PARTS))
 
     def _note_late(self, server_id: str, limit_s: float) -> None:
         """Log that a server did not answer in time, and leave it alone."""
--- a/src/violethatch/platform/_runners.py
+++ b/src/violethatch/platform/_runners.py
@@ -39,6 +39,8 @@
 _FENCED = 412
 _MISDIRECTED = 421
 _MS_PER_S = 1000.0
+#: The last of the priorities that the platform knows; 0 is the first.
+_LAST_PRIORITY = 9
 #: How long a report may take, in seconds: a slow way and back, and its work.
 _REPORT_S = 0.25
 #: How long an order's answer may take, in seconds.
@@ -212,7 +214,7 @@
     headers = CIMultiDict(send.call.headers)
     headers[_headers.DEADLINE_MS] = str(int(left_ms))
     headers[_headers.TARGET] = send.server.id
-    headers[_headers.PRIORITY] = str(max(0, min(9, send.priority)))
+    headers[_headers.PRIORITY] = str(max(0, min(_LAST_PRIORITY, send.priority)))
     if send.workspace is not None:
         headers[_headers.WORKSPACE] = send.workspace
     if send.last_event_id is not None:
