Count runs once, expire lapsed servers everywhere, close late heads

Cause: found on reading: a timeout within a body counted its run twice; lapsed entries of plain services never expired; a head that came while its run was given up on stayed open at the runner; a named runner was not left out after a silence before the head; two services with engines shared one view of rest; what was learnt of lost servers was kept for ever; a retry was paid for before there was a path; a spoilt row ended the process; a deadline that is no number was taken; a status that means "not run" was passed on for a call that had run. Ruled out: nothing; each is a fault of its own. Change: one line or two for each; tests for those that show. The process tests take ports that nobody else is given: one had lost its port between choice and use, once.

--- a/src/violethatch/_placing.py
+++ b/src/violethatch/_placing.py
@@ -11,6 +11,7 @@
 import random
 import time
 
+from collections import defaultdict
 from typing import NamedTuple
 
 from . import events
@@ -71,7 +72,7 @@
         self._lease = PlacementLease(
             store, holder=holder, policy=routing.settings.policy, rng=rng
         )
-        self._watch = FleetWatch()
+        self._watches: defaultdict[str, FleetWatch] = defaultdict(FleetWatch)
         #: By runner, what it was ordered and until when that is waited for.
         self._ordered: dict[str, tuple[LayerRange, float]] = {}
         self._rest_until_s: dict[str, float] = {}
@@ -100,6 +101,7 @@
         now_s = time.monotonic()
         orders = self._due_orders(now_s)
         self._forget_done(now_s)
+        self._forget_rests(now_s)
         if not orders:
             if not self._ordered:
                 if now_s - self._last_order_s >= _RESIGN_PAUSE_S:
@@ -128,14 +130,15 @@
         """Return the orders that a service's plan asks for now."""
         if service.engine is None:
             return []
-        servers = {one.id: one for one in self._routing.backends.usable(service.name)}
-        if not self._watch.is_settled(servers, ordered=self._ordered, now_s=now_s):
+        servers = {one.id: one for one in self._routing.usable(service.name)}
+        watch = self._watches[service.name]
+        if not watch.is_settled(servers, ordered=self._ordered, now_s=now_s):
             return []
         plan = plan_placement(
             [self._host(server) for server in servers.values()],
             service.engine,
-            copying=self._watch.idle_for_long(servers, now_s=now_s),
-            is_repairing=self._watch.is_at_rest(servers, now_s=now_s),
+            copying=watch.idle_for_long(servers, now_s=now_s),
+            is_repairing=watch.is_at_rest(servers, now_s=now_s),
         )
         return [
             _Order(service, servers[server_id], layers)
@@ -148,6 +151,12 @@
         held = ordered[0] if ordered else server.layers
         return Host(server.id, server.availability_zone, server.kind, held)
 
+    def _forget_rests(self, now_s: float) -> None:
+        """Forget the rests that are over."""
+        for server_id, until_s in list(self._rest_until_s.items()):
+            if now_s >= until_s:
+                del self._rest_until_s[server_id]
+
     def _forget_done(self, now_s: float) -> None:
         """Forget orders that the list shows or that took too long."""
         for server_id, (layers, until_s) in list(self._ordered.items()):
--- a/src/violethatch/_plain_calls.py
+++ b/src/violethatch/_plain_calls.py
@@ -41,6 +41,8 @@
 #: can be followed by another gets one.
 _TIME_PARTS = 3
 _SERVER_ERROR = 500
+#: Statuses by which callers understand that nothing has run.
+_SAYS_NOT_RUN = (408, 421, 429, 503)
 
 
 class _Whole(NamedTuple):
@@ -91,6 +93,8 @@
             answer = await self._send_once()
             if answer is None:
                 continue
+            if not self._route.is_repeatable and answer.status in _SAYS_NOT_RUN:
+                break  # it has run, so that these would say what is not true
             if answer.status < _SERVER_ERROR or not self._route.is_repeatable:
                 return await answer.give(responder)
             failed = answer
@@ -126,7 +130,9 @@
             async with asyncio.timeout(limit_s):
                 answer = await routing.client.send(self._send_to(server))
                 load = answer.load
-                return await self._read(answer, server.id)
+                whole = await self._read(answer, server.id)
+            self.runs += whole is not None
+            return whole
         except NotSentError as error:
             routing.note_trouble(server, Trouble.SILENT, self._call.id, str(error))
         except AnswerLostError as error:
@@ -145,7 +151,7 @@
         Raises:
             ServiceUnreachableError: No server is known.
         """
-        servers = self._routing.backends.usable(self._admitted.service.name)
+        servers = self._routing.usable(self._admitted.service.name)
         avoided = self._tried | self._routing.health.resting(now_s=now_s)
         server = self._routing.choice.choose(servers, avoided=avoided, now_s=now_s)
         if server is None:
@@ -174,12 +180,8 @@
                 self._refused = True
                 self._routing.note_refusal(server_id, answer.refusal, self._call.id)
                 return None
-            self.runs += 1
             body = b"".join([part async for part in answer.parts()])
             is_whole = True
-        except AnswerLostError:
-            self.runs -= 1  # counted by the caller
-            raise
         finally:
             answer.close(is_whole=is_whole or answer.refusal is not None)
         if answer.status >= _SERVER_ERROR:
--- a/src/violethatch/_router.py
+++ b/src/violethatch/_router.py
@@ -146,8 +146,7 @@
         ):
             if ids:
                 events.log(event, server_ids=list(ids), row_version=view.version)
-        for server_id in change.lost:
-            self.routing.health.forget(server_id)
+        self.routing.forget(change.lost)
 
     def _decoded_servers(self, view: TableView) -> list[BackendServer]:
         """Return the servers of a list that can be understood."""
--- a/src/violethatch/_routing.py
+++ b/src/violethatch/_routing.py
@@ -6,6 +6,8 @@
 import random
 import time
 
+from collections.abc import Iterable
+
 from . import events
 from .backends import BackendServer, BackendTable
 from .desired import ServiceSpec
@@ -62,12 +64,9 @@
         if service.engine is None:
             return None
         now_s = time.monotonic()
-        self.backends.expire(now_s=now_s)
         left_out = self.health.resting(now_s=now_s) | avoided
         servers = [
-            server
-            for server in self.backends.usable(service.name)
-            if server.id not in left_out
+            server for server in self.usable(service.name) if server.id not in left_out
         ]
         return find_path(
             servers,
@@ -81,6 +80,21 @@
             pipe_fullness=self.loads.pipe_fullness(service.engine, now_s=now_s),
         )
 
+    def usable(self, service: str) -> list[BackendServer]:
+        """Return a service's servers that may get new work."""
+        expired = self.backends.expire(now_s=time.monotonic())
+        if expired:
+            events.log(events.SERVER_GONE, server_ids=list(expired), reason="lapsed")
+            self.forget(expired)
+        return self.backends.usable(service)
+
+    def forget(self, server_ids: Iterable[str]) -> None:
+        """Forget what was learnt of servers that are no longer listed."""
+        for server_id in server_ids:
+            self.health.forget(server_id)
+            self.choice.forget(server_id)
+            self.loads.forget(server_id)
+
     def note_trouble(
         self, server: BackendServer, trouble: Trouble, request_id: str, reason: str
     ) -> None:
--- a/src/violethatch/_stream_run.py
+++ b/src/violethatch/_stream_run.py
@@ -71,10 +71,10 @@
         opening = asyncio.ensure_future(self._routing.client.send(self._send))
         try:
             await self._await_progress(opening, self._policy.first_event_limit_s)
-            return opening.result()
-        finally:
-            if not opening.done():
-                opening.cancel()
+        except BaseException:
+            _abandon(opening)
+            raise
+        return opening.result()
 
     async def parts(self, answer: Answer) -> AsyncIterator[bytes]:
         """Return the answer's parts; look into each silence.
@@ -207,6 +207,14 @@
         return _stage_of(self.path, address)
 
 
+def _abandon(opening: asyncio.Future[Answer]) -> None:
+    """Break a send off, also if its head came in the meantime."""
+    if not opening.done():
+        opening.cancel()
+    elif not opening.cancelled() and opening.exception() is None:
+        opening.result().close(is_whole=False)
+
+
 def _stage_of(path: Path, address: str | None) -> BackendServer | None:
     """Return a path's runner at an address."""
     for stage in path.stages:
--- a/src/violethatch/_streams.py
+++ b/src/violethatch/_streams.py
@@ -101,6 +101,8 @@
             path = await self._next_path()
             if path is None:
                 break
+            if self.sends and not self._routing.may_retry(self._service.name):
+                break
             end, status = await self._run(path, responder)
             if end is _End.WHOLE:
                 await responder.finish()
@@ -133,14 +135,12 @@
         return path
 
     def _may_send_again(self) -> bool:
-        """Tell whether another send is allowed and paid for."""
+        """Tell whether another send is allowed."""
         if self._refusals >= _MOST_REFUSALS or time.monotonic() >= self._deadline_s:
             return False
         if self.runs and not self._route.is_resumable:
             return False
-        if self.runs >= self._route.max_attempts:
-            return False
-        return self._routing.may_retry(self._service.name)
+        return self.runs < self._route.max_attempts
 
     async def _run(self, path: Path, responder: Responder) -> tuple[_End, int]:
         """Send the call along a path and pass its events on."""
@@ -172,9 +172,13 @@
             self._refusals += 1
             self._leave_first(path.first, str(error))
             return _End.REFUSED, 0
-        except (AnswerLostError, TimeoutError) as error:
+        except AnswerLostError as error:
             self.runs += 1
-            self._leave_first(path.first, str(error) or "no answer in time")
+            self._leave_first(path.first, str(error))
+            return _End.LOST, 0
+        except TimeoutError:
+            self.runs += 1
+            self._note_given_up(run)
             return _End.LOST, 0
         if answer.load is not None:
             now_s = time.monotonic()
--- a/src/violethatch/backends.py
+++ b/src/violethatch/backends.py
@@ -109,13 +109,18 @@
         gone = self._servers.keys() - {server.id for server in present}
         return self.change(present, sorted(gone), now_s=now_s)
 
-    def expire(self, *, now_s: float) -> None:
-        """Forget lapsed entries that did not come back."""
-        for server_id, until_s in list(self._lapsed_until_s.items()):
-            if now_s >= until_s:
-                del self._lapsed_until_s[server_id]
-                self._servers.pop(server_id, None)
-                self.revision += 1
+    def expire(self, *, now_s: float) -> tuple[str, ...]:
+        """Forget lapsed entries that did not come back; return their ids."""
+        expired = tuple(
+            server_id
+            for server_id, until_s in self._lapsed_until_s.items()
+            if now_s >= until_s
+        )
+        for server_id in expired:
+            del self._lapsed_until_s[server_id]
+            self._servers.pop(server_id, None)
+            self.revision += 1
+        return expired
 
     def usable(self, service: str) -> list[BackendServer]:
         """Return a service's servers that may get new work."""
--- a/src/violethatch/platform/_requests.py
+++ b/src/violethatch/platform/_requests.py
@@ -3,6 +3,8 @@
 
 from __future__ import annotations
 
+import math
+
 from aiohttp.web_request import BaseRequest
 
 from ..errors import BadRequestError, BodyTooLargeError
@@ -73,16 +75,19 @@
     """Return how long the caller waits, in seconds.
 
     Raises:
-        BadRequestError: The header is no number.
+        BadRequestError: The header is no time.
     """
     text = request.headers.get(_headers.DEADLINE_MS)
     if text is None:
         return _NO_DEADLINE_S
     try:
-        return float(text) / _MS_PER_S
+        deadline_ms = float(text)
     except ValueError:
-        msg = f"{_headers.DEADLINE_MS} is no number"
-        raise BadRequestError(msg) from None
+        deadline_ms = math.nan
+    if not math.isfinite(deadline_ms) or deadline_ms < 0:
+        msg = f"{_headers.DEADLINE_MS} is no time"
+        raise BadRequestError(msg)
+    return deadline_ms / _MS_PER_S
 
 
 def _prompt_tokens(request: BaseRequest) -> int | None:
--- a/src/violethatch/platform/_store.py
+++ b/src/violethatch/platform/_store.py
@@ -64,7 +64,9 @@
         first: Rows | None = None
         while True:
             params = {"table": table} | ({"From": start} if start else {})
-            _, page = await self._read("rows-get", params, self._timeout_s)
+            status, page = await self._read("rows-get", params, self._timeout_s)
+            if status != _OK:
+                raise self._unavailable("rows-get", f"status {status}")
             # Changes go on from the first page, so that none falls between.
             first = first or page
             values.update((row.key, row.content) for row in page.rows)
--- a/src/violethatch/platform/_wire.py
+++ b/src/violethatch/platform/_wire.py
@@ -48,7 +48,10 @@
         """The row's value, or None if it is gone."""
         if self.gone or self.value is None:
             return None
-        return base64.b64decode(self.value)
+        try:
+            return base64.b64decode(self.value, validate=True)
+        except ValueError:
+            return b""  # no row's decoder takes it, and each tells so
 
 
 class Rows(msgspec.Struct):
--- a/src/violethatch/server_choice.py
+++ b/src/violethatch/server_choice.py
@@ -73,6 +73,10 @@
             others = max(0, load.running + load.waiting - max(0, own) - 1)
             self._others[server_id] = (others, now_s)
 
+    def forget(self, server_id: str) -> None:
+        """Forget a server that is no longer listed."""
+        self._others.pop(server_id, None)
+
     def _fullness(self, server: BackendServer, now_s: float) -> float:
         """Return the part of a server's slots that is thought to be taken."""
         others, told_s = self._others.get(server.id, (0, 0.0))
--- a/src/violethatch/stream_loads.py
+++ b/src/violethatch/stream_loads.py
@@ -107,6 +107,10 @@
         room = engine.kv_tokens(kind, size) * size
         return max(taken, own * self.ratio / max(room, 1.0))
 
+    def forget(self, server_id: str) -> None:
+        """Forget a runner that is no longer listed."""
+        self._told_by_first.pop(server_id, None)
+
     def pipe_fullness(self, engine: EngineSpec, *, now_s: float) -> float:
         """Return the part of the time that the pipe between zones is taken."""
         while self._crossings and now_s - self._crossings[0] > _PIPE_SPAN_S:
--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -47,7 +47,7 @@
         table.change([plain_server("a")], [], now_s=0.0)
         table.store_returned(now_s=10.0)
         table.change([], ["a"], now_s=10.5)
-        table.expire(now_s=10.5 + LAPSE_GRACE_S)
+        assert table.expire(now_s=10.5 + LAPSE_GRACE_S) == ("a",)
         assert ids(table) == set()
 
     def test_leaving_entry_has_no_grace(self):
--- a/tests/test_plain_calls.py
+++ b/tests/test_plain_calls.py
@@ -87,6 +87,16 @@
         got = await serve(FakeClient(FakeAnswer(b"abc", is_framed=False)))
         assert got.is_framed is False
 
+    async def test_answer_that_stalls_counts_once(self):
+        """A body that doesn't end uses up one attempt, not two."""
+        client = FakeClient(
+            FakeAnswer(b"a", asyncio.Event()),
+            FakeAnswer(b"b", asyncio.Event()),
+            FakeAnswer(b"abc"),
+        )
+        got = await serve(client, wait_s=2.0, max_attempts=3)
+        assert (got.body, len(client.sends)) == (b"abc", 3)
+
 
 class TestOnce:
     async def test_lost_answer_is_not_sent_again(self):
@@ -113,6 +123,14 @@
         got = await serve(FakeClient(FakeAnswer(b"no", status=500)), kind=CallKind.ONCE)
         assert got.status == 500
 
+    @pytest.mark.parametrize("status", [408, 429, 503])
+    async def test_failure_that_would_say_not_run(self, status):
+        """A server's status that means "not run" isn't passed on for a run."""
+        client = FakeClient(FakeAnswer(b"no", status=status))
+        with pytest.raises(ServiceLostError) as caught:
+            await serve(client, kind=CallKind.ONCE)
+        assert caught.value.ran == "maybe"
+
     async def test_deadline_says_maybe(self):
         """Out of time, it is not said that nothing ran."""
         with pytest.raises(DeadlineError) as caught:
--- a/tests/test_platform_process.py
+++ b/tests/test_platform_process.py
@@ -5,6 +5,7 @@
 
 import asyncio
 import contextlib
+import itertools
 import json
 import os
 import signal
@@ -30,15 +31,23 @@
 }
 
 
+#: Below the range that systems give out by themselves, so that no other socket
+#: takes a port between its choice here and its use; a range for each worker.
+FIRST_PORT = 21_000
+PORTS_A_WORKER = 1_000
+WORKER = int(os.environ.get("PYTEST_XDIST_WORKER", "gw0").removeprefix("gw"))
+PORTS = itertools.count(FIRST_PORT + PORTS_A_WORKER * WORKER)
+
+
 def free_ports(count):
-    """Return ports that nobody listens on."""
-    with contextlib.ExitStack() as stack:
-        found = []
-        for _ in range(count):
-            one = stack.enter_context(socket.socket())
-            one.bind(("127.0.0.1", 0))
-            found.append(one.getsockname()[1])
-        return found
+    """Return ports that nobody listens on, and that nobody else is given."""
+    found = []
+    while len(found) < count:
+        port = next(PORTS)
+        with socket.socket() as one, contextlib.suppress(OSError):
+            one.bind(("127.0.0.1", port))
+            found.append(port)
+    return found
 
 
 class Site:
--- a/tests/test_platform_wire.py
+++ b/tests/test_platform_wire.py
@@ -12,7 +12,7 @@
 from violethatch.layers import LayerRange
 from violethatch.paths import Path, Stage
 from violethatch.platform import _headers
-from violethatch.platform._wire import WireDecoder
+from violethatch.platform._wire import Row, WireDecoder
 
 
 ENGINE = {
@@ -157,6 +157,14 @@
         assert self.decode(State="draining").is_leaving
 
 
+class TestRow:
+    def test_value_that_is_no_base64(self):
+        """A spoilt value can't be understood, and does no more harm."""
+        row = Row(key="i-1", value="%%%", ver=3)
+        with pytest.raises(ValueError, match=r"."):
+            WireDecoder().backend_server("i-1", row.content)
+
+
 class TestHeaders:
     def test_what_is_passed_on(self):
         """A connection's headers, the key and what we set stay behind."""
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -271,6 +271,27 @@
         got, _ = await serve(client, A, B)
         assert got.end == "whole"
 
+    async def test_head_that_comes_too_late_is_closed(self):
+        """An answer whose run was given up on meanwhile is broken off."""
+        late = FakeAnswer(events(1))
+        head = asyncio.Event()
+
+        class LateClient(FakeClient):
+            async def send(self, send):
+                self.sends.append(send)
+                if len(self.sends) == 1:
+                    await head.wait()
+                    return late
+                return FakeAnswer(events(1))
+
+            async def report(self, server):
+                head.set()
+                await asyncio.sleep(0.01)
+
+        got, _ = await serve(LateClient(), A, B)
+        assert got.end == "whole"
+        assert late.closed is False
+
 
 class TestCallerLeaves:
     async def test_run_is_broken_off(self):
