Check a lease's times in one place, and take a hole's holders once

Cause: found on the last reading: both settings modules held the same check of a lease's duration and margin; repairing a zone built the list of hosts anew for each way to split a hole. Ruled out: a change of behaviour: 300 fleets with up to eight runners lost get the same plans before and after (one digest of all). Change: check_lease_times in settings.py serves both; the list is built once a hole.

--- a/src/violethatch/_zone_repair.py
+++ b/src/violethatch/_zone_repair.py
@@ -47,8 +47,9 @@
     for hole in holes:
         best: dict[str, LayerRange] | None = None
         best_tokens = least_kv_tokens(engine)
+        held = with_orders(hosts, orders)
         for split in range(hole.first, hole.end + 1):
-            option = _split_hole(with_orders(hosts, orders), hole, split)
+            option = _split_hole(held, hole, split)
             if option is None:
                 continue
             tokens = _least_room(hosts, option, engine)
--- a/src/violethatch/router_settings.py
+++ b/src/violethatch/router_settings.py
@@ -20,6 +20,7 @@
     Port,
     Positive,
     PositiveInt,
+    check_lease_times,
     parse_sections,
     read_settings_text,
 )
@@ -130,10 +131,7 @@
     .. versionadded:: 26.1.0
     """
     settings = parse_sections(text, RouterSettings, name=name)
-    policy = settings.policy
-    if policy.lease_margin_s >= policy.lease_duration_s:
-        msg = f"{name}: [policy] lease_margin_s: must be below lease_duration_s"
-        raise SettingsError(msg)
+    check_lease_times(settings.policy, name=name)
     if settings.store.change_wait_s >= settings.proof_limit_s:
         msg = f"{name}: [store] change_wait_s: must be below the proof's age limit"
         raise SettingsError(msg)
--- a/src/violethatch/settings.py
+++ b/src/violethatch/settings.py
@@ -13,7 +13,7 @@
 import configparser
 import pathlib
 
-from typing import Annotated, Any, NamedTuple, TypeVar, get_type_hints
+from typing import Annotated, Any, NamedTuple, Protocol, TypeVar, get_type_hints
 
 import msgspec
 
@@ -217,6 +217,35 @@
         raise SettingsError(msg) from error
 
 
+class LeaseTimes(Protocol):
+    """A section with a lease's times."""
+
+    @property
+    def lease_duration_s(self) -> float:
+        """How long a lease lasts."""
+
+    @property
+    def lease_margin_s(self) -> float:
+        """How much earlier its holder stops."""
+
+
+def check_lease_times(policy: LeaseTimes, *, name: str) -> None:
+    """Check that a lease's holder stops after it begins.
+
+    Args:
+        policy: The section with the times.
+        name: What errors call the file.
+
+    Raises:
+        SettingsError: The margin leaves nothing of the duration.
+
+    .. versionadded:: 26.1.0
+    """
+    if policy.lease_margin_s >= policy.lease_duration_s:
+        msg = f"{name}: [policy] lease_margin_s: must be below lease_duration_s"
+        raise SettingsError(msg)
+
+
 def _check_together(settings: Settings, *, name: str) -> None:
     """Check what no single field can tell."""
     policy = settings.policy
@@ -226,9 +255,7 @@
     if policy.recovery not in RECOVERIES:
         msg = f"{name}: [policy] recovery: not one of {', '.join(RECOVERIES)}"
         raise SettingsError(msg)
-    if policy.lease_margin_s >= policy.lease_duration_s:
-        msg = f"{name}: [policy] lease_margin_s: must be below lease_duration_s"
-        raise SettingsError(msg)
+    check_lease_times(policy, name=name)
     listen = settings.listen
     if bool(listen.certificate_file) != bool(listen.certificate_key_file):
         msg = f"{name}: [listen] certificate_file: needs certificate_key_file with it"
