Search paths by segments of layers instead of pairs of boundaries

Cause: a search took 6.3 ms over the 86 runners of a grown site: from each boundary it noted each boundary that a runner reaches. Ruled out: the list of runners, which is 0.1 ms of it; the fullness of each runner, which is now asked only where anything is known. Change: a runner's time grows evenly with its layers, so that going on by one segment is enough, with one best way into each zone. What depends on the list alone (`LayerMap`) is kept until the list changes.

--- a/src/violethatch/_routing.py
+++ b/src/violethatch/_routing.py
@@ -11,7 +11,8 @@
 from . import events
 from .backends import BackendServer, BackendTable
 from .desired import ServiceSpec
-from .paths import Path, find_path
+from .engine_model import EngineSpec
+from .paths import LayerMap, Path
 from .retries import RetryBudget
 from .router_settings import RouterSettings
 from .runner_health import RunnerHealth, Trouble
@@ -33,6 +34,8 @@
         self.choice = ServerChoice(rng)
         self.loads = StreamLoads()
         self._budgets: dict[str, RetryBudget] = {}
+        #: By service, the list's revision that a map was made from, and the map.
+        self._layer_maps: dict[str, tuple[int, LayerMap]] = {}
 
     def count_request(self, service: str) -> None:
         """Note a caller's request, which earns a part of a retry."""
@@ -64,22 +67,26 @@
         if service.engine is None:
             return None
         now_s = time.monotonic()
-        left_out = self.health.resting(now_s=now_s) | avoided
-        servers = [
-            server for server in self.usable(service.name) if server.id not in left_out
-        ]
-        return find_path(
-            servers,
-            service.engine,
+        layer_map = self._layer_map(service, service.engine)
+        return layer_map.find(
             zone=self.settings.instance.availability_zone,
-            fullness={
-                server.id: self.loads.fullness(server, service.engine, now_s=now_s)
-                for server in servers
-            },
+            left_out=self.health.resting(now_s=now_s) | avoided,
+            fullness=self.loads.fullness_of(layer_map, now_s=now_s),
             first=first,
             pipe_fullness=self.loads.pipe_fullness(service.engine, now_s=now_s),
         )
 
+    def _layer_map(self, service: ServiceSpec, engine: EngineSpec) -> LayerMap:
+        """Return who holds which layers, made anew when the list has changed."""
+        servers = self.usable(service.name)
+        known = self._layer_maps.get(service.name)
+        revision = self.backends.revision
+        if known is not None and known[0] == revision and known[1].engine is engine:
+            return known[1]
+        layer_map = LayerMap(servers, engine)
+        self._layer_maps[service.name] = (revision, layer_map)
+        return layer_map
+
     def usable(self, service: str) -> list[BackendServer]:
         """Return a service's servers that may get new work."""
         expired = self.backends.expire(now_s=time.monotonic())
--- a/src/violethatch/paths.py
+++ b/src/violethatch/paths.py
@@ -2,8 +2,9 @@
 """Paths of a request through runners that hold layers.
 
 A stage of a path may run any part of what its runner holds, so that runners
-with overlapping ranges can stand in for each other.  The search goes over
-layer boundaries and takes the path with the least time for a token.
+with overlapping ranges can stand in for each other.  A `LayerMap` is made once
+for a list of runners; each search goes over its segments, from the first layer
+to the last, and takes the path with the least time for a token.
 
 .. versionadded:: 26.1.0
 """
@@ -11,10 +12,8 @@
 from __future__ import annotations
 
 import itertools
-import math
 
-from collections import defaultdict
-from collections.abc import Mapping, Sequence
+from collections.abc import Collection, Iterable, Mapping, Sequence
 from typing import NamedTuple
 
 from .backends import BackendServer
@@ -72,12 +71,121 @@
         return frozenset(stage.server.id for stage in self.stages)
 
 
-class _Reached(NamedTuple):
-    """The best way to a boundary that ends at some runner."""
+class _Holding(NamedTuple):
+    """A runner that holds all layers of a segment."""
+
+    server: BackendServer
+    #: Its time for the segment's layers and one token, when it is empty, in ms.
+    step_ms: float
+
+
+class _Segment(NamedTuple):
+    """Layers between two neighbouring boundaries of ranges, and who holds them."""
+
+    layers: LayerRange
+    holdings: tuple[_Holding, ...]
+
+
+class _Visit(NamedTuple):
+    """A runner that a way has come to, at its first layer there."""
+
+    server: BackendServer
+    first_layer: int
+    before: _Visit | None
+
+
+class _Way(NamedTuple):
+    """The cheapest way so far that ends at some runner or in some zone."""
 
     cost_ms: float
-    stage: Stage
-    before: _Reached | None
+    visit: _Visit | None
+
+
+class LayerMap:
+    """Who holds which layers, prepared for many searches.
+
+    Args:
+        servers: The runners that may be used.
+        engine: The engine's figures.
+
+    .. versionadded:: 26.1.0
+    """
+
+    def __init__(self, servers: Iterable[BackendServer], engine: EngineSpec) -> None:
+        self.engine = engine
+        holders = [one for one in servers if one.layers and one.kind in engine.kinds]
+        self.holders = {holder.id: holder for holder in holders}
+        self._zones = sorted({holder.availability_zone for holder in holders})
+        self._segments = _segments(holders, engine)
+        self._delay_ms = {
+            (zone, other): engine.delay_ms(zone, other)
+            for zone in self._zones
+            for other in self._zones
+        }
+
+    def find(
+        self,
+        *,
+        zone: str,
+        left_out: Collection[str] = frozenset(),
+        fullness: Mapping[str, float] | None = None,
+        first: BackendServer | None = None,
+        pipe_fullness: float = 0.0,
+    ) -> Path | None:
+        """Return the quickest path, or None if some layer can't be reached.
+
+        Args:
+            zone: The zone to stay in where possible.
+            left_out: Ids of runners that may not be used.
+            fullness: By runner's id, the part of its room that is taken; a full
+                one counts as many times slower.
+            first: The runner that has to come first, if one has to.
+            pipe_fullness: The part of the time that the pipe between zones is
+                taken.
+        """
+        slowness = {one: _slowness(part) for one, part in (fullness or {}).items()}
+        pipe_ms = _pipe_ms(self.engine, pipe_fullness)
+        entries = self._start(zone)
+        only = first.id if first is not None else None
+        ways: dict[str, _Way] = {}
+        for segment in self._segments:
+            ways = _go_on(segment, ways, entries, left_out, slowness, only)
+            if not ways:
+                return None
+            entries = self._entries(ways.values(), pipe_ms)
+            only = None
+        return _best_path(ways.values(), self.engine)
+
+    def _start(self, zone: str) -> dict[str, _Way]:
+        """Return, by zone, what sending the request there costs a token."""
+        return {
+            other: _Way(_HOP_MS if other == zone else _HOP_MS + _ENTRY_MS, None)
+            for other in self._zones
+        }
+
+    def _entries(self, ways: Iterable[_Way], pipe_ms: float) -> dict[str, _Way]:
+        """Return, by zone, the cheapest way to come to a runner there."""
+        best: dict[str, _Way] = {}
+        for way in ways:
+            assert way.visit is not None
+            zone = way.visit.server.availability_zone
+            known = best.get(zone)
+            if known is None or way.cost_ms < known.cost_ms:
+                best[zone] = way
+        entries = {}
+        for zone in self._zones:
+            cost_ms, _, visit = min(
+                (way.cost_ms + self._hop_ms(other, zone, pipe_ms), other, way.visit)
+                for other, way in best.items()
+            )
+            entries[zone] = _Way(cost_ms, visit)
+        return entries
+
+    def _hop_ms(self, zone: str, other: str, pipe_ms: float) -> float:
+        """Return what a hop costs a token, in ms."""
+        if zone == other:
+            return _HOP_MS
+        return _HOP_MS + pipe_ms + self._delay_ms[zone, other]
 
 
 def find_path(
@@ -89,140 +197,68 @@
     first: BackendServer | None = None,
     pipe_fullness: float = 0.0,
 ) -> Path | None:
-    """Return the quickest path, or None if some layer can't be reached.
-
-    Args:
-        servers: The runners that may be used.
-        engine: The engine's figures.
-        zone: The zone to stay in where possible.
-        fullness: By runner's id, the part of its room that is taken; a full
-            one counts as many times slower.
-        first: The runner that has to come first, if one has to.
-        pipe_fullness: The part of the time that the pipe between zones is
-            taken.
+    """Search once over some runners; see `LayerMap.find`.
 
     .. versionadded:: 26.1.0
     """
-    holders = [one for one in servers if one.layers and one.kind in engine.kinds]
-    by_boundary = _holders_by_boundary(holders, engine)
-    if first is not None:
-        by_boundary[0] = [one for one in by_boundary[0] if one.id == first.id]
-    search = _Search(
-        engine,
-        sorted(by_boundary),
-        zone=zone,
-        fullness=fullness or {},
-        pipe_ms=_pipe_ms(engine, pipe_fullness),
+    return LayerMap(servers, engine).find(
+        zone=zone, fullness=fullness, first=first, pipe_fullness=pipe_fullness
     )
-    for boundary in sorted(by_boundary):
-        search.go_on(boundary, by_boundary[boundary])
-    return _best_path(search.reached[engine.layer_count], engine)
 
 
-def _holders_by_boundary(
+def _segments(
     holders: Sequence[BackendServer], engine: EngineSpec
-) -> dict[int, list[BackendServer]]:
-    """Return, for each boundary of a range, who can go on from there."""
+) -> tuple[_Segment, ...]:
+    """Cut the model at each boundary of a held range."""
     boundaries = {0, engine.layer_count}
     for holder in holders:
-        if holder.layers:
-            boundaries.update(holder.layers)
-    return {
-        boundary: [
-            holder
-            for holder in holders
-            if holder.layers and holder.layers.first <= boundary < holder.layers.end
-        ]
-        for boundary in boundaries
-        if 0 <= boundary <= engine.layer_count
-    }
-
-
-class _Search:
-    """One search over layer boundaries, from the first to the last.
+        assert holder.layers is not None
+        boundaries.update(holder.layers)
+    inside = sorted(one for one in boundaries if 0 <= one <= engine.layer_count)
+    return tuple(
+        _segment(LayerRange(start, end), holders, engine)
+        for start, end in itertools.pairwise(inside)
+    )
 
-    Args:
-        engine: The engine's figures.
-        boundaries: All boundaries, in rising order.
-        zone: The zone to stay in where possible.
-        fullness: By runner's id, the part of its room that is taken.
-        pipe_ms: What a hop between zones costs beside its delay, in ms.
-    """
 
-    def __init__(
-        self,
-        engine: EngineSpec,
-        boundaries: Sequence[int],
-        *,
-        zone: str,
-        fullness: Mapping[str, float],
-        pipe_ms: float,
-    ) -> None:
-        self._engine = engine
-        self._boundaries = boundaries
-        self._zone = zone
-        self._fullness = fullness
-        self._pipe_ms = pipe_ms
-        #: By boundary and runner's id, the best way that ends there.
-        self.reached: defaultdict[int, dict[str, _Reached]] = defaultdict(dict)
-
-    def go_on(self, boundary: int, servers: Sequence[BackendServer]) -> None:
-        """Go on from a boundary with each runner that can."""
-        arrivals = list(self.reached[boundary].values())
-        for server in servers:
-            if boundary == 0:
-                self._extend(server, boundary, None, self._start_ms(server))
-                continue
-            before, entry_ms = self._best_arrival(arrivals, server)
-            if before is not None:
-                self._extend(server, boundary, before, entry_ms)
-
-    def _start_ms(self, server: BackendServer) -> float:
-        """Return what sending the request to a first runner costs a token."""
-        is_near = server.availability_zone == self._zone
-        return _HOP_MS if is_near else _HOP_MS + _ENTRY_MS
-
-    def _best_arrival(
-        self, arrivals: Sequence[_Reached], server: BackendServer
-    ) -> tuple[_Reached | None, float]:
-        """Return the cheapest way into a runner, if any, and its cost so far."""
-        best: _Reached | None = None
-        best_ms = math.inf
-        zone = server.availability_zone
-        for arrival in arrivals:
-            previous = arrival.stage.server
-            if previous.id == server.id:
-                continue
-            cost_ms = arrival.cost_ms + _HOP_MS
-            if previous.availability_zone != zone:
-                cost_ms += self._pipe_ms + self._engine.delay_ms(
-                    previous.availability_zone, zone
-                )
-            if cost_ms < best_ms:
-                best, best_ms = arrival, cost_ms
-        return best, best_ms
-
-    def _extend(
-        self,
-        server: BackendServer,
-        boundary: int,
-        before: _Reached | None,
-        entry_ms: float,
-    ) -> None:
-        """Note each boundary that a runner reaches from *boundary*."""
-        if server.layers is None:
-            return
-        kind = self._engine.kinds[server.kind]
-        slowness = _slowness(self._fullness.get(server.id, 0.0))
-        for end in self._boundaries:
-            if not boundary < end <= server.layers.end:
-                continue
-            step_ms = self._engine.step_ms_of(kind, end - boundary) * slowness
-            cost_ms = entry_ms + step_ms
-            known = self.reached[end].get(server.id)
-            if known is None or cost_ms < known.cost_ms:
-                stage = Stage(server, LayerRange(boundary, end))
-                self.reached[end][server.id] = _Reached(cost_ms, stage, before)
+def _segment(
+    layers: LayerRange, holders: Sequence[BackendServer], engine: EngineSpec
+) -> _Segment:
+    """Return a segment with all that hold it."""
+    return _Segment(
+        layers,
+        tuple(
+            _Holding(one, engine.step_ms_of(engine.kinds[one.kind], layers.size))
+            for one in holders
+            if one.layers
+            and one.layers.first <= layers.first
+            and layers.end <= one.layers.end
+        ),
+    )
+
+
+def _go_on(
+    segment: _Segment,
+    ways: Mapping[str, _Way],
+    entries: Mapping[str, _Way],
+    left_out: Collection[str],
+    slowness: Mapping[str, float],
+    only: str | None,
+) -> dict[str, _Way]:
+    """Return, by runner, the cheapest way through a segment that ends there."""
+    gone_on: dict[str, _Way] = {}
+    for server, step_ms in segment.holdings:
+        if server.id in left_out or (only is not None and server.id != only):
+            continue
+        cost_ms, visit = entries[server.availability_zone]
+        stayed = ways.get(server.id)
+        if stayed is not None and stayed.cost_ms <= cost_ms:
+            cost_ms, visit = stayed
+        else:
+            visit = _Visit(server, segment.layers.first, visit)
+        step_ms *= slowness.get(server.id, 1.0)
+        gone_on[server.id] = _Way(cost_ms + step_ms, visit)
+    return gone_on
 
 
 def _slowness(fullness: float) -> float:
@@ -239,21 +275,29 @@
     return _PIPE_WEIGHT * share_ms * _slowness(fullness)
 
 
-def _best_path(ends: Mapping[str, _Reached], engine: EngineSpec) -> Path | None:
+def _best_path(ends: Iterable[_Way], engine: EngineSpec) -> Path | None:
     """Follow the cheapest end back to the first layer."""
-    for end in sorted(ends.values(), key=lambda one: one.cost_ms):
-        stages: list[Stage] = []
-        at: _Reached | None = end
-        while at is not None:
-            stages.append(at.stage)
-            at = at.before
-        stages = _without_returns(stages[::-1])
+    for end in sorted(ends, key=lambda one: one.cost_ms):
+        stages = _without_returns(_stages(end, engine.layer_count))
         is_whole = tiles([s.layers for s in stages], layer_count=engine.layer_count)
         if is_whole and len(stages) <= MAX_STAGES:
             return Path(tuple(stages), end.cost_ms)
     return None
 
 
+def _stages(end: _Way, layer_count: int) -> list[Stage]:
+    """Return the stages of a way, first to last."""
+    stages: list[Stage] = []
+    visit = end.visit
+    last_layer = layer_count
+    while visit is not None:
+        layers = LayerRange(visit.first_layer, last_layer)
+        stages.append(Stage(visit.server, layers))
+        last_layer = visit.first_layer
+        visit = visit.before
+    return stages[::-1]
+
+
 def _without_returns(stages: Sequence[Stage]) -> list[Stage]:
     """Let a runner that comes up twice run all that lies between as well.
 
--- a/src/violethatch/stream_loads.py
+++ b/src/violethatch/stream_loads.py
@@ -14,7 +14,7 @@
 
 from .backends import BackendServer
 from .engine_model import EngineSpec
-from .paths import Path, Stage
+from .paths import LayerMap, Path, Stage
 from .upstream import ServerLoad
 
 
@@ -87,6 +87,17 @@
             self._told_sum += _RATIO_GAIN * (told - self._told_sum)
             self._own_sum += _RATIO_GAIN * (own - self._own_sum)
 
+    def fullness_of(self, layer_map: LayerMap, *, now_s: float) -> dict[str, float]:
+        """Return, by runner that anything is known of, how full it is."""
+        known = self._own_token_layers.keys() | self._told_by_first.keys()
+        return {
+            server_id: self.fullness(
+                layer_map.holders[server_id], layer_map.engine, now_s=now_s
+            )
+            for server_id in known
+            if server_id in layer_map.holders
+        }
+
     def fullness(
         self, server: BackendServer, engine: EngineSpec, *, now_s: float
     ) -> float:
