Pass events without an id on once over repeated runs

Cause: a further run of a stream begins with events that carry no id, and these were passed on again each time. Ruled out: leaving them out always: the first run's come before the first id. Change: after another run has begun they are left out until its first new event. The new test failed before.

--- a/src/violethatch/_streams.py
+++ b/src/violethatch/_streams.py
@@ -144,6 +144,7 @@
 
     async def _run(self, path: Path, responder: Responder) -> tuple[_End, int]:
         """Send the call along a path and pass its events on."""
+        self._progress.run_again()
         send = Send(
             call=self._call,
             server=path.first,
--- a/src/violethatch/event_stream.py
+++ b/src/violethatch/event_stream.py
@@ -80,6 +80,11 @@
 
     def __init__(self, *, last_id: int | None = None) -> None:
         self.last_id = last_id
+        self._is_repeating = False
+
+    def run_again(self) -> None:
+        """Note that another run begins, which may repeat what the caller has."""
+        self._is_repeating = self.last_id is not None
 
     def take(self, event: StreamEvent) -> bool:
         """Tell whether the caller gets an event; events it has are left out.
@@ -88,7 +93,9 @@
             SpoiltStreamError: An event before this one is missing.
         """
         if event.id is None:
-            return True
+            # It can't be told whether the caller has it: runs begin anew with
+            # such events, and they carry nothing of the answer.
+            return not self._is_repeating
         if self.last_id is not None:
             if event.id <= self.last_id:
                 return False
@@ -96,4 +103,5 @@
                 msg = f"event {event.id} follows event {self.last_id}"
                 raise SpoiltStreamError(msg)
         self.last_id = event.id
+        self._is_repeating = False
         return True
--- a/tests/test_event_stream.py
+++ b/tests/test_event_stream.py
@@ -17,7 +17,9 @@
 
 
 def event(number):
-    """Return an event's bytes."""
+    """Return an event's bytes; without a number, of one that has no id."""
+    if number is None:
+        return b": still here\n\n"
     return b"id: %d\ndata: token %d\n\n" % (number, number)
 
 
@@ -76,3 +78,10 @@
     def test_caller_that_resumes(self):
         """A stream goes on after what the caller says it has."""
         assert take(StreamProgress(last_id=12), 12, 13) == [13]
+
+    def test_events_without_an_id_come_once(self):
+        """A further run begins with events that the caller may have already."""
+        progress = StreamProgress()
+        assert take(progress, None, 1, None, 2) == [None, 1, None, 2]
+        progress.run_again()
+        assert take(progress, None, 2, None, 3, None) == [3, None]
