Bound callers' heads, bodies and rests by the desired state

Cause: connections were kept for 16 s whatever the desired state gives; a head or a body that is never whole held its connection. Ruled out: aiohttp's own settings: it has no limit for heads, and takes the idle time once, at a connection's start. Change: connections are made with the limits in force when they come; a head that is late closes its connection (2214), a body that is late gets 408 (1107). Figures: three tests, all of which fail on the code before. A connection keeps the idle time that it began with.

--- a/src/violethatch/errors.py
+++ b/src/violethatch/errors.py
@@ -149,6 +149,15 @@
     default_ran = Ran.NO
 
 
+class RequestLateError(VioletHatchError):
+    """The request's body did not come before its deadline."""
+
+    code = 1107
+    title = "Request not whole in time"
+    status = 408
+    default_ran = Ran.NO
+
+
 # 12xx: capacity and routes.
 
 
--- a/src/violethatch/events.py
+++ b/src/violethatch/events.py
@@ -57,6 +57,7 @@
 ANSWER_FAILED = Event(2211, "answer_failed", "A server answered with a failure.")
 RETRIES_SPENT = Event(2212, "retries_spent", "The retry budget is used up.")
 CALLER_LEFT = Event(2213, "caller_left", "The caller went away before the end.")
+HEAD_LATE = Event(2214, "head_late", "A caller's request head did not come in time.")
 
 REVISION_APPLIED = Event(2401, "revision_applied", "A configuration is in force.")
 REVISION_ACCEPTED = Event(2402, "revision_accepted", "A confirmed plan was stored.")
--- a/src/violethatch/platform/_listener.py
+++ b/src/violethatch/platform/_listener.py
@@ -18,21 +18,22 @@
 from .. import events
 from .._problems import problem_response
 from .._router import Router
+from ..desired import CallLimits
 from ..errors import VioletHatchError
 from ..upstream import Call
 from . import _headers
+from ._connections import CallerServer
 from ._requests import read_call
 from ._responder import CallerResponder
 
 
-#: The largest body before any desired state says so, in bytes.
-_BODY_BYTES = 4_194_304
-#: How long idle callers' connections are kept, in seconds; callers use them
-#: for four fifths of the time that the desired state gives (15 s).
-_KEEP_S = 16.0
-#: The longest request line and header field, in bytes: what the desired state
-#: allows for all headers unless it says otherwise.
-_LINE_BYTES = 16_384
+#: Limits before any desired state says so; the platform's usual ones.
+_FIRST_LIMITS = CallLimits(
+    header_bytes=16_384,
+    body_bytes=4_194_304,
+    header_timeout_s=3.0,
+    idle_timeout_s=15.0,
+)
 #: How long connections get to close at the end, in seconds.
 _CLOSE_S = 0.1
 #: Connections that may wait to be accepted.
@@ -46,14 +47,8 @@
 
     def __init__(self, router: Router) -> None:
         self._router = router
-        self._server = Server(
-            self._handle,
-            access_log=None,
-            handler_cancellation=True,
-            keepalive_timeout=_KEEP_S,
-            max_line_size=_LINE_BYTES,
-            max_field_size=_LINE_BYTES,
-            auto_decompress=False,
+        self._server = CallerServer(
+            self._handle, limits=self._limits, auto_decompress=False
         )
 
     async def start(self, endpoint: str) -> None:
@@ -72,9 +67,7 @@
         call_id = request.headers.get(_headers.CALL_ID, "")
         call: Call | None = None
         try:
-            call = await read_call(
-                request, received_s=started_s, body_limit=self._body_limit()
-            )
+            call = await read_call(request, received_s=started_s, limits=self._limits())
             await self._router.serve(call, responder)
         except VioletHatchError as error:
             age_s = time.monotonic() - started_s
@@ -94,10 +87,10 @@
             responder.abort()
         return responder.response or Response(status=_UNAVAILABLE)
 
-    def _body_limit(self) -> int:
-        """Return the most bytes that a body may have."""
+    def _limits(self) -> CallLimits:
+        """Return the limits in force on what callers send."""
         desired = self._router.desired
-        return desired.limits.body_bytes if desired else _BODY_BYTES
+        return desired.limits if desired else _FIRST_LIMITS
 
     def _problem(self, error: VioletHatchError) -> Response:
         """Return an error's answer."""
--- a/src/violethatch/platform/_requests.py
+++ b/src/violethatch/platform/_requests.py
@@ -3,11 +3,13 @@
 
 from __future__ import annotations
 
+import asyncio
 import math
 
 from aiohttp.web_request import BaseRequest
 
-from ..errors import BadRequestError, BodyTooLargeError
+from ..desired import CallLimits
+from ..errors import BadRequestError, BodyTooLargeError, RequestLateError
 from ..upstream import Call
 from . import _headers
 
@@ -18,22 +20,24 @@
 
 
 async def read_call(
-    request: BaseRequest, *, received_s: float, body_limit: int
+    request: BaseRequest, *, received_s: float, limits: CallLimits
 ) -> Call:
     """Read a request whole.
 
     Args:
         request: The request, its body still to come.
         received_s: When it came, in monotonic seconds.
-        body_limit: The most bytes that its body may have.
+        limits: The bounds on what callers send.
 
     Raises:
         BadRequestError: Its headers can't be understood.
         BodyTooLargeError: Its body is too large.
+        RequestLateError: Its body did not come before its deadline.
     """
+    deadline_s = received_s + _deadline_s(request)
     body = b""
     if request.can_read_body:
-        body = await _read_body(request, body_limit)
+        body = await _read_body(request, limits.body_bytes, deadline_s)
     return Call(
         id=request.headers.get(_headers.CALL_ID, ""),
         method=request.method,
@@ -43,24 +47,30 @@
         body=body,
         key=_key(request.headers.get("Authorization")),
         received_s=received_s,
-        deadline_s=received_s + _deadline_s(request),
+        deadline_s=deadline_s,
         last_event_id=_last_event_id(request),
         prompt_tokens=_prompt_tokens(request),
     )
 
 
-async def _read_body(request: BaseRequest, limit: int) -> bytes:
-    """Read a body within the limit.
+async def _read_body(request: BaseRequest, limit: int, deadline_s: float) -> bytes:
+    """Read a body within the limit and the time.
 
     Raises:
         BodyTooLargeError: It is too large.
+        RequestLateError: It did not come in time.
     """
     body = bytearray()
-    async for part in request.content.iter_any():
-        body += part
-        if len(body) > limit:
-            msg = f"more than {limit} bytes"
-            raise BodyTooLargeError(msg)
+    try:
+        async with asyncio.timeout_at(deadline_s):
+            async for part in request.content.iter_any():
+                body += part
+                if len(body) > limit:
+                    msg = f"more than {limit} bytes"
+                    raise BodyTooLargeError(msg)
+    except TimeoutError as error:
+        msg = "the body did not come before the deadline"
+        raise RequestLateError(msg) from error
     return bytes(body)
 
 
--- a/tests/test_platform_process.py
+++ b/tests/test_platform_process.py
@@ -116,12 +116,14 @@
         self._servers.append(server)
         return server.addresses[0][1]
 
-    def configure(self, *, version, routes=None, keys=("k1",)):
+    def configure(self, *, version, routes=None, keys=("k1",), limits=None):
         """Write a desired state."""
         route = dict(CONFIG["Routes"][0], TrafficSplit=[], Service="model")
         state = dict(CONFIG, Version=version, Routes=routes or [route])
         state["Services"] = [{"Name": "model", "Engine": ENGINE}]
         state["Tenants"] = [{"Name": "clinic", "ApiKeys": list(keys)}]
+        if limits is not None:
+            state["Limits"] = limits
         self.store.put("op", "config", state)
 
     def list_server(self, name, **changes):
@@ -300,6 +302,69 @@
         site.store.refuse_with = 0
         await site.wait_status(200)
 
+    async def test_state_that_is_not_understood_proves_nothing(self, site):
+        """A newer state may have removed keys: the older one's are not served."""
+        await site.start()
+        site.store.put("op", "config", {"Version": 2, "Routes": "none"})
+        await site.wait_status(503)
+        await site.wait_ready(503)
+        site.configure(version=3)
+        await site.wait_status(200)
+
+
+HEAD = (
+    b"POST /draft/1 HTTP/1.1\r\nHost: menu.example\r\n"
+    b"Authorization: Token k1\r\nViolethatch-Attempt-Id: c1\r\n"
+    b"Violethatch-Deadline-Ms: 300\r\nContent-Length: 6\r\n\r\n"
+)
+
+
+class TestLimits:
+    async def start(self, site, **limits):
+        """Start with limits in force; return a caller's connection."""
+        await site.start()
+        site.configure(version=2, limits=limits)
+        async with asyncio.timeout(15):
+            while await self.version(site) != 2:
+                await asyncio.sleep(0.02)
+        return await asyncio.open_connection("127.0.0.1", site.front)
+
+    async def version(self, site):
+        """Return the version that is in force."""
+        url = f"http://127.0.0.1:{site.metrics}/state"
+        with contextlib.suppress(aiohttp.ClientError):
+            async with site.http.get(url) as answer:
+                return (await answer.json(content_type=None))["state_version"]
+        return None  # it listens there last
+
+    async def test_head_that_stays_away(self, site):
+        """A head that is never whole doesn't hold its connection."""
+        reader, writer = await self.start(site, HeaderTimeoutMs=200)
+        writer.write(HEAD[:40])
+        async with asyncio.timeout(5):
+            assert await reader.read() == b""
+        writer.close()
+
+    async def test_idle_connection(self, site):
+        """A connection is kept for the idle time in force, and no longer."""
+        reader, writer = await self.start(site, IdleTimeoutMs=300)
+        writer.write(HEAD + b"a menu")
+        await reader.readuntil(b"\r\n0\r\n\r\n")
+        writer.write(HEAD + b"a menu")
+        await reader.readuntil(b"\r\n0\r\n\r\n")
+        async with asyncio.timeout(5):
+            assert await reader.read() == b""
+        writer.close()
+
+    async def test_body_that_stays_away(self, site):
+        """A body that is not whole at the deadline is answered as not run."""
+        reader, writer = await self.start(site)
+        writer.write(HEAD + b"a m")
+        async with asyncio.timeout(5):
+            assert b" 408 " in await reader.readline()
+        writer.close()
+        assert not any(runner.seen for runner in site.runners.values())
+
 
 class TestStop:
     async def test_stream_in_progress_is_finished(self, site):
@@ -337,6 +402,18 @@
         lines = [json.loads(line) for line in output.splitlines()]
         assert 2007 in {line["number"] for line in lines}
 
+    async def test_changed_file_is_taken_in_without_a_signal(self, site):
+        """The platform may change the settings and send nothing."""
+        await site.start()
+        settings = site.path / "router.ini"
+        text = settings.read_text()
+        settings.write_text(text.replace("grace_s = 4", "grace_s = 3"))
+        line = b""
+        async with asyncio.timeout(15):
+            while b'"number":2006' not in line:
+                line = await site.process.stdout.readline()
+                assert line
+
 
 class TestExplaining:
     async def test_lines_and_metrics_tell_of_a_request(self, site):
