Take all settings in on reload, and trust no state that is not understood

Cause: settings stall_ms, leaving_ms and descriptors were checked and read by nobody; the store's settings and the lease's times stayed until the next start; the platform may change the file without a signal; a desired state that could not be decoded left the older one proven, so that removed keys would have counted. Ruled out: dropping the older state at once, which would refuse calls that need no key. Change: the bounds set how long lapsed entries and silent servers count, and how many requests are taken; a reload reaches the store's client, the followers and the lease, which goes by its own row while it is held; the file is looked at each second; a state that is not understood stops all proofs until a newer one is.

--- a/src/violethatch/_followers.py
+++ b/src/violethatch/_followers.py
@@ -48,8 +48,8 @@
         rng: random.Random,
     ) -> None:
         self.table = table
+        self.settings = settings
         self._source = source
-        self._settings = settings
         self._clock = clock
         self._freshness = freshness
         self._take = take
@@ -68,7 +68,7 @@
                 self._version = None
             except TableUnavailableError as error:
                 self._note_away(error)
-                pause_s = self._settings.retry_pause_s
+                pause_s = self.settings.retry_pause_s
                 await asyncio.sleep(pause_s * self._rng.uniform(*_PAUSE_PARTS))
 
     async def _read_once(self) -> None:
@@ -79,7 +79,7 @@
             view = await self._source.read_table(self.table)
         else:
             # After an outage the first read only asks, so as to learn soon.
-            wait_s = 0.0 if self._is_away else self._settings.change_wait_s
+            wait_s = 0.0 if self._is_away else self.settings.change_wait_s
             view = await self._source.read_changes(
                 self.table, after=self._version, wait_s=wait_s
             )
@@ -90,7 +90,7 @@
             self._take(view, is_whole)
         self._freshness.proven(self._clock.earliest_local_s(view.store_s))
         if view.values and not is_whole:
-            await asyncio.sleep(self._settings.change_pause_s)
+            await asyncio.sleep(self.settings.change_pause_s)
 
     def _note_away(self, error: TableUnavailableError) -> None:
         """Log once that the store does not answer."""
--- a/src/violethatch/_placement_lease.py
+++ b/src/violethatch/_placement_lease.py
@@ -79,6 +79,11 @@
         )
         self._next_try_s = 0.0
 
+    def take_policy(self, policy: RouterPolicySection) -> None:
+        """Take changed times in; a lease that is held keeps its row's."""
+        self._lease.duration_s = policy.lease_duration_s
+        self._lease.margin_s = policy.lease_margin_s
+
     @property
     def epoch(self) -> int | None:
         """The fence of orders, or None while none may be given."""
--- a/src/violethatch/_placing.py
+++ b/src/violethatch/_placing.py
@@ -25,6 +25,7 @@
 from .errors import TableUnavailableError
 from .layers import LayerRange
 from .placement import Host, plan_placement
+from .router_settings import RouterPolicySection
 
 
 #: How often the plan is looked at, in seconds.
@@ -95,6 +96,10 @@
         """Whether orders may be given now."""
         return self._lease.is_held
 
+    def take_policy(self, policy: RouterPolicySection) -> None:
+        """Take changed times of the lease in."""
+        self._lease.take_policy(policy)
+
     async def run(self) -> None:
         """Look at the plan from time to time, until cancelled."""
         while True:
--- a/src/violethatch/_router.py
+++ b/src/violethatch/_router.py
@@ -117,8 +117,11 @@
         try:
             state = self._decoder.desired_state(value)
         except ValueError as error:
+            # Keys may have been removed by it: the older state proves nothing.
+            self.freshness.doubt()
             events.log(events.STATE_REFUSED, row="config", reason=str(error))
             return
+        self.freshness.trust()
         if self.desired is not None and state.version <= self.desired.version:
             return
         self.desired = state
@@ -165,9 +168,9 @@
         self.routing.backends.store_returned(now_s=time.monotonic())
 
     def take_settings(self, settings: RouterSettings) -> None:
-        """Take changed settings in; addresses stay until the next start."""
+        """Take changed settings in; own addresses stay until the next start."""
         self.settings = settings
-        self.routing.settings = settings
+        self.routing.take_settings(settings)
         self.freshness.limit_s = settings.proof_limit_s
         self.stop_plan.grace_s = settings.bounds.grace_s
 
@@ -211,7 +214,7 @@
         is_stream = admitted.route.kind is CallKind.STREAM
         if not self.stop_plan.takes_calls(is_stream=is_stream, now_s=now_s):
             raise DrainingError(retry_after_s=_ELSEWHERE_RETRY_S)
-        if self.in_flight >= self.settings.limits.requests:
+        if self.in_flight >= self.settings.limits.most_requests:
             msg = f"{self.in_flight} requests in progress here"
             raise OverloadedError(msg, retry_after_s=_BUSY_RETRY_S)
         return admitted
--- a/src/violethatch/_routing.py
+++ b/src/violethatch/_routing.py
@@ -29,14 +29,20 @@
     ) -> None:
         self.settings = settings
         self.client = client
-        self.backends = BackendTable()
-        self.health = RunnerHealth()
+        self.backends = BackendTable(leaving_s=settings.bounds.leaving_s)
+        self.health = RunnerHealth(stall_s=settings.bounds.stall_s)
         self.choice = ServerChoice(rng)
         self.loads = StreamLoads()
         self._budgets: dict[str, RetryBudget] = {}
         #: By service, the list's revision that a map was made from, and the map.
         self._layer_maps: dict[str, tuple[int, LayerMap]] = {}
 
+    def take_settings(self, settings: RouterSettings) -> None:
+        """Take changed settings in."""
+        self.settings = settings
+        self.backends.leaving_s = settings.bounds.leaving_s
+        self.health.stall_s = settings.bounds.stall_s
+
     def count_request(self, service: str) -> None:
         """Note a caller's request, which earns a part of a retry."""
         budget = self._budget(service)
--- a/src/violethatch/backends.py
+++ b/src/violethatch/backends.py
@@ -15,9 +15,12 @@
 #: How long after the store's return entries may be gone and come back
 #: (the platform states some 2 s), in seconds.
 LAPSE_WINDOW_S = 3.0
-#: How long an entry that lapsed is still used; below the shortest bound on
-#: work for a server that is leaving (2 s at today's sites), in seconds.
-LAPSE_GRACE_S = 1.5
+#: The bound on work for a server that is leaving, at today's sites, in seconds.
+LEAVING_S = 2.0
+#: The part of that bound for which an entry that lapsed is still used; the rest
+#: is the way of a request that was sent in the last moment.
+_LAPSE_PART = 0.75
+LAPSE_GRACE_S = LEAVING_S * _LAPSE_PART
 
 
 class BackendServer(NamedTuple):
@@ -55,10 +58,14 @@
     An entry that goes soon after the store's return may only have lapsed
     while the store was away; it is used for a while longer.
 
+    Args:
+        leaving_s: The bound on work for a server that is leaving, in seconds.
+
     .. versionadded:: 26.1.0
     """
 
-    def __init__(self) -> None:
+    def __init__(self, *, leaving_s: float = LEAVING_S) -> None:
+        self.leaving_s = leaving_s
         #: Grows with each change, so that what is derived can be cached.
         self.revision = 0
         self._servers: dict[str, BackendServer] = {}
@@ -142,7 +149,8 @@
             and not known.is_leaving
         )
         if is_lapse:
-            self._lapsed_until_s.setdefault(server_id, now_s + LAPSE_GRACE_S)
+            until_s = now_s + self.leaving_s * _LAPSE_PART
+            self._lapsed_until_s.setdefault(server_id, until_s)
             return False
         self._lapsed_until_s.pop(server_id, None)
         del self._servers[server_id]
--- a/src/violethatch/freshness.py
+++ b/src/violethatch/freshness.py
@@ -47,12 +47,26 @@
     def __init__(self, *, limit_s: float) -> None:
         self.limit_s = limit_s
         self._proven_s: float | None = None
+        self._is_doubted = False
 
     def proven(self, at_s: float) -> None:
-        """Note that the view was current at local time *at_s*."""
+        """Note that the view was current at local time *at_s*.
+
+        A view that is doubted is not proven by a newer read either.
+        """
+        if self._is_doubted:
+            return
         if self._proven_s is None or at_s > self._proven_s:
             self._proven_s = at_s
 
+    def doubt(self) -> None:
+        """Note that a newer view exists which can't be understood."""
+        self._is_doubted = True
+
+    def trust(self) -> None:
+        """Note that the newest view was understood."""
+        self._is_doubted = False
+
     def age_s(self, *, now_s: float) -> float:
         """Return the age of the newest proof; infinite without one."""
         return float("inf") if self._proven_s is None else now_s - self._proven_s
--- a/src/violethatch/leases.py
+++ b/src/violethatch/leases.py
@@ -123,7 +123,9 @@
         """Return the epoch under which orders may be given now, if any."""
         if self._confirmed_s is None:
             return None
-        if now_s - self._confirmed_s >= self.duration_s - self.margin_s:
+        # Others go by the row, whatever the settings say by now.
+        duration_s = float(self._row.value["duration_s"])
+        if now_s - self._confirmed_s >= duration_s - self.margin_s:
             return None
         return int(self._row.value["epoch"])
 
--- a/src/violethatch/platform/_process.py
+++ b/src/violethatch/platform/_process.py
@@ -9,7 +9,7 @@
 import secrets
 import signal
 
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine
 from typing import Any
 
 import uvloop
@@ -32,6 +32,9 @@
 
 #: Where the platform says the path of the settings file.
 _SETTINGS_VARIABLE = "VIOLETHATCH_BOOT"
+#: How often to look whether the settings file has changed, in seconds; half of
+#: the bound on a desired state, which is the nearest the platform states.
+_FILE_LOOK_S = 1.0
 #: How often a stopping process looks whether all is done, in seconds.
 _STOP_LOOK_S = 0.05
 #: How long a stopping process stays for the balancer's questions, in seconds.
@@ -74,6 +77,8 @@
         self._path = path
         self._output = LogOutput()
         self._tasks: list[asyncio.Task[None]] = []
+        #: What takes changed settings in.
+        self._takers: list[Callable[[RouterSettings], None]] = []
 
     async def run(self) -> None:
         """Serve until a stop was asked for and all is done."""
@@ -141,30 +146,47 @@
             take=router.take_servers,
             returned=router.store_returned,
         )
-        for work in (desired.run(), servers.run(), duty.run()):
+        self._takers = [
+            router.take_settings,
+            lambda settings: store.take_settings(settings.store),
+            lambda settings: duty.take_policy(settings.policy),
+            *(_taker_of(one) for one in (desired, servers)),
+        ]
+        for work in (desired.run(), servers.run(), duty.run(), self._watch_file()):
             self._tasks.append(asyncio.create_task(_keep_running(work)))
 
+    async def _watch_file(self) -> None:
+        """Take a changed settings file in, which may change without a signal."""
+        known = _file_state(self._path)
+        while True:
+            await asyncio.sleep(_FILE_LOOK_S)
+            state = _file_state(self._path)
+            if state is not None and state != known:
+                known = state
+                self._reload()
+
     def _watch_signals(self, router: Router) -> asyncio.Event:
         """Take signals in; return the event of a stop."""
         stop = asyncio.Event()
         loop = asyncio.get_running_loop()
         loop.add_signal_handler(signal.SIGTERM, stop.set)
         loop.add_signal_handler(signal.SIGINT, stop.set)
-        loop.add_signal_handler(signal.SIGHUP, self._reload, router)
+        loop.add_signal_handler(signal.SIGHUP, self._reload)
         loop.add_signal_handler(
             signal.SIGUSR1,
             lambda: events.log(events.STATE_DUMPED, state=router.state()),
         )
         return stop
 
-    def _reload(self, router: Router) -> None:
+    def _reload(self) -> None:
         """Take changed settings in; bad ones leave all as it is."""
         try:
             settings = load_router_settings(self._path)
         except SettingsError as error:
             events.log(events.RELOAD_REFUSED, reason=error.detail)
             return
-        router.take_settings(settings)
+        for take in self._takers:
+            take(settings)
         events.log(events.RELOADED, id=settings.instance.id)
 
     async def _drain(self, router: Router, duty: PlacementDuty) -> None:
@@ -181,6 +203,24 @@
             await asyncio.sleep(_STOP_LOOK_S)
 
 
+def _taker_of(follower: TableFollower) -> Callable[[RouterSettings], None]:
+    """Return what gives a follower its changed settings."""
+
+    def take(settings: RouterSettings) -> None:
+        follower.settings = settings.store
+
+    return take
+
+
+def _file_state(path: str) -> tuple[int, int, int] | None:
+    """Return what changes when a file does, or None while it can't be seen."""
+    try:
+        stat = os.stat(path)
+    except OSError:
+        return None  # it is being replaced; the next look sees it
+    return stat.st_mtime_ns, stat.st_size, stat.st_ino
+
+
 async def _keep_running(work: Coroutine[Any, Any, None]) -> None:
     """Run work that never ends; an error in it ends the process.
 
--- a/src/violethatch/platform/_store.py
+++ b/src/violethatch/platform/_store.py
@@ -47,12 +47,16 @@
         session: aiohttp.ClientSession,
         metrics: RouterMetrics,
     ) -> None:
-        self._base = f"http://{settings.address}/api"
-        self._timeout_s = settings.call_timeout_s
+        self.take_settings(settings)
         self._session = session
         self._metrics = metrics
         self._rows = msgspec.json.Decoder(Rows)
 
+    def take_settings(self, settings: StoreSection) -> None:
+        """Take the store's address and times in, also while it is used."""
+        self._base = f"http://{settings.address}/api"
+        self._timeout_s = settings.call_timeout_s
+
     async def read_table(self, table: str) -> TableView:
         """Return a whole table, as of a moment not before the first page.
 
--- a/src/violethatch/router_settings.py
+++ b/src/violethatch/router_settings.py
@@ -28,6 +28,11 @@
 
 #: An address by IP number.
 Endpoint = Annotated[str, msgspec.Meta(pattern=r"^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$")]
+#: Descriptors for files, listeners and the store; the platform sets 200 aside.
+_DESCRIPTORS_OF_OWN = 200
+#: Descriptors that a request may need: the caller's connection, the runner's,
+#: and one for a report or an order meanwhile.
+_DESCRIPTORS_A_REQUEST = 3
 Ratio = Annotated[float, msgspec.Meta(ge=0, le=1)]
 
 
@@ -61,6 +66,16 @@
     retry_ratio: Ratio
     retry_slack: Positive
 
+    @property
+    def leaving_s(self) -> float:
+        """The bound on work for a server that is leaving, in seconds."""
+        return self.leaving_ms / 1000
+
+    @property
+    def stall_s(self) -> float:
+        """After how long engines cut what depends on a dead runner, in seconds."""
+        return self.stall_ms / 1000
+
 
 class RouterLimitsSection(NamedTuple):
     """Bounds on what one router takes on."""
@@ -69,6 +84,12 @@
     descriptors: PositiveInt = 1024
     requests: PositiveInt = 400
 
+    @property
+    def most_requests(self) -> int:
+        """Requests at once that the descriptors allow."""
+        free = max(0, self.descriptors - _DESCRIPTORS_OF_OWN)
+        return min(self.requests, max(1, free // _DESCRIPTORS_A_REQUEST))
+
 
 class RouterPolicySection(NamedTuple):
     """Constants of the decisions."""
--- a/src/violethatch/runner_health.py
+++ b/src/violethatch/runner_health.py
@@ -27,15 +27,14 @@
     FAILED = "failed"
 
 
-#: How long a server is left alone after each kind of trouble, in seconds.
-#: Engines cut what depends on a dead runner after 3 s (the sites' stall
-#: bound), by when the list tells of it; room is back within some requests.
-_REST_S = {
-    Trouble.SILENT: 3.0,
-    Trouble.NAMED: 3.0,
-    Trouble.FULL: 0.3,
-    Trouble.FAILED: 0.5,
-}
+#: After how long engines cut what depends on a dead runner, at today's sites,
+#: in seconds; the list tells of it by then.
+STALL_S = 3.0
+#: How long a server is left alone that had no room, in seconds: room is back
+#: within some requests.
+_FULL_REST_S = 0.3
+#: How long a server is left alone that spoilt an answer, in seconds.
+_FAILED_REST_S = 0.5
 #: Repeated trouble doubles the rest up to this, in seconds.
 _LONGEST_REST_S = 12.0
 
@@ -51,15 +50,20 @@
 class RunnerHealth:
     """What one instance has seen of backend servers.
 
+    Args:
+        stall_s: After how long engines cut what depends on a dead runner, in
+            seconds; a silent one is left alone for as long.
+
     .. versionadded:: 26.1.0
     """
 
-    def __init__(self) -> None:
+    def __init__(self, *, stall_s: float = STALL_S) -> None:
+        self.stall_s = stall_s
         self._rests: dict[str, _Rest] = {}
 
     def note(self, server_id: str, trouble: Trouble, *, now_s: float) -> None:
         """Note trouble with a server."""
-        length_s = _REST_S[trouble]
+        length_s = self._first_rest_s(trouble)
         known = self._rests.get(server_id)
         if known is not None and trouble is not Trouble.FULL:
             if now_s < known.until_s and known.trouble is trouble:
@@ -69,6 +73,12 @@
             return
         self._rests[server_id] = _Rest(trouble, now_s + length_s, length_s)
 
+    def _first_rest_s(self, trouble: Trouble) -> float:
+        """Return how long a server is left alone at first, in seconds."""
+        if trouble is Trouble.FULL:
+            return _FULL_REST_S
+        return _FAILED_REST_S if trouble is Trouble.FAILED else self.stall_s
+
     def worked(self, server_id: str) -> None:
         """Note that a server did its work."""
         self._rests.pop(server_id, None)
--- a/tests/test_freshness.py
+++ b/tests/test_freshness.py
@@ -60,3 +60,14 @@
         fresh.proven(10.0)
         fresh.proven(8.0)
         assert fresh.age_s(now_s=11.0) == 1.0
+
+    def test_doubted_view_is_not_proven(self):
+        """While the newest view can't be understood, no read proves anything."""
+        fresh = Freshness(limit_s=5.0)
+        fresh.proven(10.0)
+        fresh.doubt()
+        fresh.proven(14.0)
+        assert not fresh.is_fresh(now_s=15.0)
+        fresh.trust()
+        fresh.proven(16.0)
+        assert fresh.is_fresh(now_s=17.0)
--- a/tests/test_router_settings.py
+++ b/tests/test_router_settings.py
@@ -62,6 +62,11 @@
         with pytest.raises(SettingsError, match=message):
             parse_router_settings(filled(**changes))
 
+    def test_requests_within_the_descriptors(self):
+        """No more requests are taken than there are descriptors for."""
+        settings = parse_router_settings(filled(**{"Limits.MaxFds": "500"}))
+        assert settings.limits.most_requests == 100
+
     def test_lease_margin_below_duration(self):
         """A lease that ends before it begins is refused."""
         text = filled() + "\n[policy]\nlease_margin_s = 9\n"
--- a/tests/test_runner_health.py
+++ b/tests/test_runner_health.py
@@ -51,3 +51,10 @@
         health.note("a", Trouble.SILENT, now_s=0.0)
         health.note("a", Trouble.FULL, now_s=0.1)
         assert health.is_resting("a", now_s=2.0)
+
+    def test_silent_server_rests_as_long_as_engines_wait(self):
+        """The site's own bound says how long a silent server is left alone."""
+        health = RunnerHealth(stall_s=5.0)
+        health.note("a", Trouble.SILENT, now_s=0.0)
+        assert health.is_resting("a", now_s=4.9)
+        assert not health.is_resting("a", now_s=5.1)
