--- a/src/violethatch/_followers.py
+++ b/src/violethatch/_followers.py
@@ -12,6 +12,7 @@
 from . import events
 from .errors import TableUnavailableError
 from .freshness import Freshness, StoreClock
+from .relayed_tables import TableCache
 from .router_settings import StoreSection
 from .upstream import HistoryGoneError, TableSource, TableView
 
@@ -32,6 +33,7 @@
         freshness: Told of each proof.
         take: Takes rows in; its flag says that they are the whole table.
         returned: Called when the store answers again after it had not.
+        cache: Keeps the table for other instances.
         rng: Spreads the retries of many instances.
     """
 
@@ -46,6 +48,7 @@
         take: Callable[[TableView, bool], None],
         returned: Callable[[], None],
         rng: random.Random,
+        cache: TableCache | None = None,
     ) -> None:
         self.table = table
         self.settings = settings
@@ -57,6 +60,9 @@
         self._rng = rng
         self._version: int | None = None
         self._is_away = False
+        self._cache = cache or TableCache()
+        #: The newest return of the store that other instances have told of.
+        self._told_return_s: float | None = None
 
     async def run(self) -> None:
         """Follow the table until cancelled."""
@@ -83,12 +89,16 @@
             view = await self._source.read_changes(
                 self.table, after=self._version, wait_s=wait_s
             )
-        self._clock.observe(view.store_s, sent_s=sent_s)
-        self._note_back()
+        if not view.is_relayed:
+            self._clock.observe(view.store_s, sent_s=sent_s)
+        is_whole = is_whole or view.is_whole
+        self._note_back(view)
+        self._cache.take(view, is_whole=is_whole)
         self._version = view.version
         if view.values or is_whole:
             self._take(view, is_whole)
-        self._freshness.proven(self._clock.earliest_local_s(view.store_s))
+        if self._clock.is_known:
+            self._freshness.proven(self._clock.earliest_local_s(view.store_s))
         if view.values and not is_whole:
             await asyncio.sleep(self.settings.change_pause_s)
 
@@ -97,6 +107,7 @@
         if self._is_away:
             return
         self._is_away = True
+        self._cache.note_away()
         age_s = self._freshness.age_s(now_s=time.monotonic())
         events.log(
             events.TABLE_UNREACHABLE,
@@ -105,10 +116,21 @@
             proof_age_s=round(age_s, 3) if age_s != float("inf") else None,
         )
 
-    def _note_back(self) -> None:
-        """Log that the store answers again, and tell of it."""
-        if not self._is_away:
-            return
-        self._is_away = False
-        events.log(events.TABLE_REACHABLE, table=self.table)
-        self._returned()
+    def _note_back(self, view: TableView) -> None:
+        """Log that the store answers again, and tell of it.
+
+        It may have been away only for the instance that reads it for this one.
+        """
+        told_s = view.returned_s
+        is_told = told_s is not None and told_s != self._told_return_s
+        if is_told:
+            self._told_return_s = told_s
+            self._cache.returned(told_s or 0.0)
+        if self._is_away:
+            self._is_away = False
+            events.log(events.TABLE_REACHABLE, table=self.table)
+            if not view.is_relayed:
+                self._cache.returned(view.store_s)
+            self._returned()
+        elif is_told:
+            self._returned()
--- /dev/null
+++ b/src/violethatch/_registration.py
@@ -0,0 +1,121 @@
+# SPDX-License-Identifier: MIT
+"""The instance's own entry in the store, so that others find it."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+
+from collections.abc import Sequence
+from typing import Protocol
+
+import msgspec
+
+from . import events
+from .errors import TableUnavailableError
+from .freshness import StoreClock
+from .instances import ENTRY_LIFE_S, InstanceDirectory, InstanceEntry
+from .ports import AnswerLostError
+from .upstream import TableView
+
+
+#: The product's own table of instances.
+INSTANCES_TABLE = "violethatch_instances"
+#: How often the entry is written anew, in seconds: a third of its life.
+_RENEWAL_S = ENTRY_LIFE_S / 3
+#: How often to look whether the store's clock is known yet, in seconds.
+_CLOCK_LOOK_S = 0.1
+#: How long to wait after a write that came to nothing, in seconds.
+_RETRY_S = 3.0
+#: Parts of a wait that are drawn from, so that instances don't write all at once.
+_WAIT_PARTS = (0.7, 1.3)
+#: The most old entries that one write removes (the store takes 100 in one).
+_MOST_REMOVED = 50
+
+
+class EntryStore(Protocol):
+    """Keeps entries."""
+
+    async def write_entries(
+        self, table: str, put: dict[str, bytes], remove: Sequence[str]
+    ) -> None:
+        """Write and remove rows, whatever they hold.
+
+        Raises:
+            TableUnavailableError: Nothing was written.
+            AnswerLostError: It was written, or not; it can't be told.
+        """
+
+
+class Registration:
+    """Writes the instance's entry, keeps it new, and takes it away at the end.
+
+    Args:
+        store: Keeps the entries.
+        directory: The instance's view of all.
+        clock: Maps the store's clock.
+        rng: Spreads the writes of many instances.
+    """
+
+    def __init__(
+        self,
+        store: EntryStore,
+        directory: InstanceDirectory,
+        *,
+        clock: StoreClock,
+        rng: random.Random,
+    ) -> None:
+        self._store = store
+        self._directory = directory
+        self._clock = clock
+        self._rng = rng
+
+    async def run(self) -> None:
+        """Keep the entry, until cancelled."""
+        while True:
+            pause_s = await self._step()
+            await asyncio.sleep(pause_s * self._rng.uniform(*_WAIT_PARTS))
+
+    async def _step(self) -> float:
+        """Write the entry if it can be dated; return when to go on, in seconds."""
+        if not self._clock.is_known:
+            return _CLOCK_LOOK_S
+        return _RENEWAL_S if await self._write() else _RETRY_S
+
+    async def remove(self) -> None:
+        """Take the entry away: others then ask elsewhere at once."""
+        try:
+            own_id = self._directory.own.id
+            await self._store.write_entries(INSTANCES_TABLE, {}, [own_id])
+        except (TableUnavailableError, AnswerLostError) as error:
+            # Others notice by themselves that nobody answers.
+            events.log(events.ENTRY_UNWRITTEN, reason=str(error))
+
+    def take(self, view: TableView, is_whole: bool) -> None:
+        """Take others' entries in."""
+        entries: dict[str, InstanceEntry | None] = {}
+        for instance_id, value in view.values.items():
+            entries[instance_id] = None
+            if value is None:
+                continue
+            try:
+                entries[instance_id] = msgspec.json.decode(value, type=InstanceEntry)
+            except ValueError as error:
+                events.log(events.STATE_REFUSED, row=instance_id, reason=str(error))
+        self._directory.take(entries, is_whole=is_whole)
+        events.log(events.INSTANCES_KNOWN, count=len(self._directory))
+
+    async def _write(self) -> bool:
+        """Write the entry; tell whether it surely was."""
+        store_s = self._clock.now_s()
+        if store_s is None:
+            return False  # the store was not read yet
+        entry = self._directory.own._replace(written_s=store_s)
+        old = self._directory.expired(store_s=store_s)[:_MOST_REMOVED]
+        body = msgspec.json.encode(entry)
+        try:
+            await self._store.write_entries(INSTANCES_TABLE, {entry.id: body}, old)
+        except (TableUnavailableError, AnswerLostError) as error:
+            events.log(events.ENTRY_UNWRITTEN, reason=str(error))
+            return False
+        return True
--- /dev/null
+++ b/src/violethatch/_relay_http.py
@@ -0,0 +1,176 @@
+# SPDX-License-Identifier: MIT
+"""What instances say to each other about tables: HTTP with MessagePack bodies.
+
+Only who reads the store knows an instance's token, and only who shows it gets an
+answer.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import hmac
+import zlib
+
+from collections.abc import Mapping
+
+import aiohttp
+import msgspec
+
+from aiohttp.web_request import BaseRequest
+from aiohttp.web_response import Response
+from aiohttp.web_server import Server
+
+from ._serving import listen
+from .instances import InstanceEntry
+from .relayed_tables import ANSWER_MARGIN_S, NoNewsError, PeerSilentError, TableCache
+from .upstream import TableView
+
+
+_TOKEN_HEADER = "Violethatch-Peer"
+_PATH = "/changes"
+_OK = 200
+_NO_NEWS = 204
+_BAD_REQUEST = 400
+_FORBIDDEN = 403
+#: The longest wait that is granted, in seconds.
+_MOST_WAIT_S = 5.0
+#: From this size on bodies are packed, in bytes; below, a packet holds them.
+_PACK_BYTES = 1_400
+#: The quickest of zlib's levels: JSON shrinks to a tenth at it already.
+_PACK_LEVEL = 1
+
+
+class _Answer(msgspec.Struct, array_like=True):
+    """A table's news."""
+
+    values: dict[str, bytes | None]
+    version: int
+    store_s: float
+    is_whole: bool
+    returned_s: float | None
+
+
+class RelayListener:
+    """Answers other instances from this one's tables.
+
+    Args:
+        caches: By table, what this instance knows of it.
+        token: What others have to show.
+    """
+
+    def __init__(self, caches: Mapping[str, TableCache], *, token: str) -> None:
+        self._caches = caches
+        self._token = token
+        self._server = Server(self._tell, access_log=None)
+
+    async def start(self, endpoint: str) -> None:
+        """Listen on an address."""
+        await listen(self._server, endpoint)
+
+    async def _tell(self, request: BaseRequest) -> Response:
+        """Answer one question."""
+        shown = request.headers.get(_TOKEN_HEADER, "")
+        if not hmac.compare_digest(shown.encode(), self._token.encode()):
+            return Response(status=_FORBIDDEN)
+        cache = self._caches.get(request.query.get("table", ""))
+        try:
+            after = int(request.query["after"])
+            known_s = float(request.query["known_s"])
+            wait_s = float(request.query["wait_s"])
+        except (KeyError, ValueError):
+            return Response(status=_BAD_REQUEST)
+        if cache is None:
+            return Response(status=_BAD_REQUEST)
+        view = await cache.news(
+            after=after, known_s=known_s, wait_s=min(wait_s, _MOST_WAIT_S)
+        )
+        if view is None:
+            return Response(status=_NO_NEWS)
+        return _packed(view)
+
+
+class RelayClient:
+    """Asks other instances for their tables.
+
+    Args:
+        session: Makes the calls.
+    """
+
+    def __init__(self, session: aiohttp.ClientSession) -> None:
+        self._session = session
+        self._decoder = msgspec.msgpack.Decoder(_Answer)
+
+    async def changes(
+        self,
+        peer: InstanceEntry,
+        table: str,
+        *,
+        after: int,
+        known_s: float,
+        wait_s: float,
+    ) -> TableView:
+        """Return a table's changes with a newer proof than *known_s*.
+
+        Raises:
+            NoNewsError: There was none in time.
+            PeerSilentError: It gave no answer.
+        """
+        query = {
+            "table": table,
+            "after": str(after),
+            "known_s": repr(known_s),
+            "wait_s": repr(wait_s),
+        }
+        try:
+            async with asyncio.timeout(wait_s + ANSWER_MARGIN_S):
+                async with self._session.get(
+                    f"http://{peer.address}{_PATH}",
+                    params=query,
+                    headers={_TOKEN_HEADER: peer.token},
+                ) as answer:
+                    body = await answer.read()
+            if answer.status == _NO_NEWS:
+                msg = "no news"
+                raise NoNewsError(msg)
+            if answer.status != _OK:
+                msg = f"status {answer.status}"
+                raise PeerSilentError(msg)
+            return _unpacked(body, self._decoder)
+        except (TimeoutError, aiohttp.ClientError, OSError, ValueError) as error:
+            raise PeerSilentError(repr(error)) from error
+
+
+def _packed(view: TableView) -> Response:
+    """Return an answer with a table's news."""
+    answer = _Answer(
+        dict(view.values), view.version, view.store_s, view.is_whole, view.returned_s
+    )
+    body = msgspec.msgpack.encode(answer)
+    is_packed = len(body) >= _PACK_BYTES
+    if is_packed:
+        body = zlib.compress(body, _PACK_LEVEL)
+    return Response(body=bytes([is_packed]) + body)
+
+
+def _unpacked(body: bytes, decoder: msgspec.msgpack.Decoder[_Answer]) -> TableView:
+    """Return a table's news from an answer's body.
+
+    Raises:
+        ValueError: It can't be understood.
+    """
+    if not body:
+        msg = "an empty answer"
+        raise ValueError(msg)
+    rest = body[1:]
+    try:
+        answer = decoder.decode(zlib.decompress(rest) if body[0] else rest)
+    except zlib.error as error:
+        raise ValueError(str(error)) from error
+    return TableView(
+        answer.values,
+        answer.version,
+        answer.store_s,
+        is_whole=answer.is_whole,
+        is_relayed=True,
+        returned_s=answer.returned_s,
+    )
--- a/src/violethatch/freshness.py
+++ b/src/violethatch/freshness.py
@@ -11,6 +11,8 @@
 
 from __future__ import annotations
 
+import time
+
 
 class StoreClock:
     """Maps the store's steady clock to the local monotonic clock.
@@ -27,6 +29,15 @@
         if self._offset_s is None or offset_s > self._offset_s:
             self._offset_s = offset_s
 
+    @property
+    def is_known(self) -> bool:
+        """Whether a call was observed."""
+        return self._offset_s is not None
+
+    def now_s(self) -> float | None:
+        """Return about what the store's clock shows now; None if unknown."""
+        return None if self._offset_s is None else time.monotonic() - self._offset_s
+
     def earliest_local_s(self, store_s: float) -> float:
         """Return a local time that is not after the store's time *store_s*."""
         if self._offset_s is None:
--- /dev/null
+++ b/src/violethatch/instances.py
@@ -0,0 +1,168 @@
+# SPDX-License-Identifier: MIT
+"""The instances that are known, and who reads the store for whom.
+
+Reads of the store must not grow with the instances.  In each availability zone
+a few instances read it; the others follow one of these.  Who reads follows from
+the known instances alone, so that nothing has to be agreed: whoever believes
+otherwise for a while reads the store itself.
+
+.. versionadded:: 26.1.0
+"""
+
+from __future__ import annotations
+
+import math
+
+from collections.abc import Mapping
+from typing import NamedTuple
+
+from .membership import rendezvous
+
+
+#: The most instances that follow one reader: a desired state of 300 KB goes out
+#: to all of them in a second over the slowest link of today's sites (20 Mbit/s),
+#: since it is a tenth of that when packed.
+FOLLOWERS_A_READER = 24
+#: From how many instances in a zone on they follow a reader.  Its short reads
+#: cost as much as three instances that read for themselves (0.8 s against 2.4).
+LEAST_MEMBERS = 5
+#: How long an instance that gave no answer is left alone, in seconds.
+DOWN_S = 5.0
+#: After how long an entry that was not renewed counts no more, in seconds.
+ENTRY_LIFE_S = 1800.0
+
+#: How many instances of a zone may be asked when the store can't be.
+_HELPERS_A_ZONE = 2
+
+_JOB = "reader"
+
+
+class InstanceEntry(NamedTuple):
+    """An instance as its entry in the store tells it.
+
+    Attributes:
+        address: Where other instances ask it.
+        token: What they have to show: only who reads the store knows it.
+        link_mbps: The rate of its machine's link.
+        written_s: The store's steady clock when it was written, in seconds.
+    """
+
+    id: str
+    availability_zone: str
+    address: str
+    token: str
+    link_mbps: float
+    written_s: float
+
+
+class InstanceDirectory:
+    """One instance's view of all others.
+
+    Args:
+        own: The instance's own entry.
+
+    .. versionadded:: 26.1.0
+    """
+
+    def __init__(self, own: InstanceEntry) -> None:
+        self.own = own
+        self._entries: dict[str, InstanceEntry] = {}
+        self._down_until_s: dict[str, float] = {}
+
+    def __len__(self) -> int:
+        return len(self._entries)
+
+    def take(
+        self, entries: Mapping[str, InstanceEntry | None], *, is_whole: bool
+    ) -> None:
+        """Take entries in.
+
+        Args:
+            entries: By id, an entry, or None where it is gone.
+            is_whole: Whether these are all entries.
+        """
+        if is_whole:
+            self._entries.clear()
+        for instance_id, entry in entries.items():
+            if entry is None:
+                self._entries.pop(instance_id, None)
+            else:
+                self._entries[instance_id] = entry
+
+    def expired(self, *, store_s: float) -> list[str]:
+        """Return the ids of entries that were not renewed for long."""
+        return [
+            entry.id
+            for entry in self._entries.values()
+            if store_s - entry.written_s > ENTRY_LIFE_S
+        ]
+
+    def note_down(self, instance_id: str, *, now_s: float) -> None:
+        """Note that an instance gave no answer."""
+        self._down_until_s[instance_id] = now_s + DOWN_S
+
+    def source(self, *, now_s: float) -> InstanceEntry | None:
+        """Return the instance to follow, or None to read the store oneself."""
+        members = self._members(self.own.availability_zone, now_s=now_s)
+        if len(members) < LEAST_MEMBERS:
+            return None
+        readers = _readers(members)
+        if self.own.id in readers:
+            return None
+        return members[rendezvous(self.own.id, readers)[0]]
+
+    def is_reader(self, *, now_s: float) -> bool:
+        """Tell whether others follow this instance."""
+        members = self._members(self.own.availability_zone, now_s=now_s)
+        return len(members) >= LEAST_MEMBERS and self.own.id in _readers(members)
+
+    def rank(self, job: str, *, now_s: float) -> int:
+        """Return how many instances come before this one for a job; 0 for none."""
+        ids = {
+            entry.id
+            for entry in self._entries.values()
+            if now_s >= self._down_until_s.get(entry.id, 0.0)
+        }
+        order = rendezvous(job, ids | {self.own.id}, count=len(ids) + 1)
+        return order.index(self.own.id)
+
+    def helpers(self, *, now_s: float) -> list[InstanceEntry]:
+        """Return whom to ask when the store can't be, nearest first.
+
+        They are those of each zone that read or would read next, in an order of
+        this instance's own, so that not all ask the same.
+        """
+        zones = {entry.availability_zone for entry in self._entries.values()}
+        near = self.own.availability_zone
+        found: list[InstanceEntry] = []
+        for zone in sorted(zones, key=lambda one: (one != near, one)):
+            members = self._members(zone, now_s=now_s)
+            members.pop(self.own.id, None)
+            first = _ranked(members)[: max(_HELPERS_A_ZONE, len(_readers(members)))]
+            order = rendezvous(self.own.id, first, count=len(first))
+            found.extend(members[one] for one in order)
+        return found
+
+    def _members(self, zone: str, *, now_s: float) -> dict[str, InstanceEntry]:
+        """Return a zone's instances that are not thought to be down."""
+        members = {
+            entry.id: entry
+            for entry in self._entries.values()
+            if entry.availability_zone == zone
+            and now_s >= self._down_until_s.get(entry.id, 0.0)
+        }
+        if zone == self.own.availability_zone:
+            members[self.own.id] = self.own
+        return members
+
+
+def _readers(members: Mapping[str, InstanceEntry]) -> list[str]:
+    """Return the ids of those who read the store for others."""
+    return _ranked(members)[: math.ceil(len(members) / FOLLOWERS_A_READER)]
+
+
+def _ranked(members: Mapping[str, InstanceEntry]) -> list[str]:
+    """Return ids in the order in which they read, the best links first."""
+    ranked = list(rendezvous(_JOB, members, count=len(members)))
+    ranked.sort(key=lambda one: -members[one].link_mbps)
+    return ranked
--- /dev/null
+++ b/src/violethatch/platform/_following.py
@@ -0,0 +1,181 @@
+# SPDX-License-Identifier: MIT
+"""The platform's tables, followed and passed on to other instances."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+import aiohttp
+
+from .._followers import TableFollower
+from .._placing import PlacementDuty
+from .._registration import INSTANCES_TABLE, Registration
+from .._relay_http import RelayClient, RelayListener
+from .._router import Router
+from ..freshness import Freshness, StoreClock
+from ..instances import InstanceDirectory
+from ..relayed_tables import RelayedTables, TableCache
+from ..router_settings import RouterSettings, StoreSection
+from ..upstream import TableSource, TableView
+from ._store import Store
+
+
+_DESIRED_TABLE = "op"
+_SERVERS_TABLE = "servers"
+#: How long a read of the instances' table waits, in seconds: nothing is bound to
+#: learn soon of another instance.
+_INSTANCES_WAIT_S = 20.0
+#: How long after its start an instance reads that table first, in seconds: when
+#: all start at once, one read then finds all.
+_INSTANCES_DELAY_S = 1.5
+
+
+class Following:
+    """Follows the platform's tables for one router.
+
+    Args:
+        settings: Validated settings.
+        store: The store itself.
+        session: Asks other instances.
+        directory: The instance's view of all others.
+        router: Takes the desired state and the servers.
+        duty: Takes the desired state.
+        rng: Spreads the calls of many instances.
+    """
+
+    def __init__(
+        self,
+        settings: RouterSettings,
+        *,
+        store: Store,
+        session: aiohttp.ClientSession,
+        directory: InstanceDirectory,
+        router: Router,
+        duty: PlacementDuty,
+        rng: random.Random,
+    ) -> None:
+        self._settings = settings
+        self._router = router
+        self._duty = duty
+        self._clock = StoreClock()
+        self._rng = rng
+        self._registration = Registration(
+            store, directory, clock=self._clock, rng=self._rng
+        )
+        self._caches = {
+            table: TableCache()
+            for table in (_DESIRED_TABLE, _SERVERS_TABLE, INSTANCES_TABLE)
+        }
+        self._relay = RelayListener(self._caches, token=directory.own.token)
+        self._tables = RelayedTables(
+            store, RelayClient(session), directory, unproven=(INSTANCES_TABLE,)
+        )
+        self._followers = self._make_followers()
+        self._instances = self._make_instances()
+
+    @property
+    def _is_relaying(self) -> bool:
+        """Whether instances ask each other."""
+        return self._settings.listen.peers is not None
+
+    async def listen(self) -> None:
+        """Listen for other instances.
+
+        Raises:
+            OSError: The address can't be listened on.
+        """
+        if self._settings.listen.peers is not None:
+            await self._relay.start(self._settings.listen.peers)
+
+    def work(self) -> list[Coroutine[Any, Any, None]]:
+        """Return all that has to run until the process ends."""
+        work = [follower.run() for follower in self._followers]
+        if self._is_relaying:
+            work.append(self._registration.run())
+            work.append(_later(_INSTANCES_DELAY_S, self._instances.run()))
+        return work
+
+    async def leave(self) -> None:
+        """Let other instances know that this one goes."""
+        if self._is_relaying:
+            await self._registration.remove()
+
+    def take_settings(self, settings: RouterSettings) -> None:
+        """Take changed settings in; addresses stay until the next start."""
+        for follower in self._followers:
+            follower.settings = settings.store
+        self._instances.settings = _patient(settings.store)
+
+    def _make_followers(self) -> list[TableFollower]:
+        """Return the followers of the platform's own tables."""
+        return [
+            self._follower(
+                _DESIRED_TABLE,
+                freshness=self._router.freshness,
+                take=self._take_desired,
+            ),
+            self._follower(
+                _SERVERS_TABLE,
+                freshness=Freshness(limit_s=self._settings.proof_limit_s),
+                take=self._router.take_servers,
+                returned=self._router.store_returned,
+            ),
+        ]
+
+    def _make_instances(self) -> TableFollower:
+        """Return the follower of the instances' table."""
+        follower = self._follower(
+            INSTANCES_TABLE,
+            freshness=Freshness(limit_s=self._settings.proof_limit_s),
+            take=self._registration.take,
+        )
+        follower.settings = _patient(follower.settings)
+        return follower
+
+    def _follower(
+        self,
+        table: str,
+        *,
+        freshness: Freshness,
+        take: Callable[[TableView, bool], None],
+        returned: Callable[[], None] = lambda: None,
+    ) -> TableFollower:
+        """Return the follower of one table."""
+        source: TableSource = self._tables
+        return TableFollower(
+            table,
+            source=source,
+            settings=self._settings.store,
+            clock=self._clock,
+            freshness=freshness,
+            take=take,
+            returned=returned,
+            rng=self._rng,
+            cache=self._caches[table],
+        )
+
+    def _take_desired(self, view: TableView, is_whole: bool) -> None:
+        """Take the desired state in, for calls and for placement."""
+        self._router.take_desired(view, is_whole)
+        self._duty.desired = self._router.desired
+
+
+def _patient(settings: StoreSection) -> StoreSection:
+    """Return settings for the instances' table."""
+    return settings._replace(
+        change_wait_s=_INSTANCES_WAIT_S, change_pause_s=_INSTANCES_DELAY_S
+    )
+
+
+async def _later(pause_s: float, work: Coroutine[Any, Any, None]) -> None:
+    """Do work after a pause."""
+    try:
+        await asyncio.sleep(pause_s)
+    except asyncio.CancelledError:
+        work.close()
+        raise
+    await work
--- a/src/violethatch/platform/_listener.py
+++ b/src/violethatch/platform/_listener.py
@@ -9,7 +9,6 @@
 import aiohttp
 import msgspec
 
-from aiohttp.web_protocol import RequestHandler
 from aiohttp.web_request import BaseRequest
 from aiohttp.web_response import Response, StreamResponse
 from aiohttp.web_server import Server
@@ -18,6 +17,7 @@
 from .. import events
 from .._problems import problem_response
 from .._router import Router
+from .._serving import listen
 from ..desired import CallLimits
 from ..errors import VioletHatchError
 from ..upstream import Call
@@ -36,8 +36,6 @@
 )
 #: How long connections get to close at the end, in seconds.
 _CLOSE_S = 0.1
-#: Connections that may wait to be accepted.
-_BACKLOG = 512
 _OK = 200
 _UNAVAILABLE = 503
 
@@ -53,7 +51,7 @@
 
     async def start(self, endpoint: str) -> None:
         """Listen on an address."""
-        await _listen(self._server, endpoint)
+        await listen(self._server, endpoint)
 
     async def close(self) -> None:
         """Close all connections."""
@@ -118,10 +116,10 @@
 
     async def start(self, endpoint: str, metrics_port: int) -> None:
         """Listen for both on the same IP number."""
-        await _listen(self._readiness, endpoint)
+        await listen(self._readiness, endpoint)
         if metrics_port:
             address = endpoint.partition(":")[0]
-            await _listen(self._metrics, f"{address}:{metrics_port}")
+            await listen(self._metrics, f"{address}:{metrics_port}")
 
     async def _ready(self, _request: BaseRequest) -> StreamResponse:
         """Tell whether callers should come here."""
@@ -135,14 +133,3 @@
             self._router.metrics.registry, request.headers.getall("Accept", [])
         )
         return Response(body=body, headers=headers)
-
-
-async def _listen(server: Server, endpoint: str) -> None:
-    """Listen with *server* on an address by IP number."""
-    address, _, port = endpoint.partition(":")
-    loop = asyncio.get_running_loop()
-
-    def connect() -> RequestHandler:
-        return server()
-
-    await loop.create_server(connect, address, int(port), backlog=_BACKLOG)
--- a/src/violethatch/platform/_process.py
+++ b/src/violethatch/platform/_process.py
@@ -15,14 +15,13 @@
 import uvloop
 
 from .. import events
-from .._followers import TableFollower
 from .._placing import PlacementDuty
 from .._router import Router
 from ..errors import SettingsError
-from ..freshness import Freshness, StoreClock
+from ..instances import InstanceDirectory, InstanceEntry
 from ..log_output import LogOutput
 from ..router_settings import RouterSettings, load_router_settings
-from ..upstream import TableView
+from ._following import Following
 from ._listener import CallersListener, ReadinessListener
 from ._runners import Runners
 from ._sessions import make_session
@@ -93,13 +92,31 @@
             rng=rng,
         )
         store = Store(self._settings.store, kept, router.metrics)
+        directory = InstanceDirectory(_own_entry(self._settings))
         duty = PlacementDuty(
             router.routing,
             store=store,
             holder=f"{self._settings.instance.id}/{secrets.token_hex(4)}",
             rng=rng,
         )
-        self._follow(router, store, duty, rng)
+        following = Following(
+            self._settings,
+            store=store,
+            session=kept,
+            directory=directory,
+            router=router,
+            duty=duty,
+            rng=rng,
+        )
+        self._takers = [
+            router.take_settings,
+            lambda settings: store.take_settings(settings.store),
+            lambda settings: duty.take_policy(settings.policy),
+            following.take_settings,
+        ]
+        await following.listen()
+        for work in (*following.work(), duty.run(), self._watch_file()):
+            self._tasks.append(asyncio.create_task(_keep_running(work)))
         callers = CallersListener(router)
         readiness = ReadinessListener(router)
         listen = self._settings.listen
@@ -108,7 +125,7 @@
         stop = self._watch_signals(router)
         events.log(events.STARTED, id=self._settings.instance.id)
         await stop.wait()
-        await self._drain(router, duty)
+        await self._drain(router, duty, following)
         events.log(events.STOPPED, id=self._settings.instance.id)
         for task in self._tasks:
             task.cancel()
@@ -117,44 +134,6 @@
         await fresh.close()
         self._output.flush()
 
-    def _follow(
-        self, router: Router, store: Store, duty: PlacementDuty, rng: random.Random
-    ) -> None:
-        """Start to follow the store's tables, and the duties."""
-        clock = StoreClock()
-
-        def take_desired(view: TableView, is_whole: bool) -> None:
-            router.take_desired(view, is_whole)
-            duty.desired = router.desired
-
-        def follower(table: str, **options: Any) -> TableFollower:
-            return TableFollower(
-                table,
-                source=store,
-                settings=self._settings.store,
-                clock=clock,
-                rng=rng,
-                **options,
-            )
-
-        desired = follower(
-            "op", freshness=router.freshness, take=take_desired, returned=lambda: None
-        )
-        servers = follower(
-            "servers",
-            freshness=Freshness(limit_s=self._settings.proof_limit_s),
-            take=router.take_servers,
-            returned=router.store_returned,
-        )
-        self._takers = [
-            router.take_settings,
-            lambda settings: store.take_settings(settings.store),
-            lambda settings: duty.take_policy(settings.policy),
-            *(_taker_of(one) for one in (desired, servers)),
-        ]
-        for work in (desired.run(), servers.run(), duty.run(), self._watch_file()):
-            self._tasks.append(asyncio.create_task(_keep_running(work)))
-
     async def _watch_file(self) -> None:
         """Take a changed settings file in, which may change without a signal."""
         known = _file_state(self._path)
@@ -189,13 +168,15 @@
             take(settings)
         events.log(events.RELOADED, id=settings.instance.id)
 
-    async def _drain(self, router: Router, duty: PlacementDuty) -> None:
+    async def _drain(
+        self, router: Router, duty: PlacementDuty, following: Following
+    ) -> None:
         """Finish what was taken, as long as there is time."""
         loop = asyncio.get_running_loop()
         router.stop_plan.ask(now_s=loop.time())
         events.log(events.DRAINING, in_flight=router.in_flight)
         started_s = loop.time()
-        await duty.resign()
+        await asyncio.gather(duty.resign(), following.leave())
         while router.stop_plan.left_s(now_s=loop.time()) > 0:
             is_known = loop.time() - started_s >= _STOP_STAY_S
             if is_known and not router.in_flight:
@@ -203,13 +184,16 @@
             await asyncio.sleep(_STOP_LOOK_S)
 
 
-def _taker_of(follower: TableFollower) -> Callable[[RouterSettings], None]:
-    """Return what gives a follower its changed settings."""
-
-    def take(settings: RouterSettings) -> None:
-        follower.settings = settings.store
-
-    return take
+def _own_entry(settings: RouterSettings) -> InstanceEntry:
+    """Return the instance's entry; it is dated when it is written."""
+    return InstanceEntry(
+        id=settings.instance.id,
+        availability_zone=settings.instance.availability_zone,
+        address=settings.listen.peers or "",
+        token=secrets.token_hex(8),
+        link_mbps=settings.limits.link_mbps,
+        written_s=0.0,
+    )
 
 
 def _file_state(path: str) -> tuple[int, int, int] | None:
--- a/src/violethatch/platform/_store.py
+++ b/src/violethatch/platform/_store.py
@@ -7,6 +7,7 @@
 import base64
 import json
 
+from collections.abc import Mapping, Sequence
 from typing import Any
 
 import aiohttp
@@ -123,6 +124,36 @@
             "put": [place | {"Value": value}],
             "Remove": [],
         }
+        status, page = await self._write(body)
+        return LeaseWrite(status == _OK, page.ver)
+
+    async def write_entries(
+        self, table: str, put: Mapping[str, bytes], remove: Sequence[str]
+    ) -> None:
+        """Write and remove rows of a table, whatever they hold.
+
+        Raises:
+            TableUnavailableError: Nothing was written.
+            AnswerLostError: It was written, or not; it can't be told.
+        """
+        place = {"table": table, "part": ""}
+        body = {
+            "ExpectedRevision": [],
+            "put": [
+                place | {"Key": key, "Value": base64.b64encode(value).decode()}
+                for key, value in put.items()
+            ],
+            "Remove": [place | {"Key": key} for key in remove],
+        }
+        await self._write(body)
+
+    async def _write(self, body: dict[str, Any]) -> tuple[int, Rows]:
+        """Write rows; return the status and the answer.
+
+        Raises:
+            TableUnavailableError: Nothing was written.
+            AnswerLostError: It was written, or not; it can't be told.
+        """
         try:
             status, page = await self._call(
                 "POST", "rows-tx", self._timeout_s, json=body
@@ -135,7 +166,7 @@
             raise AnswerLostError(msg) from error
         if status in _REFUSALS:
             raise self._unavailable("rows-tx", f"status {status}")
-        return LeaseWrite(status == _OK, page.ver)
+        return status, page
 
     async def _read(
         self, call: str, params: dict[str, str], timeout_s: float
--- /dev/null
+++ b/src/violethatch/relayed_tables.py
@@ -0,0 +1,339 @@
+# SPDX-License-Identifier: MIT
+"""The store's tables, read by few instances and followed by the others.
+
+An instance keeps the tables as it knows them (`TableCache`) and answers others
+from there.  Each answer tells at which time of the store's steady clock it was
+current, so that nobody has to trust another instance's clock, and so that two
+instances that follow each other prove nothing.
+
+.. versionadded:: 26.1.0
+"""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+import math
+import time
+
+from collections.abc import Collection
+from typing import NamedTuple, Protocol
+
+from . import events
+from .errors import TableUnavailableError
+from .instances import InstanceDirectory, InstanceEntry
+from .upstream import TableSource, TableView
+
+
+#: How long a reader's reads wait that others follow, in seconds.
+READER_WAIT_S = 0.8
+#: How long followers let a reader wait for its next proof, in seconds: a read, the
+#: pause after one that brought changes, and a slow answer.  With the margin below
+#: they notice a reader that is cut off within the shortest bound on a change (2 s
+#: at today's sites).
+FOLLOW_WAIT_S = 1.2
+#: How much longer followers wait for a reader's answer, in seconds.
+ANSWER_MARGIN_S = 0.3
+#: For how long peers are asked before the store after it gave no answer, in
+#: seconds.
+_STORE_REST_S = 2.0
+#: How many helpers are asked in one try.
+_MOST_HELPERS = 2
+#: How many changes are kept for others, each some KB.
+_MOST_CHANGES = 64
+#: A version and a time that are older than any.
+_NEVER = -1
+
+
+class PeerSilentError(Exception):
+    """Another instance gave no answer, or has no newer proof."""
+
+
+class NoNewsError(PeerSilentError):
+    """Another instance has nothing newer than what was known."""
+
+
+class PeerReads(Protocol):
+    """Asks other instances."""
+
+    async def changes(
+        self,
+        peer: InstanceEntry,
+        table: str,
+        *,
+        after: int,
+        known_s: float,
+        wait_s: float,
+    ) -> TableView:
+        """Return a table's changes with a newer proof than *known_s*.
+
+        Raises:
+            NoNewsError: There was none in time.
+            PeerSilentError: It gave no answer.
+        """
+
+
+class _Change(NamedTuple):
+    """Rows that have changed between two versions."""
+
+    after: int
+    view: TableView
+
+
+class TableCache:
+    """A table as one instance knows it, for others to follow.
+
+    .. versionadded:: 26.1.0
+    """
+
+    def __init__(self) -> None:
+        self.is_away = True
+        self._values: dict[str, bytes] = {}
+        self._version = _NEVER
+        self._store_s = float(_NEVER)
+        self._returned_s: float | None = None
+        self._changes: collections.deque[_Change] = collections.deque(
+            maxlen=_MOST_CHANGES
+        )
+        self._news = asyncio.Event()
+
+    def take(self, view: TableView, *, is_whole: bool) -> None:
+        """Take in what was read."""
+        if is_whole:
+            self._values.clear()
+            self._changes.clear()
+        elif view.version > self._version:
+            self._changes.append(_Change(self._version, view))
+        for key, value in view.values.items():
+            if value is None:
+                self._values.pop(key, None)
+            else:
+                self._values[key] = value
+        self._version = max(self._version, view.version)
+        self._store_s = max(self._store_s, view.store_s)
+        self.is_away = False
+        self._tell()
+
+    def returned(self, store_s: float) -> None:
+        """Note that the store answers again since its time *store_s*."""
+        self._returned_s = store_s
+
+    def note_away(self) -> None:
+        """Note that nothing is known any more of how the table goes on."""
+        self.is_away = True
+        self._tell()
+
+    async def news(
+        self, *, after: int, known_s: float, wait_s: float
+    ) -> TableView | None:
+        """Return what has changed, or a newer proof; None if there is neither."""
+        try:
+            async with asyncio.timeout(wait_s):
+                while not self.is_away:
+                    if self._version > after or self._store_s > known_s:
+                        return self._since(after)
+                    await self._news.wait()
+        except TimeoutError:
+            return None
+        return None
+
+    def _tell(self) -> None:
+        """Wake all who wait for news."""
+        self._news.set()
+        self._news = asyncio.Event()
+
+    def _since(self, after: int) -> TableView:
+        """Return the changes after a version, or the whole table."""
+        values: dict[str, bytes | None] = {}
+        is_whole = False
+        if after < self._version:
+            later = [one for one in self._changes if one.view.version > after]
+            is_whole = not later or later[0].after > after
+            for change in later:
+                values.update(change.view.values)
+            if is_whole:
+                values = dict(self._values)
+        return TableView(
+            values,
+            max(after, self._version),
+            self._store_s,
+            is_whole=is_whole,
+            is_relayed=True,
+            returned_s=self._returned_s,
+        )
+
+
+class RelayedTables:
+    """Reads tables from the store, or from who reads it for others.
+
+    Args:
+        store: Reads the store itself.
+        peers: Asks other instances.
+        directory: Who they are.
+        unproven: Tables of which only changes count, and no proof that there
+            were none.
+
+    .. versionadded:: 26.1.0
+    """
+
+    def __init__(
+        self,
+        store: TableSource,
+        peers: PeerReads,
+        directory: InstanceDirectory,
+        *,
+        unproven: Collection[str] = (),
+    ) -> None:
+        self._store = store
+        self._peers = peers
+        self._directory = directory
+        self._unproven = unproven
+        self._known_s: dict[str, float] = {}
+        self._sources: dict[str, str] = {}
+        self._store_rests_until_s = 0.0
+
+    async def read_table(self, table: str) -> TableView:
+        """Return a whole table.
+
+        Raises:
+            TableUnavailableError: Neither the store nor any instance answers.
+        """
+        try:
+            return self._noted(table, await self._store.read_table(table))
+        except TableUnavailableError as error:
+            view = await self._ask_helpers(table, after=_NEVER, wait_s=0.0)
+            if view is None:
+                raise
+            self._note_source(table, "peers", error.detail)
+            return view
+
+    async def read_changes(self, table: str, *, after: int, wait_s: float) -> TableView:
+        """Return changes as soon as there are any, or a newer proof.
+
+        Raises:
+            HistoryGoneError: Changes since *after* are no longer known.
+            TableUnavailableError: Neither the store nor any instance answers.
+        """
+        now_s = time.monotonic()
+        source = self._directory.source(now_s=now_s)
+        if source is not None and wait_s > 0:
+            view = await self._follow(source, table, after=after, wait_s=wait_s)
+            if view is not None:
+                return view
+            wait_s = 0.0
+        elif self._directory.is_reader(now_s=now_s) and table not in self._unproven:
+            wait_s = min(wait_s, READER_WAIT_S)
+        if now_s < self._store_rests_until_s:
+            view = await self._ask_helpers(table, after=after, wait_s=FOLLOW_WAIT_S)
+            if view is not None:
+                return view
+            wait_s = 0.0
+        return await self._read_store(table, after=after, wait_s=wait_s)
+
+    async def _follow(
+        self, source: InstanceEntry, table: str, *, after: int, wait_s: float
+    ) -> TableView | None:
+        """Ask the instance that reads for this one; None if it is of no help."""
+        is_proven = table not in self._unproven
+        try:
+            view = await self._ask(
+                source,
+                table,
+                after=after,
+                wait_s=FOLLOW_WAIT_S if is_proven else wait_s,
+            )
+        except NoNewsError as error:
+            if not is_proven:
+                return TableView({}, after, self._known_s[table], is_relayed=True)
+            self._leave(source, table, error)
+            return None
+        except PeerSilentError as error:
+            self._leave(source, table, error)
+            return None
+        self._note_source(table, source.id, "follows it")
+        return view
+
+    def _leave(self, source: InstanceEntry, table: str, error: PeerSilentError) -> None:
+        """Follow another instance, or none, for a while."""
+        self._directory.note_down(source.id, now_s=time.monotonic())
+        self._note_source(table, "store", f"{source.id}: {error}")
+
+    async def _read_store(self, table: str, *, after: int, wait_s: float) -> TableView:
+        """Read the store itself; ask other instances if it gives no answer.
+
+        Raises:
+            HistoryGoneError: Changes since *after* are no longer known.
+            TableUnavailableError: Neither the store nor any instance answers.
+        """
+        try:
+            view = await self._store.read_changes(table, after=after, wait_s=wait_s)
+        except TableUnavailableError as error:
+            helped = await self._ask_helpers(table, after=after, wait_s=0.0)
+            if helped is None:
+                raise
+            self._store_rests_until_s = time.monotonic() + _STORE_REST_S
+            self._note_source(table, "peers", error.detail)
+            return helped
+        self._note_source(table, "store", "reads it")
+        return self._noted(table, view)
+
+    async def _ask_helpers(
+        self, table: str, *, after: int, wait_s: float
+    ) -> TableView | None:
+        """Ask some instances for a newer proof; None if nobody has one."""
+        now_s = time.monotonic()
+        for helper in self._directory.helpers(now_s=now_s)[:_MOST_HELPERS]:
+            try:
+                return await self._ask(helper, table, after=after, wait_s=wait_s)
+            except PeerSilentError as error:
+                self._directory.note_down(helper.id, now_s=time.monotonic())
+                events.log(
+                    events.HELPER_SILENT,
+                    table=table,
+                    instance_id=helper.id,
+                    reason=str(error),
+                )
+        return None
+
+    async def _ask(
+        self, peer: InstanceEntry, table: str, *, after: int, wait_s: float
+    ) -> TableView:
+        """Ask an instance.
+
+        Raises:
+            PeerSilentError: It has no newer proof, or gives no answer.
+        """
+        view = await self._peers.changes(
+            peer,
+            table,
+            after=after,
+            known_s=self._known(table),
+            wait_s=wait_s,
+        )
+        return self._noted(table, view)
+
+    def _known(self, table: str) -> float:
+        """Return the store's time that only a newer proof than is of use."""
+        if table in self._unproven:
+            return math.inf
+        return self._known_s.get(table, float(_NEVER))
+
+    def _noted(self, table: str, view: TableView) -> TableView:
+        """Remember the newest proof of a table."""
+        self._known_s[table] = max(
+            self._known_s.get(table, float(_NEVER)), view.store_s
+        )
+        return view
+
+    def _note_source(self, table: str, source: str, reason: str) -> None:
+        """Log where a table's news comes from, if that has changed."""
+        before = self._sources.get(table)
+        self._sources[table] = source
+        if before is not None and before != source:
+            events.log(
+                events.SOURCE_CHANGED,
+                table=table,
+                source=source,
+                before=before,
+                reason=reason,
+            )
--- a/src/violethatch/router_settings.py
+++ b/src/violethatch/router_settings.py
@@ -42,6 +42,8 @@
     callers: Endpoint
     readiness: Endpoint
     metrics_port: Port = 0
+    #: Where other instances ask this one; without it each reads the store.
+    peers: Endpoint | None = None
 
 
 class StoreSection(NamedTuple):
@@ -82,6 +84,8 @@
 
     memory_mb: PositiveInt
     descriptors: PositiveInt = 1024
+    #: The rate of the machine's link: the best ones read the store for others.
+    link_mbps: Positive = 1000.0
     requests: PositiveInt = 400
 
     @property
--- a/src/violethatch/upstream.py
+++ b/src/violethatch/upstream.py
@@ -234,11 +234,18 @@
         values: By key, the values; None for a row that is gone.
         version: From where changes go on.
         store_s: The store's steady clock when it answered, in seconds.
+        is_whole: Whether these are all rows although changes were asked for.
+        is_relayed: Whether another instance has passed it on, so that the
+            store's time may be from before the question.
+        returned_s: Where it was relayed, since when the store answers again.
     """
 
     values: Mapping[str, bytes | None]
     version: int
     store_s: float
+    is_whole: bool = False
+    is_relayed: bool = False
+    returned_s: float | None = None
 
 
 class TableSource(Protocol):
--- /dev/null
+++ b/tests/test_instances.py
@@ -0,0 +1,115 @@
+# SPDX-License-Identifier: MIT
+"""Who reads the store for whom."""
+
+from __future__ import annotations
+
+import collections
+
+import pytest
+
+from violethatch.instances import (
+    DOWN_S,
+    ENTRY_LIFE_S,
+    FOLLOWERS_A_READER,
+    LEAST_MEMBERS,
+    InstanceDirectory,
+    InstanceEntry,
+)
+
+
+def entry(name, *, zone="z1", link_mbps=20.0, written_s=0.0):
+    """Return an instance's entry."""
+    return InstanceEntry(name, zone, f"10.0.0.1:{name}", "t", link_mbps, written_s)
+
+
+def directories(entries):
+    """Return each instance's view of all."""
+    made = {}
+    for one in entries:
+        made[one.id] = InstanceDirectory(one)
+        made[one.id].take({other.id: other for other in entries}, is_whole=True)
+    return made
+
+
+def sources(made, now_s=0.0):
+    """Return, by instance, the id of who it follows, or None."""
+    return {
+        name: source.id if (source := one.source(now_s=now_s)) else None
+        for name, one in made.items()
+    }
+
+
+class TestInstanceDirectory:
+    def test_few_read_for_themselves(self):
+        """Below some instances a reader would cost more than it saves."""
+        few = directories([entry(f"i{n}") for n in range(LEAST_MEMBERS - 1)])
+        assert set(sources(few).values()) == {None}
+        assert not any(one.is_reader(now_s=0.0) for one in few.values())
+
+    @pytest.mark.parametrize("count", [LEAST_MEMBERS, 24, 25, 60])
+    def test_all_agree_on_the_readers(self, count):
+        """Who knows the same comes to the same readers, and follows one."""
+        made = directories([entry(f"i{n}") for n in range(count)])
+        readers = {name for name, one in made.items() if one.is_reader(now_s=0.0)}
+        assert len(readers) == -(-count // FOLLOWERS_A_READER)
+        for name, source in sources(made).items():
+            assert (source is None) == (name in readers)
+            assert source is None or source in readers
+
+    def test_followers_are_spread(self):
+        """No reader gets nearly all followers."""
+        made = directories([entry(f"i{n:03d}") for n in range(96)])
+        counts = collections.Counter(sources(made).values())
+        del counts[None]
+        assert len(counts) == 4
+        assert max(counts.values()) <= 2 * FOLLOWERS_A_READER
+
+    def test_best_links_read(self):
+        """The smallest machines are not the slowest link."""
+        entries = [entry(f"i{n}") for n in range(20)]
+        made = directories([*entries, entry("large", link_mbps=200.0)])
+        assert made["large"].is_reader(now_s=0.0)
+        assert set(sources(made).values()) == {"large", None}
+
+    def test_zones_keep_to_themselves(self):
+        """Nobody follows an instance of another zone."""
+        near = [entry(f"n{n}") for n in range(6)]
+        far = [entry(f"f{n}", zone="z2") for n in range(6)]
+        for name, source in sources(directories([*near, *far])).items():
+            assert source is None or source[0] == name[0]
+
+    def test_silent_reader_is_left_for_a_while(self):
+        """Another one is followed until the silent one is tried again."""
+        made = directories([entry(f"i{n}") for n in range(10)])
+        before = sources(made)
+        reader = next(name for name, source in before.items() if source is None)
+        for one in made.values():
+            one.note_down(reader, now_s=1.0)
+        after = sources({k: v for k, v in made.items() if k != reader}, now_s=1.1)
+        assert reader not in after.values()
+        assert list(after.values()).count(None) == 1
+        assert sources(made, now_s=1.0 + DOWN_S) == before
+
+    def test_gone_entry(self):
+        """An entry that is taken away counts no more."""
+        made = directories([entry(f"i{n}") for n in range(LEAST_MEMBERS)])
+        one = made["i0"]
+        one.take({"i4": None}, is_whole=False)
+        assert len(one) == LEAST_MEMBERS - 1
+        assert one.source(now_s=0.0) is None
+
+    def test_expired_entries(self):
+        """Entries that nobody renews are named, to be removed."""
+        old = entry("old", written_s=10.0)
+        new = entry("new", written_s=ENTRY_LIFE_S)
+        one = directories([old, new])["new"]
+        assert one.expired(store_s=11.0 + ENTRY_LIFE_S) == ["old"]
+
+    def test_helpers_are_readers_near_ones_first(self):
+        """When the store is away, those who read are asked, near ones first."""
+        near = [entry(f"n{n}") for n in range(6)]
+        far = [entry(f"f{n}", zone="z2") for n in range(6)]
+        made = directories([*near, *far])
+        helpers = [one.id for one in made["n0"].helpers(now_s=0.0)]
+        assert [name[0] for name in helpers] == ["n", "n", "f", "f"]
+        assert "n0" not in helpers
--- a/tests/test_platform_process.py
+++ b/tests/test_platform_process.py
@@ -69,7 +69,7 @@
             runner.layers = (0, 80)
             port = await self._serve(runner.application())
             self.addresses[name] = f"127.0.0.1:{port}"
-        self.front, self.ready, self.metrics = free_ports(3)
+        self.front, self.ready, self.metrics, peers = free_ports(4)
         self.configure(version=version, routes=routes)
         for name in self.runners:
             self.list_server(name)
@@ -77,7 +77,9 @@
             **{
                 "Listen.Front": f"127.0.0.1:{self.front}",
                 "Listen.Ready": f"127.0.0.1:{self.ready}",
+                "Ip": "127.0.0.1",
                 "InternalPorts.0": str(self.metrics),
+                "InternalPorts.1": str(peers),
                 "Platform.Address": f"127.0.0.1:{store_port}",
                 "Bounds.RevokeMs": "1500",
                 "Bounds.GraceS": "4",
--- /dev/null
+++ b/tests/test_relayed_tables.py
@@ -0,0 +1,222 @@
+# SPDX-License-Identifier: MIT
+"""Tables that are followed through other instances."""
+
+from __future__ import annotations
+
+import asyncio
+
+import aiohttp
+import pytest
+
+from test_followers import ScriptedSource
+from test_instances import directories, entry
+from test_platform_process import free_ports
+from violethatch._relay_http import RelayClient, RelayListener
+from violethatch.errors import TableUnavailableError
+from violethatch.instances import LEAST_MEMBERS
+from violethatch.relayed_tables import (
+    NoNewsError,
+    PeerSilentError,
+    RelayedTables,
+    TableCache,
+)
+from violethatch.upstream import TableView
+
+
+def view(version, *, store_s=None, **values):
+    """Return an answer of the store."""
+    return TableView(values, version, float(version if store_s is None else store_s))
+
+
+class TestTableCache:
+    def made(self):
+        """Return a cache that was read whole and has seen two changes."""
+        cache = TableCache()
+        cache.take(view(5, a=b"1", b=b"1"), is_whole=True)
+        cache.take(view(7, a=b"2"), is_whole=False)
+        cache.take(view(9, b=None, c=b"3"), is_whole=False)
+        return cache
+
+    async def test_changes_since_a_version(self):
+        """Who is behind gets what has changed, and from where to go on."""
+        news = await self.made().news(after=5, known_s=5.0, wait_s=0.0)
+        assert news.values == {"a": b"2", "b": None, "c": b"3"}
+        assert (news.version, news.is_whole, news.is_relayed) == (9, False, True)
+        news = await self.made().news(after=7, known_s=5.0, wait_s=0.0)
+        assert news.values == {"b": None, "c": b"3"}
+
+    async def test_version_within_a_change(self):
+        """What came with a change is told again; nothing is left out."""
+        news = await self.made().news(after=6, known_s=5.0, wait_s=0.0)
+        assert news.values == {"a": b"2", "b": None, "c": b"3"}
+        assert not news.is_whole
+
+    @pytest.mark.parametrize("after", [-1, 3])
+    async def test_whole_table_for_who_is_far_behind(self, after):
+        """A version that no change begins at gets the whole table."""
+        news = await self.made().news(after=after, known_s=0.0, wait_s=0.0)
+        assert news.values == {"a": b"2", "c": b"3"}
+        assert news.is_whole
+
+    async def test_newer_proof_is_news(self):
+        """Nothing has changed, and that is proven at a later time."""
+        cache = self.made()
+        assert await cache.news(after=9, known_s=9.0, wait_s=0.01) is None
+        cache.take(view(9, store_s=12.0), is_whole=False)
+        news = await cache.news(after=9, known_s=9.0, wait_s=0.0)
+        assert (news.values, news.store_s) == ({}, 12.0)
+
+    async def test_waits_for_a_change(self):
+        """A question waits until there is something to tell."""
+        cache = self.made()
+        asking = asyncio.create_task(cache.news(after=9, known_s=9.0, wait_s=5.0))
+        await asyncio.sleep(0)
+        cache.take(view(11, d=b"4"), is_whole=False)
+        assert (await asking).values == {"d": b"4"}
+
+    async def test_away_tells_at_once(self):
+        """Who can't read the store itself lets its followers go at once."""
+        cache = self.made()
+        asking = asyncio.create_task(cache.news(after=9, known_s=9.0, wait_s=5.0))
+        await asyncio.sleep(0)
+        cache.note_away()
+        async with asyncio.timeout(1):
+            assert await asking is None
+
+    async def test_never_back_to_an_older_version(self):
+        """Who is ahead gets no older table."""
+        assert await self.made().news(after=20, known_s=20.0, wait_s=0.01) is None
+
+
+class ScriptedPeers:
+    """Answers for other instances from a script."""
+
+    def __init__(self, *steps):
+        self.steps = list(steps)
+        self.asked = []
+
+    async def changes(self, peer, table, *, after, known_s, wait_s):
+        self.asked.append((peer.id, after, known_s))
+        step = self.steps.pop(0)
+        if isinstance(step, Exception):
+            raise step
+        return step
+
+
+def follower_of(*, count=LEAST_MEMBERS):
+    """Return the view of an instance that follows another, and who that is."""
+    made = directories([entry(f"i{n}") for n in range(count)])
+    directory = next(one for one in made.values() if one.source(now_s=0.0))
+    return directory, directory.source(now_s=0.0).id
+
+
+def reader_of(*, count=LEAST_MEMBERS):
+    """Return the view of an instance that reads for others."""
+    made = directories([entry(f"i{n}") for n in range(count)])
+    return next(one for one in made.values() if one.is_reader(now_s=0.0))
+
+
+AWAY = TableUnavailableError("away")
+
+
+class TestRelayedTables:
+    async def test_follower_asks_its_reader(self):
+        """The store is not asked while the reader answers."""
+        directory, reader = follower_of()
+        store = ScriptedSource(view(5, a=b"1"))
+        peers = ScriptedPeers(view(6, a=b"2"), view(6, store_s=8.0))
+        tables = RelayedTables(store, peers, directory)
+        await tables.read_table("op")
+        assert (await tables.read_changes("op", after=5, wait_s=2.4)).version == 6
+        await tables.read_changes("op", after=6, wait_s=2.4)
+        assert peers.asked == [(reader, 5, 5.0), (reader, 6, 6.0)]
+        assert len(store.asked) == 1
+
+    async def test_reader_waits_only_briefly(self):
+        """Its followers notice in time when it is cut off."""
+        store = ScriptedSource(view(5))
+        tables = RelayedTables(store, ScriptedPeers(), reader_of())
+        await tables.read_changes("op", after=4, wait_s=2.4)
+        assert store.asked[0][2] < 1.0
+
+    async def test_reader_without_news_is_left(self):
+        """Without a newer proof the store itself is asked, at once."""
+        directory, reader = follower_of()
+        store = ScriptedSource(view(6), view(6, store_s=7.0))
+        peers = ScriptedPeers(NoNewsError("no news"), view(7))
+        tables = RelayedTables(store, peers, directory)
+        await tables.read_changes("op", after=5, wait_s=2.4)
+        assert store.asked == [("changes", 5, 0.0)]
+        await tables.read_changes("op", after=6, wait_s=2.4)
+        assert [one[0] for one in peers.asked[1:]] != [reader]
+
+    async def test_instance_that_the_store_refuses_asks_others(self):
+        """A part of the instances may be refused while others are served."""
+        directory = reader_of(count=LEAST_MEMBERS + 2)
+        store = ScriptedSource(AWAY)
+        peers = ScriptedPeers(PeerSilentError("gone"), view(8))
+        tables = RelayedTables(store, peers, directory)
+        async with asyncio.timeout(1):
+            found = await tables.read_changes("op", after=5, wait_s=2.4)
+        assert found.version == 8
+
+    async def test_nobody_knows(self):
+        """With no newer proof anywhere the table is unavailable."""
+        store = ScriptedSource(AWAY)
+        peers = ScriptedPeers(*[NoNewsError("no news")] * 3)
+        tables = RelayedTables(store, peers, reader_of())
+        with pytest.raises(TableUnavailableError):
+            await tables.read_changes("op", after=5, wait_s=2.4)
+
+    async def test_start_while_the_store_is_away(self):
+        """A table can be had whole from another instance."""
+        found = view(8, a=b"1")._replace(is_whole=True)
+        peers = ScriptedPeers(found)
+        tables = RelayedTables(ScriptedSource(AWAY), peers, reader_of())
+        assert await tables.read_table("op") == found
+
+    async def test_table_without_proofs(self):
+        """No news of such a table says that nothing has changed."""
+        directory, _ = follower_of()
+        peers = ScriptedPeers(NoNewsError("no news"))
+        tables = RelayedTables(
+            ScriptedSource(view(5)), peers, directory, unproven=("instances",)
+        )
+        await tables.read_table("instances")
+        found = await tables.read_changes("instances", after=5, wait_s=2.4)
+        assert (found.values, found.version) == ({}, 5)
+
+
+class TestRelayOverHttp:
+    async def ask(self, cache, *, token="secret", **options):
+        """Ask an instance that listens."""
+        (port,) = free_ports(1)
+        listener = RelayListener({"op": cache}, token="secret")
+        await listener.start(f"127.0.0.1:{port}")
+        peer = entry("i1")._replace(address=f"127.0.0.1:{port}", token=token)
+        asked = {"after": -1, "known_s": -1.0, "wait_s": 0.1} | options
+        async with aiohttp.ClientSession() as session:
+            return await RelayClient(session).changes(peer, "op", **asked)
+
+    @pytest.mark.parametrize("size", [1, 300_000])
+    async def test_news_come_as_they_are(self, size):
+        """Small answers and large ones, which are packed."""
+        cache = TableCache()
+        cache.take(view(5, a=b"x" * size), is_whole=True)
+        cache.returned(3.0)
+        news = await self.ask(cache)
+        assert news.values == {"a": b"x" * size}
+        assert (news.version, news.store_s, news.is_whole) == (5, 5.0, True)
+        assert (news.is_relayed, news.returned_s) == (True, 3.0)
+
+    async def test_no_news(self):
+        """An instance that knows nothing newer says so."""
+        cache = TableCache()
+        cache.take(view(5), is_whole=True)
+        with pytest.raises(NoNewsError):
+            await self.ask(cache, after=5, known_s=5.0)
+
+    async def test_wrong_token(self):
+        """Only who reads the store gets an answer."""
+        with pytest.raises(PeerSilentError, match="403"):
+            await self.ask(TableCache(), token="guessed")
--- a/tests/test_router_settings.py
+++ b/tests/test_router_settings.py
@@ -20,7 +20,9 @@
     "Region": "valle-central",
     "Listen.Front": "10.1.0.40:8227",
     "Listen.Ready": "10.1.0.40:8220",
+    "Ip": "10.1.0.40",
     "InternalPorts.0": "7340",
+    "InternalPorts.1": "7355",
     "Platform.Address": "10.200.1.7:8223",
     "Bounds.RevokeMs": "5000",
     "Bounds.GraceS": "8",
@@ -30,6 +32,7 @@
     "Bounds.RetrySlack": "200",
     "Limits.MemoryMb": "300",
     "Limits.MaxFds": "4100",
+    "Limits.LinkMbps": "1000.0",
 }
 
 
