Let few instances plan placement at once

Cause: each instance planned anew whenever the fleet's state changed. Ruled out: planning only with the lease, which would cost each instance a read of it at each change. Change: instances are ranked for the duty by the list of instances; the first three plan at once, each further one 0.8 s later if the state stays.

--- a/src/violethatch/_placing.py
+++ b/src/violethatch/_placing.py
@@ -23,6 +23,7 @@
 from .desired import DesiredState, ServiceSpec
 from .engine_model import EngineSpec
 from .errors import TableUnavailableError
+from .instances import InstanceDirectory
 from .layers import LayerRange
 from .placement import Host, plan_placement
 from .router_settings import RouterPolicySection
@@ -40,6 +41,15 @@
 #: How long the lease is kept after the list shows all orders, in seconds:
 #: others see the same list by then, and don't order anew.
 _RESIGN_PAUSE_S = 1.5
+#: How many instances plan at once when a situation changes: one that is frozen
+#: or cut off should hold nothing up.
+_FIRST_PLANNERS = 3
+#: How much longer each further instance waits for its turn, in seconds: somewhat
+#: more than two looks and a try for the lease.
+_TURN_S = 0.8
+#: The longest wait for a turn, in seconds.
+_LONGEST_TURN_S = 8.0
+_JOB = "placement"
 #: Orders that are under way at one time.
 _ORDERS_AT_ONCE = 8
 
@@ -69,6 +79,7 @@
         store: Keeps the lease.
         holder: Names this process's lifetime.
         rng: Spreads tries of many instances.
+        directory: Says whose turn it is to plan; without it, everybody's.
     """
 
     def __init__(
@@ -78,12 +89,16 @@
         store: LeaseStore,
         holder: str,
         rng: random.Random,
+        directory: InstanceDirectory | None = None,
     ) -> None:
         self._routing = routing
         self.desired: DesiredState | None = None
         self._lease = PlacementLease(
             store, holder=holder, policy=routing.settings.policy, rng=rng
         )
+        self._directory = directory
+        #: By service, its latest situation and since when it is that.
+        self._situations: dict[str, tuple[_Situation, float]] = {}
         self._plans: dict[str, tuple[_Situation, Mapping[str, LayerRange]]] = {}
         self._watches: defaultdict[str, FleetWatch] = defaultdict(FleetWatch)
         #: By runner, what it was ordered and until when that is waited for.
@@ -157,12 +172,32 @@
             copying=watch.idle_for_long(servers, now_s=now_s),
             is_repairing=watch.is_at_rest(servers, now_s=now_s),
         )
+        if not self._may_plan(service.name, situation, now_s):
+            return []
         plan = self._plan(service.name, situation)
         return [
             _Order(service, servers[server_id], layers)
             for server_id, layers in plan.items()
         ]
 
+    def _may_plan(self, service: str, situation: _Situation, now_s: float) -> bool:
+        """Tell whether it is this instance's turn to plan.
+
+        Planning stops all else for tens of milliseconds.  A few instances do it
+        at once when the situation changes; the others only if it stays.
+        """
+        known = self._situations.get(service)
+        if known is None or known[0] != situation:
+            known = (situation, now_s)
+            self._situations[service] = known
+        made = self._plans.get(service)
+        is_made = made is not None and made[0] == situation
+        if self._directory is None or self.is_holder or is_made:
+            return True
+        rank = self._directory.rank(_JOB, now_s=now_s)
+        pause_s = min(_LONGEST_TURN_S, max(0, rank - _FIRST_PLANNERS + 1) * _TURN_S)
+        return now_s - known[1] >= pause_s
+
     def _plan(self, service: str, situation: _Situation) -> Mapping[str, LayerRange]:
         """Return the plan for a situation; it is made once for each."""
         known = self._plans.get(service)
--- a/src/violethatch/platform/_process.py
+++ b/src/violethatch/platform/_process.py
@@ -98,6 +98,7 @@
             store=store,
             holder=f"{self._settings.instance.id}/{secrets.token_hex(4)}",
             rng=rng,
+            directory=directory,
         )
         following = Following(
             self._settings,
--- a/tests/test_placing.py
+++ b/tests/test_placing.py
@@ -11,6 +11,7 @@
 
 from router_fakes import FakeClient, make_routing, report
 from routing_samples import desired_state, runner
+from test_instances import directories, entry
 from violethatch import _fleet_watch, _placement_lease, _placing
 from violethatch._placement_lease import LeaseWrite
 from violethatch._placing import PlacementDuty
@@ -64,12 +65,18 @@
 ]
 
 
-def make_duty(store, *servers, name="one", **policy):
+def make_duty(store, *servers, name="one", directory=None, **policy):
     """Return a duty over a fleet whose reports match the list, and its client."""
     client = FakeClient()
     client.reports = {one.id: report(layers=one.layers, sequence=4) for one in servers}
     routing = make_routing(client, *servers, rng=random.Random(1), **policy)
-    duty = PlacementDuty(routing, store=store, holder=name, rng=random.Random(1))
+    duty = PlacementDuty(
+        routing,
+        store=store,
+        holder=name,
+        rng=random.Random(1),
+        directory=directory,
+    )
     duty.desired = desired_state()
     return duty, client, routing
 
@@ -142,6 +149,29 @@
         assert client.placed == []
 
 
+class TestTurns:
+    async def test_few_plan_at_once(self):
+        """When the fleet's state changes, most instances leave it to others."""
+        made = directories([entry(f"i{n}") for n in range(20)])
+        planned = []
+        for directory in made.values():
+            duty, client, _ = make_duty(FakeStore(), *FLEET, directory=directory)
+            await duty._look()
+            planned.append(bool(client.placed))
+        assert planned.count(True) == 3
+
+    async def test_others_follow_if_nothing_happens(self, monkeypatch):
+        """Those whose turn is later plan if the first ones are gone."""
+        monkeypatch.setattr(_placing, "_TURN_S", 0.001)
+        made = directories([entry(f"i{n}") for n in range(20)])
+        for directory in made.values():
+            duty, client, _ = make_duty(FakeStore(), *FLEET, directory=directory)
+            await duty._look()
+            await asyncio.sleep(0.03)
+            await duty._look()
+            assert client.placed
+
+
 class TestLease:
     async def test_one_holder_orders(self):
         """A second instance gives no orders while the first holds the lease."""
