Tell all instances of servers in trouble, and learn who is dead from refusals

Change: a runner that another one names in a 503 rests longer each time, up to the bound on stalls, until it has worked; sightings go to all instances as datagrams, where a runner's word counts at once and an instance's own needs a second witness; a first send may use runners that may only be full where the others don't hold all layers.

--- a/src/violethatch/_routing.py
+++ b/src/violethatch/_routing.py
@@ -3,10 +3,11 @@
 
 from __future__ import annotations
 
+import functools
 import random
 import time
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 from . import events
 from .backends import BackendServer, BackendTable
@@ -17,6 +18,7 @@
 from .router_settings import RouterSettings
 from .runner_health import RunnerHealth, Trouble
 from .server_choice import ServerChoice
+from .sightings import Hearsay, Sighting, is_worth_telling
 from .stream_loads import StreamLoads
 from .upstream import Refusal, RunnerClient
 
@@ -31,6 +33,9 @@
         self.client = client
         self.backends = BackendTable(leaving_s=settings.bounds.leaving_s)
         self.health = RunnerHealth(stall_s=settings.bounds.stall_s)
+        self.hearsay = Hearsay(self.health, rng=rng)
+        #: Tells other instances of a sighting, where there are any.
+        self.tell: Callable[[Sighting], None] = lambda _sighting: None
         self.choice = ServerChoice(rng)
         self.loads = StreamLoads()
         self._budgets: dict[str, RetryBudget] = {}
@@ -62,6 +67,7 @@
         *,
         avoided: frozenset[str] = frozenset(),
         first: BackendServer | None = None,
+        may_doubt: bool = False,
     ) -> Path | None:
         """Return the quickest path of a service over healthy runners.
 
@@ -69,18 +75,26 @@
             service: A service with an engine.
             avoided: Runners to leave alone beside the resting ones.
             first: The runner that has to come first, if one has to.
+            may_doubt: Whether runners that may only be full are used where the
+                others don't hold all layers.
         """
         if service.engine is None:
             return None
         now_s = time.monotonic()
         layer_map = self._layer_map(service, service.engine)
-        return layer_map.find(
+        find = functools.partial(
+            layer_map.find,
             zone=self.settings.instance.availability_zone,
-            left_out=self.health.resting(now_s=now_s) | avoided,
             fullness=self.loads.fullness_of(layer_map, now_s=now_s),
             first=first,
             pipe_fullness=self.loads.pipe_fullness(service.engine, now_s=now_s),
         )
+        resting = self.health.resting(now_s=now_s)
+        path = find(left_out=resting | avoided)
+        shunned = self.health.shunned(now_s=now_s)
+        if path is None and may_doubt and shunned != resting:
+            path = find(left_out=shunned | avoided)
+        return path
 
     def _layer_map(self, service: ServiceSpec, engine: EngineSpec) -> LayerMap:
         """Return who holds which layers, made anew when the list has changed."""
@@ -105,6 +119,7 @@
         """Forget what was learnt of servers that are no longer listed."""
         for server_id in server_ids:
             self.health.forget(server_id)
+            self.hearsay.forget(server_id)
             self.choice.forget(server_id)
             self.loads.forget(server_id)
 
@@ -112,7 +127,7 @@
         self, server: BackendServer, trouble: Trouble, request_id: str, reason: str
     ) -> None:
         """Leave a server alone for a while, and log why."""
-        self.health.note(server.id, trouble, now_s=time.monotonic())
+        self._note(server.id, trouble)
         events.log(
             events.SERVER_TROUBLE,
             request_id=request_id,
@@ -122,10 +137,26 @@
             list_revision=self.backends.revision,
         )
 
-    def note_refusal(self, server_id: str, refusal: Refusal, request_id: str) -> None:
-        """Take in that a server has refused a call without running it."""
-        trouble = Trouble.NAMED if refusal.is_misdirected else Trouble.FULL
-        self.health.note(server_id, trouble, now_s=time.monotonic())
+    def note_refusal(
+        self,
+        server_id: str,
+        refusal: Refusal,
+        request_id: str,
+        *,
+        is_told_by_other: bool = False,
+    ) -> None:
+        """Take in that a call was refused without being run.
+
+        Args:
+            server_id: Who is at fault.
+            refusal: The server's word.
+            request_id: Names the call.
+            is_told_by_other: Whether that word is another server's.
+        """
+        trouble = Trouble.ABSENT if is_told_by_other else Trouble.FULL
+        if refusal.is_misdirected:
+            trouble = Trouble.NAMED
+        self._note(server_id, trouble)
         events.log(
             events.SERVER_REFUSED,
             request_id=request_id,
@@ -133,6 +164,12 @@
             trouble=trouble.value,
         )
 
+    def _note(self, server_id: str, trouble: Trouble) -> None:
+        """Leave a server alone for a while, and tell other instances."""
+        rest_s = self.health.note(server_id, trouble, now_s=time.monotonic())
+        if rest_s is not None and is_worth_telling(trouble):
+            self.tell(Sighting(server_id, trouble, rest_s))
+
     def _budget(self, service: str) -> RetryBudget:
         """Return a service's retry budget."""
         budget = self._budgets.get(service)
--- a/src/violethatch/_stream_run.py
+++ b/src/violethatch/_stream_run.py
@@ -102,7 +102,12 @@
         """Leave the runner alone that a refusal names, or the first one."""
         assert answer.refusal is not None
         culprit = self._stage_at(answer.refusal.address) or self.path.first
-        self._routing.note_refusal(culprit.id, answer.refusal, self._call.id)
+        self._routing.note_refusal(
+            culprit.id,
+            answer.refusal,
+            self._call.id,
+            is_told_by_other=culprit.id != self.path.first.id,
+        )
 
     async def _await_progress(
         self, coming: asyncio.Future[Any], limit_s: float
--- a/src/violethatch/_streams.py
+++ b/src/violethatch/_streams.py
@@ -126,7 +126,9 @@
         A stream that has begun waits a little: its caller waits longer for the
         next event than room takes to come back.
         """
-        path = self._routing.path(self._service, avoided=self._avoided)
+        path = self._routing.path(
+            self._service, avoided=self._avoided, may_doubt=not self.sends
+        )
         pauses = _ROOM_PAUSES if self._is_started else 0
         while path is None and pauses:
             pauses -= 1
--- a/src/violethatch/instances.py
+++ b/src/violethatch/instances.py
@@ -126,6 +126,10 @@
         order = rendezvous(job, ids | {self.own.id}, count=len(ids) + 1)
         return order.index(self.own.id)
 
+    def others(self) -> list[InstanceEntry]:
+        """Return all other instances."""
+        return [one for one in self._entries.values() if one.id != self.own.id]
+
     def helpers(self, *, now_s: float) -> list[InstanceEntry]:
         """Return whom to ask when the store can't be, nearest first.
 
--- a/src/violethatch/platform/_following.py
+++ b/src/violethatch/platform/_following.py
@@ -16,6 +16,7 @@
 from .._registration import INSTANCES_TABLE, Registration
 from .._relay_http import RelayClient, RelayListener
 from .._router import Router
+from .._sighting_link import SightingLink
 from ..freshness import Freshness, StoreClock
 from ..instances import InstanceDirectory
 from ..relayed_tables import RelayedTables, TableCache
@@ -74,6 +75,7 @@
         self._tables = RelayedTables(
             store, RelayClient(session), directory, unproven=(INSTANCES_TABLE,)
         )
+        self._sightings = SightingLink(directory, router.routing.hearsay)
         self._followers = self._make_followers()
         self._instances = self._make_instances()
 
@@ -90,6 +92,8 @@
         """
         if self._settings.listen.peers is not None:
             await self._relay.start(self._settings.listen.peers)
+            await self._sightings.start(self._settings.listen.peers)
+            self._router.routing.tell = self._sightings.tell
 
     def work(self) -> list[Coroutine[Any, Any, None]]:
         """Return all that has to run until the process ends."""
--- a/src/violethatch/runner_health.py
+++ b/src/violethatch/runner_health.py
@@ -23,6 +23,9 @@
     NAMED = "named"
     #: It refused for want of room.
     FULL = "full"
+    #: Another runner says that its part can't be had: it may be full, leaving or
+    #: dead, which only time tells.
+    ABSENT = "absent"
     #: It failed or spoilt an answer.
     FAILED = "failed"
 
@@ -33,6 +36,9 @@
 #: How long a server is left alone that had no room, in seconds: room is back
 #: within some requests.
 _FULL_REST_S = 0.3
+#: The troubles that say little of how long they last: such a server is still used
+#: where there is no other.
+_MILD = frozenset((Trouble.FULL, Trouble.ABSENT))
 #: How long a server is left alone that spoilt an answer, in seconds.
 _FAILED_REST_S = 0.5
 #: Repeated trouble doubles the rest up to this, in seconds.
@@ -61,24 +67,48 @@
         self.stall_s = stall_s
         self._rests: dict[str, _Rest] = {}
 
-    def note(self, server_id: str, trouble: Trouble, *, now_s: float) -> None:
-        """Note trouble with a server."""
+    def note(self, server_id: str, trouble: Trouble, *, now_s: float) -> float | None:
+        """Note trouble with a server.
+
+        Returns:
+            For how long the server is left alone because of it, in seconds, or
+            None if it was left alone already.
+        """
         length_s = self._first_rest_s(trouble)
         known = self._rests.get(server_id)
         if known is not None and trouble is not Trouble.FULL:
             if now_s < known.until_s and known.trouble is trouble:
-                return  # the same trouble, seen by another request
-            length_s = min(_LONGEST_REST_S, max(length_s, 2 * known.length_s))
+                return None  # the same trouble, seen by another request
+            length_s = min(
+                self._longest_rest_s(trouble), max(length_s, 2 * known.length_s)
+            )
         if known is not None and known.until_s > now_s + length_s:
-            return
+            return None
         self._rests[server_id] = _Rest(trouble, now_s + length_s, length_s)
+        return length_s
+
+    def rest(
+        self, server_id: str, trouble: Trouble, length_s: float, *, now_s: float
+    ) -> bool:
+        """Leave a server alone on another's word; tell whether that is longer."""
+        known = self._rests.get(server_id)
+        if known is not None and known.until_s >= now_s + length_s:
+            return False
+        first_s = self._first_rest_s(trouble)
+        known_s = known.length_s if known is not None else first_s
+        self._rests[server_id] = _Rest(trouble, now_s + length_s, known_s)
+        return True
 
     def _first_rest_s(self, trouble: Trouble) -> float:
         """Return how long a server is left alone at first, in seconds."""
-        if trouble is Trouble.FULL:
+        if trouble in _MILD:
             return _FULL_REST_S
         return _FAILED_REST_S if trouble is Trouble.FAILED else self.stall_s
 
+    def _longest_rest_s(self, trouble: Trouble) -> float:
+        """Return how long repeated trouble lets a server rest at most."""
+        return self.stall_s if trouble in _MILD else _LONGEST_REST_S
+
     def worked(self, server_id: str) -> None:
         """Note that a server did its work."""
         self._rests.pop(server_id, None)
@@ -94,6 +124,14 @@
             server_id for server_id, rest in self._rests.items() if now_s < rest.until_s
         )
 
+    def shunned(self, *, now_s: float) -> frozenset[str]:
+        """Return the servers not to use even where there is no other."""
+        return frozenset(
+            server_id
+            for server_id, rest in self._rests.items()
+            if now_s < rest.until_s and rest.trouble not in _MILD
+        )
+
     def forget(self, server_id: str) -> None:
         """Forget a server that is no longer listed."""
         self._rests.pop(server_id, None)
--- a/tests/test_runner_health.py
+++ b/tests/test_runner_health.py
@@ -58,3 +58,20 @@
         health.note("a", Trouble.SILENT, now_s=0.0)
         assert health.is_resting("a", now_s=4.9)
         assert not health.is_resting("a", now_s=5.1)
+
+    def test_absent_server_rests_longer_each_time(self):
+        """Whose part can't be had again and again is likely to be dead."""
+        health = RunnerHealth(stall_s=3.0)
+        rests = [health.note("a", Trouble.ABSENT, now_s=n * 10.0) for n in range(6)]
+        assert rests == [0.3, 0.6, 1.2, 2.4, 3.0, 3.0]
+        health.worked("a")
+        assert health.note("a", Trouble.ABSENT, now_s=90.0) == 0.3
+
+    def test_doubt_is_no_certainty(self):
+        """A server that may only be full is not shunned."""
+        health = RunnerHealth()
+        health.note("full", Trouble.FULL, now_s=0.0)
+        health.note("absent", Trouble.ABSENT, now_s=0.0)
+        health.note("silent", Trouble.SILENT, now_s=0.0)
+        assert health.resting(now_s=0.1) == {"full", "absent", "silent"}
+        assert health.shunned(now_s=0.1) == {"silent"}
--- /dev/null
+++ b/tests/test_sightings.py
@@ -0,0 +1,118 @@
+# SPDX-License-Identifier: MIT
+"""What instances tell each other of servers in trouble."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+
+import pytest
+
+from test_instances import entry
+from test_platform_process import free_ports
+from violethatch import _sighting_link
+from violethatch._sighting_link import SightingLink
+from violethatch.instances import InstanceDirectory
+from violethatch.runner_health import RunnerHealth, Trouble
+from violethatch.sightings import Hearsay, Sighting, is_worth_telling
+
+
+def heard(health, sighting, *, witness="i1", now_s=0.0):
+    """Let a fresh instance hear one sighting."""
+    hearsay = Hearsay(health, rng=random.Random(1))
+    return hearsay.heard(sighting, witness=witness, now_s=now_s)
+
+
+class TestHearsay:
+    @pytest.mark.parametrize("trouble", [Trouble.NAMED, Trouble.ABSENT])
+    def test_runners_word_counts_at_once(self, trouble):
+        """What a runner said of another holds for all instances."""
+        health = RunnerHealth()
+        assert heard(health, Sighting("a", trouble, 2.0))
+        assert health.resting(now_s=1.9) == {"a"}
+
+    def test_own_view_needs_two_witnesses(self):
+        """One instance's silence may be that of its own link."""
+        health = RunnerHealth()
+        hearsay = Hearsay(health, rng=random.Random(1))
+        silent = Sighting("a", Trouble.SILENT, 3.0)
+        assert not hearsay.heard(silent, witness="i1", now_s=0.0)
+        assert not hearsay.heard(silent, witness="i1", now_s=0.5)
+        assert not hearsay.heard(silent, witness="i2", now_s=9.0)
+        assert hearsay.heard(silent, witness="i3", now_s=9.5)
+
+    def test_rests_end_at_different_times(self):
+        """Not all instances try a dead server again at the same moment."""
+        ends = set()
+        for seed in range(20):
+            health = RunnerHealth()
+            hearsay = Hearsay(health, rng=random.Random(seed))
+            hearsay.heard(Sighting("a", Trouble.NAMED, 2.0), witness="w", now_s=0.0)
+            ends.add(health.is_resting("a", now_s=2.5))
+        assert ends == {True, False}
+
+    def test_others_word_is_bounded(self):
+        """Nobody can take a server out for long by one word."""
+        health = RunnerHealth()
+        heard(health, Sighting("a", Trouble.NAMED, 1e6))
+        assert not health.is_resting("a", now_s=10.0)
+
+    def test_shorter_word_changes_nothing(self):
+        """A rest that is longer already stands."""
+        health = RunnerHealth()
+        health.note("a", Trouble.SILENT, now_s=0.0)
+        assert not heard(health, Sighting("a", Trouble.ABSENT, 0.3))
+        assert health.shunned(now_s=0.1) == {"a"}
+
+    def test_full_servers_are_not_told_of(self):
+        """Room is back before the word has gone round."""
+        assert not is_worth_telling(Trouble.FULL)
+        assert not is_worth_telling(Trouble.FAILED)
+        assert is_worth_telling(Trouble.ABSENT)
+
+
+class TestSightingLink:
+    async def pair(self):
+        """Return a sender, and the health of who hears it."""
+        entries = [
+            entry(f"i{n}")._replace(address=f"127.0.0.1:{port}", token=f"t{n}")
+            for n, port in enumerate(free_ports(2))
+        ]
+        links, healths = [], []
+        for own in entries:
+            directory = InstanceDirectory(own)
+            directory.take({one.id: one for one in entries}, is_whole=True)
+            healths.append(RunnerHealth())
+            hearsay = Hearsay(healths[-1], rng=random.Random(1))
+            links.append(SightingLink(directory, hearsay))
+            await links[-1].start(own.address)
+        return links, healths
+
+    async def test_word_reaches_the_other(self):
+        """A sighting is told to all others, and not to oneself."""
+        links, (own, other) = await self.pair()
+        links[0].tell(Sighting("a", Trouble.NAMED, 5.0))
+        async with asyncio.timeout(5):
+            while not other.resting(now_s=asyncio.get_running_loop().time()):
+                await asyncio.sleep(0.01)
+        assert not own.resting(now_s=asyncio.get_running_loop().time())
+
+    async def test_strangers_are_not_heard(self):
+        """Without the receiver's token a datagram is of no effect."""
+        links, (_, other) = await self.pair()
+        links[1].datagram_received(b"\x93\xa1x\xa2i9\x90", None)
+        links[1].datagram_received(b"noise", None)
+        assert not other.resting(now_s=0.0)
+
+    async def test_bounded_rate(self, monkeypatch):
+        """Trouble everywhere doesn't fill the links."""
+        monkeypatch.setattr(_sighting_link, "_GATHER_S", 0.0)
+        links, _ = await self.pair()
+        sent = []
+        links[0]._transport = type(
+            "Transport", (), {"sendto": lambda _, data, to: sent.append(to)}
+        )()
+        for n in range(300):
+            links[0].tell(Sighting(f"s{n}", Trouble.NAMED, 1.0))
+            await asyncio.sleep(0.001)
+        assert len(sent) <= 2 * _sighting_link._MOST_A_SECOND
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -5,6 +5,7 @@
 
 import asyncio
 import random
+import time
 
 import pytest
 
@@ -310,3 +311,21 @@
         await asyncio.gather(task, return_exceptions=True)
         assert answer.closed is False
         assert responder.end is None
+
+
+class TestDoubt:
+    async def test_first_send_may_go_to_who_seemed_full(self):
+        """A refusal of a moment ago is no reason to refuse all that come."""
+        client = FakeClient(FakeAnswer(events(1)))
+        routing = make_routing(client, A, rng=random.Random(1))
+        routing.health.note(A.id, Trouble.ABSENT, now_s=time.monotonic())
+        got = FakeResponder()
+        await StreamCall(routing, make_call(), admitted()).serve(got)
+        assert got.end == "whole"
+
+    async def test_repeated_send_goes_to_none_of_them(self):
+        """Retries are not spent on who has just refused."""
+        client = FakeClient(refused(), FakeAnswer(events(1)))
+        with pytest.raises(OverloadedError):
+            await serve(client, A)
+        assert len(client.sends) == 1
