Model-check proofs of the desired state that pass through instances

Cause: a relayed proof is one more way for a removed key to count too long. Ruled out: showing it with processes alone, which see few of the orders in which answers may come. Change: spec/relay.pml: two instances that read the store or follow each other, with states that can't be understood; four mutants.

--- a/spec/check.sh
+++ b/spec/check.sh
@@ -61,4 +61,9 @@
 for mutant in UNCONDITIONAL HASTY_STALE; do
   caught revisions.pml "-D$mutant"
 done
+
+holds relay.pml ""
+for mutant in FROM_RECEIPT FROM_ANSWER ANY_VERSION NO_DOUBT; do
+  caught relay.pml "-D$mutant"
+done
 rm -f pan pan.* ./*.trail _spin*
