Read the store for others as seldom as the site's bounds allow

Change: waits are parts of the shorter of the bounds on a new desired state and on a server that leaves, which the settings now name.

--- a/src/violethatch/_followers.py
+++ b/src/violethatch/_followers.py
@@ -99,7 +99,7 @@
             self._take(view, is_whole)
         if self._clock.is_known:
             self._freshness.proven(self._clock.earliest_local_s(view.store_s))
-        if view.values and not is_whole:
+        if view.values and not is_whole and not view.is_relayed:
             await asyncio.sleep(self.settings.change_pause_s)
 
     def _note_away(self, error: TableUnavailableError) -> None:
--- a/src/violethatch/_relay_http.py
+++ b/src/violethatch/_relay_http.py
@@ -22,7 +22,7 @@
 
 from ._serving import listen
 from .instances import InstanceEntry
-from .relayed_tables import ANSWER_MARGIN_S, NoNewsError, PeerSilentError, TableCache
+from .relayed_tables import NoNewsError, PeerSilentError, TableCache
 from .upstream import TableView
 
 
@@ -108,9 +108,18 @@
         after: int,
         known_s: float,
         wait_s: float,
+        margin_s: float,
     ) -> TableView:
         """Return a table's changes with a newer proof than *known_s*.
 
+        Args:
+            peer: Who is asked.
+            table: The table's name.
+            after: The version that is known.
+            known_s: The newest proof that is known.
+            wait_s: How long the instance may wait for news, in seconds.
+            margin_s: How much longer its answer may take, in seconds.
+
         Raises:
             NoNewsError: There was none in time.
             PeerSilentError: It gave no answer.
@@ -122,7 +131,7 @@
             "wait_s": repr(wait_s),
         }
         try:
-            async with asyncio.timeout(wait_s + ANSWER_MARGIN_S):
+            async with asyncio.timeout(wait_s + margin_s):
                 async with self._session.get(
                     f"http://{peer.address}{_PATH}",
                     params=query,
--- a/src/violethatch/platform/_following.py
+++ b/src/violethatch/platform/_following.py
@@ -73,7 +73,11 @@
         }
         self._relay = RelayListener(self._caches, token=directory.own.token)
         self._tables = RelayedTables(
-            store, RelayClient(session), directory, unproven=(INSTANCES_TABLE,)
+            store,
+            RelayClient(session),
+            directory,
+            unproven=(INSTANCES_TABLE,),
+            bound_s=settings.bounds.change_s,
         )
         self._sightings = SightingLink(directory, router.routing.hearsay)
         self._followers = self._make_followers()
@@ -113,6 +117,7 @@
         for follower in self._followers:
             follower.settings = settings.store
         self._instances.settings = _patient(settings.store)
+        self._tables.bound_s = settings.bounds.change_s
 
     def _make_followers(self) -> list[TableFollower]:
         """Return the followers of the platform's own tables."""
--- a/src/violethatch/relayed_tables.py
+++ b/src/violethatch/relayed_tables.py
@@ -25,15 +25,16 @@
 from .upstream import TableSource, TableView
 
 
-#: How long a reader's reads wait that others follow, in seconds.
-READER_WAIT_S = 0.8
-#: How long followers let a reader wait for its next proof, in seconds: a read, the
-#: pause after one that brought changes, and a slow answer.  With the margin below
-#: they notice a reader that is cut off within the shortest bound on a change (2 s
-#: at today's sites).
-FOLLOW_WAIT_S = 1.2
-#: How much longer followers wait for a reader's answer, in seconds.
-ANSWER_MARGIN_S = 0.3
+#: The bound on how late a change may be in force that is assumed unless a site
+#: states another, in seconds.
+CHANGE_BOUND_S = 2.0
+#: Parts of that bound: how long a reader's reads wait that others follow; how long
+#: these let it wait for its next proof, which takes a read, the pause after one
+#: that brought changes, and a slow answer; and how much longer they wait for its
+#: answer.  They notice a reader that is cut off after three quarters of the bound.
+_READER_PART = 0.4
+_FOLLOW_PART = 0.6
+_MARGIN_PART = 0.15
 #: For how long peers are asked before the store after it gave no answer, in
 #: seconds.
 _STORE_REST_S = 2.0
@@ -64,9 +65,18 @@
         after: int,
         known_s: float,
         wait_s: float,
+        margin_s: float,
     ) -> TableView:
         """Return a table's changes with a newer proof than *known_s*.
 
+        Args:
+            peer: Who is asked.
+            table: The table's name.
+            after: The version that is known.
+            known_s: The newest proof that is known.
+            wait_s: How long the instance may wait for news, in seconds.
+            margin_s: How much longer its answer may take, in seconds.
+
         Raises:
             NoNewsError: There was none in time.
             PeerSilentError: It gave no answer.
@@ -172,6 +182,7 @@
         directory: Who they are.
         unproven: Tables of which only changes count, and no proof that there
             were none.
+        bound_s: How late a change may be in force, in seconds.
 
     .. versionadded:: 26.1.0
     """
@@ -183,7 +194,9 @@
         directory: InstanceDirectory,
         *,
         unproven: Collection[str] = (),
+        bound_s: float = CHANGE_BOUND_S,
     ) -> None:
+        self.bound_s = bound_s
         self._store = store
         self._peers = peers
         self._directory = directory
@@ -222,9 +235,11 @@
                 return view
             wait_s = 0.0
         elif self._directory.is_reader(now_s=now_s) and table not in self._unproven:
-            wait_s = min(wait_s, READER_WAIT_S)
+            wait_s = min(wait_s, self.bound_s * _READER_PART)
         if now_s < self._store_rests_until_s:
-            view = await self._ask_helpers(table, after=after, wait_s=FOLLOW_WAIT_S)
+            view = await self._ask_helpers(
+                table, after=after, wait_s=self.bound_s * _FOLLOW_PART
+            )
             if view is not None:
                 return view
             wait_s = 0.0
@@ -240,7 +255,7 @@
                 source,
                 table,
                 after=after,
-                wait_s=FOLLOW_WAIT_S if is_proven else wait_s,
+                wait_s=self.bound_s * _FOLLOW_PART if is_proven else wait_s,
             )
         except NoNewsError as error:
             if not is_proven:
@@ -309,6 +324,7 @@
             after=after,
             known_s=self._known(table),
             wait_s=wait_s,
+            margin_s=self.bound_s * _MARGIN_PART,
         )
         return self._noted(table, view)
 
--- a/src/violethatch/router_settings.py
+++ b/src/violethatch/router_settings.py
@@ -65,6 +65,7 @@
     grace_s: Positive
     stall_ms: PositiveInt
     leaving_ms: PositiveInt
+    config_apply_ms: PositiveInt
     retry_ratio: Ratio
     retry_slack: Positive
 
@@ -73,6 +74,11 @@
         """The bound on work for a server that is leaving, in seconds."""
         return self.leaving_ms / 1000
 
+    @property
+    def change_s(self) -> float:
+        """The bound on taking any change in, in seconds."""
+        return min(self.leaving_ms, self.config_apply_ms) / 1000
+
     @property
     def stall_s(self) -> float:
         """After how long engines cut what depends on a dead runner, in seconds."""
--- a/tests/test_relayed_tables.py
+++ b/tests/test_relayed_tables.py
@@ -95,7 +95,7 @@
         self.steps = list(steps)
         self.asked = []
 
-    async def changes(self, peer, table, *, after, known_s, wait_s):
+    async def changes(self, peer, table, *, after, known_s, wait_s, margin_s):
         self.asked.append((peer.id, after, known_s))
         step = self.steps.pop(0)
         if isinstance(step, Exception):
@@ -139,6 +139,13 @@
         await tables.read_changes("op", after=4, wait_s=2.4)
         assert store.asked[0][2] < 1.0
 
+    async def test_waits_follow_the_sites_bound(self):
+        """A site that allows more time for changes is read less often."""
+        store = ScriptedSource(view(5))
+        tables = RelayedTables(store, ScriptedPeers(), reader_of(), bound_s=3.0)
+        await tables.read_changes("op", after=4, wait_s=2.4)
+        assert store.asked[0][2] == pytest.approx(1.2)
+
     async def test_reader_without_news_is_left(self):
         """Without a newer proof the store itself is asked, at once."""
         directory, reader = follower_of()
@@ -194,7 +201,8 @@
         listener = RelayListener({"op": cache}, token="secret")
         await listener.start(f"127.0.0.1:{port}")
         peer = entry("i1")._replace(address=f"127.0.0.1:{port}", token=token)
-        asked = {"after": -1, "known_s": -1.0, "wait_s": 0.1} | options
+        asked = {"after": -1, "known_s": -1.0, "wait_s": 0.1, "margin_s": 0.5}
+        asked |= options
         async with aiohttp.ClientSession() as session:
             return await RelayClient(session).changes(peer, "op", **asked)
 
--- a/tests/test_router_settings.py
+++ b/tests/test_router_settings.py
@@ -28,6 +28,7 @@
     "Bounds.GraceS": "8",
     "Bounds.stall_ms": "3000",
     "Bounds.DrainMs": "2000",
+    "Bounds.ConfigApplyMs": "2000",
     "Bounds.RetryBudgetRatio": "0.2",
     "Bounds.RetrySlack": "200",
     "Limits.MemoryMb": "300",
