Find silent runners of a path by asking them

Its first runner tells nothing of it before it refuses it after 3 s; callers leave after 2 s, so that nobody ever learnt who was at fault, and all went the same way again. Ruled out: the report's list of stalled requests (they are listed once begun only); leaving the first runner, which is well. Change: after a silence without a word on its cause the other runners of the path are asked for a report; those that are silent are left alone, and the request goes around them.

--- a/src/violethatch/_routing.py
+++ b/src/violethatch/_routing.py
@@ -10,6 +10,7 @@
 from collections.abc import Callable, Iterable
 
 from . import events
+from ._probes import Probes
 from .backends import BackendServer, BackendTable
 from .desired import ServiceSpec
 from .engine_model import EngineSpec
@@ -36,6 +37,7 @@
         self.hearsay = Hearsay(self.health, rng=rng)
         #: Tells other instances of a sighting, where there are any.
         self.tell: Callable[[Sighting], None] = lambda _sighting: None
+        self.probes = Probes(client)
         self.choice = ServerChoice(rng)
         self.loads = StreamLoads()
         self._budgets: dict[str, RetryBudget] = {}
@@ -120,6 +122,7 @@
         for server_id in server_ids:
             self.health.forget(server_id)
             self.hearsay.forget(server_id)
+            self.probes.forget(server_id)
             self.choice.forget(server_id)
             self.loads.forget(server_id)
 
--- a/src/violethatch/_stream_run.py
+++ b/src/violethatch/_stream_run.py
@@ -147,6 +147,9 @@
             raise TimeoutError
         culprit = self._stage_at(report.stalled.get(self._call.id))
         culprit = culprit or self._resting_stage()
+        is_told = culprit is not None
+        if culprit is None:
+            culprit = await self._silent_stage()
         events.log(
             events.SILENCE_SEEN,
             request_id=self._call.id,
@@ -160,9 +163,10 @@
         )
         if culprit is None:
             return
-        self._routing.note_trouble(
-            culprit, Trouble.NAMED, self._call.id, "a request waits for it"
-        )
+        if is_told:
+            self._routing.note_trouble(
+                culprit, Trouble.NAMED, self._call.id, "a request waits for it"
+            )
         self.suspects |= {culprit.id}
         if not await self._repath():
             raise TimeoutError
@@ -196,6 +200,21 @@
             self.suspects |= {obstacle.id}
         return False
 
+    async def _silent_stage(self) -> BackendServer | None:
+        """Return a later runner of the path that gives no answer itself.
+
+        The first runner tells who a request waits for only once it has begun, and
+        refuses it only after a time that callers don't wait.
+        """
+        later = [stage.server for stage in self.path.stages[1:]]
+        silent = await self._routing.probes.silent(later)
+        for server in silent:
+            self._routing.note_trouble(
+                server, Trouble.SILENT, self._call.id, "gives no report"
+            )
+        self.suspects |= {server.id for server in silent}
+        return silent[0] if silent else None
+
     def _resting_stage(self) -> BackendServer | None:
         """Return a runner of the path that other requests had trouble with.
 
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -329,3 +329,26 @@
         with pytest.raises(OverloadedError):
             await serve(client, A)
         assert len(client.sends) == 1
+
+
+class TestProbes:
+    async def test_silent_runner_of_a_path_is_found(self):
+        """Before a request has begun, nobody tells that a later runner is dead."""
+        moved = asyncio.Event()
+        client = FakeClient(FakeAnswer(moved, events(1)))
+        client.reports["head"] = report()
+        client.on_repath = moved.set
+        got, routing = await serve(client, HEAD, TAIL, SPARE)
+        assert got.end == "whole"
+        assert [path.stages[1].server.id for _, _, path in client.repaths] == ["spare"]
+        assert routing.health.shunned(now_s=time.monotonic()) == {"tail"}
+
+    async def test_runners_that_answer_are_not_left(self):
+        """A slow request on a path that is well goes on."""
+        client = FakeClient(FakeAnswer(0.08, events(1)))
+        for name in ("head", "tail"):
+            client.reports[name] = report()
+        got, routing = await serve(client, HEAD, TAIL)
+        assert got.end == "whole"
+        assert client.repaths == []
+        assert not routing.health.resting(now_s=time.monotonic())
