--- a/src/violethatch/_routing.py
+++ b/src/violethatch/_routing.py
@@ -24,11 +24,6 @@
 from .upstream import Refusal, RunnerClient
 
 
-#: How long a prompt may wait for the pipe between zones, in ms: with its own way
-#: through it this keeps the first event within the sites' aim of 500 ms.
-_MOST_BACKLOG_MS = 250.0
-
-
 class Routing:
     """Shared by all calls of one router."""
 
@@ -95,7 +90,6 @@
             fullness=self.loads.fullness_of(layer_map, now_s=now_s),
             first=first,
             pipe_fullness=self.loads.pipe_fullness(service.engine, now_s=now_s),
-            may_cross=self._may_cross(service.engine, now_s=now_s),
         )
         resting = self.health.resting(now_s=now_s)
         path = find(left_out=resting | avoided)
@@ -104,21 +98,6 @@
             path = find(left_out=shunned | avoided)
         return path
 
-    def has_holders(self, service: ServiceSpec) -> bool:
-        """Tell whether all layers have holders, however full or far they are."""
-        if service.engine is None:
-            return False
-        zone = self.settings.instance.availability_zone
-        return self._layer_map(service, service.engine).find(zone=zone) is not None
-
-    def _may_cross(self, engine: EngineSpec, *, now_s: float) -> bool:
-        """Tell whether the pipe between zones takes a further prompt in time.
-
-        All requests pass it in turn: one too many makes all of them late.
-        """
-        backlog_ms = self.loads.pipe_backlog_ms(engine, now_s=now_s)
-        return backlog_ms <= _MOST_BACKLOG_MS
-
     def _layer_map(self, service: ServiceSpec, engine: EngineSpec) -> LayerMap:
         """Return who holds which layers, made anew when the list has changed."""
         servers = self.usable(service.name)
--- a/src/violethatch/stream_loads.py
+++ b/src/violethatch/stream_loads.py
@@ -26,8 +26,6 @@
 _MOST_RATIO = 400.0
 #: Over how long crossings between zones are counted, in seconds.
 _PIPE_SPAN_S = 2.0
-#: Over how long crossings make a backlog, in seconds: callers wait two.
-_BACKLOG_SPAN_S = 5.0
 _MS_PER_S = 1000.0
 #: Below this a runner's tokens times layers are what rounding has left over.
 _ROUNDING = 1e-6
@@ -126,25 +124,10 @@
 
     def pipe_fullness(self, engine: EngineSpec, *, now_s: float) -> float:
         """Return the part of the time that the pipe between zones is taken."""
-        recent = sum(now_s - at_s <= _PIPE_SPAN_S for at_s in self._crossings)
-        own_ms = recent * engine.crossing_ms
-        return own_ms * self.ratio / (_PIPE_SPAN_S * _MS_PER_S)
-
-    def pipe_backlog_ms(self, engine: EngineSpec, *, now_s: float) -> float:
-        """Return how long the pipe between zones is taken up from now on, in ms.
-
-        Each own crossing stands for those of all instances.
-        """
-        while self._crossings and now_s - self._crossings[0] > _BACKLOG_SPAN_S:
+        while self._crossings and now_s - self._crossings[0] > _PIPE_SPAN_S:
             self._crossings.popleft()
-        each_ms = engine.crossing_ms * self.ratio
-        backlog_ms = 0.0
-        before_s = now_s
-        for at_s in self._crossings:
-            passed_ms = max(0.0, at_s - before_s) * _MS_PER_S
-            backlog_ms = max(0.0, backlog_ms - passed_ms) + each_ms
-            before_s = at_s
-        return max(0.0, backlog_ms - (now_s - before_s) * _MS_PER_S)
+        own_ms = len(self._crossings) * engine.crossing_ms
+        return own_ms * self.ratio / (_PIPE_SPAN_S * _MS_PER_S)
 
     def _add(self, stage: Stage, tokens: float) -> None:
         """Add to a runner's tokens times layers."""
