Let each instance cross between zones by what it has earned of the pipe

Three runners had crashed; each way left led across zones, and the streams of the broken chains went there at the same moment. A prompt takes that pipe for 130 ms, and all wait in turn. Ruled out: dead runners (all gave reports); KV memory (0.1 to 0.3 taken). Change: a request crosses with the probability that the pipe time earned since the last try covers its cost times the instances; else it takes a path within a zone, or is refused at once as not run.

--- a/src/violethatch/_routing.py
+++ b/src/violethatch/_routing.py
@@ -15,6 +15,7 @@
 from .desired import ServiceSpec
 from .engine_model import EngineSpec
 from .paths import LayerMap, Path
+from .pipe_share import PipeShare
 from .retries import RetryBudget
 from .router_settings import RouterSettings
 from .runner_health import RunnerHealth, Trouble
@@ -39,6 +40,9 @@
         self.tell: Callable[[Sighting], None] = lambda _sighting: None
         self.probes = Probes(client)
         self.choice = ServerChoice(rng)
+        self.pipe = PipeShare(rng)
+        #: Tells how many instances are known to serve; 0 where none is.
+        self.instances: Callable[[], int] = lambda: 0
         self.loads = StreamLoads()
         self._budgets: dict[str, RetryBudget] = {}
         #: By service, the list's revision that a map was made from, and the map.
@@ -92,11 +96,30 @@
             pipe_fullness=self.loads.pipe_fullness(service.engine, now_s=now_s),
         )
         resting = self.health.resting(now_s=now_s)
-        path = find(left_out=resting | avoided)
+        left_out = resting | avoided
+        path = find(left_out=left_out)
         shunned = self.health.shunned(now_s=now_s)
         if path is None and may_doubt and shunned != resting:
-            path = find(left_out=shunned | avoided)
-        return path
+            left_out = shunned | avoided
+            path = find(left_out=left_out)
+        if path is None or self._may_cross(path, service.engine, now_s=now_s):
+            return path
+        return find(left_out=left_out, may_cross=False)
+
+    def has_holders(self, service: ServiceSpec) -> bool:
+        """Tell whether all layers have holders, however full or far they are."""
+        if service.engine is None:
+            return False
+        zone = self.settings.instance.availability_zone
+        return self._layer_map(service, service.engine).find(zone=zone) is not None
+
+    def _may_cross(self, path: Path, engine: EngineSpec, *, now_s: float) -> bool:
+        """Tell whether a path's hops between zones are this instance's to take."""
+        if not path.crossings:
+            return True
+        instances = self.instances() or self.loads.ratio
+        cost_ms = path.crossings * engine.crossing_ms * instances
+        return self.pipe.may_cross(cost_ms, now_s=now_s)
 
     def _layer_map(self, service: ServiceSpec, engine: EngineSpec) -> LayerMap:
         """Return who holds which layers, made anew when the list has changed."""
--- a/src/violethatch/_streams.py
+++ b/src/violethatch/_streams.py
@@ -310,7 +310,7 @@
             if time.monotonic() >= self._deadline_s:
                 return DeadlineError("no answer before the deadline")
             return PipelineFailedError("the runners' answer was lost")
-        if self._refusals:
+        if self._refusals or self._routing.has_holders(self._service):
             return OverloadedError("no path has room", retry_after_s=_FULL_RETRY_S)
         return NoRouteError(
             "some layers have no holder", retry_after_s=_NO_PATH_RETRY_S
--- a/src/violethatch/paths.py
+++ b/src/violethatch/paths.py
@@ -12,6 +12,7 @@
 from __future__ import annotations
 
 import itertools
+import math
 
 from collections.abc import Collection, Iterable, Mapping, Sequence
 from typing import NamedTuple
@@ -131,6 +132,7 @@
         fullness: Mapping[str, float] | None = None,
         first: BackendServer | None = None,
         pipe_fullness: float = 0.0,
+        may_cross: bool = True,
     ) -> Path | None:
         """Return the quickest path, or None if some layer can't be reached.
 
@@ -142,9 +144,10 @@
             first: The runner that has to come first, if one has to.
             pipe_fullness: The part of the time that the pipe between zones is
                 taken.
+            may_cross: Whether hidden states may pass between zones.
         """
         slowness = {one: _slowness(part) for one, part in (fullness or {}).items()}
-        pipe_ms = _pipe_ms(self.engine, pipe_fullness)
+        pipe_ms = _pipe_ms(self.engine, pipe_fullness) if may_cross else math.inf
         entries = self._start(zone)
         only = first.id if first is not None else None
         ways: dict[str, _Way] = {}
@@ -154,7 +157,8 @@
                 return None
             entries = self._entries(ways.values(), pipe_ms)
             only = None
-        return _best_path(ways.values(), self.engine)
+        ends = [way for way in ways.values() if way.cost_ms < math.inf]
+        return _best_path(ends, self.engine)
 
     def _start(self, zone: str) -> dict[str, _Way]:
         """Return, by zone, what sending the request there costs a token."""
--- a/src/violethatch/platform/_following.py
+++ b/src/violethatch/platform/_following.py
@@ -64,6 +64,7 @@
         self._duty = duty
         self._clock = StoreClock()
         self._rng = rng
+        self._directory = directory
         self._registration = Registration(
             store, directory, clock=self._clock, rng=self._rng
         )
@@ -98,6 +99,7 @@
             await self._relay.start(self._settings.listen.peers)
             await self._sightings.start(self._settings.listen.peers)
             self._router.routing.tell = self._sightings.tell
+            self._router.routing.instances = self._directory.__len__
 
     def work(self) -> list[Coroutine[Any, Any, None]]:
         """Return all that has to run until the process ends."""
--- a/tests/test_paths.py
+++ b/tests/test_paths.py
@@ -8,7 +8,7 @@
 
 from routing_samples import engine, runner
 from violethatch.layers import tiles
-from violethatch.paths import MAX_STAGES, find_path
+from violethatch.paths import MAX_STAGES, LayerMap, find_path
 
 
 def stages(path):
@@ -71,6 +71,15 @@
         servers = [runner("n1", 0, 40), runner("f2", 40, 80, zone="z2")]
         assert find_path(servers, engine(), zone="z1").crossings == 1
 
+    def test_full_pipe_is_not_crossed(self):
+        """Where it may not be crossed, only whole zones make paths."""
+        servers = [runner("n1", 0, 40), runner("f2", 40, 80, zone="z2")]
+        layer_map = LayerMap(servers, engine())
+        assert layer_map.find(zone="z1", may_cross=False) is None
+        whole = LayerMap([*servers, runner("f1", 0, 40, zone="z2")], engine())
+        path = whole.find(zone="z1", may_cross=False)
+        assert (path.first.id, path.crossings) == ("f1", 0)
+
     def test_given_first_runner(self):
         """A request that runs already keeps its first runner."""
         servers = [
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -22,6 +22,7 @@
     report,
 )
 from routing_samples import call_route, runner
+from routing_samples import engine as routing_engine
 from violethatch._streams import StreamCall
 from violethatch.errors import (
     NoRouteError,
@@ -352,3 +353,18 @@
         assert got.end == "whole"
         assert client.repaths == []
         assert not routing.health.resting(now_s=time.monotonic())
+
+
+class TestFullPipe:
+    async def test_what_the_pipe_does_not_take_is_refused_at_once(self):
+        """A path over a full pipe would make all requests late."""
+        far = TAIL._replace(availability_zone="z2")
+        client = FakeClient()
+        slow = routing_engine(pipe_mbps=10.0)
+        service = admitted().service._replace(engine=slow)
+        routing = make_routing(client, HEAD, far, rng=random.Random(1))
+        allowed = admitted()._replace(service=service)
+        with pytest.raises(OverloadedError) as caught:
+            await StreamCall(routing, make_call(), allowed).serve(FakeResponder())
+        assert (caught.value.ran, client.sends) == ("no", [])
+        assert caught.value.retry_after_s
