Give the cache of a table a module of its own

Cause: relayed_tables.py held two things: the cache that answers other instances, and the source that asks them. Change: TableCache moves to table_cache.py; the source stays.

--- a/spec/relay.pml
+++ b/spec/relay.pml
@@ -26,7 +26,7 @@
 bool removed = false;
 byte removed_at = NONE;
 
-/* relayed_tables.TableCache and freshness.Freshness, by instance. */
+/* table_cache.TableCache and freshness.Freshness, by instance. */
 byte version[2];
 byte proof[2] = NONE;
 bool doubted[2];
--- a/src/violethatch/_followers.py
+++ b/src/violethatch/_followers.py
@@ -12,8 +12,8 @@
 from . import events
 from .errors import TableUnavailableError
 from .freshness import Freshness, StoreClock
-from .relayed_tables import TableCache
 from .router_settings import StoreSection
+from .table_cache import TableCache
 from .upstream import HistoryGoneError, TableSource, TableView
 
 
--- a/src/violethatch/_relay_http.py
+++ b/src/violethatch/_relay_http.py
@@ -22,7 +22,8 @@
 
 from ._serving import listen
 from .instances import InstanceEntry
-from .relayed_tables import NoNewsError, PeerSilentError, TableCache
+from .relayed_tables import NoNewsError, PeerSilentError
+from .table_cache import TableCache
 from .upstream import TableView
 
 
--- a/src/violethatch/platform/_following.py
+++ b/src/violethatch/platform/_following.py
@@ -19,8 +19,9 @@
 from .._sighting_link import SightingLink
 from ..freshness import Freshness, StoreClock
 from ..instances import InstanceDirectory
-from ..relayed_tables import RelayedTables, TableCache
+from ..relayed_tables import RelayedTables
 from ..router_settings import RouterSettings, StoreSection
+from ..table_cache import TableCache
 from ..upstream import TableSource, TableView
 from ._store import Store
 
--- a/src/violethatch/relayed_tables.py
+++ b/src/violethatch/relayed_tables.py
@@ -1,27 +1,23 @@
 # SPDX-License-Identifier: MIT
-"""The store's tables, read by few instances and followed by the others.
+"""Reading a table: from the store, or from an instance that reads it for others.
 
-An instance keeps the tables as it knows them (`TableCache`) and answers others
-from there.  Each answer tells at which time of the store's steady clock it was
-current, so that nobody has to trust another instance's clock, and so that two
-instances that follow each other prove nothing.
+What an instance has read it keeps for others in a `TableCache`.
 
 .. versionadded:: 26.1.0
 """
 
 from __future__ import annotations
 
-import asyncio
-import collections
 import math
 import time
 
 from collections.abc import Collection
-from typing import NamedTuple, Protocol
+from typing import Protocol
 
 from . import events
 from .errors import TableUnavailableError
 from .instances import InstanceDirectory, InstanceEntry
+from .table_cache import NEVER
 from .upstream import TableSource, TableView
 
 
@@ -40,10 +36,6 @@
 _STORE_REST_S = 2.0
 #: How many helpers are asked in one try.
 _MOST_HELPERS = 2
-#: How many changes are kept for others, each some KB.
-_MOST_CHANGES = 64
-#: A version and a time that are older than any.
-_NEVER = -1
 
 
 class PeerSilentError(Exception):
@@ -83,96 +75,6 @@
         """
 
 
-class _Change(NamedTuple):
-    """Rows that have changed between two versions."""
-
-    after: int
-    view: TableView
-
-
-class TableCache:
-    """A table as one instance knows it, for others to follow.
-
-    .. versionadded:: 26.1.0
-    """
-
-    def __init__(self) -> None:
-        self.is_away = True
-        self._values: dict[str, bytes] = {}
-        self._version = _NEVER
-        self._store_s = float(_NEVER)
-        self._returned_s: float | None = None
-        self._changes: collections.deque[_Change] = collections.deque(
-            maxlen=_MOST_CHANGES
-        )
-        self._news = asyncio.Event()
-
-    def take(self, view: TableView, *, is_whole: bool) -> None:
-        """Take in what was read."""
-        if is_whole:
-            self._values.clear()
-            self._changes.clear()
-        elif view.version > self._version:
-            self._changes.append(_Change(self._version, view))
-        for key, value in view.values.items():
-            if value is None:
-                self._values.pop(key, None)
-            else:
-                self._values[key] = value
-        self._version = max(self._version, view.version)
-        self._store_s = max(self._store_s, view.store_s)
-        self.is_away = False
-        self._tell()
-
-    def returned(self, store_s: float) -> None:
-        """Note that the store answers again since its time *store_s*."""
-        self._returned_s = store_s
-
-    def note_away(self) -> None:
-        """Note that nothing is known any more of how the table goes on."""
-        self.is_away = True
-        self._tell()
-
-    async def news(
-        self, *, after: int, known_s: float, wait_s: float
-    ) -> TableView | None:
-        """Return what has changed, or a newer proof; None if there is neither."""
-        try:
-            async with asyncio.timeout(wait_s):
-                while not self.is_away:
-                    if self._version > after or self._store_s > known_s:
-                        return self._since(after)
-                    await self._news.wait()
-        except TimeoutError:
-            return None
-        return None
-
-    def _tell(self) -> None:
-        """Wake all who wait for news."""
-        self._news.set()
-        self._news = asyncio.Event()
-
-    def _since(self, after: int) -> TableView:
-        """Return the changes after a version, or the whole table."""
-        values: dict[str, bytes | None] = {}
-        is_whole = False
-        if after < self._version:
-            later = [one for one in self._changes if one.view.version > after]
-            is_whole = not later or later[0].after > after
-            for change in later:
-                values.update(change.view.values)
-            if is_whole:
-                values = dict(self._values)
-        return TableView(
-            values,
-            max(after, self._version),
-            self._store_s,
-            is_whole=is_whole,
-            is_relayed=True,
-            returned_s=self._returned_s,
-        )
-
-
 class RelayedTables:
     """Reads tables from the store, or from who reads it for others.
 
@@ -214,7 +116,7 @@
         try:
             return self._noted(table, await self._store.read_table(table))
         except TableUnavailableError as error:
-            view = await self._ask_helpers(table, after=_NEVER, wait_s=0.0)
+            view = await self._ask_helpers(table, after=NEVER, wait_s=0.0)
             if view is None:
                 raise
             self._note_source(table, "peers", error.detail)
@@ -332,13 +234,11 @@
         """Return the store's time that only a newer proof than is of use."""
         if table in self._unproven:
             return math.inf
-        return self._known_s.get(table, float(_NEVER))
+        return self._known_s.get(table, float(NEVER))
 
     def _noted(self, table: str, view: TableView) -> TableView:
         """Remember the newest proof of a table."""
-        self._known_s[table] = max(
-            self._known_s.get(table, float(_NEVER)), view.store_s
-        )
+        self._known_s[table] = max(self._known_s.get(table, float(NEVER)), view.store_s)
         return view
 
     def _note_source(self, table: str, source: str, reason: str) -> None:
--- a/tests/test_relayed_tables.py
+++ b/tests/test_relayed_tables.py
@@ -14,12 +14,8 @@
 from violethatch._relay_http import RelayClient, RelayListener
 from violethatch.errors import TableUnavailableError
 from violethatch.instances import LEAST_MEMBERS
-from violethatch.relayed_tables import (
-    NoNewsError,
-    PeerSilentError,
-    RelayedTables,
-    TableCache,
-)
+from violethatch.relayed_tables import NoNewsError, PeerSilentError, RelayedTables
+from violethatch.table_cache import TableCache
 from violethatch.upstream import TableView
 
 
