Split the relay's calls, and say its docstring once

Cause: RelayClient repeated the text of PeerReads, made the call and judged the answer in one function; three constants shared a comment; "packed" stood for compressed, in a module that also deals with packets. Change: a function for each step of a call; a comment for each constant; the tables without proofs are told in one place.

--- a/src/violethatch/_relay_http.py
+++ b/src/violethatch/_relay_http.py
@@ -33,12 +33,12 @@
 _NO_NEWS = 204
 _BAD_REQUEST = 400
 _FORBIDDEN = 403
-#: The longest wait that is granted, in seconds.
+#: The longest wait for news that is granted, in seconds.
 _MOST_WAIT_S = 5.0
-#: From this size on bodies are packed, in bytes; below, a packet holds them.
-_PACK_BYTES = 1_400
+#: From this size on bodies are compressed, in bytes; below, a packet holds them.
+_COMPRESSED_FROM_BYTES = 1_400
 #: The quickest of zlib's levels: JSON shrinks to a tenth at it already.
-_PACK_LEVEL = 1
+_COMPRESSION_LEVEL = 1
 
 
 class _Answer(msgspec.Struct, array_like=True):
@@ -62,17 +62,25 @@
     def __init__(self, caches: Mapping[str, TableCache], *, token: str) -> None:
         self._caches = caches
         self._token = token
-        self._server = Server(self._tell, access_log=None)
+        self._server = Server(self._handle, access_log=None)
 
     async def start(self, endpoint: str) -> None:
-        """Listen on an address."""
+        """Listen on an address.
+
+        Raises:
+            OSError: The address can't be listened on.
+        """
         await listen(self._server, endpoint)
 
-    async def _tell(self, request: BaseRequest) -> Response:
-        """Answer one question."""
+    async def _handle(self, request: BaseRequest) -> Response:
+        """Answer one request, if it shows the token."""
         shown = request.headers.get(_TOKEN_HEADER, "")
         if not hmac.compare_digest(shown.encode(), self._token.encode()):
             return Response(status=_FORBIDDEN)
+        return await self._news(request)
+
+    async def _news(self, request: BaseRequest) -> Response:
+        """Answer with the news of the table that a request names."""
         cache = self._caches.get(request.query.get("table", ""))
         try:
             after = int(request.query["after"])
@@ -87,7 +95,7 @@
         )
         if view is None:
             return Response(status=_NO_NEWS)
-        return _packed(view)
+        return Response(body=_encoded(view))
 
 
 class RelayClient:
@@ -111,15 +119,7 @@
         wait_s: float,
         margin_s: float,
     ) -> TableView:
-        """Return a table's changes with a newer proof than *known_s*.
-
-        Args:
-            peer: Who is asked.
-            table: The table's name.
-            after: The version that is known.
-            known_s: The newest proof that is known.
-            wait_s: How long the instance may wait for news, in seconds.
-            margin_s: How much longer its answer may take, in seconds.
+        """Return a table's changes; see `PeerReads.changes`.
 
         Raises:
             NoNewsError: There was none in time.
@@ -133,36 +133,52 @@
         }
         try:
             async with asyncio.timeout(wait_s + margin_s):
-                async with self._session.get(
-                    f"http://{peer.address}{_PATH}",
-                    params=query,
-                    headers={_TOKEN_HEADER: peer.token},
-                ) as answer:
-                    body = await answer.read()
-            if answer.status == _NO_NEWS:
-                msg = "no news"
-                raise NoNewsError(msg)
-            if answer.status != _OK:
-                msg = f"status {answer.status}"
-                raise PeerSilentError(msg)
-            return _unpacked(body, self._decoder)
+                status, body = await self._get(peer, query)
+            _require_news(status)
+            return _decoded(body, self._decoder)
         except (TimeoutError, aiohttp.ClientError, OSError, ValueError) as error:
             raise PeerSilentError(repr(error)) from error
 
+    async def _get(
+        self, peer: InstanceEntry, query: Mapping[str, str]
+    ) -> tuple[int, bytes]:
+        """Return the status and the body of an instance's answer."""
+        async with self._session.get(
+            f"http://{peer.address}{_PATH}",
+            params=query,
+            headers={_TOKEN_HEADER: peer.token},
+        ) as answer:
+            return answer.status, await answer.read()
+
+
+def _require_news(status: int) -> None:
+    """Pass an answer with news.
+
+    Raises:
+        NoNewsError: It says that there is none.
+        PeerSilentError: It is a refusal.
+    """
+    if status == _NO_NEWS:
+        msg = "no news"
+        raise NoNewsError(msg)
+    if status != _OK:
+        msg = f"status {status}"
+        raise PeerSilentError(msg)
+
 
-def _packed(view: TableView) -> Response:
-    """Return an answer with a table's news."""
+def _encoded(view: TableView) -> bytes:
+    """Return an answer's body; its first byte tells whether it is compressed."""
     answer = _Answer(
         dict(view.values), view.version, view.store_s, view.is_whole, view.returned_s
     )
     body = msgspec.msgpack.encode(answer)
-    is_packed = len(body) >= _PACK_BYTES
-    if is_packed:
-        body = zlib.compress(body, _PACK_LEVEL)
-    return Response(body=bytes([is_packed]) + body)
+    is_compressed = len(body) >= _COMPRESSED_FROM_BYTES
+    if is_compressed:
+        body = zlib.compress(body, _COMPRESSION_LEVEL)
+    return bytes([is_compressed]) + body
 
 
-def _unpacked(body: bytes, decoder: msgspec.msgpack.Decoder[_Answer]) -> TableView:
+def _decoded(body: bytes, decoder: msgspec.msgpack.Decoder[_Answer]) -> TableView:
     """Return a table's news from an answer's body.
 
     Raises:
--- a/src/violethatch/relayed_tables.py
+++ b/src/violethatch/relayed_tables.py
@@ -24,12 +24,14 @@
 #: The bound on how late a change may be in force that is assumed unless a site
 #: states another, in seconds.
 CHANGE_BOUND_S = 2.0
-#: Parts of that bound: how long a reader's reads wait that others follow; how long
-#: these let it wait for its next proof, which takes a read, the pause after one
-#: that brought changes, and a slow answer; and how much longer they wait for its
-#: answer.  They notice a reader that is cut off after three quarters of the bound.
+#: The part of that bound for which a read of the store waits whose reader others
+#: follow.
 _READER_PART = 0.4
+#: The part of it for which the others let their reader wait for its next proof:
+#: that takes a read, the pause after one that brought changes, and a slow answer.
 _FOLLOW_PART = 0.6
+#: The part of it for which they then still wait for the answer, so that they
+#: notice a reader that is cut off after three quarters of the bound.
 _MARGIN_PART = 0.15
 #: For how long peers are asked before the store after it gave no answer, in
 #: seconds.
@@ -136,12 +138,10 @@
             if view is not None:
                 return view
             wait_s = 0.0
-        elif self._directory.is_reader(now_s=now_s) and table not in self._unproven:
+        elif self._directory.is_reader(now_s=now_s) and self._is_proven(table):
             wait_s = min(wait_s, self.bound_s * _READER_PART)
         if now_s < self._store_rests_until_s:
-            view = await self._ask_helpers(
-                table, after=after, wait_s=self.bound_s * _FOLLOW_PART
-            )
+            view = await self._ask_helpers(table, after=after, wait_s=self._follow_s)
             if view is not None:
                 return view
             wait_s = 0.0
@@ -151,14 +151,11 @@
         self, source: InstanceEntry, table: str, *, after: int, wait_s: float
     ) -> TableView | None:
         """Ask the instance that reads for this one; None if it is of no help."""
-        is_proven = table not in self._unproven
+        is_proven = self._is_proven(table)
+        if is_proven:
+            wait_s = self._follow_s
         try:
-            view = await self._ask(
-                source,
-                table,
-                after=after,
-                wait_s=self.bound_s * _FOLLOW_PART if is_proven else wait_s,
-            )
+            view = await self._ask(source, table, after=after, wait_s=wait_s)
         except NoNewsError as error:
             if not is_proven:
                 return TableView({}, after, self._known_s[table], is_relayed=True)
@@ -224,15 +221,24 @@
             peer,
             table,
             after=after,
-            known_s=self._known(table),
+            known_s=self._outdated_s(table),
             wait_s=wait_s,
             margin_s=self.bound_s * _MARGIN_PART,
         )
         return self._noted(table, view)
 
-    def _known(self, table: str) -> float:
-        """Return the store's time that only a newer proof than is of use."""
-        if table in self._unproven:
+    @property
+    def _follow_s(self) -> float:
+        """How long another instance may wait for its next proof, in seconds."""
+        return self.bound_s * _FOLLOW_PART
+
+    def _is_proven(self, table: str) -> bool:
+        """Tell whether also a proof counts that nothing has changed."""
+        return table not in self._unproven
+
+    def _outdated_s(self, table: str) -> float:
+        """Return the store's time up to which a proof is of no use."""
+        if not self._is_proven(table):
             return math.inf
         return self._known_s.get(table, float(NEVER))
 
