--- a/src/violethatch/_sighting_link.py
+++ b/src/violethatch/_sighting_link.py
@@ -1,7 +1,7 @@
 # SPDX-License-Identifier: MIT
 """Sightings between instances: datagrams, sent once and never answered.
 
-One that is lost costs the receiver no more than it did before there were any.
+A datagram that is lost costs its receiver one more failed try.
 """
 
 from __future__ import annotations
@@ -15,6 +15,7 @@
 import msgspec
 
 from . import events
+from ._serving import host_and_port
 from .instances import InstanceDirectory
 from .runner_health import Trouble
 from .sightings import Hearsay, Sighting
@@ -23,10 +24,11 @@
 #: How long sightings are gathered for one datagram, in seconds.
 _GATHER_S = 0.02
 #: The most sightings in a datagram, of some 40 bytes each: it fits a packet.
-_MOST_IN_ONE = 25
+_DATAGRAM_SIGHTINGS = 25
 #: Datagrams in a second that an instance may send to all: with 70 instances 7 KB
 #: each, so that trouble everywhere doesn't fill the slowest links (10 Mbit/s).
 _MOST_A_SECOND = 10
+_MS_PER_S = 1000
 
 
 class _Datagram(msgspec.Struct, array_like=True):
@@ -61,10 +63,9 @@
         Raises:
             OSError: The address can't be listened on.
         """
-        address, _, port = endpoint.partition(":")
         loop = asyncio.get_running_loop()
         await loop.create_datagram_endpoint(
-            lambda: self, local_addr=(address, int(port))
+            lambda: self, local_addr=host_and_port(endpoint)
         )
 
     def tell(self, sighting: Sighting) -> None:
@@ -73,7 +74,7 @@
             return
         if not self._gathered:
             asyncio.get_running_loop().call_later(_GATHER_S, self._send)
-        if len(self._gathered) < _MOST_IN_ONE:
+        if len(self._gathered) < _DATAGRAM_SIGHTINGS:
             self._gathered.append(sighting)
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -92,10 +93,7 @@
         """Take another instance's sightings in."""
         try:
             message = self._decoder.decode(data)
-            sightings = [
-                Sighting(server_id, Trouble(trouble), rest_ms / 1000)
-                for server_id, trouble, rest_ms in message.seen
-            ]
+            sightings = _sightings(message)
         except ValueError as error:
             events.log(events.SIGHTING_LOST, reason=str(error))
             return
@@ -103,10 +101,10 @@
         if not hmac.compare_digest(message.token.encode(), token.encode()):
             events.log(events.SIGHTING_LOST, reason="wrong token")
             return
-        self._take(sightings, message.witness)
+        self._hear(sightings, message.witness)
 
-    def _take(self, sightings: list[Sighting], witness: str) -> None:
-        """Leave alone whom others have trouble with."""
+    def _hear(self, sightings: list[Sighting], witness: str) -> None:
+        """Leave servers alone on another instance's word, and log which."""
         now_s = time.monotonic()
         believed = [
             one.server_id
@@ -119,20 +117,36 @@
     def _send(self) -> None:
         """Send what was gathered to all instances."""
         gathered, self._gathered = self._gathered, []
-        second = int(time.monotonic())
-        if second != self._second:
-            self._second = second
-            self._sent_in_second = 0
-        if self._transport is None or self._sent_in_second >= _MOST_A_SECOND:
-            return  # the others meet it by themselves
-        self._sent_in_second += 1
+        if self._transport is None or not self._count_datagram():
+            return  # the others meet the trouble by themselves
         seen = [
-            (one.server_id, one.trouble.value, int(one.rest_s * 1000))
+            (one.server_id, one.trouble.value, int(one.rest_s * _MS_PER_S))
             for one in gathered
         ]
         for peer in self._directory.others():
             message = _Datagram(peer.token, self._directory.own.id, seen)
-            address, _, port = peer.address.partition(":")
-            self._transport.sendto(
-                msgspec.msgpack.encode(message), (address, int(port))
-            )
+            body = msgspec.msgpack.encode(message)
+            self._transport.sendto(body, host_and_port(peer.address))
+
+    def _count_datagram(self) -> bool:
+        """Count a datagram to all, if one more may be sent in this second."""
+        second = int(time.monotonic())
+        if second != self._second:
+            self._second = second
+            self._sent_in_second = 0
+        if self._sent_in_second >= _MOST_A_SECOND:
+            return False
+        self._sent_in_second += 1
+        return True
+
+
+def _sightings(message: _Datagram) -> list[Sighting]:
+    """Return the sightings in a datagram.
+
+    Raises:
+        ValueError: A kind of trouble is not known.
+    """
+    return [
+        Sighting(server_id, Trouble(trouble), rest_ms / _MS_PER_S)
+        for server_id, trouble, rest_ms in message.seen
+    ]
--- a/src/violethatch/instances.py
+++ b/src/violethatch/instances.py
@@ -26,15 +26,15 @@
 #: From how many instances in a zone on they follow a reader.  Its short reads
 #: cost as much as three instances that read for themselves (0.8 s against 2.4).
 LEAST_MEMBERS = 5
-#: How long an instance that gave no answer is left alone, in seconds.
+#: How long an instance that gave no answer counts as down, in seconds.
 DOWN_S = 5.0
 #: After how long an entry that was not renewed counts no more, in seconds.
 ENTRY_LIFE_S = 1800.0
 
-#: How many instances of a zone may be asked when the store can't be.
+#: How many instances of a zone are asked at least when the store can't be.
 _HELPERS_A_ZONE = 2
-
-_JOB = "reader"
+#: Keys the rendezvous hash that ranks the readers.
+_READER_JOB = "reader"
 
 
 class InstanceEntry(NamedTuple):
@@ -117,12 +117,8 @@
         return len(members) >= LEAST_MEMBERS and self.own.id in _readers(members)
 
     def rank(self, job: str, *, now_s: float) -> int:
-        """Return how many instances come before this one for a job; 0 for none."""
-        ids = {
-            entry.id
-            for entry in self._entries.values()
-            if now_s >= self._down_until_s.get(entry.id, 0.0)
-        }
+        """Return how many instances come before this one for a job."""
+        ids = {one.id for one in self._entries.values() if self._is_up(one, now_s)}
         order = rendezvous(job, ids | {self.own.id}, count=len(ids) + 1)
         return order.index(self.own.id)
 
@@ -138,27 +134,36 @@
         """
         zones = {entry.availability_zone for entry in self._entries.values()}
         near = self.own.availability_zone
-        found: list[InstanceEntry] = []
-        for zone in sorted(zones, key=lambda one: (one != near, one)):
-            members = self._members(zone, now_s=now_s)
-            members.pop(self.own.id, None)
-            first = _ranked(members)[: max(_HELPERS_A_ZONE, len(_readers(members)))]
-            order = rendezvous(self.own.id, first, count=len(first))
-            found.extend(members[one] for one in order)
-        return found
+        nearest_first = sorted(zones, key=lambda one: (one != near, one))
+        return [
+            helper
+            for zone in nearest_first
+            for helper in self._zone_helpers(zone, now_s=now_s)
+        ]
+
+    def _zone_helpers(self, zone: str, *, now_s: float) -> list[InstanceEntry]:
+        """Return whom to ask in a zone when the store can't be."""
+        members = self._members(zone, now_s=now_s)
+        members.pop(self.own.id, None)
+        first = _ranked(members)[: max(_HELPERS_A_ZONE, len(_readers(members)))]
+        order = rendezvous(self.own.id, first, count=len(first))
+        return [members[one] for one in order]
 
     def _members(self, zone: str, *, now_s: float) -> dict[str, InstanceEntry]:
         """Return a zone's instances that are not thought to be down."""
         members = {
             entry.id: entry
             for entry in self._entries.values()
-            if entry.availability_zone == zone
-            and now_s >= self._down_until_s.get(entry.id, 0.0)
+            if entry.availability_zone == zone and self._is_up(entry, now_s)
         }
         if zone == self.own.availability_zone:
             members[self.own.id] = self.own
         return members
 
+    def _is_up(self, entry: InstanceEntry, now_s: float) -> bool:
+        """Tell whether an instance is not thought to be down."""
+        return now_s >= self._down_until_s.get(entry.id, 0.0)
+
 
 def _readers(members: Mapping[str, InstanceEntry]) -> list[str]:
     """Return the ids of those who read the store for others."""
@@ -167,6 +172,6 @@
 
 def _ranked(members: Mapping[str, InstanceEntry]) -> list[str]:
     """Return ids in the order in which they read, the best links first."""
-    ranked = list(rendezvous(_JOB, members, count=len(members)))
+    ranked = list(rendezvous(_READER_JOB, members, count=len(members)))
     ranked.sort(key=lambda one: -members[one].link_mbps)
     return ranked
