Make the parts of the process in a module of their own

Cause: the process's run() made every part, joined them, listened, drained and closed; a follower's read asked, and took in, in one function. Change: _parts.py makes and joins the parts; reading and taking in are two functions, and so are a return of the store and one that others tell of.

--- a/src/violethatch/_followers.py
+++ b/src/violethatch/_followers.py
@@ -80,27 +80,38 @@
     async def _read_once(self) -> None:
         """Read the table or its next changes, and take them in."""
         sent_s = time.monotonic()
-        is_whole = self._version is None
-        if self._version is None:
-            view = await self._source.read_table(self.table)
-        else:
-            # After an outage the first read only asks, so as to learn soon.
-            wait_s = 0.0 if self._is_away else self.settings.change_wait_s
-            view = await self._source.read_changes(
-                self.table, after=self._version, wait_s=wait_s
-            )
+        view = await self._read()
+        is_whole = self._version is None or view.is_whole
         if not view.is_relayed:
             self._clock.observe(view.store_s, sent_s=sent_s)
-        is_whole = is_whole or view.is_whole
         self._note_back(view)
+        self._take_in(view, is_whole=is_whole)
+        if view.values and not is_whole and not view.is_relayed:
+            await asyncio.sleep(self.settings.change_pause_s)
+
+    async def _read(self) -> TableView:
+        """Read the table, or its next changes if it is known.
+
+        Raises:
+            HistoryGoneError: The changes are no longer known.
+            TableUnavailableError: Nobody answers.
+        """
+        if self._version is None:
+            return await self._source.read_table(self.table)
+        # After an outage the first read only asks, so as to learn soon.
+        wait_s = 0.0 if self._is_away else self.settings.change_wait_s
+        return await self._source.read_changes(
+            self.table, after=self._version, wait_s=wait_s
+        )
+
+    def _take_in(self, view: TableView, *, is_whole: bool) -> None:
+        """Take in what was read, for this instance and for others."""
         self._cache.take(view, is_whole=is_whole)
         self._version = view.version
         if view.values or is_whole:
             self._take(view, is_whole)
         if self._clock.is_known:
             self._freshness.proven(self._clock.earliest_local_s(view.store_s))
-        if view.values and not is_whole and not view.is_relayed:
-            await asyncio.sleep(self.settings.change_pause_s)
 
     def _note_away(self, error: TableUnavailableError) -> None:
         """Log once that the store does not answer."""
@@ -121,16 +132,21 @@
 
         It may have been away only for the instance that reads it for this one.
         """
-        told_s = view.returned_s
-        is_told = told_s is not None and told_s != self._told_return_s
-        if is_told:
-            self._told_return_s = told_s
-            self._cache.returned(told_s or 0.0)
-        if self._is_away:
+        is_told = self._note_told_return(view)
+        is_back = self._is_away
+        if is_back:
             self._is_away = False
             events.log(events.TABLE_REACHABLE, table=self.table)
             if not view.is_relayed:
                 self._cache.returned(view.store_s)
+        if is_back or is_told:
             self._returned()
-        elif is_told:
-            self._returned()
+
+    def _note_told_return(self, view: TableView) -> bool:
+        """Tell whether another instance tells of a new return; pass it on."""
+        told_s = view.returned_s
+        if told_s is None or told_s == self._told_return_s:
+            return False
+        self._told_return_s = told_s
+        self._cache.returned(told_s)
+        return True
--- a/src/violethatch/platform/_following.py
+++ b/src/violethatch/platform/_following.py
@@ -22,7 +22,7 @@
 from ..relayed_tables import RelayedTables
 from ..router_settings import RouterSettings, StoreSection
 from ..table_cache import TableCache
-from ..upstream import TableSource, TableView
+from ..upstream import TableView
 from ._store import Store
 
 
@@ -65,9 +65,7 @@
         self._duty = duty
         self._clock = StoreClock()
         self._rng = rng
-        self._registration = Registration(
-            store, directory, clock=self._clock, rng=self._rng
-        )
+        self._registration = Registration(store, directory, clock=self._clock, rng=rng)
         self._caches = {
             table: TableCache()
             for table in (_DESIRED_TABLE, _SERVERS_TABLE, INSTANCES_TABLE)
@@ -82,7 +80,7 @@
         )
         self._sightings = SightingLink(directory, router.routing.hearsay)
         self._followers = self._make_followers()
-        self._instances = self._make_instances()
+        self._instances_follower = self._make_instances_follower()
 
     @property
     def _is_relaying(self) -> bool:
@@ -105,7 +103,7 @@
         work = [follower.run() for follower in self._followers]
         if self._is_relaying:
             work.append(self._registration.run())
-            work.append(_later(_INSTANCES_DELAY_S, self._instances.run()))
+            work.append(_later(_INSTANCES_DELAY_S, self._instances_follower.run()))
         return work
 
     async def leave(self) -> None:
@@ -117,7 +115,7 @@
         """Take changed settings in; addresses stay until the next start."""
         for follower in self._followers:
             follower.settings = settings.store
-        self._instances.settings = _patient(settings.store)
+        self._instances_follower.settings = _patient(settings.store)
         self._tables.bound_s = settings.bounds.change_s
 
     def _make_followers(self) -> list[TableFollower]:
@@ -136,7 +134,7 @@
             ),
         ]
 
-    def _make_instances(self) -> TableFollower:
+    def _make_instances_follower(self) -> TableFollower:
         """Return the follower of the instances' table."""
         follower = self._follower(
             INSTANCES_TABLE,
@@ -155,10 +153,9 @@
         returned: Callable[[], None] = lambda: None,
     ) -> TableFollower:
         """Return the follower of one table."""
-        source: TableSource = self._tables
         return TableFollower(
             table,
-            source=source,
+            source=self._tables,
             settings=self._settings.store,
             clock=self._clock,
             freshness=freshness,
--- /dev/null
+++ b/src/violethatch/platform/_parts.py
@@ -0,0 +1,89 @@
+# SPDX-License-Identifier: MIT
+"""The parts of the router's process on the platform, made and joined."""
+
+from __future__ import annotations
+
+import random
+import secrets
+
+from collections.abc import Callable
+from typing import NamedTuple
+
+import aiohttp
+
+from .._placing import PlacementDuty
+from .._router import Router
+from ..instances import InstanceDirectory, InstanceEntry
+from ..router_settings import RouterSettings
+from ._following import Following
+from ._runners import Runners
+from ._store import Store
+from ._wire import WireDecoder
+
+
+class Parts(NamedTuple):
+    """The parts of one router process."""
+
+    router: Router
+    store: Store
+    duty: PlacementDuty
+    following: Following
+
+    def takers(self) -> list[Callable[[RouterSettings], None]]:
+        """Return what takes changed settings in."""
+        return [
+            self.router.take_settings,
+            lambda settings: self.store.take_settings(settings.store),
+            lambda settings: self.duty.take_policy(settings.policy),
+            self.following.take_settings,
+        ]
+
+
+def make_parts(
+    settings: RouterSettings,
+    *,
+    kept: aiohttp.ClientSession,
+    fresh: aiohttp.ClientSession,
+) -> Parts:
+    """Return the parts of a router process.
+
+    Args:
+        settings: Validated settings.
+        kept: Makes calls on connections that are kept.
+        fresh: Makes each call on a connection of its own.
+    """
+    rng = random.Random()
+    router = Router(
+        settings, client=Runners(kept, fresh), decoder=WireDecoder(), rng=rng
+    )
+    store = Store(settings.store, kept, router.metrics)
+    directory = InstanceDirectory(_own_entry(settings))
+    duty = PlacementDuty(
+        router.routing,
+        store=store,
+        holder=f"{settings.instance.id}/{secrets.token_hex(4)}",
+        rng=rng,
+        directory=directory,
+    )
+    following = Following(
+        settings,
+        store=store,
+        session=kept,
+        directory=directory,
+        router=router,
+        duty=duty,
+        rng=rng,
+    )
+    return Parts(router, store, duty, following)
+
+
+def _own_entry(settings: RouterSettings) -> InstanceEntry:
+    """Return the instance's entry; it is dated when it is written."""
+    return InstanceEntry(
+        id=settings.instance.id,
+        availability_zone=settings.instance.availability_zone,
+        address=settings.listen.peers or "",
+        token=secrets.token_hex(8),
+        link_mbps=settings.limits.link_mbps,
+        written_s=0.0,
+    )
--- a/src/violethatch/platform/_process.py
+++ b/src/violethatch/platform/_process.py
@@ -5,8 +5,6 @@
 
 import asyncio
 import os
-import random
-import secrets
 import signal
 
 from collections.abc import Callable, Coroutine
@@ -15,18 +13,13 @@
 import uvloop
 
 from .. import events
-from .._placing import PlacementDuty
 from .._router import Router
 from ..errors import SettingsError
-from ..instances import InstanceDirectory, InstanceEntry
 from ..log_output import LogOutput
 from ..router_settings import RouterSettings, load_router_settings
-from ._following import Following
 from ._listener import CallersListener, ReadinessListener
-from ._runners import Runners
+from ._parts import Parts, make_parts
 from ._sessions import make_session
-from ._store import Store
-from ._wire import WireDecoder
 
 
 #: Where the platform says the path of the settings file.
@@ -82,51 +75,17 @@
     async def run(self) -> None:
         """Serve until a stop was asked for and all is done."""
         self._output.start()
-        rng = random.Random()
         kept = make_session(is_kept=True)
         fresh = make_session(is_kept=False)
-        router = Router(
-            self._settings,
-            client=Runners(kept, fresh),
-            decoder=WireDecoder(),
-            rng=rng,
-        )
-        store = Store(self._settings.store, kept, router.metrics)
-        directory = InstanceDirectory(_own_entry(self._settings))
-        duty = PlacementDuty(
-            router.routing,
-            store=store,
-            holder=f"{self._settings.instance.id}/{secrets.token_hex(4)}",
-            rng=rng,
-            directory=directory,
-        )
-        following = Following(
-            self._settings,
-            store=store,
-            session=kept,
-            directory=directory,
-            router=router,
-            duty=duty,
-            rng=rng,
-        )
-        self._takers = [
-            router.take_settings,
-            lambda settings: store.take_settings(settings.store),
-            lambda settings: duty.take_policy(settings.policy),
-            following.take_settings,
-        ]
-        await following.listen()
-        for work in (*following.work(), duty.run(), self._watch_file()):
-            self._tasks.append(asyncio.create_task(_keep_running(work)))
-        callers = CallersListener(router)
-        readiness = ReadinessListener(router)
-        listen = self._settings.listen
-        await callers.start(listen.callers)
-        await readiness.start(listen.readiness, listen.metrics_port)
-        stop = self._watch_signals(router)
+        parts = make_parts(self._settings, kept=kept, fresh=fresh)
+        self._takers = parts.takers()
+        await parts.following.listen()
+        self._start_tasks(parts)
+        callers = await self._listen(parts.router)
+        stop = self._watch_signals(parts.router)
         events.log(events.STARTED, id=self._settings.instance.id)
         await stop.wait()
-        await self._drain(router, duty, following)
+        await self._drain(parts)
         events.log(events.STOPPED, id=self._settings.instance.id)
         for task in self._tasks:
             task.cancel()
@@ -135,6 +94,20 @@
         await fresh.close()
         self._output.flush()
 
+    def _start_tasks(self, parts: Parts) -> None:
+        """Start all that runs until the process ends."""
+        for work in (*parts.following.work(), parts.duty.run(), self._watch_file()):
+            self._tasks.append(asyncio.create_task(_keep_running(work)))
+
+    async def _listen(self, router: Router) -> CallersListener:
+        """Listen for callers and for the balancer; return the callers' listener."""
+        callers = CallersListener(router)
+        readiness = ReadinessListener(router)
+        listen = self._settings.listen
+        await callers.start(listen.callers)
+        await readiness.start(listen.readiness, listen.metrics_port)
+        return callers
+
     async def _watch_file(self) -> None:
         """Take a changed settings file in, which may change without a signal."""
         known = _file_state(self._path)
@@ -169,15 +142,14 @@
             take(settings)
         events.log(events.RELOADED, id=settings.instance.id)
 
-    async def _drain(
-        self, router: Router, duty: PlacementDuty, following: Following
-    ) -> None:
+    async def _drain(self, parts: Parts) -> None:
         """Finish what was taken, as long as there is time."""
+        router = parts.router
         loop = asyncio.get_running_loop()
         router.stop_plan.ask(now_s=loop.time())
         events.log(events.DRAINING, in_flight=router.in_flight)
         started_s = loop.time()
-        await asyncio.gather(duty.resign(), following.leave())
+        await asyncio.gather(parts.duty.resign(), parts.following.leave())
         while router.stop_plan.left_s(now_s=loop.time()) > 0:
             is_known = loop.time() - started_s >= _STOP_STAY_S
             if is_known and not router.in_flight:
@@ -185,18 +157,6 @@
             await asyncio.sleep(_STOP_LOOK_S)
 
 
-def _own_entry(settings: RouterSettings) -> InstanceEntry:
-    """Return the instance's entry; it is dated when it is written."""
-    return InstanceEntry(
-        id=settings.instance.id,
-        availability_zone=settings.instance.availability_zone,
-        address=settings.listen.peers or "",
-        token=secrets.token_hex(8),
-        link_mbps=settings.limits.link_mbps,
-        written_s=0.0,
-    )
-
-
 def _file_state(path: str) -> tuple[int, int, int] | None:
     """Return what changes when a file does, or None while it can't be seen."""
     try:
