Name the steps of planning, probing and registering

Cause: nested branches and bare tuples hid what the lease is kept for, whose turn it is to plan, and what a probe's outcome is. Change: a function for each step, and a NamedTuple for an outcome; public functions come first.

--- a/src/violethatch/_placing.py
+++ b/src/violethatch/_placing.py
@@ -49,7 +49,8 @@
 _TURN_S = 0.8
 #: The longest wait for a turn, in seconds.
 _LONGEST_TURN_S = 8.0
-_JOB = "placement"
+#: Keys the rendezvous hash that ranks the instances for planning.
+_PLACEMENT_JOB = "placement"
 #: Orders that are under way at one time.
 _ORDERS_AT_ONCE = 8
 
@@ -135,11 +136,7 @@
         self._forget_done(now_s)
         self._forget_rests(now_s)
         if not orders:
-            if not self._ordered:
-                if now_s - self._last_order_s >= _RESIGN_PAUSE_S:
-                    await self.resign()
-            elif self.is_holder:
-                await self._lease.renew(now_s)
+            await self._renew_or_resign(now_s)
             return
         if not self.is_holder and not self._lease.may_try(now_s=now_s):
             return
@@ -147,6 +144,14 @@
             return
         await self._give(orders)
 
+    async def _renew_or_resign(self, now_s: float) -> None:
+        """Keep the lease while orders are waited for; let it go some time after."""
+        if self._ordered:
+            if self.is_holder:
+                await self._lease.renew(now_s)
+        elif now_s - self._last_order_s >= _RESIGN_PAUSE_S:
+            await self.resign()
+
     def _due_orders(self, now_s: float) -> list[_Order]:
         """Return the orders that the plans ask for and nobody waits for."""
         if self.desired is None:
@@ -186,17 +191,21 @@
         Planning stops all else for tens of milliseconds.  A few instances do it
         at once when the situation changes; the others only if it stays.
         """
-        known = self._situations.get(service)
-        if known is None or known[0] != situation:
-            known = (situation, now_s)
-            self._situations[service] = known
+        since_s = self._since_s(service, situation, now_s)
         made = self._plans.get(service)
         is_made = made is not None and made[0] == situation
         if self._directory is None or self.is_holder or is_made:
             return True
-        rank = self._directory.rank(_JOB, now_s=now_s)
-        pause_s = min(_LONGEST_TURN_S, max(0, rank - _FIRST_PLANNERS + 1) * _TURN_S)
-        return now_s - known[1] >= pause_s
+        rank = self._directory.rank(_PLACEMENT_JOB, now_s=now_s)
+        return now_s - since_s >= _turn_s(rank)
+
+    def _since_s(self, service: str, situation: _Situation, now_s: float) -> float:
+        """Return since when a service's situation is this one, in monotonic seconds."""
+        known = self._situations.get(service)
+        if known is None or known[0] != situation:
+            known = (situation, now_s)
+            self._situations[service] = known
+        return known[1]
 
     def _plan(self, service: str, situation: _Situation) -> Mapping[str, LayerRange]:
         """Return the plan for a situation; it is made once for each."""
@@ -291,3 +300,8 @@
     def _rest(self, server_id: str) -> None:
         """Leave a runner without orders for a while."""
         self._rest_until_s[server_id] = time.monotonic() + _ORDER_REST_S
+
+
+def _turn_s(rank: int) -> float:
+    """Return how long an instance of this rank lets others plan first, in seconds."""
+    return min(_LONGEST_TURN_S, max(0, rank - _FIRST_PLANNERS + 1) * _TURN_S)
--- a/src/violethatch/_probes.py
+++ b/src/violethatch/_probes.py
@@ -7,6 +7,7 @@
 import time
 
 from collections.abc import Iterable
+from typing import NamedTuple
 
 from .backends import BackendServer
 from .upstream import RunnerClient
@@ -17,6 +18,13 @@
 _PROBE_LIFE_S = 0.5
 
 
+class _Outcome(NamedTuple):
+    """What came of a probe."""
+
+    is_silent: bool
+    known_s: float
+
+
 class Probes:
     """Probes of one instance, each shared by all requests that want it.
 
@@ -26,7 +34,7 @@
 
     def __init__(self, client: RunnerClient) -> None:
         self._client = client
-        self._known: dict[str, tuple[bool, float]] = {}
+        self._known: dict[str, _Outcome] = {}
         self._running: dict[str, asyncio.Task[bool]] = {}
 
     async def silent(self, servers: Iterable[BackendServer]) -> list[BackendServer]:
@@ -46,8 +54,8 @@
     async def _is_silent(self, server: BackendServer) -> bool:
         """Tell whether a server gives no answer."""
         known = self._known.get(server.id)
-        if known is not None and time.monotonic() - known[1] < _PROBE_LIFE_S:
-            return known[0]
+        if known is not None and time.monotonic() - known.known_s < _PROBE_LIFE_S:
+            return known.is_silent
         probe = self._running.get(server.id)
         if probe is None:
             probe = asyncio.create_task(self._ask(server))
@@ -61,5 +69,5 @@
             is_silent = await self._client.report(server) is None
         finally:
             self._running.pop(server.id, None)
-        self._known[server.id] = (is_silent, time.monotonic())
+        self._known[server.id] = _Outcome(is_silent, time.monotonic())
         return is_silent
--- a/src/violethatch/_registration.py
+++ b/src/violethatch/_registration.py
@@ -27,7 +27,7 @@
 _CLOCK_LOOK_S = 0.1
 #: How long to wait after a write that came to nothing, in seconds.
 _RETRY_S = 3.0
-#: Parts of a wait that are drawn from, so that instances don't write all at once.
+#: Between which parts of a wait is drawn, so that instances don't write all at once.
 _WAIT_PARTS = (0.7, 1.3)
 #: The most old entries that one write removes (the store takes 100 in one).
 _MOST_REMOVED = 50
@@ -76,12 +76,6 @@
             pause_s = await self._step()
             await asyncio.sleep(pause_s * self._rng.uniform(*_WAIT_PARTS))
 
-    async def _step(self) -> float:
-        """Write the entry if it can be dated; return when to go on, in seconds."""
-        if not self._clock.is_known:
-            return _CLOCK_LOOK_S
-        return _RENEWAL_S if await self._write() else _RETRY_S
-
     async def remove(self) -> None:
         """Take the entry away: others then ask elsewhere at once."""
         try:
@@ -93,20 +87,21 @@
 
     def take(self, view: TableView, is_whole: bool) -> None:
         """Take others' entries in."""
-        entries: dict[str, InstanceEntry | None] = {}
-        for instance_id, value in view.values.items():
-            entries[instance_id] = None
-            if value is None:
-                continue
-            try:
-                entries[instance_id] = msgspec.json.decode(value, type=InstanceEntry)
-            except ValueError as error:
-                events.log(events.STATE_REFUSED, row=instance_id, reason=str(error))
+        entries = {
+            instance_id: _entry(instance_id, value)
+            for instance_id, value in view.values.items()
+        }
         self._directory.take(entries, is_whole=is_whole)
         events.log(events.INSTANCES_KNOWN, count=len(self._directory))
 
+    async def _step(self) -> float:
+        """Write the entry if it can be dated; return when to go on, in seconds."""
+        if not self._clock.is_known:
+            return _CLOCK_LOOK_S
+        return _RENEWAL_S if await self._write() else _RETRY_S
+
     async def _write(self) -> bool:
-        """Write the entry; tell whether it surely was."""
+        """Write the entry and remove old ones; tell whether that surely was done."""
         store_s = self._clock.now_s()
         if store_s is None:
             return False  # the store was not read yet
@@ -119,3 +114,14 @@
             events.log(events.ENTRY_UNWRITTEN, reason=str(error))
             return False
         return True
+
+
+def _entry(instance_id: str, value: bytes | None) -> InstanceEntry | None:
+    """Return a row's entry, or None if it is gone or can't be understood."""
+    if value is None:
+        return None
+    try:
+        return msgspec.json.decode(value, type=InstanceEntry)
+    except ValueError as error:
+        events.log(events.STATE_REFUSED, row=instance_id, reason=str(error))
+        return None
--- a/src/violethatch/_routing.py
+++ b/src/violethatch/_routing.py
@@ -98,17 +98,6 @@
             path = find(left_out=shunned | avoided)
         return path
 
-    def _layer_map(self, service: ServiceSpec, engine: EngineSpec) -> LayerMap:
-        """Return who holds which layers, made anew when the list has changed."""
-        servers = self.usable(service.name)
-        known = self._layer_maps.get(service.name)
-        revision = self.backends.revision
-        if known is not None and known[0] == revision and known[1].engine is engine:
-            return known[1]
-        layer_map = LayerMap(servers, engine)
-        self._layer_maps[service.name] = (revision, layer_map)
-        return layer_map
-
     def usable(self, service: str) -> list[BackendServer]:
         """Return a service's servers that may get new work."""
         expired = self.backends.expire(now_s=time.monotonic())
@@ -156,9 +145,7 @@
             request_id: Names the call.
             is_told_by_other: Whether that word is another server's.
         """
-        trouble = Trouble.ABSENT if is_told_by_other else Trouble.FULL
-        if refusal.is_misdirected:
-            trouble = Trouble.NAMED
+        trouble = _trouble_of(refusal, is_told_by_other=is_told_by_other)
         self._note(server_id, trouble)
         events.log(
             events.SERVER_REFUSED,
@@ -167,6 +154,17 @@
             trouble=trouble.value,
         )
 
+    def _layer_map(self, service: ServiceSpec, engine: EngineSpec) -> LayerMap:
+        """Return who holds which layers, made anew when the list has changed."""
+        servers = self.usable(service.name)
+        known = self._layer_maps.get(service.name)
+        revision = self.backends.revision
+        if known is not None and known[0] == revision and known[1].engine is engine:
+            return known[1]
+        layer_map = LayerMap(servers, engine)
+        self._layer_maps[service.name] = (revision, layer_map)
+        return layer_map
+
     def _note(self, server_id: str, trouble: Trouble) -> None:
         """Leave a server alone for a while, and tell other instances."""
         rest_s = self.health.note(server_id, trouble, now_s=time.monotonic())
@@ -193,3 +191,10 @@
             return policy.retry_reserve
         part = self.settings.bounds.retry_slack * policy.retry_slack_part
         return max(policy.retry_reserve, part / instances)
+
+
+def _trouble_of(refusal: Refusal, *, is_told_by_other: bool) -> Trouble:
+    """Return the trouble that a refusal tells of."""
+    if refusal.is_misdirected:
+        return Trouble.NAMED
+    return Trouble.ABSENT if is_told_by_other else Trouble.FULL
--- a/src/violethatch/_stream_run.py
+++ b/src/violethatch/_stream_run.py
@@ -19,7 +19,7 @@
 from .desired import ServiceSpec
 from .paths import Path
 from .runner_health import Trouble
-from .upstream import Answer, OrderOutcome, Send
+from .upstream import Answer, OrderOutcome, RunnerReport, Send
 
 
 #: Orders onto another path that are tried in one silence.
@@ -150,10 +150,23 @@
         is_told = culprit is not None
         if culprit is None:
             culprit = await self._silent_stage()
+        self._log_silence(report, culprit)
+        if culprit is None:
+            return
+        if is_told:
+            self._routing.note_trouble(
+                culprit, Trouble.NAMED, self._call.id, "a request waits for it"
+            )
+        self.suspects |= {culprit.id}
+        if not await self._repath():
+            raise TimeoutError
+
+    def _log_silence(self, report: RunnerReport, culprit: BackendServer | None) -> None:
+        """Log what the first runner told of a silence, and whom it is laid to."""
         events.log(
             events.SILENCE_SEEN,
             request_id=self._call.id,
-            first=first.id,
+            first=self.path.first.id,
             waits_for=culprit.id if culprit else None,
             path=[stage.server.id for stage in self.path.stages],
             waiting=report.waiting,
@@ -161,15 +174,6 @@
             kv_used_part=round(report.kv_used_part, 3),
             slowness=report.slowness,
         )
-        if culprit is None:
-            return
-        if is_told:
-            self._routing.note_trouble(
-                culprit, Trouble.NAMED, self._call.id, "a request waits for it"
-            )
-        self.suspects |= {culprit.id}
-        if not await self._repath():
-            raise TimeoutError
 
     async def _repath(self) -> bool:
         """Move the request onto a path around the suspects."""
