Cut the model into segments in a module of its own

Cause: paths.py held what paths are, who holds which layers, and the search. Change: _segments.py cuts the model; a search's limits on runners go together.

--- a/src/violethatch/paths.py
+++ b/src/violethatch/paths.py
@@ -16,6 +16,7 @@
 from collections.abc import Collection, Iterable, Mapping, Sequence
 from typing import NamedTuple
 
+from ._segments import Segment, segments
 from .backends import BackendServer
 from .engine_model import EngineSpec
 from .layers import LayerRange, tiles
@@ -71,21 +72,6 @@
         return frozenset(stage.server.id for stage in self.stages)
 
 
-class _Holding(NamedTuple):
-    """A runner that holds all layers of a segment."""
-
-    server: BackendServer
-    #: Its time for the segment's layers and one token, when it is empty, in ms.
-    step_ms: float
-
-
-class _Segment(NamedTuple):
-    """Layers between two neighbouring boundaries of ranges, and who holds them."""
-
-    layers: LayerRange
-    holdings: tuple[_Holding, ...]
-
-
 class _Visit(NamedTuple):
     """A runner that a way has come to, at its first layer there."""
 
@@ -101,6 +87,15 @@
     visit: _Visit | None
 
 
+class _Usage(NamedTuple):
+    """How runners may be used in one search."""
+
+    #: Ids of those that may not be used.
+    left_out: Collection[str]
+    #: By id, how many times slower a runner counts; 1 if it isn't there.
+    slowness: Mapping[str, float]
+
+
 class LayerMap:
     """Who holds which layers, prepared for many searches.
 
@@ -116,7 +111,7 @@
         holders = [one for one in servers if one.layers and one.kind in engine.kinds]
         self.holders = {holder.id: holder for holder in holders}
         self._zones = sorted({holder.availability_zone for holder in holders})
-        self._segments = _segments(holders, engine)
+        self._segments = segments(holders, engine)
         self._delay_ms = {
             (zone, other): engine.delay_ms(zone, other)
             for zone in self._zones
@@ -144,12 +139,13 @@
                 taken.
         """
         slowness = {one: _slowness(part) for one, part in (fullness or {}).items()}
+        usage = _Usage(left_out, slowness)
         pipe_ms = _pipe_ms(self.engine, pipe_fullness)
         entries = self._start(zone)
         only = first.id if first is not None else None
         ways: dict[str, _Way] = {}
         for segment in self._segments:
-            ways = _go_on(segment, ways, entries, left_out, slowness, only)
+            ways = _go_on(segment, ways, entries, usage, only=only)
             if not ways:
                 return None
             entries = self._entries(ways.values(), pipe_ms)
@@ -165,13 +161,7 @@
 
     def _entries(self, ways: Iterable[_Way], pipe_ms: float) -> dict[str, _Way]:
         """Return, by zone, the cheapest way to come to a runner there."""
-        best: dict[str, _Way] = {}
-        for way in ways:
-            assert way.visit is not None
-            zone = way.visit.server.availability_zone
-            known = best.get(zone)
-            if known is None or way.cost_ms < known.cost_ms:
-                best[zone] = way
+        best = _best_by_zone(ways)
         entries = {}
         for zone in self._zones:
             cost_ms, _, visit = min(
@@ -206,46 +196,24 @@
     )
 
 
-def _segments(
-    holders: Sequence[BackendServer], engine: EngineSpec
-) -> tuple[_Segment, ...]:
-    """Cut the model at each boundary of a held range."""
-    boundaries = {0, engine.layer_count}
-    for holder in holders:
-        assert holder.layers is not None
-        boundaries.update(holder.layers)
-    inside = sorted(one for one in boundaries if 0 <= one <= engine.layer_count)
-    return tuple(
-        _segment(LayerRange(start, end), holders, engine)
-        for start, end in itertools.pairwise(inside)
-    )
-
-
-def _segment(
-    layers: LayerRange, holders: Sequence[BackendServer], engine: EngineSpec
-) -> _Segment:
-    """Return a segment with all that hold it."""
-    return _Segment(
-        layers,
-        tuple(
-            _Holding(one, engine.step_ms_of(engine.kinds[one.kind], layers.size))
-            for one in holders
-            if one.layers
-            and one.layers.first <= layers.first
-            and layers.end <= one.layers.end
-        ),
-    )
-
-
 def _go_on(
-    segment: _Segment,
+    segment: Segment,
     ways: Mapping[str, _Way],
     entries: Mapping[str, _Way],
-    left_out: Collection[str],
-    slowness: Mapping[str, float],
+    usage: _Usage,
+    *,
     only: str | None,
 ) -> dict[str, _Way]:
-    """Return, by runner, the cheapest way through a segment that ends there."""
+    """Return, by runner, the cheapest way through a segment that ends there.
+
+    Args:
+        segment: The layers to go through.
+        ways: By runner, the cheapest way to the segment's first layer.
+        entries: By zone, the cheapest way to come to a runner there.
+        usage: How runners may be used.
+        only: The one runner that may be used here, if there is one.
+    """
+    left_out, slowness = usage
     gone_on: dict[str, _Way] = {}
     for server, step_ms in segment.holdings:
         if server.id in left_out or (only is not None and server.id != only):
@@ -261,6 +229,18 @@
     return gone_on
 
 
+def _best_by_zone(ways: Iterable[_Way]) -> dict[str, _Way]:
+    """Return, by zone, the cheapest of the ways that end there."""
+    best: dict[str, _Way] = {}
+    for way in ways:
+        assert way.visit is not None
+        zone = way.visit.server.availability_zone
+        known = best.get(zone)
+        if known is None or way.cost_ms < known.cost_ms:
+            best[zone] = way
+    return best
+
+
 def _slowness(fullness: float) -> float:
     """Return how much slower a runner counts for being full.
 
