State a hop's time once, and name the two parts of fullness

Cause: two modules had the time of a hop within a zone, one without its source; a runner's fullness mixed its slots and its KV cache in one function. Change: HOP_MS stands beside the engine's formula; slots and KV cache have a function each; a runner's word is a NamedTuple; public functions come first.

--- a/src/violethatch/_chains.py
+++ b/src/violethatch/_chains.py
@@ -15,13 +15,10 @@
 from typing import NamedTuple
 
 from ._hosts import Host, can_hold
-from .engine_model import AcceleratorKind, EngineSpec
+from .engine_model import HOP_MS, AcceleratorKind, EngineSpec
 from .layers import LayerRange
 
 
-#: A hop's share of a token's time within a zone, in ms (twice the one-way
-#: delay of 0.1 ms that the sites state).
-_HOP_MS = 0.2
 #: The part of a runner's time that requests may take up; above it queues
 #: grow without bound (M/D/1 waits double between 0.8 and 0.9).
 _BUSY_LIMIT = 0.85
@@ -189,7 +186,7 @@
         return 0.0
     writers = max(1.0, at_once / len(parts))
     token_ms = sum(
-        engine.step_ms_of(kind, layers, writers=writers) + _HOP_MS
+        engine.step_ms_of(kind, layers, writers=writers) + HOP_MS
         for kind, layers in parts
     )
     read_ms = sum(_usual_read_ms(engine, kind, layers) for kind, layers in parts)
--- a/src/violethatch/engine_model.py
+++ b/src/violethatch/engine_model.py
@@ -13,6 +13,9 @@
 from typing import NamedTuple
 
 
+#: The time that a hop within a zone costs each token, in ms (twice the one-way
+#: delay of 0.1 ms that the sites state).
+HOP_MS = 0.2
 _BYTES_PER_MB = 1e6
 _BITS_PER_MBIT = 1e6
 _PER_K = 1e-3
--- a/src/violethatch/paths.py
+++ b/src/violethatch/paths.py
@@ -18,12 +18,10 @@
 
 from ._segments import Segment, segments
 from .backends import BackendServer
-from .engine_model import EngineSpec
+from .engine_model import HOP_MS, EngineSpec
 from .layers import LayerRange, tiles
 
 
-#: The time that a hop within a zone costs each token, in ms.
-_HOP_MS = 0.2
 #: What sending the request to a runner in another zone costs a token, in ms;
 #: no hidden states pass there, so that it need only decide between equals.
 _ENTRY_MS = 0.3
@@ -155,7 +153,7 @@
     def _start(self, zone: str) -> dict[str, _Way]:
         """Return, by zone, what sending the request there costs a token."""
         return {
-            other: _Way(_HOP_MS if other == zone else _HOP_MS + _ENTRY_MS, None)
+            other: _Way(HOP_MS if other == zone else HOP_MS + _ENTRY_MS, None)
             for other in self._zones
         }
 
@@ -174,8 +172,8 @@
     def _hop_ms(self, zone: str, other: str, pipe_ms: float) -> float:
         """Return what a hop costs a token, in ms."""
         if zone == other:
-            return _HOP_MS
-        return _HOP_MS + pipe_ms + self._delay_ms[zone, other]
+            return HOP_MS
+        return HOP_MS + pipe_ms + self._delay_ms[zone, other]
 
 
 def find_path(
--- a/src/violethatch/runner_health.py
+++ b/src/violethatch/runner_health.py
@@ -30,15 +30,15 @@
     FAILED = "failed"
 
 
+#: The troubles that say little of how long they last: such a server is still used
+#: where there is no other.
+_MILD = frozenset((Trouble.FULL, Trouble.ABSENT))
 #: After how long engines cut what depends on a dead runner, at today's sites,
 #: in seconds; the list tells of it by then.
 STALL_S = 3.0
 #: How long a server is left alone that had no room, in seconds: room is back
 #: within some requests.
 _FULL_REST_S = 0.3
-#: The troubles that say little of how long they last: such a server is still used
-#: where there is no other.
-_MILD = frozenset((Trouble.FULL, Trouble.ABSENT))
 #: How long a server is left alone that spoilt an answer, in seconds.
 _FAILED_REST_S = 0.5
 #: Repeated trouble doubles the rest up to this, in seconds.
@@ -99,16 +99,6 @@
         self._rests[server_id] = _Rest(trouble, now_s + length_s, known_s)
         return True
 
-    def _first_rest_s(self, trouble: Trouble) -> float:
-        """Return how long a server is left alone at first, in seconds."""
-        if trouble in _MILD:
-            return _FULL_REST_S
-        return _FAILED_REST_S if trouble is Trouble.FAILED else self.stall_s
-
-    def _longest_rest_s(self, trouble: Trouble) -> float:
-        """Return how long repeated trouble lets a server rest at most."""
-        return self.stall_s if trouble in _MILD else _LONGEST_REST_S
-
     def worked(self, server_id: str) -> None:
         """Note that a server did its work."""
         self._rests.pop(server_id, None)
@@ -135,3 +125,13 @@
     def forget(self, server_id: str) -> None:
         """Forget a server that is no longer listed."""
         self._rests.pop(server_id, None)
+
+    def _first_rest_s(self, trouble: Trouble) -> float:
+        """Return how long a server is left alone at first, in seconds."""
+        if trouble in _MILD:
+            return _FULL_REST_S
+        return _FAILED_REST_S if trouble is Trouble.FAILED else self.stall_s
+
+    def _longest_rest_s(self, trouble: Trouble) -> float:
+        """Return how long repeated trouble lets a server rest at most."""
+        return self.stall_s if trouble in _MILD else _LONGEST_REST_S
--- a/src/violethatch/stream_loads.py
+++ b/src/violethatch/stream_loads.py
@@ -12,6 +12,8 @@
 
 import collections
 
+from typing import NamedTuple
+
 from .backends import BackendServer
 from .engine_model import EngineSpec
 from .paths import LayerMap, Path, Stage
@@ -33,6 +35,13 @@
 _TOLD_LIFE_S = 2.0
 
 
+class _Told(NamedTuple):
+    """A first runner's word on its load, and when it came."""
+
+    load: ServerLoad
+    told_s: float
+
+
 class StreamLoads:
     """One instance's view of the streams on runners.
 
@@ -43,7 +52,7 @@
         self._own_token_layers: dict[str, float] = {}
         self._own_by_first: dict[str, int] = {}
         self._crossings: collections.deque[float] = collections.deque()
-        self._told_by_first: dict[str, tuple[ServerLoad, float]] = {}
+        self._told_by_first: dict[str, _Told] = {}
         self._words = 0
         self._told_sum = 1.0
         self._own_sum = 1.0
@@ -79,7 +88,7 @@
 
     def told(self, first_id: str, load: ServerLoad, *, now_s: float) -> None:
         """Take in a first runner's word on the streams it has from all."""
-        self._told_by_first[first_id] = (load, now_s)
+        self._told_by_first[first_id] = _Told(load, now_s)
         own = self._own_by_first.get(first_id, 0)
         if own:
             self._words += 1
@@ -105,18 +114,9 @@
 
         Its room is its KV cache, and its slots where it was told of them.
         """
-        told = self._told_by_first.get(server.id)
-        taken = 0.0
-        if told is not None and now_s - told[1] < _TOLD_LIFE_S:
-            load = told[0]
-            taken = (load.running + load.waiting) / max(1, load.slots)
-        own = self._own_token_layers.get(server.id, 0.0)
-        kind = engine.kinds.get(server.kind)
-        if not own or server.layers is None or kind is None:
-            return taken
-        size = server.layers.size
-        room = engine.kv_tokens(kind, size) * size
-        return max(taken, own * self.ratio / max(room, 1.0))
+        return max(
+            self._slots_taken(server, now_s=now_s), self._kv_cache_taken(server, engine)
+        )
 
     def forget(self, server_id: str) -> None:
         """Forget a runner that is no longer listed."""
@@ -129,6 +129,24 @@
         own_ms = len(self._crossings) * engine.crossing_ms
         return own_ms * self.ratio / (_PIPE_SPAN_S * _MS_PER_S)
 
+    def _slots_taken(self, server: BackendServer, *, now_s: float) -> float:
+        """Return the part of a runner's slots that it told of as taken."""
+        told = self._told_by_first.get(server.id)
+        if told is None or now_s - told.told_s >= _TOLD_LIFE_S:
+            return 0.0
+        load = told.load
+        return (load.running + load.waiting) / max(1, load.slots)
+
+    def _kv_cache_taken(self, server: BackendServer, engine: EngineSpec) -> float:
+        """Return the part of a runner's KV cache that is thought to be taken."""
+        own = self._own_token_layers.get(server.id, 0.0)
+        kind = engine.kinds.get(server.kind)
+        if not own or server.layers is None or kind is None:
+            return 0.0
+        size = server.layers.size
+        room = engine.kv_tokens(kind, size) * size
+        return own * self.ratio / max(room, 1.0)
+
     def _add(self, stage: Stage, tokens: float) -> None:
         """Add to a runner's tokens times layers."""
         added = tokens * stage.layers.size
