Keep the plans of placement in a module of their own

Cause: _placing.py held whose turn it is to plan, the plans, and the orders. Change: _placement_plans.py keeps the plans and the turns; the tests patch them there.

--- /dev/null
+++ b/src/violethatch/_placement_plans.py
@@ -0,0 +1,106 @@
+# SPDX-License-Identifier: MIT
+"""Plans of placement: each made once, and by few instances at once.
+
+Planning stops all else for tens of milliseconds.  A few instances do it at once
+when the situation changes; the others only if it stays.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from typing import NamedTuple
+
+from .engine_model import EngineSpec
+from .instances import InstanceDirectory
+from .layers import LayerRange
+from .placement import Host, plan_placement
+
+
+#: How many instances plan at once when a situation changes: one that is frozen
+#: or cut off should hold nothing up.
+_FIRST_PLANNERS = 3
+#: How much longer each further instance waits for its turn, in seconds: somewhat
+#: more than two looks and a try for the lease.
+_TURN_S = 0.8
+#: The longest wait for a turn, in seconds.
+_LONGEST_TURN_S = 8.0
+#: Keys the rendezvous hash that ranks the instances for planning.
+_PLACEMENT_JOB = "placement"
+
+
+class Situation(NamedTuple):
+    """All that a plan follows from."""
+
+    hosts: tuple[Host, ...]
+    engine: EngineSpec
+    copying: frozenset[str]
+    is_repairing: bool
+
+
+class PlacementPlans:
+    """One instance's plans, by service.
+
+    Args:
+        directory: Says whose turn it is to plan; without it, everybody's.
+    """
+
+    def __init__(self, directory: InstanceDirectory | None) -> None:
+        self._directory = directory
+        #: By service, its latest situation and since when it is that.
+        self._situations: dict[str, tuple[Situation, float]] = {}
+        #: By service, the situation that its latest plan was made for, and the plan.
+        self._plans: dict[str, tuple[Situation, Mapping[str, LayerRange]]] = {}
+
+    def plan(
+        self, service: str, situation: Situation, *, is_holder: bool, now_s: float
+    ) -> Mapping[str, LayerRange]:
+        """Return the plan for a situation, or none while it is others' turn.
+
+        Args:
+            service: The service's name.
+            situation: What the plan follows from.
+            is_holder: Whether this instance holds the lease.
+            now_s: The monotonic time, in seconds.
+        """
+        if not self._may_plan(service, situation, is_holder, now_s):
+            return {}
+        return self._plan(service, situation)
+
+    def _may_plan(
+        self, service: str, situation: Situation, is_holder: bool, now_s: float
+    ) -> bool:
+        """Tell whether it is this instance's turn to plan."""
+        since_s = self._since_s(service, situation, now_s)
+        made = self._plans.get(service)
+        is_made = made is not None and made[0] == situation
+        if self._directory is None or is_holder or is_made:
+            return True
+        rank = self._directory.rank(_PLACEMENT_JOB, now_s=now_s)
+        return now_s - since_s >= _turn_s(rank)
+
+    def _since_s(self, service: str, situation: Situation, now_s: float) -> float:
+        """Return since when a service's situation is this one, in monotonic seconds."""
+        known = self._situations.get(service)
+        if known is None or known[0] != situation:
+            known = (situation, now_s)
+            self._situations[service] = known
+        return known[1]
+
+    def _plan(self, service: str, situation: Situation) -> Mapping[str, LayerRange]:
+        """Return the plan for a situation; it is made once for each."""
+        known = self._plans.get(service)
+        if known is None or known[0] != situation:
+            plan = plan_placement(
+                situation.hosts,
+                situation.engine,
+                copying=situation.copying,
+                is_repairing=situation.is_repairing,
+            )
+            known = (situation, plan)
+            self._plans[service] = known
+        return known[1]
+
+
+def _turn_s(rank: int) -> float:
+    """Return how long an instance of this rank lets others plan first, in seconds."""
+    return min(_LONGEST_TURN_S, max(0, rank - _FIRST_PLANNERS + 1) * _TURN_S)
--- a/src/violethatch/_placing.py
+++ b/src/violethatch/_placing.py
@@ -12,20 +12,19 @@
 import time
 
 from collections import defaultdict
-from collections.abc import Mapping
 from typing import NamedTuple
 
 from . import events
 from ._fleet_watch import FleetWatch
 from ._placement_lease import LeaseStore, PlacementLease
+from ._placement_plans import PlacementPlans, Situation
 from ._routing import Routing
 from .backends import BackendServer
 from .desired import DesiredState, ServiceSpec
-from .engine_model import EngineSpec
 from .errors import TableUnavailableError
 from .instances import InstanceDirectory
 from .layers import LayerRange
-from .placement import Host, plan_placement
+from .placement import Host
 from .router_settings import RouterPolicySection
 
 
@@ -41,29 +40,10 @@
 #: How long the lease is kept after the list shows all orders, in seconds:
 #: others see the same list by then, and don't order anew.
 _RESIGN_PAUSE_S = 1.5
-#: How many instances plan at once when a situation changes: one that is frozen
-#: or cut off should hold nothing up.
-_FIRST_PLANNERS = 3
-#: How much longer each further instance waits for its turn, in seconds: somewhat
-#: more than two looks and a try for the lease.
-_TURN_S = 0.8
-#: The longest wait for a turn, in seconds.
-_LONGEST_TURN_S = 8.0
-#: Keys the rendezvous hash that ranks the instances for planning.
-_PLACEMENT_JOB = "placement"
 #: Orders that are under way at one time.
 _ORDERS_AT_ONCE = 8
 
 
-class _Situation(NamedTuple):
-    """All that a plan follows from."""
-
-    hosts: tuple[Host, ...]
-    engine: EngineSpec
-    copying: frozenset[str]
-    is_repairing: bool
-
-
 class _Order(NamedTuple):
     """A runner of a service, and the layers that it is to hold."""
 
@@ -97,10 +77,7 @@
         self._lease = PlacementLease(
             store, holder=holder, policy=routing.settings.policy, rng=rng
         )
-        self._directory = directory
-        #: By service, its latest situation and since when it is that.
-        self._situations: dict[str, tuple[_Situation, float]] = {}
-        self._plans: dict[str, tuple[_Situation, Mapping[str, LayerRange]]] = {}
+        self._plans = PlacementPlans(directory)
         self._watches: defaultdict[str, FleetWatch] = defaultdict(FleetWatch)
         #: By runner, what it was ordered and until when that is waited for.
         self._ordered: dict[str, tuple[LayerRange, float]] = {}
@@ -171,56 +148,20 @@
         watch = self._watches[service.name]
         if not watch.is_settled(servers, ordered=self._ordered, now_s=now_s):
             return []
-        situation = _Situation(
+        situation = Situation(
             hosts=tuple(self._host(server) for server in servers.values()),
             engine=service.engine,
             copying=watch.idle_for_long(servers, now_s=now_s),
             is_repairing=watch.is_at_rest(servers, now_s=now_s),
         )
-        if not self._may_plan(service.name, situation, now_s):
-            return []
-        plan = self._plan(service.name, situation)
+        plan = self._plans.plan(
+            service.name, situation, is_holder=self.is_holder, now_s=now_s
+        )
         return [
             _Order(service, servers[server_id], layers)
             for server_id, layers in plan.items()
         ]
 
-    def _may_plan(self, service: str, situation: _Situation, now_s: float) -> bool:
-        """Tell whether it is this instance's turn to plan.
-
-        Planning stops all else for tens of milliseconds.  A few instances do it
-        at once when the situation changes; the others only if it stays.
-        """
-        since_s = self._since_s(service, situation, now_s)
-        made = self._plans.get(service)
-        is_made = made is not None and made[0] == situation
-        if self._directory is None or self.is_holder or is_made:
-            return True
-        rank = self._directory.rank(_PLACEMENT_JOB, now_s=now_s)
-        return now_s - since_s >= _turn_s(rank)
-
-    def _since_s(self, service: str, situation: _Situation, now_s: float) -> float:
-        """Return since when a service's situation is this one, in monotonic seconds."""
-        known = self._situations.get(service)
-        if known is None or known[0] != situation:
-            known = (situation, now_s)
-            self._situations[service] = known
-        return known[1]
-
-    def _plan(self, service: str, situation: _Situation) -> Mapping[str, LayerRange]:
-        """Return the plan for a situation; it is made once for each."""
-        known = self._plans.get(service)
-        if known is None or known[0] != situation:
-            plan = plan_placement(
-                situation.hosts,
-                situation.engine,
-                copying=situation.copying,
-                is_repairing=situation.is_repairing,
-            )
-            known = (situation, plan)
-            self._plans[service] = known
-        return known[1]
-
     def _host(self, server: BackendServer) -> Host:
         """Return a runner as placement sees it, with what it was ordered."""
         ordered = self._ordered.get(server.id)
@@ -300,8 +241,3 @@
     def _rest(self, server_id: str) -> None:
         """Leave a runner without orders for a while."""
         self._rest_until_s[server_id] = time.monotonic() + _ORDER_REST_S
-
-
-def _turn_s(rank: int) -> float:
-    """Return how long an instance of this rank lets others plan first, in seconds."""
-    return min(_LONGEST_TURN_S, max(0, rank - _FIRST_PLANNERS + 1) * _TURN_S)
--- a/tests/test_placing.py
+++ b/tests/test_placing.py
@@ -12,7 +12,12 @@
 from router_fakes import FakeClient, make_routing, report
 from routing_samples import desired_state, runner
 from test_instances import directories, entry
-from violethatch import _fleet_watch, _placement_lease, _placing
+from violethatch import (
+    _fleet_watch,
+    _placement_lease,
+    _placement_plans,
+    _placing,
+)
 from violethatch._placement_lease import LeaseWrite
 from violethatch._placing import PlacementDuty
 from violethatch.errors import TableUnavailableError
@@ -128,9 +133,9 @@
         ]
         duty, _, routing = make_duty(FakeStore(), *whole)
         made = []
-        plan = _placing.plan_placement
+        plan = _placement_plans.plan_placement
         monkeypatch.setattr(
-            _placing,
+            _placement_plans,
             "plan_placement",
             lambda *args, **options: made.append(1) or plan(*args, **options),
         )
@@ -162,7 +167,7 @@
 
     async def test_others_follow_if_nothing_happens(self, monkeypatch):
         """Those whose turn is later plan if the first ones are gone."""
-        monkeypatch.setattr(_placing, "_TURN_S", 0.001)
+        monkeypatch.setattr(_placement_plans, "_TURN_S", 0.001)
         made = directories([entry(f"i{n}") for n in range(20)])
         for directory in made.values():
             duty, client, _ = make_duty(FakeStore(), *FLEET, directory=directory)
