--- a/src/violethatch/instances.py
+++ b/src/violethatch/instances.py
@@ -45,6 +45,8 @@
         token: What they have to show: only who reads the store knows it.
         link_mbps: The rate of its machine's link.
         written_s: The store's steady clock when it was written, in seconds.
+
+    .. versionadded:: 26.1.0
     """
 
     id: str
--- a/src/violethatch/relayed_tables.py
+++ b/src/violethatch/relayed_tables.py
@@ -41,15 +41,24 @@
 
 
 class PeerSilentError(Exception):
-    """Another instance gave no answer, or has no newer proof."""
+    """Another instance gave no answer, or has no newer proof.
+
+    .. versionadded:: 26.1.0
+    """
 
 
 class NoNewsError(PeerSilentError):
-    """Another instance has nothing newer than what was known."""
+    """Another instance has nothing newer than what was known.
+
+    .. versionadded:: 26.1.0
+    """
 
 
 class PeerReads(Protocol):
-    """Asks other instances."""
+    """Asks other instances.
+
+    .. versionadded:: 26.1.0
+    """
 
     async def changes(
         self,
--- a/src/violethatch/sightings.py
+++ b/src/violethatch/sightings.py
@@ -32,7 +32,10 @@
 
 
 class Sighting(NamedTuple):
-    """A server's trouble, and how long its witness leaves it alone."""
+    """A server's trouble, and how long its witness leaves it alone.
+
+    .. versionadded:: 26.1.0
+    """
 
     server_id: str
     trouble: Trouble
--- a/src/violethatch/stream_loads.py
+++ b/src/violethatch/stream_loads.py
@@ -114,9 +114,11 @@
 
         Its room is its KV cache, and its slots where it was told of them.
         """
-        return max(
-            self._slots_taken(server, now_s=now_s), self._kv_cache_taken(server, engine)
-        )
+        slots_taken = self._slots_taken(server, now_s=now_s)
+        kv_cache_taken = self._kv_cache_taken(server, engine)
+        if kv_cache_taken is None:
+            return slots_taken
+        return max(slots_taken, kv_cache_taken)
 
     def forget(self, server_id: str) -> None:
         """Forget a runner that is no longer listed."""
@@ -137,12 +139,14 @@
         load = told.load
         return (load.running + load.waiting) / max(1, load.slots)
 
-    def _kv_cache_taken(self, server: BackendServer, engine: EngineSpec) -> float:
-        """Return the part of a runner's KV cache that is thought to be taken."""
+    def _kv_cache_taken(
+        self, server: BackendServer, engine: EngineSpec
+    ) -> float | None:
+        """Return the part of a runner's KV cache that is taken; None if unknown."""
         own = self._own_token_layers.get(server.id, 0.0)
         kind = engine.kinds.get(server.kind)
         if not own or server.layers is None or kind is None:
-            return 0.0
+            return None
         size = server.layers.size
         room = engine.kv_tokens(kind, size) * size
         return own * self.ratio / max(room, 1.0)
