Look up a plan that was made once, not twice

Cause: found on the last reading: whether a plan was made for a situation was checked once to tell whose turn it is and once more to return it. Ruled out: dropping the time since which a situation stands, which also has to go on while plans are at hand. Change: one look-up; a turn is asked for only where a plan has to be made.

--- a/src/violethatch/_placement_plans.py
+++ b/src/violethatch/_placement_plans.py
@@ -62,18 +62,24 @@
             is_holder: Whether this instance holds the lease.
             now_s: The monotonic time, in seconds.
         """
-        if not self._may_plan(service, situation, is_holder, now_s):
-            return {}
-        return self._plan(service, situation)
-
-    def _may_plan(
-        self, service: str, situation: Situation, is_holder: bool, now_s: float
-    ) -> bool:
-        """Tell whether it is this instance's turn to plan."""
         since_s = self._since_s(service, situation, now_s)
         made = self._plans.get(service)
-        is_made = made is not None and made[0] == situation
-        if self._directory is None or is_holder or is_made:
+        if made is not None and made[0] == situation:
+            return made[1]
+        if not is_holder and not self._is_turn(since_s, now_s):
+            return {}
+        plan = plan_placement(
+            situation.hosts,
+            situation.engine,
+            copying=situation.copying,
+            is_repairing=situation.is_repairing,
+        )
+        self._plans[service] = (situation, plan)
+        return plan
+
+    def _is_turn(self, since_s: float, now_s: float) -> bool:
+        """Tell whether it is this instance's turn to plan."""
+        if self._directory is None:
             return True
         rank = self._directory.rank(_PLACEMENT_JOB, now_s=now_s)
         return now_s - since_s >= _turn_s(rank)
@@ -86,20 +92,6 @@
             self._situations[service] = known
         return known[1]
 
-    def _plan(self, service: str, situation: Situation) -> Mapping[str, LayerRange]:
-        """Return the plan for a situation; it is made once for each."""
-        known = self._plans.get(service)
-        if known is None or known[0] != situation:
-            plan = plan_placement(
-                situation.hosts,
-                situation.engine,
-                copying=situation.copying,
-                is_repairing=situation.is_repairing,
-            )
-            known = (situation, plan)
-            self._plans[service] = known
-        return known[1]
-
 
 def _turn_s(rank: int) -> float:
     """Return how long an instance of this rank lets others plan first, in seconds."""
