--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV ?= .venv
 PY := $(VENV)/bin/python
 
-.PHONY: demo test lint bench bench-capacity check-spec format clean
+.PHONY: demo test lint bench bench-capacity days check-spec format clean
 
 $(VENV)/.installed: pyproject.toml constraints.txt
 	python3 -m venv $(VENV)
@@ -31,6 +31,11 @@
 bench-capacity: $(VENV)/.installed
 	$(PY) bench/capacity.py
 
+# Days of our own that broke something once: FLEETBENCH and SITE name the users'
+# bench and one of its site files.
+days:
+	python3 bench/days.py kept
+
 check-spec:
 	sh spec/check.sh
 
--- a/src/violethatch/_sighting_link.py
+++ b/src/violethatch/_sighting_link.py
@@ -126,7 +126,10 @@
         for peer in self._directory.others():
             message = _Datagram(peer.token, self._directory.own.id, seen)
             body = msgspec.msgpack.encode(message)
-            self._transport.sendto(body, host_and_port(peer.address))
+            try:
+                self._transport.sendto(body, host_and_port(peer.address))
+            except (OSError, ValueError) as error:
+                events.log(events.SIGHTING_LOST, instance_id=peer.id, reason=str(error))
 
     def _count_datagram(self) -> bool:
         """Count a datagram to all, if one more may be sent in this second."""
--- a/src/violethatch/instances.py
+++ b/src/violethatch/instances.py
@@ -96,7 +96,7 @@
         return [
             entry.id
             for entry in self._entries.values()
-            if store_s - entry.written_s > ENTRY_LIFE_S
+            if entry.id != self.own.id and store_s - entry.written_s > ENTRY_LIFE_S
         ]
 
     def note_down(self, instance_id: str, *, now_s: float) -> None:
--- a/src/violethatch/platform/_runners.py
+++ b/src/violethatch/platform/_runners.py
@@ -230,6 +230,8 @@
         running, waiting, slots = (int(part) for part in (text or "").split(","))
     except ValueError:
         return None
+    if min(running, waiting, slots) < 0:
+        return None  # no load is below nothing
     return ServerLoad(running, waiting, slots)
 
 
--- a/src/violethatch/relayed_tables.py
+++ b/src/violethatch/relayed_tables.py
@@ -234,6 +234,9 @@
             wait_s=wait_s,
             margin_s=self.bound_s * _MARGIN_PART,
         )
+        if view.store_s < self._known_s.get(table, float(NEVER)):
+            msg = "older than what is known"
+            raise PeerSilentError(msg)
         return self._noted(table, view)
 
     @property
--- a/src/violethatch/runner_health.py
+++ b/src/violethatch/runner_health.py
@@ -76,6 +76,8 @@
         """
         length_s = self._first_rest_s(trouble)
         known = self._rests.get(server_id)
+        if _outweighs(known, trouble, now_s=now_s):
+            return None
         if known is not None and trouble is not Trouble.FULL:
             if now_s < known.until_s and known.trouble is trouble:
                 return None  # the same trouble, seen by another request
@@ -92,6 +94,8 @@
     ) -> bool:
         """Leave a server alone on another's word; tell whether that is longer."""
         known = self._rests.get(server_id)
+        if _outweighs(known, trouble, now_s=now_s):
+            return False
         if known is not None and known.until_s >= now_s + length_s:
             return False
         first_s = self._first_rest_s(trouble)
@@ -135,3 +139,10 @@
     def _longest_rest_s(self, trouble: Trouble) -> float:
         """Return how long repeated trouble lets a server rest at most."""
         return self.stall_s if trouble in _MILD else _LONGEST_REST_S
+
+
+def _outweighs(known: _Rest | None, trouble: Trouble, *, now_s: float) -> bool:
+    """Tell whether a rest that lasts says more than a further trouble."""
+    if known is None or now_s >= known.until_s:
+        return False
+    return trouble in _MILD and known.trouble not in _MILD
--- a/tests/test_instances.py
+++ b/tests/test_instances.py
@@ -105,6 +105,11 @@
         one = directories([old, new])["new"]
         assert one.expired(store_s=11.0 + ENTRY_LIFE_S) == ["old"]
 
+    def test_own_entry_never_expires(self):
+        """The write that renews it would remove it."""
+        one = directories([entry("own")])["own"]
+        assert one.expired(store_s=10.0 * ENTRY_LIFE_S) == []
+
     def test_helpers_are_readers_near_ones_first(self):
         """When the store is away, those who read are asked, near ones first."""
         near = [entry(f"n{n}") for n in range(6)]
--- a/tests/test_relayed_tables.py
+++ b/tests/test_relayed_tables.py
@@ -178,6 +178,15 @@
         tables = RelayedTables(ScriptedSource(AWAY), peers, reader_of())
         assert await tables.read_table("op") == found
 
+    async def test_older_table_is_not_taken(self):
+        """An instance that lags doesn't take others back."""
+        store = ScriptedSource(view(9, a=b"2"), AWAY)
+        older = view(5, a=b"1")._replace(is_whole=True, is_relayed=True)
+        tables = RelayedTables(store, ScriptedPeers(older, older), reader_of())
+        await tables.read_table("op")
+        with pytest.raises(TableUnavailableError):
+            await tables.read_table("op")
+
     async def test_table_without_proofs(self):
         """No news of such a table says that nothing has changed."""
         directory, _ = follower_of()
--- a/tests/test_runner_health.py
+++ b/tests/test_runner_health.py
@@ -75,3 +75,13 @@
         health.note("silent", Trouble.SILENT, now_s=0.0)
         assert health.resting(now_s=0.1) == {"full", "absent", "silent"}
         assert health.shunned(now_s=0.1) == {"silent"}
+
+    def test_doubt_doesn_t_lift_a_certainty(self):
+        """While a silent server is shunned, a milder trouble changes nothing."""
+        health = RunnerHealth(stall_s=3.0)
+        for n in range(5):
+            health.note("a", Trouble.ABSENT, now_s=n * 10.0)
+        health.note("a", Trouble.FAILED, now_s=60.0)
+        assert health.note("a", Trouble.ABSENT, now_s=60.1) is None
+        assert not health.rest("a", Trouble.ABSENT, 9.0, now_s=60.1)
+        assert health.shunned(now_s=60.2) == {"a"}
--- a/tests/test_sightings.py
+++ b/tests/test_sightings.py
@@ -97,6 +97,19 @@
                 await asyncio.sleep(0.01)
         assert not own.resting(now_s=asyncio.get_running_loop().time())
 
+    async def test_entry_that_can_t_be_reached_stops_nobody(self):
+        """The others are told, whatever one entry holds as its address."""
+        links, (_, other) = await self.pair()
+        broken = entry("i00")._replace(address="nowhere")
+        links[0]._directory.take(
+            {"i00": broken, **{one.id: one for one in links[0]._directory.others()}},
+            is_whole=True,
+        )
+        links[0].tell(Sighting("a", Trouble.NAMED, 5.0))
+        async with asyncio.timeout(5):
+            while not other.resting(now_s=asyncio.get_running_loop().time()):
+                await asyncio.sleep(0.01)
+
     async def test_strangers_are_not_heard(self):
         """Without the receiver's token a datagram is of no effect."""
         links, (_, other) = await self.pair()
