Let each instance know the load of all, also where servers don't tell it

Cause: where answers tell no load, nothing scaled an instance's own streams to those of all, and slots were not counted.

Ruled out: own streams times the instances (says nothing of the others at 59), all telling all (bytes grow with the fleet), gossip of averages (lost datagrams and dead instances stay in it), asking runners (priced, and 200 ms old).

Change: sums along a tree of instances by datagrams (load_sums, load_changes, _load_link; one socket for all datagrams, _peer_datagrams), with their age, within 3 KB/s a node. An instance takes the others to have done since the sum was true what it has done itself. The ratio learnt from servers' words is gone; a fresh word still counts where it says more. Retries are shared by the instances that are listed.

--- /dev/null
+++ b/src/violethatch/_load_link.py
@@ -0,0 +1,161 @@
+# SPDX-License-Identifier: MIT
+"""Tells neighbours this instance's sum of loads, and takes theirs in."""
+
+from __future__ import annotations
+
+import asyncio
+import struct
+import time
+
+from collections.abc import Mapping
+
+from . import events
+from ._peer_datagrams import LoadDatagram, PeerDatagrams
+from .load_changes import ChangeFeed
+from .load_sums import Direction, LoadSums, LoadTotals, ServerTotals
+from .stream_loads import StreamLoads
+
+
+#: How often neighbours are told, in seconds.  Streams last a second or more.
+TICK_S = 0.25
+#: The most bytes that an instance sends for this in a second, of the 4 KB that
+#: all of control may take.
+_MOST_BYTES_A_SECOND = 3000
+#: What a datagram takes beside its servers: headers, token, names and counts.
+ENVELOPE_BYTES = 110
+#: The most neighbours that are told in one tick: more would leave each datagram
+#: little beside its envelope.  The others' turn comes with the next ticks.
+MOST_TOLD_A_TICK = 4
+#: A server in a datagram: its number, streams, and units of tokens times layers.
+_SERVER = struct.Struct("<IHH")
+#: The unit; a stream of a thousand tokens has some thousands even on one layer.
+_UNIT_TOKEN_LAYERS = 256
+_MOST_COUNT = 0xFFFF
+_MS_PER_S = 1000
+#: What a server takes in a datagram.
+SERVER_BYTES = _SERVER.size
+
+
+class LoadLink:
+    """Keeps the sums of loads going.
+
+    Args:
+        datagrams: Carries them.
+        loads: Has this instance's own, and is given the others'.
+    """
+
+    def __init__(self, datagrams: PeerDatagrams, loads: StreamLoads) -> None:
+        self._datagrams = datagrams
+        self._directory = datagrams.directory
+        self._loads = loads
+        self._sums = LoadSums(datagrams.directory)
+        self._neighbours: dict[str, Direction] = {}
+        self._turn = 0
+        #: By neighbour, what it was told, and in which direction.
+        self._feeds: dict[str, tuple[Direction, ChangeFeed]] = {}
+        datagrams.on(LoadDatagram, self._take)
+
+    async def run(self) -> None:
+        """Tell neighbours, until cancelled."""
+        while True:
+            await asyncio.sleep(TICK_S)
+            self._tick(now_s=time.monotonic())
+
+    def _tick(self, *, now_s: float) -> None:
+        """Tell each neighbour once, and let go of old words."""
+        self._sums.refresh(now_s=now_s)
+        self._loads.take_others(self._sums.others, now_s=now_s)
+        neighbours = self._sums.neighbours(now_s=now_s)
+        if neighbours != self._neighbours:
+            self._neighbours = neighbours
+            events.log(
+                events.LOAD_NEIGHBOURS,
+                neighbours={one: str(where) for one, where in neighbours.items()},
+                instances_summed=self._sums.others.instances,
+            )
+        for gone in self._feeds.keys() - neighbours.keys():
+            del self._feeds[gone]
+        if not neighbours:
+            return
+        own = self._loads.own_totals(now_s=now_s)
+        most = most_servers(min(len(neighbours), MOST_TOLD_A_TICK))
+        peers = {one.id: one for one in self._directory.others()}
+        for neighbour in self._in_turn(list(neighbours)):
+            if neighbour not in peers:
+                continue  # its entry has gone meanwhile
+            direction = neighbours[neighbour]
+            totals = self._sums.sum_for(neighbour, direction, own, now_s=now_s)
+            picked = self._feed(neighbour, direction).pick(totals.servers, most=most)
+            message = LoadDatagram(
+                token=peers[neighbour].token,
+                sender=self._directory.own.id,
+                direction=direction.value,
+                instances=totals.instances,
+                pipe_ms_per_s=round(totals.pipe_ms_per_s, 1),
+                age_ms=round(totals.age_s * _MS_PER_S),
+                servers=_packed(picked),
+            )
+            self._datagrams.send(peers[neighbour], message)
+
+    def _in_turn(self, neighbours: list[str]) -> list[str]:
+        """Return whom to tell in this tick, where there are too many for one."""
+        count = min(len(neighbours), MOST_TOLD_A_TICK)
+        first = self._turn % len(neighbours)
+        self._turn += count
+        return (neighbours + neighbours)[first : first + count]
+
+    def _feed(self, neighbour: str, direction: Direction) -> ChangeFeed:
+        """Return what a neighbour was told; nothing yet in a new direction."""
+        known = self._feeds.get(neighbour)
+        if known is None or known[0] is not direction:
+            known = self._feeds[neighbour] = (direction, ChangeFeed())
+        return known[1]
+
+    def _take(self, message: LoadDatagram) -> None:
+        """Take a neighbour's sum in.
+
+        Raises:
+            ValueError: It can't be understood.
+        """
+        change = LoadTotals(
+            instances=message.instances,
+            pipe_ms_per_s=message.pipe_ms_per_s,
+            servers=_unpacked(message.servers),
+            age_s=message.age_ms / _MS_PER_S,
+        )
+        now_s = time.monotonic()
+        direction = Direction(message.direction)
+        self._sums.take(message.sender, direction, change, now_s=now_s)
+
+
+def most_servers(neighbours: int) -> int:
+    """Return how many servers fit a datagram, within the bytes of a second."""
+    each = _MOST_BYTES_A_SECOND * TICK_S / neighbours - ENVELOPE_BYTES
+    return max(1, int(each / _SERVER.size))
+
+
+def _packed(servers: Mapping[int, ServerTotals]) -> bytes:
+    """Return servers' totals as bytes."""
+    return b"".join(
+        _SERVER.pack(
+            number,
+            min(_MOST_COUNT, totals.streams),
+            min(_MOST_COUNT, round(totals.token_layers / _UNIT_TOKEN_LAYERS)),
+        )
+        for number, totals in servers.items()
+    )
+
+
+def _unpacked(data: bytes) -> dict[int, ServerTotals]:
+    """Return servers' totals from bytes.
+
+    Raises:
+        ValueError: They are not whole.
+    """
+    if len(data) % _SERVER.size:
+        msg = f"{len(data)} bytes are no whole servers"
+        raise ValueError(msg)
+    return {
+        number: ServerTotals(streams, units * float(_UNIT_TOKEN_LAYERS))
+        for number, streams, units in _SERVER.iter_unpack(data)
+    }
--- /dev/null
+++ b/src/violethatch/_peer_datagrams.py
@@ -0,0 +1,119 @@
+# SPDX-License-Identifier: MIT
+"""Datagrams between instances, sent once and never answered."""
+
+from __future__ import annotations
+
+import asyncio
+import hmac
+
+from collections.abc import Callable
+from typing import Any, cast
+
+import msgspec
+
+from . import events
+from ._serving import host_and_port
+from .instances import InstanceDirectory, InstanceEntry
+
+
+class SightingsDatagram(msgspec.Struct, array_like=True, tag="s"):
+    """Servers' troubles; the token is the receiver's own."""
+
+    token: str
+    sender: str
+    #: A server, its trouble and the rest in ms, each.
+    seen: list[tuple[str, str, int]]
+
+
+class LoadDatagram(msgspec.Struct, array_like=True, tag="l"):
+    """A sum of loads; the token is the receiver's own."""
+
+    token: str
+    sender: str
+    direction: str
+    instances: int
+    pipe_ms_per_s: float
+    age_ms: int
+    #: Packed changes, see `_load_link`.
+    servers: bytes
+
+
+Datagram = SightingsDatagram | LoadDatagram
+
+
+class PeerDatagrams(asyncio.DatagramProtocol):
+    """One socket for all datagrams between instances.
+
+    Args:
+        directory: Who the others are.
+    """
+
+    def __init__(self, directory: InstanceDirectory) -> None:
+        self.directory = directory
+        self._transport: asyncio.DatagramTransport | None = None
+        self._decoder = msgspec.msgpack.Decoder(Datagram)
+        self._takers: dict[type[Datagram], Callable[[Any], None]] = {}
+
+    @property
+    def is_open(self) -> bool:
+        """Whether datagrams can be sent."""
+        return self._transport is not None
+
+    def on(self, kind: type[Datagram], take: Callable[[Any], None]) -> None:
+        """Have datagrams of a kind taken in; what can't be is a ValueError."""
+        self._takers[kind] = take
+
+    async def start(self, endpoint: str) -> None:
+        """Listen on an address.
+
+        Raises:
+            OSError: The address can't be listened on.
+        """
+        loop = asyncio.get_running_loop()
+        await loop.create_datagram_endpoint(
+            lambda: self, local_addr=host_and_port(endpoint)
+        )
+
+    def send(self, peer: InstanceEntry, message: Datagram) -> None:
+        """Send a datagram; one that can't be sent is lost."""
+        if self._transport is None:
+            return
+        body = msgspec.msgpack.encode(message)
+        try:
+            self._transport.sendto(body, host_and_port(peer.address))
+        except (OSError, ValueError) as error:
+            events.log(events.DATAGRAM_LOST, instance_id=peer.id, reason=str(error))
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keep the transport."""
+        self._transport = cast("asyncio.DatagramTransport", transport)
+
+    def connection_lost(self, _exc: Exception | None) -> None:
+        """Let go of the transport."""
+        self._transport = None
+
+    def error_received(self, exc: Exception) -> None:
+        """Go on: the datagram is lost, as others are."""
+        events.log(events.DATAGRAM_LOST, reason=repr(exc))
+
+    def datagram_received(self, data: bytes, _address: Any) -> None:
+        """Take another instance's datagram in."""
+        try:
+            message = self._decoder.decode(data)
+            self._check(message)
+            take = self._takers.get(type(message))
+            if take is not None:
+                take(message)
+        except ValueError as error:
+            events.log(events.DATAGRAM_LOST, reason=str(error))
+
+    def _check(self, message: Datagram) -> None:
+        """Check who sent a datagram.
+
+        Raises:
+            ValueError: The sender has not read this instance's entry.
+        """
+        token = self.directory.own.token
+        if not hmac.compare_digest(message.token.encode(), token.encode()):
+            msg = "wrong token"
+            raise ValueError(msg)
--- a/src/violethatch/_router.py
+++ b/src/violethatch/_router.py
@@ -184,8 +184,20 @@
             "is_stopping": self.stop_plan.is_stopping,
             "servers": len(self.routing.backends),
             "resting": sorted(self.routing.health.resting(now_s=now_s)),
+            "load_instances": 1 + self.routing.loads.others.instances,
+            "load_age_s": self.routing.loads.others_age_s(now_s=now_s),
         }
 
+    def show_loads(self) -> None:
+        """Bring the metrics of loads up to date."""
+        now_s = time.monotonic()
+        loads = self.routing.loads
+        self.metrics.loads(
+            loads.own_totals(now_s=now_s),
+            loads.others,
+            loads.others_age_s(now_s=now_s),
+        )
+
     def _proof_age_s(self) -> float | None:
         """Return the age of the desired state's proof, for a log line."""
         age_s = self.freshness.age_s(now_s=time.monotonic())
@@ -228,12 +240,17 @@
         self, call: Call, admitted: Admitted, responder: Responder
     ) -> None:
         """Serve a call by its route's kind, and log how it went."""
+        stream_fields: dict[str, object] = {}
         first_event_s = None
         if admitted.route.kind is CallKind.STREAM and admitted.service.engine:
             stream = StreamCall(self.routing, call, admitted)
             status = await stream.serve(responder)
             first_event_s = stream.first_event_s
             sends, moves = stream.sends, stream.repaths
+            stream_fields = {
+                "longest_gap_s": round(stream.longest_gap_s, 4),
+                "is_in_target": stream.is_in_target,
+            }
         else:
             plain = PlainCall(self.routing, call, admitted)
             status = await plain.serve(responder)
@@ -251,6 +268,7 @@
             moves=moves,
             first_event_s=round(first_event_s, 4) if first_event_s else None,
             took_s=round(took_s, 4),
+            **stream_fields,
             state_version=self.desired.version if self.desired else None,
             proof_age_s=self._proof_age_s(),
         )
--- a/src/violethatch/_router_metrics.py
+++ b/src/violethatch/_router_metrics.py
@@ -3,9 +3,10 @@
 
 from __future__ import annotations
 
-from aioprometheus import Counter, Histogram, Registry
+from aioprometheus import Counter, Gauge, Histogram, Registry
 
 from .desired import Admitted
+from .load_sums import LoadTotals
 
 
 _LATENCY_BUCKETS_S = [0.03, 0.1, 0.2, 0.5, 1.0, 3.0, 10.0]
@@ -39,6 +40,30 @@
             registry=self.registry,
         )
 
+        self.instances_summed = Gauge(
+            "violethatch_router_load_instances",
+            "Instances whose loads this one knows, itself included.",
+            registry=self.registry,
+        )
+        self.load_age_s = Gauge(
+            "violethatch_router_load_age_seconds",
+            "Age of what it knows of the others' loads; -1 where nothing is known.",
+            registry=self.registry,
+        )
+        self.streams_known = Gauge(
+            "violethatch_router_load_streams",
+            "Streams by whose they are, as this instance knows them.",
+            registry=self.registry,
+        )
+
+    def loads(self, own: LoadTotals, others: LoadTotals, age_s: float | None) -> None:
+        """Show what is known of loads."""
+        self.instances_summed.set({}, own.instances + others.instances)
+        self.load_age_s.set({}, -1.0 if age_s is None else age_s)
+        for whose, totals in (("own", own), ("others", others)):
+            streams = sum(one.streams for one in totals.servers.values())
+            self.streams_known.set({"whose": whose}, streams)
+
     def served(
         self,
         admitted: Admitted,
--- a/src/violethatch/_routing.py
+++ b/src/violethatch/_routing.py
@@ -93,7 +93,7 @@
             zone=self.settings.instance.availability_zone,
             fullness=self.loads.fullness_of(layer_map, now_s=now_s),
             first=first,
-            pipe_fullness=self.loads.pipe_fullness(service.engine, now_s=now_s),
+            pipe_fullness=self.loads.pipe_fullness(now_s=now_s),
         )
         resting = self.health.resting(now_s=now_s)
         left_out = resting | avoided
@@ -117,8 +117,7 @@
         """Tell whether a path's hops between zones are this instance's to take."""
         if not path.crossings:
             return True
-        instances = self.instances() or self.loads.ratio
-        cost_ms = path.crossings * engine.crossing_ms * instances
+        cost_ms = path.crossings * engine.crossing_ms * max(1, self.instances())
         return self.pipe.may_cross(cost_ms, now_s=now_s)
 
     def usable(self, service: str) -> list[BackendServer]:
@@ -209,8 +208,8 @@
         Until it is known how many instances serve, only a few.
         """
         policy = self.settings.policy
-        instances = self.loads.instances
-        if instances is None:
+        instances = self.instances()
+        if not instances:
             return policy.retry_reserve
         part = self.settings.bounds.retry_slack * policy.retry_slack_part
         return max(policy.retry_reserve, part / instances)
--- a/src/violethatch/_stream_run.py
+++ b/src/violethatch/_stream_run.py
@@ -53,8 +53,13 @@
 
     def count_in(self) -> None:
         """Count the run in on its path's runners."""
-        now_s = time.monotonic()
-        self._routing.loads.started(self.path, self._tokens, now_s=now_s)
+        engine = self._service.engine
+        self._routing.loads.started(
+            self.path,
+            self._tokens,
+            crossing_ms=engine.crossing_ms if engine is not None else 0.0,
+            now_s=time.monotonic(),
+        )
 
     def count_out(self) -> None:
         """Count the run out again."""
--- a/src/violethatch/_streams.py
+++ b/src/violethatch/_streams.py
@@ -10,6 +10,7 @@
 
 import asyncio
 import enum
+import math
 import time
 
 from . import events
@@ -83,12 +84,24 @@
         self.runs = 0
         self.repaths = 0
         self.first_event_s: float | None = None
+        #: The longest pause between events that were given to the caller.
+        self.longest_gap_s = 0.0
+        self._given_s: float | None = None
 
     @property
     def sends(self) -> int:
         """Sends to runners, refused ones included."""
         return self.runs + self._refusals
 
+    @property
+    def is_in_target(self) -> bool:
+        """Whether the events so far came within the route's targets."""
+        if self.first_event_s is None:
+            return False
+        gap_target_s = self._route.gap_target_s or math.inf
+        is_first_timely = self.first_event_s <= self._route.target_latency_s
+        return is_first_timely and self.longest_gap_s <= gap_target_s
+
     async def serve(self, responder: Responder) -> int:
         """Answer the caller; return the status.
 
@@ -277,8 +290,12 @@
 
     async def _give(self, data: bytes, answer: Answer, responder: Responder) -> None:
         """Give events to the caller, after the head."""
+        now_s = time.monotonic()
+        if self._given_s is not None:
+            self.longest_gap_s = max(self.longest_gap_s, now_s - self._given_s)
+        self._given_s = now_s
         if not self._is_started:
-            self.first_event_s = time.monotonic() - self._call.received_s
+            self.first_event_s = now_s - self._call.received_s
             await self._start(answer, responder)
         await responder.write(data)
 
--- a/src/violethatch/events.py
+++ b/src/violethatch/events.py
@@ -48,7 +48,8 @@
 SERVER_TROUBLE = Event(2107, "server_trouble", "A server is left alone for a while.")
 SERVER_REFUSED = Event(2108, "server_refused", "A server has not run a request.")
 SIGHTING_HEARD = Event(2109, "sighting_heard", "Another instance had trouble with it.")
-SIGHTING_LOST = Event(2110, "sighting_lost", "A sighting was not sent or understood.")
+DATAGRAM_LOST = Event(2110, "datagram_lost", "A datagram between instances is lost.")
+LOAD_NEIGHBOURS = Event(2111, "load_neighbours", "Loads are told to other instances.")
 
 REQUEST_SERVED = Event(2205, "request_served", "A request got its answer.")
 REQUEST_REFUSED = Event(2206, "request_refused", "A request was refused unrun.")
--- a/src/violethatch/explaining.py
+++ b/src/violethatch/explaining.py
@@ -33,15 +33,18 @@
     found = [
         (float(message.get("timestamp", 0.0)), _shown(source, message))
         for log in logs
-        for source, message in _messages(log)
+        for source, message in log_messages(log)
         if message.get("request_id") == request_id
     ]
     found.sort()
     return [line for _, line in found]
 
 
-def _messages(log: str) -> Iterator[tuple[str, dict[str, Any]]]:
-    """Yield a file's messages with what stands before each."""
+def log_messages(log: str) -> Iterator[tuple[str, dict[str, Any]]]:
+    """Yield a file's messages with what stands before each.
+
+    .. versionadded:: 26.2.0
+    """
     with pathlib.Path(log).open(encoding="utf-8", errors="replace") as lines:
         for line in lines:
             before, brace, rest = line.partition("{")
--- a/src/violethatch/instances.py
+++ b/src/violethatch/instances.py
@@ -68,6 +68,8 @@
 
     def __init__(self, own: InstanceEntry) -> None:
         self.own = own
+        #: Grows whenever entries were taken in.
+        self.revision = 0
         self._entries: dict[str, InstanceEntry] = {}
         self._down_until_s: dict[str, float] = {}
 
@@ -83,6 +85,7 @@
             entries: By id, an entry, or None where it is gone.
             is_whole: Whether these are all entries.
         """
+        self.revision += 1
         if is_whole:
             self._entries.clear()
         for instance_id, entry in entries.items():
@@ -147,7 +150,7 @@
         """Return whom to ask in a zone when the store can't be."""
         members = self._members(zone, now_s=now_s)
         members.pop(self.own.id, None)
-        first = _ranked(members)[: max(_HELPERS_A_ZONE, len(_readers(members)))]
+        first = ranked(members)[: max(_HELPERS_A_ZONE, len(_readers(members)))]
         order = rendezvous(self.own.id, first, count=len(first))
         return [members[one] for one in order]
 
@@ -169,11 +172,14 @@
 
 def _readers(members: Mapping[str, InstanceEntry]) -> list[str]:
     """Return the ids of those who read the store for others."""
-    return _ranked(members)[: math.ceil(len(members) / FOLLOWERS_A_READER)]
+    return ranked(members)[: math.ceil(len(members) / FOLLOWERS_A_READER)]
 
 
-def _ranked(members: Mapping[str, InstanceEntry]) -> list[str]:
-    """Return ids in the order in which they read, the best links first."""
+def ranked(members: Mapping[str, InstanceEntry]) -> list[str]:
+    """Return ids in the order in which they serve others, the best links first.
+
+    .. versionadded:: 26.2.0
+    """
     ranked = list(rendezvous(_READER_JOB, members, count=len(members)))
     ranked.sort(key=lambda one: -members[one].link_mbps)
     return ranked
--- a/src/violethatch/platform/_following.py
+++ b/src/violethatch/platform/_following.py
@@ -12,6 +12,8 @@
 import aiohttp
 
 from .._followers import TableFollower
+from .._load_link import LoadLink
+from .._peer_datagrams import PeerDatagrams
 from .._placing import PlacementDuty
 from .._registration import INSTANCES_TABLE, Registration
 from .._relay_http import RelayClient, RelayListener
@@ -79,7 +81,9 @@
             unproven=(INSTANCES_TABLE,),
             bound_s=settings.bounds.change_s,
         )
-        self._sightings = SightingLink(directory, router.routing.hearsay)
+        self._datagrams = PeerDatagrams(directory)
+        self._sightings = SightingLink(self._datagrams, router.routing.hearsay)
+        self._load_link = LoadLink(self._datagrams, router.routing.loads)
         self._followers = self._make_followers()
         self._instances_follower = self._make_instances_follower()
 
@@ -96,7 +100,7 @@
         """
         if self._settings.listen.peers is not None:
             await self._relay.start(self._settings.listen.peers)
-            await self._sightings.start(self._settings.listen.peers)
+            await self._datagrams.start(self._settings.listen.peers)
             self._router.routing.tell = self._sightings.tell
             self._router.routing.instances = self._directory.__len__
 
@@ -105,6 +109,7 @@
         work = [follower.run() for follower in self._followers]
         if self._is_relaying:
             work.append(self._registration.run())
+            work.append(self._load_link.run())
             work.append(_later(_INSTANCES_DELAY_S, self._instances_follower.run()))
         return work
 
--- a/src/violethatch/platform/_listener.py
+++ b/src/violethatch/platform/_listener.py
@@ -129,6 +129,7 @@
         """Tell the metrics, or the state."""
         if request.path == "/state":
             return Response(body=msgspec.json.encode(self._router.state()))
+        self._router.show_loads()
         body, headers = render(
             self._router.metrics.registry, request.headers.getall("Accept", [])
         )
--- a/src/violethatch/stream_loads.py
+++ b/src/violethatch/stream_loads.py
@@ -1,9 +1,10 @@
 # SPDX-License-Identifier: MIT
 """How full runners are, as far as one instance can tell without asking.
 
-An instance knows its own streams exactly.  How many all instances have at a
-first runner comes with that runner's answers, for nothing; the ratio of the
-two, learnt over time, scales the own streams on all other runners.
+An instance knows its own streams exactly.  What all others have comes as a sum
+from its neighbours (`load_sums`), some ticks old; and some services' runners tell
+with their answers how full they are, for nothing.  What says that a runner is
+fuller counts.
 
 .. versionadded:: 26.1.0
 """
@@ -16,16 +17,11 @@
 
 from .backends import BackendServer
 from .engine_model import EngineSpec
+from .load_sums import NOTHING, LoadTotals, ServerTotals, server_number
 from .paths import LayerMap, Path, Stage
 from .upstream import ServerLoad
 
 
-#: How fast the ratio follows what runners tell, per answer.
-_RATIO_GAIN = 0.05
-#: How many words make an estimate: the gain's inverse, doubled.
-_WORDS_TO_LEARN = 40
-#: The most instances that the ratio can stand for.
-_MOST_RATIO = 400.0
 #: Over how long crossings between zones are counted, in seconds.
 _PIPE_SPAN_S = 2.0
 _MS_PER_S = 1000.0
@@ -33,6 +29,9 @@
 _ROUNDING = 1e-6
 #: How long a first runner's word counts, in seconds; some requests' time.
 _TOLD_LIFE_S = 2.0
+#: Own totals that are kept, a few seconds' at four a second.
+_MOST_SNAPSHOTS = 16
+_NO_STREAMS = ServerTotals(0, 0.0)
 
 
 class _Told(NamedTuple):
@@ -51,25 +50,61 @@
     def __init__(self) -> None:
         self._own_token_layers: dict[str, float] = {}
         self._own_by_first: dict[str, int] = {}
-        self._crossings: collections.deque[float] = collections.deque()
+        #: When own streams crossed between zones, and for how long, in ms.
+        self._crossings: collections.deque[tuple[float, float]] = collections.deque()
         self._told_by_first: dict[str, _Told] = {}
-        self._words = 0
-        self._told_sum = 1.0
-        self._own_sum = 1.0
+        self._others: LoadTotals = NOTHING
+        self._others_taken_s = 0.0
+        #: What this instance had itself, at the times when it took others' sums in.
+        self._own_before: collections.deque[tuple[float, LoadTotals]] = (
+            collections.deque(maxlen=_MOST_SNAPSHOTS)
+        )
+        #: What it had itself when the others' sum was true.
+        self._own_then: LoadTotals = NOTHING
 
     @property
-    def ratio(self) -> float:
-        """All instances' streams for each of one's own."""
-        return max(1.0, min(_MOST_RATIO, self._told_sum / self._own_sum))
-
-    @property
-    def instances(self) -> float | None:
-        """About how many instances serve, or None while that is not learnt."""
-        return self.ratio if self._words >= _WORDS_TO_LEARN else None
+    def others(self) -> LoadTotals:
+        """What all other instances have, as they last told."""
+        return self._others
+
+    def take_others(self, others: LoadTotals, *, now_s: float) -> None:
+        """Take in what all other instances have."""
+        self._others = others
+        self._others_taken_s = now_s
+        self._own_before.append((now_s, self.own_totals(now_s=now_s)))
+        true_s = now_s - others.age_s
+        self._own_then = min(
+            self._own_before, key=lambda snapshot: abs(snapshot[0] - true_s)
+        )[1]
+
+    def others_age_s(self, *, now_s: float) -> float | None:
+        """Return the age of the others' sum in seconds, or None without any."""
+        if not self._others.instances:
+            return None
+        return self._others.age_s + now_s - self._others_taken_s
 
-    def started(self, path: Path, tokens: float, *, now_s: float) -> None:
-        """Count a stream in on each runner of its path."""
-        self._crossings.extend([now_s] * path.crossings)
+    def own_totals(self, *, now_s: float) -> LoadTotals:
+        """Return what this instance has itself."""
+        servers = {
+            server_number(server_id): ServerTotals(
+                self._own_by_first.get(server_id, 0), token_layers
+            )
+            for server_id, token_layers in self._own_token_layers.items()
+        }
+        return LoadTotals(1, self._own_pipe_ms_per_s(now_s=now_s), servers)
+
+    def started(
+        self, path: Path, tokens: float, *, crossing_ms: float, now_s: float
+    ) -> None:
+        """Count a stream in on each runner of its path.
+
+        Args:
+            path: The runners.
+            tokens: The tokens whose KV cache it needs.
+            crossing_ms: How long it takes the pipe at each crossing, in ms.
+            now_s: The current monotonic time, in seconds.
+        """
+        self._crossings.extend([(now_s, crossing_ms)] * path.crossings)
         first_id = path.first.id
         self._own_by_first[first_id] = self._own_by_first.get(first_id, 0) + 1
         for stage in path.stages:
@@ -89,22 +124,12 @@
     def told(self, first_id: str, load: ServerLoad, *, now_s: float) -> None:
         """Take in a first runner's word on the streams it has from all."""
         self._told_by_first[first_id] = _Told(load, now_s)
-        own = self._own_by_first.get(first_id, 0)
-        if own:
-            self._words += 1
-            told = load.running + load.waiting
-            self._told_sum += _RATIO_GAIN * (told - self._told_sum)
-            self._own_sum += _RATIO_GAIN * (own - self._own_sum)
 
     def fullness_of(self, layer_map: LayerMap, *, now_s: float) -> dict[str, float]:
-        """Return, by runner that anything is known of, how full it is."""
-        known = self._own_token_layers.keys() | self._told_by_first.keys()
+        """Return, by runner, how full it is."""
         return {
-            server_id: self.fullness(
-                layer_map.holders[server_id], layer_map.engine, now_s=now_s
-            )
-            for server_id in known
-            if server_id in layer_map.holders
+            server_id: self.fullness(server, layer_map.engine, now_s=now_s)
+            for server_id, server in layer_map.holders.items()
         }
 
     def fullness(
@@ -112,44 +137,55 @@
     ) -> float:
         """Return the part of a runner's room that is thought to be taken.
 
-        Its room is its KV cache, and its slots where it was told of them.
+        Its room is its KV cache, and its slots for streams that begin there.
         """
-        slots_taken = self._slots_taken(server, now_s=now_s)
-        kv_cache_taken = self._kv_cache_taken(server, engine)
-        if kv_cache_taken is None:
-            return slots_taken
-        return max(slots_taken, kv_cache_taken)
+        thought = self.totals_at(server.id)
+        streams = max(thought.streams, self._told_streams(server, now_s=now_s))
+        slots_taken = streams / max(1, server.slots)
+        return max(slots_taken, _kv_cache_taken(server, engine, thought.token_layers))
 
     def forget(self, server_id: str) -> None:
         """Forget a runner that is no longer listed."""
         self._told_by_first.pop(server_id, None)
 
-    def pipe_fullness(self, engine: EngineSpec, *, now_s: float) -> float:
+    def pipe_fullness(self, *, now_s: float) -> float:
         """Return the part of the time that the pipe between zones is taken."""
-        while self._crossings and now_s - self._crossings[0] > _PIPE_SPAN_S:
+        own_ms_per_s = self._own_pipe_ms_per_s(now_s=now_s)
+        return (own_ms_per_s + self._others.pipe_ms_per_s) / _MS_PER_S
+
+    def _own_pipe_ms_per_s(self, *, now_s: float) -> float:
+        """Return how long own streams take the pipe, in ms a second."""
+        while self._crossings and now_s - self._crossings[0][0] > _PIPE_SPAN_S:
             self._crossings.popleft()
-        own_ms = len(self._crossings) * engine.crossing_ms
-        return own_ms * self.ratio / (_PIPE_SPAN_S * _MS_PER_S)
+        return sum(took_ms for _, took_ms in self._crossings) / _PIPE_SPAN_S
+
+    def totals_at(self, server_id: str) -> ServerTotals:
+        """Return what all instances are thought to have at a server by now.
 
-    def _slots_taken(self, server: BackendServer, *, now_s: float) -> float:
-        """Return the part of a runner's slots that it told of as taken."""
+        The others' sum is some ticks old.  Meanwhile they have met what this
+        instance has met, and are taken to have done as it did: without that, all
+        send to the same server until its load comes round, and then all to the next.
+        """
+        number = server_number(server_id)
+        told = self._others.servers.get(number, _NO_STREAMS)
+        then = self._own_then.servers.get(number, _NO_STREAMS)
+        own_streams = self._own_by_first.get(server_id, 0)
+        own_token_layers = self._own_token_layers.get(server_id, 0.0)
+        count = self._others.instances
+        streams = told.streams + count * (own_streams - then.streams)
+        token_layers = told.token_layers + count * (
+            own_token_layers - then.token_layers
+        )
+        return ServerTotals(
+            own_streams + max(0, streams), own_token_layers + max(0.0, token_layers)
+        )
+
+    def _told_streams(self, server: BackendServer, *, now_s: float) -> int:
+        """Return the streams that a runner told of, if it did so lately."""
         told = self._told_by_first.get(server.id)
         if told is None or now_s - told.told_s >= _TOLD_LIFE_S:
-            return 0.0
-        load = told.load
-        return (load.running + load.waiting) / max(1, load.slots)
-
-    def _kv_cache_taken(
-        self, server: BackendServer, engine: EngineSpec
-    ) -> float | None:
-        """Return the part of a runner's KV cache that is taken; None if unknown."""
-        own = self._own_token_layers.get(server.id, 0.0)
-        kind = engine.kinds.get(server.kind)
-        if not own or server.layers is None or kind is None:
-            return None
-        size = server.layers.size
-        room = engine.kv_tokens(kind, size) * size
-        return own * self.ratio / max(room, 1.0)
+            return 0
+        return told.load.running + told.load.waiting
 
     def _add(self, stage: Stage, tokens: float) -> None:
         """Add to a runner's tokens times layers."""
@@ -159,3 +195,15 @@
             self._own_token_layers[stage.server.id] = own
         else:
             self._own_token_layers.pop(stage.server.id, None)
+
+
+def _kv_cache_taken(
+    server: BackendServer, engine: EngineSpec, token_layers: float
+) -> float:
+    """Return the part of a runner's KV cache that is taken."""
+    kind = engine.kinds.get(server.kind)
+    if not token_layers or server.layers is None or kind is None:
+        return 0.0
+    size = server.layers.size
+    room = engine.kv_tokens(kind, size) * size
+    return token_layers / max(room, 1.0)
