Keep plain calls in their zone, and leave servers alone that are silent past a target

Cause: calls that may run once had no trouble noted when their server stayed silent until the caller's own limit, so that the next calls went there too; and two of three calls went to other zones for nothing, which a cut then lost.

Ruled out: a lack of slots (0.04 of them taken), slow work (p99 84 ms).

Change: a server elsewhere is chosen only if the own zone's is fuller by a third of its slots; one that has not answered by twice the route's target is left alone by further calls, while this one still waits.

--- a/src/violethatch/_plain_calls.py
+++ b/src/violethatch/_plain_calls.py
@@ -40,6 +40,9 @@
 #: Into how many parts what is left of a call's time goes, of which a send that
 #: can be followed by another gets one.
 _TIME_PARTS = 3
+#: After how many times the route's target a server that has not answered is left
+#: alone by further calls, also while this one still waits.
+_LATE_TARGETS = 2.0
 _SERVER_ERROR = 500
 #: Statuses by which callers understand that nothing has run.
 _SAYS_NOT_RUN = (408, 421, 429, 503)
@@ -79,6 +82,8 @@
         #: Sends that may have run.
         self.runs = 0
         self.sends = 0
+        #: When the latest send began.
+        self._sent_s = 0.0
 
     async def serve(self, responder: Responder) -> int:
         """Answer the caller; return the status.
@@ -121,10 +126,14 @@
         routing = self._routing
         now_s = time.monotonic()
         server = self._choose(now_s)
+        self._sent_s = now_s
         self._tried.add(server.id)
         self.sends += 1
         limit_s = self._limit_s(now_s)
         routing.choice.started(server.id)
+        late = asyncio.get_running_loop().call_later(
+            _LATE_TARGETS * self._route.target_latency_s, self._note_late, server.id
+        )
         load: ServerLoad | None = None
         try:
             async with asyncio.timeout(limit_s):
@@ -140,8 +149,9 @@
             routing.note_trouble(server, Trouble.FAILED, self._call.id, str(error))
         except TimeoutError:
             self.runs += 1
-            self._note_late(server.id, limit_s)
+            self._note_late(server.id)
         finally:
+            late.cancel()
             routing.choice.ended(server.id, load, now_s=time.monotonic())
         return None
 
@@ -153,7 +163,12 @@
         """
         servers = self._routing.usable(self._admitted.service.name)
         avoided = self._tried | self._routing.health.resting(now_s=now_s)
-        server = self._routing.choice.choose(servers, avoided=avoided, now_s=now_s)
+        server = self._routing.choice.choose(
+            servers,
+            zone=self._routing.settings.instance.availability_zone,
+            avoided=avoided,
+            now_s=now_s,
+        )
         if server is None:
             msg = "no backend server is listed"
             raise ServiceUnreachableError(msg, retry_after_s=_NONE_RETRY_S)
@@ -207,12 +222,16 @@
             return left_s
         return min(left_s, max(self._route.target_latency_s, left_s / _TIME_PARTS))
 
-    def _note_late(self, server_id: str, limit_s: float) -> None:
-        """Log that a server did not answer in time, and leave it alone."""
+    def _note_late(self, server_id: str) -> None:
+        """Log that a server has not answered in time, and leave it alone.
+
+        A caller's own time may be so short that it says nothing of the server.
+        """
         server = self._routing.backends.get(server_id)
-        if server is not None and time.monotonic() < self._deadline_s:
+        waited_s = time.monotonic() - self._sent_s
+        if server is not None and waited_s >= self._route.target_latency_s:
             self._routing.note_trouble(
-                server, Trouble.SILENT, self._call.id, f"no answer in {limit_s:.2f} s"
+                server, Trouble.SILENT, self._call.id, f"no answer in {waited_s:.2f} s"
             )
 
     def _failure(
--- a/src/violethatch/server_choice.py
+++ b/src/violethatch/server_choice.py
@@ -16,6 +16,9 @@
 
 #: How long a server's word on its load counts, in seconds; some calls' work.
 _LOAD_LIFE_S = 0.5
+#: How much fuller a server in the own zone may be than one elsewhere, as a part of
+#: its slots: what stays in its zone doesn't depend on links that may be cut.
+_OWN_ZONE_PART = 1 / 3
 
 
 class ServerChoice:
@@ -39,6 +42,7 @@
         self,
         servers: Sequence[BackendServer],
         *,
+        zone: str,
         avoided: Collection[str],
         now_s: float,
     ) -> BackendServer | None:
@@ -46,6 +50,7 @@
 
         Args:
             servers: The servers that may be used.
+            zone: The zone to stay in where it has room.
             avoided: Ids of servers to leave alone where possible.
             now_s: The current monotonic time, in seconds.
         """
@@ -55,7 +60,7 @@
             return None
         return min(
             options,
-            key=lambda one: (self._fullness(one, now_s), self._rng.random()),
+            key=lambda one: (self._cost(one, zone, now_s), self._rng.random()),
         )
 
     def started(self, server_id: str) -> None:
@@ -77,6 +82,11 @@
         """Forget a server that is no longer listed."""
         self._others.pop(server_id, None)
 
+    def _cost(self, server: BackendServer, zone: str, now_s: float) -> float:
+        """Return what choosing a server costs, as a part of its slots."""
+        is_away = server.availability_zone != zone
+        return self._fullness(server, now_s) + is_away * _OWN_ZONE_PART
+
     def _fullness(self, server: BackendServer, now_s: float) -> float:
         """Return the part of a server's slots that is thought to be taken."""
         others, told_s = self._others.get(server.id, (0, 0.0))
--- a/tests/test_load_link.py
+++ b/tests/test_load_link.py
@@ -68,7 +68,7 @@
         link = LoadLink(datagrams, StreamLoads())
         told = [link._in_turn(["a", "b", "c", "d", "e", "f"]) for _ in range(3)]
         assert max(len(one) for one in told) <= 4
-        assert sorted(sum(told, [])) == sorted("abcdef" * 2)
+        assert sorted(itertools.chain(*told)) == sorted("abcdef" * 2)
 
     @pytest.mark.parametrize("neighbours", [1, 2, 4])
     def test_bytes_of_a_second_are_bounded(self, neighbours):
--- a/tests/test_plain_calls.py
+++ b/tests/test_plain_calls.py
@@ -5,6 +5,7 @@
 
 import asyncio
 import random
+import time
 
 import pytest
 
@@ -77,6 +78,41 @@
         got = await serve(client, wait_s=0.5)
         assert got.body == b"abc"
 
+    async def test_silent_server_is_left_alone_by_others(self):
+        """Also where the call may run once only, and its caller's time ends first."""
+        routing = make_routing(
+            FakeClient(asyncio.Event()), *SERVERS, rng=random.Random(1)
+        )
+        route = call_route(
+            kind=CallKind.ONCE,
+            is_resumable=False,
+            splits=(Split("labels", 1.0),),
+            target_latency_s=0.05,
+        )
+        call = PlainCall(routing, make_call(wait_s=0.3), admitted(route))
+        serving = asyncio.create_task(call.serve(FakeResponder()))
+        await asyncio.sleep(0.2)
+        assert len(routing.health.resting(now_s=time.monotonic())) == 1
+        with pytest.raises(DeadlineError):
+            await serving
+        assert len(routing.health.resting(now_s=time.monotonic())) == 1
+
+    async def test_caller_s_short_time_says_nothing(self):
+        """A server that had less time than its target is not left alone."""
+        routing = make_routing(
+            FakeClient(asyncio.Event()), *SERVERS, rng=random.Random(1)
+        )
+        route = call_route(
+            kind=CallKind.ONCE,
+            is_resumable=False,
+            splits=(Split("labels", 1.0),),
+            target_latency_s=0.5,
+        )
+        call = PlainCall(routing, make_call(wait_s=0.05), admitted(route))
+        with pytest.raises(DeadlineError):
+            await call.serve(FakeResponder())
+        assert not routing.health.resting(now_s=time.monotonic())
+
     async def test_refusals_cost_no_attempt(self):
         """Servers that have not run the call don't use up its attempts."""
         client = FakeClient(refused(), refused(), FakeAnswer(b"abc"))
--- a/tests/test_server_choice.py
+++ b/tests/test_server_choice.py
@@ -13,9 +13,9 @@
 SERVERS = [plain_server("a"), plain_server("b"), plain_server("c")]
 
 
-def choose(choice, *, avoided=(), now_s=0.0, servers=SERVERS):
+def choose(choice, *, avoided=(), now_s=0.0, servers=SERVERS, zone="z1"):
     """Return the id of the chosen server."""
-    return choice.choose(servers, avoided=avoided, now_s=now_s).id
+    return choice.choose(servers, zone=zone, avoided=avoided, now_s=now_s).id
 
 
 class TestServerChoice:
@@ -50,4 +50,15 @@
         choice = ServerChoice(random.Random(1))
         assert choose(choice, avoided={"a", "b"}) == "c"
         assert choose(choice, avoided={"a", "b", "c"}) in "abc"
-        assert choice.choose([], avoided=(), now_s=0.0) is None
+        assert choice.choose([], zone="z1", avoided=(), now_s=0.0) is None
+
+    def test_own_zone_is_stayed_in_while_it_has_room(self):
+        """A link between zones is depended on only where that gains something."""
+        choice = ServerChoice(random.Random(1))
+        servers = [SERVERS[0], plain_server("far", availability_zone="z2")]
+        for _ in range(2):
+            assert choose(choice, servers=servers) == "a"
+            choice.started("a")
+        choice.started("a")
+        assert choose(choice, servers=servers) == "far"
+        assert choose(choice, servers=servers, avoided={"a"}) == "far"
