Find silent runners by what all streams show, and go around them before they are named

Cause: a silence was looked into after 0.4 s (0.8 s before the first event), then cost a report, then probes of 0.25 s, one after the other; the first runner's word on who is waited for is 200 ms old. Pauses around a lost runner were 0.5 to 0.8 s, the route's bound 0.2 to 0.25 s. The usual longest pause of a stream is 92 ms (p90 150 ms).

Ruled out: shorter limits alone (they ask at every prompt that is read); waiting for the first runner's word.

Change: Progress counts the events that are missing at a runner over all of the instance's streams; the whole path is asked at once, waited for 60 ms, and the request goes around all that have not answered; a zone with two silent runners and none that works is avoided whole. Who was held up itself draws no conclusion.

--- a/src/violethatch/_probes.py
+++ b/src/violethatch/_probes.py
@@ -6,11 +6,11 @@
 import asyncio
 import time
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from typing import NamedTuple
 
 from .backends import BackendServer
-from .upstream import RunnerClient
+from .upstream import RunnerClient, RunnerReport
 
 
 #: How long the outcome of a probe counts, in seconds: many requests wait for the
@@ -19,55 +19,102 @@
 
 
 class _Outcome(NamedTuple):
-    """What came of a probe."""
+    """What came of a probe; without a report the runner is silent."""
 
-    is_silent: bool
+    report: RunnerReport | None
     known_s: float
 
 
+class Findings(NamedTuple):
+    """What probes of some runners have found within a time.
+
+    Attributes:
+        silent: Those that refuse the connection, or gave no answer in a probe's time.
+        pending: Those that have not answered yet.
+        reports: By id, what the others told.
+    """
+
+    silent: tuple[BackendServer, ...]
+    pending: tuple[BackendServer, ...]
+    reports: dict[str, RunnerReport]
+
+
 class Probes:
     """Probes of one instance, each shared by all requests that want it.
 
     Args:
         client: Asks the runners.
+        on_silent: Told of each runner that gave no answer.
     """
 
-    def __init__(self, client: RunnerClient) -> None:
+    def __init__(
+        self,
+        client: RunnerClient,
+        *,
+        on_silent: Callable[[BackendServer], None] = lambda _server: None,
+    ) -> None:
         self._client = client
+        self._on_silent = on_silent
         self._known: dict[str, _Outcome] = {}
-        self._running: dict[str, asyncio.Task[bool]] = {}
+        self._running: dict[str, asyncio.Task[_Outcome]] = {}
+
+    async def look(
+        self, servers: Iterable[BackendServer], *, within_s: float
+    ) -> Findings:
+        """Return what is found of some runners within a time.
 
-    async def silent(self, servers: Iterable[BackendServer]) -> list[BackendServer]:
-        """Return the servers that give no answer."""
+        Args:
+            servers: Whom to ask.
+            within_s: How long to wait for answers; the probes go on.
+        """
         asked = list(servers)
-        answers = await asyncio.gather(*(self._is_silent(one) for one in asked))
-        return [
-            server
-            for server, is_silent in zip(asked, answers, strict=True)
-            if is_silent
-        ]
+        tasks = {one.id: self._probe(one) for one in asked}
+        running = [task for task in tasks.values() if isinstance(task, asyncio.Task)]
+        if running:
+            # Who has started a probe may be cancelled; the others still want it.
+            await asyncio.wait(running, timeout=within_s)
+        silent, pending = [], []
+        reports: dict[str, RunnerReport] = {}
+        for server in asked:
+            outcome = _outcome(tasks[server.id])
+            if outcome is None:
+                pending.append(server)
+            elif outcome.report is None:
+                silent.append(server)
+            else:
+                reports[server.id] = outcome.report
+        return Findings(tuple(silent), tuple(pending), reports)
 
     def forget(self, server_id: str) -> None:
         """Forget a server that is no longer listed."""
         self._known.pop(server_id, None)
 
-    async def _is_silent(self, server: BackendServer) -> bool:
-        """Tell whether a server gives no answer."""
+    def _probe(self, server: BackendServer) -> _Outcome | asyncio.Task[_Outcome]:
+        """Return what is known of a server, or the probe that will tell."""
         known = self._known.get(server.id)
         if known is not None and time.monotonic() - known.known_s < _PROBE_LIFE_S:
-            return known.is_silent
+            return known
         probe = self._running.get(server.id)
         if probe is None:
             probe = asyncio.create_task(self._ask(server))
             self._running[server.id] = probe
-        # Who has started it may be cancelled; the others still want it.
-        return await asyncio.shield(probe)
+        return probe
 
-    async def _ask(self, server: BackendServer) -> bool:
-        """Ask a server, and remember whether it was silent."""
+    async def _ask(self, server: BackendServer) -> _Outcome:
+        """Ask a server, and remember what it told."""
         try:
-            is_silent = await self._client.report(server) is None
+            report = await self._client.report(server)
         finally:
             self._running.pop(server.id, None)
-        self._known[server.id] = _Outcome(is_silent, time.monotonic())
-        return is_silent
+        outcome = _Outcome(report, time.monotonic())
+        self._known[server.id] = outcome
+        if report is None:
+            self._on_silent(server)
+        return outcome
+
+
+def _outcome(probe: _Outcome | asyncio.Task[_Outcome]) -> _Outcome | None:
+    """Return what a probe has found, or None while it has found nothing."""
+    if isinstance(probe, _Outcome):
+        return probe
+    return probe.result() if probe.done() else None
--- a/src/violethatch/_routing.py
+++ b/src/violethatch/_routing.py
@@ -7,7 +7,7 @@
 import random
 import time
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Collection, Iterable
 
 from . import events
 from ._probes import Probes
@@ -16,6 +16,7 @@
 from .engine_model import EngineSpec
 from .paths import LayerMap, Path
 from .pipe_share import PipeShare
+from .progress import Progress
 from .retries import RetryBudget
 from .router_settings import RouterSettings
 from .runner_health import RunnerHealth, Trouble
@@ -38,7 +39,8 @@
         self.hearsay = Hearsay(self.health, rng=rng)
         #: Tells other instances of a sighting, where there are any.
         self.tell: Callable[[Sighting], None] = lambda _sighting: None
-        self.probes = Probes(client)
+        self.probes = Probes(client, on_silent=self._note_silent)
+        self.progress = Progress(longest_silence_s=settings.policy.gap_limit_s)
         self.choice = ServerChoice(rng)
         self.pipe = PipeShare(rng)
         #: Tells how many instances are known to serve; 0 where none is.
@@ -53,6 +55,7 @@
         self.settings = settings
         self.backends.leaving_s = settings.bounds.leaving_s
         self.health.stall_s = settings.bounds.stall_s
+        self.progress.longest_silence_s = settings.policy.gap_limit_s
 
     def count_request(self, service: str) -> None:
         """Note a caller's request, which earns a part of a retry."""
@@ -134,9 +137,22 @@
             self.health.forget(server_id)
             self.hearsay.forget(server_id)
             self.probes.forget(server_id)
+            self.progress.forget(server_id)
             self.choice.forget(server_id)
             self.loads.forget(server_id)
 
+    def in_zones(self, service: ServiceSpec, zones: Collection[str]) -> frozenset[str]:
+        """Return the ids of a service's servers in some zones."""
+        return frozenset(
+            server.id
+            for server in self.usable(service.name)
+            if server.availability_zone in zones
+        )
+
+    def _note_silent(self, server: BackendServer) -> None:
+        """Leave a server alone that a probe found silent."""
+        self.note_trouble(server, Trouble.SILENT, "", "gives no report")
+
     def note_trouble(
         self, server: BackendServer, trouble: Trouble, request_id: str, reason: str
     ) -> None:
--- a/src/violethatch/_stream_run.py
+++ b/src/violethatch/_stream_run.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+import collections
 import time
 
 from collections.abc import AsyncIterator
@@ -24,6 +25,11 @@
 
 #: Orders onto another path that are tried in one silence.
 _MOST_REPATHS = 2
+#: A wait that ended so much later than it should, in seconds, says that the instance
+#: itself was held up: what it has not seen tells nothing.
+_HELD_UP_S = 0.05
+#: How many runners of a zone have to be silent at once for all of it to be avoided.
+_SILENT_IN_ZONE = 2
 
 
 class StreamRun:
@@ -45,6 +51,9 @@
         self._send = send
         self._policy = routing.settings.policy
         self._deadline_s = send.deadline_s
+        self._progress = routing.progress
+        #: When its latest event came, if one has.
+        self._event_s: float | None = None
         self.path = path
         self.repaths = 0
         self.is_whole = False
@@ -89,19 +98,43 @@
             TimeoutError: It was silent for too long.
         """
         parts = answer.parts()
-        limit_s = self._policy.first_event_limit_s
-        while True:
-            coming = asyncio.ensure_future(anext(parts, None))
-            try:
-                await self._await_progress(coming, limit_s)
-            finally:
-                if not coming.done():
-                    coming.cancel()
-            part = coming.result()
-            if part is None:
-                return
-            yield part
-            limit_s = self._policy.gap_limit_s
+        try:
+            while True:
+                coming = asyncio.ensure_future(anext(parts, None))
+                try:
+                    await self._await_progress(coming, self._limit_s())
+                finally:
+                    if not coming.done():
+                        coming.cancel()
+                part = coming.result()
+                if part is None:
+                    return
+                self._note_event()
+                yield part
+        finally:
+            self._note_end()
+
+    def _limit_s(self) -> float:
+        """Return after what silence to look for its cause, in seconds."""
+        if self._event_s is None:
+            return self._policy.first_event_limit_s
+        return self._progress.least_silence_s
+
+    def _note_event(self) -> None:
+        """Note that the path's runners work."""
+        now_s = time.monotonic()
+        ids = self.path.server_ids
+        if self._event_s is None:
+            self._progress.began(ids, now_s=now_s)
+        else:
+            self._progress.went_on(ids, gap_s=now_s - self._event_s, now_s=now_s)
+        self._event_s = now_s
+
+    def _note_end(self) -> None:
+        """Note that the stream no longer passes along its path."""
+        if self._event_s is not None:
+            self._progress.ended(self.path.server_ids)
+        self._event_s = None
 
     def note_refusal(self, answer: Answer) -> None:
         """Leave the runner alone that a refusal names, or the first one."""
@@ -127,57 +160,120 @@
             self._deadline_s, started_s + limit_s + self._policy.silence_limit_s
         )
         while not coming.done():
-            left_s = min(limit_s, give_up_s - time.monotonic())
+            asked_s = time.monotonic()
+            left_s = min(limit_s, give_up_s - asked_s)
             if left_s <= 0:
                 self.suspects |= {self.path.first.id}
                 raise TimeoutError
             await asyncio.wait((coming,), timeout=left_s)
             if coming.done():
                 return
-            await self._look_into_silence()
+            if time.monotonic() - asked_s - left_s < _HELD_UP_S:
+                await self._look_into_silence(started_s)
 
-    async def _look_into_silence(self) -> None:
-        """Ask the first runner what it waits for, and go around that one.
+    async def _look_into_silence(self, since_s: float) -> None:
+        """Find out which runner a silence is due to, and go around it.
+
+        Args:
+            since_s: When the silence began, in monotonic seconds.
 
         Raises:
             TimeoutError: The first runner is silent itself, or the repair failed.
         """
-        first = self.path.first
-        report = await self._routing.client.report(first)
-        if report is None:
-            self.suspects |= {first.id}
-            self._routing.note_trouble(
-                first, Trouble.SILENT, self._call.id, "silent, and gives no report"
-            )
-            raise TimeoutError
-        culprit = self._stage_at(report.stalled.get(self._call.id))
-        culprit = culprit or self._resting_stage()
-        is_told = culprit is not None
-        if culprit is None:
-            culprit = await self._silent_stage()
-        self._log_silence(report, culprit)
-        if culprit is None:
+        culprits = self._resting_stages()
+        if not culprits:
+            suspected = self._suspected(since_s)
+            if not suspected:
+                return
+            culprits = await self._probe(suspected)
+        if not culprits:
             return
-        if is_told:
-            self._routing.note_trouble(
-                culprit, Trouble.NAMED, self._call.id, "a request waits for it"
-            )
-        self.suspects |= {culprit.id}
+        self.suspects |= {one.id for one in culprits}
+        self.suspects |= self._silent_zones(culprits)
         if not await self._repath():
             raise TimeoutError
 
-    def _log_silence(self, report: RunnerReport, culprit: BackendServer | None) -> None:
-        """Log what the first runner told of a silence, and whom it is laid to."""
+    def _suspected(self, since_s: float) -> list[BackendServer]:
+        """Return the path's runners that other streams don't show to work."""
+        stages = {stage.server.id: stage.server for stage in self.path.stages}
+        if self._event_s is None:
+            ids = self._progress.unseen(stages, since_s=since_s)
+        else:
+            ids = self._progress.silent(stages, now_s=time.monotonic())
+        return [stages[one] for one in ids]
+
+    async def _probe(self, suspected: list[BackendServer]) -> list[BackendServer]:
+        """Ask runners whether they are there; return who is at fault.
+
+        Raises:
+            TimeoutError: The first runner is silent itself.
+        """
+        first = self.path.first
+        asked = [first, *(one for one in suspected if one.id != first.id)]
+        found = await self._routing.probes.look(
+            asked, within_s=self._policy.probe_limit_s
+        )
+        report = found.reports.get(first.id)
+        culprits = [*found.silent, *found.pending]
+        self._log_silence(report, asked, culprits)
+        if first in culprits:
+            self.suspects |= {one.id for one in culprits}
+            raise TimeoutError
+        if culprits or report is None:
+            return culprits
+        named = self._stage_at(report.stalled.get(self._call.id))
+        if named is None:
+            return []
+        self._routing.note_trouble(
+            named, Trouble.NAMED, self._call.id, "a request waits for it"
+        )
+        return [named]
+
+    def _silent_zones(self, culprits: list[BackendServer]) -> frozenset[str]:
+        """Return all runners of zones that seem to be cut off.
+
+        Where several runners of a zone are silent at once and none has shown
+        anything meanwhile, the next path should not lead there either.
+        """
+        silent = collections.Counter(one.availability_zone for one in culprits)
+        zones = {zone for zone, count in silent.items() if count >= _SILENT_IN_ZONE}
+        zones.discard(self.path.first.availability_zone)
+        stages = [stage.server for stage in self.path.stages]
+        working = {
+            one.availability_zone for one in stages if one.id not in self.suspects
+        }
+        return self._routing.in_zones(self._service, zones - working)
+
+    def _move_to(self, path: Path) -> None:
+        """Count the run on another path's runners."""
+        had_begun = self._event_s is not None
+        self.count_out()
+        self._note_end()
+        self.path = path
+        self.count_in()
+        if had_begun:
+            self._event_s = time.monotonic()
+            self._progress.began(path.server_ids, now_s=self._event_s)
+
+    def _log_silence(
+        self,
+        report: RunnerReport | None,
+        asked: list[BackendServer],
+        culprits: list[BackendServer],
+    ) -> None:
+        """Log who was asked about a silence, what the first told, and who is silent."""
         events.log(
             events.SILENCE_SEEN,
             request_id=self._call.id,
             first=self.path.first.id,
-            waits_for=culprit.id if culprit else None,
+            asked=len(asked),
+            waits_for=[one.id for one in culprits],
             path=[stage.server.id for stage in self.path.stages],
-            waiting=report.waiting,
-            running=report.running,
-            kv_used_part=round(report.kv_used_part, 3),
-            slowness=report.slowness,
+            usual_gap_s=round(self._progress.usual_gap_s, 4),
+            waiting=report.waiting if report else None,
+            running=report.running if report else None,
+            kv_used_part=round(report.kv_used_part, 3) if report else None,
+            slowness=report.slowness if report else None,
         )
 
     async def _repath(self) -> bool:
@@ -198,9 +294,7 @@
                 path=[stage.server.id for stage in path.stages],
             )
             if order.is_taken:
-                self.count_out()
-                self.path = path
-                self.count_in()
+                self._move_to(path)
                 self.repaths += 1
                 return True
             obstacle = _stage_of(path, order.address)
@@ -209,31 +303,14 @@
             self.suspects |= {obstacle.id}
         return False
 
-    async def _silent_stage(self) -> BackendServer | None:
-        """Return a later runner of the path that gives no answer itself.
-
-        The first runner tells who a request waits for only once it has begun, and
-        refuses it only after a time that callers don't wait.
-        """
-        later = [stage.server for stage in self.path.stages[1:]]
-        silent = await self._routing.probes.silent(later)
-        for server in silent:
-            self._routing.note_trouble(
-                server, Trouble.SILENT, self._call.id, "gives no report"
-            )
-        self.suspects |= {server.id for server in silent}
-        return silent[0] if silent else None
-
-    def _resting_stage(self) -> BackendServer | None:
-        """Return a runner of the path that other requests had trouble with.
+    def _resting_stages(self) -> list[BackendServer]:
+        """Return the path's later runners that other requests had trouble with.
 
         A request that has not begun is not told as one that waits.
         """
-        resting = self._routing.health.resting(now_s=time.monotonic())
-        for stage in self.path.stages[1:]:
-            if stage.server.id in resting:
-                return stage.server
-        return None
+        shunned = self._routing.health.shunned(now_s=time.monotonic())
+        later = [stage.server for stage in self.path.stages[1:]]
+        return [one for one in later if one.id in shunned]
 
     def _stage_at(self, address: str | None) -> BackendServer | None:
         """Return the runner of the path at an address."""
--- a/src/violethatch/router_settings.py
+++ b/src/violethatch/router_settings.py
@@ -108,9 +108,12 @@
     #: may have; the rest covers the way to the backend server.
     proof_part: Ratio = 0.85
     #: Silence before a stream's first event, after which it is looked into.
-    first_event_limit_s: Positive = 0.8
-    #: Silence within a stream, after which it is looked into.
+    first_event_limit_s: Positive = 0.25
+    #: Silence within a stream, after which it is looked into at the latest.
     gap_limit_s: Positive = 0.4
+    #: How long a silent stream waits for runners' reports before it goes around
+    #: those that have given none.
+    probe_limit_s: Positive = 0.06
     #: Silence after which a stream is taken up elsewhere in any case.
     silence_limit_s: Positive = 1.5
     #: Retries that one instance may always save up.
--- a/tests/test_probes.py
+++ b/tests/test_probes.py
@@ -27,34 +27,57 @@
 A, B = runner("a"), runner("b")
 
 
+async def silent(probes, *servers):
+    """Return the servers that are found silent."""
+    return (await probes.look(servers, within_s=5.0)).silent
+
+
 class TestProbes:
     async def test_silent_ones_are_named(self):
         """Those that answer are well."""
-        assert await Probes(CountingClient("b")).silent([A, B]) == [B]
+        assert await silent(Probes(CountingClient("b")), A, B) == (B,)
+
+    async def test_reports_are_given(self):
+        """What a runner told is there for who asked."""
+        found = await Probes(CountingClient("b")).look([A, B], within_s=5.0)
+        assert found.reports.keys() == {"a"}
+
+    async def test_slow_ones_are_pending(self):
+        """Who waits no longer learns who has not answered yet."""
+        found = await Probes(CountingClient()).look([A], within_s=0.001)
+        assert (found.silent, found.pending) == ((), (A,))
+
+    async def test_silence_is_told_of_when_it_is_known(self):
+        """Also if nobody waits for the probe any more."""
+        told = []
+        probes = Probes(CountingClient("a"), on_silent=told.append)
+        await probes.look([A, B], within_s=0.001)
+        await asyncio.sleep(0.05)
+        assert told == [A]
 
     async def test_requests_share_a_probe(self):
         """However many requests wait, a runner is asked once."""
         client = CountingClient()
         probes = Probes(client)
-        await asyncio.gather(*(probes.silent([A]) for _ in range(20)))
-        await probes.silent([A])
+        await asyncio.gather(*(silent(probes, A) for _ in range(20)))
+        await silent(probes, A)
         assert client.asked == ["a"]
 
     async def test_who_leaves_takes_no_probe_along(self):
         """The request that began a probe may be cancelled."""
         probes = Probes(CountingClient("a"))
-        first = asyncio.create_task(probes.silent([A]))
+        first = asyncio.create_task(silent(probes, A))
         await asyncio.sleep(0)
-        second = asyncio.create_task(probes.silent([A]))
+        second = asyncio.create_task(silent(probes, A))
         await asyncio.sleep(0)
         first.cancel()
-        assert await second == [A]
+        assert await second == (A,)
 
     async def test_outcome_counts_for_a_moment(self, monkeypatch):
         """Then the runner is asked anew."""
         monkeypatch.setattr(_probes, "_PROBE_LIFE_S", 0.0)
         client = CountingClient()
         probes = Probes(client)
-        await probes.silent([A])
-        await probes.silent([A])
+        await silent(probes, A)
+        await silent(probes, A)
         assert client.asked == ["a", "a"]
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -234,6 +234,75 @@
         got, _ = await serve(client, HEAD, TAIL, SPARE, B)
         assert got.body == events(1, 2)
 
+    async def test_runner_that_gives_no_report_is_gone_around(self):
+        """A dead runner is found by asking, before anyone names it."""
+        moved = asyncio.Event()
+        client = FakeClient(FakeAnswer(events(1), moved, events(2)))
+        client.reports["head"] = report()
+        client.on_repath = moved.set
+        got, routing = await serve(client, HEAD, TAIL, SPARE)
+        assert (got.end, len(client.sends)) == ("whole", 1)
+        assert [s.server.id for s in client.repaths[0][2].stages] == ["head", "spare"]
+        assert "tail" in routing.health.shunned(now_s=time.monotonic())
+
+    async def test_runner_that_is_slow_to_report_is_gone_around(self):
+        """The stream doesn't wait for the end of a probe."""
+        moved = asyncio.Event()
+
+        class DarkClient(FakeClient):
+            async def report(self, server):
+                if server.id == "tail":
+                    await asyncio.sleep(1.0)
+                return report()
+
+        client = DarkClient(FakeAnswer(events(1), moved, events(2)))
+        client.on_repath = moved.set
+        started_s = time.monotonic()
+        got, _ = await serve(client, HEAD, TAIL, SPARE, silence_limit_s="0.9")
+        assert (got.end, len(client.repaths)) == ("whole", 1)
+        assert time.monotonic() - started_s < 0.5
+
+    async def test_zone_that_is_silent_is_left_out(self):
+        """Where several runners of a zone are dark, its others are not tried."""
+        moved = asyncio.Event()
+        client = FakeClient(FakeAnswer(events(1), moved, events(2)))
+        far = [
+            runner(name, first, end, kind="large", zone="z2")
+            for name, first, end in (("f1", 40, 60), ("f2", 60, 80), ("f3", 40, 80))
+        ]
+        client.reports["head"] = report()
+        client.on_repath = moved.set
+        routing = make_routing(client, HEAD, *far[:2], rng=random.Random(1))
+        stream = StreamCall(routing, make_call(), admitted())
+        task = asyncio.create_task(stream.serve(FakeResponder()))
+        async with asyncio.timeout(5):
+            while not client.sends:
+                await asyncio.sleep(0.001)
+            routing.backends.change([far[2], SPARE], [], now_s=time.monotonic())
+            await task
+        assert [s.server.id for s in client.repaths[0][2].stages] == ["head", "spare"]
+
+    async def test_streams_that_go_on_clear_a_path(self):
+        """While others' events come by the same runners, nobody is asked."""
+        asked = []
+
+        class AskedClient(FakeClient):
+            async def report(self, server):
+                asked.append(server.id)
+                return report()
+
+        script = [step for n in range(2, 30) for step in (0.01, events(n))]
+        client = AskedClient(
+            FakeAnswer(events(1), 0.2, events(2)), FakeAnswer(events(1), *script)
+        )
+        routing = make_routing(client, A, rng=random.Random(1))
+        calls = [
+            StreamCall(routing, make_call(), admitted()).serve(FakeResponder())
+            for _ in range(2)
+        ]
+        await asyncio.gather(*calls)
+        assert asked == []
+
     async def test_runner_in_trouble_elsewhere_is_gone_around(self):
         """A silent request learns from what others had trouble with."""
         moved = asyncio.Event()
