Read a store that does not wait with its answers at a pace

Cause: a store that forgot its history answered reads of changes at once with nothing; six instances made 1,400 calls in 2 s (a copy that printed each call).

Change: from a read that brought nothing to the next one at least two of the pauses after changes pass.

--- a/src/violethatch/_followers.py
+++ b/src/violethatch/_followers.py
@@ -20,6 +20,10 @@
 #: Parts of the pause between retries that are drawn from, so that instances
 #: don't ask all at once.
 _PAUSE_PARTS = (0.75, 1.5)
+#: The least time between two reads of which the first brought nothing, in pauses
+#: after changes.  A store that forgot its history was read 1,400 times in 2 s by six
+#: instances, since it did not wait with its answers.
+_IDLE_PAUSES = 2.0
 
 
 class TableFollower:
@@ -77,17 +81,30 @@
                 pause_s = self.settings.retry_pause_s
                 await asyncio.sleep(pause_s * self._rng.uniform(*_PAUSE_PARTS))
 
+    @property
+    def _idle_pause_s(self) -> float:
+        """The least time from a read that brought nothing to the next one."""
+        pause_s = _IDLE_PAUSES * self.settings.change_pause_s
+        return min(self.settings.change_wait_s, pause_s)
+
     async def _read_once(self) -> None:
         """Read the table or its next changes, and take them in."""
         sent_s = time.monotonic()
+        is_waiting = self._version is not None and not self._is_away
         view = await self._read()
         is_whole = self._version is None or view.is_whole
         if not view.is_relayed:
             self._clock.observe(view.store_s, sent_s=sent_s)
         self._note_back(view)
         self._take_in(view, is_whole=is_whole)
-        if view.values and not is_whole and not view.is_relayed:
+        if view.is_relayed or is_whole:
+            return
+        if view.values:
             await asyncio.sleep(self.settings.change_pause_s)
+        elif is_waiting:
+            # A store may answer at once that there is nothing, time after time.
+            rest_s = sent_s + self._idle_pause_s - time.monotonic()
+            await asyncio.sleep(max(0.0, rest_s))
 
     async def _read(self) -> TableView:
         """Read the table, or its next changes if it is known.
