Ask silent runners whether they are back, before requests find out

Cause: a rest ended by time. A runner that was still dead then cost a request again, one that was back earlier (connections that were reset) was missed for 2.5 s.

--- a/src/violethatch/_streams.py
+++ b/src/violethatch/_streams.py
@@ -189,8 +189,9 @@
             self._leave_first(path.first, str(error))
             return _End.REFUSED, 0
         except AnswerLostError as error:
+            # It was reached, and others' requests may well get their answers.
             self.runs += 1
-            self._leave_first(path.first, str(error))
+            self._leave_first(path.first, str(error), trouble=Trouble.FAILED)
             return _End.LOST, 0
         except TimeoutError:
             self.runs += 1
@@ -305,10 +306,12 @@
         self._is_framed = answer.is_framed
         await responder.start(answer.status, answer.headers, is_framed=answer.is_framed)
 
-    def _leave_first(self, server: BackendServer, reason: str) -> None:
+    def _leave_first(
+        self, server: BackendServer, reason: str, *, trouble: Trouble = Trouble.SILENT
+    ) -> None:
         """Leave a first runner alone that gave no answer."""
         self._avoided |= {server.id}
-        self._routing.note_trouble(server, Trouble.SILENT, self._call.id, reason)
+        self._routing.note_trouble(server, trouble, self._call.id, reason)
 
     def _note_given_up(self, run: StreamRun) -> None:
         """Log that a silent run was given up on."""
--- a/src/violethatch/platform/_process.py
+++ b/src/violethatch/platform/_process.py
@@ -13,6 +13,7 @@
 import uvloop
 
 from .. import events
+from .._rest_watch import RestWatch
 from .._router import Router
 from ..errors import SettingsError
 from ..log_output import LogOutput
@@ -96,7 +97,12 @@
 
     def _start_tasks(self, parts: Parts) -> None:
         """Start all that runs until the process ends."""
-        for work in (*parts.following.work(), parts.duty.run(), self._watch_file()):
+        for work in (
+            *parts.following.work(),
+            parts.duty.run(),
+            RestWatch(parts.router.routing).run(),
+            self._watch_file(),
+        ):
             self._tasks.append(asyncio.create_task(_keep_running(work)))
 
     async def _listen(self, router: Router) -> CallersListener:
--- a/src/violethatch/runner_health.py
+++ b/src/violethatch/runner_health.py
@@ -103,6 +103,21 @@
         self._rests[server_id] = _Rest(trouble, now_s + length_s, known_s)
         return True
 
+    def silent(self, *, now_s: float) -> dict[str, float]:
+        """Return the silent servers that rest, and for how much longer, in seconds."""
+        return {
+            server_id: rest.until_s - now_s
+            for server_id, rest in self._rests.items()
+            if rest.trouble is Trouble.SILENT and now_s < rest.until_s
+        }
+
+    def prolong(self, server_id: str, *, now_s: float) -> None:
+        """Let a silent server rest for as long again: it was asked in vain."""
+        known = self._rests.get(server_id)
+        if known is not None and known.trouble is Trouble.SILENT:
+            until_s = max(known.until_s, now_s + self.stall_s)
+            self._rests[server_id] = known._replace(until_s=until_s)
+
     def worked(self, server_id: str) -> None:
         """Note that a server did its work."""
         self._rests.pop(server_id, None)
