Split layers so that tokens come sooner, where that costs few requests a second

Cause: runners got layers by their speed, so that all steps took equally long. A token took 9.4 ms over 10 runners in a zone whose two fast ones alone need 4.9 ms with four others; streams lasted twice as long as they had to, twice as many ran when something failed, and slow runners were a part of each path.

Ruled out: more chains (KV cache holds one a zone), fewer layers for KV cache's sake.

Change: splits by further powers of the speed are weighed as well; of those that serve at least 0.88 of the most requests a second by the engine's formula, the one with the quickest tokens is taken. Runners that are left over hold copies.

--- a/src/violethatch/_chains.py
+++ b/src/violethatch/_chains.py
@@ -24,6 +24,13 @@
 _BUSY_LIMIT = 0.85
 #: Sizes of KV cache that are tried, as parts of the most that fits.
 _KV_PARTS = tuple(part / 20 for part in range(4, 20))
+#: How much more fast runners get than slow ones: a runner's layers go with its speed
+#: to the power of one of these.  At 1 all steps take equally long; above it tokens
+#: come sooner, and slow runners are left over as spares.
+_SPEED_POWERS = (1.0, 1.5, 2.0, 3.0)
+#: The part of the most requests a second that a chain may give up for tokens that
+#: come sooner: streams then end sooner, and fewer run when something fails.
+_RATE_GIVEN_UP = 0.12
 #: Halvings in the search for an even split; 40 leave less than a billionth of
 #: a layer.
 _SPLIT_HALVINGS = 40
@@ -35,6 +42,7 @@
 
     layers: Mapping[str, LayerRange]
     requests_per_s: float
+    token_ms: float
 
 
 def zone_groups(hosts: Sequence[Host], engine: EngineSpec) -> list[list[Host]]:
@@ -86,18 +94,32 @@
 
 
 def _best_split(hosts: Sequence[Host], engine: EngineSpec) -> Chain | None:
-    """Return the best split of the model over hosts, or None if none fits."""
+    """Return the best split of the model over hosts, or None if none fits.
+
+    Of those that serve nearly the most requests, the one with the quickest tokens.
+    """
+    splits = _splits(hosts, engine)
+    if not splits:
+        return None
+    enough = max(one.requests_per_s for one in splits) * (1.0 - _RATE_GIVEN_UP)
+    good = [one for one in splits if one.requests_per_s >= enough]
+    return min(good, key=lambda one: (one.token_ms, -one.requests_per_s))
+
+
+def _splits(hosts: Sequence[Host], engine: EngineSpec) -> list[Chain]:
+    """Return the ways to split the model over hosts that are weighed."""
     kinds = [engine.kinds[host.kind] for host in hosts]
     most_tokens = _most_kv_tokens(kinds, engine)
-    best: Chain | None = None
-    for part in _KV_PARTS:
-        counts = split_layers(kinds, engine, kv_tokens=most_tokens * part)
+    splits = []
+    for power, part in itertools.product(_SPEED_POWERS, _KV_PARTS):
+        tokens = most_tokens * part
+        counts = split_layers(kinds, engine, kv_tokens=tokens, speed_power=power)
         if counts is None:
             continue
         rate = chain_requests_per_s(kinds, counts, engine)
-        if best is None or rate > best.requests_per_s:
-            best = Chain(_tile(hosts, counts), rate)
-    return best
+        token_ms = chain_token_ms(kinds, counts, engine)
+        splits.append(Chain(_tile(hosts, counts), rate, token_ms))
+    return splits
 
 
 def _most_kv_tokens(kinds: Sequence[AcceleratorKind], engine: EngineSpec) -> float:
@@ -118,14 +140,20 @@
 
 
 def split_layers(
-    kinds: Sequence[AcceleratorKind], engine: EngineSpec, *, kv_tokens: float
+    kinds: Sequence[AcceleratorKind],
+    engine: EngineSpec,
+    *,
+    kv_tokens: float,
+    speed_power: float = 1.0,
 ) -> list[int] | None:
-    """Split the model so that no runner's steps take much longer than others'.
+    """Split the model by the runners' speed, as far as their memory goes.
 
     Args:
         kinds: The runners' kinds, in the chain's order.
         engine: The engine's figures.
         kv_tokens: Tokens whose KV cache has to fit on each runner.
+        speed_power: To which power of its speed a runner gets layers; at 1 all
+            steps take equally long.
 
     Returns:
         How many layers each runner holds, or None if they don't fit.
@@ -135,23 +163,21 @@
     caps = [engine.most_layers(kind, kv_tokens=kv_tokens) for kind in kinds]
     if sum(caps) < engine.layer_count:
         return None
-    low, high = 0.0, engine.layer_count * max(kind.step_factor for kind in kinds)
+    speeds = [kind.step_factor**-speed_power for kind in kinds]
+    low, high = 0.0, engine.layer_count / min(speeds)
     for _ in range(_SPLIT_HALVINGS):
         level = (low + high) / 2
-        if sum(_shares(kinds, caps, level)) < engine.layer_count:
+        if sum(_shares(speeds, caps, level)) < engine.layer_count:
             low = level
         else:
             high = level
-    return _rounded(_shares(kinds, caps, high), caps, engine.layer_count)
+    return _rounded(_shares(speeds, caps, high), caps, engine.layer_count)
 
 
-def _shares(
-    kinds: Sequence[AcceleratorKind], caps: Sequence[int], level: float
-) -> list[float]:
+def _shares(speeds: Sequence[float], caps: Sequence[int], level: float) -> list[float]:
     """Return layers by speed, up to each runner's cap."""
     return [
-        min(float(cap), level / kind.step_factor)
-        for kind, cap in zip(kinds, caps, strict=True)
+        min(float(cap), level * speed) for speed, cap in zip(speeds, caps, strict=True)
     ]
 
 
@@ -180,21 +206,37 @@
     .. versionadded:: 26.1.0
     """
     parts = [(kind, n) for kind, n in zip(kinds, counts, strict=True) if n]
-    room_tokens = min(engine.kv_tokens(kind, layers) for kind, layers in parts)
-    at_once = min(room_tokens / engine.usual_tokens, float(engine.slots))
+    at_once = _at_once(parts, engine)
     if at_once < 1:
         return 0.0
-    writers = max(1.0, at_once / len(parts))
-    token_ms = sum(
-        engine.step_ms_of(kind, layers, writers=writers) + HOP_MS
-        for kind, layers in parts
-    )
+    token_ms = chain_token_ms(kinds, counts, engine)
     read_ms = sum(_usual_read_ms(engine, kind, layers) for kind, layers in parts)
     by_time = at_once / (engine.usual_answer_tokens * token_ms + read_ms)
     busiest_ms = max(_busy_ms(engine, kind, layers) for kind, layers in parts)
     return _MS_PER_S * min(by_time, _BUSY_LIMIT / busiest_ms)
 
 
+def chain_token_ms(
+    kinds: Sequence[AcceleratorKind], counts: Sequence[int], engine: EngineSpec
+) -> float:
+    """Return how long a token takes in a chain that has all it has room for, in ms.
+
+    .. versionadded:: 26.2.0
+    """
+    parts = [(kind, n) for kind, n in zip(kinds, counts, strict=True) if n]
+    writers = max(1.0, _at_once(parts, engine) / len(parts))
+    return sum(
+        engine.step_ms_of(kind, layers, writers=writers) + HOP_MS
+        for kind, layers in parts
+    )
+
+
+def _at_once(parts: Sequence[tuple[AcceleratorKind, int]], engine: EngineSpec) -> float:
+    """Return how many usual requests a chain has room for."""
+    room_tokens = min(engine.kv_tokens(kind, layers) for kind, layers in parts)
+    return min(room_tokens / engine.usual_tokens, float(engine.slots))
+
+
 def _usual_read_ms(engine: EngineSpec, kind: AcceleratorKind, layers: int) -> float:
     """Return how long a usual prompt's reading takes, in ms."""
     return engine.read_ms_of(kind, layers, engine.usual_prompt_tokens)
