Hold layers twice within a zone, with memory that chains leave over

Cause: where a runner of a zone's only chain was lost, its requests could go on only across the pipe between zones (23 ms a prompt and crossing, 40 to 60 requests at once) or start anew in another zone, whose chain was then full (KV cache 0.99 taken, 40 waiting). Slow runners with one to five layers each had room for 170,000 tokens and more that nothing used.

Ruled out: quicker detection alone (pauses stayed at 0.3 to 0.45 s after it), more chains (KV cache), splitting by hand.

Runners are widened over neighbours' layers without touching the chain's room for KV cache; those left out copy layers with one holder, small ranges first. A hole is stretched over before runners that are copied by several are moved; exact doubles still move at once. Two tests chose a lost runner that now has a second holder: they take the smallest one without.

--- a/src/violethatch/_chains.py
+++ b/src/violethatch/_chains.py
@@ -27,13 +27,14 @@
 #: How much more fast runners get than slow ones: a runner's layers go with its speed
 #: to the power of one of these.  At 1 all steps take equally long; above it tokens
 #: come sooner, and slow runners are left over as spares.
-_SPEED_POWERS = (1.0, 1.5, 2.0, 3.0)
+_SPEED_POWERS = (1.0, 2.0)
+#: How many of the slowest runners are left out of a chain, as parts of all.
+_LEFT_OUT_PARTS = (0.0, 0.1, 0.2, 0.3, 0.4, 0.5)
 #: The part of the most requests a second that a chain may give up for tokens that
 #: come sooner: streams then end sooner, and fewer run when something fails.
 _RATE_GIVEN_UP = 0.12
-#: Halvings in the search for an even split; 40 leave less than a billionth of
-#: a layer.
-_SPLIT_HALVINGS = 40
+#: Halvings in the search for a split; 20 leave less than a thousandth of a layer.
+_SPLIT_HALVINGS = 20
 _MS_PER_S = 1000.0
 
 
@@ -107,19 +108,26 @@
 
 
 def _splits(hosts: Sequence[Host], engine: EngineSpec) -> list[Chain]:
-    """Return the ways to split the model over hosts that are weighed."""
+    """Return the splits of the model over hosts, fastest first, that are weighed."""
     kinds = [engine.kinds[host.kind] for host in hosts]
     most_tokens = _most_kv_tokens(kinds, engine)
-    splits = []
-    for power, part in itertools.product(_SPEED_POWERS, _KV_PARTS):
+    weighed: set[tuple[int, ...]] = set()
+    for left_out, power, part in itertools.product(
+        _LEFT_OUT_PARTS, _SPEED_POWERS, _KV_PARTS
+    ):
+        used = kinds[: len(kinds) - int(left_out * len(kinds))]
         tokens = most_tokens * part
-        counts = split_layers(kinds, engine, kv_tokens=tokens, speed_power=power)
-        if counts is None:
-            continue
-        rate = chain_requests_per_s(kinds, counts, engine)
-        token_ms = chain_token_ms(kinds, counts, engine)
-        splits.append(Chain(_tile(hosts, counts), rate, token_ms))
-    return splits
+        counts = split_layers(used, engine, kv_tokens=tokens, speed_power=power)
+        if counts is not None:
+            weighed.add(tuple(counts))
+    return [
+        Chain(
+            _tile(hosts[: len(counts)], counts),
+            chain_requests_per_s(kinds[: len(counts)], counts, engine),
+            chain_token_ms(kinds[: len(counts)], counts, engine),
+        )
+        for counts in sorted(weighed)
+    ]
 
 
 def _most_kv_tokens(kinds: Sequence[AcceleratorKind], engine: EngineSpec) -> float:
--- a/src/violethatch/_layer_needs.py
+++ b/src/violethatch/_layer_needs.py
@@ -6,6 +6,7 @@
 from collections.abc import Sequence
 
 from ._hosts import Host, kv_room, least_kv_tokens
+from ._spare_layers import sole_layers
 from .engine_model import EngineSpec
 from .layers import LayerRange
 
@@ -27,10 +28,18 @@
     return LayerRange(lacking[0], lacking[-1] + 1)
 
 
-def scarcest_layers(
+def copied_layers(
     host: Host, held: Sequence[Host], engine: EngineSpec
 ) -> LayerRange | None:
-    """Return the layers whose holders have the least room for KV cache."""
+    """Return the layers that a copy is worth most of.
+
+    First those with one holder in the host's zone, then those whose holders have the
+    least room for KV cache.
+    """
+    worth = sole_layers(host, held, engine)
+    sole = _neediest_window(host, held, worth, engine)
+    if any(worth[sole.first : sole.end]):
+        return sole
     room_tokens = [0.0] * engine.layer_count
     for other in held:
         if other.held is None:
--- a/src/violethatch/_zone_repair.py
+++ b/src/violethatch/_zone_repair.py
@@ -11,27 +11,45 @@
 from .layers import LayerRange
 
 
-def repair_zones(hosts: Sequence[Host], engine: EngineSpec) -> dict[str, LayerRange]:
-    """Make zones whole that lack layers, with the runners they have.
+def stretch_zones(hosts: Sequence[Host], engine: EngineSpec) -> dict[str, LayerRange]:
+    """Let neighbours of zones' holes take them over where they have the memory.
 
-    Neighbours of a hole take it over where they have the memory; layers are
-    only added then.  Otherwise the zone is divided anew, if others hold the
-    whole model meanwhile.
+    Layers are only added, so that nothing under way is disturbed.
     """
     orders: dict[str, LayerRange] = {}
-    for zone in sorted({host.availability_zone for host in hosts}):
-        inside = [host for host in hosts if host.availability_zone == zone]
+    for inside in _zones(hosts):
         holes = _holes(inside, engine)
-        if not holes or not any(host.held for host in inside):
-            continue
-        stretched = _stretch_over(inside, holes, engine)
-        if stretched is not None:
-            orders |= stretched
+        if holes and any(host.held for host in inside):
+            orders |= _stretch_over(inside, holes, engine) or {}
+    return _changes(hosts, orders)
+
+
+def divide_zones(hosts: Sequence[Host], engine: EngineSpec) -> dict[str, LayerRange]:
+    """Divide zones anew that lack layers, if others hold the whole model meanwhile."""
+    orders: dict[str, LayerRange] = {}
+    for inside in _zones(hosts):
+        if not _holes(inside, engine) or not any(host.held for host in inside):
             continue
-        outside = [host for host in hosts if host.availability_zone != zone]
+        ids = {host.id for host in inside}
+        outside = [host for host in hosts if host.id not in ids]
         if can_hold(inside, engine) and not _holes(outside, engine):
             for chain in best_chains(inside, engine):
                 orders.update(chain.layers)
+    return _changes(hosts, orders)
+
+
+def _zones(hosts: Sequence[Host]) -> list[list[Host]]:
+    """Return the hosts of each zone."""
+    return [
+        [host for host in hosts if host.availability_zone == zone]
+        for zone in sorted({host.availability_zone for host in hosts})
+    ]
+
+
+def _changes(
+    hosts: Sequence[Host], orders: Mapping[str, LayerRange]
+) -> dict[str, LayerRange]:
+    """Return the orders that change what hosts hold."""
     return {
         host.id: orders[host.id]
         for host in hosts
--- a/src/violethatch/placement.py
+++ b/src/violethatch/placement.py
@@ -18,8 +18,9 @@
 
 from ._chains import best_chains, zone_groups
 from ._hosts import Host, with_orders
-from ._layer_needs import lacking_layers, need_by_layer, scarcest_layers
-from ._zone_repair import repair_zones
+from ._layer_needs import copied_layers, lacking_layers, need_by_layer
+from ._spare_layers import widened
+from ._zone_repair import divide_zones, stretch_zones
 from .engine_model import EngineSpec
 from .layers import LayerRange
 
@@ -54,10 +55,11 @@
     if not any(host.held for host in known):
         return divide(known, engine)
     orders = _fill_empty(known, engine, copying=copying)
-    orders |= _move_copies(known, orders, engine)
+    orders |= _move_copies(known, orders, engine, is_whole=True)
     if is_repairing:
-        held = with_orders(known, orders)
-        orders |= repair_zones(held, engine)
+        orders |= stretch_zones(with_orders(known, orders), engine)
+        orders |= _move_copies(known, orders, engine, is_whole=False)
+        orders |= divide_zones(with_orders(known, orders), engine)
     return orders
 
 
@@ -75,9 +77,10 @@
     for group in zone_groups(hosts, engine):
         for chain in best_chains(group, engine):
             orders.update(chain.layers)
-    placed = [host._replace(held=orders.get(host.id)) for host in hosts]
     if not orders:
         return orders
+    orders = widened(hosts, orders, engine)
+    placed = [host._replace(held=orders.get(host.id)) for host in hosts]
     ids = {host.id for host in hosts}
     return orders | _fill_empty(placed, engine, copying=ids)
 
@@ -93,7 +96,7 @@
             continue
         layers = lacking_layers(host, held, engine)
         if layers is None and host.id in copying:
-            layers = scarcest_layers(host, held, engine)
+            layers = copied_layers(host, held, engine)
         if layers is not None:
             orders[host.id] = layers
             held.append(host._replace(held=layers))
@@ -101,9 +104,21 @@
 
 
 def _move_copies(
-    hosts: Sequence[Host], orders: Mapping[str, LayerRange], engine: EngineSpec
+    hosts: Sequence[Host],
+    orders: Mapping[str, LayerRange],
+    engine: EngineSpec,
+    *,
+    is_whole: bool,
 ) -> dict[str, LayerRange]:
-    """Move runners that only hold copies to layers that their zone lacks."""
+    """Move runners that only hold copies to layers that their zone lacks.
+
+    Args:
+        hosts: All runners.
+        orders: What is ordered already; these runners are not moved.
+        engine: The engine's figures.
+        is_whole: Whether one other runner has to hold all that a runner gives up.
+            Where several do, paths get longer and copies fewer.
+    """
     held = with_orders(hosts, orders)
     moves: dict[str, LayerRange] = {}
     for host in held:
@@ -113,8 +128,22 @@
         need = need_by_layer(host.availability_zone, others, engine)
         if any(need[layer] for layer in range(*host.held)):
             continue
+        if is_whole and not _has_double(host, others):
+            continue
         layers = lacking_layers(host, others, engine)
         if layers is not None:
             moves[host.id] = layers
             held = [*others, host._replace(held=layers)]
     return moves
+
+
+def _has_double(host: Host, others: Sequence[Host]) -> bool:
+    """Tell whether one other runner of the zone holds all that a runner holds."""
+    assert host.held is not None
+    return any(
+        other.held is not None
+        and other.availability_zone == host.availability_zone
+        and other.held.first <= host.held.first
+        and host.held.end <= other.held.end
+        for other in others
+    )
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -11,7 +11,8 @@
 from hypothesis import strategies as st
 
 from routing_samples import KINDS, engine
-from violethatch._chains import split_layers
+from violethatch._chains import best_chains, chain_requests_per_s, split_layers
+from violethatch._layer_needs import copied_layers
 from violethatch.layers import LayerRange
 from violethatch.placement import Host, plan_placement
 
@@ -48,6 +49,16 @@
     return set(range(80)) - held
 
 
+def sole_holder(fleet, zone):
+    """Return the runner with the fewest layers that nobody else in its zone holds."""
+    inside = [host for host in fleet if host.availability_zone == zone and host.held]
+    return next(
+        host
+        for host in sorted(inside, key=lambda one: one.held.size)
+        if lacking([one for one in fleet if one is not host], zone)
+    )
+
+
 def assert_fits(fleet):
     """No host holds more than its memory does."""
     for host in fleet:
@@ -104,6 +115,71 @@
         assert_fits(placed(fleet, plan_placement(fleet, engine())))
 
 
+class TestSpares:
+    def test_memory_left_over_holds_copies(self):
+        """A zone with twice the model's memory survives most losses by itself."""
+        fleet = hosts("z1", large=2, medium=4, small=4)
+        spec = engine(kv_token_bytes=1_180_000.0)
+        whole = placed(fleet, plan_placement(fleet, spec))
+        assert_fits(whole)
+        alone = [
+            host
+            for host in whole
+            if lacking([one for one in whole if one is not host], "z1")
+        ]
+        assert len(alone) <= len(whole) / 2
+
+    def test_copies_take_no_room_from_chains(self):
+        """No runner has less room for KV cache than the fullest of its chain."""
+        fleet = hosts("z1", large=2, medium=4, small=4)
+        spec = engine(kv_token_bytes=1_180_000.0)
+        whole = [one for one in placed(fleet, plan_placement(fleet, spec)) if one.held]
+        chain = best_chains(fleet, spec)[0]
+        least = min(
+            spec.kv_tokens(KINDS[host.kind], chain.layers[host.id].size)
+            for host in fleet
+            if host.id in chain.layers
+        )
+        for host in whole:
+            assert spec.kv_tokens(KINDS[host.kind], host.held.size) >= least * 0.999
+
+    def test_small_ranges_are_copied_first(self):
+        """A copy that stands in for whole runners is worth most."""
+        held = [
+            Host("big", "z1", "large", LayerRange(0, 40)),
+            Host("one", "z1", "small", LayerRange(40, 45)),
+            Host("two", "z1", "small", LayerRange(45, 50)),
+            Host("far", "z2", "small", LayerRange(40, 50)),
+        ]
+        spare = Host("spare", "z1", "small", None)
+        copied = copied_layers(spare, held, engine())
+        assert copied.first <= 40
+        assert copied.end >= 50
+
+
+class TestQuickTokens:
+    def test_slow_runners_are_left_out_where_fast_ones_hold_all(self):
+        """A token doesn't pass runners that gain it nothing."""
+        fleet = hosts("z1", large=3, small=1)
+        spec = engine(
+            kv_token_bytes=300_000.0, per_sequence_ms=0.0, context_per_k_ms=0.0
+        )
+        chain = best_chains(fleet, spec)[0]
+        assert all("large" in host_id for host_id in chain.layers)
+
+    def test_few_requests_a_second_are_given_up(self):
+        """Quicker tokens cost at most an eighth of what a chain could serve."""
+        fleet = hosts("z1", large=2, medium=4, small=4)
+        spec = engine(kv_token_bytes=1_180_000.0)
+        kinds = [KINDS[host.kind] for host in fleet]
+        most = max(
+            chain_requests_per_s(kinds, counts, spec)
+            for tokens in range(5_000, 120_000, 5_000)
+            if (counts := split_layers(kinds, spec, kv_tokens=tokens))
+        )
+        assert best_chains(fleet, spec)[0].requests_per_s >= most * 7 / 8
+
+
 class TestSplit:
     def test_split_is_whole_and_fits(self):
         """The counts add up to the model, within each runner's memory."""
@@ -154,13 +230,7 @@
     def test_copies_move_to_a_hole(self, whole):
         """A runner that only holds copies takes over what is lacking."""
         copy = next(host for host in whole if host.held and host.kind == "medium")
-        lost = next(
-            host
-            for host in whole
-            if host.availability_zone == copy.availability_zone
-            and host.kind == "small"
-            and host.held
-        )
+        lost = sole_holder(whole, copy.availability_zone)
         fleet = [host for host in whole if host.id != lost.id]
         fleet.append(copy._replace(id="copy"))
         plan = plan_placement(fleet, engine(), is_repairing=False)
@@ -169,9 +239,7 @@
 
     def test_small_hole_is_taken_over_by_neighbours(self, whole):
         """Neighbours only add layers, so that nothing under way is disturbed."""
-        lost = next(
-            host for host in whole if host.id.startswith("z1-small") and host.held
-        )
+        lost = sole_holder(whole, "z1")
         fleet = [host for host in whole if host.id != lost.id]
         plan = plan_placement(fleet, engine())
         assert 1 <= len(plan) <= 2
