--- a/src/violethatch/_placement_lease.py
+++ b/src/violethatch/_placement_lease.py
@@ -19,7 +19,10 @@
 _JOB = "placement"
 #: Longest random pause before a try for the lease, in seconds.
 _SPREAD_S = 0.8
-#: Parts of half the lease's duration between tries that are drawn from.
+#: The time between tries for a lease that another instance holds, in seconds: it is
+#: given back soon after the last order, and a hole should not wait for half a lease.
+_TRY_PAUSE_S = 0.7
+#: Parts of that time that are drawn from.
 _PAUSE_PARTS = (0.8, 1.3)
 #: How many renewals there are in the time of a lease.
 _RENEWALS = 3
@@ -156,7 +159,7 @@
 
     def _delay_try(self) -> None:
         """Leave the lease alone for a while."""
-        pause_s = self._lease.duration_s / 2 * self._rng.uniform(*_PAUSE_PARTS)
+        pause_s = _TRY_PAUSE_S * self._rng.uniform(*_PAUSE_PARTS)
         self._next_try_s = time.monotonic() + pause_s
 
 
