Go around runners that say they are slow, and tell all instances of their word

Cause: a runner that had turned 12 times slower kept its share of the requests; all that passed it waited, since its queue grew. Probes of silent paths read its word on its pace, and nobody used it.

Ruled out: leaving it to fullness (its KV cache fills only when it is too late), to silences (nobody is silent, so that nobody was named).

Requests that are looked into go around slow runners where others hold their layers.

--- /dev/null
+++ b/src/violethatch/_pace_link.py
@@ -0,0 +1,47 @@
+# SPDX-License-Identifier: MIT
+"""Slow runners' words on their pace, passed on to all instances."""
+
+from __future__ import annotations
+
+import time
+
+from ._peer_datagrams import PaceDatagram, PeerDatagrams
+from .runner_paces import RunnerPaces
+
+
+#: Datagrams in a second that an instance may send to all.
+_MOST_A_SECOND = 5
+
+
+class PaceLink:
+    """Tells all instances what runners have said, and takes their words in.
+
+    Args:
+        datagrams: Carries them.
+        paces: What is known of slow runners.
+    """
+
+    def __init__(self, datagrams: PeerDatagrams, paces: RunnerPaces) -> None:
+        self._datagrams = datagrams
+        self._paces = paces
+        self._second = 0
+        self._sent_in_second = 0
+        datagrams.on(PaceDatagram, self._take)
+
+    def tell(self, server_id: str, slowness: float) -> None:
+        """Tell all instances of a runner's word; too many are not told."""
+        second = int(time.monotonic())
+        if second != self._second:
+            self._second = second
+            self._sent_in_second = 0
+        if self._sent_in_second >= _MOST_A_SECOND:
+            return
+        self._sent_in_second += 1
+        directory = self._datagrams.directory
+        for peer in directory.others():
+            message = PaceDatagram(peer.token, directory.own.id, server_id, slowness)
+            self._datagrams.send(peer, message)
+
+    def _take(self, message: PaceDatagram) -> None:
+        """Take another instance's word in."""
+        self._paces.note(message.server_id, message.slowness, now_s=time.monotonic())
--- a/src/violethatch/_peer_datagrams.py
+++ b/src/violethatch/_peer_datagrams.py
@@ -38,7 +38,16 @@
     servers: bytes
 
 
-Datagram = SightingsDatagram | LoadDatagram
+class PaceDatagram(msgspec.Struct, array_like=True, tag="p"):
+    """A runner's word on its pace; the token is the receiver's own."""
+
+    token: str
+    sender: str
+    server_id: str
+    slowness: float
+
+
+Datagram = SightingsDatagram | LoadDatagram | PaceDatagram
 
 
 class PeerDatagrams(asyncio.DatagramProtocol):
--- a/src/violethatch/_probes.py
+++ b/src/violethatch/_probes.py
@@ -45,6 +45,7 @@
     Args:
         client: Asks the runners.
         on_silent: Told of each runner that gave no answer.
+        on_report: Told of each runner's report.
     """
 
     def __init__(
@@ -52,9 +53,13 @@
         client: RunnerClient,
         *,
         on_silent: Callable[[BackendServer], None] = lambda _server: None,
+        on_report: Callable[[BackendServer, RunnerReport], None] = (
+            lambda _server, _report: None
+        ),
     ) -> None:
         self._client = client
         self._on_silent = on_silent
+        self._on_report = on_report
         self._known: dict[str, _Outcome] = {}
         self._running: dict[str, asyncio.Task[_Outcome]] = {}
 
@@ -110,6 +115,8 @@
         self._known[server.id] = outcome
         if report is None:
             self._on_silent(server)
+        else:
+            self._on_report(server, report)
         return outcome
 
 
--- a/src/violethatch/_rest_watch.py
+++ b/src/violethatch/_rest_watch.py
@@ -1,11 +1,14 @@
 # SPDX-License-Identifier: MIT
-"""Asks runners that were silent whether they are back, before requests find out."""
+"""Asks runners that were silent or slow how they are, before requests find out."""
 
 from __future__ import annotations
 
 import asyncio
+import random
 import time
 
+from collections.abc import Iterable
+
 from . import events
 from ._routing import Routing
 from .backends import BackendServer
@@ -28,11 +31,13 @@
     """Ends the rests of runners that answer again, and prolongs the others.
 
     Args:
-        routing: Knows who rests.
+        routing: Knows who rests, and who is slow.
+        rng: Decides which of many instances asks.
     """
 
-    def __init__(self, routing: Routing) -> None:
+    def __init__(self, routing: Routing, *, rng: random.Random) -> None:
         self._routing = routing
+        self._rng = rng
         #: By runner that rests, when it was last asked, or found to rest.
         self._asked_s: dict[str, float] = {}
 
@@ -43,8 +48,11 @@
             await self.look()
 
     async def look(self) -> None:
-        """Ask the runners whose rests end soon."""
+        """Ask the runners whose rests end soon, and the slow ones."""
         due = self._due()
+        slow = self._slow()
+        if slow:
+            await self._routing.probes.look(slow, within_s=_WAIT_S)
         if not due:
             return
         found = await self._routing.probes.look(due, within_s=_WAIT_S)
@@ -69,11 +77,23 @@
         ids = [
             one for one, left_s in silent.items() if self._is_due(one, left_s, now_s)
         ]
-        known = [self._routing.backends.get(one) for one in ids]
-        due = [one for one in known if one is not None and one.kind]
+        due = self._known(ids)
         self._asked_s |= {one.id: now_s for one in due}
         return due
 
+    def _slow(self) -> list[BackendServer]:
+        """Return the slow runners that are to be asked again."""
+        routing = self._routing
+        ids = routing.paces.due(
+            instances=routing.instances(), rng=self._rng, now_s=time.monotonic()
+        )
+        return self._known(ids)
+
+    def _known(self, ids: Iterable[str]) -> list[BackendServer]:
+        """Return the runners with some ids that are listed."""
+        known = [self._routing.backends.get(one) for one in ids]
+        return [one for one in known if one is not None and one.kind]
+
     def _is_due(self, server_id: str, left_s: float, now_s: float) -> bool:
         """Tell whether a resting runner is to be asked now."""
         asked_s = self._asked_s.setdefault(server_id, now_s)
--- a/src/violethatch/_routing.py
+++ b/src/violethatch/_routing.py
@@ -20,10 +20,11 @@
 from .retries import RetryBudget
 from .router_settings import RouterSettings
 from .runner_health import RunnerHealth, Trouble
+from .runner_paces import RunnerPaces
 from .server_choice import ServerChoice
 from .sightings import Hearsay, Sighting, is_worth_telling
 from .stream_loads import StreamLoads
-from .upstream import Refusal, RunnerClient
+from .upstream import Refusal, RunnerClient, RunnerReport
 
 
 class Routing:
@@ -39,7 +40,12 @@
         self.hearsay = Hearsay(self.health, rng=rng)
         #: Tells other instances of a sighting, where there are any.
         self.tell: Callable[[Sighting], None] = lambda _sighting: None
-        self.probes = Probes(client, on_silent=self._note_silent)
+        self.probes = Probes(
+            client, on_silent=self._note_silent, on_report=self._note_report
+        )
+        self.paces = RunnerPaces()
+        #: Tells other instances what a slow runner has said, where there are any.
+        self.tell_pace: Callable[[str, float], None] = lambda _id, _slowness: None
         self.progress = Progress(longest_silence_s=settings.policy.gap_limit_s)
         self.choice = ServerChoice(rng)
         self.pipe = PipeShare(rng)
@@ -95,6 +101,7 @@
             layer_map.find,
             zone=self.settings.instance.availability_zone,
             fullness=self.loads.fullness_of(layer_map, now_s=now_s),
+            paces=self.paces.slow(now_s=now_s),
             first=first,
             pipe_fullness=self.loads.pipe_fullness(now_s=now_s),
         )
@@ -138,6 +145,7 @@
             self.hearsay.forget(server_id)
             self.probes.forget(server_id)
             self.progress.forget(server_id)
+            self.paces.forget(server_id)
             self.choice.forget(server_id)
             self.loads.forget(server_id)
 
@@ -153,6 +161,19 @@
         """Leave a server alone that a probe found silent."""
         self.note_trouble(server, Trouble.SILENT, "", "gives no report")
 
+    def _note_report(self, server: BackendServer, report: RunnerReport) -> None:
+        """Take in how slow a runner says that it is; log one that has become so."""
+        now_s = time.monotonic()
+        was_slow = server.id in self.paces.slow(now_s=now_s)
+        self.paces.note(server.id, report.slowness, now_s=now_s)
+        is_slow = server.id in self.paces.slow(now_s=now_s)
+        if is_slow or was_slow:
+            self.tell_pace(server.id, report.slowness)
+        if is_slow != was_slow:
+            events.log(
+                events.SERVER_PACE, server_id=server.id, slowness=report.slowness
+            )
+
     def note_trouble(
         self, server: BackendServer, trouble: Trouble, request_id: str, reason: str
     ) -> None:
--- a/src/violethatch/_stream_run.py
+++ b/src/violethatch/_stream_run.py
@@ -187,12 +187,26 @@
                 return
             culprits = await self._probe(suspected)
         if not culprits:
+            await self._leave_slow()
             return
         self.suspects |= {one.id for one in culprits}
         self.suspects |= self._silent_zones(culprits)
         if not await self._repath():
             raise TimeoutError
 
+    async def _leave_slow(self) -> None:
+        """Go around slow runners, if that can be done."""
+        slow = self._routing.paces.slow(now_s=time.monotonic())
+        ids = {
+            stage.server.id for stage in self.path.stages[1:] if stage.server.id in slow
+        }
+        if not ids or self.repaths >= _MOST_REPATHS:
+            return
+        suspects = self.suspects
+        self.suspects |= ids
+        if not await self._repath():
+            self.suspects = suspects
+
     def _suspected(self, since_s: float) -> list[BackendServer]:
         """Return the path's runners that other streams don't show to work."""
         stages = {stage.server.id: stage.server for stage in self.path.stages}
--- a/src/violethatch/events.py
+++ b/src/violethatch/events.py
@@ -49,6 +49,7 @@
 SERVER_REFUSED = Event(2108, "server_refused", "A server has not run a request.")
 SIGHTING_HEARD = Event(2109, "sighting_heard", "Another instance had trouble with it.")
 DATAGRAM_LOST = Event(2110, "datagram_lost", "A datagram between instances is lost.")
+SERVER_PACE = Event(2113, "server_pace", "A server says it is slow, or quick again.")
 SERVERS_BACK = Event(2112, "servers_back", "Servers that were silent answer again.")
 LOAD_NEIGHBOURS = Event(2111, "load_neighbours", "Loads are told to other instances.")
 
--- a/src/violethatch/paths.py
+++ b/src/violethatch/paths.py
@@ -123,6 +123,7 @@
         zone: str,
         left_out: Collection[str] = frozenset(),
         fullness: Mapping[str, float] | None = None,
+        paces: Mapping[str, float] | None = None,
         first: BackendServer | None = None,
         pipe_fullness: float = 0.0,
         may_cross: bool = True,
@@ -134,12 +135,15 @@
             left_out: Ids of runners that may not be used.
             fullness: By runner's id, the part of its room that is taken; a full
                 one counts as many times slower.
+            paces: By id, how many times longer slow runners take for a step.
             first: The runner that has to come first, if one has to.
             pipe_fullness: The part of the time that the pipe between zones is
                 taken.
             may_cross: Whether hidden states may pass between zones.
         """
         slowness = {one: _slowness(part) for one, part in (fullness or {}).items()}
+        for one, pace in (paces or {}).items():
+            slowness[one] = slowness.get(one, 1.0) * pace
         usage = _Usage(left_out, slowness)
         pipe_ms = _pipe_ms(self.engine, pipe_fullness) if may_cross else math.inf
         entries = self._start(zone)
--- a/src/violethatch/platform/_following.py
+++ b/src/violethatch/platform/_following.py
@@ -13,6 +13,7 @@
 
 from .._followers import TableFollower
 from .._load_link import LoadLink
+from .._pace_link import PaceLink
 from .._peer_datagrams import PeerDatagrams
 from .._placing import PlacementDuty
 from .._registration import INSTANCES_TABLE, Registration
@@ -83,6 +84,7 @@
         )
         self._datagrams = PeerDatagrams(directory)
         self._sightings = SightingLink(self._datagrams, router.routing.hearsay)
+        self._pace_link = PaceLink(self._datagrams, router.routing.paces)
         self._load_link = LoadLink(self._datagrams, router.routing.loads)
         self._followers = self._make_followers()
         self._instances_follower = self._make_instances_follower()
@@ -102,6 +104,7 @@
             await self._relay.start(self._settings.listen.peers)
             await self._datagrams.start(self._settings.listen.peers)
             self._router.routing.tell = self._sightings.tell
+            self._router.routing.tell_pace = self._pace_link.tell
             self._router.routing.instances = self._directory.__len__
 
     def work(self) -> list[Coroutine[Any, Any, None]]:
--- a/src/violethatch/platform/_parts.py
+++ b/src/violethatch/platform/_parts.py
@@ -12,6 +12,7 @@
 import aiohttp
 
 from .._placing import PlacementDuty
+from .._rest_watch import RestWatch
 from .._router import Router
 from ..instances import InstanceDirectory, InstanceEntry
 from ..router_settings import RouterSettings
@@ -28,6 +29,7 @@
     store: Store
     duty: PlacementDuty
     following: Following
+    watch: RestWatch
 
     def takers(self) -> list[Callable[[RouterSettings], None]]:
         """Return what takes changed settings in."""
@@ -74,7 +76,8 @@
         duty=duty,
         rng=rng,
     )
-    return Parts(router, store, duty, following)
+    watch = RestWatch(router.routing, rng=rng)
+    return Parts(router, store, duty, following, watch)
 
 
 def _own_entry(settings: RouterSettings) -> InstanceEntry:
--- a/src/violethatch/platform/_process.py
+++ b/src/violethatch/platform/_process.py
@@ -13,7 +13,6 @@
 import uvloop
 
 from .. import events
-from .._rest_watch import RestWatch
 from .._router import Router
 from ..errors import SettingsError
 from ..log_output import LogOutput
@@ -100,7 +99,7 @@
         for work in (
             *parts.following.work(),
             parts.duty.run(),
-            RestWatch(parts.router.routing).run(),
+            parts.watch.run(),
             self._watch_file(),
         ):
             self._tasks.append(asyncio.create_task(_keep_running(work)))
--- a/tests/router_fakes.py
+++ b/tests/router_fakes.py
@@ -25,7 +25,7 @@
     return b"".join(b"id: %d\ndata: %d\n\n" % (n, n) for n in numbers)
 
 
-def report(*, stalled=None, layers=None, sequence=0, is_busy=False):
+def report(*, stalled=None, layers=None, sequence=0, is_busy=False, slowness=1.0):
     """Return a runner's report."""
     return RunnerReport(
         sequence=sequence,
@@ -33,7 +33,7 @@
         waiting=0,
         running=0,
         kv_used_part=0.0,
-        slowness=1.0,
+        slowness=slowness,
         layers=layers,
         stalled=stalled or {},
     )
--- a/tests/test_rest_watch.py
+++ b/tests/test_rest_watch.py
@@ -11,7 +11,7 @@
 
 from router_fakes import FakeClient, make_routing, report
 from routing_samples import plain_server, runner
-from violethatch import _rest_watch
+from violethatch import _rest_watch, runner_paces
 from violethatch._rest_watch import RestWatch
 from violethatch.runner_health import Trouble
 
@@ -38,7 +38,7 @@
         routing = make_routing(client, A, B, rng=random.Random(1))
         for server in (A, B):
             routing.note_trouble(server, Trouble.SILENT, "r", "dead")
-        await RestWatch(routing).look()
+        await RestWatch(routing, rng=random.Random(1)).look()
         assert resting(routing) == {"b"}
 
     async def test_silent_runner_rests_on(self):
@@ -47,7 +47,7 @@
         routing.note_trouble(A, Trouble.SILENT, "r", "dead")
         routing.health.prolong("a", now_s=time.monotonic() - 2.0)
         ends_s = routing.settings.bounds.stall_s - 0.01
-        watch = RestWatch(routing)
+        watch = RestWatch(routing, rng=random.Random(1))
         await asyncio.sleep(0.05)
         assert resting(routing, in_s=ends_s) == set()
         await watch.look()
@@ -58,7 +58,7 @@
         routing = make_routing(FakeClient(), A, rng=random.Random(1))
         routing.note_trouble(A, Trouble.SILENT, "r", "dead")
         for _ in range(9):
-            await RestWatch(routing).look()
+            await RestWatch(routing, rng=random.Random(1)).look()
         longest_s = routing.settings.bounds.stall_s + 0.1
         assert resting(routing, in_s=longest_s) == set()
 
@@ -69,14 +69,14 @@
         client.reports["a"] = report()
         routing = make_routing(client, A, rng=random.Random(1))
         routing.note_trouble(A, trouble, "r", "")
-        await RestWatch(routing).look()
+        await RestWatch(routing, rng=random.Random(1)).look()
         assert resting(routing) == {"a"}
 
     async def test_plain_servers_are_not_asked(self):
         """They give no reports."""
         routing = make_routing(FakeClient(), plain_server("p"), rng=random.Random(1))
         routing.note_trouble(plain_server("p"), Trouble.SILENT, "r", "")
-        await RestWatch(routing).look()
+        await RestWatch(routing, rng=random.Random(1)).look()
         assert resting(routing, in_s=routing.settings.bounds.stall_s) == set()
 
     async def test_many_instances_ask_seldom(self, monkeypatch):
@@ -93,19 +93,29 @@
             routing = make_routing(AskedClient(), A, rng=random.Random(1))
             routing.instances = lambda count=instances: count
             routing.note_trouble(A, Trouble.SILENT, "r", "dead")
-            watch = RestWatch(routing)
+            watch = RestWatch(routing, rng=random.Random(1))
             for _ in range(6):
                 await watch.look()
                 routing.probes.forget("a")
                 await asyncio.sleep(0.06)
             assert (len(asked) > 1) == (most > 1)
 
+    async def test_slow_runner_is_asked_again(self, monkeypatch):
+        """Until it says that it is quick."""
+        monkeypatch.setattr(runner_paces, "_ASK_AGAIN_S", 0.0)
+        client = FakeClient()
+        client.reports["a"] = report(slowness=1.0)
+        routing = make_routing(client, A, rng=random.Random(1))
+        routing.paces.note("a", 12.0, now_s=time.monotonic())
+        await RestWatch(routing, rng=random.Random(1)).look()
+        assert routing.paces.slow(now_s=time.monotonic()) == {}
+
     async def test_looks_go_on(self):
         """The watch runs until it is cancelled."""
         client = FakeClient()
         client.reports["a"] = report()
         routing = make_routing(client, A, rng=random.Random(1))
-        watch = asyncio.create_task(RestWatch(routing).run())
+        watch = asyncio.create_task(RestWatch(routing, rng=random.Random(1)).run())
         for _ in range(2):
             routing.note_trouble(A, Trouble.SILENT, "r", "dead")
             async with asyncio.timeout(5):
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -262,6 +262,26 @@
         assert (got.end, len(client.repaths)) == ("whole", 1)
         assert time.monotonic() - started_s < 0.5
 
+    async def test_slow_runner_is_gone_around(self):
+        """One that says it is slow is left for another that holds its layers."""
+        moved = asyncio.Event()
+        client = FakeClient(FakeAnswer(events(1), moved, events(2)))
+        client.reports["head"] = report()
+        client.reports["tail"] = report(slowness=12.0)
+        client.on_repath = moved.set
+        got, routing = await serve(client, HEAD, TAIL, SPARE)
+        assert (got.end, len(client.sends)) == ("whole", 1)
+        assert [s.server.id for s in client.repaths[0][2].stages] == ["head", "spare"]
+        assert not routing.health.resting(now_s=time.monotonic())
+
+    async def test_slow_runner_without_another_is_waited_for(self):
+        """Nothing is given up for it."""
+        client = FakeClient(FakeAnswer(events(1), 0.12, events(2)))
+        client.reports["head"] = report()
+        client.reports["tail"] = report(slowness=12.0)
+        got, _ = await serve(client, HEAD, TAIL)
+        assert (got.end, client.repaths, len(client.sends)) == ("whole", [], 1)
+
     async def test_zone_that_is_silent_is_left_out(self):
         """Where several runners of a zone are dark, its others are not tried."""
         moved = asyncio.Event()
