Send callers elsewhere before an instance that is cut off has to refuse them

Cause: readiness was withdrawn only once calls with a key were refused (4.25 s after the newest proof); the balancer then takes up to 2 s more, in which callers are refused.

Ruled out: an earlier return for the refused (the balancer sends them to the same instance), shorter waits of reads (twice the calls).

Change: readiness ends at 0.65 of the bound on removed keys (3.25 s), taken calls at 0.85 as before.

--- a/src/violethatch/_router.py
+++ b/src/violethatch/_router.py
@@ -72,7 +72,8 @@
         """Whether callers should be sent here."""
         if self.stop_plan.is_stopping or self.desired is None:
             return False
-        return self.freshness.is_fresh(now_s=time.monotonic())
+        age_s = self.freshness.age_s(now_s=time.monotonic())
+        return age_s < min(self.settings.ready_limit_s, self.freshness.limit_s)
 
     async def serve(self, call: Call, responder: Responder) -> None:
         """Serve a call to its end.
--- a/src/violethatch/router_settings.py
+++ b/src/violethatch/router_settings.py
@@ -107,6 +107,9 @@
     #: The part of the bound on removed keys that a proof of the desired state
     #: may have; the rest covers the way to the backend server.
     proof_part: Ratio = 0.85
+    #: The part of that bound from which on callers are sent elsewhere: the balancer
+    #: takes some seconds, and calls with a key are refused soon.
+    ready_part: Ratio = 0.65
     #: Silence before a stream's first event, after which it is looked into.
     first_event_limit_s: Positive = 0.25
     #: Silence within a stream, after which it is looked into at the latest.
@@ -144,6 +147,11 @@
         """How old the proof of the desired state may be, in seconds."""
         return self.bounds.key_removal_ms / 1000 * self.policy.proof_part
 
+    @property
+    def ready_limit_s(self) -> float:
+        """How old that proof may be while callers are sent here, in seconds."""
+        return self.bounds.key_removal_ms / 1000 * self.policy.ready_part
+
 
 def load_router_settings(path: str | pathlib.Path) -> RouterSettings:
     """Read and validate a router's settings file.
