--- a/src/violethatch/_pace_link.py
+++ b/src/violethatch/_pace_link.py
@@ -5,7 +5,7 @@
 
 import time
 
-from ._peer_datagrams import PaceDatagram, PeerDatagrams
+from ._peer_datagrams import PaceDatagram, PeerDatagrams, SendAllowance
 from .runner_paces import RunnerPaces
 
 
@@ -24,19 +24,13 @@
     def __init__(self, datagrams: PeerDatagrams, paces: RunnerPaces) -> None:
         self._datagrams = datagrams
         self._paces = paces
-        self._second = 0
-        self._sent_in_second = 0
+        self._allowance = SendAllowance(most_a_second=_MOST_A_SECOND)
         datagrams.on(PaceDatagram, self._take)
 
     def tell(self, server_id: str, slowness: float) -> None:
         """Tell all instances of a runner's word; too many are not told."""
-        second = int(time.monotonic())
-        if second != self._second:
-            self._second = second
-            self._sent_in_second = 0
-        if self._sent_in_second >= _MOST_A_SECOND:
+        if not self._allowance.take():
             return
-        self._sent_in_second += 1
         directory = self._datagrams.directory
         for peer in directory.others():
             message = PaceDatagram(peer.token, directory.own.id, server_id, slowness)
--- a/src/violethatch/_peer_datagrams.py
+++ b/src/violethatch/_peer_datagrams.py
@@ -5,6 +5,7 @@
 
 import asyncio
 import hmac
+import time
 
 from collections.abc import Callable
 from typing import Any, cast
@@ -50,6 +51,30 @@
 Datagram = SightingsDatagram | LoadDatagram | PaceDatagram
 
 
+class SendAllowance:
+    """How often something may be sent to all instances.
+
+    Args:
+        most_a_second: The most sends in each second of the monotonic clock.
+    """
+
+    def __init__(self, *, most_a_second: int) -> None:
+        self._most_a_second = most_a_second
+        self._second = 0
+        self._sent = 0
+
+    def take(self) -> bool:
+        """Take one send; tell whether it was left."""
+        second = int(time.monotonic())
+        if second != self._second:
+            self._second = second
+            self._sent = 0
+        if self._sent >= self._most_a_second:
+            return False
+        self._sent += 1
+        return True
+
+
 class PeerDatagrams(asyncio.DatagramProtocol):
     """One socket for all datagrams between instances.
 
--- a/src/violethatch/_sighting_link.py
+++ b/src/violethatch/_sighting_link.py
@@ -7,7 +7,7 @@
 import time
 
 from . import events
-from ._peer_datagrams import PeerDatagrams, SightingsDatagram
+from ._peer_datagrams import PeerDatagrams, SendAllowance, SightingsDatagram
 from .runner_health import Trouble
 from .sightings import Hearsay, Sighting
 
@@ -34,8 +34,7 @@
         self._datagrams = datagrams
         self._hearsay = hearsay
         self._gathered: list[Sighting] = []
-        self._second = 0
-        self._sent_in_second = 0
+        self._allowance = SendAllowance(most_a_second=_MOST_A_SECOND)
         datagrams.on(SightingsDatagram, self._take)
 
     def tell(self, sighting: Sighting) -> None:
@@ -67,7 +66,7 @@
     def _send(self) -> None:
         """Send what was gathered to all instances."""
         gathered, self._gathered = self._gathered, []
-        if not self._count_datagram():
+        if not self._allowance.take():
             return  # the others meet the trouble by themselves
         seen = [
             (one.server_id, one.trouble.value, int(one.rest_s * _MS_PER_S))
@@ -78,17 +77,6 @@
             message = SightingsDatagram(peer.token, directory.own.id, seen)
             self._datagrams.send(peer, message)
 
-    def _count_datagram(self) -> bool:
-        """Count a datagram to all, if one more may be sent in this second."""
-        second = int(time.monotonic())
-        if second != self._second:
-            self._second = second
-            self._sent_in_second = 0
-        if self._sent_in_second >= _MOST_A_SECOND:
-            return False
-        self._sent_in_second += 1
-        return True
-
 
 def _sightings(message: SightingsDatagram) -> list[Sighting]:
     """Return the sightings in a datagram.
