--- a/tests/test_platform_process.py
+++ b/tests/test_platform_process.py
@@ -293,6 +293,8 @@
         await site.start()
         site.store.refuse_with = 503
         await site.wait_ready(503)
+        # Callers are sent elsewhere somewhat before keys count no more.
+        await site.wait_status(503)
         for runner in site.runners.values():
             runner.seen.clear()
         async with site.post() as answer:
