Say once that a range covers another, and once what the key bound is in seconds

Cause: placement tested for a covering range as the model's segments already did; two limits each turned the bound on removed keys into seconds; two tests built the same unanswered call.

Behaviour and assertions are the same; the whole suite passes.

--- a/src/violethatch/_segments.py
+++ b/src/violethatch/_segments.py
@@ -52,8 +52,6 @@
         tuple(
             Holding(one, engine.step_ms_of(engine.kinds[one.kind], layers.size))
             for one in holders
-            if one.layers
-            and one.layers.first <= layers.first
-            and layers.end <= one.layers.end
+            if one.layers and one.layers.covers(layers)
         ),
     )
--- a/src/violethatch/layers.py
+++ b/src/violethatch/layers.py
@@ -24,6 +24,13 @@
         """How many layers it has."""
         return self.end - self.first
 
+    def covers(self, other: LayerRange) -> bool:
+        """Tell whether all layers of another range are in this one.
+
+        .. versionadded:: 26.2.0
+        """
+        return self.first <= other.first and other.end <= self.end
+
 
 def tiles(ranges: Sequence[LayerRange], *, layer_count: int) -> bool:
     """Tell whether *ranges*, in order, cover each of the layers exactly once.
--- a/src/violethatch/placement.py
+++ b/src/violethatch/placement.py
@@ -143,7 +143,6 @@
     return any(
         other.held is not None
         and other.availability_zone == host.availability_zone
-        and other.held.first <= host.held.first
-        and host.held.end <= other.held.end
+        and other.held.covers(host.held)
         for other in others
     )
--- a/src/violethatch/router_settings.py
+++ b/src/violethatch/router_settings.py
@@ -69,6 +69,11 @@
     retry_ratio: Ratio
     retry_slack: Positive
 
+    @property
+    def key_removal_s(self) -> float:
+        """The bound on removed keys, in seconds."""
+        return self.key_removal_ms / 1000
+
     @property
     def leaving_s(self) -> float:
         """The bound on work for a server that is leaving, in seconds."""
@@ -145,12 +150,12 @@
     @property
     def proof_limit_s(self) -> float:
         """How old the proof of the desired state may be, in seconds."""
-        return self.bounds.key_removal_ms / 1000 * self.policy.proof_part
+        return self.bounds.key_removal_s * self.policy.proof_part
 
     @property
     def ready_limit_s(self) -> float:
         """How old that proof may be while callers are sent here, in seconds."""
-        return self.bounds.key_removal_ms / 1000 * self.policy.ready_part
+        return self.bounds.key_removal_s * self.policy.ready_part
 
 
 def load_router_settings(path: str | pathlib.Path) -> RouterSettings:
--- a/tests/test_plain_calls.py
+++ b/tests/test_plain_calls.py
@@ -51,6 +51,18 @@
     return responder
 
 
+def unanswered_call(*, target_s, wait_s):
+    """Return a call that may run once and gets no answer, and its routing."""
+    routing = make_routing(FakeClient(asyncio.Event()), *SERVERS, rng=random.Random(1))
+    route = call_route(
+        kind=CallKind.ONCE,
+        is_resumable=False,
+        splits=(Split("labels", 1.0),),
+        target_latency_s=target_s,
+    )
+    return PlainCall(routing, make_call(wait_s=wait_s), admitted(route)), routing
+
+
 class TestSafe:
     async def test_answer_passes_unchanged(self):
         """Status, headers and body are the server's."""
@@ -80,16 +92,7 @@
 
     async def test_silent_server_is_left_alone_by_others(self):
         """Also where the call may run once only, and its caller's time ends first."""
-        routing = make_routing(
-            FakeClient(asyncio.Event()), *SERVERS, rng=random.Random(1)
-        )
-        route = call_route(
-            kind=CallKind.ONCE,
-            is_resumable=False,
-            splits=(Split("labels", 1.0),),
-            target_latency_s=0.05,
-        )
-        call = PlainCall(routing, make_call(wait_s=0.3), admitted(route))
+        call, routing = unanswered_call(target_s=0.05, wait_s=0.3)
         serving = asyncio.create_task(call.serve(FakeResponder()))
         await asyncio.sleep(0.2)
         assert len(routing.health.resting(now_s=time.monotonic())) == 1
@@ -99,16 +102,7 @@
 
     async def test_caller_s_short_time_says_nothing(self):
         """A server that had less time than its target is not left alone."""
-        routing = make_routing(
-            FakeClient(asyncio.Event()), *SERVERS, rng=random.Random(1)
-        )
-        route = call_route(
-            kind=CallKind.ONCE,
-            is_resumable=False,
-            splits=(Split("labels", 1.0),),
-            target_latency_s=0.5,
-        )
-        call = PlainCall(routing, make_call(wait_s=0.05), admitted(route))
+        call, routing = unanswered_call(target_s=0.5, wait_s=0.05)
         with pytest.raises(DeadlineError):
             await call.serve(FakeResponder())
         assert not routing.health.resting(now_s=time.monotonic())
