Share new streams out over the paths of the own zone by an instance's place in it

Cause: each instance took the path that looked best by sums of loads a second old; with 195 instances all took the same one, from an empty fleet, after each return and at bursts.

Change: what the instances of a zone may begin before the news comes round is laid onto its paths in parts, and each takes the part at its own place. Other zones only from half full on. A search within a zone takes 0.2 ms instead of 2.3.

The correction of old sums by own changes times the instances goes: the parts stand for what others do meanwhile.

--- /dev/null
+++ b/src/violethatch/_path_choice.py
@@ -0,0 +1,257 @@
+# SPDX-License-Identifier: MIT
+"""The choice of paths: the own zone first, shared out among its instances."""
+
+from __future__ import annotations
+
+import functools
+import time
+
+from collections.abc import Callable, Mapping, Sequence
+from typing import NamedTuple
+
+from .backends import BackendServer, BackendTable
+from .desired import ServiceSpec
+from .engine_model import EngineSpec
+from .path_shares import ALONE, LIFE_S, PARTS, Place, UnseenStreams, lay_parts, pick
+from .paths import LayerMap, Path
+from .pipe_share import PipeShare
+from .runner_health import RunnerHealth
+from .runner_paces import RunnerPaces
+from .stream_loads import StreamLoads, fullness_added
+
+
+#: How full a path of the own zone may get before other zones' are looked at too.
+#: What stays in its zone needs no news from elsewhere, and a search within it takes
+#: a tenth of the time (0.2 against 2.3 ms over 38 and 190 runners).
+_ZONE_FULLNESS = 0.5
+#: From how full a first runner on, by its own word, parts are laid anew at once.
+_FULL = 0.9
+
+
+class _Maps(NamedTuple):
+    """Who holds which layers, by the list of one revision."""
+
+    revision: int
+    #: All runners.
+    whole: LayerMap
+    #: Those of the own zone.
+    zone: LayerMap
+
+
+class _Shares(NamedTuple):
+    """The parts of a service's streams, and when they were laid."""
+
+    maps: _Maps
+    paths: Sequence[Path]
+    laid_s: float
+
+    def is_of(self, maps: _Maps, *, now_s: float) -> bool:
+        """Tell whether the parts are of these maps, and new enough."""
+        return self.maps is maps and now_s - self.laid_s < LIFE_S
+
+
+class _View(NamedTuple):
+    """What a search leaves out, and what else it goes by."""
+
+    left_out: frozenset[str]
+    paces: Mapping[str, float]
+    pipe_fullness: float
+
+
+class PathChoice:
+    """Chooses paths for one instance.
+
+    Args:
+        zone: The instance's availability zone.
+        backends: The listed runners.
+        health: Who is left alone.
+        paces: Who is slow.
+        loads: How full runners are.
+        pipe: Which requests may cross between zones.
+    """
+
+    def __init__(
+        self,
+        zone: str,
+        *,
+        backends: BackendTable,
+        health: RunnerHealth,
+        paces: RunnerPaces,
+        loads: StreamLoads,
+        pipe: PipeShare,
+    ) -> None:
+        self._zone = zone
+        self._backends = backends
+        self._health = health
+        self._paces = paces
+        self._loads = loads
+        self._pipe = pipe
+        self._unseen = UnseenStreams()
+        self._maps: dict[str, _Maps] = {}
+        self._shares: dict[str, _Shares] = {}
+        #: Tells the own place among the zone's instances.
+        self.place: Callable[[], Place] = lambda: ALONE
+        #: Tells how many instances are known to serve; 0 where none is.
+        self.instances: Callable[[], int] = lambda: 0
+
+    def path(
+        self,
+        service: ServiceSpec,
+        *,
+        avoided: frozenset[str] = frozenset(),
+        first: BackendServer | None = None,
+        may_doubt: bool = False,
+    ) -> Path | None:
+        """Return the path to send along; see `Routing.path`."""
+        if service.engine is None:
+            return None
+        now_s = time.monotonic()
+        maps = self._maps_of(service, service.engine)
+        for left_out in self._left_out(avoided, may_doubt=may_doubt, now_s=now_s):
+            view = self._view(left_out, now_s=now_s)
+            if first is None:
+                path = self._shared_path(service.name, maps, view, now_s=now_s)
+            else:
+                path = self._path_after(first, maps, view, now_s=now_s)
+            if path is not None:
+                return self._within_pipe(path, maps, view, first, now_s=now_s)
+        return None
+
+    def has_holders(self, service: ServiceSpec) -> bool:
+        """Tell whether all layers have holders, however full or far they are."""
+        if service.engine is None:
+            return False
+        maps = self._maps_of(service, service.engine)
+        return maps.whole.find(zone=self._zone) is not None
+
+    def began(self) -> None:
+        """Count a stream that this instance begins."""
+        self._unseen.began(now_s=time.monotonic())
+
+    def _left_out(
+        self, avoided: frozenset[str], *, may_doubt: bool, now_s: float
+    ) -> list[frozenset[str]]:
+        """Return whom to leave out, and whom if that leaves no path."""
+        resting = self._health.resting(now_s=now_s)
+        shunned = self._health.shunned(now_s=now_s)
+        if may_doubt and shunned != resting:
+            return [resting | avoided, shunned | avoided]
+        return [resting | avoided]
+
+    def _view(self, left_out: frozenset[str], *, now_s: float) -> _View:
+        """Return what searches go by now."""
+        return _View(
+            left_out,
+            self._paces.slow(now_s=now_s),
+            self._loads.pipe_fullness(now_s=now_s),
+        )
+
+    def _shared_path(
+        self, service: str, maps: _Maps, view: _View, *, now_s: float
+    ) -> Path | None:
+        """Return the path of this instance's share of new streams."""
+        position = self.place().position
+        shares = self._shares.get(service)
+        if shares is not None and shares.is_of(maps, now_s=now_s):
+            path = pick(shares.paths, position, left_out=view.left_out)
+            if path is not None and not self._is_full(path.first, maps, now_s=now_s):
+                return path
+        paths = self._lay(maps, view, now_s=now_s)
+        self._shares[service] = _Shares(maps, paths, now_s)
+        return pick(paths, position, left_out=view.left_out)
+
+    def _is_full(self, first: BackendServer, maps: _Maps, *, now_s: float) -> bool:
+        """Tell whether a first runner has filled up since parts were laid."""
+        fullness = self._loads.fullness(first, maps.whole.engine, now_s=now_s)
+        return fullness >= _FULL
+
+    def _lay(self, maps: _Maps, view: _View, *, now_s: float) -> list[Path]:
+        """Lay what the zone's instances may begin onto paths."""
+        unseen = self._unseen.expected(
+            instances=self.place().instances,
+            news_age_s=self._loads.others_age_s(now_s=now_s),
+            now_s=now_s,
+        )
+        engine = maps.whole.engine
+        added = functools.partial(fullness_added, engine=engine, streams=unseen / PARTS)
+        find = functools.partial(self._find_near, maps, view)
+        fullness = self._loads.fullness_of(maps.whole, now_s=now_s)
+        return lay_parts(find, fullness, added=added)
+
+    def _find_near(
+        self, maps: _Maps, view: _View, fullness: Mapping[str, float]
+    ) -> Path | None:
+        """Return the best path of the own zone, or of all where that is full."""
+        path = self._find(maps.zone, view, fullness)
+        if path is not None and _fullest(path, fullness) < _ZONE_FULLNESS:
+            return path
+        return self._find(maps.whole, view, fullness) or path
+
+    def _path_after(
+        self, first: BackendServer, maps: _Maps, view: _View, *, now_s: float
+    ) -> Path | None:
+        """Return the best path that begins at a runner."""
+        fullness = self._loads.fullness_of(maps.whole, now_s=now_s)
+        return self._find(maps.whole, view, fullness, first=first)
+
+    def _within_pipe(
+        self,
+        path: Path,
+        maps: _Maps,
+        view: _View,
+        first: BackendServer | None,
+        *,
+        now_s: float,
+    ) -> Path | None:
+        """Return a path, or one without the hops that the pipe has no room for."""
+        if not path.crossings or self._may_cross(path, maps, now_s=now_s):
+            return path
+        fullness = self._loads.fullness_of(maps.whole, now_s=now_s)
+        return self._find(maps.whole, view, fullness, first=first, may_cross=False)
+
+    def _may_cross(self, path: Path, maps: _Maps, *, now_s: float) -> bool:
+        """Tell whether a path's hops between zones are this instance's to take."""
+        crossing_ms = maps.whole.engine.crossing_ms
+        cost_ms = path.crossings * crossing_ms * max(1, self.instances())
+        return self._pipe.may_cross(cost_ms, now_s=now_s)
+
+    def _find(
+        self,
+        layer_map: LayerMap,
+        view: _View,
+        fullness: Mapping[str, float],
+        *,
+        first: BackendServer | None = None,
+        may_cross: bool = True,
+    ) -> Path | None:
+        """Search for the best path over some runners."""
+        return layer_map.find(
+            zone=self._zone,
+            left_out=view.left_out,
+            fullness=fullness,
+            paces=view.paces,
+            first=first,
+            pipe_fullness=view.pipe_fullness,
+            may_cross=may_cross,
+        )
+
+    def _maps_of(self, service: ServiceSpec, engine: EngineSpec) -> _Maps:
+        """Return who holds which layers, made anew when the list has changed."""
+        known = self._maps.get(service.name)
+        revision = self._backends.revision
+        if (
+            known is not None
+            and known.revision == revision
+            and known.whole.engine is engine
+        ):
+            return known
+        servers = self._backends.usable(service.name)
+        near = [one for one in servers if one.availability_zone == self._zone]
+        maps = _Maps(revision, LayerMap(servers, engine), LayerMap(near, engine))
+        self._maps[service.name] = maps
+        return maps
+
+
+def _fullest(path: Path, fullness: Mapping[str, float]) -> float:
+    """Return how full the fullest runner of a path is."""
+    return max(fullness.get(stage.server.id, 0.0) for stage in path.stages)
--- a/src/violethatch/_routing.py
+++ b/src/violethatch/_routing.py
@@ -3,18 +3,18 @@
 
 from __future__ import annotations
 
-import functools
 import random
 import time
 
 from collections.abc import Callable, Collection, Iterable
 
 from . import events
+from ._path_choice import PathChoice
 from ._probes import Probes
 from .backends import BackendServer, BackendTable
 from .desired import ServiceSpec
-from .engine_model import EngineSpec
-from .paths import LayerMap, Path
+from .path_shares import Place
+from .paths import Path
 from .pipe_share import PipeShare
 from .progress import Progress
 from .retries import RetryBudget
@@ -48,13 +48,18 @@
         self.tell_pace: Callable[[str, float], None] = lambda _id, _slowness: None
         self.progress = Progress(longest_silence_s=settings.policy.gap_limit_s)
         self.choice = ServerChoice(rng)
-        self.pipe = PipeShare(rng)
         #: Tells how many instances are known to serve; 0 where none is.
         self.instances: Callable[[], int] = lambda: 0
         self.loads = StreamLoads()
         self._budgets: dict[str, RetryBudget] = {}
-        #: By service, the list's revision that a map was made from, and the map.
-        self._layer_maps: dict[str, tuple[int, LayerMap]] = {}
+        self._paths = PathChoice(
+            settings.instance.availability_zone,
+            backends=self.backends,
+            health=self.health,
+            paces=self.paces,
+            loads=self.loads,
+            pipe=PipeShare(rng),
+        )
 
     def take_settings(self, settings: RouterSettings) -> None:
         """Take changed settings in."""
@@ -93,50 +98,44 @@
             may_doubt: Whether runners that may only be full are used where the
                 others don't hold all layers.
         """
-        if service.engine is None:
-            return None
-        now_s = time.monotonic()
-        layer_map = self._layer_map(service, service.engine)
-        find = functools.partial(
-            layer_map.find,
-            zone=self.settings.instance.availability_zone,
-            fullness=self.loads.fullness_of(layer_map, now_s=now_s),
-            paces=self.paces.slow(now_s=now_s),
-            first=first,
-            pipe_fullness=self.loads.pipe_fullness(now_s=now_s),
+        self.expire()
+        return self._paths.path(
+            service, avoided=avoided, first=first, may_doubt=may_doubt
         )
-        resting = self.health.resting(now_s=now_s)
-        left_out = resting | avoided
-        path = find(left_out=left_out)
-        shunned = self.health.shunned(now_s=now_s)
-        if path is None and may_doubt and shunned != resting:
-            left_out = shunned | avoided
-            path = find(left_out=left_out)
-        if path is None or self._may_cross(path, service.engine, now_s=now_s):
-            return path
-        return find(left_out=left_out, may_cross=False)
 
     def has_holders(self, service: ServiceSpec) -> bool:
         """Tell whether all layers have holders, however full or far they are."""
-        if service.engine is None:
-            return False
-        zone = self.settings.instance.availability_zone
-        return self._layer_map(service, service.engine).find(zone=zone) is not None
+        self.expire()
+        return self._paths.has_holders(service)
+
+    def stream_began(self) -> None:
+        """Count a stream that this instance begins."""
+        self._paths.began()
 
-    def _may_cross(self, path: Path, engine: EngineSpec, *, now_s: float) -> bool:
-        """Tell whether a path's hops between zones are this instance's to take."""
-        if not path.crossings:
-            return True
-        cost_ms = path.crossings * engine.crossing_ms * max(1, self.instances())
-        return self.pipe.may_cross(cost_ms, now_s=now_s)
+    def know_instances(
+        self, *, count: Callable[[], int], place: Callable[[], Place]
+    ) -> None:
+        """Take in who tells of the other instances.
+
+        Args:
+            count: Tells how many are known to serve; 0 where none is.
+            place: Tells the own place among those of the own zone.
+        """
+        self.instances = count
+        self._paths.instances = count
+        self._paths.place = place
 
     def usable(self, service: str) -> list[BackendServer]:
         """Return a service's servers that may get new work."""
+        self.expire()
+        return self.backends.usable(service)
+
+    def expire(self) -> None:
+        """Let go of servers whose entries lapsed while the store was away."""
         expired = self.backends.expire(now_s=time.monotonic())
         if expired:
             events.log(events.SERVER_GONE, server_ids=list(expired), reason="lapsed")
             self.forget(expired)
-        return self.backends.usable(service)
 
     def forget(self, server_ids: Iterable[str]) -> None:
         """Forget what was learnt of servers that are no longer listed."""
@@ -213,17 +212,6 @@
             trouble=trouble.value,
         )
 
-    def _layer_map(self, service: ServiceSpec, engine: EngineSpec) -> LayerMap:
-        """Return who holds which layers, made anew when the list has changed."""
-        servers = self.usable(service.name)
-        known = self._layer_maps.get(service.name)
-        revision = self.backends.revision
-        if known is not None and known[0] == revision and known[1].engine is engine:
-            return known[1]
-        layer_map = LayerMap(servers, engine)
-        self._layer_maps[service.name] = (revision, layer_map)
-        return layer_map
-
     def _note(self, server_id: str, trouble: Trouble) -> None:
         """Leave a server alone for a while, and tell other instances."""
         rest_s = self.health.note(server_id, trouble, now_s=time.monotonic())
--- a/src/violethatch/_streams.py
+++ b/src/violethatch/_streams.py
@@ -108,6 +108,7 @@
         Raises:
             VioletHatchError: Nothing of an answer was given to the caller.
         """
+        self._routing.stream_began()
         while True:
             if self.sends and not self._may_send_again():
                 break
--- a/src/violethatch/instances.py
+++ b/src/violethatch/instances.py
@@ -17,6 +17,7 @@
 from typing import NamedTuple
 
 from .membership import rendezvous
+from .path_shares import ALONE, Place
 
 
 #: The most instances that follow one reader: a desired state of 300 KB goes out
@@ -35,6 +36,8 @@
 _HELPERS_A_ZONE = 2
 #: Keys the rendezvous hash that ranks the readers.
 _READER_JOB = "reader"
+#: Keys the rendezvous hash that gives each its place in its zone.
+_PLACE_JOB = "place"
 
 
 class InstanceEntry(NamedTuple):
@@ -72,6 +75,9 @@
         self.revision = 0
         self._entries: dict[str, InstanceEntry] = {}
         self._down_until_s: dict[str, float] = {}
+        #: The own place, and the revision that it is of.
+        self._place = ALONE
+        self._place_revision = 0
 
     def __len__(self) -> int:
         return len(self._entries)
@@ -127,6 +133,22 @@
         order = rendezvous(job, ids | {self.own.id}, count=len(ids) + 1)
         return order.index(self.own.id)
 
+    def place(self) -> Place:
+        """Return where this instance stands among those of its zone.
+
+        Who is thought to be down counts too: places that change with each doubt
+        would move streams to other runners.
+        """
+        if self._place_revision != self.revision:
+            zone = self.own.availability_zone
+            ids = {one.id for one in self.others() if one.availability_zone == zone} | {
+                self.own.id
+            }
+            rank = rendezvous(_PLACE_JOB, ids, count=len(ids)).index(self.own.id)
+            self._place = Place((rank + 0.5) / len(ids), len(ids))
+            self._place_revision = self.revision
+        return self._place
+
     def others(self) -> list[InstanceEntry]:
         """Return all other instances."""
         return [one for one in self._entries.values() if one.id != self.own.id]
--- /dev/null
+++ b/src/violethatch/path_shares.py
@@ -0,0 +1,145 @@
+# SPDX-License-Identifier: MIT
+"""Shares of new streams for the paths that would fill before anybody sees it.
+
+Load pattern: many instances begin streams at the same moment, each with news of
+the runners that is older than a stream takes to arrive: an empty fleet at the
+start of traffic, the return of a zone or of all processes, a burst.  If each takes
+the path that looks best, all take the same one; 195 instances sent a third of
+their streams to one first runner, and those streams waited for room.
+
+What all instances of a zone may begin before the news comes round is therefore
+laid onto the zone's paths in parts, one after the other, each on the path that is
+best with the earlier parts counted in.  An instance takes the part at its own
+place among the zone's instances.  All compute nearly the same parts, so that
+together they spread as the parts do, without asking each other; and one instance
+keeps to few first runners, whose connections stay open.
+
+.. versionadded:: 26.2.0
+"""
+
+from __future__ import annotations
+
+import collections
+import math
+
+from collections.abc import Callable, Collection, Mapping, Sequence
+from typing import NamedTuple
+
+from .paths import Path
+
+
+#: Into how many parts unseen streams are laid.  More parts spread finer and cost a
+#: search each; from 8 to 16 the busiest of a zone's chains fell by 0.02 of the mean
+#: only (simulated, 195 instances).
+PARTS = 8
+#: For how long the parts are used, in seconds: much less than the age of the news
+#: that they are made from.
+LIFE_S = 0.5
+#: How many times the streams are laid out that an instance's own beginnings let
+#: expect: arrivals within the age of news vary by about as much as their mean.
+MARGIN = 2.0
+#: Over how long own beginnings are counted at least, in seconds.
+LEAST_SPAN_S = 1.0
+
+
+class Place(NamedTuple):
+    """An instance's place among the instances of its availability zone.
+
+    Attributes:
+        position: Where it stands between the first (0) and the last (1).
+        instances: How many there are.
+
+    .. versionadded:: 26.2.0
+    """
+
+    position: float
+    instances: int
+
+
+#: The place of an instance that knows of no other.
+ALONE = Place(0.0, 1)
+
+
+def lay_parts(
+    find: Callable[[Mapping[str, float]], Path | None],
+    fullness: Mapping[str, float],
+    *,
+    added: Callable[[Path], Mapping[str, float]],
+    parts: int = PARTS,
+) -> list[Path]:
+    """Return the path of each part of the streams that nobody sees yet.
+
+    Args:
+        find: Returns the best path, given how full runners are.
+        fullness: By runner's id, how full it is known to be.
+        added: By runner's id, how much fuller one part makes a path's runners.
+        parts: How many parts there are.
+
+    Returns:
+        One path a part, those with the same first runner side by side; fewer where
+        there is no path.
+
+    .. versionadded:: 26.2.0
+    """
+    thought = dict(fullness)
+    paths: list[Path] = []
+    for _ in range(parts):
+        path = find(thought)
+        if path is None:
+            break
+        paths.append(path)
+        for server_id, more in added(path).items():
+            thought[server_id] = thought.get(server_id, 0.0) + more
+    return sorted(paths, key=_order)
+
+
+def pick(
+    paths: Sequence[Path], position: float, *, left_out: Collection[str]
+) -> Path | None:
+    """Return the part at a position, or the next that uses no runner left out.
+
+    .. versionadded:: 26.2.0
+    """
+    start = math.floor(position * len(paths))
+    for path in (*paths[start:], *paths[:start]):
+        if path.server_ids.isdisjoint(left_out):
+            return path
+    return None
+
+
+class UnseenStreams:
+    """How many streams of its zone an instance can't have heard of yet.
+
+    .. versionadded:: 26.2.0
+    """
+
+    def __init__(self) -> None:
+        self._begun_s: collections.deque[float] = collections.deque()
+
+    def began(self, *, now_s: float) -> None:
+        """Count a stream of this instance."""
+        self._begun_s.append(now_s)
+
+    def expected(
+        self, *, instances: int, news_age_s: float | None, now_s: float
+    ) -> float:
+        """Return how many streams all instances of the zone may have begun.
+
+        Each is taken to begin what this one does, and one at the least: an
+        instance that has just started knows nothing of how much work comes.
+
+        Args:
+            instances: The instances of the zone.
+            news_age_s: The age of what is known of their streams, in seconds, or
+                None if nothing is.
+            now_s: The current monotonic time, in seconds.
+        """
+        span_s = max(LEAST_SPAN_S, (news_age_s or 0.0) + LIFE_S)
+        while self._begun_s and now_s - self._begun_s[0] > span_s:
+            self._begun_s.popleft()
+        return MARGIN * instances * max(1, len(self._begun_s))
+
+
+def _order(path: Path) -> tuple[str, ...]:
+    """Sort key of paths: alike at all instances, and by first runner."""
+    return tuple(stage.server.id for stage in path.stages)
--- a/src/violethatch/paths.py
+++ b/src/violethatch/paths.py
@@ -29,8 +29,9 @@
 #: How many times its time in the pipe between zones a prompt's hidden states
 #: cost: all requests share the pipe, in turn.
 _PIPE_WEIGHT = 10.0
-#: From here on a runner counts as full.
-_MOST_FULLNESS = 0.95
+#: From here on a runner counts as full: time grows on by the slope that it has there,
+#: so that of two full runners the fuller one still counts as slower.
+_FULL = 0.95
 #: The most stages of a path (the engines' limit).
 MAX_STAGES = 32
 
@@ -252,7 +253,9 @@
 
     As in a queue, time grows with what is taken of what is left.
     """
-    return 1.0 / (1.0 - min(_MOST_FULLNESS, fullness))
+    left = 1.0 - min(_FULL, fullness)
+    beyond = max(0.0, fullness - _FULL)
+    return 1.0 / left + beyond / (left * left)
 
 
 def _pipe_ms(engine: EngineSpec, fullness: float) -> float:
--- a/src/violethatch/platform/_following.py
+++ b/src/violethatch/platform/_following.py
@@ -105,7 +105,9 @@
             await self._datagrams.start(self._settings.listen.peers)
             self._router.routing.tell = self._sightings.tell
             self._router.routing.tell_pace = self._pace_link.tell
-            self._router.routing.instances = self._directory.__len__
+            self._router.routing.know_instances(
+                count=self._directory.__len__, place=self._directory.place
+            )
 
     def work(self) -> list[Coroutine[Any, Any, None]]:
         """Return all that has to run until the process ends."""
--- a/src/violethatch/stream_loads.py
+++ b/src/violethatch/stream_loads.py
@@ -29,8 +29,6 @@
 _ROUNDING = 1e-6
 #: How long a first runner's word counts, in seconds; some requests' time.
 _TOLD_LIFE_S = 2.0
-#: Own totals that are kept, a few seconds' at four a second.
-_MOST_SNAPSHOTS = 16
 _NO_STREAMS = ServerTotals(0, 0.0)
 
 
@@ -55,12 +53,6 @@
         self._told_by_first: dict[str, _Told] = {}
         self._others: LoadTotals = NOTHING
         self._others_taken_s = 0.0
-        #: What this instance had itself, at the times when it took others' sums in.
-        self._own_before: collections.deque[tuple[float, LoadTotals]] = (
-            collections.deque(maxlen=_MOST_SNAPSHOTS)
-        )
-        #: What it had itself when the others' sum was true.
-        self._own_then: LoadTotals = NOTHING
 
     @property
     def others(self) -> LoadTotals:
@@ -71,11 +63,6 @@
         """Take in what all other instances have."""
         self._others = others
         self._others_taken_s = now_s
-        self._own_before.append((now_s, self.own_totals(now_s=now_s)))
-        true_s = now_s - others.age_s
-        self._own_then = min(
-            self._own_before, key=lambda snapshot: abs(snapshot[0] - true_s)
-        )[1]
 
     def others_age_s(self, *, now_s: float) -> float | None:
         """Return the age of the others' sum in seconds, or None without any."""
@@ -139,10 +126,10 @@
 
         Its room is its KV cache, and its slots for streams that begin there.
         """
-        thought = self.totals_at(server.id)
-        streams = max(thought.streams, self._told_streams(server, now_s=now_s))
+        known = self.totals_at(server.id)
+        streams = max(known.streams, self._told_streams(server, now_s=now_s))
         slots_taken = streams / max(1, server.slots)
-        return max(slots_taken, _kv_cache_taken(server, engine, thought.token_layers))
+        return max(slots_taken, _kv_cache_taken(server, engine, known.token_layers))
 
     def forget(self, server_id: str) -> None:
         """Forget a runner that is no longer listed."""
@@ -160,24 +147,11 @@
         return sum(took_ms for _, took_ms in self._crossings) / _PIPE_SPAN_S
 
     def totals_at(self, server_id: str) -> ServerTotals:
-        """Return what all instances are thought to have at a server by now.
-
-        The others' sum is some ticks old.  Meanwhile they have met what this
-        instance has met, and are taken to have done as it did: without that, all
-        send to the same server until its load comes round, and then all to the next.
-        """
-        number = server_number(server_id)
-        told = self._others.servers.get(number, _NO_STREAMS)
-        then = self._own_then.servers.get(number, _NO_STREAMS)
-        own_streams = self._own_by_first.get(server_id, 0)
-        own_token_layers = self._own_token_layers.get(server_id, 0.0)
-        count = self._others.instances
-        streams = told.streams + count * (own_streams - then.streams)
-        token_layers = told.token_layers + count * (
-            own_token_layers - then.token_layers
-        )
+        """Return what all instances are known to have at a server."""
+        told = self._others.servers.get(server_number(server_id), _NO_STREAMS)
         return ServerTotals(
-            own_streams + max(0, streams), own_token_layers + max(0.0, token_layers)
+            told.streams + self._own_by_first.get(server_id, 0),
+            told.token_layers + self._own_token_layers.get(server_id, 0.0),
         )
 
     def _told_streams(self, server: BackendServer, *, now_s: float) -> int:
@@ -197,6 +171,25 @@
             self._own_token_layers.pop(stage.server.id, None)
 
 
+def fullness_added(
+    path: Path, engine: EngineSpec, *, streams: float
+) -> dict[str, float]:
+    """Return, by runner, how much fuller some usual streams make a path's runners.
+
+    .. versionadded:: 26.2.0
+    """
+    tokens = streams * engine.usual_tokens
+    added = {
+        stage.server.id: _kv_cache_taken(
+            stage.server, engine, tokens * stage.layers.size
+        )
+        for stage in path.stages
+    }
+    slots_taken = streams / max(1, path.first.slots)
+    added[path.first.id] = max(added[path.first.id], slots_taken)
+    return added
+
+
 def _kv_cache_taken(
     server: BackendServer, engine: EngineSpec, token_layers: float
 ) -> float:
