--- a/src/violethatch/_plain_calls.py
+++ b/src/violethatch/_plain_calls.py
@@ -184,7 +184,8 @@
             priority=self._admitted.priority,
             workspace=self._admitted.workspace_name,
             last_event_id=None,
-            is_connection_fresh=not self._route.is_repeatable,
+            # The first send may have been lost with a connection that had rested.
+            is_connection_fresh=not self._route.is_repeatable or self.runs > 0,
         )
 
     async def _read(self, answer: Answer, server_id: str) -> _Whole | None:
--- a/src/violethatch/_streams.py
+++ b/src/violethatch/_streams.py
@@ -169,7 +169,8 @@
             priority=self._admitted.priority,
             workspace=self._admitted.workspace_name,
             last_event_id=self._progress.last_id,
-            is_connection_fresh=not self._route.is_resumable,
+            # The first run may have been lost with a connection that had rested.
+            is_connection_fresh=not self._route.is_resumable or self.runs > 0,
         )
         run = StreamRun(self._routing, self._service, send, path, tokens=self._tokens)
         run.count_in()
--- a/src/violethatch/platform/_runners.py
+++ b/src/violethatch/platform/_runners.py
@@ -6,7 +6,7 @@
 import asyncio
 import time
 
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Collection
 from typing import Any
 
 import aiohttp
@@ -43,6 +43,10 @@
 _LAST_PRIORITY = 9
 #: How long a report may take, in seconds: a slow way and back, and its work.
 _REPORT_S = 0.25
+#: After how long it is asked for on a new connection as well, in seconds: the kept one
+#: may have gone silent for good, which says nothing of the runner.  Reports take 2 to
+#: 5 ms at runners that are there.
+_DOUBT_S = 0.05
 #: How long an order's answer may take, in seconds.
 _ORDER_S = 1.0
 
@@ -139,26 +143,33 @@
 
     async def report(self, server: BackendServer) -> RunnerReport | None:
         """Return a runner's report, or None if none came in time."""
-        url = f"http://{server.address}/api/report"
+        kept = asyncio.create_task(self._ask_report(self._kept, server))
+        asked = {kept}
         try:
             async with asyncio.timeout(_REPORT_S):
-                async with self._kept.get(url) as answer:
-                    body = await answer.read()
-            if answer.status != _OK:
-                return None
-            report = self._report.decode(body)
-        except (TimeoutError, aiohttp.ClientError, OSError, ValueError):
+                await asyncio.wait(asked, timeout=_DOUBT_S)
+                if not kept.done():
+                    asked.add(
+                        asyncio.create_task(self._ask_report(self._fresh, server))
+                    )
+                report = await _first_result(asked)
+        except TimeoutError:
             return None  # the caller logs what it makes of that
-        return RunnerReport(
-            sequence=report.sequence,
-            is_busy=report.busy,
-            waiting=report.waiting,
-            running=report.running,
-            kv_used_part=report.kv_used / report.kv_total if report.kv_total else 0.0,
-            slowness=report.pace,
-            layers=held_range(report.layers),
-            stalled={one.id: one.address for one in report.stalled},
-        )
+        finally:
+            for one in asked:
+                one.cancel()
+        return _runner_report(report) if report is not None else None
+
+    async def _ask_report(
+        self, session: aiohttp.ClientSession, server: BackendServer
+    ) -> Report | None:
+        """Return a runner's report as it came, or None if it gives none."""
+        try:
+            async with session.get(f"http://{server.address}/api/report") as answer:
+                body = await answer.read()
+            return self._report.decode(body) if answer.status == _OK else None
+        except (aiohttp.ClientError, OSError, ValueError):
+            return None
 
     async def repath(
         self, server: BackendServer, call_id: str, path: Path
@@ -208,6 +219,31 @@
         return OrderAnswer(outcome, _named_address(body))
 
 
+async def _first_result(
+    asked: Collection[asyncio.Task[Report | None]],
+) -> Report | None:
+    """Return the first report that comes, or None if all fail."""
+    for next_done in asyncio.as_completed(asked):
+        report = await next_done
+        if report is not None:
+            return report
+    return None
+
+
+def _runner_report(report: Report) -> RunnerReport:
+    """Return a report in the product's words."""
+    return RunnerReport(
+        sequence=report.sequence,
+        is_busy=report.busy,
+        waiting=report.waiting,
+        running=report.running,
+        kv_used_part=report.kv_used / report.kv_total if report.kv_total else 0.0,
+        slowness=report.pace,
+        layers=held_range(report.layers),
+        stalled={one.id: one.address for one in report.stalled},
+    )
+
+
 def _request_headers(send: Send) -> CIMultiDict[str]:
     """Return the headers of a send."""
     left_ms = max(1.0, (send.deadline_s - time.monotonic()) * _MS_PER_S)
--- a/src/violethatch/platform/_sessions.py
+++ b/src/violethatch/platform/_sessions.py
@@ -22,6 +22,12 @@
 _KEEP_S = 4.0
 #: After how long unacknowledged bytes end a connection, in ms.
 _UNACKED_MS = 3000
+#: After how long without bytes the kernel asks whether a connection's peer is there,
+#: how long it waits for a word, in seconds, and how often it asks.  A connection may
+#: go silent for good; one that rests is found out so before a request is sent on it.
+_PROBE_AFTER_S = 1
+_PROBE_EVERY_S = 1
+_MOST_PROBES = 2
 #: What aiohttp would add to a request.
 _NOT_ADDED = ("Accept", "Accept-Encoding", "User-Agent", "Content-Type")
 #: How much of an answer is read ahead of who takes it, in bytes.
@@ -45,6 +51,10 @@
     made = socket.socket(family, kind, protocol)
     made.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     made.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, _UNACKED_MS)
+    made.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    made.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, _PROBE_AFTER_S)
+    made.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, _PROBE_EVERY_S)
+    made.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, _MOST_PROBES)
     return made
 
 
--- a/src/violethatch_emulator/faults.py
+++ b/src/violethatch_emulator/faults.py
@@ -27,6 +27,8 @@
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
         self._tasks: set[asyncio.Task[None]] = set()
+        #: Those of connections that have gone silent.
+        self._silenced: set[asyncio.Task[None]] = set()
         self._thawed = asyncio.Event()
         self._thawed.set()
         self.delay_s = 0.0
@@ -67,6 +69,10 @@
         """Hold bytes back, as a half-open connection does."""
         self._thawed.clear()
 
+    def silence(self) -> None:
+        """Let the connections that are open now pass nothing any more, for good."""
+        self._silenced |= set(self._tasks)
+
     def drop_connections(self) -> None:
         """Reset the connections that are open now."""
         for writer in list(self._writers):
@@ -95,6 +101,7 @@
             for pump in pumps:
                 pump.cancel()
                 self._tasks.discard(pump)
+                self._silenced.discard(pump)
             self._writers -= {writer, upstream[1]}
             writer.transport.abort()
             upstream[1].transport.abort()
@@ -111,6 +118,8 @@
                 if self.delay_s:
                     await asyncio.sleep(self.delay_s)
                 await self._thawed.wait()
+                if asyncio.current_task() in self._silenced:
+                    await asyncio.Event().wait()
                 if answers and not self._lets_through(len(chunk)):
                     return
                 writer.write(chunk)
--- /dev/null
+++ b/tests/test_silent_connections.py
@@ -0,0 +1,98 @@
+# SPDX-License-Identifier: MIT
+"""Connections that go silent for good, without a reset, while new ones work."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import time
+
+import pytest
+
+from test_platform_process import Site, event_ids
+from violethatch.platform._sessions import _make_socket
+from violethatch_emulator.faults import FaultProxy
+
+
+class SilentSite(Site):
+    """A site whose store and runners are reached through proxies."""
+
+    def __init__(self, path):
+        super().__init__(path)
+        self.proxies = []
+
+    async def _serve(self, application):
+        port = await super()._serve(application)
+        proxy = FaultProxy(port=port)
+        self.proxies.append(proxy)
+        return await proxy.start()
+
+    async def stop(self):
+        await super().stop()
+        for proxy in self.proxies:
+            await proxy.stop()
+
+    def silence(self):
+        """Let all open connections to the store and to runners go silent."""
+        for proxy in self.proxies:
+            proxy.silence()
+
+
+@pytest.fixture
+async def site(tmp_path):
+    """Provide a site that is started."""
+    made = SilentSite(tmp_path)
+    await made.start()
+    yield made
+    await made.stop()
+
+
+class TestSilentConnections:
+    async def test_changes_still_come(self, site):
+        """A read of the store that is never answered is given up on."""
+        site.silence()
+        site.configure(version=2, keys=("k2",))
+        started_s = time.monotonic()
+        await site.wait_status(200, Authorization="Token k2")
+        # A read waits for 0.3 s and its answer for 0.8 more; then a short pause.
+        assert time.monotonic() - started_s < 3.0
+
+    async def test_stream_under_way_goes_on(self, site):
+        """A stream whose connection falls silent is taken up over another."""
+        for runner in site.runners.values():
+            runner.pause_s = 0.1
+        async with site.post(call_id="under-way") as answer:
+            await answer.content.readuntil(b"data: 2\n\n")
+            site.silence()
+            rest = await answer.content.read()
+        assert event_ids(rest) == list(range(3, 9))
+
+    async def test_idle_connection_is_not_trusted(self, site):
+        """A request that goes out on a connection that is silent is served."""
+        assert await site.status_of(call_id="before") == 200
+        site.silence()
+        async with asyncio.timeout(3):
+            assert await site.status_of(call_id="after") == 200
+
+    async def test_runners_are_not_taken_for_silent(self, site):
+        """A probe over a silent connection is made again over a new one."""
+        calls = [site.status_of(call_id=f"c{number}") for number in range(6)]
+        assert set(await asyncio.gather(*calls)) == {200}  # six connections rest
+        site.silence()
+        assert await site.status_of(call_id="after") == 200
+        async with site.http.get(f"http://127.0.0.1:{site.metrics}/state") as answer:
+            state = await answer.json(content_type=None)
+        assert state["resting"] == []
+
+
+def test_kernel_asks_after_idle_connections():
+    """A resting connection whose peer says nothing ends within some seconds."""
+    address = (socket.AF_INET, socket.SOCK_STREAM, socket.IPPROTO_TCP, "", ())
+    with _make_socket(address) as made:
+        option = made.getsockopt
+        assert option(socket.SOL_SOCKET, socket.SO_KEEPALIVE)
+        idle_s = option(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE)
+        every_s = option(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL)
+        probes = option(socket.IPPROTO_TCP, socket.TCP_KEEPCNT)
+        assert idle_s + every_s * probes <= 3
+        assert option(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT) <= 3000
