Tell callers when what blocks them ends, and let lost first runs wait for a path

Change: the time to return is what is left of the rests on the path that has fewest of them, spread over half as much again. A lost first run waits up to a second for a path, as one under way does.

--- a/src/violethatch/_path_choice.py
+++ b/src/violethatch/_path_choice.py
@@ -28,6 +28,11 @@
 _FULL = 0.9
 
 
+#: How many times slower runners that rest count where a path has to be found that
+#: uses as few of them as can be: more than all else may make a path longer.
+_RESTING_PACE = 1e6
+
+
 class _Maps(NamedTuple):
     """Who holds which layers, by the list of one revision."""
 
@@ -117,12 +122,21 @@
                 return self._within_pipe(path, maps, view, first, now_s=now_s)
         return None
 
-    def has_holders(self, service: ServiceSpec) -> bool:
-        """Tell whether all layers have holders, however full or far they are."""
+    def blocked_s(self, service: ServiceSpec) -> float | None:
+        """Return how long rests block all paths, in seconds.
+
+        None where some layer has no holder, whether it rests or not.
+        """
         if service.engine is None:
-            return False
+            return None
         maps = self._maps_of(service, service.engine)
-        return maps.whole.find(zone=self._zone) is not None
+        rests_s = self._health.rests_s(now_s=time.monotonic())
+        path = maps.whole.find(
+            zone=self._zone, paces=dict.fromkeys(rests_s, _RESTING_PACE)
+        )
+        if path is None:
+            return None
+        return max(rests_s.get(one, 0.0) for one in path.server_ids)
 
     def began(self) -> None:
         """Count a stream that this instance begins."""
--- a/src/violethatch/_plain_calls.py
+++ b/src/violethatch/_plain_calls.py
@@ -171,7 +171,8 @@
         )
         if server is None:
             msg = "no backend server is listed"
-            raise ServiceUnreachableError(msg, retry_after_s=_NONE_RETRY_S)
+            retry_after_s = self._routing.come_back_s()
+            raise ServiceUnreachableError(msg, retry_after_s=retry_after_s)
         return server
 
     def _send_to(self, server: BackendServer) -> Send:
--- a/src/violethatch/_routing.py
+++ b/src/violethatch/_routing.py
@@ -24,6 +24,7 @@
 from .server_choice import ServerChoice
 from .sightings import Hearsay, Sighting, is_worth_telling
 from .stream_loads import StreamLoads
+from .turning_away import come_back_s
 from .upstream import Refusal, RunnerClient, RunnerReport
 
 
@@ -35,6 +36,7 @@
     ) -> None:
         self.settings = settings
         self.client = client
+        self._rng = rng
         self.backends = BackendTable(leaving_s=settings.bounds.leaving_s)
         self.health = RunnerHealth(stall_s=settings.bounds.stall_s)
         self.hearsay = Hearsay(self.health, rng=rng)
@@ -103,10 +105,17 @@
             service, avoided=avoided, first=first, may_doubt=may_doubt
         )
 
-    def has_holders(self, service: ServiceSpec) -> bool:
-        """Tell whether all layers have holders, however full or far they are."""
+    def blocked_s(self, service: ServiceSpec) -> float | None:
+        """Return how long rests block all paths, in seconds.
+
+        None where some layer has no holder, whether it rests or not.
+        """
         self.expire()
-        return self._paths.has_holders(service)
+        return self._paths.blocked_s(service)
+
+    def come_back_s(self, blocked_s: float = 0.0) -> float:
+        """Return when a caller who is turned away should come back, in seconds."""
+        return come_back_s(blocked_s, rng=self._rng)
 
     def stream_began(self) -> None:
         """Count a stream that this instance begins."""
--- a/src/violethatch/_streams.py
+++ b/src/violethatch/_streams.py
@@ -40,15 +40,13 @@
 
 _OK = 200
 _MULTIPLE_CHOICES = 300
-#: When a caller should come back if no path has room, in seconds: some
-#: requests' time at today's sites.
-_FULL_RETRY_S = 0.5
-#: The same while some layers have no holder: a short load, in seconds.
-_NO_PATH_RETRY_S = 1.0
+#: How long layers without a holder are thought to last, in seconds: a short load.
+_NO_HOLDER_S = 1.0
 #: The most sends of one call that were refused or not connected.
 _MOST_REFUSALS = 4
-#: How often and how long a stream that has begun waits for a path, in seconds;
-#: callers give a stream up after a gap of two.
+#: How often and how long a stream that was sent once waits for a path, in seconds;
+#: callers give a stream up after a gap of two.  Its answer could not say that it has
+#: not run, so that a caller who comes back would be served no sooner.
 _ROOM_PAUSES = 5
 _ROOM_PAUSE_S = 0.2
 
@@ -137,17 +135,19 @@
     async def _next_path(self) -> Path | None:
         """Return the path to send along, or None if there is none.
 
-        A stream that has begun waits a little: its caller waits longer for the
-        next event than room takes to come back.
+        A stream that has run waits a little: its caller waits longer for the next
+        event than room takes to come back.
         """
         path = self._routing.path(
             self._service, avoided=self._avoided, may_doubt=not self.sends
         )
-        pauses = _ROOM_PAUSES if self._is_started else 0
+        pauses = _ROOM_PAUSES if self.runs else 0
         while path is None and pauses:
             pauses -= 1
             await asyncio.sleep(_ROOM_PAUSE_S)
-            path = self._routing.path(self._service, avoided=self._avoided)
+            path = self._routing.path(
+                self._service, avoided=self._avoided, may_doubt=not pauses
+            )
         return path
 
     def _may_send_again(self) -> bool:
@@ -332,11 +332,14 @@
             if time.monotonic() >= self._deadline_s:
                 return DeadlineError("no answer before the deadline")
             return PipelineFailedError("the runners' answer was lost")
-        if self._refusals or self._routing.has_holders(self._service):
-            return OverloadedError("no path has room", retry_after_s=_FULL_RETRY_S)
-        return NoRouteError(
-            "some layers have no holder", retry_after_s=_NO_PATH_RETRY_S
-        )
+        blocked_s = self._routing.blocked_s(self._service)
+        if blocked_s is None:
+            retry_after_s = self._routing.come_back_s(_NO_HOLDER_S)
+            return NoRouteError(
+                "some layers have no holder", retry_after_s=retry_after_s
+            )
+        retry_after_s = self._routing.come_back_s(blocked_s)
+        return OverloadedError("no path has room", retry_after_s=retry_after_s)
 
 
 def _expected_tokens(call: Call, service: ServiceSpec) -> float:
--- a/src/violethatch/runner_health.py
+++ b/src/violethatch/runner_health.py
@@ -103,6 +103,14 @@
         self._rests[server_id] = _Rest(trouble, now_s + length_s, known_s)
         return True
 
+    def rests_s(self, *, now_s: float) -> dict[str, float]:
+        """Return, by server that is left alone, for how much longer, in seconds."""
+        return {
+            server_id: rest.until_s - now_s
+            for server_id, rest in self._rests.items()
+            if now_s < rest.until_s
+        }
+
     def silent(self, *, now_s: float) -> dict[str, float]:
         """Return the silent servers that rest, and for how much longer, in seconds."""
         return {
