Be ready only while callers' connections can be taken, and tell from whom tables come

Cause: an instance whose descriptors are used up said that it is ready while it closed each new connection. Readiness now ends when callers' connections leave just what the requests of the instance need (test_not_ready_without_room_for_callers). The state dump names the source of each table.

--- a/src/violethatch/_router.py
+++ b/src/violethatch/_router.py
@@ -6,6 +6,7 @@
 import random
 import time
 
+from collections.abc import Callable, Mapping
 from typing import Any
 
 from . import events
@@ -65,6 +66,8 @@
         self.stop_plan = StopPlan(grace_s=settings.bounds.grace_s)
         self.desired: DesiredState | None = None
         self.in_flight = 0
+        #: Tells, by table, from whom this instance has it.
+        self.sources: Callable[[], Mapping[str, str]] = dict
         self._decoder = decoder
 
     @property
@@ -185,6 +188,7 @@
             "is_stopping": self.stop_plan.is_stopping,
             "servers": len(self.routing.backends),
             "resting": sorted(self.routing.health.resting(now_s=now_s)),
+            "sources": dict(self.sources()),
             "load_instances": 1 + self.routing.loads.others.instances,
             "load_age_s": self.routing.loads.others_age_s(now_s=now_s),
         }
--- a/src/violethatch/events.py
+++ b/src/violethatch/events.py
@@ -29,6 +29,8 @@
 TASK_FAILED = Event(2005, "task_failed", "A background task met an error; it goes on.")
 RELOADED = Event(2006, "reloaded", "Changed settings are in force.")
 RELOAD_REFUSED = Event(2007, "reload_refused", "Changed settings are not valid.")
+CALLERS_FULL = Event(2008, "callers_full", "No more callers' connections are taken.")
+CALLERS_TAKEN = Event(2009, "callers_taken", "Callers' connections are taken again.")
 
 RUNNER_FOUND = Event(2101, "runner_found", "A runner's connection is up.")
 RUNNER_LOST = Event(2102, "runner_lost", "A runner's connection broke.")
--- a/src/violethatch/platform/_following.py
+++ b/src/violethatch/platform/_following.py
@@ -85,6 +85,7 @@
             unproven=(INSTANCES_TABLE,),
             bound_s=settings.bounds.change_s,
         )
+        router.sources = lambda: self._tables.sources
         self._datagrams = PeerDatagrams(directory)
         self._sightings = SightingLink(self._datagrams, router.routing.hearsay)
         self._pace_link = PaceLink(self._datagrams, router.routing.paces)
--- a/src/violethatch/platform/_listener.py
+++ b/src/violethatch/platform/_listener.py
@@ -6,6 +6,8 @@
 import asyncio
 import time
 
+from collections.abc import Callable
+
 import aiohttp
 import msgspec
 
@@ -48,11 +50,24 @@
         self._server = CallerServer(
             self._handle, limits=self._limits, auto_decompress=False
         )
+        self._had_room = True
 
     async def start(self, endpoint: str) -> None:
         """Listen on an address."""
         await listen(self._server, endpoint)
 
+    def has_room(self) -> bool:
+        """Tell whether further connections can be taken; log when that changes."""
+        open_count = len(self._server.connections)
+        has_room = open_count < self._router.settings.limits.most_connections
+        if has_room != self._had_room:
+            self._had_room = has_room
+            events.log(
+                events.CALLERS_TAKEN if has_room else events.CALLERS_FULL,
+                connections=open_count,
+            )
+        return has_room
+
     async def close(self) -> None:
         """Close all connections."""
         await self._server.shutdown(timeout=_CLOSE_S)
@@ -107,10 +122,16 @@
 
 
 class ReadinessListener:
-    """Answers the balancer, and tells metrics."""
+    """Answers the balancer, and tells metrics.
 
-    def __init__(self, router: Router) -> None:
+    Args:
+        router: Knows whether it can serve.
+        has_room: Tells whether callers' connections can be taken.
+    """
+
+    def __init__(self, router: Router, *, has_room: Callable[[], bool]) -> None:
         self._router = router
+        self._has_room = has_room
         self._readiness = Server(self._ready, access_log=None)
         self._metrics = Server(self._tell, access_log=None)
 
@@ -122,8 +143,10 @@
             await listen(self._metrics, f"{address}:{metrics_port}")
 
     async def _ready(self, _request: BaseRequest) -> StreamResponse:
-        """Tell whether callers should come here."""
-        return Response(status=_OK if self._router.is_ready else _UNAVAILABLE)
+        """Tell whether callers should come here: they are served, and get in."""
+        has_room = self._has_room()
+        is_ready = self._router.is_ready and has_room
+        return Response(status=_OK if is_ready else _UNAVAILABLE)
 
     async def _tell(self, request: BaseRequest) -> StreamResponse:
         """Tell the metrics, or the state."""
--- a/src/violethatch/platform/_process.py
+++ b/src/violethatch/platform/_process.py
@@ -107,7 +107,7 @@
     async def _listen(self, router: Router) -> CallersListener:
         """Listen for callers and for the balancer; return the callers' listener."""
         callers = CallersListener(router)
-        readiness = ReadinessListener(router)
+        readiness = ReadinessListener(router, has_room=callers.has_room)
         listen = self._settings.listen
         await callers.start(listen.callers)
         await readiness.start(listen.readiness, listen.metrics_port)
--- a/src/violethatch/relayed_tables.py
+++ b/src/violethatch/relayed_tables.py
@@ -11,7 +11,7 @@
 import math
 import time
 
-from collections.abc import Collection
+from collections.abc import Collection, Mapping
 from typing import Protocol
 
 from . import events
@@ -138,6 +138,11 @@
         self._sources: dict[str, str] = {}
         self._store_rests_until_s = 0.0
 
+    @property
+    def sources(self) -> Mapping[str, str]:
+        """By table, whose id its news came from last; `store` for the store."""
+        return self._sources
+
     async def read_table(self, table: str) -> TableView:
         """Return a whole table.
 
--- a/src/violethatch/router_settings.py
+++ b/src/violethatch/router_settings.py
@@ -102,8 +102,18 @@
     @property
     def most_requests(self) -> int:
         """Requests at once that the descriptors allow."""
-        free = max(0, self.descriptors - _DESCRIPTORS_OF_OWN)
-        return min(self.requests, max(1, free // _DESCRIPTORS_A_REQUEST))
+        return min(self.requests, max(1, self._free // _DESCRIPTORS_A_REQUEST))
+
+    @property
+    def most_connections(self) -> int:
+        """Callers' connections that may be open: what requests need stays free."""
+        of_servers = (_DESCRIPTORS_A_REQUEST - 1) * self.most_requests
+        return max(1, self._free - of_servers)
+
+    @property
+    def _free(self) -> int:
+        """Descriptors beside those of the process's own."""
+        return max(0, self.descriptors - _DESCRIPTORS_OF_OWN)
 
 
 class RouterPolicySection(NamedTuple):
--- a/tests/test_platform_process.py
+++ b/tests/test_platform_process.py
@@ -62,7 +62,7 @@
         self.http = None
         self._servers = []
 
-    async def start(self, *, version=1, routes=None):
+    async def start(self, *, version=1, routes=None, **fields):
         """Start everything and wait until the router is ready."""
         store_port = await self._serve(self.store.application())
         for name, runner in self.runners.items():
@@ -84,6 +84,7 @@
                 "Bounds.RevokeMs": "1500",
                 "Bounds.GraceS": "4",
             }
+            | fields
         )
         settings = self.path / "router.ini"
         settings.write_text(
@@ -370,6 +371,37 @@
         assert not any(runner.seen for runner in site.runners.values())
 
 
+class TestReadiness:
+    async def test_not_ready_without_room_for_callers(self, site):
+        """Callers are sent elsewhere before a connection could not be taken."""
+        await site.start(**{"Limits.MaxFds": "215"})  # room for five
+        ready = [socket.create_connection(("127.0.0.1", site.front)) for _ in range(4)]
+        await site.wait_ready(200)
+        ready.append(socket.create_connection(("127.0.0.1", site.front)))
+        await site.wait_ready(503)
+        for one in ready:
+            one.close()
+        await site.wait_ready(200)
+
+    async def test_ready_instance_takes_connections(self, site):
+        """From the first time that it says so, a caller gets in."""
+        await site.start()
+        assert await site.status_of() == 200
+
+    async def test_sources_of_tables_are_told(self, site):
+        """The state dump names from whom the tables come."""
+        await site.start()
+        async with asyncio.timeout(10):
+            while True:
+                url = f"http://127.0.0.1:{site.metrics}/state"
+                async with site.http.get(url) as answer:
+                    state = json.loads(await answer.read())
+                if state["sources"].keys() >= {"op", "servers"}:
+                    break
+                await asyncio.sleep(0.1)
+        assert set(state["sources"].values()) == {"store"}
+
+
 class TestStop:
     async def test_stream_in_progress_is_finished(self, site):
         """A planned stop cuts nothing and then ends the process."""
