Spread moves past a dark runner as new streams are spread

Cause: when a group of runners goes dark, all instances move their streams in the same moment and took the same stand-ins, by loads that none of them knew yet. Moves are laid out in four parts by the same rule, own zone first.

--- a/src/violethatch/_path_choice.py
+++ b/src/violethatch/_path_choice.py
@@ -28,8 +28,11 @@
 _FULL = 0.9
 
 
-#: How many times slower runners that rest count where a path has to be found that
-#: uses as few of them as can be: more than all else may make a path longer.
+#: Into how many parts moves are laid: each stream of an instance that has to move
+#: costs as many searches, and waits for them.
+_MOVE_PARTS = 4
+#: How many times slower a runner counts for each second that it still rests, where the
+#: path has to be found that is free soonest: more than all else makes one longer.
 _RESTING_PACE = 1e6
 
 
@@ -131,9 +134,8 @@
             return None
         maps = self._maps_of(service, service.engine)
         rests_s = self._health.rests_s(now_s=time.monotonic())
-        path = maps.whole.find(
-            zone=self._zone, paces=dict.fromkeys(rests_s, _RESTING_PACE)
-        )
+        paces = {one: _RESTING_PACE * left_s for one, left_s in rests_s.items()}
+        path = maps.whole.find(zone=self._zone, paces=paces)
         if path is None:
             return None
         return max(rests_s.get(one, 0.0) for one in path.server_ids)
@@ -179,34 +181,52 @@
         fullness = self._loads.fullness(first, maps.whole.engine, now_s=now_s)
         return fullness >= _FULL
 
-    def _lay(self, maps: _Maps, view: _View, *, now_s: float) -> list[Path]:
-        """Lay what the zone's instances may begin onto paths."""
+    def _lay(
+        self,
+        maps: _Maps,
+        view: _View,
+        *,
+        first: BackendServer | None = None,
+        parts: int = PARTS,
+        now_s: float,
+    ) -> list[Path]:
+        """Lay what the zone's instances may begin, or move, onto paths."""
         unseen = self._unseen.expected(
             instances=self.place().instances,
             news_age_s=self._loads.others_age_s(now_s=now_s),
             now_s=now_s,
         )
         engine = maps.whole.engine
-        added = functools.partial(fullness_added, engine=engine, streams=unseen / PARTS)
-        find = functools.partial(self._find_near, maps, view)
+        added = functools.partial(fullness_added, engine=engine, streams=unseen / parts)
+        find = functools.partial(self._find_near, maps, view, first)
         fullness = self._loads.fullness_of(maps.whole, now_s=now_s)
-        return lay_parts(find, fullness, added=added)
+        return lay_parts(find, fullness, added=added, parts=parts)
 
     def _find_near(
-        self, maps: _Maps, view: _View, fullness: Mapping[str, float]
+        self,
+        maps: _Maps,
+        view: _View,
+        first: BackendServer | None,
+        fullness: Mapping[str, float],
     ) -> Path | None:
         """Return the best path of the own zone, or of all where that is full."""
-        path = self._find(maps.zone, view, fullness)
-        if path is not None and _fullest(path, fullness) < _ZONE_FULLNESS:
-            return path
-        return self._find(maps.whole, view, fullness) or path
+        path = None
+        if first is None or first.availability_zone == self._zone:
+            path = self._find(maps.zone, view, fullness, first=first)
+            if path is not None and _fullest(path, fullness) < _ZONE_FULLNESS:
+                return path
+        return self._find(maps.whole, view, fullness, first=first) or path
 
     def _path_after(
         self, first: BackendServer, maps: _Maps, view: _View, *, now_s: float
     ) -> Path | None:
-        """Return the best path that begins at a runner."""
-        fullness = self._loads.fullness_of(maps.whole, now_s=now_s)
-        return self._find(maps.whole, view, fullness, first=first)
+        """Return the path of this instance's share of moves that begin at a runner.
+
+        When a group of runners goes dark, all instances move their streams in the
+        same moment, each past the same ones.
+        """
+        paths = self._lay(maps, view, first=first, parts=_MOVE_PARTS, now_s=now_s)
+        return pick(paths, self.place().position, left_out=view.left_out)
 
     def _within_pipe(
         self,
--- /dev/null
+++ b/tests/test_path_choice.py
@@ -0,0 +1,130 @@
+# SPDX-License-Identifier: MIT
+"""Which paths an instance chooses among its zone's and all others."""
+
+from __future__ import annotations
+
+import collections
+import random
+import time
+
+import pytest
+
+from router_fakes import FakeClient, admitted, make_routing
+from routing_samples import engine, runner
+from violethatch.load_sums import LoadTotals, ServerTotals, server_number
+from violethatch.path_shares import Place
+from violethatch.runner_health import Trouble
+from violethatch.upstream import ServerLoad
+
+
+ZONE = "heredia"
+#: Three chains alike in each of two zones.
+NEAR = [
+    runner(f"n{chain}-{stage}", stage * 20, stage * 20 + 20, zone=ZONE)
+    for chain in range(3)
+    for stage in range(4)
+]
+FAR = [
+    runner(f"f{chain}-{stage}", stage * 20, stage * 20 + 20, zone="cartago")
+    for chain in range(3)
+    for stage in range(4)
+]
+#: Requests are so small that a chain has room for 160.
+SERVICE = admitted().service._replace(engine=engine(kv_token_bytes=200_000.0))
+
+
+def routings(count, *servers):
+    """Return the views of instances that make up a zone."""
+    made = []
+    for rank in range(count):
+        routing = make_routing(FakeClient(), *servers, rng=random.Random(rank))
+        place = Place((rank + 0.5) / count, count)
+        routing.know_instances(count=lambda: count, place=lambda place=place: place)
+        made.append(routing)
+    return made
+
+
+def spread_of(firsts):
+    """Return how often the most used is used, in means."""
+    counts = collections.Counter(firsts)
+    return max(counts.values()) / (sum(counts.values()) / len(counts))
+
+
+class TestNewStreams:
+    @pytest.mark.parametrize("count", [6, 39, 50])
+    def test_instances_that_know_nothing_spread(self, count):
+        """From an empty fleet each begins a stream in the same moment."""
+        made = routings(count, *NEAR, *FAR)
+        firsts = [one.path(SERVICE).first.id for one in made]
+        assert set(firsts) == {"n0-0", "n1-0", "n2-0"}
+        assert spread_of(firsts) <= 1.3
+
+    def test_same_old_news_doesn_t_gather_them(self):
+        """All have heard that one chain is empty; not all go there."""
+        made = routings(39, *NEAR)
+        taken = ServerTotals(30, 30_000.0 * 20)
+        news = {server_number(f"n{n}-{s}"): taken for n in (0, 1) for s in range(4)}
+        for one in made:
+            one.loads.take_others(
+                LoadTotals(38, 0.0, news, age_s=1.2), now_s=time.monotonic()
+            )
+        counts = collections.Counter(one.path(SERVICE).first.id for one in made)
+        assert counts["n2-0"] >= max(counts["n0-0"], counts["n1-0"])
+        assert counts["n2-0"] < 39
+
+    def test_own_zone_comes_first(self):
+        """While the zone has room nothing depends on another."""
+        (one,) = routings(1, *NEAR, *FAR)
+        zones = {s.server.availability_zone for s in one.path(SERVICE).stages}
+        assert zones == {ZONE}
+
+    def test_full_zone_sends_elsewhere(self):
+        """Callers are not kept waiting while other zones have room."""
+        (one,) = routings(1, *NEAR, *FAR)
+        now_s = time.monotonic()
+        for chain in range(3):
+            one.loads.told(f"n{chain}-0", ServerLoad(96, 20, 96), now_s=now_s)
+        assert one.path(SERVICE).first.availability_zone == "cartago"
+
+    def test_zone_that_lacks_layers_sends_elsewhere(self):
+        """A broken zone's callers are served along whole chains."""
+        (one,) = routings(1, *NEAR[:3], *FAR)
+        assert one.path(SERVICE).first.availability_zone == "cartago"
+
+    def test_runner_that_rests_is_gone_around_at_once(self):
+        """Parts that were laid before are not used over it."""
+        (one,) = routings(1, *NEAR)
+        first = one.path(SERVICE).first
+        one.note_trouble(first, Trouble.SILENT, "c1", "gives no report")
+        assert one.path(SERVICE).first.id != first.id
+
+
+class TestMoves:
+    def test_streams_of_a_dark_runner_spread(self):
+        """All instances move their streams past the same runner at once."""
+        made = routings(40, *NEAR)
+        first = NEAR[0]
+        seconds = []
+        for one in made:
+            path = one.path(SERVICE, avoided=frozenset({"n0-1"}), first=first)
+            assert path.first.id == first.id
+            seconds.append(path.stages[1].server.id)
+        assert set(seconds) == {"n1-1", "n2-1"}
+        assert spread_of(seconds) <= 1.3
+
+
+class TestBlocked:
+    def test_rests_on_the_best_path_tell_how_long(self):
+        """Callers are told of the rests that block them, not of all."""
+        (one,) = routings(1, *NEAR[:8])
+        now_s = time.monotonic()
+        for server in NEAR[:4]:
+            one.health.note(server.id, Trouble.SILENT, now_s=now_s)
+        one.health.note("n1-2", Trouble.FULL, now_s=now_s)
+        assert one.blocked_s(SERVICE) <= 0.3
+        assert one.blocked_s(SERVICE) > 0.0
+
+    def test_lacking_layers_are_not_waited_for(self):
+        """Nobody knows when a layer without a holder comes back."""
+        (one,) = routings(1, *NEAR[:3])
+        assert one.blocked_s(SERVICE) is None
