--- a/bench/lost_worth.py
+++ b/bench/lost_worth.py
@@ -6,6 +6,10 @@
 LOG is what processes wrote, with anything before a line's first brace.  Each
 request counts once, under what its instance last said of it; the cause is the
 first of its lines that names a trouble.  Times are those of the lines.
+
+Below stands, for each second that had any, how many sends runners did not run for
+want of room, and how many runners that were: many at few runners, while requests
+are served in the same second, are a herd.
 """
 
 from __future__ import annotations
@@ -15,6 +19,7 @@
 import pathlib
 import sys
 
+from collections.abc import Iterable
 from typing import Any, NamedTuple
 
 from violethatch.explaining import log_messages
@@ -73,6 +78,29 @@
     return "nothing told"
 
 
+class Shed(NamedTuple):
+    """What runners without room did not run in a second."""
+
+    sends: int
+    servers: int
+    served: int
+
+
+def sheds(lines: Iterable[dict[str, Any]]) -> dict[int, Shed]:
+    """Return, by second, what runners without room did not run."""
+    full = collections.defaultdict(list)
+    served: collections.Counter[int] = collections.Counter()
+    for line in lines:
+        second = int(line["timestamp"])
+        if _name(line) == "server_refused" and line.get("trouble") == "full":
+            full[second].append(line["server_id"])
+        served[second] += _name(line) == "request_served"
+    return {
+        second: Shed(len(ids), len(set(ids)), served[second])
+        for second, ids in sorted(full.items())
+    }
+
+
 def main() -> int:
     """Print the table."""
     parser = argparse.ArgumentParser(description=__doc__)
@@ -93,6 +121,13 @@
             counts[outcome] += 1
     for outcome, count in counts.most_common():
         print(f"{count:6}  {outcome.end:28}  {outcome.cause}")
+    lines = [line for each in by_request.values() for line in each]
+    for second, shed in sheds(lines).items():
+        if options.from_s <= second <= options.to_s:
+            print(
+                f"second {second}: {shed.sends} sends not run for want of room at "
+                f"{shed.servers} servers; {shed.served} requests served"
+            )
     return 0
 
 
--- a/tests/test_lost_worth.py
+++ b/tests/test_lost_worth.py
@@ -12,13 +12,19 @@
 TOOL = pathlib.Path(__file__).parents[1] / "bench" / "lost_worth.py"
 
 
-@pytest.fixture(name="outcome_of", scope="module")
-def load_outcome_of():
-    """Return the tool's function."""
+@pytest.fixture(name="tool", scope="module")
+def load_tool():
+    """Return the tool's module."""
     spec = importlib.util.spec_from_file_location("lost_worth", TOOL)
     module = importlib.util.module_from_spec(spec)
     spec.loader.exec_module(module)
-    return module.outcome_of
+    return module
+
+
+@pytest.fixture(name="outcome_of", scope="module")
+def outcome_of_tool(tool):
+    """Return the function that tells how a request ended."""
+    return tool.outcome_of
 
 
 def line(name, **fields):
@@ -55,3 +61,20 @@
     def test_request_that_has_not_ended(self, outcome_of):
         """It counts for nothing."""
         assert outcome_of([line("silence_seen", waits_for=[])]) is None
+
+
+class TestSheds:
+    def test_sends_and_servers_are_counted_by_second(self, tool):
+        """Many sends refused at one server, while others serve, are a herd."""
+        refused = [
+            line("server_refused", trouble="full", server_id="a", timestamp=4.1 + n / 9)
+            for n in range(3)
+        ]
+        served = line("request_served", status=200, timestamp=4.8)
+        absent = line("server_refused", trouble="absent", server_id="b", timestamp=4.2)
+        assert tool.sheds([*refused, served, absent]) == {4: (3, 1, 1)}
+
+    def test_seconds_without_any_are_left_out(self, tool):
+        """Nothing is told of a second in which nothing was shed."""
+        served = line("request_served", status=200, timestamp=4.8)
+        assert tool.sheds([served]) == {}
