--- a/src/violethatch/_relay_http.py
+++ b/src/violethatch/_relay_http.py
@@ -144,7 +144,13 @@
                 status, body = await self._get(peer, query)
             _require_news(status)
             return _decoded(body, self._decoder)
-        except (TimeoutError, aiohttp.ClientError, OSError, ValueError) as error:
+        except (
+            TimeoutError,
+            aiohttp.ClientError,
+            OSError,
+            ValueError,
+            RuntimeError,  # of uvloop, see `platform._sessions`
+        ) as error:
             raise PeerSilentError(repr(error)) from error
 
     async def _get(
--- a/src/violethatch/platform/_runners.py
+++ b/src/violethatch/platform/_runners.py
@@ -30,6 +30,7 @@
     ServerLoad,
 )
 from . import _headers
+from ._sessions import CALL_ERRORS
 from ._wire import Report, held_range
 
 
@@ -129,7 +130,7 @@
             )
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
             raise NotSentError(repr(error)) from error
-        except (aiohttp.ClientError, OSError, ValueError) as error:
+        except CALL_ERRORS as error:
             raise AnswerLostError(repr(error)) from error
         if answer.headers.get(_headers.CALL_ID) != call.id:
             answer.close()
@@ -144,32 +145,27 @@
     async def report(self, server: BackendServer) -> RunnerReport | None:
         """Return a runner's report, or None if none came in time."""
         kept = asyncio.create_task(self._ask_report(self._kept, server))
-        asked = {kept}
-        try:
-            async with asyncio.timeout(_REPORT_S):
-                await asyncio.wait(asked, timeout=_DOUBT_S)
-                if not kept.done():
-                    asked.add(
-                        asyncio.create_task(self._ask_report(self._fresh, server))
-                    )
-                report = await _first_result(asked)
-        except TimeoutError:
-            return None  # the caller logs what it makes of that
-        finally:
-            for one in asked:
-                one.cancel()
+        await asyncio.wait((kept,), timeout=_DOUBT_S)
+        if kept.done():
+            report = kept.result()
+        else:
+            # Neither is cancelled: what a probe leaves behind ends by its own limit.
+            again = asyncio.create_task(self._ask_report(self._fresh, server))
+            report = await _first_result((kept, again))
         return _runner_report(report) if report is not None else None
 
     async def _ask_report(
         self, session: aiohttp.ClientSession, server: BackendServer
     ) -> Report | None:
         """Return a runner's report as it came, or None if it gives none."""
+        url = f"http://{server.address}/api/report"
         try:
-            async with session.get(f"http://{server.address}/api/report") as answer:
-                body = await answer.read()
+            async with asyncio.timeout(_REPORT_S):
+                async with session.get(url) as answer:
+                    body = await answer.read()
             return self._report.decode(body) if answer.status == _OK else None
-        except (aiohttp.ClientError, OSError, ValueError):
-            return None
+        except (TimeoutError, *CALL_ERRORS):
+            return None  # the caller logs what it makes of that
 
     async def repath(
         self, server: BackendServer, call_id: str, path: Path
@@ -208,7 +204,7 @@
                     headers={"Content-Type": "application/json"},
                 ) as answer:
                     body = await answer.read()
-        except (TimeoutError, aiohttp.ClientError, OSError):
+        except (TimeoutError, *CALL_ERRORS):
             return OrderAnswer(OrderOutcome.UNKNOWN)
         outcome = {
             _OK: OrderOutcome.DONE,
--- a/src/violethatch/platform/_store.py
+++ b/src/violethatch/platform/_store.py
@@ -20,6 +20,7 @@
 from ..ports import Row as TableRow
 from ..router_settings import StoreSection
 from ..upstream import HistoryGoneError, TableView
+from ._sessions import CALL_ERRORS
 from ._wire import Row, Rows
 
 
@@ -160,7 +161,7 @@
             )
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
             raise self._unavailable("rows-tx", repr(error)) from error
-        except (TimeoutError, aiohttp.ClientError, ValueError) as error:
+        except (TimeoutError, *CALL_ERRORS) as error:
             self._metrics.store_calls.inc({"call": "rows-tx", "outcome": "lost"})
             msg = f"rows-tx: {error!r}"
             raise AnswerLostError(msg) from error
@@ -178,7 +179,7 @@
         """
         try:
             status, page = await self._call("GET", call, timeout_s, params=params)
-        except (TimeoutError, aiohttp.ClientError, ValueError) as error:
+        except (TimeoutError, *CALL_ERRORS) as error:
             raise self._unavailable(call, repr(error)) from error
         if status not in (_OK, _HISTORY_GONE):
             raise self._unavailable(call, f"status {status}")
