Look only into zones that lack layers for runners to move

Cause: three instances plan when the list changes; with 190 runners that took each 0.22 s of processor time, 0.45 s on a small machine, in which it served nobody. Each runner with copies was looked at against all others, also where its zone lacked nothing.

--- a/src/violethatch/_layer_needs.py
+++ b/src/violethatch/_layer_needs.py
@@ -52,6 +52,20 @@
     return window if window.size else None
 
 
+def holders_by_layer(held: Sequence[Host], engine: EngineSpec) -> dict[str, list[int]]:
+    """Return, by zone, how many of its hosts hold each layer."""
+    holders: dict[str, list[int]] = {
+        host.availability_zone: [0] * engine.layer_count for host in held
+    }
+    for host in held:
+        if host.held is None:
+            continue
+        in_zone = holders[host.availability_zone]
+        for layer in range(host.held.first, min(host.held.end, engine.layer_count)):
+            in_zone[layer] += 1
+    return holders
+
+
 def need_by_layer(zone: str, held: Sequence[Host], engine: EngineSpec) -> list[float]:
     """Return how much each layer lacks a holder in a zone; zero if it has one."""
     anywhere = [0] * engine.layer_count
--- a/src/violethatch/placement.py
+++ b/src/violethatch/placement.py
@@ -18,7 +18,7 @@
 
 from ._chains import best_chains, zone_groups
 from ._hosts import Host, with_orders
-from ._layer_needs import copied_layers, lacking_layers, need_by_layer
+from ._layer_needs import copied_layers, holders_by_layer, lacking_layers
 from ._spare_layers import widened
 from ._zone_repair import divide_zones, stretch_zones
 from .engine_model import EngineSpec
@@ -120,20 +120,22 @@
             Where several do, paths get longer and copies fewer.
     """
     held = with_orders(hosts, orders)
+    holders = holders_by_layer(held, engine)
     moves: dict[str, LayerRange] = {}
     for host in held:
         if host.held is None or host.id in orders:
             continue
+        in_zone = holders[host.availability_zone]
+        if all(in_zone) or any(in_zone[layer] < 2 for layer in range(*host.held)):
+            continue  # the zone lacks nothing, or lacks it without this one
         others = [one for one in held if one.id != host.id]
-        need = need_by_layer(host.availability_zone, others, engine)
-        if any(need[layer] for layer in range(*host.held)):
-            continue
         if is_whole and not _has_double(host, others):
             continue
         layers = lacking_layers(host, others, engine)
         if layers is not None:
             moves[host.id] = layers
             held = [*others, host._replace(held=layers)]
+            holders = holders_by_layer(held, engine)
     return moves
 
 
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -11,6 +11,7 @@
 from hypothesis import strategies as st
 
 from routing_samples import KINDS, engine
+from violethatch import placement
 from violethatch._chains import best_chains, chain_requests_per_s, split_layers
 from violethatch._layer_needs import copied_layers
 from violethatch.layers import LayerRange
@@ -284,3 +285,22 @@
         plan = plan_placement(fleet, engine())
         assert all(host_id.startswith("z1") for host_id in plan)
         assert LayerRange(0, 0) not in plan.values()
+
+
+class TestLargeFleet:
+    def test_whole_zones_are_not_gone_through_runner_by_runner(self, monkeypatch):
+        """A list that changes doesn't hold an instance of 190 runners' zones up."""
+        fleet = [
+            host._replace(id=f"{n}-{host.id}", availability_zone=f"z{n}")
+            for n in range(5)
+            for host in hosts("z", large=4, medium=13, small=21)
+        ]
+        fleet = placed(fleet, plan_placement(fleet, engine()))
+        asked = []
+        monkeypatch.setattr(
+            placement,
+            "lacking_layers",
+            lambda host, *_: asked.append(host.id),
+        )
+        assert plan_placement(fleet, engine()) == {}
+        assert asked == []
