--- a/src/violethatch/_path_choice.py
+++ b/src/violethatch/_path_choice.py
@@ -7,11 +7,12 @@
 import time
 
 from collections.abc import Callable, Mapping, Sequence
-from typing import NamedTuple, Protocol
+from typing import NamedTuple
 
 from .backends import BackendServer, BackendTable
 from .desired import ServiceSpec
 from .engine_model import EngineSpec
+from .near_paths import FULL, NearFirst
 from .path_shares import (
     ALONE,
     LIFE_S,
@@ -28,19 +29,6 @@
 from .stream_loads import StreamLoads, fullness_added
 
 
-#: How full a path of the own zone may get before other zones' are looked at too.
-#: What stays in its zone needs no news from elsewhere, and a search within it takes
-#: a tenth of the time (0.2 against 2.3 ms over 38 and 190 runners).
-_ZONE_FULLNESS = 0.6
-#: How many searches over all runners one laying of parts makes: a part of what the
-#: zone's instances begin goes elsewhere at a time, and the next laying sees what that
-#: has changed.
-_MOST_FAR_SEARCHES = 2
-#: From how full a runner on nothing is sent there while there is another: parts are
-#: laid anew at once when a first runner says so, and the own zone is left.
-_FULL = 0.9
-
-
 #: Into how many parts moves are laid: each stream of an instance that has to move
 #: costs as many searches, and waits for them.
 _MOVE_PARTS = 4
@@ -59,13 +47,6 @@
     zone: LayerMap
 
 
-class _Find(Protocol):
-    """Searches for the best path."""
-
-    def __call__(self, fullness: Mapping[str, float]) -> Path | None:
-        """Return the best path, given how full runners are."""
-
-
 class _Shares(NamedTuple):
     """The parts of a service's streams, and when they were laid."""
 
@@ -200,7 +181,7 @@
     def _is_full(self, first: BackendServer, maps: _Maps, *, now_s: float) -> bool:
         """Tell whether a first runner has filled up since parts were laid."""
         fullness = self._loads.fullness(first, maps.whole.engine, now_s=now_s)
-        return fullness >= _FULL
+        return fullness >= FULL
 
     def _lay(
         self,
@@ -219,7 +200,7 @@
         )
         engine = maps.whole.engine
         added = functools.partial(fullness_added, engine=engine, streams=unseen / parts)
-        search = _NearFirst(
+        search = NearFirst(
             functools.partial(self._find, maps.zone, view, first=first),
             functools.partial(self._find, maps.whole, view, first=first),
             is_near=first is None or first.availability_zone == self._zone,
@@ -294,41 +275,3 @@
         maps = _Maps(revision, LayerMap(servers, engine), LayerMap(near, engine))
         self._maps[service.name] = maps
         return maps
-
-
-class _NearFirst:
-    """Finds paths of the own zone, and of all where that is full or broken.
-
-    Args:
-        find_near: Searches the own zone's runners.
-        find_far: Searches all runners.
-        is_near: Whether the own zone is to be searched at all.
-    """
-
-    def __init__(
-        self, find_near: _Find, find_far: _Find, *, is_near: bool = True
-    ) -> None:
-        self._find_near = find_near
-        self._find_far = find_far
-        self._is_near = is_near
-        #: What was found over all runners, each used again in its turn.
-        self._far: list[Path | None] = []
-        self._turn = 0
-
-    def find(self, fullness: Mapping[str, float]) -> Path | None:
-        """Return the best path, given how full runners are."""
-        path = self._find_near(fullness) if self._is_near else None
-        if path is not None and _fullest(path, fullness) < _ZONE_FULLNESS:
-            return path
-        if len(self._far) < _MOST_FAR_SEARCHES:
-            self._far.append(self._find_far(fullness))
-            return self._far[-1] or path
-        if path is not None and _fullest(path, fullness) < _FULL:
-            return path
-        self._turn += 1
-        return self._far[self._turn % len(self._far)] or path
-
-
-def _fullest(path: Path, fullness: Mapping[str, float]) -> float:
-    """Return how full the fullest runner of a path is."""
-    return max(fullness.get(stage.server.id, 0.0) for stage in path.stages)
