Prove the bounds of reads through two instances, also for who is cut off

Forty instances in five zones against a scripted store, in real time: calls at rest, a reader or both cut off, three in ten refused, a store dark for all, its return. Found so: a stand-in that had no time to wait was taken for silent, and a third instance read for 5 s; it counts as away for a second now.

--- a/src/violethatch/relayed_tables.py
+++ b/src/violethatch/relayed_tables.py
@@ -224,7 +224,11 @@
             except NoNewsError as error:
                 if not self._is_proven(table):
                     return self._unchanged(table, after)
-                self._leave(source, table, error)
+                if attempt:
+                    # It had no time to wait: its next proof may be on its way.
+                    self._directory.note_away(source.id, now_s=time.monotonic())
+                else:
+                    self._leave(source, table, error)
             except PeerSilentError as error:
                 self._leave(source, table, error)
             else:
