Reckon with fewer unseen streams where instances are few and news is new

Cause: streams that nobody sees yet were counted over at least a second for all instances, doubled.

Change: others' beginnings over the age of the news, and all's over half the life of a laying, at the rate of this instance's last 2 s; one an instance at the least.

--- a/src/violethatch/path_shares.py
+++ b/src/violethatch/path_shares.py
@@ -40,8 +40,9 @@
 #: How many times the streams are laid out that an instance's own beginnings let
 #: expect: arrivals within the age of news vary by about as much as their mean.
 MARGIN = 2.0
-#: Over how long own beginnings are counted at least, in seconds.
-LEAST_SPAN_S = 1.0
+#: Over how long own beginnings are counted, in seconds: some at the least at a rate of
+#: one a second.
+SPAN_S = 2.0
 
 
 class Place(NamedTuple):
@@ -133,10 +134,12 @@
     def expected(
         self, *, instances: int, news_age_s: float | None, now_s: float
     ) -> float:
-        """Return how many streams all instances of the zone may have begun.
+        """Return how many streams of the zone the known loads may lack.
 
-        Each is taken to begin what this one does, and one at the least: an
-        instance that has just started knows nothing of how much work comes.
+        Others begin as many a second as this instance does, and what they have begun
+        comes round with the news; until parts are laid again, all begin more.  Each
+        counts with one at the least: an instance that has just started knows nothing
+        of how much work comes.
 
         Args:
             instances: The instances of the zone.
@@ -144,10 +147,12 @@
                 None if nothing is.
             now_s: The current monotonic time, in seconds.
         """
-        span_s = max(LEAST_SPAN_S, (news_age_s or 0.0) + LIFE_S)
-        while self._begun_s and now_s - self._begun_s[0] > span_s:
+        while self._begun_s and now_s - self._begun_s[0] > SPAN_S:
             self._begun_s.popleft()
-        return MARGIN * instances * max(1, len(self._begun_s))
+        rate = len(self._begun_s) / SPAN_S
+        of_others = (instances - 1) * rate * (news_age_s or 0.0)
+        until_laid = instances * rate * LIFE_S / 2
+        return MARGIN * max(instances, of_others + until_laid)
 
 
 def _order(path: Path) -> tuple[str, ...]:
