--- a/src/violethatch/instances.py
+++ b/src/violethatch/instances.py
@@ -179,13 +179,13 @@
         if not self.is_region_large:
             return ()
         up = [one for one in self._ranks().region if self._is_up(one, now_s)]
-        first = _spread(up, self._zone_of)[:READERS]
+        order = _spread(up, self._zone_of)
+        first = order[:READERS]
         present = [one for one in first if not self._is_away(one, now_s)]
         if present:
             return present
         # They are asked again, but the next ones find out whether they are served.
-        ranked_up = _spread(up, self._zone_of)
-        substitutes = ranked_up[READERS : READERS + SUBSTITUTES]
+        substitutes = order[READERS : READERS + SUBSTITUTES]
         served = [one for one in substitutes if not self._is_away(one, now_s)]
         return served[:READERS] or first
 
--- a/src/violethatch/relayed_tables.py
+++ b/src/violethatch/relayed_tables.py
@@ -353,8 +353,9 @@
 
     @property
     def _is_relay(self) -> bool:
-        """Whether others follow this instance."""
-        return self._directory.is_relay(now_s=time.monotonic())
+        """Whether this instance passes on what readers of its region know."""
+        is_relay = self._directory.is_relay(now_s=time.monotonic())
+        return is_relay and self._directory.is_region_large
 
     def _is_proven(self, table: str) -> bool:
         """Tell whether also a proof counts that nothing has changed."""
