Say once which errors calls end with, who rests, and how many instances there are

The relay listed the errors of calls that platform/_sessions had named; three readings of the rests each compared times; the count of instances was kept at two places, of which a test set only one; a pause was worked out from an exponent and a bound on it, and its comment promised fewer calls than were measured.

Change: _call_errors.py, rests_s under silent and resting, one callable for the count, the latest pause doubled.

--- a/src/violethatch/_followers.py
+++ b/src/violethatch/_followers.py
@@ -21,11 +21,9 @@
 #: don't ask all at once.
 _PAUSE_PARTS = (0.75, 1.5)
 #: The longest pause between retries, in seconds, before it is drawn out: a store that
-#: returns is found within 2 s.  Pauses double up to it, so that a store that refuses
-#: 195 instances is asked less often than one that answers them.
+#: returns is found within 2 s.  Pauses double up to it, so as not to press a store that
+#: refuses.
 _LONGEST_PAUSE_S = 1.2
-#: Doublings that are counted: more change nothing.
-_MOST_DOUBLINGS = 8
 #: The least time between two reads of which the first brought nothing, in pauses
 #: after changes.  A store that forgot its history was read 1,400 times in 2 s by six
 #: instances, since it did not wait with its answers.
@@ -75,7 +73,8 @@
         self._is_away = False
         self._cache = cache or TableCache()
         self._first_pause_s = first_pause_s
-        self._retries = 0
+        #: The latest pause before a retry, in seconds; 0 while reads are answered.
+        self._pause_s = 0.0
         #: The newest return of the store that other instances have told of.
         self._told_return_s: float | None = None
 
@@ -95,9 +94,8 @@
         """Return how long to wait after a read that came to nothing, in seconds."""
         first_s = self.settings.retry_pause_s
         longest_s = max(first_s, _LONGEST_PAUSE_S)
-        pause_s = min(longest_s, first_s * 2.0**self._retries)
-        self._retries = min(self._retries + 1, _MOST_DOUBLINGS)
-        return pause_s * self._rng.uniform(*_PAUSE_PARTS)
+        self._pause_s = min(longest_s, max(first_s, 2.0 * self._pause_s))
+        return self._pause_s * self._rng.uniform(*_PAUSE_PARTS)
 
     @property
     def _idle_pause_s(self) -> float:
@@ -113,7 +111,7 @@
         is_whole = self._version is None or view.is_whole
         if not view.is_relayed:
             self._clock.observe(view.store_s, sent_s=sent_s)
-        self._retries = 0
+        self._pause_s = 0.0
         self._note_back(view)
         self._take_in(view, is_whole=is_whole)
         if is_whole and self._first_pause_s:
--- a/src/violethatch/_path_choice.py
+++ b/src/violethatch/_path_choice.py
@@ -77,6 +77,7 @@
         paces: Who is slow.
         loads: How full runners are.
         pipe: Which requests may cross between zones.
+        instances: Tells how many instances are known to serve; 0 where none is.
     """
 
     def __init__(
@@ -88,6 +89,7 @@
         paces: RunnerPaces,
         loads: StreamLoads,
         pipe: PipeShare,
+        instances: Callable[[], int],
     ) -> None:
         self._zone = zone
         self._backends = backends
@@ -95,13 +97,12 @@
         self._paces = paces
         self._loads = loads
         self._pipe = pipe
+        self._instances = instances
         self._unseen = UnseenStreams()
         self._maps: dict[str, _Maps] = {}
         self._shares: dict[str, _Shares] = {}
         #: Tells the own place among the zone's instances.
         self.place: Callable[[], Place] = lambda: ALONE
-        #: Tells how many instances are known to serve; 0 where none is.
-        self.instances: Callable[[], int] = lambda: 0
 
     def path(
         self,
@@ -237,7 +238,7 @@
     def _may_cross(self, path: Path, maps: _Maps, *, now_s: float) -> bool:
         """Tell whether a path's hops between zones are this instance's to take."""
         crossing_ms = maps.whole.engine.crossing_ms
-        cost_ms = path.crossings * crossing_ms * max(1, self.instances())
+        cost_ms = path.crossings * crossing_ms * max(1, self._instances())
         return self._pipe.may_cross(cost_ms, now_s=now_s)
 
     def _find(
--- a/src/violethatch/_relay_http.py
+++ b/src/violethatch/_relay_http.py
@@ -20,6 +20,7 @@
 from aiohttp.web_response import Response
 from aiohttp.web_server import Server
 
+from ._call_errors import CALL_ERRORS
 from ._serving import listen
 from .instances import InstanceEntry
 from .relayed_tables import NoNewsError, PeerAwayError, PeerSilentError
@@ -144,13 +145,7 @@
                 status, body = await self._get(peer, query)
             _require_news(status)
             return _decoded(body, self._decoder)
-        except (
-            TimeoutError,
-            aiohttp.ClientError,
-            OSError,
-            ValueError,
-            RuntimeError,  # of uvloop, see `platform._sessions`
-        ) as error:
+        except (TimeoutError, *CALL_ERRORS) as error:
             raise PeerSilentError(repr(error)) from error
 
     async def _get(
--- a/src/violethatch/_routing.py
+++ b/src/violethatch/_routing.py
@@ -61,6 +61,7 @@
             paces=self.paces,
             loads=self.loads,
             pipe=PipeShare(rng),
+            instances=lambda: self.instances(),
         )
 
     def take_settings(self, settings: RouterSettings) -> None:
@@ -131,7 +132,6 @@
             place: Tells the own place among those of the own zone.
         """
         self.instances = count
-        self._paths.instances = count
         self._paths.place = place
 
     def usable(self, service: str) -> list[BackendServer]:
--- a/src/violethatch/platform/_runners.py
+++ b/src/violethatch/platform/_runners.py
@@ -15,6 +15,7 @@
 
 from multidict import CIMultiDict
 
+from .._call_errors import CALL_ERRORS
 from ..backends import BackendServer
 from ..layers import LayerRange
 from ..paths import Path
@@ -30,7 +31,6 @@
     ServerLoad,
 )
 from . import _headers
-from ._sessions import CALL_ERRORS
 from ._wire import Report, held_range
 
 
--- a/src/violethatch/platform/_sessions.py
+++ b/src/violethatch/platform/_sessions.py
@@ -34,12 +34,6 @@
 _READ_BUFFER_BYTES = 65_536
 
 
-#: What a call may end with beside a time-out.  uvloop raises a RuntimeError where the
-#: descriptor of a connect that was given up on is in use again; one that nobody took
-#: ended a process.
-CALL_ERRORS = (aiohttp.ClientError, OSError, ValueError, RuntimeError)
-
-
 class _Connection(ResponseHandler):
     """Tells an answer without a length that was reset from one that is whole."""
 
--- a/src/violethatch/platform/_store.py
+++ b/src/violethatch/platform/_store.py
@@ -13,6 +13,7 @@
 import aiohttp
 import msgspec
 
+from .._call_errors import CALL_ERRORS
 from .._placement_lease import LeaseWrite
 from .._router_metrics import RouterMetrics
 from ..errors import TableUnavailableError
@@ -20,7 +21,6 @@
 from ..ports import Row as TableRow
 from ..router_settings import StoreSection
 from ..upstream import HistoryGoneError, TableView
-from ._sessions import CALL_ERRORS
 from ._wire import Row, Rows
 
 
--- a/src/violethatch/runner_health.py
+++ b/src/violethatch/runner_health.py
@@ -114,9 +114,9 @@
     def silent(self, *, now_s: float) -> dict[str, float]:
         """Return the silent servers that rest, and for how much longer, in seconds."""
         return {
-            server_id: rest.until_s - now_s
-            for server_id, rest in self._rests.items()
-            if rest.trouble is Trouble.SILENT and now_s < rest.until_s
+            server_id: left_s
+            for server_id, left_s in self.rests_s(now_s=now_s).items()
+            if self._rests[server_id].trouble is Trouble.SILENT
         }
 
     def prolong(self, server_id: str, *, now_s: float) -> None:
@@ -137,9 +137,7 @@
 
     def resting(self, *, now_s: float) -> frozenset[str]:
         """Return all servers that are left alone now."""
-        return frozenset(
-            server_id for server_id, rest in self._rests.items() if now_s < rest.until_s
-        )
+        return frozenset(self.rests_s(now_s=now_s))
 
     def shunned(self, *, now_s: float) -> frozenset[str]:
         """Return the servers not to use even where there is no other."""
