Leave runners alone that fail streams, or are in the way of moves

Cause: a first runner that says it is well and answers 500 was left out for the one request only, and the next streams of the instance went to it again; an obstacle that a move's conflict named likewise, so that each stream of a dark group asked for the same path in the same moment (on the users' shifted site 81 of 559 requests failed while a tenth of the runners failed all, and 486 of 804 moves were conflicts).

Change: a failure rests the runner as FAILED (0.5 s, doubled up to 12 s, ended by the next work), unless its status speaks of the call (4xx, or 504 at its time); an obstacle rests as ABSENT, which others are told.

Ways: as it stood; resting at this instance, which is kept; telling all of it with two witnesses, not tried.

--- a/src/violethatch/_stream_run.py
+++ b/src/violethatch/_stream_run.py
@@ -314,6 +314,10 @@
             obstacle = _stage_of(path, order.address)
             if order.outcome is not OrderOutcome.CONFLICT or obstacle is None:
                 return False
+            # Others' streams would ask for the same path in the same moment.
+            self._routing.note_trouble(
+                obstacle, Trouble.ABSENT, self._call.id, "in the way of a move"
+            )
             self.suspects |= {obstacle.id}
         return False
 
--- a/src/violethatch/_streams.py
+++ b/src/violethatch/_streams.py
@@ -27,7 +27,7 @@
 )
 from .event_stream import EventSplitter, SpoiltStreamError, StreamProgress
 from .paths import Path
-from .runner_health import Trouble
+from .runner_health import Trouble, tells_of_server
 from .upstream import (
     Answer,
     AnswerLostError,
@@ -245,9 +245,16 @@
             server_id=run.path.first.id,
             status=answer.status,
         )
+        self._avoided |= {run.path.first.id}
+        if tells_of_server(answer.status):
+            self._routing.note_trouble(
+                run.path.first,
+                Trouble.FAILED,
+                self._call.id,
+                f"answered {answer.status}",
+            )
         is_last = not self._route.is_resumable or self.runs >= self._route.max_attempts
         if self._is_started or not is_last:
-            self._avoided |= {run.path.first.id}
             return _End.LOST, 0
         try:
             async with asyncio.timeout_at(self._deadline_s):
--- a/src/violethatch/runner_health.py
+++ b/src/violethatch/runner_health.py
@@ -33,6 +33,9 @@
 #: The troubles that say little of how long they last: such a server is still used
 #: where there is no other.
 _MILD = frozenset((Trouble.FULL, Trouble.ABSENT))
+_SERVER_ERROR = 500
+#: A server's own word that the call's time was over, which says nothing of itself.
+_TIME_OVER = 504
 #: After how long engines cut what depends on a dead runner, at today's sites,
 #: in seconds; the list tells of it by then.
 STALL_S = 3.0
@@ -162,6 +165,16 @@
         return self.stall_s if trouble in _MILD else _LONGEST_REST_S
 
 
+def tells_of_server(status: int) -> bool:
+    """Tell whether an answer's status says that its server fails.
+
+    Others speak of the call: its path, its size, its time.
+
+    .. versionadded:: 26.3.0
+    """
+    return status >= _SERVER_ERROR and status != _TIME_OVER
+
+
 def _outweighs(known: _Rest | None, trouble: Trouble, *, now_s: float) -> bool:
     """Tell whether a rest that lasts says more than a further trouble."""
     if known is None or now_s >= known.until_s:
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -405,6 +405,63 @@
         assert late.closed is False
 
 
+class TestFailingRunner:
+    @pytest.mark.parametrize("status", [500, 502])
+    async def test_next_streams_go_elsewhere(self, status):
+        """A first runner that says it is well and fails is left alone by all calls."""
+        client = FakeClient(
+            FakeAnswer(b"sorry", status=status), FakeAnswer(events(1))
+        )
+        got, routing = await serve(client, A, B)
+        assert got.end == "whole"
+        assert routing.path(admitted().service).first.id == "b"
+
+    @pytest.mark.parametrize("status", [400, 404, 504])
+    async def test_answer_about_the_call_says_nothing_of_the_runner(self, status):
+        """A call's own fault, or its time that is over, rests nobody."""
+        client = FakeClient(FakeAnswer(b"no", status=status), FakeAnswer(events(1)))
+        _, routing = await serve(client, A, B)
+        assert routing.path(admitted().service).first.id == "a"
+
+    async def test_rest_is_short_and_grows(self):
+        """Runners that fail a part of their streams come back soon; dead ones don't."""
+        client = FakeClient(FakeAnswer(b"no", status=500), FakeAnswer(events(1)))
+        _, routing = await serve(client, A, B)
+        now_s = time.monotonic()
+        assert not routing.health.is_resting("a", now_s=now_s + 0.6)
+        rests = []
+        for _ in range(6):
+            now_s += 20.0
+            rests.append(routing.health.note("a", Trouble.FAILED, now_s=now_s))
+        assert rests == [1.0, 2.0, 4.0, 8.0, 12.0, 12.0]
+
+
+class TestObstacles:
+    async def test_runner_in_the_way_is_left_by_all_streams(self):
+        """What a conflict tells holds for the instance's next streams at once."""
+        moved = asyncio.Event()
+        spares = [runner(name, 40, 80, kind="small") for name in ("spare", "last")]
+        client = FakeClient(FakeAnswer(events(1), moved, events(2)))
+        client.reports["head"] = report(stalled={"c1": TAIL.address})
+
+        def on_repath():
+            is_first = len(client.repaths) == 1
+            client.repath_outcome = (
+                OrderAnswer(OrderOutcome.CONFLICT, client.repaths[0][2].stages[1].server.address)
+                if is_first
+                else OrderAnswer(OrderOutcome.DONE)
+            )
+            if not is_first:
+                moved.set()
+
+        client.on_repath = on_repath
+        got, routing = await serve(client, HEAD, TAIL, *spares)
+        assert got.end == "whole"
+        first, second = (path.stages[1].server.id for _, _, path in client.repaths)
+        assert first != second
+        assert routing.health.is_resting(first, now_s=time.monotonic())
+
+
 class TestCallerLeaves:
     async def test_run_is_broken_off(self):
         """When the caller goes, the runner's answer is closed as cut."""
