Move requests with the first part as it is, and keep the runners that have them

Engines take a new path only with the same first part: the same runner and the same layers of it. Where a first runner held more layers than it ran (copies, widened ranges), the search let it run more or fewer. And a move past one runner led over other runners at most stages, each of which had to read all tokens before the next event; and searched all zones to compare them.

Change: a search for a move cuts the layers where the first part ends; runners on the path don't count as fuller, others cost the reading of a usual prompt; the zone of the first runner is searched before all zones.

--- a/src/violethatch/_chains.py
+++ b/src/violethatch/_chains.py
@@ -258,7 +258,7 @@
     if at_once < 1:
         return 0.0
     token_ms = chain_token_ms(kinds, counts, engine)
-    read_ms = sum(_usual_read_ms(engine, kind, layers) for kind, layers in parts)
+    read_ms = sum(engine.usual_read_ms(kind, layers) for kind, layers in parts)
     by_time = at_once / (engine.usual_answer_tokens * token_ms + read_ms)
     busiest_ms = max(_busy_ms(engine, kind, layers) for kind, layers in parts)
     return _MS_PER_S * min(by_time, _BUSY_LIMIT / busiest_ms)
@@ -292,14 +292,9 @@
     return min(room_tokens / engine.usual_tokens, float(engine.slots))
 
 
-def _usual_read_ms(engine: EngineSpec, kind: AcceleratorKind, layers: int) -> float:
-    """Return how long a usual prompt's reading takes, in ms."""
-    return engine.read_ms_of(kind, layers, engine.usual_prompt_tokens)
-
-
 def _busy_ms(engine: EngineSpec, kind: AcceleratorKind, layers: int) -> float:
     """Return a runner's time for a usual request beside a full batch, in ms."""
     one = engine.step_ms_of(kind, layers, writers=1.0)
     marginal_ms = engine.step_ms_of(kind, layers, writers=2.0) - one
     writing_ms = engine.usual_answer_tokens * marginal_ms
-    return writing_ms + _usual_read_ms(engine, kind, layers)
+    return writing_ms + engine.usual_read_ms(kind, layers)
--- a/src/violethatch/_path_choice.py
+++ b/src/violethatch/_path_choice.py
@@ -43,8 +43,8 @@
     revision: int
     #: All runners.
     whole: LayerMap
-    #: Those of the own zone.
-    zone: LayerMap
+    #: By zone, its runners.
+    zones: Mapping[str, LayerMap]
 
 
 class _Shares(NamedTuple):
@@ -63,6 +63,8 @@
     """What a search leaves out, and what else it goes by."""
 
     left_out: frozenset[str]
+    #: The path that a request moves from, if it moves.
+    kept: Path | None
     paces: Mapping[str, float]
     pipe_fullness: float
 
@@ -110,6 +112,7 @@
         *,
         avoided: frozenset[str] = frozenset(),
         first: BackendServer | None = None,
+        kept: Path | None = None,
         may_doubt: bool = False,
     ) -> Path | None:
         """Return the path to send along; see `Routing.path`."""
@@ -118,7 +121,7 @@
         now_s = time.monotonic()
         maps = self._maps_of(service, service.engine)
         for left_out in self._left_out(avoided, may_doubt=may_doubt, now_s=now_s):
-            view = self._view(left_out, now_s=now_s)
+            view = self._view(left_out, kept, now_s=now_s)
             if first is None:
                 path = self._shared_path(service.name, maps, view, now_s=now_s)
             else:
@@ -156,10 +159,13 @@
             return [resting | avoided, shunned | avoided]
         return [resting | avoided]
 
-    def _view(self, left_out: frozenset[str], *, now_s: float) -> _View:
+    def _view(
+        self, left_out: frozenset[str], kept: Path | None, *, now_s: float
+    ) -> _View:
         """Return what searches go by now."""
         return _View(
             left_out,
+            kept,
             self._paces.slow(now_s=now_s),
             self._loads.pipe_fullness(now_s=now_s),
         )
@@ -174,7 +180,7 @@
             path = pick(shares.paths, position, left_out=view.left_out)
             if path is not None and not self._is_full(path.first, maps, now_s=now_s):
                 return path
-        parts = part_count(maps.zone.chains)
+        parts = part_count(maps.zones[self._zone].chains)
         paths = self._lay(maps, view, parts=parts, now_s=now_s)
         self._shares[service] = _Shares(maps, paths, now_s)
         return pick(paths, position, left_out=view.left_out)
@@ -200,11 +206,13 @@
             now_s=now_s,
         )
         engine = maps.whole.engine
+        zone = first.availability_zone if first is not None else self._zone
         added = functools.partial(fullness_added, engine=engine, streams=unseen / parts)
         search = NearFirst(
-            functools.partial(self._find, maps.zone, view, first=first),
+            functools.partial(self._find, maps.zones[zone], view, first=first),
             functools.partial(self._find, maps.whole, view, first=first),
-            is_near=first is None or first.availability_zone == self._zone,
+            # A request that moves stays where its KV cache is, if it can.
+            is_quick=True if first is not None else None,
         )
         fullness = self._loads.fullness_of(maps.whole, now_s=now_s)
         return lay_parts(search.find, fullness, added=added, parts=parts)
@@ -257,6 +265,7 @@
             fullness=fullness,
             paces=view.paces,
             first=first,
+            kept=view.kept,
             pipe_fullness=view.pipe_fullness,
             may_cross=may_cross,
         )
@@ -272,7 +281,13 @@
         ):
             return known
         servers = self._backends.usable(service.name)
-        near = [one for one in servers if one.availability_zone == self._zone]
-        maps = _Maps(revision, LayerMap(servers, engine), LayerMap(near, engine))
+        zones = {one.availability_zone for one in servers} | {self._zone}
+        by_zone = {
+            zone: LayerMap(
+                [one for one in servers if one.availability_zone == zone], engine
+            )
+            for zone in zones
+        }
+        maps = _Maps(revision, LayerMap(servers, engine), by_zone)
         self._maps[service.name] = maps
         return maps
--- a/src/violethatch/_routing.py
+++ b/src/violethatch/_routing.py
@@ -90,6 +90,7 @@
         *,
         avoided: frozenset[str] = frozenset(),
         first: BackendServer | None = None,
+        kept: Path | None = None,
         may_doubt: bool = False,
     ) -> Path | None:
         """Return the quickest path of a service over healthy runners.
@@ -98,12 +99,13 @@
             service: A service with an engine.
             avoided: Runners to leave alone beside the resting ones.
             first: The runner that has to come first, if one has to.
+            kept: The path that the request is on, if it moves from one.
             may_doubt: Whether runners that may only be full are used where the
                 others don't hold all layers.
         """
         self.expire()
         return self._paths.path(
-            service, avoided=avoided, first=first, may_doubt=may_doubt
+            service, avoided=avoided, first=first, kept=kept, may_doubt=may_doubt
         )
 
     def blocked_s(self, service: ServiceSpec) -> float | None:
--- a/src/violethatch/_segments.py
+++ b/src/violethatch/_segments.py
@@ -27,6 +27,20 @@
     layers: LayerRange
     holdings: tuple[Holding, ...]
 
+    def split(self, layer: int) -> tuple[Segment, ...]:
+        """Return the segment in two parts if a layer lies inside of it."""
+        if not self.layers.first < layer < self.layers.end:
+            return (self,)
+        below = LayerRange(self.layers.first, layer)
+        above = LayerRange(layer, self.layers.end)
+        return self._part(below), self._part(above)
+
+    def _part(self, layers: LayerRange) -> Segment:
+        """Return a part of the segment, with the time for its layers."""
+        share = layers.size / self.layers.size
+        holdings = (Holding(server, share * ms) for server, ms in self.holdings)
+        return Segment(layers, tuple(holdings))
+
 
 def segments(
     holders: Sequence[BackendServer], engine: EngineSpec
--- a/src/violethatch/_stream_run.py
+++ b/src/violethatch/_stream_run.py
@@ -294,7 +294,10 @@
         """Move the request onto a path around the suspects."""
         for _ in range(_MOST_REPATHS):
             path = self._routing.path(
-                self._service, avoided=self.suspects, first=self.path.first
+                self._service,
+                avoided=self.suspects,
+                first=self.path.first,
+                kept=self.path,
             )
             if path is None or self.path.first.id in self.suspects:
                 return False
--- a/src/violethatch/engine_model.py
+++ b/src/violethatch/engine_model.py
@@ -98,6 +98,10 @@
         whole_ms = tokens / self.read_tokens_per_s / _PER_K + pairs_ms
         return whole_ms * kind.read_factor * layers / self.layer_count
 
+    def usual_read_ms(self, kind: AcceleratorKind, layers: int) -> float:
+        """Return how long reading a usual prompt over some layers takes, in ms."""
+        return self.read_ms_of(kind, layers, self.usual_prompt_tokens)
+
     def kv_tokens(self, kind: AcceleratorKind, layers: int) -> float:
         """Return the tokens whose KV cache fits beside so many layers."""
         left_mb = kind.memory_mb - layers * self.layer_mb
--- a/src/violethatch/near_paths.py
+++ b/src/violethatch/near_paths.py
@@ -54,12 +54,18 @@
         find_near: Searches the own zone's runners.
         find_far: Searches all runners.
         is_near: Whether the own zone is to be searched at all.
+        is_quick: Whether the own zone counts as quick, without a comparison.
 
     .. versionadded:: 26.2.0
     """
 
     def __init__(
-        self, find_near: Find, find_far: Find, *, is_near: bool = True
+        self,
+        find_near: Find,
+        find_far: Find,
+        *,
+        is_near: bool = True,
+        is_quick: bool | None = None,
     ) -> None:
         self._find_near = find_near
         self._find_far = find_far
@@ -69,7 +75,7 @@
         self._searches = 0
         self._turn = 0
         #: Whether the own zone is as quick as others; None before the first search.
-        self._is_quick: bool | None = None
+        self._is_quick = is_quick
 
     def find(self, fullness: Mapping[str, float]) -> Path | None:
         """Return the best path, given how full runners are."""
--- a/src/violethatch/paths.py
+++ b/src/violethatch/paths.py
@@ -32,6 +32,10 @@
 #: From here on a runner counts as full: time grows on by the slope that it has there,
 #: so that of two full runners the fuller one still counts as slower.
 _FULL = 0.95
+#: How many times its time a runner's reading of a request's tokens counts, where the
+#: request moves: its caller waits for all of it at once, and the runners' other streams
+#: wait as well.
+_READ_WEIGHT = 4.0
 #: The most stages of a path (the engines' limit).
 MAX_STAGES = 32
 
@@ -92,8 +96,48 @@
 
     #: Ids of those that may not be used.
     left_out: Collection[str]
-    #: By id, how many times slower a runner counts; 1 if it isn't there.
+    #: By id, how many times slower a runner counts for being full; 1 if it isn't there.
     slowness: Mapping[str, float]
+    #: By id, how many times longer slow runners take for a step.
+    paces: Mapping[str, float]
+    #: By id, the layers for which a runner has the request's KV cache already.
+    kept: Mapping[str, LayerRange]
+    #: By kind, what a layer without that cache costs a token, in ms.
+    read_ms: Mapping[str, float]
+
+    def cost_ms(self, server: BackendServer, layers: LayerRange, step_ms: float) -> float:
+        """Return what a runner's work on some layers costs a token, in ms.
+
+        A request that stays needs no more room than it has.
+        """
+        step_ms *= self.paces.get(server.id, 1.0)
+        kept = self.kept.get(server.id)
+        if kept is not None and kept.covers(layers):
+            return step_ms
+        step_ms *= self.slowness.get(server.id, 1.0)
+        if not self.kept:
+            return step_ms
+        return step_ms + layers.size * self.read_ms[server.kind]
+
+
+class _Head(NamedTuple):
+    """What a path has to begin with.
+
+    Engines move a request only onto paths that begin with the same runner and the same
+    layers of it: where it held more than it ran, moves that let it run more or fewer
+    were conflicts.
+    """
+
+    server_id: str
+    #: The layers that it runs, if those are given too.
+    layers: LayerRange | None
+
+    def allows(self, server: BackendServer, layers: LayerRange) -> bool:
+        """Tell whether a runner may run some layers."""
+        is_head = server.id == self.server_id
+        if self.layers is None:
+            return is_head or layers.first > 0
+        return is_head == (layers.first < self.layers.end)
 
 
 class LayerMap:
@@ -112,6 +156,10 @@
         self.holders = {holder.id: holder for holder in holders}
         self._zones = sorted({holder.availability_zone for holder in holders})
         self._segments = segments(holders, engine)
+        self._read_ms = {
+            name: _READ_WEIGHT * engine.usual_read_ms(kind, 1) / _left_tokens(engine)
+            for name, kind in engine.kinds.items()
+        }
         self._delay_ms = {
             (zone, other): engine.delay_ms(zone, other)
             for zone in self._zones
@@ -131,6 +179,7 @@
         fullness: Mapping[str, float] | None = None,
         paces: Mapping[str, float] | None = None,
         first: BackendServer | None = None,
+        kept: Path | None = None,
         pipe_fullness: float = 0.0,
         may_cross: bool = True,
     ) -> Path | None:
@@ -143,24 +192,24 @@
                 one counts as many times slower.
             paces: By id, how many times longer slow runners take for a step.
             first: The runner that has to come first, if one has to.
+            kept: The path that the request is on, if it is on one; other runners
+                than that path's would have to read its tokens first.
             pipe_fullness: The part of the time that the pipe between zones is
                 taken.
             may_cross: Whether hidden states may pass between zones.
         """
         slowness = {one: _slowness(part) for one, part in (fullness or {}).items()}
-        for one, pace in (paces or {}).items():
-            slowness[one] = slowness.get(one, 1.0) * pace
-        usage = _Usage(left_out, slowness)
+        held = {one.server.id: one.layers for one in kept.stages} if kept else {}
+        usage = _Usage(left_out, slowness, paces or {}, held, self._read_ms)
         pipe_ms = _pipe_ms(self.engine, pipe_fullness) if may_cross else math.inf
         entries = self._start(zone)
-        only = first.id if first is not None else None
+        head = _Head(first.id, kept.stages[0].layers if kept else None) if first else None
         ways: dict[str, _Way] = {}
-        for segment in self._segments:
-            ways = _go_on(segment, ways, entries, usage, only=only)
+        for segment in _cut_at_head(self._segments, head):
+            ways = _go_on(segment, ways, entries, usage, head)
             if not ways:
                 return None
             entries = self._entries(ways.values(), pipe_ms)
-            only = None
         ends = [way for way in ways.values() if way.cost_ms < math.inf]
         return _best_path(ends, self.engine)
 
@@ -208,13 +257,24 @@
     )
 
 
+def _cut_at_head(
+    parts: Sequence[Segment], head: _Head | None
+) -> Sequence[Segment]:
+    """Return segments cut where the layers of a path's given first runner end."""
+    if head is None or head.layers is None:
+        return parts
+    cut: list[Segment] = []
+    for segment in parts:
+        cut.extend(segment.split(head.layers.end))
+    return cut
+
+
 def _go_on(
     segment: Segment,
     ways: Mapping[str, _Way],
     entries: Mapping[str, _Way],
     usage: _Usage,
-    *,
-    only: str | None,
+    head: _Head | None,
 ) -> dict[str, _Way]:
     """Return, by runner, the cheapest way through a segment that ends there.
 
@@ -223,12 +283,13 @@
         ways: By runner, the cheapest way to the segment's first layer.
         entries: By zone, the cheapest way to come to a runner there.
         usage: How runners may be used.
-        only: The one runner that may be used here, if there is one.
+        head: Which part the path has to begin with, if that is given.
     """
-    left_out, slowness = usage
     gone_on: dict[str, _Way] = {}
     for server, step_ms in segment.holdings:
-        if server.id in left_out or (only is not None and server.id != only):
+        if server.id in usage.left_out:
+            continue
+        if head is not None and not head.allows(server, segment.layers):
             continue
         cost_ms, visit = entries[server.availability_zone]
         stayed = ways.get(server.id)
@@ -236,8 +297,8 @@
             cost_ms, visit = stayed
         else:
             visit = _Visit(server, segment.layers.first, visit)
-        step_ms *= slowness.get(server.id, 1.0)
-        gone_on[server.id] = _Way(cost_ms + step_ms, visit)
+        cost_ms += usage.cost_ms(server, segment.layers, step_ms)
+        gone_on[server.id] = _Way(cost_ms, visit)
     return gone_on
 
 
@@ -263,6 +324,11 @@
     return 1.0 / left + beyond / (left * left)
 
 
+def _left_tokens(engine: EngineSpec) -> float:
+    """Return how many tokens a usual request under way still makes."""
+    return max(1.0, engine.usual_answer_tokens / 2)
+
+
 def _pipe_ms(engine: EngineSpec, fullness: float) -> float:
     """Return what a hop between zones costs a token beside its delay, in ms."""
     share_ms = engine.crossing_ms / max(1.0, engine.usual_answer_tokens)
--- a/tests/test_paths.py
+++ b/tests/test_paths.py
@@ -7,8 +7,8 @@
 from hypothesis import strategies as st
 
 from routing_samples import engine, runner
-from violethatch.layers import tiles
-from violethatch.paths import MAX_STAGES, LayerMap, find_path
+from violethatch.layers import LayerRange, tiles
+from violethatch.paths import MAX_STAGES, LayerMap, Path, Stage, find_path
 
 
 def stages(path):
@@ -121,3 +121,61 @@
         for stage in path.stages:
             assert stage.server.layers.first <= stage.layers.first
             assert stage.layers.end <= stage.server.layers.end
+
+
+class TestMoves:
+    """Load pattern: a group of runners goes dark, and all its streams move at once.
+
+    Each runner that is new on a path reads the request's tokens before the next
+    event; callers allow a pause of some 200 ms, of which the silence takes most.
+    """
+
+    CHAIN = [runner(f"c{n}", 20 * n, 20 * n + 20) for n in range(4)]
+    OTHER = [runner(f"o{n}", 20 * n, 20 * n + 20) for n in range(4)]
+
+    def moved(self, **options):
+        """Return the path past the second runner of a chain."""
+        layer_map = LayerMap([*self.CHAIN, *self.OTHER], engine())
+        path = find_path(self.CHAIN, engine(), zone="z1")
+        return layer_map.find(
+            zone="z1", first=self.CHAIN[0], left_out={"c1"}, kept=path, **options
+        )
+
+    def test_only_the_lost_runner_is_replaced(self):
+        """The others keep the request's KV cache, also where they are fuller."""
+        fullness = {one.id: 0.3 for one in self.CHAIN}
+        ids = [stage.server.id for stage in self.moved(fullness=fullness).stages]
+        assert ids == ["c0", "o1", "c2", "c3"]
+
+    def test_stream_that_stays_needs_no_room(self):
+        """A full runner on the path has the request's KV cache already."""
+        ids = [stage.server.id for stage in self.moved(fullness={"c2": 0.95}).stages]
+        assert ids == ["c0", "o1", "c2", "c3"]
+
+    def test_slow_runners_are_left_all_the_same(self):
+        """A runner that takes ten times as long holds each token up."""
+        ids = [stage.server.id for stage in self.moved(paces={"c2": 10.0}).stages]
+        assert ids == ["c0", "o1", "o2", "c3"]
+
+    @given(st.integers(1, 39), st.integers(20, 60))
+    def test_first_part_stays_as_it_is(self, ran, held):
+        """Engines take no other first part: not more of it, and not less."""
+        first = runner("first", 0, max(ran, held))
+        tail = runner("tail", ran, 80)
+        spares = [runner(f"s{end}", end, 80) for end in (1, 10, 20, 30, 45)]
+        stages = (
+            Stage(first, LayerRange(0, ran)),
+            Stage(tail, LayerRange(ran, 80)),
+        )
+        path = LayerMap([first, *spares], engine()).find(
+            zone="z1", first=first, kept=Path(stages, 1.0)
+        )
+        assert path.stages[0] == stages[0]
+
+    def test_without_a_path_nothing_is_kept(self):
+        """New requests go where runners are emptiest."""
+        layer_map = LayerMap([*self.CHAIN, *self.OTHER], engine())
+        path = layer_map.find(zone="z1", fullness={one.id: 0.3 for one in self.CHAIN})
+        assert {stage.server.id for stage in path.stages} == {
+            one.id for one in self.OTHER
+        }
