Let instances give each other retries, within the bound of all

And the least part of four each allowed 1,400 retries at 350 instances, where the platform allows 312.

Proof: tests/test_retry_shares.py holds 6 to 350 instances, cut off or not, all started again or not, against the rule's window; parts and the earned ratio are a half each, so that both hold without doubt. One instance alone gets twenty retries and more of 350 others.

--- a/src/violethatch/_peer_datagrams.py
+++ b/src/violethatch/_peer_datagrams.py
@@ -48,7 +48,33 @@
     slowness: float
 
 
-Datagram = SightingsDatagram | LoadDatagram | PaceDatagram
+class RetryAskDatagram(msgspec.Struct, array_like=True, tag="r"):
+    """A question for retries; the token is the receiver's own."""
+
+    token: str
+    sender: str
+    number: int
+    service: str
+    wanted: float
+
+
+class RetryGiftDatagram(msgspec.Struct, array_like=True, tag="g"):
+    """Retries that the sender has taken off its part; the token is the receiver's."""
+
+    token: str
+    sender: str
+    #: That of the question.
+    number: int
+    amount: float
+
+
+Datagram = (
+    SightingsDatagram
+    | LoadDatagram
+    | PaceDatagram
+    | RetryAskDatagram
+    | RetryGiftDatagram
+)
 
 
 class SendAllowance:
--- a/src/violethatch/_plain_calls.py
+++ b/src/violethatch/_plain_calls.py
@@ -93,7 +93,7 @@
         """
         failed: _Whole | None = None
         while self.sends < _MOST_SENDS:
-            if self.sends and not self._may_send_again():
+            if self.sends and not await self._may_send_again():
                 break
             answer = await self._send_once()
             if answer is None:
@@ -107,7 +107,7 @@
             raise self._failure()
         return await failed.give(responder)
 
-    def _may_send_again(self) -> bool:
+    async def _may_send_again(self) -> bool:
         """Tell whether another send is allowed and paid for."""
         if self.runs and not self._route.is_repeatable:
             return False
@@ -115,7 +115,7 @@
             return False
         if time.monotonic() >= self._deadline_s:
             return False
-        return self._routing.may_retry(self._admitted.service.name)
+        return await self._routing.may_retry(self._admitted.service.name)
 
     async def _send_once(self) -> _Whole | None:
         """Send the call once; return an answer that could be passed on.
--- a/src/violethatch/_routing.py
+++ b/src/violethatch/_routing.py
@@ -6,7 +6,7 @@
 import random
 import time
 
-from collections.abc import Callable, Collection, Iterable
+from collections.abc import Awaitable, Callable, Collection, Iterable
 
 from . import events
 from ._path_choice import PathChoice
@@ -18,6 +18,7 @@
 from .pipe_share import PipeShare
 from .progress import Progress
 from .retries import RetryBudget
+from .retry_shares import RetryShare
 from .router_settings import RouterSettings
 from .runner_health import RunnerHealth, Trouble
 from .runner_paces import RunnerPaces
@@ -28,6 +29,11 @@
 from .upstream import Refusal, RunnerClient, RunnerReport
 
 
+#: Retries that an instance saves up until it knows how many others there are: with all
+#: of 350 that start at once, about what they may have together.
+_UNKNOWN_RESERVE = 1.0
+
+
 class Routing:
     """Shared by all calls of one router."""
 
@@ -53,7 +59,10 @@
         #: Tells how many instances are known to serve; 0 where none is.
         self.instances: Callable[[], int] = lambda: 0
         self.loads = StreamLoads()
-        self._budgets: dict[str, RetryBudget] = {}
+        self._has_others = False
+        #: Asks other instances for a service's retries, where there are any.
+        self.ask_for_retries: Callable[[str], Awaitable[None]] = _ask_nobody
+        self._budgets: dict[str, RetryShare] = {}
         self._paths = PathChoice(
             settings.instance.availability_zone,
             backends=self.backends,
@@ -73,17 +82,30 @@
 
     def count_request(self, service: str) -> None:
         """Note a caller's request, which earns a part of a retry."""
-        budget = self._budget(service)
+        budget = self._budget(service).own
         budget.resize(self._reserve())
         budget.deposit()
 
-    def may_retry(self, service: str) -> bool:
+    async def may_retry(self, service: str) -> bool:
         """Take a retry from the service's budget; tell whether there was one."""
-        is_paid = self._budget(service).withdraw()
+        budget = self._budget(service)
+        if budget.left(now_s=time.monotonic()) < 1.0:
+            await self.ask_for_retries(service)
+        is_paid = budget.withdraw(now_s=time.monotonic())
         if not is_paid:
             events.log(events.RETRIES_SPENT, service=service)
         return is_paid
 
+    def give_retries(self, service: str, wanted: float) -> float:
+        """Take off and return what another instance gets of a service's retries."""
+        if service not in self._budgets and not self.backends.usable(service):
+            return 0.0
+        return self._budget(service).give(wanted)
+
+    def take_retries(self, service: str, amount: float) -> None:
+        """Take in what another instance has taken off its part."""
+        self._budget(service).take(amount, now_s=time.monotonic())
+
     def path(
         self,
         service: ServiceSpec,
@@ -134,6 +156,7 @@
             place: Tells the own place among those of the own zone.
         """
         self.instances = count
+        self._has_others = True
         self._paths.place = place
 
     def usable(self, service: str) -> list[BackendServer]:
@@ -229,26 +252,27 @@
         if rest_s is not None and is_worth_telling(trouble):
             self.tell(Sighting(server_id, trouble, rest_s))
 
-    def _budget(self, service: str) -> RetryBudget:
-        """Return a service's retry budget."""
+    def _budget(self, service: str) -> RetryShare:
+        """Return this instance's part of a service's retries."""
         budget = self._budgets.get(service)
         if budget is None:
             ratio = self.settings.bounds.retry_ratio * self.settings.policy.retry_part
-            budget = RetryBudget(ratio=ratio, reserve=self._reserve())
+            budget = RetryShare(RetryBudget(ratio=ratio, reserve=self._reserve()))
             self._budgets[service] = budget
         return budget
 
     def _reserve(self) -> float:
-        """Return this instance's part of the retries that all may save up.
-
-        Until it is known how many instances serve, only a few.
-        """
+        """Return this instance's part of the retries that all may save up."""
         policy = self.settings.policy
-        instances = self.instances()
-        if not instances:
+        if not self._has_others:
             return policy.retry_reserve
         part = self.settings.bounds.retry_slack * policy.retry_slack_part
-        return max(policy.retry_reserve, part / instances)
+        instances = self.instances()
+        return part / instances if instances else _UNKNOWN_RESERVE
+
+
+async def _ask_nobody(_service: str) -> None:
+    """Stand in for other instances where there are none."""
 
 
 def _trouble_of(refusal: Refusal, *, is_told_by_other: bool) -> Trouble:
--- a/src/violethatch/_streams.py
+++ b/src/violethatch/_streams.py
@@ -113,7 +113,7 @@
             path = await self._next_path()
             if path is None:
                 break
-            if self.sends and not self._routing.may_retry(self._service.name):
+            if self.sends and not await self._routing.may_retry(self._service.name):
                 break
             end, status = await self._run(path, responder)
             if end is _End.WHOLE:
--- a/src/violethatch/events.py
+++ b/src/violethatch/events.py
@@ -63,6 +63,7 @@
 STREAM_CUT = Event(2210, "stream_cut", "A stream could not be finished.")
 ANSWER_FAILED = Event(2211, "answer_failed", "A server answered with a failure.")
 RETRIES_SPENT = Event(2212, "retries_spent", "The retry budget is used up.")
+RETRIES_GIVEN = Event(2215, "retries_given", "Another instance gave retries.")
 CALLER_LEFT = Event(2213, "caller_left", "The caller went away before the end.")
 HEAD_LATE = Event(2214, "head_late", "A caller's request head did not come in time.")
 
--- a/src/violethatch/platform/_following.py
+++ b/src/violethatch/platform/_following.py
@@ -18,6 +18,7 @@
 from .._registration import INSTANCES_TABLE, Registration
 from .._relay_http import RelayClient, RelayListener
 from .._router import Router
+from .._retry_link import RetryLink
 from .._sighting_link import SightingLink
 from ..freshness import Freshness, StoreClock
 from ..instances import InstanceDirectory
@@ -89,6 +90,7 @@
         self._datagrams = PeerDatagrams(directory)
         self._sightings = SightingLink(self._datagrams, router.routing.hearsay)
         self._pace_link = PaceLink(self._datagrams, router.routing.paces)
+        self._retry_link = RetryLink(self._datagrams, router.routing, rng=rng)
         self._load_link = LoadLink(self._datagrams, router.routing.loads)
         self._followers = self._make_followers()
         self._instances_follower = self._make_instances_follower()
@@ -109,6 +111,7 @@
             await self._datagrams.start(self._settings.listen.peers)
             self._router.routing.tell = self._sightings.tell
             self._router.routing.tell_pace = self._pace_link.tell
+            self._router.routing.ask_for_retries = self._retry_link.ask
             self._router.routing.know_instances(
                 count=self._directory.__len__, place=self._directory.place
             )
--- a/src/violethatch/retries.py
+++ b/src/violethatch/retries.py
@@ -23,8 +23,8 @@
     __slots__ = ("balance", "ratio", "reserve")
 
     def __init__(self, *, ratio: float = 0.1, reserve: float = 50.0) -> None:
-        if ratio < 0 or reserve < 1:
-            msg = f"need ratio >= 0 and reserve >= 1, not {ratio} and {reserve}"
+        if ratio < 0 or reserve <= 0:
+            msg = f"need ratio >= 0 and reserve > 0, not {ratio} and {reserve}"
             raise ValueError(msg)
         self.ratio = ratio
         self.reserve = reserve
--- a/src/violethatch/router_settings.py
+++ b/src/violethatch/router_settings.py
@@ -134,12 +134,14 @@
     probe_limit_s: Positive = 0.06
     #: Silence after which a stream is taken up elsewhere in any case.
     silence_limit_s: Positive = 1.5
-    #: Retries that one instance may always save up.
+    #: Retries that an instance saves up that is told of no other.
     retry_reserve: Annotated[float, msgspec.Meta(ge=1)] = 4.0
-    #: Part of the shared retry slack that all instances save up together.
-    retry_slack_part: Ratio = 0.6
-    #: Part of the shared retry ratio that an instance uses itself.
-    retry_part: Ratio = 0.6
+    #: Part of the shared retry slack that all instances save up together.  A half: all
+    #: of them may start again, with new parts, within the bound's window.
+    retry_slack_part: Ratio = 0.5
+    #: Part of the shared retry ratio that an instance uses itself.  A half: what was
+    #: earned before the window may be given and used within it.
+    retry_part: Ratio = 0.5
     lease_duration_s: Positive = 4.0
     lease_margin_s: Positive = 1.5
 
