Probe silent streams at once, and send requests again whose answer is lost

Cause: streams that meet a dark runner went on 0.25 to 0.35 s later, where callers allow 0.20 to 0.25 s. A silence was looked at each 60 ms and told after 2.5 missing events, probes had 60 ms: some 180 ms before a move was asked for. And where an answer is lost without a word, the caller waited 1.75 s for another run, since nobody is at fault.

Change: one event and a half missing is told, which the first look sees; probes have 40 ms, a new connection after 20 (reports take 2 to 5 ms at runners that are there). A request that has not begun after 0.25 s, at a path whose runners all answer, none slow, and at whose first nobody waits, is run elsewhere, if it may and there is such a path.

--- a/src/violethatch/_stream_run.py
+++ b/src/violethatch/_stream_run.py
@@ -11,7 +11,7 @@
 import collections
 import time
 
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Iterable
 from typing import Any
 
 from . import events
@@ -28,6 +28,10 @@
 #: A wait that ended so much later than it should, in seconds, says that the instance
 #: itself was held up: what it has not seen tells nothing.
 _HELD_UP_S = 0.05
+#: How much slower than usual a runner may be, and how full, for the silence of a request
+#: that has not begun to mean that its answer was lost.
+_USUAL_SLOWNESS = 1.5
+_USUAL_KV_PART = 0.9
 #: How many runners of a zone have to be silent at once for all of it to be avoided.
 _SILENT_IN_ZONE = 2
 
@@ -43,8 +47,10 @@
         path: Path,
         *,
         tokens: float,
+        may_be_repeated: bool = False,
     ) -> None:
         self._routing = routing
+        self._may_be_repeated = may_be_repeated
         self._tokens = tokens
         self._service = service
         self._call = send.call
@@ -183,7 +189,8 @@
         culprits = self._resting_stages()
         if not culprits:
             suspected = self._suspected(since_s)
-            if not suspected:
+            has_begun = self._event_s is not None
+            if not suspected and has_begun:
                 return
             culprits = await self._probe(suspected)
         if not culprits:
@@ -237,12 +244,36 @@
             return culprits
         named = self._stage_at(report.stalled.get(self._call.id))
         if named is None:
+            self._check_lost(report, found.reports.values())
             return []
         self._routing.note_trouble(
             named, Trouble.NAMED, self._call.id, "a request waits for it"
         )
         return [named]
 
+    def _check_lost(
+        self, first: RunnerReport, reports: Iterable[RunnerReport]
+    ) -> None:
+        """Give a run up that has not begun though nothing holds it up.
+
+        Its answer was lost: every runner of the path is there and as quick as usual,
+        and at the first one nobody waits.  Another run begins within the target then.
+        The last one that is allowed is waited for, and one that has no other path.
+
+        Raises:
+            TimeoutError: The answer was lost.
+        """
+        if self._event_s is not None or not self._may_be_repeated:
+            return
+        is_slow = any(one.slowness > _USUAL_SLOWNESS for one in reports)
+        if first.waiting or is_slow or first.kv_used_part > _USUAL_KV_PART:
+            return
+        avoided = self.suspects | {self.path.first.id}
+        if self._routing.path(self._service, avoided=avoided) is None:
+            return
+        self.suspects = avoided
+        raise TimeoutError
+
     def _silent_zones(self, culprits: list[BackendServer]) -> frozenset[str]:
         """Return all runners of zones that seem to be cut off.
 
--- a/src/violethatch/_streams.py
+++ b/src/violethatch/_streams.py
@@ -188,7 +188,15 @@
             # The first run may have been lost with a connection that had rested.
             is_connection_fresh=not self._route.is_resumable or self.runs > 0,
         )
-        run = StreamRun(self._routing, self._service, send, path, tokens=self._tokens)
+        run = StreamRun(
+            self._routing,
+            self._service,
+            send,
+            path,
+            tokens=self._tokens,
+            may_be_repeated=self._route.is_resumable
+            and self.runs + 1 < self._route.max_attempts,
+        )
         run.count_in()
         try:
             return await self._run_counted(run, responder)
--- a/src/violethatch/platform/_runners.py
+++ b/src/violethatch/platform/_runners.py
@@ -47,7 +47,7 @@
 #: After how long it is asked for on a new connection as well, in seconds: the kept one
 #: may have gone silent for good, which says nothing of the runner.  Reports take 2 to
 #: 5 ms at runners that are there.
-_DOUBT_S = 0.05
+_DOUBT_S = 0.02
 #: How long an order's answer may take, in seconds.
 _ORDER_S = 1.0
 
--- a/src/violethatch/progress.py
+++ b/src/violethatch/progress.py
@@ -19,7 +19,7 @@
 _GAIN = 0.02
 #: How many events have to be missing at a runner for it to be looked at: of streams
 #: whose events come regularly, one that works misses as many in a hundred gaps.
-_MISSING_EVENTS = 2.5
+_MISSING_EVENTS = 1.5
 #: However many streams pass through it, a runner is silent only after so many usual
 #: times between events: prompts that are read hold all streams up for about one.
 _LEAST_GAPS = 1.3
--- a/src/violethatch/router_settings.py
+++ b/src/violethatch/router_settings.py
@@ -131,7 +131,7 @@
     gap_limit_s: Positive = 0.4
     #: How long a silent stream waits for runners' reports before it goes around
     #: those that have given none.
-    probe_limit_s: Positive = 0.06
+    probe_limit_s: Positive = 0.04
     #: Silence after which a stream is taken up elsewhere in any case.
     silence_limit_s: Positive = 1.5
     #: Retries that an instance saves up that is told of no other.
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -522,6 +522,45 @@
         assert not routing.health.resting(now_s=time.monotonic())
 
 
+class TestLostAnswer:
+    """Load pattern: runners run requests and a part of the answers never comes."""
+
+    async def test_another_run_begins_within_the_target(self):
+        """All runners are well and nobody waits: the caller is not kept waiting."""
+        client = FakeClient(asyncio.Event(), FakeAnswer(events(1)))
+        for name in ("a", "b"):
+            client.reports[name] = report()
+        started_s = time.monotonic()
+        got, _ = await serve(client, A, B, silence_limit_s=5.0)
+        assert (got.end, got.body) == ("whole", events(1))
+        assert [send.server.id for send in client.sends] == ["a", "b"]
+        assert time.monotonic() - started_s < 0.5
+
+    @pytest.mark.parametrize(
+        "told",
+        [
+            report()._replace(waiting=1),
+            report(slowness=4.0),
+            report()._replace(kv_used_part=0.99),
+        ],
+    )
+    async def test_request_that_waits_at_its_runner_goes_on(self, told):
+        """What is only full or slow is not sent a second time."""
+        client = FakeClient(FakeAnswer(0.3, events(1)))
+        for name in ("a", "b"):
+            client.reports[name] = told
+        got, _ = await serve(client, A, B, silence_limit_s=5.0)
+        assert (got.end, len(client.sends)) == ("whole", 1)
+
+    async def test_last_run_is_waited_for(self):
+        """Where no further run is allowed, late is better than never."""
+        client = FakeClient(LOST, FakeAnswer(0.3, events(1)))
+        for name in ("a", "b"):
+            client.reports[name] = report()
+        got, _ = await serve(client, A, B, silence_limit_s=5.0)
+        assert (got.end, len(client.sends)) == ("whole", 2)
+
+
 class TestFullPipe:
     async def test_what_the_pipe_does_not_take_is_refused_at_once(self):
         """A path over a full pipe would make all requests late."""
