Ask other instances for retries again while some are given

Change: who still lacks a retry waits for the next gift, and asks others once all of a question have answered, for 0.15 s at most. Parts, and so the bound, are as they were.

--- a/src/violethatch/_retry_link.py
+++ b/src/violethatch/_retry_link.py
@@ -35,11 +35,11 @@
 
 
 class _Asked(NamedTuple):
-    """Whom a question went to, of those who have not answered, and who waits."""
+    """A question: whom it went to, of those who have not answered, and who waits."""
 
     service: str
     peers: set[str]
-    answered: asyncio.Event
+    waiting: list[asyncio.Future[None]]
 
 
 class RetryLink:
@@ -64,16 +64,19 @@
         datagrams.on(RetryAskDatagram, self._take_question)
         datagrams.on(RetryGiftDatagram, self._take_gift)
 
-    async def ask(self, service: str) -> None:
-        """Ask others for retries, and wait until one has given some, or too long."""
+    async def ask(self, service: str) -> bool:
+        """Ask others for retries; tell whether one has given some before too long."""
         question = self._open.get(service) or self._send(service)
         if question is None:
-            return
+            return False
+        given = asyncio.get_running_loop().create_future()
+        question.waiting.append(given)
         try:
             async with asyncio.timeout(_ANSWER_S):
-                await question.answered.wait()
+                await given
         except TimeoutError:
-            return  # who asked logs that nothing was left
+            return False  # who asked logs that nothing was left
+        return True
 
     def _send(self, service: str) -> _Asked | None:
         """Ask some others; None where there is nobody."""
@@ -81,7 +84,7 @@
         if not peers:
             return None
         number = next(self._numbers)
-        question = _Asked(service, {one.id for one in peers}, asyncio.Event())
+        question = _Asked(service, {one.id for one in peers}, [])
         self._asked[number] = question
         self._open[service] = question
         asyncio.get_running_loop().call_later(_ANSWER_S, self._forget, number)
@@ -105,7 +108,10 @@
 
     def _forget(self, number: int) -> None:
         """Let go of a question: what comes later does not count."""
-        question = self._asked.pop(number)
+        self._close(self._asked.pop(number))
+
+    def _close(self, question: _Asked) -> None:
+        """Ask anew the next time, others than those who were asked."""
         if self._open.get(question.service) is question:
             del self._open[question.service]
 
@@ -134,4 +140,9 @@
             giver=message.sender,
             amount=round(message.amount, 2),
         )
-        question.answered.set()
+        if not question.peers:
+            self._close(question)
+        for waiting in question.waiting:
+            if not waiting.done():
+                waiting.set_result(None)
+        question.waiting.clear()
--- a/src/violethatch/_routing.py
+++ b/src/violethatch/_routing.py
@@ -29,6 +29,9 @@
 from .upstream import Refusal, RunnerClient, RunnerReport
 
 
+#: How long a request waits for retries that others give, in seconds: some ways there
+#: and back, as many may want the same ones.
+_RETRY_WAIT_S = 0.15
 #: Retries that an instance saves up until it knows how many others there are: with all
 #: of 350 that start at once, about what they may have together.
 _UNKNOWN_RESERVE = 1.0
@@ -61,7 +64,7 @@
         self.loads = StreamLoads()
         self._has_others = False
         #: Asks other instances for a service's retries, where there are any.
-        self.ask_for_retries: Callable[[str], Awaitable[None]] = _ask_nobody
+        self.ask_for_retries: Callable[[str], Awaitable[bool]] = _ask_nobody
         self._budgets: dict[str, RetryShare] = {}
         self._paths = PathChoice(
             settings.instance.availability_zone,
@@ -89,8 +92,11 @@
     async def may_retry(self, service: str) -> bool:
         """Take a retry from the service's budget; tell whether there was one."""
         budget = self._budget(service)
-        if budget.left(now_s=time.monotonic()) < 1.0:
-            await self.ask_for_retries(service)
+        give_up_s = time.monotonic() + _RETRY_WAIT_S
+        while budget.left(now_s=time.monotonic()) < 1.0:
+            is_given = await self.ask_for_retries(service)
+            if not is_given or time.monotonic() >= give_up_s:
+                break
         is_paid = budget.withdraw(now_s=time.monotonic())
         if not is_paid:
             events.log(events.RETRIES_SPENT, service=service)
@@ -271,8 +277,9 @@
         return part / instances if instances else _UNKNOWN_RESERVE
 
 
-async def _ask_nobody(_service: str) -> None:
+async def _ask_nobody(_service: str) -> bool:
     """Stand in for other instances where there are none."""
+    return False
 
 
 def _trouble_of(refusal: Refusal, *, is_told_by_other: bool) -> Trouble:
--- a/tests/test_retry_shares.py
+++ b/tests/test_retry_shares.py
@@ -237,6 +237,22 @@
         gone = sum(2.0 - one.left for one in accounts.values())
         assert accounts["i0"].taken <= gone
 
+    async def test_next_question_goes_to_others(self):
+        """Several streams that fail at once are not told that nothing is left."""
+        wire = Wire(40)
+        accounts = {name: Account(2.0) for name in wire.entries}
+        links = {
+            name: RetryLink(wire.end(name), account, rng=random.Random(7))
+            for name, account in accounts.items()
+        }
+        for _ in range(3):
+            asking = asyncio.create_task(links["i0"].ask("model"))
+            await asyncio.sleep(0)
+            wire.deliver()
+            wire.deliver()
+            assert await asking
+        assert accounts["i0"].taken > 12.0
+
     async def test_late_gift_is_lost(self):
         """What comes after the wait was taken off and counts no more."""
         wire = Wire(3)
