--- a/src/violethatch/near_paths.py
+++ b/src/violethatch/near_paths.py
@@ -53,7 +53,6 @@
     Args:
         find_near: Searches the own zone's runners.
         find_far: Searches all runners.
-        is_near: Whether the own zone is to be searched at all.
         is_quick: Whether the own zone counts as quick, without a comparison.
 
     .. versionadded:: 26.2.0
@@ -64,12 +63,10 @@
         find_near: Find,
         find_far: Find,
         *,
-        is_near: bool = True,
         is_quick: bool | None = None,
     ) -> None:
         self._find_near = find_near
         self._find_far = find_far
-        self._is_near = is_near
         #: What was found over all runners, each used again in its turn.
         self._far: list[Path] = []
         self._searches = 0
@@ -79,7 +76,7 @@
 
     def find(self, fullness: Mapping[str, float]) -> Path | None:
         """Return the best path, given how full runners are."""
-        near = self._find_near(fullness) if self._is_near else None
+        near = self._find_near(fullness)
         if self._is_quick is None:
             self._is_quick = self._compare(near, fullness)
         if near is None:
--- a/tests/test_near_paths.py
+++ b/tests/test_near_paths.py
@@ -91,9 +91,10 @@
         found = [search.find({"near": n / 20}) for n in range(8)]
         assert all(one.first.id == "near" for one in found)
 
-    def test_move_of_a_far_stream_looks_at_all(self):
-        """The own zone's runners can't stand behind a first runner elsewhere."""
-        near = Searches(NEAR)
-        search = NearFirst(near, Searches(*FAR), is_near=False)
-        assert search.find({}) is FAR[0]
-        assert near.count == 0
+    def test_move_is_not_compared_with_other_zones(self):
+        """A request stays in the zone of its first runner, where its KV cache is."""
+        slow = path("near")._replace(token_ms=20.0)
+        far = Searches(*FAR)
+        search = NearFirst(Searches(slow), far, is_quick=True)
+        assert search.find({"near": 0.1}) is slow
+        assert far.count == 0
