Move past the last listed runner of a zone without an error, and tidy what was read again

Cause: read once more, a move looked up the zone of its first runner among the listed ones; where all runners of that zone were leaving or gone meanwhile, that was a KeyError, which ended the stream.

Change: all runners are searched then. Besides, without a change of behaviour: the kinds and counts of a split are compared in length again, the two measuring tools list a site's runners by one function, and the comment on retries right after a start says what it is for.

--- a/bench/brief_measures.py
+++ b/bench/brief_measures.py
@@ -156,6 +156,15 @@
     )
 
 
+def site_hosts(service: Mapping[str, Any]) -> list[Host]:
+    """Return a service's runners, empty."""
+    return [
+        Host(f"{part['zone']}-{part['kind']}-{n}", part["zone"], part["kind"], None)
+        for part in service["servers"]
+        for n in range(part["count"])
+    ]
+
+
 def asked_per_s(site: Mapping[str, Any], service: str) -> float:
     """Return how many streams of a service a site's traffic asks for in a second."""
     names = {
@@ -177,11 +186,7 @@
         if "joint" not in service.get("llm", {}):
             continue
         engine = engine_of(site, service)
-        hosts = [
-            Host(f"{part['zone']}-{part['kind']}-{n}", part["zone"], part["kind"], None)
-            for part in service["servers"]
-            for n in range(part["count"])
-        ]
+        hosts = site_hosts(service)
         bound = hardware_bound(Counter(host.kind for host in hosts), engine)
         asked = asked_per_s(site, service["name"])
         print(
--- a/bench/decision_costs.py
+++ b/bench/decision_costs.py
@@ -20,7 +20,7 @@
 from collections.abc import Callable, Sequence
 from typing import Any
 
-from brief_measures import engine_of
+from brief_measures import engine_of, site_hosts
 from violethatch._hosts import Host
 from violethatch._path_choice import PathChoice
 from violethatch.backends import BackendServer, BackendTable
@@ -56,15 +56,6 @@
     return statistics.median(taken) * _MICROSECONDS
 
 
-def site_hosts(service: dict[str, Any]) -> list[Host]:
-    """Return a service's runners, empty."""
-    return [
-        Host(f"{part['zone']}-{part['kind']}-{n}", part["zone"], part["kind"], None)
-        for part in service["servers"]
-        for n in range(part["count"])
-    ]
-
-
 def placed_servers(hosts: Sequence[Host], engine: EngineSpec) -> list[BackendServer]:
     """Return runners that hold what placement gives them."""
     orders = divide(hosts, engine)
--- a/src/violethatch/_chains.py
+++ b/src/violethatch/_chains.py
@@ -164,7 +164,7 @@
             counts,
             chain_requests_per_s(kinds[: len(counts)], counts, engine),
             chain_token_ms(kinds[: len(counts)], counts, engine),
-            _at_once(_holding(kinds, counts), engine),
+            _at_once(_holding(kinds[: len(counts)], counts), engine),
         )
         for counts in sorted(weighed)
     ]
@@ -287,7 +287,7 @@
     kinds: Sequence[AcceleratorKind], counts: Sequence[int]
 ) -> list[tuple[AcceleratorKind, int]]:
     """Return the kinds that hold layers, with how many."""
-    return [(kind, count) for kind, count in zip(kinds, counts) if count]  # noqa: B905
+    return [(kind, n) for kind, n in zip(kinds, counts, strict=True) if n]
 
 
 def _at_once(parts: Sequence[tuple[AcceleratorKind, int]], engine: EngineSpec) -> float:
--- a/src/violethatch/_path_choice.py
+++ b/src/violethatch/_path_choice.py
@@ -207,9 +207,11 @@
         )
         engine = maps.whole.engine
         zone = first.availability_zone if first is not None else self._zone
+        # The first runner's zone may have no other listed runner any more.
+        near = maps.zones.get(zone, maps.whole)
         added = functools.partial(self._added, engine=engine, streams=unseen / parts)
         search = NearFirst(
-            functools.partial(self._find, maps.zones[zone], view, first=first),
+            functools.partial(self._find, near, view, first=first),
             functools.partial(self._find, maps.whole, view, first=first),
             # A request that moves stays where its KV cache is, if it can.
             is_quick=True if first is not None else None,
--- a/src/violethatch/_routing.py
+++ b/src/violethatch/_routing.py
@@ -32,8 +32,8 @@
 #: How long a request waits for retries that others give, in seconds: some ways there
 #: and back, as many may want the same ones.
 _RETRY_WAIT_S = 0.15
-#: Retries that an instance saves up until it knows how many others there are: with all
-#: of 350 that start at once, about what they may have together.
+#: Retries that an instance saves up in the moment after its start, until it has read
+#: how many others there are.
 _UNKNOWN_RESERVE = 1.0
 
 
--- a/tests/test_path_choice.py
+++ b/tests/test_path_choice.py
@@ -112,6 +112,12 @@
         assert set(seconds) == {"n1-1", "n2-1"}
         assert spread_of(seconds) <= 1.3
 
+    def test_first_runner_of_a_zone_that_is_gone(self):
+        """A move past the last listed runner of a zone finds nothing, and ends well."""
+        (one,) = routings(1, *NEAR)
+        gone = FAR[0]
+        assert one.path(SERVICE, first=gone, avoided=frozenset({"f0-1"})) is None
+
 
 class TestBlocked:
     def test_rests_on_the_best_path_tell_how_long(self):
