Tell in the lines which server has ended, and under which work

Cause: the lines of the incident name a request's id, which changes with each return, and a server's broken answer, which may be a crash, a failed answer or a planned end. None of the four hypotheses could be told from the others.

A server whose answer breaks off is asked once whether it refuses connections; one that is leaving or not listed isn't asked. 2114 names request, work, server, its start, and whether a part of the answer had come; a counter counts them. A runner's entry is read for the time of its start. No choice depends on any of it.

--- a/src/violethatch/_plain_calls.py
+++ b/src/violethatch/_plain_calls.py
@@ -10,6 +10,7 @@
 
 from . import events
 from ._routing import Routing
+from ._work_in_hand import WorkInHand
 from .backends import BackendServer
 from .desired import Admitted
 from .errors import (
@@ -23,6 +24,7 @@
     Answer,
     AnswerLostError,
     Call,
+    ConnectionBrokenError,
     Headers,
     NotSentError,
     Responder,
@@ -77,6 +79,7 @@
         self._admitted = admitted
         self._route = admitted.route
         self._deadline_s = call.deadline_within_s(admitted.route.timeout_s)
+        self._work = WorkInHand(routing, call, admitted.workspace_name)
         self._tried: set[str] = set()
         self._refused = False
         #: Sends that may have run.
@@ -146,7 +149,8 @@
             routing.note_trouble(server, Trouble.SILENT, self._call.id, str(error))
         except AnswerLostError as error:
             self.runs += 1
-            routing.note_trouble(server, Trouble.FAILED, self._call.id, str(error))
+            trouble = await self._trouble_of(error, server)
+            routing.note_trouble(server, trouble, self._call.id, str(error))
         except TimeoutError:
             self.runs += 1
             self._note_late(server.id)
@@ -155,6 +159,14 @@
             routing.choice.ended(server.id, load, now_s=time.monotonic())
         return None
 
+    async def _trouble_of(
+        self, error: AnswerLostError, server: BackendServer
+    ) -> Trouble:
+        """Return what a lost answer says of its server."""
+        if isinstance(error, ConnectionBrokenError):
+            await self._work.lost(server, has_begun=False)
+        return Trouble.FAILED
+
     def _choose(self, now_s: float) -> BackendServer:
         """Return the server to send to.
 
--- a/src/violethatch/_router.py
+++ b/src/violethatch/_router.py
@@ -62,6 +62,7 @@
         self.settings = settings
         self.routing = Routing(settings, client, rng)
         self.metrics = RouterMetrics()
+        self.routing.count_end = lambda _lifetime: self.metrics.server_ends.inc({})
         self.freshness = Freshness(limit_s=settings.proof_limit_s)
         self.stop_plan = StopPlan(grace_s=settings.bounds.grace_s)
         self.desired: DesiredState | None = None
--- a/src/violethatch/_router_metrics.py
+++ b/src/violethatch/_router_metrics.py
@@ -39,7 +39,11 @@
             "Calls of the platform's store, by outcome.",
             registry=self.registry,
         )
-
+        self.server_ends = Counter(
+            "violethatch_router_requests_under_ended_servers_total",
+            "Sends of requests to servers that ended before their answers were whole.",
+            registry=self.registry,
+        )
         self.instances_summed = Gauge(
             "violethatch_router_load_instances",
             "Instances whose loads this one knows, itself included.",
--- a/src/violethatch/_routing.py
+++ b/src/violethatch/_routing.py
@@ -11,6 +11,7 @@
 from . import events
 from ._path_choice import PathChoice
 from ._probes import Probes
+from ._server_ends import ServerEnds
 from .backends import BackendServer, BackendTable
 from .desired import ServiceSpec
 from .path_shares import Place
@@ -54,6 +55,9 @@
         self.probes = Probes(
             client, on_silent=self._note_silent, on_report=self._note_report
         )
+        self.ends = ServerEnds(client, listed=self.backends.get)
+        #: Counts each server that was found to have ended.
+        self.count_end: Callable[[str], None] = lambda _lifetime: None
         self.paces = RunnerPaces()
         #: Tells other instances what a slow runner has said, where there are any.
         self.tell_pace: Callable[[str, float], None] = lambda _id, _slowness: None
--- /dev/null
+++ b/src/violethatch/_server_ends.py
@@ -0,0 +1,93 @@
+# SPDX-License-Identifier: MIT
+"""Whether a server has ended, when the answer of a request there breaks off.
+
+A connection breaks for many reasons: the server fails one answer, closes a connection
+that rested, a reset on the way, a planned end.  A server whose process has ended
+without a word refuses connections from then on.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import time
+
+from collections.abc import Callable
+
+from .backends import BackendServer
+from .upstream import RunnerClient
+
+
+#: How long a server that took a connection counts as there, in seconds: requests that
+#: are broken off together share one look.
+_THERE_S = 0.1
+#: For how long a server that has ended is remembered, in seconds: longer than any
+#: request of before its end is under way.
+_ENDED_LIFE_S = 60.0
+
+
+class ServerEnds:
+    """What one instance has found out of servers that have ended.
+
+    Args:
+        client: Asks whether servers refuse connections.
+        listed: Returns a server as the list has it now.
+    """
+
+    def __init__(
+        self,
+        client: RunnerClient,
+        *,
+        listed: Callable[[str], BackendServer | None],
+    ) -> None:
+        self._client = client
+        self._listed = listed
+        #: By lifetime, when it was found to be over, or to go on.
+        self._ended_s: dict[str, float] = {}
+        self._there_s: dict[str, float] = {}
+        self._looks: dict[str, asyncio.Task[bool]] = {}
+
+    async def has_ended(self, server: BackendServer) -> bool:
+        """Tell whether a server, of which a request was broken off, has ended.
+
+        One that is leaving, or is no longer listed, ends as planned.
+        """
+        now_s = time.monotonic()
+        if self.is_known(server.lifetime, now_s=now_s):
+            return True
+        listed = self._listed(server.id)
+        if listed is None or listed.is_leaving:
+            return False
+        if now_s - self._there_s.get(server.lifetime, -_THERE_S) < _THERE_S:
+            return False
+        look = self._looks.get(server.lifetime)
+        if look is None:
+            look = asyncio.create_task(self._look(server))
+            self._looks[server.lifetime] = look
+        # Who has started the look may be cancelled; the others still want it.
+        return await asyncio.shield(look)
+
+    def is_known(self, lifetime: str, *, now_s: float) -> bool:
+        """Tell whether a server's lifetime was found to be over."""
+        ended_s = self._ended_s.get(lifetime)
+        return ended_s is not None and now_s - ended_s < _ENDED_LIFE_S
+
+    async def _look(self, server: BackendServer) -> bool:
+        """Ask whether a server refuses connections, and remember it."""
+        try:
+            is_refusing = await self._client.is_refusing(server)
+        finally:
+            self._looks.pop(server.lifetime, None)
+        now_s = time.monotonic()
+        if is_refusing:
+            self._forget_old(now_s)
+            self._ended_s[server.lifetime] = now_s
+        else:
+            self._there_s[server.lifetime] = now_s
+        return is_refusing
+
+    def _forget_old(self, now_s: float) -> None:
+        """Forget what is too old to matter."""
+        for known in (self._ended_s, self._there_s):
+            old = [one for one, at_s in known.items() if now_s - at_s > _ENDED_LIFE_S]
+            for lifetime in old:
+                del known[lifetime]
--- a/src/violethatch/_stream_run.py
+++ b/src/violethatch/_stream_run.py
@@ -63,6 +63,8 @@
         self.path = path
         self.repaths = 0
         self.is_whole = False
+        #: Whether an event has come from the runners that it is on.
+        self.has_begun = False
         #: Runners to leave out when the call is sent again.
         self.suspects: frozenset[str] = frozenset()
 
@@ -129,6 +131,7 @@
     def _note_event(self) -> None:
         """Note that the path's runners work."""
         now_s = time.monotonic()
+        self.has_begun = True
         ids = self.path.server_ids
         if self._event_s is None:
             self._progress.began(ids, now_s=now_s)
--- a/src/violethatch/_streams.py
+++ b/src/violethatch/_streams.py
@@ -16,6 +16,7 @@
 from . import events
 from ._routing import Routing
 from ._stream_run import StreamRun
+from ._work_in_hand import WorkInHand
 from .backends import BackendServer
 from .desired import Admitted, ServiceSpec
 from .errors import (
@@ -32,6 +33,7 @@
     Answer,
     AnswerLostError,
     Call,
+    ConnectionBrokenError,
     NotSentError,
     Responder,
     Send,
@@ -73,6 +75,7 @@
         self._service = admitted.service
         self._route = admitted.route
         self._deadline_s = call.deadline_within_s(admitted.route.timeout_s)
+        self._work = WorkInHand(routing, call, admitted.workspace_name)
         self._progress = StreamProgress(last_id=call.last_event_id)
         self._tokens = _expected_tokens(call, admitted.service)
         self._avoided: frozenset[str] = frozenset()
@@ -217,7 +220,8 @@
         except AnswerLostError as error:
             # It was reached, and others' requests may well get their answers.
             self.runs += 1
-            self._leave_first(path.first, str(error), trouble=Trouble.FAILED)
+            trouble = await self._trouble_of(error, run)
+            self._leave_first(path.first, str(error), trouble=trouble)
             return _End.LOST, 0
         except TimeoutError:
             self.runs += 1
@@ -247,8 +251,9 @@
         try:
             await self._pass_on(answer, run, responder)
         except (AnswerLostError, SpoiltStreamError) as error:
+            trouble = await self._trouble_of(error, run)
             self._routing.note_trouble(
-                run.path.first, Trouble.FAILED, self._call.id, str(error)
+                run.path.first, trouble, self._call.id, str(error)
             )
             return _End.LOST, 0
         except TimeoutError:
@@ -339,6 +344,12 @@
         self._is_framed = answer.is_framed
         await responder.start(answer.status, answer.headers, is_framed=answer.is_framed)
 
+    async def _trouble_of(self, error: Exception, run: StreamRun) -> Trouble:
+        """Return what a lost answer says of the first runner."""
+        if isinstance(error, ConnectionBrokenError):
+            await self._work.lost(run.path.first, has_begun=run.has_begun)
+        return Trouble.FAILED
+
     def _leave_first(
         self, server: BackendServer, reason: str, *, trouble: Trouble = Trouble.SILENT
     ) -> None:
--- a/src/violethatch/events.py
+++ b/src/violethatch/events.py
@@ -53,6 +53,8 @@
 DATAGRAM_LOST = Event(2110, "datagram_lost", "A datagram between instances is lost.")
 SERVER_PACE = Event(2113, "server_pace", "A server says it is slow, or quick again.")
 SERVERS_BACK = Event(2112, "servers_back", "Servers that were silent answer again.")
+SERVER_ENDED = Event(2114, "server_ended", "A server ended that had a request.")
+SERVER_UNKNOWN = Event(2115, "server_unknown", "Whether a server ended is not known.")
 LOAD_NEIGHBOURS = Event(2111, "load_neighbours", "Loads are told to other instances.")
 
 REQUEST_SERVED = Event(2205, "request_served", "A request got its answer.")
--- a/src/violethatch/platform/_runners.py
+++ b/src/violethatch/platform/_runners.py
@@ -15,12 +15,15 @@
 
 from multidict import CIMultiDict
 
+from .. import events
 from .._call_errors import CALL_ERRORS
+from .._serving import host_and_port
 from ..backends import BackendServer
 from ..layers import LayerRange
 from ..paths import Path
 from ..upstream import (
     AnswerLostError,
+    ConnectionBrokenError,
     Headers,
     NotSentError,
     OrderAnswer,
@@ -48,6 +51,9 @@
 #: may have gone silent for good, which says nothing of the runner.  Reports take 2 to
 #: 5 ms at runners that are there.
 _DOUBT_S = 0.02
+#: How long a connection may take to come about that only shows that a server is
+#: there, in seconds: a request waits for that before it is sent again.
+_CONNECT_S = 0.1
 #: How long an order's answer may take, in seconds.
 _ORDER_S = 1.0
 
@@ -77,7 +83,7 @@
                 yield part
         except (aiohttp.ClientError, OSError) as error:
             msg = f"the answer broke off: {error!r}"
-            raise AnswerLostError(msg) from error
+            raise ConnectionBrokenError(msg) from error
 
     def close(self, *, is_whole: bool) -> None:
         """Let go of the answer; unless it is whole, break it off."""
@@ -130,6 +136,8 @@
             )
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
             raise NotSentError(repr(error)) from error
+        except (aiohttp.ServerDisconnectedError, OSError) as error:
+            raise ConnectionBrokenError(repr(error)) from error
         except CALL_ERRORS as error:
             raise AnswerLostError(repr(error)) from error
         if answer.headers.get(_headers.CALL_ID) != call.id:
@@ -142,6 +150,20 @@
             raise AnswerLostError(msg)
         return _Answer(answer)
 
+    async def is_refusing(self, server: BackendServer) -> bool:
+        """Tell whether a server refuses connections: nobody listens there."""
+        try:
+            host, port = host_and_port(server.address)
+            async with asyncio.timeout(_CONNECT_S):
+                _, writer = await asyncio.open_connection(host, port)
+        except ConnectionRefusedError:
+            return True
+        except (TimeoutError, *CALL_ERRORS) as error:
+            events.log(events.SERVER_UNKNOWN, server_id=server.id, reason=repr(error))
+            return False
+        writer.transport.abort()
+        return False
+
     async def report(self, server: BackendServer) -> RunnerReport | None:
         """Return a runner's report, or None if none came in time."""
         kept = asyncio.create_task(self._ask_report(self._kept, server))
--- a/src/violethatch/platform/_wire.py
+++ b/src/violethatch/platform/_wire.py
@@ -33,6 +33,7 @@
     state: str = "ready"
     kind: str = ""
     layers: LayersHeld | None = msgspec.field(name="layers", default=None)
+    born: int = msgspec.field(name="born", default=0)
 
 
 class Row(PascalBody):
@@ -117,6 +118,7 @@
             layers=held_range(server.layers),
             kind=server.kind,
             weights_version=server.layers.version if server.layers else 0,
+            born_ms=server.born,
         )
 
 
--- a/src/violethatch/upstream.py
+++ b/src/violethatch/upstream.py
@@ -75,6 +75,13 @@
     """The call may have run; its answer did not come or is not whole."""
 
 
+class ConnectionBrokenError(AnswerLostError):
+    """The connection ended before the answer was whole.
+
+    The server may have ended with it, or not.
+    """
+
+
 class Refusal(NamedTuple):
     """A server's word that it has not run the call.
 
@@ -181,6 +188,9 @@
             AnswerLostError: It may have run.
         """
 
+    async def is_refusing(self, server: BackendServer) -> bool:
+        """Tell whether a server refuses connections: nobody listens there."""
+
     async def report(self, server: BackendServer) -> RunnerReport | None:
         """Return a runner's report, or None if none came in time."""
 
--- a/tests/router_fakes.py
+++ b/tests/router_fakes.py
@@ -13,6 +13,7 @@
 from violethatch.upstream import (
     AnswerLostError,
     Call,
+    ConnectionBrokenError,
     OrderAnswer,
     OrderOutcome,
     Refusal,
@@ -80,6 +81,7 @@
 
 
 LOST = AnswerLostError("lost")
+BROKEN = ConnectionBrokenError("broken")
 
 
 class FakeClient:
@@ -91,6 +93,8 @@
         self.repaths = []
         self.placed = []
         self.reports = {}
+        self.refusing = set()
+        self.looked = []
         self.repath_outcome = OrderAnswer(OrderOutcome.DONE)
         self.place_outcome = OrderAnswer(OrderOutcome.BEGUN)
         self.on_repath = None
@@ -104,6 +108,10 @@
             await answer.wait()
         return answer
 
+    async def is_refusing(self, server):
+        self.looked.append(server.id)
+        return server.id in self.refusing
+
     async def report(self, server):
         return self.reports.get(server.id)
 
--- /dev/null
+++ b/tests/test_server_ends.py
@@ -0,0 +1,61 @@
+# SPDX-License-Identifier: MIT
+"""Telling a server that has ended from one that broke an answer off."""
+
+from __future__ import annotations
+
+import asyncio
+
+from router_fakes import FakeClient
+from routing_samples import runner
+from violethatch._server_ends import ServerEnds
+
+
+A = runner("a", 0, 80)
+
+
+def ends(client, *listed):
+    """Return a fresh view of ends, with servers listed."""
+    by_id = {one.id: one for one in listed}
+    return ServerEnds(client, listed=by_id.get)
+
+
+class TestEnds:
+    async def test_server_that_refuses_connections_has_ended(self):
+        """Nobody listens where its process was; it is asked once."""
+        client = FakeClient()
+        client.refusing = {"a"}
+        found = ends(client, A)
+        assert await found.has_ended(A)
+        assert await found.has_ended(A)
+        assert client.looked == ["a"]
+
+    async def test_server_that_takes_connections_goes_on(self):
+        """A broken answer alone says nothing of its server."""
+        client = FakeClient()
+        assert not await ends(client, A).has_ended(A)
+
+    async def test_requests_that_break_together_share_a_look(self):
+        """A server's end breaks all its requests at once."""
+        client = FakeClient()
+        client.refusing = {"a"}
+        found = ends(client, A)
+        told = await asyncio.gather(*(found.has_ended(A) for _ in range(50)))
+        assert all(told)
+        assert client.looked == ["a"]
+
+    async def test_planned_ends_are_none(self):
+        """Who is leaving, or listed no more, ends as planned."""
+        client = FakeClient()
+        client.refusing = {"a"}
+        assert not await ends(client).has_ended(A)
+        assert not await ends(client, A._replace(is_leaving=True)).has_ended(A)
+        assert client.looked == []
+
+    async def test_new_start_is_another_lifetime(self):
+        """The same id, started again, is looked at anew."""
+        client = FakeClient()
+        client.refusing = {"a"}
+        found = ends(client, A)
+        assert await found.has_ended(A._replace(born_ms=1))
+        client.refusing = set()
+        assert not await found.has_ended(A._replace(born_ms=2))
