--- /dev/null
+++ b/src/violethatch/_peer_links.py
@@ -0,0 +1,42 @@
+# SPDX-License-Identifier: MIT
+"""All that an instance tells the others by datagrams."""
+
+from __future__ import annotations
+
+import random
+
+from ._load_link import LoadLink
+from ._pace_link import PaceLink
+from ._peer_datagrams import PeerDatagrams
+from ._retry_link import RetryLink
+from ._router import Router
+from ._sighting_link import SightingLink
+
+
+class PeerLinks:
+    """The links of one router to those of the other instances.
+
+    Args:
+        datagrams: Carries what they tell.
+        router: Who tells, and takes in.
+        rng: Chooses whom to ask.
+    """
+
+    def __init__(
+        self, datagrams: PeerDatagrams, router: Router, *, rng: random.Random
+    ) -> None:
+        self._datagrams = datagrams
+        self._router = router
+        self._sightings = SightingLink(datagrams, router.routing.hearsay)
+        self._paces = PaceLink(datagrams, router.routing.paces)
+        self._retries = RetryLink(datagrams, router.routing, rng=rng)
+        self.loads = LoadLink(datagrams, router.routing.loads)
+
+    def open(self) -> None:
+        """Let the router tell and ask the others from now on."""
+        routing = self._router.routing
+        directory = self._datagrams.directory
+        routing.tell = self._sightings.tell
+        routing.tell_pace = self._paces.tell
+        routing.ask_for_retries = self._retries.ask
+        routing.know_instances(count=directory.__len__, place=directory.place)
--- a/src/violethatch/platform/_following.py
+++ b/src/violethatch/platform/_following.py
@@ -11,15 +11,12 @@
 import aiohttp
 
 from .._followers import TableFollower
-from .._load_link import LoadLink
-from .._pace_link import PaceLink
 from .._peer_datagrams import PeerDatagrams
+from .._peer_links import PeerLinks
 from .._placing import PlacementDuty
 from .._registration import INSTANCES_TABLE, Registration
 from .._relay_http import RelayClient, RelayListener
-from .._retry_link import RetryLink
 from .._router import Router
-from .._sighting_link import SightingLink
 from ..freshness import Freshness, StoreClock
 from ..instances import InstanceDirectory
 from ..relayed_tables import RelayedTables
@@ -88,10 +85,7 @@
         )
         router.sources = lambda: self._tables.sources
         self._datagrams = PeerDatagrams(directory)
-        self._sightings = SightingLink(self._datagrams, router.routing.hearsay)
-        self._pace_link = PaceLink(self._datagrams, router.routing.paces)
-        self._retry_link = RetryLink(self._datagrams, router.routing, rng=rng)
-        self._load_link = LoadLink(self._datagrams, router.routing.loads)
+        self._links = PeerLinks(self._datagrams, router, rng=rng)
         self._followers = self._make_followers()
         self._instances_follower = self._make_instances_follower()
 
@@ -109,19 +103,14 @@
         if self._settings.listen.peers is not None:
             await self._relay.start(self._settings.listen.peers)
             await self._datagrams.start(self._settings.listen.peers)
-            self._router.routing.tell = self._sightings.tell
-            self._router.routing.tell_pace = self._pace_link.tell
-            self._router.routing.ask_for_retries = self._retry_link.ask
-            self._router.routing.know_instances(
-                count=self._directory.__len__, place=self._directory.place
-            )
+            self._links.open()
 
     def work(self) -> list[Coroutine[Any, Any, None]]:
         """Return all that has to run until the process ends."""
         work = [follower.run() for follower in self._followers]
         if self._is_relaying:
             work.append(self._registration.run())
-            work.append(self._load_link.run())
+            work.append(self._links.loads.run())
             work.append(self._instances_follower.run())
         return work
 
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -4,6 +4,7 @@
 from __future__ import annotations
 
 import asyncio
+import pathlib
 
 import pytest
 
@@ -11,6 +12,9 @@
 from violethatch_emulator.callers import standard_intent
 
 
+#: Tests that fail for a known fault: a line each with the test, the cause, the issue.
+KNOWN_RED = pathlib.Path(__file__).parent.parent / "KNOWN-RED.txt"
+MOST_KNOWN_RED = 3
 LAYERS = 6
 #: Two runners for each range, so that any one may fail.
 RUNNERS = tuple(
@@ -55,3 +59,27 @@
     """Provide a cluster with a platform, and no other process yet."""
     async with Cluster(layer_count=LAYERS) as cluster:
         yield Bench(cluster)
+
+
+def known_red():
+    """Return the lines of tests that are known to fail, by the test's id."""
+    if not KNOWN_RED.exists():
+        return {}
+    lines = [line for line in KNOWN_RED.read_text().splitlines() if line.strip()]
+    assert len(lines) <= MOST_KNOWN_RED
+    return {line.partition(" ")[0]: line for line in lines}
+
+
+def pytest_collection_modifyitems(items):
+    """Pass over the tests that are known to fail; one that passes fails the run."""
+    red = known_red()
+    for item in items:
+        name = item.nodeid.partition("[")[0]
+        if name in red:
+            item.add_marker(pytest.mark.xfail(reason=red[name], strict=True))
+
+
+def pytest_terminal_summary(terminalreporter):
+    """Print the tests that are known to fail."""
+    for line in known_red().values():
+        terminalreporter.write_line(f"known red: {line}")
--- /dev/null
+++ b/tests/mortal_fleet.py
@@ -0,0 +1,261 @@
+# SPDX-License-Identifier: MIT
+"""Routers joined by datagrams, in front of servers that requests can end."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import time
+
+from router_fakes import (
+    BROKEN,
+    FakeAnswer,
+    FakeResponder,
+    events,
+    make_call,
+    report,
+    settings,
+)
+from routing_samples import call_route, desired_state, plain_server, runner
+from test_instances import entry
+from violethatch._peer_datagrams import PeerDatagrams
+from violethatch._peer_links import PeerLinks
+from violethatch._router import Router
+from violethatch.desired import CallKind, Split
+from violethatch.errors import VioletHatchError
+from violethatch.instances import InstanceDirectory
+from violethatch.upstream import NotSentError, TableView
+
+
+#: The body of a request that ends each server which begins to run it.
+DEADLY = b"the last straw"
+#: How long a server runs that request, in seconds.
+DEADLY_S = 0.01
+#: How long servers of the plain service take, in seconds.
+PLAIN_S = 0.02
+#: After how long a server is back under a new id, in seconds.
+BACK_S = 0.1
+STREAMS = call_route(max_attempts=2)
+PLAIN = call_route(
+    name="r2",
+    path_prefix="/label/",
+    kind=CallKind.SAFE,
+    is_resumable=False,
+    splits=(Split("labels", 1.0),),
+    max_attempts=2,
+)
+
+
+class Server:
+    """One lifetime of a server."""
+
+    def __init__(self, listed):
+        self.listed = listed
+        self.has_ended = asyncio.Event()
+
+
+class MortalAnswer(FakeAnswer):
+    """Events that go on until the server ends."""
+
+    def __init__(self, server, script):
+        super().__init__(*script)
+        self.server = server
+
+    async def parts(self):
+        ended = asyncio.create_task(self.server.has_ended.wait())
+        for step in self.script:
+            if isinstance(step, bytes):
+                if ended.done():
+                    raise BROKEN
+                yield step
+                continue
+            await asyncio.wait((ended,), timeout=step)
+            if ended.done():
+                raise BROKEN
+        ended.cancel()
+
+
+class Servers:
+    """The servers of a service, as all routers' client and list of them.
+
+    Args:
+        make: Returns a server's entry for an id.
+        count: How many there are at a time.
+    """
+
+    def __init__(self, make, *, count=4):
+        self.make = make
+        self.by_id = {}
+        self.routers = []
+        self.made = 0
+        self.ended_s = []
+        #: When deadly requests reached servers.
+        self.arrived_s = []
+        self.script = [0.01, events(1), 0.02, events(2)]
+        for _ in range(count):
+            self.start()
+
+    def start(self):
+        """Start a server under a new id, and list it."""
+        self.made += 1
+        server = Server(self.make(f"s{self.made}"))
+        self.by_id[server.listed.id] = server
+        self.tell({server.listed.id: server.listed})
+
+    def tell(self, values):
+        """Tell all routers of the list's changes."""
+        for router in self.routers:
+            router.take_servers(TableView(values, 1, 0.0), False)
+
+    def end(self, server):
+        """End a server; another one is back after a while."""
+        if server.has_ended.is_set():
+            return
+        server.has_ended.set()
+        del self.by_id[server.listed.id]
+        asyncio.get_running_loop().call_later(BACK_S, self.replace, server)
+
+    def replace(self, server):
+        """Take an ended server's entry off, and start another one."""
+        self.tell({server.listed.id: None})
+        self.start()
+
+    async def send(self, send):
+        server = self.by_id.get(send.server.id)
+        is_deadly = send.call.body == DEADLY
+        if is_deadly:
+            self.arrived_s.append(time.monotonic())
+        if server is None:
+            raise NotSentError("refused")
+        if is_deadly:
+            await asyncio.sleep(DEADLY_S)
+            if not server.has_ended.is_set():
+                self.ended_s.append(time.monotonic())
+            self.end(server)
+            raise BROKEN
+        if send.path is None:
+            await asyncio.sleep(PLAIN_S)
+            if server.has_ended.is_set():
+                raise BROKEN
+            return FakeAnswer(b"done")
+        return MortalAnswer(server, self.script)
+
+    async def is_refusing(self, server):
+        await asyncio.sleep(0.002)
+        return server.id not in self.by_id
+
+    async def report(self, server):
+        return report() if server.id in self.by_id else None
+
+
+class Network:
+    """Carries datagrams between routers, or loses them.
+
+    Args:
+        rng: Decides which are lost and doubled, and how late each is.
+        lost_part: Which part of them is lost.
+        latest_s: How late they come at the most, in seconds.
+    """
+
+    def __init__(self, rng, *, lost_part=0.0, latest_s=0.002):
+        self.rng = rng
+        self.lost_part = lost_part
+        self.latest_s = latest_s
+        self.receivers = {}
+        self.sent = 0
+
+    def transport(self, own):
+        """Return a transport of one router."""
+        return _Transport(self, own)
+
+    def carry(self, data, to):
+        """Carry one datagram."""
+        self.sent += 1
+        if self.rng.random() < self.lost_part or to not in self.receivers:
+            return
+        loop = asyncio.get_running_loop()
+        for _ in range(1 + (self.rng.random() < self.lost_part)):
+            late_s = self.rng.uniform(0.0, self.latest_s)
+            receive = self.receivers[to].datagram_received
+            loop.call_later(late_s, receive, data, to)
+
+
+class _Transport:
+    def __init__(self, network, own):
+        self.network = network
+        self.own = own
+        self.is_cut = False
+
+    def sendto(self, data, to):
+        if not self.is_cut:
+            self.network.carry(data, to)
+
+
+class Fleet:
+    """Routers in front of the same servers.
+
+    Args:
+        count: How many routers there are.
+        servers: What they send to.
+        seed: Of all random choices.
+    """
+
+    def __init__(self, count, servers, *, seed=1, lost_part=0.0):
+        self.rng = random.Random(seed)
+        self.servers = servers
+        self.network = Network(self.rng, lost_part=lost_part)
+        self.entries = {
+            f"i{n}": entry(f"i{n}")._replace(address=f"10.0.0.1:{n + 1}", token=f"t{n}")
+            for n in range(count)
+        }
+        self.routers = [self.join(one) for one in self.entries.values()]
+
+    def join(self, own):
+        """Make one router, and join it to the others."""
+        router = Router(
+            settings(retry_reserve=50),
+            client=self.servers,
+            decoder=_Listed(),
+            rng=self.rng,
+        )
+        router.desired = desired_state(STREAMS, PLAIN, keys=("key-1", "key-2"))
+        router.freshness.proven(time.monotonic())
+        directory = InstanceDirectory(own)
+        directory.take(self.entries, is_whole=True)
+        datagrams = PeerDatagrams(directory)
+        datagrams.connection_made(self.network.transport(own))
+        host, port = own.address.split(":")
+        self.network.receivers[host, int(port)] = datagrams
+        PeerLinks(datagrams, router, rng=self.rng).open()
+        self.servers.routers.append(router)
+        listed = {one: server.listed for one, server in self.servers.by_id.items()}
+        router.take_servers(TableView(listed, 1, 0.0), True)
+        return router
+
+    async def ask(self, router, *, path="/draft/1", body=b"a menu", **changes):
+        """Send a request to a router; return the answer, or the error."""
+        router.freshness.proven(time.monotonic())
+        responder = FakeResponder()
+        call = make_call(path=path, body=body, **changes)
+        try:
+            await router.serve(call, responder)
+        except VioletHatchError as error:
+            return error
+        return responder
+
+
+class _Listed:
+    """Takes listed servers as they are."""
+
+    def backend_server(self, _server_id, value):
+        return value
+
+
+def model_runner(name):
+    """Return a runner that holds the whole model."""
+    return runner(name, 0, 80, kind="large")
+
+
+def label_server(name):
+    """Return a server of the plain service."""
+    return plain_server(name)
