Hold back a request under which three servers have ended, at every instance

Cause: each send was judged for itself. A server that broke an answer was left alone; the request was forgotten, and instances told each other of servers only. So it ended one server after another, at whichever instance it came next.

Ruled out: sends beyond a try's bound (the tries reported made one and two); memory at one instance alone (the test fails with six as with one instance).

Change: ends are counted by the request's work: two for one that had no part of its answer from that server, one for one that had. From six and three servers on it is held back: refused at once as not run (1206), with when it is let through once more. A work that is answered whole is suspected no more. The first end under a work is told to three instances which its id chooses, from the second on to all, each word twice; held works stand in the table of instances, so that who starts knows them too. A server counts as ended if it refuses connections while it is listed and not leaving; it is then left alone as a silent one is.

Conclusion: mended for plain calls and first servers of streams. Later servers of a path are not looked at yet.

--- /dev/null
+++ b/src/violethatch/_held_rows.py
@@ -0,0 +1,164 @@
+# SPDX-License-Identifier: MIT
+"""Works that are held back, kept in the store.
+
+Datagrams reach who is there.  An instance that starts, or that all datagrams missed,
+learns of held works from the table of instances, which every instance follows anyhow.
+Who has seen the end that decided it writes the row; there are few.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import time
+
+from collections.abc import Mapping, Sequence
+from typing import NamedTuple, Protocol
+
+import msgspec
+
+from . import events
+from .crash_suspects import HELD_LIFE_S, CrashSuspects, End, Hold
+from .errors import TableUnavailableError
+from .freshness import StoreClock
+from .ports import AnswerLostError
+from .work_ids import check_work_id
+
+
+#: What begins the key of a held work's row; no instance's id does.
+HELD_PREFIX = "held/"
+#: How long to wait after a write that came to nothing, in seconds, each time twice as
+#: long: the others have been told by datagrams already.
+_RETRY_S = 1.0
+_LONGEST_RETRY_S = 30.0
+#: The most rows that wait to be written or removed, and the most in one write.
+_MOST_WAITING = 256
+_MOST_IN_A_WRITE = 50
+
+
+class _HeldRow(NamedTuple):
+    """A held work as its row tells it; times are the store's steady clock."""
+
+    number: int
+    until_store_s: float
+    ends: list[End]
+
+
+class RowStore(Protocol):
+    """Keeps rows."""
+
+    async def write_entries(
+        self, table: str, put: dict[str, bytes], remove: Sequence[str]
+    ) -> None:
+        """Write and remove rows, whatever they hold.
+
+        Raises:
+            TableUnavailableError: Nothing was written.
+            AnswerLostError: It was written, or not; it can't be told.
+        """
+
+
+class HeldRows:
+    """Writes held works to the store, and takes others' in.
+
+    Args:
+        store: Keeps the rows.
+        table: In which table.
+        suspects: What this instance knows.
+        clock: Maps the store's clock.
+    """
+
+    def __init__(
+        self,
+        store: RowStore,
+        table: str,
+        suspects: CrashSuspects,
+        *,
+        clock: StoreClock,
+    ) -> None:
+        self._store = store
+        self._table = table
+        self._suspects = suspects
+        self._clock = clock
+        #: Works whose rows have to be written, or removed.
+        self._waiting: dict[str, None] = {}
+        self._has_work = asyncio.Event()
+        #: By key, until when each known row counts, by the store's clock.
+        self._until_store_s: dict[str, float] = {}
+
+    def keep(self, work: str) -> None:
+        """Have a work's row written, or removed if it is no longer held."""
+        if len(self._waiting) >= _MOST_WAITING:
+            events.log(events.HOLD_UNWRITTEN, work=work, reason="too many wait")
+            return
+        self._waiting[work] = None
+        self._has_work.set()
+
+    async def run(self) -> None:
+        """Write what has to be written, until cancelled."""
+        retry_s = _RETRY_S
+        while True:
+            await self._has_work.wait()
+            if await self._write():
+                retry_s = _RETRY_S
+                continue
+            await asyncio.sleep(retry_s)
+            retry_s = min(_LONGEST_RETRY_S, 2 * retry_s)
+
+    def take(self, values: Mapping[str, bytes | None], *, now_s: float) -> None:
+        """Take rows in; one that can't be understood holds nothing back."""
+        for key, value in values.items():
+            if value is None:
+                self._until_store_s.pop(key, None)
+                self._suspects.clear(key.removeprefix(HELD_PREFIX))
+            else:
+                self._take_row(key, value, now_s)
+
+    def expired(self, *, store_s: float) -> list[str]:
+        """Return the keys of rows that count no more."""
+        return [
+            key for key, until_s in self._until_store_s.items() if store_s >= until_s
+        ]
+
+    def _take_row(self, key: str, value: bytes, now_s: float) -> None:
+        """Take one row in."""
+        work = key.removeprefix(HELD_PREFIX)
+        store_now_s = self._clock.now_s()
+        try:
+            check_work_id(work)
+            row = msgspec.json.decode(value, type=_HeldRow)
+        except ValueError as error:
+            events.log(events.STATE_REFUSED, row=key, reason=str(error))
+            return
+        self._until_store_s[key] = row.until_store_s + HELD_LIFE_S
+        left_s = row.until_store_s - store_now_s if store_now_s is not None else 0.0
+        hold = Hold(work, min(left_s, HELD_LIFE_S), row.number, tuple(row.ends))
+        if self._suspects.take(hold, now_s=now_s):
+            events.log(events.HOLD_READ, work=work, left_s=round(left_s, 1))
+
+    async def _write(self) -> bool:
+        """Write some of what waits; tell whether that surely was done."""
+        store_s = self._clock.now_s()
+        if store_s is None:
+            return False  # the store was not read yet
+        works = list(self._waiting)[:_MOST_IN_A_WRITE]
+        rows = {HELD_PREFIX + work: self._row(work, store_s) for work in works}
+        put = {key: row for key, row in rows.items() if row is not None}
+        remove = [key for key, row in rows.items() if row is None]
+        try:
+            await self._store.write_entries(self._table, put, remove)
+        except (TableUnavailableError, AnswerLostError) as error:
+            events.log(events.HOLD_UNWRITTEN, works=works, reason=str(error))
+            return False
+        for work in works:
+            self._waiting.pop(work, None)
+        if not self._waiting:
+            self._has_work.clear()
+        return True
+
+    def _row(self, work: str, store_s: float) -> bytes | None:
+        """Return a work's row, or None if it is not held back."""
+        hold = self._suspects.hold(work, now_s=time.monotonic())
+        if hold is None:
+            return None
+        row = _HeldRow(hold.number, store_s + hold.left_s, list(hold.ends))
+        return msgspec.json.encode(row)
--- a/src/violethatch/_peer_datagrams.py
+++ b/src/violethatch/_peer_datagrams.py
@@ -68,12 +68,31 @@
     amount: float
 
 
+class EndsDatagram(msgspec.Struct, array_like=True, tag="e"):
+    """Ends of servers under works; the token is the receiver's own."""
+
+    token: str
+    sender: str
+    #: A work, a server's lifetime, whether the answer had begun, and who saw it.
+    ends: list[tuple[str, str, bool, str]]
+
+
+class ClearedDatagram(msgspec.Struct, array_like=True, tag="c"):
+    """A work that was answered whole; the token is the receiver's own."""
+
+    token: str
+    sender: str
+    work: str
+
+
 Datagram = (
     SightingsDatagram
     | LoadDatagram
     | PaceDatagram
     | RetryAskDatagram
     | RetryGiftDatagram
+    | EndsDatagram
+    | ClearedDatagram
 )
 
 
--- a/src/violethatch/_peer_links.py
+++ b/src/violethatch/_peer_links.py
@@ -11,6 +11,7 @@
 from ._retry_link import RetryLink
 from ._router import Router
 from ._sighting_link import SightingLink
+from ._suspect_link import SuspectLink
 
 
 class PeerLinks:
@@ -30,6 +31,7 @@
         self._sightings = SightingLink(datagrams, router.routing.hearsay)
         self._paces = PaceLink(datagrams, router.routing.paces)
         self._retries = RetryLink(datagrams, router.routing, rng=rng)
+        self._suspects = SuspectLink(datagrams, router.routing.suspects)
         self.loads = LoadLink(datagrams, router.routing.loads)
 
     def open(self) -> None:
@@ -37,6 +39,8 @@
         routing = self._router.routing
         directory = self._datagrams.directory
         routing.tell = self._sightings.tell
+        routing.tell_end = self._suspects.tell
+        routing.tell_cleared = self._suspects.tell_cleared
         routing.tell_pace = self._paces.tell
         routing.ask_for_retries = self._retries.ask
         routing.know_instances(count=directory.__len__, place=directory.place)
--- a/src/violethatch/_plain_calls.py
+++ b/src/violethatch/_plain_calls.py
@@ -18,6 +18,7 @@
     OverloadedError,
     ServiceLostError,
     ServiceUnreachableError,
+    VioletHatchError,
 )
 from .runner_health import Trouble
 from .upstream import (
@@ -98,6 +99,8 @@
         while self.sends < _MOST_SENDS:
             if self.sends and not await self._may_send_again():
                 break
+            if self._work.is_held:
+                break
             answer = await self._send_once()
             if answer is None:
                 continue
@@ -163,9 +166,10 @@
         self, error: AnswerLostError, server: BackendServer
     ) -> Trouble:
         """Return what a lost answer says of its server."""
-        if isinstance(error, ConnectionBrokenError):
-            await self._work.lost(server, has_begun=False)
-        return Trouble.FAILED
+        if not isinstance(error, ConnectionBrokenError):
+            return Trouble.FAILED
+        has_ended = await self._work.lost(server, has_begun=False)
+        return Trouble.SILENT if has_ended else Trouble.FAILED
 
     def _choose(self, now_s: float) -> BackendServer:
         """Return the server to send to.
@@ -222,6 +226,7 @@
             )
         else:
             self._routing.health.worked(server_id)
+            self._work.answered()
         return _Whole(answer.status, answer.headers, body, answer.is_framed)
 
     def _limit_s(self, now_s: float) -> float:
@@ -248,14 +253,15 @@
                 server, Trouble.SILENT, self._call.id, f"no answer in {waited_s:.2f} s"
             )
 
-    def _failure(
-        self,
-    ) -> OverloadedError | ServiceUnreachableError | ServiceLostError | DeadlineError:
+    def _failure(self) -> VioletHatchError:
         """Return the error that says what is known."""
         if self.runs:
             if time.monotonic() >= self._deadline_s:
                 return DeadlineError("no answer before the deadline")
             return ServiceLostError("the backend server's answer was lost")
+        held = self._work.held_back()
+        if held is not None:
+            return held
         if self._refused:
             msg = "all backend servers are full"
             return OverloadedError(msg, retry_after_s=_FULL_RETRY_S)
--- a/src/violethatch/_registration.py
+++ b/src/violethatch/_registration.py
@@ -5,6 +5,7 @@
 
 import asyncio
 import random
+import time
 
 from collections.abc import Sequence
 from typing import Protocol
@@ -12,6 +13,7 @@
 import msgspec
 
 from . import events
+from ._held_rows import HELD_PREFIX, HeldRows
 from .errors import TableUnavailableError
 from .freshness import StoreClock
 from .instances import ENTRY_LIFE_S, InstanceDirectory, InstanceEntry
@@ -56,6 +58,7 @@
         store: Keeps the entries.
         directory: The instance's view of all.
         clock: Maps the store's clock.
+        held: The works that are held back, which stand in the same table.
         rng: Spreads the writes of many instances.
     """
 
@@ -65,11 +68,13 @@
         directory: InstanceDirectory,
         *,
         clock: StoreClock,
+        held: HeldRows,
         rng: random.Random,
     ) -> None:
         self._store = store
         self._directory = directory
         self._clock = clock
+        self._held = held
         self._rng = rng
         self._retry_s = _RETRY_S
 
@@ -89,11 +94,17 @@
             events.log(events.ENTRY_UNWRITTEN, reason=str(error))
 
     def take(self, view: TableView, is_whole: bool) -> None:
-        """Take others' entries in."""
+        """Take others' entries in, and the works that are held back."""
+        is_held = {key: key.startswith(HELD_PREFIX) for key in view.values}
+        rows = {key: value for key, value in view.values.items() if is_held[key]}
+        self._held.take(rows, now_s=time.monotonic())
         entries = {
             instance_id: _entry(instance_id, value)
             for instance_id, value in view.values.items()
+            if not is_held[instance_id]
         }
+        if not entries and not is_whole:
+            return
         self._directory.take(entries, is_whole=is_whole)
         events.log(events.INSTANCES_KNOWN, count=len(self._directory))
 
@@ -114,7 +125,8 @@
         if store_s is None:
             return False  # the store was not read yet
         entry = self._directory.own._replace(written_s=store_s)
-        old = self._directory.expired(store_s=store_s)[:_MOST_REMOVED]
+        old = self._directory.expired(store_s=store_s)
+        old = [*old, *self._held.expired(store_s=store_s)][:_MOST_REMOVED]
         body = msgspec.json.encode(entry)
         try:
             await self._store.write_entries(INSTANCES_TABLE, {entry.id: body}, old)
--- a/src/violethatch/_router.py
+++ b/src/violethatch/_router.py
@@ -62,7 +62,7 @@
         self.settings = settings
         self.routing = Routing(settings, client, rng)
         self.metrics = RouterMetrics()
-        self.routing.count_end = lambda _lifetime: self.metrics.server_ends.inc({})
+        self.routing.ends.on_end = lambda: self.metrics.server_ends.inc({})
         self.freshness = Freshness(limit_s=settings.proof_limit_s)
         self.stop_plan = StopPlan(grace_s=settings.bounds.grace_s)
         self.desired: DesiredState | None = None
@@ -188,14 +188,16 @@
             "in_flight": self.in_flight,
             "is_stopping": self.stop_plan.is_stopping,
             "servers": len(self.routing.backends),
+            "held_works": self.routing.suspects.held(now_s=now_s),
+            "suspected_works": len(self.routing.suspects),
             "resting": sorted(self.routing.health.resting(now_s=now_s)),
             "sources": dict(self.sources()),
             "load_instances": 1 + self.routing.loads.others.instances,
             "load_age_s": self.routing.loads.others_age_s(now_s=now_s),
         }
 
-    def show_loads(self) -> None:
-        """Bring the metrics of loads up to date."""
+    def show_state(self) -> None:
+        """Bring the metrics of what the process believes up to date."""
         now_s = time.monotonic()
         loads = self.routing.loads
         self.metrics.loads(
@@ -203,6 +205,8 @@
             loads.others,
             loads.others_age_s(now_s=now_s),
         )
+        suspects = self.routing.suspects
+        self.metrics.works(len(suspects), len(suspects.held(now_s=now_s)))
 
     def _proof_age_s(self) -> float | None:
         """Return the age of the desired state's proof, for a log line."""
--- a/src/violethatch/_router_metrics.py
+++ b/src/violethatch/_router_metrics.py
@@ -40,8 +40,13 @@
             registry=self.registry,
         )
         self.server_ends = Counter(
-            "violethatch_router_requests_under_ended_servers_total",
-            "Sends of requests to servers that ended before their answers were whole.",
+            "violethatch_router_server_ends_total",
+            "Servers found to have ended while they had requests of this instance.",
+            registry=self.registry,
+        )
+        self.suspected_works = Gauge(
+            "violethatch_router_suspected_works",
+            "Works under which servers have ended, and those that are held back.",
             registry=self.registry,
         )
         self.instances_summed = Gauge(
@@ -68,6 +73,11 @@
             streams = sum(one.streams for one in totals.servers.values())
             self.streams_known.set({"whose": whose}, streams)
 
+    def works(self, suspected: int, held: int) -> None:
+        """Show how many works are suspected, and how many are held back."""
+        self.suspected_works.set({"state": "suspected"}, suspected)
+        self.suspected_works.set({"state": "held"}, held)
+
     def served(
         self,
         admitted: Admitted,
--- a/src/violethatch/_routing.py
+++ b/src/violethatch/_routing.py
@@ -13,6 +13,7 @@
 from ._probes import Probes
 from ._server_ends import ServerEnds
 from .backends import BackendServer, BackendTable
+from .crash_suspects import CrashSuspects, End
 from .desired import ServiceSpec
 from .path_shares import Place
 from .paths import Path
@@ -56,8 +57,12 @@
             client, on_silent=self._note_silent, on_report=self._note_report
         )
         self.ends = ServerEnds(client, listed=self.backends.get)
-        #: Counts each server that was found to have ended.
-        self.count_end: Callable[[str], None] = lambda _lifetime: None
+        self.suspects = CrashSuspects()
+        #: Tells other instances of an end, and of a work that was answered, if any.
+        self.tell_end: Callable[[End], None] = lambda _end: None
+        self.tell_cleared: Callable[[str], None] = lambda _work: None
+        #: Stores whether a work is held back, where that lasts.
+        self.keep_hold: Callable[[str], None] = lambda _work: None
         self.paces = RunnerPaces()
         #: Tells other instances what a slow runner has said, where there are any.
         self.tell_pace: Callable[[str, float], None] = lambda _id, _slowness: None
@@ -192,6 +197,25 @@
             self.choice.forget(server_id)
             self.loads.forget(server_id)
 
+    def note_end(self, end: End) -> None:
+        """Note an end that this instance has seen, and tell the others."""
+        now_s = time.monotonic()
+        if not self.suspects.note(end, now_s=now_s):
+            return
+        self.tell_end(end)
+        if self.suspects.hold(end.work, now_s=now_s) is not None:
+            self.keep_hold(end.work)
+
+    def note_answered(self, work: str) -> None:
+        """Note that a work was answered whole: it is suspected no more."""
+        ends = self.suspects.ends(work)
+        if not self.suspects.clear(work):
+            return
+        events.log(events.WORK_CLEARED, work=work, ends=len(ends))
+        if len(ends) > 1:
+            self.tell_cleared(work)
+            self.keep_hold(work)
+
     def in_zones(self, service: ServiceSpec, zones: Collection[str]) -> frozenset[str]:
         """Return the ids of a service's servers in some zones."""
         return frozenset(
--- a/src/violethatch/_server_ends.py
+++ b/src/violethatch/_server_ends.py
@@ -40,6 +40,8 @@
         listed: Callable[[str], BackendServer | None],
     ) -> None:
         self._client = client
+        #: Told of each server that is found to have ended.
+        self.on_end: Callable[[], None] = lambda: None
         self._listed = listed
         #: By lifetime, when it was found to be over, or to go on.
         self._ended_s: dict[str, float] = {}
@@ -81,6 +83,7 @@
         if is_refusing:
             self._forget_old(now_s)
             self._ended_s[server.lifetime] = now_s
+            self.on_end()
         else:
             self._there_s[server.lifetime] = now_s
         return is_refusing
--- a/src/violethatch/_streams.py
+++ b/src/violethatch/_streams.py
@@ -123,7 +123,7 @@
             VioletHatchError: Nothing of an answer was given to the caller.
         """
         self._routing.stream_began()
-        while True:
+        while not self._work.is_held:
             if self.sends and not self._may_send_again():
                 break
             path = await self._next_path()
@@ -131,8 +131,11 @@
                 break
             if self.sends and not await self._routing.may_retry(self._service.name):
                 break
+            if self._work.is_held:
+                break
             end, status = await self._run(path, responder)
             if end is _End.WHOLE:
+                self._work.answered()
                 lasted_s = time.monotonic() - self._call.received_s
                 self._routing.loads.lasted(lasted_s)
                 await responder.finish()
@@ -345,10 +348,15 @@
         await responder.start(answer.status, answer.headers, is_framed=answer.is_framed)
 
     async def _trouble_of(self, error: Exception, run: StreamRun) -> Trouble:
-        """Return what a lost answer says of the first runner."""
-        if isinstance(error, ConnectionBrokenError):
-            await self._work.lost(run.path.first, has_begun=run.has_begun)
-        return Trouble.FAILED
+        """Return what a lost answer says of the first runner.
+
+        One that has ended is left alone as a silent one is: else it was sent to again
+        as soon as one that has failed once, and refused a connection.
+        """
+        if not isinstance(error, ConnectionBrokenError):
+            return Trouble.FAILED
+        has_ended = await self._work.lost(run.path.first, has_begun=run.has_begun)
+        return Trouble.SILENT if has_ended else Trouble.FAILED
 
     def _leave_first(
         self, server: BackendServer, reason: str, *, trouble: Trouble = Trouble.SILENT
@@ -374,6 +382,9 @@
             if time.monotonic() >= self._deadline_s:
                 return DeadlineError("no answer before the deadline")
             return PipelineFailedError("the runners' answer was lost")
+        held = self._work.held_back()
+        if held is not None:
+            return held
         blocked_s = self._routing.blocked_s(self._service)
         if blocked_s is None:
             retry_after_s = self._routing.come_back_s(_NO_HOLDER_S)
--- /dev/null
+++ b/src/violethatch/_suspect_link.py
@@ -0,0 +1,166 @@
+# SPDX-License-Identifier: MIT
+"""Ends of servers under works, told from instance to instance.
+
+A server's end leaves up to 96 works at as many instances, and next to all of them are
+never seen again.  So the first end under a work is told to three instances only, which
+the work's id chooses: wherever it comes again, they hear of that too.  From the second
+end on all are told.  Each word goes out twice, as datagrams may be lost.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+import time
+
+from collections.abc import Iterable, Sequence
+
+from . import events
+from ._peer_datagrams import (
+    ClearedDatagram,
+    EndsDatagram,
+    PeerDatagrams,
+    SendAllowance,
+)
+from .crash_suspects import CrashSuspects, End
+from .instances import InstanceEntry
+from .membership import rendezvous
+from .work_ids import check_work_id
+
+
+#: How many instances remember a work's first end: two of them may be gone.
+_HOMES = 3
+#: How long words are gathered for one datagram, in seconds.
+_GATHER_S = 0.02
+#: After how long a word goes out again, in seconds: later than a burst of losses.
+_AGAIN_S = 0.4
+#: The most ends in a datagram, of some 70 bytes each: it fits a packet.
+_DATAGRAM_ENDS = 16
+#: Datagrams that an instance may send in a second: two words to each of 350, or what a
+#: hundred servers that end at once leave for three each.
+_MOST_A_SECOND = 700
+#: The most words that wait for one receiver; the newest are dropped, and logged.
+_MOST_WAITING = 400
+
+
+class SuspectLink:
+    """Tells the others of ends, and takes theirs in.
+
+    Args:
+        datagrams: Carries them.
+        suspects: What this instance knows.
+    """
+
+    def __init__(self, datagrams: PeerDatagrams, suspects: CrashSuspects) -> None:
+        self._datagrams = datagrams
+        self._suspects = suspects
+        self._allowance = SendAllowance(most_a_second=_MOST_A_SECOND)
+        #: By receiver, what it is still to be told.
+        self._waiting: dict[str, list[End]] = {}
+        self._is_scheduled = False
+        datagrams.on(EndsDatagram, self._take)
+        datagrams.on(ClearedDatagram, self._take_cleared)
+
+    def tell(self, end: End) -> None:
+        """Tell of an end that this instance has seen, soon and once more."""
+        known = self._suspects.ends(end.work)
+        if len(known) > 1:
+            self._tell(known, self._others())
+        else:
+            self._tell((end,), self._homes(end.work))
+
+    def tell_cleared(self, work: str) -> None:
+        """Tell all that a work was answered whole."""
+        own_id = self._datagrams.directory.own.id
+        for peer in self._others():
+            if self._allowance.take():
+                self._datagrams.send(peer, ClearedDatagram(peer.token, own_id, work))
+
+    def _others(self) -> list[InstanceEntry]:
+        """Return all other instances."""
+        return self._datagrams.directory.others() if self._datagrams.is_open else []
+
+    def _homes(self, work: str) -> list[InstanceEntry]:
+        """Return those of the others that remember a work's first end."""
+        others = {one.id: one for one in self._others()}
+        ids = {*others, self._datagrams.directory.own.id}
+        homes = rendezvous(work, ids, count=_HOMES)
+        return [others[one] for one in homes if one in others]
+
+    def _tell(self, ends: Iterable[End], peers: Sequence[InstanceEntry]) -> None:
+        """Tell some instances of some ends, now and once more."""
+        told = [(peer.id, end) for end in ends for peer in peers]
+        if told:
+            self._queue(told)
+            asyncio.get_running_loop().call_later(_AGAIN_S, self._queue, told)
+
+    def _queue(self, told: Iterable[tuple[str, End]]) -> None:
+        """Have ends told that are still believed."""
+        for peer_id, end in told:
+            waiting = self._waiting.setdefault(peer_id, [])
+            if end not in self._suspects.ends(end.work):
+                continue  # answered whole meanwhile
+            if len(waiting) < _MOST_WAITING:
+                waiting.append(end)
+            else:
+                events.log(events.END_UNTOLD, instance_id=peer_id, work=end.work)
+        self._schedule()
+
+    def _schedule(self) -> None:
+        """Have what waits sent soon."""
+        if not self._is_scheduled:
+            self._is_scheduled = True
+            asyncio.get_running_loop().call_later(_GATHER_S, self._send)
+
+    def _send(self) -> None:
+        """Send each receiver what fits a datagram; have the rest sent soon."""
+        self._is_scheduled = False
+        waiting, self._waiting = self._waiting, {}
+        directory = self._datagrams.directory
+        peers = {one.id: one for one in directory.others()}
+        for peer_id, ends in waiting.items():
+            peer = peers.get(peer_id)
+            if peer is None or not ends:
+                continue  # it is gone
+            if not self._allowance.take():
+                self._waiting[peer_id] = ends
+                continue
+            told = [
+                (one.work, one.lifetime, one.has_begun, one.witness)
+                for one in ends[:_DATAGRAM_ENDS]
+            ]
+            self._datagrams.send(peer, EndsDatagram(peer.token, directory.own.id, told))
+            if ends[_DATAGRAM_ENDS:]:
+                self._waiting[peer_id] = ends[_DATAGRAM_ENDS:]
+        if self._waiting:
+            self._schedule()
+
+    def _take(self, message: EndsDatagram) -> None:
+        """Take others' ends in; tell all of works that they show to come again.
+
+        Raises:
+            ValueError: One of them names no work.
+        """
+        now_s = time.monotonic()
+        told = [End(*one) for one in message.ends]
+        for end in told:
+            check_work_id(end.work)
+        counts = collections.Counter(end.work for end in told)
+        news = {end.work for end in told if self._suspects.note(end, now_s=now_s)}
+        for work in news:
+            known = self._suspects.ends(work)
+            events.log(
+                events.END_HEARD,
+                work=work,
+                teller=message.sender,
+                lifetimes=[end.lifetime for end in known],
+                is_held=self._suspects.hold(work, now_s=now_s) is not None,
+            )
+            # Who has told of one end knows of no other, nor do the rest.
+            if counts[work] == 1 and len(known) > 1:
+                self._tell(known, self._others())
+
+    def _take_cleared(self, message: ClearedDatagram) -> None:
+        """Forget a work that another instance has answered whole."""
+        if self._suspects.clear(message.work):
+            events.log(events.WORK_CLEARED, work=message.work, teller=message.sender)
--- a/src/violethatch/_work_in_hand.py
+++ b/src/violethatch/_work_in_hand.py
@@ -4,14 +4,22 @@
 from __future__ import annotations
 
 import functools
+import time
 
 from . import events
 from ._routing import Routing
 from .backends import BackendServer
+from .crash_suspects import End
+from .errors import HeldBackError
 from .upstream import Call
 from .work_ids import work_id
 
 
+#: The longest time after which a caller is told to come back, in seconds: what is held
+#: back for longer may still be cleared by then.
+_LONGEST_RETRY_S = 3_600.0
+
+
 class WorkInHand:
     """The work of one call.
 
@@ -38,6 +46,32 @@
             body=call.body,
         )
 
+    @property
+    def is_held(self) -> bool:
+        """Whether it must not be sent to any server now."""
+        suspects = self._routing.suspects
+        if not suspects:
+            return False  # no body is digested while nothing is suspected
+        return suspects.hold(self.id, now_s=time.monotonic()) is not None
+
+    def held_back(self) -> HeldBackError | None:
+        """Return the refusal of a work that is held back, and log what decided it."""
+        hold = self._routing.suspects.hold(self.id, now_s=time.monotonic())
+        if hold is None:
+            return None
+        events.log(
+            events.WORK_HELD,
+            request_id=self._call.id,
+            work=hold.work,
+            lifetimes=[end.lifetime for end in hold.ends],
+            witnesses=sorted({end.witness for end in hold.ends}),
+            holds=hold.number,
+            left_s=round(hold.left_s, 1),
+        )
+        msg = f"{len(hold.ends)} servers have ended under it"
+        retry_after_s = min(hold.left_s, _LONGEST_RETRY_S)
+        return HeldBackError(msg, retry_after_s=round(retry_after_s, 1))
+
     async def lost(self, server: BackendServer, *, has_begun: bool) -> bool:
         """Note that a server broke the call off; tell whether the server has ended.
 
@@ -45,9 +79,12 @@
             server: Where the call was under way.
             has_begun: Whether a part of its answer had come from there.
         """
-        if not await self._routing.ends.has_ended(server):
+        routing = self._routing
+        if not await routing.ends.has_ended(server):
             return False
-        self._routing.count_end(server.lifetime)
+        routing.note_end(
+            End(self.id, server.lifetime, has_begun, routing.settings.instance.id)
+        )
         events.log(
             events.SERVER_ENDED,
             request_id=self._call.id,
@@ -55,5 +92,11 @@
             server_id=server.id,
             lifetime=server.lifetime,
             has_begun=has_begun,
+            is_held=self.is_held,
         )
         return True
+
+    def answered(self) -> None:
+        """Note that it was answered whole."""
+        if self._routing.suspects:
+            self._routing.note_answered(self.id)
--- a/src/violethatch/errors.py
+++ b/src/violethatch/errors.py
@@ -206,6 +206,15 @@
     default_ran = Ran.NO
 
 
+class HeldBackError(VioletHatchError):
+    """Servers have ended under this very request, one after another."""
+
+    code = 1206
+    title = "Held back: servers end under this request"
+    status = 503
+    default_ran = Ran.NO
+
+
 # 13xx: execution.
 
 
--- a/src/violethatch/events.py
+++ b/src/violethatch/events.py
@@ -55,6 +55,8 @@
 SERVERS_BACK = Event(2112, "servers_back", "Servers that were silent answer again.")
 SERVER_ENDED = Event(2114, "server_ended", "A server ended that had a request.")
 SERVER_UNKNOWN = Event(2115, "server_unknown", "Whether a server ended is not known.")
+END_HEARD = Event(2116, "end_heard", "Another instance saw a server's end.")
+END_UNTOLD = Event(2117, "end_untold", "Too many ends wait to be told.")
 LOAD_NEIGHBOURS = Event(2111, "load_neighbours", "Loads are told to other instances.")
 
 REQUEST_SERVED = Event(2205, "request_served", "A request got its answer.")
@@ -69,6 +71,11 @@
 CALLER_LEFT = Event(2213, "caller_left", "The caller went away before the end.")
 HEAD_LATE = Event(2214, "head_late", "A caller's request head did not come in time.")
 
+WORK_HELD = Event(2216, "work_held", "A request is held back: servers end under it.")
+WORK_CLEARED = Event(2217, "work_cleared", "A suspected work was answered whole.")
+HOLD_UNWRITTEN = Event(2218, "hold_unwritten", "A held work could not be stored yet.")
+HOLD_READ = Event(2219, "hold_read", "A held work was read from the store.")
+
 REVISION_APPLIED = Event(2401, "revision_applied", "A configuration is in force.")
 REVISION_ACCEPTED = Event(2402, "revision_accepted", "A confirmed plan was stored.")
 TABLE_REPAIRED = Event(2403, "table_repaired", "An older table got the revision back.")
--- a/src/violethatch/platform/_following.py
+++ b/src/violethatch/platform/_following.py
@@ -11,6 +11,7 @@
 import aiohttp
 
 from .._followers import TableFollower
+from .._held_rows import HeldRows
 from .._peer_datagrams import PeerDatagrams
 from .._peer_links import PeerLinks
 from .._placing import PlacementDuty
@@ -70,7 +71,12 @@
         self._clock = StoreClock()
         self._rng = rng
         self._directory = directory
-        self._registration = Registration(store, directory, clock=self._clock, rng=rng)
+        self._held = HeldRows(
+            store, INSTANCES_TABLE, router.routing.suspects, clock=self._clock
+        )
+        self._registration = Registration(
+            store, directory, clock=self._clock, held=self._held, rng=rng
+        )
         self._caches = {
             table: TableCache()
             for table in (_DESIRED_TABLE, _SERVERS_TABLE, INSTANCES_TABLE)
@@ -104,12 +110,14 @@
             await self._relay.start(self._settings.listen.peers)
             await self._datagrams.start(self._settings.listen.peers)
             self._links.open()
+            self._router.routing.keep_hold = self._held.keep
 
     def work(self) -> list[Coroutine[Any, Any, None]]:
         """Return all that has to run until the process ends."""
         work = [follower.run() for follower in self._followers]
         if self._is_relaying:
             work.append(self._registration.run())
+            work.append(self._held.run())
             work.append(self._links.loads.run())
             work.append(self._instances_follower.run())
         return work
--- a/src/violethatch/platform/_listener.py
+++ b/src/violethatch/platform/_listener.py
@@ -152,7 +152,7 @@
         """Tell the metrics, or the state."""
         if request.path == "/state":
             return Response(body=msgspec.json.encode(self._router.state()))
-        self._router.show_loads()
+        self._router.show_state()
         body, headers = render(
             self._router.metrics.registry, request.headers.getall("Accept", [])
         )
--- a/src/violethatch/work_ids.py
+++ b/src/violethatch/work_ids.py
@@ -17,6 +17,7 @@
 CALLER_BYTES = 4
 #: How many bytes name the work itself: no two of them are ever alike.
 _WORK_BYTES = 12
+_HEX_DIGITS = frozenset("0123456789abcdef")
 
 
 def work_id(
@@ -49,3 +50,16 @@
     .. versionadded:: 26.4.0
     """
     return work[: 2 * CALLER_BYTES]
+
+
+def check_work_id(text: str) -> None:
+    """Check that a text that came from elsewhere is a work's id.
+
+    Raises:
+        ValueError: It is none.
+
+    .. versionadded:: 26.4.0
+    """
+    if len(text) != 2 * (CALLER_BYTES + _WORK_BYTES) or not set(text) <= _HEX_DIGITS:
+        msg = f"{text[:40]!r} is no work's id"
+        raise ValueError(msg)
--- a/tests/mortal_fleet.py
+++ b/tests/mortal_fleet.py
@@ -64,6 +64,8 @@
     async def parts(self):
         ended = asyncio.create_task(self.server.has_ended.wait())
         for step in self.script:
+            if isinstance(step, Exception):
+                raise step
             if isinstance(step, bytes):
                 if ended.done():
                     raise BROKEN
@@ -212,8 +214,9 @@
 
     def join(self, own):
         """Make one router, and join it to the others."""
+        made = settings(retry_reserve=50)
         router = Router(
-            settings(retry_reserve=50),
+            made._replace(instance=made.instance._replace(id=own.id)),
             client=self.servers,
             decoder=_Listed(),
             rng=self.rng,
--- a/tests/routing_samples.py
+++ b/tests/routing_samples.py
@@ -96,7 +96,7 @@
     return route._replace(**changes)
 
 
-def desired_state(*routes, version=1, keys=("key-1",)):
+def desired_state(*routes, version=1, keys=("key-1",), workspace="clinic"):
     """Return a desired state with the services `model` and `labels`."""
     by_host = {}
     for route in routes or (call_route(),):
@@ -109,5 +109,5 @@
             "labels": ServiceSpec("labels", 100, None),
         },
         limits=CallLimits(16_384, 1_048_576, 3.0, 15.0),
-        workspaces_by_key={key: WorkspaceEntry("clinic", 0) for key in keys},
+        workspaces_by_key={key: WorkspaceEntry(workspace, 0) for key in keys},
     )
--- /dev/null
+++ b/tests/test_crash_suspects.py
@@ -0,0 +1,193 @@
+# SPDX-License-Identifier: MIT
+"""Which works are held back for the servers that ended under them."""
+
+from __future__ import annotations
+
+import random
+
+import pytest
+
+from violethatch.crash_suspects import CrashSuspects, End, Hold
+from violethatch.work_ids import work_id
+
+
+def work(number=1, *, caller="clinic"):
+    """Return a work's id."""
+    body = b"%d" % number
+    return work_id(caller=caller, method="POST", host="h", target="/", body=body)
+
+
+WORK = work()
+
+
+def end(lifetime, *, of=WORK, has_begun=False):
+    """Return an end under a work."""
+    return End(of, lifetime, has_begun, "i1")
+
+
+def noted(*ends, now_s=0.0):
+    """Return what is known after some ends."""
+    suspects = CrashSuspects()
+    for one in ends:
+        suspects.note(one, now_s=now_s)
+    return suspects
+
+
+class TestHeld:
+    def test_three_ends_before_it_had_begun(self):
+        """Two may be chance; the third is not."""
+        suspects = noted(end("a"), end("b"))
+        assert suspects.hold(WORK, now_s=0.0) is None
+        suspects.note(end("c"), now_s=0.0)
+        hold = suspects.hold(WORK, now_s=1.0)
+        assert (hold.left_s, hold.number) == (29.0, 1)
+        assert [one.lifetime for one in hold.ends] == ["a", "b", "c"]
+
+    def test_six_ends_after_it_had_begun(self):
+        """What runs well for a while is suspected less, but not for ever."""
+        late = [end(f"s{n}", has_begun=True) for n in range(6)]
+        assert noted(*late[:5]).hold(WORK, now_s=0.0) is None
+        assert noted(*late).hold(WORK, now_s=0.0) is not None
+
+    def test_one_servers_end_counts_once(self):
+        """Several words of one end, and several tries under it, are one."""
+        suspects = noted(*[end("a")] * 9)
+        assert not suspects.note(end("a", has_begun=True), now_s=0.0)
+        assert suspects.hold(WORK, now_s=0.0) is None
+
+    def test_graver_word_of_the_same_end_counts(self):
+        """Two tries may be under one end, of which one had not begun."""
+        suspects = noted(end("a", has_begun=True), end("b"), end("c"))
+        assert suspects.hold(WORK, now_s=0.0) is None
+        assert suspects.note(end("a"), now_s=0.0)
+        assert len(suspects.ends(WORK)) == 3
+
+    def test_answered_work_is_suspected_no_more(self):
+        """It was in bad company."""
+        suspects = noted(end("a"), end("b"))
+        assert suspects.clear(WORK)
+        assert not suspects.clear(WORK)
+        suspects.note(end("c"), now_s=0.0)
+        assert suspects.hold(WORK, now_s=0.0) is None
+
+    def test_it_is_let_through_twice_more(self):
+        """Each time later; then it stays held back."""
+        suspects = noted(end("a"), end("b"), end("c"))
+        tried_s = []
+        now_s = 0.0
+        while now_s < 4 * 3600.0:
+            now_s += 1.0
+            if suspects.hold(WORK, now_s=now_s) is None:
+                tried_s.append(now_s)
+                suspects.note(end(f"t{now_s}"), now_s=now_s)
+        assert tried_s == [30.0, 150.0]
+
+    def test_ends_of_tries_under_way_hold_no_longer(self):
+        """Several tries at the same moment use up no further one."""
+        suspects = noted(*(end(f"s{n}") for n in range(5)))
+        assert suspects.hold(WORK, now_s=0.0).number == 1
+
+    def test_old_ends_are_forgotten(self):
+        """What servers' ends of hours ago have in common is chance."""
+        suspects = noted(end("a"), end("b"))
+        suspects.note(end("c"), now_s=4000.0)
+        assert suspects.hold(WORK, now_s=4000.0) is None
+        assert len(suspects.ends(WORK)) == 1
+
+
+class TestTaken:
+    def test_hold_from_elsewhere_counts(self):
+        """An instance that starts takes in what the others know."""
+        suspects = CrashSuspects()
+        hold = Hold(WORK, 20.0, 2, (end("a"), end("b"), end("c")))
+        assert suspects.take(hold, now_s=0.0)
+        assert suspects.hold(WORK, now_s=19.0).number == 2
+        assert suspects.hold(WORK, now_s=20.0) is None
+
+    def test_older_word_changes_nothing(self):
+        """A hold that is known, or an earlier one, is no news."""
+        suspects = noted(end("a"), end("b"), end("c"))
+        assert not suspects.take(Hold(WORK, 9e9, 1, ()), now_s=0.0)
+        assert suspects.hold(WORK, now_s=0.0).left_s == 30.0
+
+    def test_next_end_after_a_taken_hold_holds_longer(self):
+        """It goes on where the other instance was."""
+        suspects = CrashSuspects()
+        ends = (end("a"), end("b"), end("c"))
+        suspects.take(Hold(WORK, 5.0, 1, ends), now_s=0.0)
+        suspects.note(end("d"), now_s=6.0)
+        assert suspects.hold(WORK, now_s=6.0).left_s == 120.0
+
+
+class TestBounds:
+    def test_callers_new_bodies_take_only_its_own_places(self):
+        """Nobody else's held work is forgotten for them."""
+        suspects = CrashSuspects(most_works=50)
+        for name in "abc":
+            suspects.note(end(name, of=work(caller="depot")), now_s=0.0)
+        for number in range(1_000):
+            suspects.note(end("x", of=work(number)), now_s=float(number))
+        assert len(suspects) == 50
+        assert suspects.held(now_s=1.0) == [work(caller="depot")]
+
+    def test_least_suspected_goes_first(self):
+        """Of one caller's works those that are held back stay longest."""
+        suspects = CrashSuspects(most_works=3)
+        for name in "abc":
+            suspects.note(end(name, of=work(1)), now_s=0.0)
+        for name in "ab":
+            suspects.note(end(name, of=work(2)), now_s=1.0)
+        for number in range(3, 9):
+            suspects.note(end("x", of=work(number)), now_s=2.0)
+        assert suspects.ends(work(1))
+        assert suspects.ends(work(2))
+
+    def test_ends_of_one_work_are_bounded(self):
+        """What comes without end takes no more room."""
+        suspects = noted(*(end(f"s{n}") for n in range(100)))
+        assert len(suspects.ends(WORK)) == 8
+
+
+#: A day with troubles: servers of a fleet end on their own, some alone, some together.
+DAY_S = 100
+SERVERS = 30
+TRIES = 4
+
+
+def play_day(rng):
+    """Play a day of ends; return how many works were held, and the works in all.
+
+    Each work makes up to four sends, the next one as soon as a server ends under it.
+    Sends last 2 s, and have begun after 0.1 s, or after 0.7 s where many are sent again
+    at once.
+    """
+    suspects = CrashSuspects()
+    sends = [
+        [work(number), number / 40.0, rng.randrange(SERVERS), 1, 0.1]
+        for number in range(40 * DAY_S)
+    ]
+    ends = [
+        (rng.uniform(0, DAY_S), rng.sample(range(SERVERS), rng.choice((1, 1, 1, 5))))
+        for _ in range(12)
+    ]
+    for at_s, ended in sorted(ends):
+        for send in sends:
+            name, since_s, server, tries, begins_s = send
+            if server not in ended or not since_s <= at_s < since_s + 2.0:
+                continue
+            has_begun = at_s - since_s > begins_s
+            suspects.note(
+                end(f"{server}@{at_s}", of=name, has_begun=has_begun), now_s=at_s
+            )
+            if tries < TRIES:
+                others = [one for one in range(SERVERS) if one not in ended]
+                send[1:] = [at_s, rng.choice(others), tries + 1, 0.7]
+    return len(suspects.held(now_s=float(DAY_S))), len(sends)
+
+
+@pytest.mark.parametrize("seed", range(10))
+def test_days_troubles_hold_nobody_back(seed):
+    """Servers that end on their own, alone or together, put no work under suspicion."""
+    held, works = play_day(random.Random(seed))
+    assert works == 4_000
+    assert held == 0
--- a/tests/test_registration.py
+++ b/tests/test_registration.py
@@ -9,7 +9,9 @@
 import msgspec
 
 from test_instances import directories, entry
+from violethatch._held_rows import HeldRows
 from violethatch._registration import INSTANCES_TABLE, Registration
+from violethatch.crash_suspects import CrashSuspects
 from violethatch.errors import TableUnavailableError
 from violethatch.freshness import StoreClock
 from violethatch.instances import ENTRY_LIFE_S, InstanceDirectory
@@ -34,7 +36,8 @@
     clock = StoreClock()
     if store_s is not None:
         clock.observe(store_s, sent_s=time.monotonic())
-    return Registration(store, directory, clock=clock, rng=random.Random(1))
+    held = HeldRows(store, INSTANCES_TABLE, CrashSuspects(), clock=clock)
+    return Registration(store, directory, clock=clock, held=held, rng=random.Random(1))
 
 
 class TestRegistration:
--- a/tests/test_repeats_that_end_servers.py
+++ b/tests/test_repeats_that_end_servers.py
@@ -22,7 +22,17 @@
 
 import pytest
 
-from mortal_fleet import DEADLY, Fleet, Servers, label_server, model_runner
+from mortal_fleet import (
+    DEADLY,
+    STREAMS,
+    Fleet,
+    Servers,
+    label_server,
+    model_runner,
+)
+from router_fakes import BROKEN, events
+from routing_samples import desired_state
+from violethatch.errors import HeldBackError
 
 
 #: How many ends under a request are enough to know it, and how often it may reach
@@ -62,3 +72,71 @@
     fleet = Fleet(instances, servers)
     await come_again(fleet, path=path)
     assert arrivals_after(servers) <= MOST_AFTER
+
+
+async def keep_asking(fleet, *, path, outcomes, stop):
+    """Send other requests to all routers, a new one each few milliseconds."""
+    tasks = []
+    number = 0
+    while not stop.is_set():
+        number += 1
+        router = fleet.routers[number % len(fleet.routers)]
+        body = b"a menu %d" % number
+        ask = fleet.ask(router, path=path, body=body, id=f"m{number}")
+        tasks.append(asyncio.create_task(ask))
+        await asyncio.sleep(0.005)
+    outcomes.extend(await asyncio.gather(*tasks))
+
+
+@pytest.mark.parametrize(
+    ("path", "make"), [("/draft/1", model_runner), ("/label/1", label_server)]
+)
+async def test_company_of_such_a_request_is_not_held_back(path, make):
+    """Those that were at the same servers are served on."""
+    fleet = Fleet(6, Servers(make, count=6))
+    outcomes, stop = [], asyncio.Event()
+    asking = asyncio.create_task(
+        keep_asking(fleet, path=path, outcomes=outcomes, stop=stop)
+    )
+    await come_again(fleet, path=path)
+    stop.set()
+    await asking
+    held = [one for one in outcomes if getattr(one, "code", 0) == HeldBackError.code]
+    assert len(outcomes) > 100
+    assert not held
+
+
+async def test_held_request_gets_a_true_answer_at_once():
+    """It has not run, and may come back when it is let through once more."""
+    fleet = Fleet(1, Servers(model_runner))
+    for number in range(3):
+        await fleet.ask(fleet.routers[0], body=DEADLY, id=f"c{number}")
+    arrived = len(fleet.servers.arrived_s)
+    error = await fleet.ask(fleet.routers[0], body=DEADLY, id="c9")
+    assert (error.code, error.ran, error.status) == (1206, "no", 503)
+    assert 25.0 < error.retry_after_s <= 30.0
+    assert len(fleet.servers.arrived_s) == arrived
+
+
+async def test_other_callers_same_request_is_served():
+    """What one caller's request did is not held against another one's."""
+    fleet = Fleet(1, Servers(model_runner))
+    for number in range(3):
+        await fleet.ask(fleet.routers[0], body=DEADLY, id=f"c{number}")
+    router = fleet.routers[0]
+    assert (await fleet.ask(router, body=DEADLY)).code == HeldBackError.code
+    assert (await fleet.ask(router, body=b"a menu")).end == "whole"
+    router.desired = desired_state(STREAMS, keys=("key-1",), workspace="depot")
+    arrived = len(fleet.servers.arrived_s)
+    await fleet.ask(router, body=DEADLY)
+    assert len(fleet.servers.arrived_s) > arrived
+
+
+async def test_broken_answers_of_living_servers_hold_nothing_back():
+    """Servers that fail answers, or connections that are reset, are no ends."""
+    servers = Servers(model_runner)
+    servers.script = [events(1), BROKEN]
+    fleet = Fleet(2, servers)
+    for number in range(8):
+        await fleet.ask(fleet.routers[number % 2], id=f"c{number}")
+    assert not any(router.routing.suspects for router in fleet.routers)
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -36,7 +36,7 @@
     def test_known_loads_are_shown(self):
         """Operators see how many instances' loads are known, and how old that is."""
         made = router(proof_age_s=0.0)
-        made.show_loads()
+        made.show_state()
         gauge = made.metrics.instances_summed
         assert gauge.get({}) == 1
         assert made.metrics.load_age_s.get({}) == -1.0
--- /dev/null
+++ b/tests/test_suspect_link.py
@@ -0,0 +1,127 @@
+# SPDX-License-Identifier: MIT
+"""What instances tell each other of ends under works."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import time
+
+import pytest
+
+from mortal_fleet import Network
+from test_crash_suspects import WORK, work
+from test_instances import entry
+from violethatch import _suspect_link
+from violethatch._peer_datagrams import EndsDatagram, PeerDatagrams
+from violethatch._suspect_link import SuspectLink
+from violethatch.crash_suspects import CrashSuspects, End
+from violethatch.instances import InstanceDirectory
+
+
+class Told:
+    """Instances that tell each other of ends.
+
+    Args:
+        count: How many there are.
+        lost_part: Which part of the datagrams is lost.
+    """
+
+    def __init__(self, count, *, lost_part=0.0, seed=1):
+        self.network = Network(random.Random(seed), lost_part=lost_part)
+        entries = {
+            f"i{n}": entry(f"i{n}")._replace(address=f"10.0.0.1:{n + 1}", token=f"t{n}")
+            for n in range(count)
+        }
+        self.suspects, self.links, self.datagrams = [], [], []
+        for own in entries.values():
+            directory = InstanceDirectory(own)
+            directory.take(entries, is_whole=True)
+            datagrams = PeerDatagrams(directory)
+            datagrams.connection_made(self.network.transport(own))
+            host, port = own.address.split(":")
+            self.network.receivers[host, int(port)] = datagrams
+            self.suspects.append(CrashSuspects())
+            self.links.append(SuspectLink(datagrams, self.suspects[-1]))
+            self.datagrams.append(datagrams)
+
+    def see(self, instance, lifetime, *, of=WORK):
+        """Let an instance see an end."""
+        end = End(of, lifetime, False, f"i{instance}")
+        self.suspects[instance].note(end, now_s=time.monotonic())
+        self.links[instance].tell(end)
+
+    def who_holds(self):
+        """Return how many instances hold the work back."""
+        now_s = time.monotonic()
+        return sum(one.hold(WORK, now_s=now_s) is not None for one in self.suspects)
+
+
+async def told_of_three(count, *, lost_part, seed):
+    """Let three instances see an end each; return all, a second later."""
+    told = Told(count, lost_part=lost_part, seed=seed)
+    rng = random.Random(seed)
+    for number, instance in enumerate(rng.sample(range(count), 3)):
+        told.see(instance, f"s{number}")
+        await asyncio.sleep(0.1)
+    await asyncio.sleep(1.0)
+    return told
+
+
+class TestAllKnow:
+    @pytest.mark.parametrize("count", [6, 70, 200, 350])
+    async def test_three_witnesses_are_enough(self, count):
+        """Whoever saw the ends, all hold the work back a second later."""
+        told = await told_of_three(count, lost_part=0.0, seed=count)
+        assert told.who_holds() == count
+
+    @pytest.mark.parametrize("seed", range(6))
+    async def test_lost_and_doubled_datagrams(self, seed):
+        """One in ten is lost, one in ten comes twice; nearly all know by datagrams.
+
+        The rest reads it in the store.
+        """
+        told = await told_of_three(70, lost_part=0.1, seed=seed)
+        assert told.who_holds() >= 67
+
+    async def test_first_ends_are_told_to_few(self):
+        """A server's end doesn't make all instances tell all others of its company."""
+        told = Told(350)
+        for number in range(96):
+            told.see(number, "s1", of=work(number))
+        await asyncio.sleep(1.0)
+        # Each word to three, twice; those that share a datagram are fewer.
+        assert told.network.sent <= 96 * 3 * 2
+
+    async def test_cleared_work_is_cleared_everywhere(self):
+        """Also where a copy of the word is still on its way."""
+        told = Told(6)
+        told.see(0, "s1")
+        told.see(1, "s2")
+        await asyncio.sleep(0.1)
+        told.suspects[2].clear(WORK)
+        told.links[2].tell_cleared(WORK)
+        await asyncio.sleep(1.0)
+        assert not any(one.ends(WORK) for one in told.suspects)
+
+
+class TestBounds:
+    async def test_what_waits_is_bounded(self, monkeypatch):
+        """Ends without number neither fill memory nor the link."""
+        monkeypatch.setattr(_suspect_link, "_MOST_WAITING", 50)
+        told = Told(2)
+        for number in range(200):
+            told.see(0, "s1", of=work(number))
+        assert len(told.links[0]._waiting["i1"]) == 50
+
+    @pytest.mark.parametrize("text", ["", "x" * 32, "A" * 32, "0" * 31, "0" * 9_000])
+    async def test_word_of_no_work_is_dropped(self, text):
+        """Nothing of it is kept, and the next datagram is taken."""
+        told = Told(2)
+        for ends in ([(text, "s", False, "i0")], [(WORK, "s", False, "i0")]):
+            told.datagrams[0].send(
+                told.datagrams[0].directory.others()[0],
+                EndsDatagram("t1", "i0", ends),
+            )
+        await asyncio.sleep(0.05)
+        assert len(told.suspects[1]) == 1
