--- a/tests/mortal_fleet.py
+++ b/tests/mortal_fleet.py
@@ -24,7 +24,12 @@
 from violethatch.desired import CallKind, Split
 from violethatch.errors import VioletHatchError
 from violethatch.instances import InstanceDirectory
-from violethatch.upstream import NotSentError, TableView
+from violethatch.upstream import (
+    NotSentError,
+    OrderAnswer,
+    OrderOutcome,
+    TableView,
+)
 
 
 #: The body of a request that ends each server which begins to run it.
@@ -150,6 +155,41 @@
         return report() if server.id in self.by_id else None
 
 
+class ChainServers(Servers):
+    """Runners of two layer ranges; deadly requests end the one of the second."""
+
+    def __init__(self, *, count=4):
+        super().__init__(tail_runner, count=count)
+        head = runner("head", 0, 40, kind="large")
+        self.by_id["head"] = Server(head)
+        #: Requests that wait for a later runner, by id.
+        self.waiting = {}
+
+    async def send(self, send):
+        if send.call.body != DEADLY:
+            return FakeAnswer(0.01, events(1))
+        over = asyncio.Event()
+        self.waiting[send.call.id] = over
+        self.reach(send.path)
+        await over.wait()
+        return FakeAnswer(events(1))
+
+    async def repath(self, server, call_id, path):
+        if path.stages[-1].server.id not in self.by_id:
+            return OrderAnswer(OrderOutcome.REFUSED)
+        self.reach(path)
+        return OrderAnswer(OrderOutcome.DONE)
+
+    def reach(self, path):
+        """Let a deadly request reach the last runner of a path."""
+        server = self.by_id.get(path.stages[-1].server.id)
+        if server is None:
+            return
+        self.arrived_s.append(time.monotonic())
+        self.ended_s.append(time.monotonic() + DEADLY_S)
+        asyncio.get_running_loop().call_later(DEADLY_S, self.end, server)
+
+
 class Network:
     """Carries datagrams between routers, or loses them.
 
@@ -259,6 +299,11 @@
     return runner(name, 0, 80, kind="large")
 
 
+def tail_runner(name):
+    """Return a runner that holds the model's second half."""
+    return runner(name, 40, 80, kind="large")
+
+
 def label_server(name):
     """Return a server of the plain service."""
     return plain_server(name)
--- a/tests/test_repeats_that_end_servers.py
+++ b/tests/test_repeats_that_end_servers.py
@@ -25,6 +25,7 @@
 from mortal_fleet import (
     DEADLY,
     STREAMS,
+    ChainServers,
     Fleet,
     Servers,
     label_server,
@@ -74,6 +75,15 @@
     assert arrivals_after(servers) <= MOST_AFTER
 
 
+@pytest.mark.parametrize("instances", [1, 6])
+async def test_request_that_ends_later_runners_is_held_back(instances):
+    """The first runner of its path goes on; it only passes the request on."""
+    servers = ChainServers()
+    fleet = Fleet(instances, servers)
+    await come_again(fleet, path="/draft/1")
+    assert arrivals_after(servers) <= MOST_AFTER
+
+
 async def keep_asking(fleet, *, path, outcomes, stop):
     """Send other requests to all routers, a new one each few milliseconds."""
     tasks = []
