Count ends of a path's later runners against the request that was there

Cause: a later runner's end breaks nothing at the instance; the silent request was moved to the next runner, which ended too.

Change: each runner that a silence is put down to is asked whether it refuses connections, for 20 ms at the most; its end counts as the first runner's does, and a request that is held back is moved no further.

--- a/src/violethatch/_stream_run.py
+++ b/src/violethatch/_stream_run.py
@@ -16,6 +16,7 @@
 
 from . import events
 from ._routing import Routing
+from ._work_in_hand import WorkInHand
 from .backends import BackendServer
 from .desired import ServiceSpec
 from .paths import Path
@@ -32,6 +33,9 @@
 #: request that has not begun to mean that its answer was lost.
 _USUAL_SLOWNESS = 1.5
 _USUAL_KV_PART = 0.9
+#: How long it takes at the most until a runner whose process has ended has refused a
+#: connection, in seconds: a way there and back between zones, and a busy instance.
+_REFUSED_S = 0.02
 #: How many runners of a zone have to be silent at once for all of it to be avoided.
 _SILENT_IN_ZONE = 2
 
@@ -46,10 +50,12 @@
         send: Send,
         path: Path,
         *,
+        work: WorkInHand,
         tokens: float,
         may_be_repeated: bool = False,
     ) -> None:
         self._routing = routing
+        self._work = work
         self._may_be_repeated = may_be_repeated
         self._tokens = tokens
         self._service = service
@@ -199,11 +205,25 @@
         if not culprits:
             await self._leave_slow()
             return
+        await self._note_ends(culprits)
         self.suspects |= {one.id for one in culprits}
         self.suspects |= self._silent_zones(culprits)
-        if not await self._repath():
+        if self._work.is_held or not await self._repath():
             raise TimeoutError
 
+    async def _note_ends(self, culprits: list[BackendServer]) -> None:
+        """Note which runners have ended under the request, as far as is told soon.
+
+        The first runner of a path goes on; without this a request that ends a later
+        one was moved to the next (52 times in a series of 14 tries).
+        """
+        looks = [
+            asyncio.create_task(self._work.lost(one, has_begun=self.has_begun))
+            for one in culprits
+        ]
+        # The looks at others go on: a runner that is cut off doesn't answer them.
+        await asyncio.wait(looks, timeout=_REFUSED_S)
+
     async def _leave_slow(self) -> None:
         """Go around slow runners, if that can be done."""
         slow = self._routing.paces.slow(now_s=time.monotonic())
@@ -241,6 +261,7 @@
         culprits = [*found.silent, *found.pending]
         self._log_silence(report, asked, culprits)
         if first in culprits:
+            await self._note_ends(culprits)
             self.suspects |= {one.id for one in culprits}
             raise TimeoutError
         if culprits or report is None:
@@ -296,6 +317,7 @@
         self.count_out()
         self._note_end()
         self.path = path
+        self.has_begun = False
         self.count_in()
         if had_begun:
             self._event_s = time.monotonic()
--- a/src/violethatch/_streams.py
+++ b/src/violethatch/_streams.py
@@ -199,6 +199,7 @@
             self._service,
             send,
             path,
+            work=self._work,
             tokens=self._tokens,
             may_be_repeated=self._route.is_resumable
             and self.runs + 1 < self._route.max_attempts,
