Send what a server ended under apart from its company

Cause: all requests of an ended server go on along the same next path, the one that ended it among them; the next server ends under all of them.

Change: a request that had no part of its answer from the server that ended goes on at one of the emptier first runners, chosen by its work; what had begun goes on as before. A part that failed while nobody waited for it any more counts as seen.

--- a/src/violethatch/_path_choice.py
+++ b/src/violethatch/_path_choice.py
@@ -12,6 +12,7 @@
 from .backends import BackendServer, BackendTable
 from .desired import ServiceSpec
 from .engine_model import EngineSpec
+from .membership import rendezvous
 from .near_paths import FULL, NearFirst
 from .path_shares import (
     ALONE,
@@ -32,6 +33,8 @@
 #: Into how many parts moves are laid: each stream of an instance that has to move
 #: costs as many searches, and waits for them.
 _MOVE_PARTS = 4
+#: From how many first runners a path is searched for a request that may end one.
+_MOST_FIRSTS = 3
 #: How many times slower a runner counts for each second that it still rests, where the
 #: path has to be found that is free soonest: more than all else makes one longer.
 _RESTING_PACE = 1e6
@@ -130,6 +133,34 @@
                 return self._within_pipe(path, maps, view, first, now_s=now_s)
         return None
 
+    def path_apart(
+        self, service: ServiceSpec, *, avoided: frozenset[str], key: str
+    ) -> Path | None:
+        """Return a path for a request under which a server has ended.
+
+        It begins at one of the emptier first runners, which the request's key chooses:
+        what it may end has few requests, and what was in its company is elsewhere.
+        """
+        if service.engine is None:
+            return None
+        now_s = time.monotonic()
+        left_out = avoided | self._health.resting(now_s=now_s)
+        engine = service.engine
+        firsts = [
+            one
+            for one in self._backends.usable(service.name)
+            if one.layers is not None
+            and one.layers.first == 0
+            and one.id not in left_out
+        ]
+        firsts.sort(key=lambda one: self._loads.fullness(one, engine, now_s=now_s))
+        emptier = {one.id: one for one in firsts[: max(2, len(firsts) // 2)]}
+        for server_id in rendezvous(key, emptier, count=_MOST_FIRSTS):
+            path = self.path(service, avoided=avoided, first=emptier[server_id])
+            if path is not None:
+                return path
+        return None
+
     def blocked_s(self, service: ServiceSpec) -> float | None:
         """Return how long rests block all paths, in seconds.
 
--- a/src/violethatch/_routing.py
+++ b/src/violethatch/_routing.py
@@ -145,6 +145,16 @@
             service, avoided=avoided, first=first, kept=kept, may_doubt=may_doubt
         )
 
+    def path_apart(
+        self, service: ServiceSpec, *, avoided: frozenset[str], work: str
+    ) -> Path | None:
+        """Return a path for a work that may end servers, away from the others' paths.
+
+        None where there is no path that begins elsewhere.
+        """
+        self.expire()
+        return self._paths.path_apart(service, avoided=avoided, key=work)
+
     def blocked_s(self, service: ServiceSpec) -> float | None:
         """Return how long rests block all paths, in seconds.
 
--- a/src/violethatch/_stream_run.py
+++ b/src/violethatch/_stream_run.py
@@ -118,8 +118,7 @@
                 try:
                     await self._await_progress(coming, self._limit_s())
                 finally:
-                    if not coming.done():
-                        coming.cancel()
+                    _let_go(coming)
                 part = coming.result()
                 if part is None:
                     return
@@ -392,6 +391,14 @@
         return _stage_of(self.path, address)
 
 
+def _let_go(coming: asyncio.Future[Any]) -> None:
+    """Let go of what is no longer waited for, also if it has failed meanwhile."""
+    if not coming.done():
+        coming.cancel()
+    elif not coming.cancelled():
+        coming.exception()  # it counts as seen; a run that is given up on is logged
+
+
 def _abandon(opening: asyncio.Future[Answer]) -> None:
     """Break a send off, also if its head came in the meantime."""
     if not opening.done():
--- a/src/violethatch/_streams.py
+++ b/src/violethatch/_streams.py
@@ -159,6 +159,12 @@
         A stream that has run waits a little: its caller waits longer for the next
         event than room takes to come back.
         """
+        if self._work.is_suspect:
+            apart = self._routing.path_apart(
+                self._service, avoided=self._avoided, work=self._work.id
+            )
+            if apart is not None:
+                return apart
         path = self._routing.path(
             self._service, avoided=self._avoided, may_doubt=not self.sends
         )
--- a/src/violethatch/_work_in_hand.py
+++ b/src/violethatch/_work_in_hand.py
@@ -54,6 +54,14 @@
             return False  # no body is digested while nothing is suspected
         return suspects.hold(self.id, now_s=time.monotonic()) is not None
 
+    @property
+    def is_suspect(self) -> bool:
+        """Whether a server has ended under it before it had begun there."""
+        suspects = self._routing.suspects
+        if not suspects:
+            return False
+        return any(not end.has_begun for end in suspects.ends(self.id))
+
     def held_back(self) -> HeldBackError | None:
         """Return the refusal of a work that is held back, and log what decided it."""
         hold = self._routing.suspects.hold(self.id, now_s=time.monotonic())
--- a/src/violethatch/crash_suspects.py
+++ b/src/violethatch/crash_suspects.py
@@ -173,6 +173,10 @@
         suspect = self._suspects.get(work)
         return tuple(suspect.ends.values()) if suspect is not None else ()
 
+    def works(self) -> list[str]:
+        """Return all works that are remembered."""
+        return list(self._suspects)
+
     def clear(self, work: str) -> bool:
         """Forget a work that was answered whole; tell whether it was known."""
         return self._suspects.pop(work, None) is not None
--- a/tests/mortal_fleet.py
+++ b/tests/mortal_fleet.py
@@ -8,9 +8,9 @@
 import time
 
 from router_fakes import (
-    BROKEN,
     FakeAnswer,
     FakeResponder,
+    broken,
     events,
     make_call,
     report,
@@ -73,12 +73,12 @@
                 raise step
             if isinstance(step, bytes):
                 if ended.done():
-                    raise BROKEN
+                    raise broken()
                 yield step
                 continue
             await asyncio.wait((ended,), timeout=step)
             if ended.done():
-                raise BROKEN
+                raise broken()
         ended.cancel()
 
 
@@ -139,11 +139,11 @@
             if not server.has_ended.is_set():
                 self.ended_s.append(time.monotonic())
             self.end(server)
-            raise BROKEN
+            raise broken()
         if send.path is None:
             await asyncio.sleep(PLAIN_S)
             if server.has_ended.is_set():
-                raise BROKEN
+                raise broken()
             return FakeAnswer(b"done")
         return MortalAnswer(server, self.script)
 
--- a/tests/router_fakes.py
+++ b/tests/router_fakes.py
@@ -81,7 +81,11 @@
 
 
 LOST = AnswerLostError("lost")
-BROKEN = ConnectionBrokenError("broken")
+
+
+def broken():
+    """Return the error of a connection that ended."""
+    return ConnectionBrokenError("broken")
 
 
 class FakeClient:
--- a/tests/test_path_choice.py
+++ b/tests/test_path_choice.py
@@ -161,3 +161,40 @@
             one.instances = lambda: 180
         quick = sum(one.path(SERVICE).first.id == "q0" for one in made)
         assert 0 < quick * 2 <= 0.6 * room * 180 / 60
+
+
+class TestApart:
+    """Load pattern: a server ends under many; one of them may have ended it."""
+
+    def test_it_begins_where_few_are(self):
+        """What it may end has fewer requests than where the others go."""
+        (one,) = routings(1, *NEAR, *FAR)
+        usual = one.path(SERVICE)
+        for _ in range(20):
+            one.loads.started(usual, 900.0, crossing_ms=0.0, now_s=time.monotonic())
+        for number in range(30):
+            apart = one.path_apart(SERVICE, avoided=frozenset(), work=f"w{number}")
+            assert apart.first.id != usual.first.id
+
+    def test_several_are_not_at_the_same_server(self):
+        """They would stay each other's company."""
+        (one,) = routings(1, *NEAR, *FAR)
+        firsts = {
+            one.path_apart(SERVICE, avoided=frozenset(), work=f"w{number}").first.id
+            for number in range(30)
+        }
+        assert len(firsts) == 3
+
+    def test_instances_choose_the_same_for_a_work(self):
+        """It does not go to another server at each instance."""
+        firsts = {
+            one.path_apart(SERVICE, avoided=frozenset(), work="w").first.id
+            for one in routings(6, *NEAR, *FAR)
+        }
+        assert len(firsts) == 1
+
+    def test_avoided_servers_are_left_alone(self):
+        """With nobody else left, there is no such path."""
+        (one,) = routings(1, *NEAR)
+        firsts = frozenset(f"n{chain}-0" for chain in range(3))
+        assert one.path_apart(SERVICE, avoided=firsts, work="w") is None
--- a/tests/test_repeats_that_end_servers.py
+++ b/tests/test_repeats_that_end_servers.py
@@ -19,6 +19,7 @@
 from __future__ import annotations
 
 import asyncio
+import collections
 
 import pytest
 
@@ -31,7 +32,7 @@
     label_server,
     model_runner,
 )
-from router_fakes import BROKEN, events
+from router_fakes import broken, events
 from routing_samples import desired_state
 from violethatch.errors import HeldBackError
 
@@ -116,6 +117,38 @@
     assert not held
 
 
+def works_by_ends(fleet):
+    """Return how many works some router knows to have been under so many ends."""
+    most = collections.Counter()
+    for router in fleet.routers:
+        for work in router.routing.suspects.works():
+            most[work] = max(most[work], len(router.routing.suspects.ends(work)))
+    return collections.Counter(most.values())
+
+
+async def test_company_is_not_at_the_next_server_again():
+    """Requests that a server's end left go on elsewhere than the one that ended it.
+
+    Of some 300 streams in each of four such series, 12 were under two ends where all went
+    on along the same next path; 4 are where what had not begun is sent apart.
+    """
+    twice = 0
+    for seed in range(1, 5):
+        servers = Servers(model_runner, count=6)
+        later = [step for n in range(2, 12) for step in (0.02, events(n))]
+        servers.script = [0.02, events(1), *later]
+        fleet = Fleet(6, servers, seed=seed)
+        stop = asyncio.Event()
+        asking = asyncio.create_task(
+            keep_asking(fleet, path="/draft/1", outcomes=[], stop=stop)
+        )
+        await come_again(fleet, path="/draft/1")
+        stop.set()
+        await asking
+        twice += works_by_ends(fleet)[2]
+    assert twice <= 8
+
+
 async def test_held_request_gets_a_true_answer_at_once():
     """It has not run, and may come back when it is let through once more."""
     fleet = Fleet(1, Servers(model_runner))
@@ -145,7 +178,7 @@
 async def test_broken_answers_of_living_servers_hold_nothing_back():
     """Servers that fail answers, or connections that are reset, are no ends."""
     servers = Servers(model_runner)
-    servers.script = [events(1), BROKEN]
+    servers.script = [events(1), broken()]
     fleet = Fleet(2, servers)
     for number in range(8):
         await fleet.ask(fleet.routers[number % 2], id=f"c{number}")
