--- a/tests/mortal_fleet.py
+++ b/tests/mortal_fleet.py
@@ -206,9 +206,9 @@
         self.receivers = {}
         self.sent = 0
 
-    def transport(self, own):
+    def transport(self):
         """Return a transport of one router."""
-        return _Transport(self, own)
+        return _Transport(self)
 
     def carry(self, data, to):
         """Carry one datagram."""
@@ -223,9 +223,8 @@
 
 
 class _Transport:
-    def __init__(self, network, own):
+    def __init__(self, network):
         self.network = network
-        self.own = own
         self.is_cut = False
 
     def sendto(self, data, to):
@@ -250,6 +249,7 @@
             f"i{n}": entry(f"i{n}")._replace(address=f"10.0.0.1:{n + 1}", token=f"t{n}")
             for n in range(count)
         }
+        self.transports = {}
         self.routers = [self.join(one) for one in self.entries.values()]
 
     def join(self, own):
@@ -266,7 +266,8 @@
         directory = InstanceDirectory(own)
         directory.take(self.entries, is_whole=True)
         datagrams = PeerDatagrams(directory)
-        datagrams.connection_made(self.network.transport(own))
+        self.transports[own.id] = self.network.transport()
+        datagrams.connection_made(self.transports[own.id])
         host, port = own.address.split(":")
         self.network.receivers[host, int(port)] = datagrams
         PeerLinks(datagrams, router, rng=self.rng).open()
--- a/tests/test_registration.py
+++ b/tests/test_registration.py
@@ -9,7 +9,7 @@
 import msgspec
 
 from test_instances import directories, entry
-from violethatch._held_rows import HeldRows
+from violethatch._held_rows import HELD_PREFIX, HeldRows
 from violethatch._registration import INSTANCES_TABLE, Registration
 from violethatch.crash_suspects import CrashSuspects
 from violethatch.errors import TableUnavailableError
@@ -89,3 +89,14 @@
         rows = TableView({"i2": good, "i3": b"{}"}, 1, 1.0)
         registration(FakeStore(), directory).take(rows, True)
         assert len(directory) == 1
+
+    def test_held_works_are_no_instances(self):
+        """They stand in the same table, and leave the entries as they are."""
+        directory = directories([entry("i1"), entry("i2")])["i1"]
+        made = registration(FakeStore(), directory, store_s=0.0)
+        row = {HELD_PREFIX + "0" * 32: b"[1,30.0,[]]"}
+        made.take(TableView(row, 1, 0.0), False)
+        assert len(directory) == 2
+        entries = {one: msgspec.json.encode(entry(one)) for one in ("i1", "i3")}
+        made.take(TableView(entries | row, 2, 0.0), True)
+        assert sorted(one.id for one in directory.others()) == ["i3"]
--- a/tests/test_repeats_that_end_servers.py
+++ b/tests/test_repeats_that_end_servers.py
@@ -20,6 +20,7 @@
 
 import asyncio
 import collections
+import time
 
 import pytest
 
@@ -183,3 +184,34 @@
     for number in range(8):
         await fleet.ask(fleet.routers[number % 2], id=f"c{number}")
     assert not any(router.routing.suspects for router in fleet.routers)
+
+
+@pytest.mark.parametrize("seed", range(3))
+async def test_tries_at_the_same_moment(seed):
+    """Several callers' tries are under way before anybody can know; then no more."""
+    servers = Servers(model_runner, count=8)
+    fleet = Fleet(6, servers, seed=seed)
+    await asyncio.gather(
+        *(
+            fleet.ask(router, body=DEADLY, id=f"c{n}-{copy}")
+            for n, router in enumerate(fleet.routers)
+            for copy in range(3)
+        )
+    )
+    await come_again(fleet, path="/draft/1")
+    assert arrivals_after(servers) <= MOST_AFTER
+
+
+async def test_cut_off_instance_tells_when_it_is_back():
+    """What it alone has seen meanwhile counts with its next end."""
+    servers = Servers(model_runner)
+    fleet = Fleet(6, servers)
+    cut = fleet.transports["i0"]
+    cut.is_cut = True
+    await fleet.ask(fleet.routers[0], body=DEADLY, id="c0")
+    await asyncio.sleep(0.6)
+    cut.is_cut = False
+    await fleet.ask(fleet.routers[0], body=DEADLY, id="c1")
+    await asyncio.sleep(TOLD_S)
+    now_s = time.monotonic()
+    assert all(router.routing.suspects.held(now_s=now_s) for router in fleet.routers)
--- a/tests/test_suspect_link.py
+++ b/tests/test_suspect_link.py
@@ -38,7 +38,7 @@
             directory = InstanceDirectory(own)
             directory.take(entries, is_whole=True)
             datagrams = PeerDatagrams(directory)
-            datagrams.connection_made(self.network.transport(own))
+            datagrams.connection_made(self.network.transport())
             host, port = own.address.split(":")
             self.network.receivers[host, int(port)] = datagrams
             self.suspects.append(CrashSuspects())
--- /dev/null
+++ b/tests/test_work_in_hand.py
@@ -0,0 +1,85 @@
+# SPDX-License-Identifier: MIT
+"""A call's work, its digest and its refusal."""
+
+from __future__ import annotations
+
+import random
+import time
+
+from router_fakes import FakeClient, make_call, make_routing
+from routing_samples import runner
+from violethatch import _work_in_hand
+from violethatch._work_in_hand import WorkInHand
+from violethatch.crash_suspects import End
+
+
+A = runner("a", 0, 80)
+
+
+def work_in_hand(routing, **changes):
+    """Return a call's work."""
+    return WorkInHand(routing, make_call(**changes), "clinic")
+
+
+def noted(routing, *lifetimes, has_begun=False):
+    """Let servers end under the sample work."""
+    work = work_in_hand(routing).id
+    for one in lifetimes:
+        routing.suspects.note(End(work, one, has_begun, "i"), now_s=time.monotonic())
+
+
+class TestDigest:
+    def test_no_body_is_digested_while_nothing_is_suspected(self, monkeypatch):
+        """A large body costs nothing then, and is digested once afterwards."""
+        made = []
+        real = _work_in_hand.work_id
+        monkeypatch.setattr(
+            _work_in_hand, "work_id", lambda **parts: made.append(1) or real(**parts)
+        )
+        routing = make_routing(FakeClient(), A, rng=random.Random(1))
+        work = work_in_hand(routing)
+        assert not work.is_held
+        assert not work.is_suspect
+        work.answered()
+        assert made == []
+        routing.suspects.note(End("0" * 32, "s", False, "i"), now_s=time.monotonic())
+        for _ in range(3):
+            assert not work.is_held
+            assert work.held_back() is None
+        assert made == [1]
+
+
+class TestHeld:
+    def test_new_attempt_is_the_same_work(self):
+        """Ids and deadlines are new each time a caller comes back."""
+        routing = make_routing(FakeClient(), A, rng=random.Random(1))
+        noted(routing, "a", "b", "c")
+        assert work_in_hand(routing, id="other", wait_s=1.0).is_held
+        assert not work_in_hand(routing, body=b"other").is_held
+
+    def test_lines_tell_nothing_of_the_body(self, capsys):
+        """The refusal's line names works, servers and witnesses."""
+        routing = make_routing(FakeClient(), A, rng=random.Random(1))
+        noted(routing, "a", "b", "c")
+        error = work_in_hand(routing).held_back()
+        assert error.code == 1206
+        assert "a menu" not in error.detail
+
+    async def test_ended_server_is_put_down_to_the_work(self):
+        """Only if it refuses connections."""
+        client = FakeClient()
+        routing = make_routing(client, A, rng=random.Random(1))
+        assert not await work_in_hand(routing).lost(A, has_begun=False)
+        assert not routing.suspects
+        client.refusing = {"a"}
+        routing.ends._there_s.clear()
+        assert await work_in_hand(routing).lost(A, has_begun=False)
+        assert work_in_hand(routing).is_suspect
+        work_in_hand(routing).answered()
+        assert not routing.suspects
+
+    def test_begun_elsewhere_is_no_suspect(self):
+        """What was well on its way goes on like the rest."""
+        routing = make_routing(FakeClient(), A, rng=random.Random(1))
+        noted(routing, "a", has_begun=True)
+        assert not work_in_hand(routing).is_suspect
