Take an entry that names no server to use out alone, and read all rows strictly

Cause, seen on reading and by tests that failed first (28 and 13 of them): any state but the one for leaving counted as ready, a missing one too; an entry that could no longer be read left the older one in force when it came as a change, and dropped it when the whole list was read; nesting without end is a RecursionError, which ended the reader; a lease's row of another writer ended the process.

Change: fields, states, addresses and ranges are checked in the adapter; what fails takes that one server out at once, the same on both ways in, with one line for a view and a counter. Numbers in datagrams are bounded. A lease's row that is none is taken over after a lease's time, under its version as the epoch.

--- a/src/violethatch/_held_rows.py
+++ b/src/violethatch/_held_rows.py
@@ -17,6 +17,7 @@
 import msgspec
 
 from . import events
+from ._decoding import decoded
 from .crash_suspects import HELD_LIFE_S, CrashSuspects, End, Hold
 from .errors import TableUnavailableError
 from .freshness import StoreClock
@@ -43,6 +44,9 @@
     ends: list[End]
 
 
+_ROW = msgspec.json.Decoder(_HeldRow)
+
+
 class RowStore(Protocol):
     """Keeps rows."""
 
@@ -125,7 +129,7 @@
         store_now_s = self._clock.now_s()
         try:
             check_work_id(work)
-            row = msgspec.json.decode(value, type=_HeldRow)
+            row = decoded(_ROW, value)
         except ValueError as error:
             events.log(events.STATE_REFUSED, row=key, reason=str(error))
             return
--- a/src/violethatch/_peer_datagrams.py
+++ b/src/violethatch/_peer_datagrams.py
@@ -8,15 +8,21 @@
 import time
 
 from collections.abc import Callable
-from typing import Any, cast
+from typing import Annotated, Any, cast
 
 import msgspec
 
 from . import events
+from ._decoding import decoded
 from ._serving import host_and_port
 from .instances import InstanceDirectory, InstanceEntry
 
 
+#: Numbers that mean something: no sum may become infinite, or no number at all.
+Amount = Annotated[float, msgspec.Meta(ge=0, le=1e9)]
+Count = Annotated[int, msgspec.Meta(ge=0, lt=2**31)]
+
+
 class SightingsDatagram(msgspec.Struct, array_like=True, tag="s"):
     """Servers' troubles; the token is the receiver's own."""
 
@@ -32,9 +38,9 @@
     token: str
     sender: str
     direction: str
-    instances: int
-    pipe_ms_per_s: float
-    age_ms: int
+    instances: Count
+    pipe_ms_per_s: Amount
+    age_ms: Count
     #: Packed changes, see `_load_link`.
     servers: bytes
 
@@ -45,7 +51,7 @@
     token: str
     sender: str
     server_id: str
-    slowness: float
+    slowness: Amount
 
 
 class RetryAskDatagram(msgspec.Struct, array_like=True, tag="r"):
@@ -55,7 +61,7 @@
     sender: str
     number: int
     service: str
-    wanted: float
+    wanted: Amount
 
 
 class RetryGiftDatagram(msgspec.Struct, array_like=True, tag="g"):
@@ -65,7 +71,7 @@
     sender: str
     #: That of the question.
     number: int
-    amount: float
+    amount: Amount
 
 
 class EndsDatagram(msgspec.Struct, array_like=True, tag="e"):
@@ -178,7 +184,7 @@
     def datagram_received(self, data: bytes, _address: Any) -> None:
         """Take another instance's datagram in."""
         try:
-            message = self._decoder.decode(data)
+            message = decoded(self._decoder, data)
             self._check(message)
             take = self._takers.get(type(message))
             if take is not None:
--- a/src/violethatch/_registration.py
+++ b/src/violethatch/_registration.py
@@ -13,6 +13,7 @@
 import msgspec
 
 from . import events
+from ._decoding import decoded
 from ._held_rows import HELD_PREFIX, HeldRows
 from .errors import TableUnavailableError
 from .freshness import StoreClock
@@ -23,6 +24,7 @@
 
 #: The product's own table of instances.
 INSTANCES_TABLE = "violethatch_instances"
+_ENTRY = msgspec.json.Decoder(InstanceEntry)
 #: How often the entry is written anew, in seconds: a third of its life.
 _RENEWAL_S = ENTRY_LIFE_S / 3
 #: How often to look whether the store's clock is known yet, in seconds.
@@ -141,7 +143,7 @@
     if value is None:
         return None
     try:
-        return msgspec.json.decode(value, type=InstanceEntry)
+        return decoded(_ENTRY, value)
     except ValueError as error:
         events.log(events.STATE_REFUSED, row=instance_id, reason=str(error))
         return None
--- a/src/violethatch/_relay_http.py
+++ b/src/violethatch/_relay_http.py
@@ -21,6 +21,7 @@
 from aiohttp.web_server import Server
 
 from ._call_errors import CALL_ERRORS
+from ._decoding import decoded
 from ._serving import listen
 from .instances import InstanceEntry
 from .relayed_tables import NoNewsError, PeerAwayError, PeerSilentError
@@ -202,7 +203,7 @@
         raise ValueError(msg)
     rest = body[1:]
     try:
-        answer = decoder.decode(zlib.decompress(rest) if body[0] else rest)
+        answer = decoded(decoder, zlib.decompress(rest) if body[0] else rest)
     except zlib.error as error:
         raise ValueError(str(error)) from error
     return TableView(
--- a/src/violethatch/_router.py
+++ b/src/violethatch/_router.py
@@ -37,6 +37,8 @@
 _STARTING_RETRY_S = 0.4
 #: How long the store's being cut off is thought to last on, in seconds.
 _UNPROVEN_S = 1.0
+#: The most rows that can't be understood that one line names.
+_MOST_ROWS_LOGGED = 10
 #: When to come back to a busy instance, in seconds: some requests' time.
 _BUSY_RETRY_S = 0.5
 
@@ -124,7 +126,7 @@
         except ValueError as error:
             # Keys may have been removed by it: the older state proves nothing.
             self.freshness.doubt()
-            events.log(events.STATE_REFUSED, row="config", reason=str(error))
+            self._note_refused_rows("desired state", {"config": str(error)})
             return
         self.freshness.trust()
         if self.desired is not None and state.version <= self.desired.version:
@@ -140,13 +142,13 @@
     def take_servers(self, view: TableView, is_whole: bool) -> None:
         """Take the list of backend servers in."""
         now_s = time.monotonic()
-        present = self._decoded_servers(view)
+        present, refused = self._decoded_servers(view)
         backends = self.routing.backends
         if is_whole:
-            change = backends.replace(present, now_s=now_s)
+            change = backends.replace(present, refused=refused, now_s=now_s)
         else:
             gone = [key for key, value in view.values.items() if value is None]
-            change = backends.change(present, gone, now_s=now_s)
+            change = backends.change(present, gone, refused=refused, now_s=now_s)
         for event, ids in (
             (events.SERVER_FOUND, change.found),
             (events.SERVER_GONE, change.lost),
@@ -156,17 +158,33 @@
                 events.log(event, server_ids=list(ids), row_version=view.version)
         self.routing.forget(change.lost)
 
-    def _decoded_servers(self, view: TableView) -> list[BackendServer]:
-        """Return the servers of a list that can be understood."""
+    def _decoded_servers(
+        self, view: TableView
+    ) -> tuple[list[BackendServer], dict[str, str]]:
+        """Return the servers of a list, and by id why others name none to use."""
         servers = []
+        refused = {}
         for server_id, value in view.values.items():
             if value is None:
                 continue
             try:
                 servers.append(self._decoder.backend_server(server_id, value))
             except ValueError as error:
-                events.log(events.STATE_REFUSED, row=server_id, reason=str(error))
-        return servers
+                refused[server_id] = str(error)
+        if refused:
+            self._note_refused_rows("servers", refused)
+        return servers, refused
+
+    def _note_refused_rows(self, table: str, refused: Mapping[str, str]) -> None:
+        """Count rows that can't be understood, and log some of them in one line."""
+        self.metrics.rows_refused.add({"table": table}, len(refused))
+        events.log(
+            events.STATE_REFUSED,
+            table=table,
+            rows=list(refused)[:_MOST_ROWS_LOGGED],
+            count=len(refused),
+            reason=next(iter(refused.values())),
+        )
 
     def store_returned(self) -> None:
         """Note that the list may be incomplete for a while."""
--- a/src/violethatch/_router_metrics.py
+++ b/src/violethatch/_router_metrics.py
@@ -44,6 +44,11 @@
             "Servers found to have ended while they had requests of this instance.",
             registry=self.registry,
         )
+        self.rows_refused = Counter(
+            "violethatch_router_rows_refused_total",
+            "Rows of the store that could not be understood, by table.",
+            registry=self.registry,
+        )
         self.suspected_works = Gauge(
             "violethatch_router_suspected_works",
             "Works under which servers have ended, and those that are held back.",
--- a/src/violethatch/backends.py
+++ b/src/violethatch/backends.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Sequence
+from collections.abc import Collection, Iterable, Sequence
 from typing import NamedTuple
 
 from .layers import LayerRange
@@ -95,6 +95,7 @@
         present: Iterable[BackendServer],
         gone: Iterable[str],
         *,
+        refused: Iterable[str] = (),
         now_s: float,
     ) -> ListChange:
         """Take changed entries in.
@@ -102,6 +103,7 @@
         Args:
             present: Entries as they are now.
             gone: The ids of entries that are gone.
+            refused: The ids of entries that name no server to use: another writer's.
             now_s: The current monotonic time, in seconds.
         """
         found = []
@@ -115,13 +117,20 @@
             self._lapsed_until_s.pop(server.id, None)
             self._servers[server.id] = server
         lost = [one for one in gone if self._remove(one, now_s=now_s)]
+        lost += [one for one in refused if self._forget(one)]
         self.revision += 1
         return ListChange(tuple(found), tuple(lost), tuple(leaving))
 
-    def replace(self, present: Sequence[BackendServer], *, now_s: float) -> ListChange:
+    def replace(
+        self,
+        present: Sequence[BackendServer],
+        *,
+        refused: Collection[str] = (),
+        now_s: float,
+    ) -> ListChange:
         """Take the whole list in."""
-        gone = self._servers.keys() - {server.id for server in present}
-        return self.change(present, sorted(gone), now_s=now_s)
+        gone = self._servers.keys() - {server.id for server in present} - {*refused}
+        return self.change(present, sorted(gone), refused=refused, now_s=now_s)
 
     def expire(self, *, now_s: float) -> tuple[str, ...]:
         """Forget lapsed entries that did not come back; return their ids."""
@@ -159,6 +168,9 @@
             until_s = now_s + self.leaving_s * _LAPSE_PART
             self._lapsed_until_s.setdefault(server_id, until_s)
             return False
+        return self._forget(server_id)
+
+    def _forget(self, server_id: str) -> bool:
+        """Forget a server; tell whether it was known."""
         self._lapsed_until_s.pop(server_id, None)
-        del self._servers[server_id]
-        return True
+        return self._servers.pop(server_id, None) is not None
--- a/src/violethatch/leases.py
+++ b/src/violethatch/leases.py
@@ -12,11 +12,18 @@
 
 from __future__ import annotations
 
-from typing import Any, TypedDict, cast
+from collections.abc import Mapping
+from typing import Annotated, Any, TypedDict, cast
+
+import msgspec
 
 from .ports import ABSENT, Put, Row
 
 
+#: No lease lasts longer, in seconds; a row that says so is no lease.
+_LONGEST_S = 600.0
+
+
 class LeaseValue(TypedDict):
     """The value of a lease's row."""
 
@@ -26,6 +33,15 @@
     duration_s: float
 
 
+class _LeaseShape(msgspec.Struct):
+    """What a lease's row has to look like."""
+
+    holder: str
+    epoch: Annotated[int, msgspec.Meta(ge=0, lt=2**53)]
+    renewal: Annotated[int, msgspec.Meta(ge=0, lt=2**53)]
+    duration_s: Annotated[float, msgspec.Meta(ge=0)]
+
+
 class Lease:
     """One process's view of one lease.
 
@@ -77,10 +93,23 @@
             self.written(put, sent_s=sent_s, version=seen.version)
             return
         if self._seen_s is None or seen.version != self._row.version:
-            self._row = seen
+            self._row = self._understood(seen)
             self._seen_s = now_s
             self._confirmed_s = None
 
+    def _understood(self, row: Row) -> Row:
+        """Return a row, or what is gone by where another writer has left no lease.
+
+        Its version counts as its epoch: each epoch was a write, so that none so far
+        is higher, and orders under the next one are taken.
+        """
+        if row.version == ABSENT or _is_lease(row.value):
+            return row
+        value = LeaseValue(
+            holder="", epoch=row.version, renewal=0, duration_s=self.duration_s
+        )
+        return row._replace(value=cast("dict[str, Any]", value))
+
     def wanted_write(self, *, now_s: float) -> Put | None:
         """Return the write that renews or takes the lease, if one is due.
 
@@ -168,6 +197,15 @@
     return row.version > put.if_version and row.value == dict(put.value)
 
 
+def _is_lease(value: Mapping[str, Any]) -> bool:
+    """Tell whether a row's value is a lease's."""
+    try:
+        lease = msgspec.convert(dict(value), _LeaseShape)
+    except msgspec.ValidationError:
+        return False
+    return lease.duration_s <= _LONGEST_S
+
+
 class Fence:
     """The receiving end: refuses orders of a superseded holder.
 
--- a/src/violethatch/platform/_runners.py
+++ b/src/violethatch/platform/_runners.py
@@ -17,6 +17,7 @@
 
 from .. import events
 from .._call_errors import CALL_ERRORS
+from .._decoding import decoded
 from .._serving import host_and_port
 from ..backends import BackendServer
 from ..layers import LayerRange
@@ -37,6 +38,7 @@
 from ._wire import Report, held_range
 
 
+_ANYTHING: msgspec.json.Decoder[Any] = msgspec.json.Decoder()
 _OK = 200
 _ACCEPTED = 202
 _CONFLICT = 409
@@ -292,7 +294,7 @@
 def _named_address(body: bytes) -> str | None:
     """Return the runner that an order's answer names, if any."""
     try:
-        named = msgspec.json.decode(body)
+        named = decoded(_ANYTHING, body)
     except ValueError:
         return None
     address = named.get("Address") if isinstance(named, dict) else None
--- a/src/violethatch/platform/_store.py
+++ b/src/violethatch/platform/_store.py
@@ -13,6 +13,7 @@
 import aiohttp
 import msgspec
 
+from .. import events
 from .._call_errors import CALL_ERRORS
 from .._placement_lease import LeaseWrite
 from .._router_metrics import RouterMetrics
@@ -108,7 +109,7 @@
         _, page = await self._read("rows-get", params, self._timeout_s)
         for row in page.rows:
             if row.key == key:
-                return _table_row(row)
+                return table_row(row)
         return None
 
     async def write_row(self, put: Put) -> LeaseWrite:
@@ -205,9 +206,14 @@
         return TableUnavailableError(f"{call}: {reason}")
 
 
-def _table_row(row: Row) -> TableRow | None:
+def table_row(row: Row) -> TableRow | None:
     """Return a row in the product's words, or None if it is gone."""
     content = row.content
     if content is None:
         return None
-    return TableRow(row.key, row.ver or ABSENT, json.loads(content))
+    try:
+        value = json.loads(content)
+    except (ValueError, RecursionError) as error:
+        events.log(events.STATE_REFUSED, table=_OWN_TABLE, reason=repr(error))
+        value = None
+    return TableRow(row.key, row.ver or ABSENT, value if type(value) is dict else {})
--- a/src/violethatch/platform/_wire.py
+++ b/src/violethatch/platform/_wire.py
@@ -4,9 +4,13 @@
 from __future__ import annotations
 
 import base64
+import re
+
+from typing import Annotated, Literal
 
 import msgspec
 
+from .._decoding import decoded
 from ..backends import BackendServer
 from ..desired import DesiredState
 from ..layers import LayerRange
@@ -14,26 +18,37 @@
 
 
 _LEAVING = "draining"
+#: An IP number and a port.
+_ADDRESS = re.compile(r"(\d{1,3})\.(\d{1,3})\.(\d{1,3})\.(\d{1,3}):(\d{1,5})")
+_LAST_BYTE = 255
+_LAST_PORT = 65_535
+#: More layers, slots or versions than any runner has: another writer's number.
+_MOST = 2**31
+Name = Annotated[str, msgspec.Meta(min_length=1)]
+Count = Annotated[int, msgspec.Meta(ge=0, lt=_MOST)]
 
 
 class LayersHeld(msgspec.Struct):
     """Layers that a runner holds."""
 
-    first: int = msgspec.field(name="From")
+    first: Count = msgspec.field(name="From")
     # The first layer that is no longer held; no version of anything.
-    end: int = msgspec.field(name="TargetVersion")
-    version: int = msgspec.field(name="Version", default=0)
+    end: Count = msgspec.field(name="TargetVersion")
+    version: Count = msgspec.field(name="Version", default=0)
 
 
 class _Server(PascalBody):
-    service: str
+    """A listed server; what is not of these types names none to use."""
+
+    service: Name
     address: str
-    zone: str
-    slots: int = 1
-    state: str = "ready"
+    zone: Name
+    slots: Annotated[int, msgspec.Meta(ge=1, lt=_MOST)]
+    state: Literal["ready", "draining"]
     kind: str = ""
     layers: LayersHeld | None = msgspec.field(name="layers", default=None)
-    born: int = msgspec.field(name="born", default=0)
+    # In ms since 1970; older servers don't tell it.
+    born: Annotated[int, msgspec.Meta(ge=0)] = msgspec.field(name="born", default=0)
 
 
 class Row(PascalBody):
@@ -99,7 +114,7 @@
         Raises:
             ValueError: It can't be understood.
         """
-        return self._config.decode(value).decoded()
+        return decoded(self._config, value).decoded()
 
     def backend_server(self, server_id: str, value: bytes) -> BackendServer:
         """Read a listed server.
@@ -107,7 +122,9 @@
         Raises:
             ValueError: It can't be understood.
         """
-        server = self._server.decode(value)
+        server = decoded(self._server, value)
+        _check_address(server.address)
+        _check_range(server.layers)
         return BackendServer(
             id=server_id,
             service=server.service,
@@ -127,3 +144,29 @@
     if layers is None or layers.end <= layers.first:
         return None
     return LayerRange(layers.first, layers.end)
+
+
+def _check_address(address: str) -> None:
+    """Check that an address is an IP number and a port.
+
+    Raises:
+        ValueError: It is something else.
+    """
+    match = _ADDRESS.fullmatch(address)
+    if match is not None:
+        *numbers, port = (int(part) for part in match.groups())
+        if max(numbers) <= _LAST_BYTE and 0 < port <= _LAST_PORT:
+            return
+    msg = f"no address: {address[:40]!r}"
+    raise ValueError(msg)
+
+
+def _check_range(layers: LayersHeld | None) -> None:
+    """Check that a range does not end before it begins.
+
+    Raises:
+        ValueError: It does.
+    """
+    if layers is not None and layers.end < layers.first:
+        msg = f"layers {layers.first} to {layers.end}"
+        raise ValueError(msg)
