Count servers of a path that end together as one end

In one look all six and seven runners of its path refused connections: an outage, of which each runner was counted as an end under it.

Change: of a path's later servers that are found ended in one look the first counts; none does where one had ended before the request came there. The line says how many ended together.

--- a/src/violethatch/_server_ends.py
+++ b/src/violethatch/_server_ends.py
@@ -73,6 +73,11 @@
         ended_s = self._ended_s.get(lifetime)
         return ended_s is not None and now_s - ended_s < _ENDED_LIFE_S
 
+    def had_ended(self, server: BackendServer, *, before_s: float) -> bool:
+        """Tell whether a server was found to have ended before a time."""
+        ended_s = self._ended_s.get(server.lifetime)
+        return ended_s is not None and ended_s < before_s
+
     async def _look(self, server: BackendServer) -> bool:
         """Ask whether a server refuses connections, and remember it."""
         try:
--- a/src/violethatch/_stream_run.py
+++ b/src/violethatch/_stream_run.py
@@ -69,8 +69,10 @@
         self.path = path
         self.repaths = 0
         self.is_whole = False
-        #: Whether an event has come from the runners that it is on.
+        #: Whether an event has come from the runners that it is on, and since when
+        #: it is on them.
         self.has_begun = False
+        self._on_path_s = time.monotonic()
         #: Runners to leave out when the call is sent again.
         self.suspects: frozenset[str] = frozenset()
 
@@ -216,12 +218,14 @@
         The first runner of a path goes on; without this a request that ends a later
         one was moved to the next (52 times in a series of 14 tries).
         """
-        looks = [
-            asyncio.create_task(self._work.lost(one, has_begun=self.has_begun))
-            for one in culprits
-        ]
-        # The looks at others go on: a runner that is cut off doesn't answer them.
-        await asyncio.wait(looks, timeout=_REFUSED_S)
+        order = [stage.server.id for stage in self.path.stages]
+        noting = self._work.lost_on_path(
+            sorted(culprits, key=lambda one: order.index(one.id)),
+            since_s=self._on_path_s,
+            has_begun=self.has_begun,
+        )
+        # It goes on if a runner that is cut off doesn't answer soon.
+        await asyncio.wait((asyncio.create_task(noting),), timeout=_REFUSED_S)
 
     async def _leave_slow(self) -> None:
         """Go around slow runners, if that can be done."""
@@ -317,6 +321,7 @@
         self._note_end()
         self.path = path
         self.has_begun = False
+        self._on_path_s = time.monotonic()
         self.count_in()
         if had_begun:
             self._event_s = time.monotonic()
--- a/src/violethatch/_work_in_hand.py
+++ b/src/violethatch/_work_in_hand.py
@@ -3,9 +3,12 @@
 
 from __future__ import annotations
 
+import asyncio
 import functools
 import time
 
+from collections.abc import Sequence
+
 from . import events
 from ._routing import Routing
 from .backends import BackendServer
@@ -87,9 +90,38 @@
             server: Where the call was under way.
             has_begun: Whether a part of its answer had come from there.
         """
-        routing = self._routing
-        if not await routing.ends.has_ended(server):
+        if not await self._routing.ends.has_ended(server):
             return False
+        self._note(server, has_begun=has_begun)
+        return True
+
+    async def lost_on_path(
+        self, servers: Sequence[BackendServer], *, since_s: float, has_begun: bool
+    ) -> bool:
+        """Note that a path's later servers are silent; tell whether some have ended.
+
+        Those that end at the same moment are an outage, and count as one end: a work
+        ends one server at a time.  Those that had ended before it came count for none.
+
+        Args:
+            servers: The silent ones, in the path's order.
+            since_s: Since when the call was on that path, in monotonic seconds.
+            has_begun: Whether a part of its answer had come along it.
+        """
+        ends = self._routing.ends
+        before = [one for one in servers if ends.had_ended(one, before_s=since_s)]
+        told = await asyncio.gather(*(ends.has_ended(one) for one in servers))
+        ended = [one for one, has_ended in zip(servers, told, strict=True) if has_ended]
+        new = [one for one in ended if one not in before]
+        if new and not before:
+            self._note(new[0], has_begun=has_begun, together=len(new))
+        return bool(ended)
+
+    def _note(
+        self, server: BackendServer, *, has_begun: bool, together: int = 1
+    ) -> None:
+        """Note a server's end under the work, tell others, and log it."""
+        routing = self._routing
         routing.note_end(
             End(self.id, server.lifetime, has_begun, routing.settings.instance.id)
         )
@@ -100,9 +132,9 @@
             server_id=server.id,
             lifetime=server.lifetime,
             has_begun=has_begun,
+            ended_together=together,
             is_held=self.is_held,
         )
-        return True
 
     def answered(self) -> None:
         """Note that it was answered whole."""
--- a/tests/test_work_in_hand.py
+++ b/tests/test_work_in_hand.py
@@ -78,6 +78,32 @@
         work_in_hand(routing).answered()
         assert not routing.suspects
 
+    async def test_servers_that_end_together_count_once(self):
+        """A request ends one server at a time.
+
+        On two of ten days with troubles all of a path's six and seven runners ended at
+        the same moment, and the request that was there was held back for that.
+        """
+        runners = [runner(f"r{n}", 10 * n, 10 * n + 10) for n in range(8)]
+        client = FakeClient()
+        client.refusing = {one.id for one in runners}
+        routing = make_routing(client, *runners, rng=random.Random(1))
+        work = work_in_hand(routing)
+        now_s = time.monotonic()
+        assert await work.lost_on_path(runners, since_s=now_s, has_begun=False)
+        assert [end.lifetime for end in routing.suspects.ends(work.id)] == ["r0"]
+
+    async def test_server_that_had_ended_before_is_put_down_to_others(self):
+        """It came to a path that was broken already."""
+        client = FakeClient()
+        client.refusing = {"a"}
+        routing = make_routing(client, A, rng=random.Random(1))
+        assert await routing.ends.has_ended(A)
+        work = work_in_hand(routing)
+        since_s = time.monotonic()
+        assert await work.lost_on_path([A], since_s=since_s, has_begun=False)
+        assert not routing.suspects
+
     def test_begun_elsewhere_is_no_suspect(self):
         """What was well on its way goes on like the rest."""
         routing = make_routing(FakeClient(), A, rng=random.Random(1))
