Tell a server's starts under one id apart

Cause: a server may start again under the id that it had, within a heartbeat, so that no gap in the list shows it. All that was known by id went on: rests, paces, orders, streams that waited for a runner which no longer had them.

Change: the time of its start is part of a server's lifetime. A new start forgets what was learnt of the one before, its streams go around it at once, and it counts as an end under them unless it had said that it leaves. An earlier start's entry waits for ten seconds after the later one was first seen, then counts, so that a clock that stepped back shuts nobody out. A report of another start than the listed one holds orders back, or shows the new start before the list does; sightings name the start.

--- /dev/null
+++ b/src/violethatch/_listed.py
@@ -0,0 +1,36 @@
+# SPDX-License-Identifier: MIT
+"""A listed server, as everything else speaks of it; `backends` exports it."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+from .layers import LayerRange
+
+
+class BackendServer(NamedTuple):
+    """A backend server of some service.
+
+    Attributes:
+        id: Names the server; it may start again under the same one.
+        layers: The layers a runner holds; None for an empty runner and for
+            servers without an engine.
+        kind: The accelerator kind of a runner, or an empty text.
+        born_ms: When it started, by its own time of day; 0 where it doesn't tell.
+    """
+
+    id: str
+    service: str
+    address: str
+    availability_zone: str
+    slots: int
+    is_leaving: bool
+    layers: LayerRange | None = None
+    kind: str = ""
+    weights_version: int = 0
+    born_ms: int = 0
+
+    @property
+    def lifetime(self) -> str:
+        """What names this start of the server, and none before or after it."""
+        return f"{self.id}/{self.born_ms}" if self.born_ms else self.id
--- a/src/violethatch/_peer_links.py
+++ b/src/violethatch/_peer_links.py
@@ -29,6 +29,7 @@
         self._datagrams = datagrams
         self._router = router
         self._sightings = SightingLink(datagrams, router.routing.hearsay)
+        self._sightings.born_ms = router.routing.born_ms
         self._paces = PaceLink(datagrams, router.routing.paces)
         self._retries = RetryLink(datagrams, router.routing, rng=rng)
         self._suspects = SuspectLink(datagrams, router.routing.suspects)
--- a/src/violethatch/_placing.py
+++ b/src/violethatch/_placing.py
@@ -44,6 +44,23 @@
 _ORDERS_AT_ONCE = 8
 
 
+class _Ordered(NamedTuple):
+    """What a runner was ordered, until when that is waited for, and in which life."""
+
+    layers: LayerRange
+    until_s: float
+    lifetime: str
+
+    def is_over(self, server: BackendServer | None, *, now_s: float) -> bool:
+        """Tell whether nothing is waited for any more.
+
+        A runner that has started again knows nothing of it.
+        """
+        if server is None or server.lifetime != self.lifetime:
+            return True
+        return server.layers == self.layers or now_s >= self.until_s
+
+
 class _Order(NamedTuple):
     """A runner of a service, and the layers that it is to hold."""
 
@@ -80,7 +97,7 @@
         self._plans = PlacementPlans(directory)
         self._watches: defaultdict[str, FleetWatch] = defaultdict(FleetWatch)
         #: By runner, what it was ordered and until when that is waited for.
-        self._ordered: dict[str, tuple[LayerRange, float]] = {}
+        self._ordered: dict[str, _Ordered] = {}
         self._rest_until_s: dict[str, float] = {}
         self._last_order_s = 0.0
 
@@ -165,7 +182,7 @@
     def _host(self, server: BackendServer) -> Host:
         """Return a runner as placement sees it, with what it was ordered."""
         ordered = self._ordered.get(server.id)
-        held = ordered[0] if ordered else server.layers
+        held = ordered.layers if ordered else server.layers
         return Host(server.id, server.availability_zone, server.kind, held)
 
     def _forget_rests(self, now_s: float) -> None:
@@ -176,9 +193,9 @@
 
     def _forget_done(self, now_s: float) -> None:
         """Forget orders that the list shows or that took too long."""
-        for server_id, (layers, until_s) in list(self._ordered.items()):
+        for server_id, ordered in list(self._ordered.items()):
             server = self._routing.backends.get(server_id)
-            if server is None or server.layers == layers or now_s >= until_s:
+            if ordered.is_over(server, now_s=now_s):
                 del self._ordered[server_id]
                 self._last_order_s = now_s
 
@@ -202,7 +219,8 @@
         if report is None or report.is_busy:
             self._rest(server.id)
             return
-        if report.layers != server.layers:
+        is_same_start = report.born_ms in (0, server.born_ms) or not server.born_ms
+        if report.layers != server.layers or not is_same_start:
             # The plan was made from an older list: a newer holder of the
             # lease would undo what the one before has ordered.
             events.log(
@@ -210,6 +228,7 @@
                 server_id=server.id,
                 listed=list(server.layers) if server.layers else None,
                 reported=list(report.layers) if report.layers else None,
+                is_same_start=is_same_start,
             )
             self._rest(server.id)
             return
@@ -236,7 +255,9 @@
         wait_s = _LIST_LAG_S + _LOAD_PATIENCE * engine.load_s * share
         self._last_order_s = time.monotonic()
         until_s = self._last_order_s + wait_s
-        self._ordered[order.server.id] = (order.layers, until_s)
+        self._ordered[order.server.id] = _Ordered(
+            order.layers, until_s, order.server.lifetime
+        )
 
     def _rest(self, server_id: str) -> None:
         """Leave a runner without orders for a while."""
--- a/src/violethatch/_router.py
+++ b/src/violethatch/_router.py
@@ -157,6 +157,7 @@
             if ids:
                 events.log(event, server_ids=list(ids), row_version=view.version)
         self.routing.forget(change.lost)
+        self.routing.take_restarted(change.restarted)
 
     def _decoded_servers(
         self, view: TableView
--- a/src/violethatch/_routing.py
+++ b/src/violethatch/_routing.py
@@ -6,7 +6,8 @@
 import random
 import time
 
-from collections.abc import Awaitable, Callable, Collection, Iterable
+from collections.abc import Awaitable, Callable, Collection, Iterable, Sequence
+from typing import Protocol
 
 from . import events
 from ._path_choice import PathChoice
@@ -39,6 +40,13 @@
 _UNKNOWN_RESERVE = 1.0
 
 
+class RestartListener(Protocol):
+    """Is told of servers that have started again."""
+
+    def note_restarted(self, server_ids: frozenset[str]) -> None:
+        """Note that servers have started again, with nothing of before."""
+
+
 class Routing:
     """Shared by all calls of one router."""
 
@@ -57,6 +65,8 @@
             client, on_silent=self._note_silent, on_report=self._note_report
         )
         self.ends = ServerEnds(client, listed=self.backends.get)
+        #: The streams under way, which have to leave servers that start again.
+        self.runs: set[RestartListener] = set()
         self.suspects = CrashSuspects()
         #: Tells other instances of an end, and of a work that was answered, if any.
         self.tell_end: Callable[[End], None] = lambda _end: None
@@ -195,6 +205,30 @@
         if expired:
             events.log(events.SERVER_GONE, server_ids=list(expired), reason="lapsed")
             self.forget(expired)
+        self.take_restarted(
+            self.backends.take_waiting(now_s=time.monotonic()).restarted
+        )
+
+    def take_restarted(self, before: Sequence[BackendServer]) -> None:
+        """Take in that servers have started again under their ids.
+
+        Args:
+            before: The servers as they were before.
+        """
+        if not before:
+            return
+        ids = frozenset(one.id for one in before)
+        events.log(
+            events.SERVER_RESTARTED,
+            server_ids=sorted(ids),
+            lifetimes_before=sorted(one.lifetime for one in before),
+        )
+        for server in before:
+            if server.is_leaving:
+                self.ends.note_planned(server.lifetime)
+        self.forget(ids)
+        for run in tuple(self.runs):
+            run.note_restarted(ids)
 
     def forget(self, server_ids: Iterable[str]) -> None:
         """Forget what was learnt of servers that are no longer listed."""
@@ -226,6 +260,11 @@
             self.tell_cleared(work)
             self.keep_hold(work)
 
+    def born_ms(self, server_id: str) -> int:
+        """Return when a server's known start was; 0 where that is not known."""
+        server = self.backends.get(server_id)
+        return server.born_ms if server is not None else 0
+
     def in_zones(self, service: ServiceSpec, zones: Collection[str]) -> frozenset[str]:
         """Return the ids of a service's servers in some zones."""
         return frozenset(
@@ -240,6 +279,8 @@
 
     def _note_report(self, server: BackendServer, report: RunnerReport) -> None:
         """Take in how slow a runner says that it is; log one that has become so."""
+        if 0 < report.born_ms < server.born_ms:
+            return  # another process's, which has been there before
         now_s = time.monotonic()
         was_slow = server.id in self.paces.slow(now_s=now_s)
         self.paces.note(server.id, report.slowness, now_s=now_s)
@@ -294,7 +335,7 @@
         """Leave a server alone for a while, and tell other instances."""
         rest_s = self.health.note(server_id, trouble, now_s=time.monotonic())
         if rest_s is not None and is_worth_telling(trouble):
-            self.tell(Sighting(server_id, trouble, rest_s))
+            self.tell(Sighting(server_id, trouble, rest_s, self.born_ms(server_id)))
 
     def _budget(self, service: str) -> RetryShare:
         """Return this instance's part of a service's retries."""
--- a/src/violethatch/_server_ends.py
+++ b/src/violethatch/_server_ends.py
@@ -46,8 +46,21 @@
         #: By lifetime, when it was found to be over, or to go on.
         self._ended_s: dict[str, float] = {}
         self._there_s: dict[str, float] = {}
+        self._planned_s: dict[str, float] = {}
         self._looks: dict[str, asyncio.Task[bool]] = {}
 
+    def note_ended(self, server: BackendServer) -> None:
+        """Note that a server's lifetime is over."""
+        now_s = time.monotonic()
+        self._forget_old(now_s)
+        if server.lifetime not in self._ended_s:
+            self._ended_s[server.lifetime] = now_s
+            self.on_end()
+
+    def note_planned(self, lifetime: str) -> None:
+        """Note that a lifetime has ended as planned."""
+        self._planned_s[lifetime] = time.monotonic()
+
     async def has_ended(self, server: BackendServer) -> bool:
         """Tell whether a server, of which a request was broken off, has ended.
 
@@ -57,8 +70,11 @@
         if self.is_known(server.lifetime, now_s=now_s):
             return True
         listed = self._listed(server.id)
-        if listed is None or listed.is_leaving:
+        if listed is None or listed.is_leaving or server.lifetime in self._planned_s:
             return False
+        if server.born_ms < listed.born_ms and server.born_ms:
+            self.note_ended(server)
+            return True
         if now_s - self._there_s.get(server.lifetime, -_THERE_S) < _THERE_S:
             return False
         look = self._looks.get(server.lifetime)
@@ -84,18 +100,15 @@
             is_refusing = await self._client.is_refusing(server)
         finally:
             self._looks.pop(server.lifetime, None)
-        now_s = time.monotonic()
         if is_refusing:
-            self._forget_old(now_s)
-            self._ended_s[server.lifetime] = now_s
-            self.on_end()
+            self.note_ended(server)
         else:
-            self._there_s[server.lifetime] = now_s
+            self._there_s[server.lifetime] = time.monotonic()
         return is_refusing
 
     def _forget_old(self, now_s: float) -> None:
         """Forget what is too old to matter."""
-        for known in (self._ended_s, self._there_s):
+        for known in (self._ended_s, self._there_s, self._planned_s):
             old = [one for one, at_s in known.items() if now_s - at_s > _ENDED_LIFE_S]
             for lifetime in old:
                 del known[lifetime]
--- a/src/violethatch/_sighting_link.py
+++ b/src/violethatch/_sighting_link.py
@@ -6,6 +6,8 @@
 import asyncio
 import time
 
+from collections.abc import Callable
+
 from . import events
 from ._peer_datagrams import PeerDatagrams, SendAllowance, SightingsDatagram
 from .runner_health import Trouble
@@ -20,6 +22,9 @@
 #: each, so that trouble everywhere doesn't fill the slowest links (10 Mbit/s).
 _MOST_A_SECOND = 10
 _MS_PER_S = 1000
+#: Stands between a server's id and its start, and how many digits that has at most.
+_START_MARK = "/"
+_START_DIGITS = 15
 
 
 class SightingLink:
@@ -33,6 +38,8 @@
     def __init__(self, datagrams: PeerDatagrams, hearsay: Hearsay) -> None:
         self._datagrams = datagrams
         self._hearsay = hearsay
+        #: Tells when a server's known start was, if it is known.
+        self.born_ms: Callable[[str], int | None] = lambda _server_id: None
         self._gathered: list[Sighting] = []
         self._allowance = SendAllowance(most_a_second=_MOST_A_SECOND)
         datagrams.on(SightingsDatagram, self._take)
@@ -56,20 +63,26 @@
         believed = [
             one.server_id
             for one in _sightings(message)
-            if self._hearsay.heard(one, witness=message.sender, now_s=now_s)
+            if not self._is_over(one)
+            and self._hearsay.heard(one, witness=message.sender, now_s=now_s)
         ]
         if believed:
             events.log(
                 events.SIGHTING_HEARD, witness=message.sender, server_ids=believed
             )
 
+    def _is_over(self, sighting: Sighting) -> bool:
+        """Tell whether a sighting is of a start before the one that is known."""
+        known_ms = self.born_ms(sighting.server_id) or 0
+        return 0 < sighting.born_ms < known_ms
+
     def _send(self) -> None:
         """Send what was gathered to all instances."""
         gathered, self._gathered = self._gathered, []
         if not self._allowance.take():
             return  # the others meet the trouble by themselves
         seen = [
-            (one.server_id, one.trouble.value, int(one.rest_s * _MS_PER_S))
+            (_lifetime(one), one.trouble.value, int(one.rest_s * _MS_PER_S))
             for one in gathered
         ]
         directory = self._datagrams.directory
@@ -85,6 +98,22 @@
         ValueError: A kind of trouble is not known.
     """
     return [
-        Sighting(server_id, Trouble(trouble), rest_ms / _MS_PER_S)
-        for server_id, trouble, rest_ms in message.seen
+        Sighting(server_id, Trouble(trouble), rest_ms / _MS_PER_S, born_ms)
+        for lifetime, trouble, rest_ms in message.seen
+        for server_id, born_ms in (_server_and_start(lifetime),)
     ]
+
+
+def _lifetime(sighting: Sighting) -> str:
+    """Return a sighting's server with its start, as datagrams name both."""
+    if not sighting.born_ms:
+        return sighting.server_id
+    return f"{sighting.server_id}{_START_MARK}{sighting.born_ms}"
+
+
+def _server_and_start(lifetime: str) -> tuple[str, int]:
+    """Return the server's id and its start from a datagram's name for both."""
+    server_id, _, born = lifetime.rpartition(_START_MARK)
+    if server_id and born.isdecimal() and len(born) <= _START_DIGITS:
+        return server_id, int(born)
+    return lifetime, 0
--- a/src/violethatch/_stream_run.py
+++ b/src/violethatch/_stream_run.py
@@ -11,7 +11,7 @@
 import collections
 import time
 
-from collections.abc import AsyncIterator, Iterable
+from collections.abc import AsyncIterator, Iterable, Mapping
 from typing import Any
 
 from . import events
@@ -73,12 +73,16 @@
         #: it is on them.
         self.has_begun = False
         self._on_path_s = time.monotonic()
+        #: Runners of its path that have started again, and what wakes it then.
+        self._restarted: frozenset[str] = frozenset()
+        self._restart: asyncio.Future[None] = asyncio.get_running_loop().create_future()
         #: Runners to leave out when the call is sent again.
         self.suspects: frozenset[str] = frozenset()
 
     def count_in(self) -> None:
         """Count the run in on its path's runners."""
         engine = self._service.engine
+        self._routing.runs.add(self)
         self._routing.loads.started(
             self.path,
             self._tokens,
@@ -88,6 +92,7 @@
 
     def count_out(self) -> None:
         """Count the run out again."""
+        self._routing.runs.discard(self)
         self._routing.loads.ended(self.path, self._tokens)
 
     async def open(self) -> Answer:
@@ -181,12 +186,50 @@
             if left_s <= 0:
                 self.suspects |= {self.path.first.id}
                 raise TimeoutError
-            await asyncio.wait((coming,), timeout=left_s)
+            await asyncio.wait(
+                (coming, self._restart),
+                timeout=left_s,
+                return_when=asyncio.FIRST_COMPLETED,
+            )
             if coming.done():
                 return
+            if self._restart.done():
+                await self._leave_restarted()
+                continue
             if time.monotonic() - asked_s - left_s < _HELD_UP_S:
                 await self._look_into_silence(started_s)
 
+    def note_restarted(self, server_ids: frozenset[str]) -> None:
+        """Note that servers have started again; those on the path lack the request."""
+        on_path = server_ids & self.path.server_ids
+        if on_path:
+            self._restarted |= on_path
+            if not self._restart.done():
+                self._restart.set_result(None)
+
+    async def _leave_restarted(self) -> None:
+        """Go around runners that have started again, without waiting for a silence.
+
+        Raises:
+            TimeoutError: The first runner is one of them, or the repair failed.
+        """
+        ids, self._restarted = self._restarted, frozenset()
+        self._restart = asyncio.get_running_loop().create_future()
+        stages = [stage.server for stage in self.path.stages]
+        await self._go_around([one for one in stages if one.id in ids])
+
+    async def _go_around(self, culprits: list[BackendServer]) -> None:
+        """Move the request onto a path around some runners.
+
+        Raises:
+            TimeoutError: The first runner is one of them, or the repair failed.
+        """
+        await self._note_ends(culprits)
+        self.suspects |= {one.id for one in culprits}
+        self.suspects |= self._silent_zones(culprits)
+        if self._work.is_held or not await self._repath():
+            raise TimeoutError
+
     async def _look_into_silence(self, since_s: float) -> None:
         """Find out which runner a silence is due to, and go around it.
 
@@ -206,11 +249,7 @@
         if not culprits:
             await self._leave_slow()
             return
-        await self._note_ends(culprits)
-        self.suspects |= {one.id for one in culprits}
-        self.suspects |= self._silent_zones(culprits)
-        if self._work.is_held or not await self._repath():
-            raise TimeoutError
+        await self._go_around(culprits)
 
     async def _note_ends(self, culprits: list[BackendServer]) -> None:
         """Note which runners have ended under the request, as far as is told soon.
@@ -261,7 +300,8 @@
             asked, within_s=self._policy.probe_limit_s
         )
         report = found.reports.get(first.id)
-        culprits = [*found.silent, *found.pending]
+        restarted = self._restarted_since(asked, found.reports)
+        culprits = [*found.silent, *found.pending, *restarted]
         self._log_silence(report, asked, culprits)
         if first in culprits:
             await self._note_ends(culprits)
@@ -278,6 +318,19 @@
         )
         return [named]
 
+    def _restarted_since(
+        self, asked: Iterable[BackendServer], reports: Mapping[str, RunnerReport]
+    ) -> list[BackendServer]:
+        """Return runners that say they are a later start than the list tells yet."""
+        restarted = [
+            one
+            for one in asked
+            if one.id in reports and 0 < one.born_ms < reports[one.id].born_ms
+        ]
+        for server in restarted:
+            self._routing.ends.note_ended(server)
+        return restarted
+
     def _check_lost(self, first: RunnerReport, reports: Iterable[RunnerReport]) -> None:
         """Give a run up that has not begun though nothing holds it up.
 
--- a/src/violethatch/backends.py
+++ b/src/violethatch/backends.py
@@ -9,7 +9,18 @@
 from collections.abc import Collection, Iterable, Sequence
 from typing import NamedTuple
 
-from .layers import LayerRange
+from ._listed import BackendServer
+from .server_starts import ServerStarts
+
+
+__all__ = (
+    "LAPSE_GRACE_S",
+    "LAPSE_WINDOW_S",
+    "LEAVING_S",
+    "BackendServer",
+    "BackendTable",
+    "ListChange",
+)
 
 
 #: How long after the store's return entries may be gone and come back
@@ -23,40 +34,17 @@
 LAPSE_GRACE_S = LEAVING_S * _LAPSE_PART
 
 
-class BackendServer(NamedTuple):
-    """A backend server of some service.
-
-    Attributes:
-        id: Names the server; it may start again under the same one.
-        layers: The layers a runner holds; None for an empty runner and for
-            servers without an engine.
-        kind: The accelerator kind of a runner, or an empty text.
-        born_ms: When it started, by its own time of day; 0 where it doesn't tell.
-    """
-
-    id: str
-    service: str
-    address: str
-    availability_zone: str
-    slots: int
-    is_leaving: bool
-    layers: LayerRange | None = None
-    kind: str = ""
-    weights_version: int = 0
-    born_ms: int = 0
-
-    @property
-    def lifetime(self) -> str:
-        """What names this start of the server, and none before or after it."""
-        return f"{self.id}/{self.born_ms}" if self.born_ms else self.id
-
-
 class ListChange(NamedTuple):
     """What a change of the list comes to."""
 
     found: tuple[str, ...]
     lost: tuple[str, ...]
     leaving: tuple[str, ...]
+    #: Servers that have started again under their ids, as they were before.
+    restarted: tuple[BackendServer, ...] = ()
+
+
+_NO_CHANGE = ListChange((), (), ())
 
 
 class BackendTable:
@@ -76,6 +64,7 @@
         #: Grows with each change, so that what is derived can be cached.
         self.revision = 0
         self._servers: dict[str, BackendServer] = {}
+        self._starts = ServerStarts()
         self._lapsed_until_s: dict[str, float] = {}
         self._store_returned_s: float | None = None
 
@@ -108,8 +97,13 @@
         """
         found = []
         leaving = []
+        restarted = []
         for server in present:
             known = self._servers.get(server.id)
+            if not self._starts.admits(server, known, now_s=now_s):
+                continue  # an earlier start's, which may have come late
+            if known is not None and _is_new_start(known, server):
+                restarted.append(known)
             if known is None:
                 found.append(server.id)
             if server.is_leaving and not (known is not None and known.is_leaving):
@@ -119,7 +113,12 @@
         lost = [one for one in gone if self._remove(one, now_s=now_s)]
         lost += [one for one in refused if self._forget(one)]
         self.revision += 1
-        return ListChange(tuple(found), tuple(lost), tuple(leaving))
+        return ListChange(tuple(found), tuple(lost), tuple(leaving), tuple(restarted))
+
+    def take_waiting(self, *, now_s: float) -> ListChange:
+        """Take in entries of earlier starts that have stayed the newest ones."""
+        due = self._starts.due(now_s=now_s)
+        return self.change(due, [], now_s=now_s) if due else _NO_CHANGE
 
     def replace(
         self,
@@ -155,6 +154,7 @@
 
     def _remove(self, server_id: str, *, now_s: float) -> bool:
         """Remove an entry, or mark it as lapsed; tell whether it was removed."""
+        self._starts.gone(server_id)
         known = self._servers.get(server_id)
         if known is None:
             return False
@@ -174,3 +174,8 @@
         """Forget a server; tell whether it was known."""
         self._lapsed_until_s.pop(server_id, None)
         return self._servers.pop(server_id, None) is not None
+
+
+def _is_new_start(known: BackendServer, server: BackendServer) -> bool:
+    """Tell whether an entry is of another start than the one that is known."""
+    return bool(known.born_ms and server.born_ms and known.born_ms != server.born_ms)
--- a/src/violethatch/events.py
+++ b/src/violethatch/events.py
@@ -57,6 +57,7 @@
 SERVER_UNKNOWN = Event(2115, "server_unknown", "Whether a server ended is not known.")
 END_HEARD = Event(2116, "end_heard", "Another instance saw a server's end.")
 END_UNTOLD = Event(2117, "end_untold", "Too many ends wait to be told.")
+SERVER_RESTARTED = Event(2118, "server_restarted", "A server is a new start of its id.")
 LOAD_NEIGHBOURS = Event(2111, "load_neighbours", "Loads are told to other instances.")
 
 REQUEST_SERVED = Event(2205, "request_served", "A request got its answer.")
--- a/src/violethatch/platform/_runners.py
+++ b/src/violethatch/platform/_runners.py
@@ -261,6 +261,7 @@
         slowness=report.pace,
         layers=held_range(report.layers),
         stalled={one.id: one.address for one in report.stalled},
+        born_ms=report.born,
     )
 
 
--- a/src/violethatch/platform/_wire.py
+++ b/src/violethatch/platform/_wire.py
@@ -92,6 +92,7 @@
     pace: float = 1.0
     layers: LayersHeld | None = None
     stalled: list[Stalled] = []
+    born: Annotated[int, msgspec.Meta(ge=0)] = 0
 
 
 class Stalled(msgspec.Struct):
--- a/src/violethatch/sightings.py
+++ b/src/violethatch/sightings.py
@@ -40,6 +40,8 @@
     server_id: str
     trouble: Trouble
     rest_s: float
+    #: Which start of the server had it; 0 where it tells none.
+    born_ms: int = 0
 
 
 def is_worth_telling(trouble: Trouble) -> bool:
--- a/src/violethatch/upstream.py
+++ b/src/violethatch/upstream.py
@@ -165,6 +165,7 @@
         kv_used_part: The part of its KV cache that is taken.
         slowness: Above 1, how much slower it is than its kind.
         stalled: By call, the address of the runner that it waits for.
+        born_ms: When it started, by its own time of day; 0 where it doesn't tell.
     """
 
     sequence: int
@@ -175,6 +176,7 @@
     slowness: float
     layers: LayerRange | None
     stalled: Mapping[str, str]
+    born_ms: int = 0
 
 
 class RunnerClient(Protocol):
--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -3,6 +3,9 @@
 
 from __future__ import annotations
 
+from hypothesis import given
+from hypothesis import strategies as st
+
 from routing_samples import plain_server
 from violethatch.backends import LAPSE_GRACE_S, LAPSE_WINDOW_S, BackendTable
 
@@ -72,3 +75,103 @@
         change = table.replace([plain_server("b"), plain_server("c")], now_s=1.0)
         assert (change.found, change.lost) == (("c",), ("a",))
         assert ids(table) == {"b", "c"}
+
+
+def born(ms, **changes):
+    """Return an entry of one server's start."""
+    return plain_server("a", born_ms=ms, **changes)
+
+
+class TestStarts:
+    """A server may start again under the id that it had."""
+
+    def test_new_start_is_told(self):
+        """It holds and knows nothing of before."""
+        table = BackendTable()
+        table.change([born(100)], [], now_s=0.0)
+        change = table.change([born(200)], [], now_s=1.0)
+        assert (change.found, change.restarted) == ((), (born(100),))
+        assert table.get("a").born_ms == 200
+
+    def test_same_start_is_no_new_one(self):
+        """Its entry changes with its layers and its state."""
+        table = BackendTable()
+        table.change([born(100)], [], now_s=0.0)
+        assert table.change([born(100, slots=7)], [], now_s=1.0).restarted == ()
+        assert table.get("a").slots == 7
+
+    def test_entry_of_an_earlier_start_comes_late(self):
+        """A write without an answer may be done seconds later."""
+        table = BackendTable()
+        table.change([born(100)], [], now_s=0.0)
+        table.change([born(200)], [], now_s=1.0)
+        assert table.change([born(100)], [], now_s=2.0).restarted == ()
+        assert table.get("a").born_ms == 200
+        table.change([born(200)], [], now_s=3.0)
+        table.take_waiting(now_s=60.0)
+        assert table.get("a").born_ms == 200
+
+    def test_earlier_start_does_not_come_back_after_the_later_one_has_left(self):
+        """Nor is it found as a new server then."""
+        table = BackendTable()
+        table.change([born(200)], [], now_s=0.0)
+        table.change([], ["a"], now_s=1.0)
+        assert table.change([born(100)], [], now_s=2.0).found == ()
+        assert ids(table) == set()
+
+    def test_clock_that_stepped_back_shuts_nobody_out_for_good(self):
+        """An earlier start that stays is the newest one, ten seconds later."""
+        table = BackendTable()
+        table.change([born(200)], [], now_s=0.0)
+        table.change([born(100)], [], now_s=1.0)
+        assert table.get("a").born_ms == 200
+        assert table.take_waiting(now_s=9.0).restarted == ()
+        assert table.take_waiting(now_s=10.0).restarted == (born(200),)
+        assert table.get("a").born_ms == 100
+
+    def test_step_back_long_after_the_start_counts_at_once(self):
+        """No write is on its way for so long."""
+        table = BackendTable()
+        table.change([born(200)], [], now_s=0.0)
+        change = table.change([born(100)], [], now_s=60.0)
+        assert change.restarted == (born(200),)
+        assert table.get("a").born_ms == 100
+
+    def test_server_that_tells_no_start(self):
+        """It is taken as it comes, before and after one that does."""
+        table = BackendTable()
+        table.change([born(0)], [], now_s=0.0)
+        assert table.change([born(100)], [], now_s=1.0).restarted == ()
+        assert table.change([born(0)], [], now_s=2.0).restarted == ()
+        assert ids(table) == {"a"}
+
+    def test_both_ways_in_are_the_same(self):
+        """A list that is read whole says as much as a change."""
+        table = BackendTable()
+        table.replace([born(200)], now_s=0.0)
+        assert table.replace([born(100)], now_s=1.0).restarted == ()
+        assert table.get("a").born_ms == 200
+        assert table.replace([born(300)], now_s=2.0).restarted == (born(200),)
+
+    @given(
+        st.lists(
+            st.tuples(st.sampled_from([0, 100, 200, 300, None]), st.floats(0, 3)),
+            max_size=30,
+        )
+    )
+    def test_later_start_is_never_replaced_soon(self, rows):
+        """In whatever order entries come, within the time of late writes."""
+        table = BackendTable()
+        now_s, newest, newest_s = 0.0, 0, 0.0
+        for ms, pause_s in rows:
+            now_s += pause_s
+            table.take_waiting(now_s=now_s)
+            if ms is None:
+                table.change([], ["a"], now_s=now_s)
+                continue
+            table.change([born(ms)], [], now_s=now_s)
+            if ms > newest:
+                newest, newest_s = ms, now_s
+            known = table.get("a")
+            if known is not None and known.born_ms and now_s < newest_s + 10.0:
+                assert known.born_ms == newest
--- a/tests/test_placing.py
+++ b/tests/test_placing.py
@@ -109,6 +109,26 @@
         await duty._look()
         assert {order[0] for order in client.placed} == {"b", "c"}
 
+    async def test_order_is_for_the_start_that_is_listed(self):
+        """A runner that has started again since the list told of it gets none."""
+        listed = [one._replace(born_ms=100) for one in FLEET]
+        duty, client, _ = make_duty(FakeStore(), *listed)
+        for one in listed:
+            client.reports[one.id] = client.reports[one.id]._replace(born_ms=100)
+        client.reports["a"] = client.reports["a"]._replace(born_ms=200)
+        await duty._look()
+        assert {order[0] for order in client.placed} == {"b", "c"}
+
+    async def test_start_before_is_not_waited_for(self):
+        """A runner that has started again knows nothing of its order."""
+        duty, client, routing = make_duty(FakeStore(), *FLEET)
+        await duty._look()
+        assert "a" in duty._ordered
+        again = FLEET[0]._replace(born_ms=200)
+        routing.backends.change([again], [], now_s=time.monotonic())
+        await duty._look()
+        assert set(duty._ordered) == {"b", "c"}
+
     @pytest.mark.parametrize("answer", [None, report(is_busy=True)])
     async def test_silent_or_busy_runner_waits(self, answer):
         """A runner that can't be asked, or is busy, gets no order now."""
--- a/tests/test_sightings.py
+++ b/tests/test_sightings.py
@@ -125,3 +125,14 @@
             links[0].tell(Sighting(f"s{n}", Trouble.NAMED, 1.0))
             await asyncio.sleep(0.001)
         assert len(sent) <= 2 * _sighting_link._MOST_A_SECOND
+
+    async def test_word_of_an_earlier_start_comes_late(self):
+        """What another instance had met is over, and the new start is used."""
+        links, (_, other) = await self.pair()
+        links[1].born_ms = {"a": 200}.get
+        links[0].tell(Sighting("a", Trouble.NAMED, 5.0, born_ms=100))
+        links[0].tell(Sighting("b", Trouble.NAMED, 5.0, born_ms=100))
+        async with asyncio.timeout(5):
+            while not other.resting(now_s=asyncio.get_running_loop().time()):
+                await asyncio.sleep(0.01)
+        assert other.resting(now_s=asyncio.get_running_loop().time()) == {"b"}
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -574,3 +574,53 @@
             await StreamCall(routing, make_call(), allowed).serve(FakeResponder())
         assert (caught.value.ran, client.sends) == ("no", [])
         assert caught.value.retry_after_s
+
+
+class TestNewStart:
+    """Load pattern: runners crash and are back under their ids within a heartbeat."""
+
+    async def test_stream_leaves_a_runner_that_started_again_at_once(self):
+        """No gap in the list, no broken connection: the new start is all that shows."""
+        moved = asyncio.Event()
+        client = FakeClient(FakeAnswer(events(1), moved, events(2)))
+        client.on_repath = moved.set
+        routing = make_routing(
+            client, HEAD, TAIL, SPARE, rng=random.Random(1), gap_limit_s="5.0"
+        )
+        stream = StreamCall(routing, make_call(), admitted())
+        responder = FakeResponder()
+        serving = asyncio.create_task(stream.serve(responder))
+        await asyncio.sleep(0.02)
+        again = TAIL._replace(born_ms=7, layers=None)
+        started_s = time.monotonic()
+        routing.take_restarted([TAIL])
+        routing.backends.change([again], [], now_s=started_s)
+        async with asyncio.timeout(2):
+            await serving
+        assert (responder.end, responder.body) == ("whole", events(1, 2))
+        assert time.monotonic() - started_s < 0.2
+        assert [s.server.id for s in client.repaths[0][2].stages] == ["head", "spare"]
+
+    async def test_stream_elsewhere_goes_on(self):
+        """It is not on the runner that started again."""
+        client = FakeClient(FakeAnswer(events(1), 0.05, events(2)))
+        routing = make_routing(
+            client, HEAD, TAIL, SPARE, rng=random.Random(1), gap_limit_s="5.0"
+        )
+        stream = StreamCall(routing, make_call(), admitted())
+        responder = FakeResponder()
+        serving = asyncio.create_task(stream.serve(responder))
+        await asyncio.sleep(0.02)
+        routing.take_restarted([SPARE])
+        await serving
+        assert (responder.end, client.repaths) == ("whole", [])
+
+    async def test_what_was_learnt_of_the_start_before_is_forgotten(self):
+        """Its troubles and its pace were not the new one's."""
+        routing = make_routing(FakeClient(), A, B, rng=random.Random(1))
+        now_s = time.monotonic()
+        routing.health.note("a", Trouble.SILENT, now_s=now_s)
+        routing.paces.note("a", 9.0, now_s=now_s)
+        routing.take_restarted([A])
+        assert not routing.health.resting(now_s=now_s)
+        assert not routing.paces.slow(now_s=now_s)
