--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -23,6 +23,7 @@
 from aiohttp import web
 
 from _report import write_rows
+from violethatch import clocks
 from violethatch._claim_writer import WriteReply
 from violethatch._peer_wire import beats_message
 from violethatch._peers import Peers
@@ -163,9 +164,9 @@
             pid = await start(cluster, [])
             await cluster.wait_ready("e1", runners=count)
             await asyncio.sleep(1.0)
-            before_s, started_s = cpu_s(pid), time.monotonic()
+            before_s, started_s = cpu_s(pid), clocks.now_s()
             await asyncio.sleep(8.0)
-            elapsed_s = time.monotonic() - started_s
+            elapsed_s = clocks.now_s() - started_s
             cpu.append((cpu_s(pid) - before_s) / elapsed_s * 100)
             memory.append(resident_kb(pid))
             sizes.append(count)
@@ -217,10 +218,10 @@
             peer.follow(listed)
         tasks = [asyncio.create_task(peer.run(lambda: 1)) for peer in self._peers]
         await asyncio.sleep(3.0)
-        before_s, started_s = time.process_time(), time.monotonic()
+        before_s, started_s = time.process_time(), clocks.now_s()
         await asyncio.sleep(seconds_s)
         used_s = time.process_time() - before_s
-        elapsed_s = time.monotonic() - started_s
+        elapsed_s = clocks.now_s() - started_s
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
@@ -328,13 +329,13 @@
                 model=cluster.model, layer_count=LAYERS, workspaces=(f"w{number}",)
             )
             await cluster.declare("e0", intent)
-            started_s = time.monotonic()
+            started_s = clocks.now_s()
             while True:
                 states = await asyncio.gather(*(cluster.state(name) for name in names))
                 if all(state["revision"] >= number for state in states):
                     break
                 await asyncio.sleep(0.02)
-            times_s.append(time.monotonic() - started_s)
+            times_s.append(clocks.now_s() - started_s)
     return {
         "what": "revision in force on 8 instances of 3 zones",
         "unit": "s",
--- a/bench/decision_costs.py
+++ b/bench/decision_costs.py
@@ -21,6 +21,7 @@
 from typing import Any
 
 from brief_measures import engine_of, site_hosts
+from violethatch import clocks
 from violethatch._hosts import Host
 from violethatch._path_choice import PathChoice
 from violethatch.backends import BackendServer, BackendTable
@@ -48,8 +49,8 @@
 def median_us(decide: Callable[[], Any]) -> float:
     """Return the median processor time of a decision, in microseconds."""
     taken: list[float] = []
-    end_s = time.monotonic() + _LONGEST_S
-    while len(taken) < _REPEATS and (not taken or time.monotonic() < end_s):
+    end_s = clocks.now_s() + _LONGEST_S
+    while len(taken) < _REPEATS and (not taken or clocks.now_s() < end_s):
         started_s = time.process_time()
         decide()
         taken.append(time.process_time() - started_s)
@@ -80,7 +81,7 @@
     backends.replace(servers, now_s=0.0)
     loads = StreamLoads()
     news = {server_number(one.id): ServerTotals(10, 90_000.0) for one in servers}
-    loads.take_others(LoadTotals(instances, 0.0, news, 0.7), now_s=time.monotonic())
+    loads.take_others(LoadTotals(instances, 0.0, news, 0.7), now_s=clocks.now_s())
     choice = PathChoice(
         servers[0].availability_zone,
         backends=backends,
@@ -136,8 +137,8 @@
         (
             "a trouble noted, all rests read",
             lambda: (
-                health.note("a", Trouble.SILENT, now_s=time.monotonic()),
-                health.resting(now_s=time.monotonic()),
+                health.note("a", Trouble.SILENT, now_s=clocks.now_s()),
+                health.resting(now_s=clocks.now_s()),
             ),
         ),
         ("a retry taken", lambda: share.withdraw(now_s=0.0)),
--- a/bench/goodput.py
+++ b/bench/goodput.py
@@ -14,11 +14,11 @@
 import contextlib
 import itertools
 import sys
-import time
 
 import networkx
 
 from _report import percentile, write_rows
+from violethatch import clocks
 from violethatch_emulator import Cluster, RunnerPlan
 from violethatch_emulator.callers import Streamed, standard_intent, stream
 
@@ -132,9 +132,9 @@
         for number in range(count)
     ]
     await asyncio.sleep(WARM_UP_S)
-    started_s = time.monotonic()
+    started_s = clocks.now_s()
     await asyncio.sleep(MEASURED_S)
-    ended_s = time.monotonic()
+    ended_s = clocks.now_s()
     for caller in callers:
         caller.cancel()
     with contextlib.suppress(asyncio.CancelledError):
--- a/bench/recovery.py
+++ b/bench/recovery.py
@@ -14,11 +14,11 @@
 import itertools
 import signal
 import sys
-import time
 
 from typing import NamedTuple
 
 from _report import percentile, write_rows
+from violethatch import clocks
 from violethatch_emulator import Cluster, RunnerPlan, expected_text
 from violethatch_emulator.callers import Streamed, standard_intent, stream
 
@@ -73,7 +73,7 @@
         streams = asyncio.create_task(stream_all(cluster, f"round {number}", TOKENS))
         await asyncio.sleep(FAULT_AFTER_S)
         await inject(cluster, fault)
-        fault_s = time.monotonic()
+        fault_s = clocks.now_s()
         answers = await streams
         gaps_s = [
             longest_gap_s(answer.times_s, fault_s)
--- a/bench/suspect_costs.py
+++ b/bench/suspect_costs.py
@@ -16,6 +16,7 @@
 
 from typing import Any, cast
 
+from violethatch import clocks
 from violethatch._peer_datagrams import PeerDatagrams
 from violethatch._suspect_link import SuspectLink
 from violethatch.crash_suspects import CrashSuspects, End
@@ -86,7 +87,7 @@
     def see(self, instance: int, work: str, lifetime: str) -> None:
         """Let an instance see an end."""
         end = End(work, lifetime, False, f"i{instance}")
-        self.suspects[instance].note(end, now_s=time.monotonic())
+        self.suspects[instance].note(end, now_s=clocks.now_s())
         self.links[instance].tell(end)
 
     async def cost(self, what: str, seen: list[tuple[int, str, str]]) -> None:
--- a/src/violethatch/_callers.py
+++ b/src/violethatch/_callers.py
@@ -7,14 +7,13 @@
 import contextlib
 import hashlib
 import secrets
-import time
 
 from collections.abc import AsyncGenerator, Iterator
 from typing import NamedTuple
 
 from aiohttp import web
 
-from . import events
+from . import clocks, events
 from ._driver import Driver, Generation, Piece
 from ._http import bearer_digest, problems, same_digest
 from ._keyed import Answer, KeyedCalls
@@ -134,9 +133,9 @@
 
     async def wait_idle(self, timeout_s: float) -> bool:
         """Wait until no request is in progress; tell whether that came."""
-        give_up_s = time.monotonic() + timeout_s
+        give_up_s = clocks.now_s() + timeout_s
         while self.in_flight or self._keyed.unsettled:
-            if time.monotonic() > give_up_s:
+            if clocks.now_s() > give_up_s:
                 return False
             await asyncio.sleep(0.02)
         return True
@@ -214,13 +213,13 @@
 
     async def _pieces(self, job: Generation) -> AsyncGenerator[Piece, None]:
         """Yield a generation's pieces, measuring the first."""
-        started_s = time.monotonic()
+        started_s = clocks.now_s()
         generation = self._driver.generate(job)
         is_first = True
         try:
             async for piece in generation:
                 if is_first:
-                    elapsed_s = time.monotonic() - started_s
+                    elapsed_s = clocks.now_s() - started_s
                     self._metrics.first_token_s.observe({"model": job.model}, elapsed_s)
                     is_first = False
                 yield piece
@@ -254,7 +253,7 @@
             prompt=shape_class.prompt(body),
             max_tokens=wanted or _DEFAULT_MAX_TOKENS,
             priority=caller.spec["priority"],
-            deadline_s=time.monotonic() + self._limits.deadline_s,
+            deadline_s=clocks.now_s() + self._limits.deadline_s,
         )
 
     async def _serve_service(self, request: web.Request) -> web.Response:
@@ -345,7 +344,7 @@
             msg = f"{self.in_flight} requests in progress"
             raise OverloadedError(msg, retry_after_s=_RETRY_AFTER_S)
         limiter = self._limiter(caller)
-        limiter.admit(time.monotonic())
+        limiter.admit(clocks.now_s())
         self.in_flight += 1
         self._metrics.in_flight.set({}, self.in_flight)
         outcome = "failed"
@@ -363,9 +362,7 @@
         limiter = self._limiters.get(caller.workspace)
         if limiter is None:
             limits = _limits_of(caller.spec)
-            limiter = WorkspaceLimiter(
-                limits, share=self._share, now_s=time.monotonic()
-            )
+            limiter = WorkspaceLimiter(limits, share=self._share, now_s=clocks.now_s())
             self._limiters[caller.workspace] = limiter
         return limiter
 
--- a/src/violethatch/_claim_writer.py
+++ b/src/violethatch/_claim_writer.py
@@ -10,11 +10,11 @@
 from __future__ import annotations
 
 import asyncio
-import time
 
 from collections.abc import Awaitable, Callable, Sequence
 from typing import NamedTuple, Protocol
 
+from . import clocks
 from .claims import is_own_write
 from .errors import TableUnavailableError
 from .ports import AnswerLostError, Put, Row, Table
@@ -77,9 +77,9 @@
             await self._wake.wait()
             self._wake.clear()
             while self._queue:
-                started_s = time.monotonic()
+                started_s = clocks.now_s()
                 await self._write_batch(self._take_batch())
-                pause_s = self._interval_s - (time.monotonic() - started_s)
+                pause_s = self._interval_s - (clocks.now_s() - started_s)
                 await asyncio.sleep(max(0.0, pause_s))
 
     def _take_batch(self) -> list[_Waiting]:
@@ -101,7 +101,7 @@
     async def _write_batch(self, batch: list[_Waiting]) -> None:
         """Write a batch; those with conflicts drop out and the rest goes again."""
         may_be_written = False
-        give_up_s = time.monotonic() + self._give_up_s
+        give_up_s = clocks.now_s() + self._give_up_s
         while batch:
             error: Exception
             try:
@@ -113,7 +113,7 @@
             else:
                 batch = _settle(batch, conflicts)
                 continue
-            if not may_be_written or time.monotonic() > give_up_s:
+            if not may_be_written or clocks.now_s() > give_up_s:
                 # Not written for certain only if no try's answer was lost.
                 final = AnswerLostError(str(error)) if may_be_written else error
                 for _, future in batch:
--- a/src/violethatch/_driver.py
+++ b/src/violethatch/_driver.py
@@ -10,12 +10,10 @@
 
 from __future__ import annotations
 
-import time
-
 from collections.abc import AsyncGenerator, Sequence
 from typing import NamedTuple
 
-from . import events, wire
+from . import clocks, events, wire
 from ._engine_link import EngineLink, StageFailedError
 from ._fleet import Fleet
 from ._metrics import Metrics
@@ -150,11 +148,11 @@
         if not self._budget.withdraw():
             msg = f"{failure}; the retry budget is used up"
             raise run.failed(msg)
-        give_up_s = time.monotonic() + self._recovery_wait_s
+        give_up_s = clocks.now_s() + self._recovery_wait_s
         while True:
             if self._put_back(run):
                 return
-            wait_s = min(give_up_s, run.job.deadline_s) - time.monotonic()
+            wait_s = min(give_up_s, run.job.deadline_s) - clocks.now_s()
             if wait_s <= 0:
                 msg = f"{failure}; no replacement was found"
                 raise run.failed(msg)
@@ -359,7 +357,7 @@
 
     async def _run_stage(self) -> wire.Result:
         """Give the current stage its step and wait for the result."""
-        if time.monotonic() > self.job.deadline_s:
+        if clocks.now_s() > self.job.deadline_s:
             ran = Ran.MAYBE if self._has_submitted else Ran.NO
             raise DeadlineError(ran=ran)
         attempt = self._attempt
--- a/src/violethatch/_engine_link.py
+++ b/src/violethatch/_engine_link.py
@@ -10,7 +10,6 @@
 
 import asyncio
 import contextlib
-import time
 
 from collections.abc import Callable
 from typing import NamedTuple
@@ -18,7 +17,7 @@
 import aiohttp
 import msgspec
 
-from . import events, wire
+from . import clocks, events, wire
 from .loads import LoadView
 from .retries import StallLimit
 
@@ -121,9 +120,7 @@
             future.set_exception(StageFailedError(self.runner_id, "not connected"))
             return future
         label = _label(step)
-        self._pending[label] = _Pending(
-            future, time.monotonic(), max(1, step.positions)
-        )
+        self._pending[label] = _Pending(future, clocks.now_s(), max(1, step.positions))
         self._steps.append(step)
         self._wake.set()
         return future
@@ -221,7 +218,7 @@
     async def _serve(self, socket: aiohttp.ClientWebSocketResponse) -> None:
         """Read and write frames until the connection breaks."""
         writer = asyncio.create_task(self._write_loop(socket))
-        self._heard_s = time.monotonic()
+        self._heard_s = clocks.now_s()
         try:
             async for message in socket:
                 if message.type is not aiohttp.WSMsgType.BINARY:
@@ -258,7 +255,7 @@
 
     def _take_frame(self, data: bytes) -> None:
         """Act on one frame of the engine."""
-        now_s = time.monotonic()
+        now_s = clocks.now_s()
         self._heard_s = now_s
         if self.is_stalled:
             self.is_stalled = False
--- a/src/violethatch/_entry.py
+++ b/src/violethatch/_entry.py
@@ -18,7 +18,7 @@
 
 import aiohttp
 
-from . import events
+from . import clocks, events
 from ._callers import CallerLimits, Callers
 from ._claim_writer import ClaimWriter, ZoneClaimWriter, reply_to
 from ._config import ConfigKeeper
@@ -85,7 +85,7 @@
         self._settings = settings
         policy, limits = settings.policy, settings.limits
         self._rng = random.Random(settings.instance.id)
-        self._started_s = time.monotonic()
+        self._started_s = clocks.now_s()
         self._incarnation = time.time_ns() // 1_000_000
         self._tasks: set[asyncio.Task[None]] = set()
         self._stop = asyncio.Event()
@@ -334,7 +334,7 @@
             instance_id=instance.id,
             availability_zone=instance.availability_zone,
             process_id=os.getpid(),
-            uptime_s=round(time.monotonic() - self._started_s, 3),
+            uptime_s=round(clocks.now_s() - self._started_s, 3),
             draining=self._callers.is_draining,
             revision=self._config.revision,
             config_digest=self._config.current["digest"],
--- a/src/violethatch/_fleet.py
+++ b/src/violethatch/_fleet.py
@@ -5,14 +5,13 @@
 
 import asyncio
 import random
-import time
 
 from collections.abc import Collection, Iterable
 from typing import TypedDict
 
 import aiohttp
 
-from . import events
+from . import clocks, events
 from ._engine_link import EngineLink
 from .layers import LayerRange
 from .membership import LeavingMarks, watched_runners
@@ -101,7 +100,7 @@
         """Look for overdue steps on all connections."""
         while True:
             await asyncio.sleep(_SWEEP_INTERVAL_S)
-            now_s = time.monotonic()
+            now_s = clocks.now_s()
             for link in self._links.values():
                 link.sweep(now_s)
 
@@ -166,12 +165,12 @@
     def open(self, runner_id: str) -> EngineLink:
         """Count a stream in; return the connection to its runner."""
         link = self._links[runner_id]
-        link.view.opened(now_s=time.monotonic())
+        link.view.opened(now_s=clocks.now_s())
         return link
 
     def close(self, link: EngineLink, request: str, epoch: int) -> None:
         """Count a stream out and let the runner forget it."""
-        link.view.closed(now_s=time.monotonic())
+        link.view.closed(now_s=clocks.now_s())
         link.cancel(request, epoch)
 
     def refused_as_leaving(self, runner_id: str) -> None:
--- a/src/violethatch/_followers.py
+++ b/src/violethatch/_followers.py
@@ -5,11 +5,10 @@
 
 import asyncio
 import random
-import time
 
 from collections.abc import Callable
 
-from . import events
+from . import clocks, events
 from .errors import TableUnavailableError
 from .freshness import Freshness, StoreClock
 from .router_settings import StoreSection
@@ -105,7 +104,7 @@
 
     async def _read_once(self) -> None:
         """Read the table or its next changes, and take them in."""
-        sent_s = time.monotonic()
+        sent_s = clocks.now_s()
         is_waiting = self._version is not None and not self._is_away
         view = await self._read()
         is_whole = self._version is None or view.is_whole
@@ -123,7 +122,7 @@
             await asyncio.sleep(self.settings.change_pause_s)
         elif is_waiting:
             # A store may answer at once that there is nothing, time after time.
-            rest_s = sent_s + self._idle_pause_s - time.monotonic()
+            rest_s = sent_s + self._idle_pause_s - clocks.now_s()
             await asyncio.sleep(max(0.0, rest_s))
 
     async def _read(self) -> TableView:
@@ -156,7 +155,7 @@
             return
         self._is_away = True
         self._cache.note_away()
-        age_s = self._freshness.age_s(now_s=time.monotonic())
+        age_s = self._freshness.age_s(now_s=clocks.now_s())
         events.log(
             events.TABLE_UNREACHABLE,
             table=self.table,
--- a/src/violethatch/_held_rows.py
+++ b/src/violethatch/_held_rows.py
@@ -9,14 +9,13 @@
 from __future__ import annotations
 
 import asyncio
-import time
 
 from collections.abc import Mapping, Sequence
 from typing import NamedTuple, Protocol
 
 import msgspec
 
-from . import events
+from . import clocks, events
 from ._decoding import decoded
 from .crash_suspects import HELD_LIFE_S, CrashSuspects, End, Hold
 from .errors import TableUnavailableError
@@ -161,7 +160,7 @@
 
     def _row(self, work: str, store_s: float) -> bytes | None:
         """Return a work's row, or None if it is not held back."""
-        hold = self._suspects.hold(work, now_s=time.monotonic())
+        hold = self._suspects.hold(work, now_s=clocks.now_s())
         if hold is None:
             return None
         row = _HeldRow(hold.number, store_s + hold.left_s, list(hold.ends))
--- a/src/violethatch/_jobs.py
+++ b/src/violethatch/_jobs.py
@@ -9,12 +9,11 @@
 
 import asyncio
 import itertools
-import time
 
 from collections.abc import Callable, Mapping
 from typing import NamedTuple
 
-from . import events, wire
+from . import clocks, events, wire
 from ._engine_link import EngineLink
 from .errors import TableUnavailableError
 from .leases import Lease
@@ -45,7 +44,7 @@
 
     def epoch(self) -> int | None:
         """Return the fence for orders given now, None while not the holder."""
-        return self._lease.held_epoch(now_s=time.monotonic())
+        return self._lease.held_epoch(now_s=clocks.now_s())
 
     async def run(self) -> None:
         """Take and renew the lease until cancelled."""
@@ -76,8 +75,8 @@
         """Look at the row; take or renew the lease if that is due."""
         key = self._lease.row_key
         rows = await self._table.read([key])
-        self._lease.observe(rows.get(key), now_s=time.monotonic())
-        sent_s = time.monotonic()
+        self._lease.observe(rows.get(key), now_s=clocks.now_s())
+        sent_s = clocks.now_s()
         put = self._lease.wanted_write(now_s=sent_s)
         if put is not None and not await self._table.transact([put]):
             self._lease.written(put, sent_s=sent_s)
--- a/src/violethatch/_keyed.py
+++ b/src/violethatch/_keyed.py
@@ -7,12 +7,11 @@
 import base64
 import functools
 import random
-import time
 
 from collections.abc import Awaitable, Callable, Coroutine
 from typing import NamedTuple, TypeVar
 
-from . import events
+from . import clocks, events
 from ._claim_writer import RowWriter
 from .claims import Claim, ClaimState, Outcome, Verdict
 from .errors import (
@@ -150,7 +149,7 @@
 
     async def _follow(self, claim: Claim, row: Row) -> Answer:
         """Answer with another operation's outcome, waiting for it if need be."""
-        give_up_s = time.monotonic() + self._outcome_wait_s
+        give_up_s = clocks.now_s() + self._outcome_wait_s
         pause_s = _POLL_FIRST_S
         while True:
             verdict = claim.judge(row)
@@ -164,7 +163,7 @@
             if self._owner_is_gone(row):
                 msg = "the instance that ran the earlier call is gone"
                 raise MayHaveRunError(msg)
-            if time.monotonic() > give_up_s:
+            if clocks.now_s() > give_up_s:
                 raise MayHaveRunError(retry_after_s=2.0)
             await asyncio.sleep(pause_s * random.uniform(0.5, 1.0))
             pause_s = min(_POLL_MOST_S, pause_s * 2)
--- a/src/violethatch/_load_link.py
+++ b/src/violethatch/_load_link.py
@@ -5,11 +5,10 @@
 
 import asyncio
 import struct
-import time
 
 from collections.abc import Mapping
 
-from . import events
+from . import clocks, events
 from ._peer_datagrams import LoadDatagram, PeerDatagrams
 from .load_changes import ChangeFeed
 from .load_sums import Direction, LoadSums, LoadTotals, ServerTotals
@@ -59,7 +58,7 @@
         """Tell neighbours, until cancelled."""
         while True:
             await asyncio.sleep(TICK_S)
-            self._tick(now_s=time.monotonic())
+            self._tick(now_s=clocks.now_s())
 
     def _tick(self, *, now_s: float) -> None:
         """Tell each neighbour once, and let go of old words."""
@@ -123,7 +122,7 @@
             servers=_unpacked(message.servers),
             age_s=message.age_ms / _MS_PER_S,
         )
-        now_s = time.monotonic()
+        now_s = clocks.now_s()
         direction = Direction(message.direction)
         self._sums.take(message.sender, direction, change, now_s=now_s)
 
--- a/src/violethatch/_pace_link.py
+++ b/src/violethatch/_pace_link.py
@@ -3,8 +3,7 @@
 
 from __future__ import annotations
 
-import time
-
+from . import clocks
 from ._peer_datagrams import PaceDatagram, PeerDatagrams, SendAllowance
 from .runner_paces import RunnerPaces
 
@@ -38,4 +37,4 @@
 
     def _take(self, message: PaceDatagram) -> None:
         """Take another instance's word in."""
-        self._paces.note(message.server_id, message.slowness, now_s=time.monotonic())
+        self._paces.note(message.server_id, message.slowness, now_s=clocks.now_s())
--- a/src/violethatch/_path_choice.py
+++ b/src/violethatch/_path_choice.py
@@ -4,11 +4,11 @@
 from __future__ import annotations
 
 import functools
-import time
 
 from collections.abc import Callable, Mapping, Sequence
 from typing import NamedTuple
 
+from . import clocks
 from .backends import BackendServer, BackendTable
 from .desired import ServiceSpec
 from .engine_model import EngineSpec
@@ -121,7 +121,7 @@
         """Return the path to send along; see `Routing.path`."""
         if service.engine is None:
             return None
-        now_s = time.monotonic()
+        now_s = clocks.now_s()
         maps = self._maps_of(service, service.engine)
         for left_out in self._left_out(avoided, may_doubt=may_doubt, now_s=now_s):
             view = self._view(left_out, kept, now_s=now_s)
@@ -143,7 +143,7 @@
         """
         if service.engine is None:
             return None
-        now_s = time.monotonic()
+        now_s = clocks.now_s()
         left_out = avoided | self._health.resting(now_s=now_s)
         engine = service.engine
         firsts = [
@@ -169,7 +169,7 @@
         if service.engine is None:
             return None
         maps = self._maps_of(service, service.engine)
-        rests_s = self._health.rests_s(now_s=time.monotonic())
+        rests_s = self._health.rests_s(now_s=clocks.now_s())
         paces = {one: _RESTING_PACE * left_s for one, left_s in rests_s.items()}
         path = maps.whole.find(zone=self._zone, paces=paces)
         if path is None:
@@ -178,7 +178,7 @@
 
     def began(self) -> None:
         """Count a stream that this instance begins."""
-        self._unseen.began(now_s=time.monotonic())
+        self._unseen.began(now_s=clocks.now_s())
 
     def _left_out(
         self, avoided: frozenset[str], *, may_doubt: bool, now_s: float
--- a/src/violethatch/_peer_datagrams.py
+++ b/src/violethatch/_peer_datagrams.py
@@ -5,14 +5,13 @@
 
 import asyncio
 import hmac
-import time
 
 from collections.abc import Callable
 from typing import Annotated, Any, cast
 
 import msgspec
 
-from . import events
+from . import clocks, events
 from ._decoding import decoded
 from ._serving import host_and_port
 from .instances import InstanceDirectory, InstanceEntry
@@ -116,7 +115,7 @@
 
     def take(self) -> bool:
         """Take one send; tell whether it was left."""
-        second = int(time.monotonic())
+        second = int(clocks.now_s())
         if second != self._second:
             self._second = second
             self._sent = 0
--- a/src/violethatch/_peers.py
+++ b/src/violethatch/_peers.py
@@ -5,12 +5,11 @@
 
 import asyncio
 import random
-import time
 
 from collections.abc import Awaitable, Callable, Iterable, Sequence
 from typing import Any
 
-from . import events
+from . import clocks, events
 from ._claim_writer import WriteReply
 from ._peer_wire import (
     PeerChannel,
@@ -118,7 +117,7 @@
         while True:
             self.gossip.tick(revision=revision(), leaving=self._is_leaving)
             await self._round()
-            for peer_id in self.gossip.expire(now_s=time.monotonic()):
+            for peer_id in self.gossip.expire(now_s=clocks.now_s()):
                 events.log(events.PEER_LOST, peer=peer_id)
             await asyncio.sleep(self._interval_s * self._rng.uniform(0.8, 1.2))
 
@@ -224,7 +223,7 @@
 
     def _take_beats(self, beats: list[Beat]) -> None:
         """Learn from a peer's heartbeats."""
-        for peer_id in self.gossip.merge(beats, now_s=time.monotonic()):
+        for peer_id in self.gossip.merge(beats, now_s=clocks.now_s()):
             events.log(events.PEER_FOUND, peer=peer_id)
 
     def _by_zone(self) -> tuple[list[str], list[str]]:
--- a/src/violethatch/_placement_lease.py
+++ b/src/violethatch/_placement_lease.py
@@ -5,11 +5,10 @@
 
 import asyncio
 import random
-import time
 
 from typing import NamedTuple, Protocol
 
-from . import events
+from . import clocks, events
 from .errors import TableUnavailableError
 from .leases import Lease
 from .ports import AnswerLostError, Put, Row
@@ -90,7 +89,7 @@
     @property
     def epoch(self) -> int | None:
         """The fence of orders, or None while none may be given."""
-        return self._lease.held_epoch(now_s=time.monotonic())
+        return self._lease.held_epoch(now_s=clocks.now_s())
 
     @property
     def is_held(self) -> bool:
@@ -113,7 +112,7 @@
             return self.is_held
         # All instances see the same need at the same time: one pause each.
         await asyncio.sleep(self._rng.uniform(0.0, _SPREAD_S))
-        sent_s = time.monotonic()
+        sent_s = clocks.now_s()
         row = await self._store.read_row(self._lease.row_key)
         self._lease.observe(row, now_s=sent_s)
         self._delay_try()
@@ -160,7 +159,7 @@
     def _delay_try(self) -> None:
         """Leave the lease alone for a while."""
         pause_s = _TRY_PAUSE_S * self._rng.uniform(*_PAUSE_PARTS)
-        self._next_try_s = time.monotonic() + pause_s
+        self._next_try_s = clocks.now_s() + pause_s
 
 
 def _log_unreachable(reason: str) -> None:
--- a/src/violethatch/_placing.py
+++ b/src/violethatch/_placing.py
@@ -9,12 +9,11 @@
 
 import asyncio
 import random
-import time
 
 from collections import defaultdict
 from typing import NamedTuple
 
-from . import events
+from . import clocks, events
 from ._fleet_watch import FleetWatch
 from ._placement_lease import LeaseStore, PlacementLease
 from ._placement_plans import PlacementPlans, Situation
@@ -125,7 +124,7 @@
 
     async def _look(self) -> None:
         """Give the orders that are due, if this process may."""
-        now_s = time.monotonic()
+        now_s = clocks.now_s()
         orders = self._due_orders(now_s)
         self._forget_done(now_s)
         self._forget_rests(now_s)
@@ -253,7 +252,7 @@
         assert engine is not None
         share = order.layers.size / engine.layer_count
         wait_s = _LIST_LAG_S + _LOAD_PATIENCE * engine.load_s * share
-        self._last_order_s = time.monotonic()
+        self._last_order_s = clocks.now_s()
         until_s = self._last_order_s + wait_s
         self._ordered[order.server.id] = _Ordered(
             order.layers, until_s, order.server.lifetime
@@ -261,4 +260,4 @@
 
     def _rest(self, server_id: str) -> None:
         """Leave a runner without orders for a while."""
-        self._rest_until_s[server_id] = time.monotonic() + _ORDER_REST_S
+        self._rest_until_s[server_id] = clocks.now_s() + _ORDER_REST_S
--- a/src/violethatch/_plain_calls.py
+++ b/src/violethatch/_plain_calls.py
@@ -4,11 +4,10 @@
 from __future__ import annotations
 
 import asyncio
-import time
 
 from typing import NamedTuple
 
-from . import events
+from . import clocks, events
 from ._routing import Routing
 from ._work_in_hand import WorkInHand
 from .backends import BackendServer
@@ -119,7 +118,7 @@
             return False
         if self.runs >= self._route.max_attempts:
             return False
-        if time.monotonic() >= self._deadline_s:
+        if clocks.now_s() >= self._deadline_s:
             return False
         return await self._routing.may_retry(self._admitted.service.name)
 
@@ -130,7 +129,7 @@
             ServiceUnreachableError: No server is known.
         """
         routing = self._routing
-        now_s = time.monotonic()
+        now_s = clocks.now_s()
         server = self._choose(now_s)
         self._sent_s = now_s
         self._tried.add(server.id)
@@ -159,7 +158,7 @@
             self._note_late(server.id)
         finally:
             late.cancel()
-            routing.choice.ended(server.id, load, now_s=time.monotonic())
+            routing.choice.ended(server.id, load, now_s=clocks.now_s())
         return None
 
     async def _trouble_of(
@@ -247,7 +246,7 @@
         A caller's own time may be so short that it says nothing of the server.
         """
         server = self._routing.backends.get(server_id)
-        waited_s = time.monotonic() - self._sent_s
+        waited_s = clocks.now_s() - self._sent_s
         if server is not None and waited_s >= self._route.target_latency_s:
             self._routing.note_trouble(
                 server, Trouble.SILENT, self._call.id, f"no answer in {waited_s:.2f} s"
@@ -256,7 +255,7 @@
     def _failure(self) -> VioletHatchError:
         """Return the error that says what is known."""
         if self.runs:
-            if time.monotonic() >= self._deadline_s:
+            if clocks.now_s() >= self._deadline_s:
                 return DeadlineError("no answer before the deadline")
             return ServiceLostError("the backend server's answer was lost")
         held = self._work.held_back()
--- a/src/violethatch/_probes.py
+++ b/src/violethatch/_probes.py
@@ -4,11 +4,11 @@
 from __future__ import annotations
 
 import asyncio
-import time
 
 from collections.abc import Callable, Iterable
 from typing import NamedTuple
 
+from . import clocks
 from .backends import BackendServer
 from .upstream import RunnerClient, RunnerReport
 
@@ -97,7 +97,7 @@
     def _probe(self, server: BackendServer) -> _Outcome | asyncio.Task[_Outcome]:
         """Return what is known of a server, or the probe that will tell."""
         known = self._known.get(server.id)
-        if known is not None and time.monotonic() - known.known_s < _PROBE_LIFE_S:
+        if known is not None and clocks.now_s() - known.known_s < _PROBE_LIFE_S:
             return known
         probe = self._running.get(server.id)
         if probe is None:
@@ -111,7 +111,7 @@
             report = await self._client.report(server)
         finally:
             self._running.pop(server.id, None)
-        outcome = _Outcome(report, time.monotonic())
+        outcome = _Outcome(report, clocks.now_s())
         self._known[server.id] = outcome
         if report is None:
             self._on_silent(server)
--- a/src/violethatch/_registration.py
+++ b/src/violethatch/_registration.py
@@ -5,14 +5,13 @@
 
 import asyncio
 import random
-import time
 
 from collections.abc import Sequence
 from typing import Protocol
 
 import msgspec
 
-from . import events
+from . import clocks, events
 from ._decoding import decoded
 from ._held_rows import HELD_PREFIX, HeldRows
 from .errors import TableUnavailableError
@@ -99,7 +98,7 @@
         """Take others' entries in, and the works that are held back."""
         is_held = {key: key.startswith(HELD_PREFIX) for key in view.values}
         rows = {key: value for key, value in view.values.items() if is_held[key]}
-        self._held.take(rows, now_s=time.monotonic())
+        self._held.take(rows, now_s=clocks.now_s())
         entries = {
             instance_id: _entry(instance_id, value)
             for instance_id, value in view.values.items()
--- a/src/violethatch/_rest_watch.py
+++ b/src/violethatch/_rest_watch.py
@@ -5,11 +5,10 @@
 
 import asyncio
 import random
-import time
 
 from collections.abc import Iterable
 
-from . import events
+from . import clocks, events
 from ._routing import Routing
 from .backends import BackendServer
 
@@ -56,7 +55,7 @@
         if not due:
             return
         found = await self._routing.probes.look(due, within_s=_WAIT_S)
-        now_s = time.monotonic()
+        now_s = clocks.now_s()
         for server in (*found.silent, *found.pending):
             self._routing.health.prolong(server.id, now_s=now_s)
         for server_id in found.reports:
@@ -69,7 +68,7 @@
 
         Servers of plain services give no reports.
         """
-        now_s = time.monotonic()
+        now_s = clocks.now_s()
         silent = self._routing.health.silent(now_s=now_s)
         self._asked_s = {
             one: asked_s for one, asked_s in self._asked_s.items() if one in silent
@@ -85,7 +84,7 @@
         """Return the slow runners that are to be asked again."""
         routing = self._routing
         ids = routing.paces.due(
-            instances=routing.instances(), rng=self._rng, now_s=time.monotonic()
+            instances=routing.instances(), rng=self._rng, now_s=clocks.now_s()
         )
         return self._known(ids)
 
--- a/src/violethatch/_router.py
+++ b/src/violethatch/_router.py
@@ -4,12 +4,11 @@
 from __future__ import annotations
 
 import random
-import time
 
 from collections.abc import Callable, Mapping
 from typing import Any
 
-from . import events
+from . import clocks, events
 from ._plain_calls import PlainCall
 from ._router_metrics import RouterMetrics
 from ._routing import Routing
@@ -78,7 +77,7 @@
         """Whether callers should be sent here."""
         if self.stop_plan.is_stopping or self.desired is None:
             return False
-        age_s = self.freshness.age_s(now_s=time.monotonic())
+        age_s = self.freshness.age_s(now_s=clocks.now_s())
         return age_s < min(self.settings.ready_limit_s, self.freshness.limit_s)
 
     async def serve(self, call: Call, responder: Responder) -> None:
@@ -113,7 +112,7 @@
     def caller_left(self, call: Call) -> None:
         """Log and count a caller who went away."""
         self.metrics.requests.inc({"outcome": "caller_left"})
-        age_s = time.monotonic() - call.received_s
+        age_s = clocks.now_s() - call.received_s
         events.log(events.CALLER_LEFT, request_id=call.id, after_s=round(age_s, 4))
 
     def take_desired(self, view: TableView, _is_whole: bool) -> None:
@@ -141,7 +140,7 @@
 
     def take_servers(self, view: TableView, is_whole: bool) -> None:
         """Take the list of backend servers in."""
-        now_s = time.monotonic()
+        now_s = clocks.now_s()
         present, refused = self._decoded_servers(view)
         backends = self.routing.backends
         if is_whole:
@@ -189,7 +188,7 @@
 
     def store_returned(self) -> None:
         """Note that the list may be incomplete for a while."""
-        self.routing.backends.store_returned(now_s=time.monotonic())
+        self.routing.backends.store_returned(now_s=clocks.now_s())
 
     def take_settings(self, settings: RouterSettings) -> None:
         """Take changed settings in; own addresses stay until the next start."""
@@ -200,7 +199,7 @@
 
     def state(self) -> dict[str, Any]:
         """Return what the process believes, for a dump; without secrets."""
-        now_s = time.monotonic()
+        now_s = clocks.now_s()
         return {
             "state_version": self.desired.version if self.desired else None,
             "proof_age_s": self._proof_age_s(),
@@ -217,7 +216,7 @@
 
     def show_state(self) -> None:
         """Bring the metrics of what the process believes up to date."""
-        now_s = time.monotonic()
+        now_s = clocks.now_s()
         loads = self.routing.loads
         self.metrics.loads(
             loads.own_totals(now_s=now_s),
@@ -229,7 +228,7 @@
 
     def _proof_age_s(self) -> float | None:
         """Return the age of the desired state's proof, for a log line."""
-        age_s = self.freshness.age_s(now_s=time.monotonic())
+        age_s = self.freshness.age_s(now_s=clocks.now_s())
         return None if age_s == float("inf") else round(age_s, 3)
 
     def _admit(self, call: Call) -> Admitted:
@@ -238,7 +237,7 @@
         Raises:
             VioletHatchError: It is refused; nothing has run.
         """
-        now_s = time.monotonic()
+        now_s = clocks.now_s()
         if self.desired is None:
             raise NotConfiguredError(retry_after_s=_STARTING_RETRY_S)
         is_fresh = self.freshness.is_fresh(now_s=now_s)
@@ -282,7 +281,7 @@
             plain = PlainCall(self.routing, call, admitted)
             status = await plain.serve(responder)
             sends, moves = plain.sends, 0
-        took_s = time.monotonic() - call.received_s
+        took_s = clocks.now_s() - call.received_s
         self.metrics.served(admitted, status, took_s, first_event_s)
         events.log(
             events.REQUEST_SERVED,
--- a/src/violethatch/_routing.py
+++ b/src/violethatch/_routing.py
@@ -4,12 +4,11 @@
 from __future__ import annotations
 
 import random
-import time
 
 from collections.abc import Awaitable, Callable, Collection, Iterable, Sequence
 from typing import Protocol
 
-from . import events
+from . import clocks, events
 from ._path_choice import PathChoice
 from ._probes import Probes
 from ._server_ends import ServerEnds
@@ -111,12 +110,12 @@
     async def may_retry(self, service: str) -> bool:
         """Take a retry from the service's budget; tell whether there was one."""
         budget = self._budget(service)
-        give_up_s = time.monotonic() + _RETRY_WAIT_S
-        while budget.left(now_s=time.monotonic()) < 1.0:
+        give_up_s = clocks.now_s() + _RETRY_WAIT_S
+        while budget.left(now_s=clocks.now_s()) < 1.0:
             is_given = await self.ask_for_retries(service)
-            if not is_given or time.monotonic() >= give_up_s:
+            if not is_given or clocks.now_s() >= give_up_s:
                 break
-        is_paid = budget.withdraw(now_s=time.monotonic())
+        is_paid = budget.withdraw(now_s=clocks.now_s())
         if not is_paid:
             events.log(events.RETRIES_SPENT, service=service)
         return is_paid
@@ -129,7 +128,7 @@
 
     def take_retries(self, service: str, amount: float) -> None:
         """Take in what another instance has taken off its part."""
-        self._budget(service).take(amount, now_s=time.monotonic())
+        self._budget(service).take(amount, now_s=clocks.now_s())
 
     def path(
         self,
@@ -201,13 +200,11 @@
 
     def expire(self) -> None:
         """Let go of servers whose entries lapsed while the store was away."""
-        expired = self.backends.expire(now_s=time.monotonic())
+        expired = self.backends.expire(now_s=clocks.now_s())
         if expired:
             events.log(events.SERVER_GONE, server_ids=list(expired), reason="lapsed")
             self.forget(expired)
-        self.take_restarted(
-            self.backends.take_waiting(now_s=time.monotonic()).restarted
-        )
+        self.take_restarted(self.backends.take_waiting(now_s=clocks.now_s()).restarted)
 
     def take_restarted(self, before: Sequence[BackendServer]) -> None:
         """Take in that servers have started again under their ids.
@@ -243,7 +240,7 @@
 
     def note_end(self, end: End) -> None:
         """Note an end that this instance has seen, and tell the others."""
-        now_s = time.monotonic()
+        now_s = clocks.now_s()
         if not self.suspects.note(end, now_s=now_s):
             return
         self.tell_end(end)
@@ -281,7 +278,7 @@
         """Take in how slow a runner says that it is; log one that has become so."""
         if 0 < report.born_ms < server.born_ms:
             return  # another process's, which has been there before
-        now_s = time.monotonic()
+        now_s = clocks.now_s()
         was_slow = server.id in self.paces.slow(now_s=now_s)
         self.paces.note(server.id, report.slowness, now_s=now_s)
         is_slow = server.id in self.paces.slow(now_s=now_s)
@@ -333,7 +330,7 @@
 
     def _note(self, server_id: str, trouble: Trouble) -> None:
         """Leave a server alone for a while, and tell other instances."""
-        rest_s = self.health.note(server_id, trouble, now_s=time.monotonic())
+        rest_s = self.health.note(server_id, trouble, now_s=clocks.now_s())
         if rest_s is not None and is_worth_telling(trouble):
             self.tell(Sighting(server_id, trouble, rest_s, self.born_ms(server_id)))
 
--- a/src/violethatch/_server_ends.py
+++ b/src/violethatch/_server_ends.py
@@ -9,10 +9,10 @@
 from __future__ import annotations
 
 import asyncio
-import time
 
 from collections.abc import Callable
 
+from . import clocks
 from .backends import BackendServer
 from .upstream import RunnerClient
 
@@ -51,7 +51,7 @@
 
     def note_ended(self, server: BackendServer) -> None:
         """Note that a server's lifetime is over."""
-        now_s = time.monotonic()
+        now_s = clocks.now_s()
         self._forget_old(now_s)
         if server.lifetime not in self._ended_s:
             self._ended_s[server.lifetime] = now_s
@@ -59,14 +59,14 @@
 
     def note_planned(self, lifetime: str) -> None:
         """Note that a lifetime has ended as planned."""
-        self._planned_s[lifetime] = time.monotonic()
+        self._planned_s[lifetime] = clocks.now_s()
 
     async def has_ended(self, server: BackendServer) -> bool:
         """Tell whether a server, of which a request was broken off, has ended.
 
         One that is leaving, or is no longer listed, ends as planned.
         """
-        now_s = time.monotonic()
+        now_s = clocks.now_s()
         if self.is_known(server.lifetime, now_s=now_s):
             return True
         listed = self._listed(server.id)
@@ -103,7 +103,7 @@
         if is_refusing:
             self.note_ended(server)
         else:
-            self._there_s[server.lifetime] = time.monotonic()
+            self._there_s[server.lifetime] = clocks.now_s()
         return is_refusing
 
     def _forget_old(self, now_s: float) -> None:
--- a/src/violethatch/_sighting_link.py
+++ b/src/violethatch/_sighting_link.py
@@ -4,11 +4,10 @@
 from __future__ import annotations
 
 import asyncio
-import time
 
 from collections.abc import Callable
 
-from . import events
+from . import clocks, events
 from ._peer_datagrams import PeerDatagrams, SendAllowance, SightingsDatagram
 from .runner_health import Trouble
 from .sightings import Hearsay, Sighting
@@ -59,7 +58,7 @@
         Raises:
             ValueError: A kind of trouble is not known.
         """
-        now_s = time.monotonic()
+        now_s = clocks.now_s()
         believed = [
             one.server_id
             for one in _sightings(message)
--- a/src/violethatch/_stream_run.py
+++ b/src/violethatch/_stream_run.py
@@ -9,12 +9,11 @@
 
 import asyncio
 import collections
-import time
 
 from collections.abc import AsyncIterator, Iterable, Mapping
 from typing import Any
 
-from . import events
+from . import clocks, events
 from ._routing import Routing
 from ._work_in_hand import WorkInHand
 from .backends import BackendServer
@@ -72,7 +71,7 @@
         #: Whether an event has come from the runners that it is on, and since when
         #: it is on them.
         self.has_begun = False
-        self._on_path_s = time.monotonic()
+        self._on_path_s = clocks.now_s()
         #: Runners of its path that have started again, and what wakes it then.
         self._restarted: frozenset[str] = frozenset()
         self._restart: asyncio.Future[None] = asyncio.get_running_loop().create_future()
@@ -87,7 +86,7 @@
             self.path,
             self._tokens,
             crossing_ms=engine.crossing_ms if engine is not None else 0.0,
-            now_s=time.monotonic(),
+            now_s=clocks.now_s(),
         )
 
     def count_out(self) -> None:
@@ -142,7 +141,7 @@
 
     def _note_event(self) -> None:
         """Note that the path's runners work."""
-        now_s = time.monotonic()
+        now_s = clocks.now_s()
         self.has_begun = True
         ids = self.path.server_ids
         if self._event_s is None:
@@ -176,12 +175,12 @@
         Raises:
             TimeoutError: The silence has lasted too long.
         """
-        started_s = time.monotonic()
+        started_s = clocks.now_s()
         give_up_s = min(
             self._deadline_s, started_s + limit_s + self._policy.silence_limit_s
         )
         while not coming.done():
-            asked_s = time.monotonic()
+            asked_s = clocks.now_s()
             left_s = min(limit_s, give_up_s - asked_s)
             if left_s <= 0:
                 self.suspects |= {self.path.first.id}
@@ -196,7 +195,7 @@
             if self._restart.done():
                 await self._leave_restarted()
                 continue
-            if time.monotonic() - asked_s - left_s < _HELD_UP_S:
+            if clocks.now_s() - asked_s - left_s < _HELD_UP_S:
                 await self._look_into_silence(started_s)
 
     def note_restarted(self, server_ids: frozenset[str]) -> None:
@@ -268,7 +267,7 @@
 
     async def _leave_slow(self) -> None:
         """Go around slow runners, if that can be done."""
-        slow = self._routing.paces.slow(now_s=time.monotonic())
+        slow = self._routing.paces.slow(now_s=clocks.now_s())
         ids = {
             stage.server.id for stage in self.path.stages[1:] if stage.server.id in slow
         }
@@ -285,7 +284,7 @@
         if self._event_s is None:
             ids = self._progress.unseen(stages, since_s=since_s)
         else:
-            ids = self._progress.silent(stages, now_s=time.monotonic())
+            ids = self._progress.silent(stages, now_s=clocks.now_s())
         return [stages[one] for one in ids]
 
     async def _probe(self, suspected: list[BackendServer]) -> list[BackendServer]:
@@ -374,10 +373,10 @@
         self._note_end()
         self.path = path
         self.has_begun = False
-        self._on_path_s = time.monotonic()
+        self._on_path_s = clocks.now_s()
         self.count_in()
         if had_begun:
-            self._event_s = time.monotonic()
+            self._event_s = clocks.now_s()
             self._progress.began(path.server_ids, now_s=self._event_s)
 
     def _log_silence(
@@ -440,7 +439,7 @@
 
         A request that has not begun is not told as one that waits.
         """
-        shunned = self._routing.health.shunned(now_s=time.monotonic())
+        shunned = self._routing.health.shunned(now_s=clocks.now_s())
         later = [stage.server for stage in self.path.stages[1:]]
         return [one for one in later if one.id in shunned]
 
--- a/src/violethatch/_streams.py
+++ b/src/violethatch/_streams.py
@@ -11,9 +11,8 @@
 import asyncio
 import enum
 import math
-import time
 
-from . import events
+from . import clocks, events
 from ._routing import Routing
 from ._stream_run import StreamRun
 from ._work_in_hand import WorkInHand
@@ -136,7 +135,7 @@
             end, status = await self._run(path, responder)
             if end is _End.WHOLE:
                 self._work.answered()
-                lasted_s = time.monotonic() - self._call.received_s
+                lasted_s = clocks.now_s() - self._call.received_s
                 self._routing.loads.lasted(lasted_s)
                 await responder.finish()
                 return _OK
@@ -179,7 +178,7 @@
 
     def _may_send_again(self) -> bool:
         """Tell whether another send is allowed."""
-        if self._refusals >= _MOST_REFUSALS or time.monotonic() >= self._deadline_s:
+        if self._refusals >= _MOST_REFUSALS or clocks.now_s() >= self._deadline_s:
             return False
         if self.runs and not self._route.is_resumable:
             return False
@@ -238,7 +237,7 @@
             self._note_given_up(run)
             return _End.LOST, 0
         if answer.load is not None:
-            now_s = time.monotonic()
+            now_s = clocks.now_s()
             self._routing.loads.told(path.first.id, answer.load, now_s=now_s)
         try:
             return await self._take(answer, run, responder)
@@ -296,7 +295,7 @@
         if self._is_started or not is_last:
             return _End.LOST, 0
         try:
-            async with asyncio.timeout_at(self._deadline_s):
+            async with asyncio.timeout(clocks.left_s(self._deadline_s)):
                 body = b"".join([part async for part in answer.parts()])
         except (AnswerLostError, TimeoutError):
             return _End.LOST, 0
@@ -339,7 +338,7 @@
 
     async def _give(self, data: bytes, answer: Answer, responder: Responder) -> None:
         """Give events to the caller, after the head."""
-        now_s = time.monotonic()
+        now_s = clocks.now_s()
         if self._given_s is not None:
             self.longest_gap_s = max(self.longest_gap_s, now_s - self._given_s)
         self._given_s = now_s
@@ -386,7 +385,7 @@
     def _failure(self) -> VioletHatchError:
         """Return the error that says what is known."""
         if self.runs:
-            if time.monotonic() >= self._deadline_s:
+            if clocks.now_s() >= self._deadline_s:
                 return DeadlineError("no answer before the deadline")
             return PipelineFailedError("the runners' answer was lost")
         held = self._work.held_back()
--- a/src/violethatch/_suspect_link.py
+++ b/src/violethatch/_suspect_link.py
@@ -11,11 +11,10 @@
 
 import asyncio
 import collections
-import time
 
 from collections.abc import Iterable, Sequence
 
-from . import events
+from . import clocks, events
 from ._peer_datagrams import (
     ClearedDatagram,
     EndsDatagram,
@@ -141,7 +140,7 @@
         Raises:
             ValueError: One of them names no work.
         """
-        now_s = time.monotonic()
+        now_s = clocks.now_s()
         told = [End(*one) for one in message.ends]
         for end in told:
             check_work_id(end.work)
--- a/src/violethatch/_work_in_hand.py
+++ b/src/violethatch/_work_in_hand.py
@@ -5,11 +5,10 @@
 
 import asyncio
 import functools
-import time
 
 from collections.abc import Sequence
 
-from . import events
+from . import clocks, events
 from ._routing import Routing
 from .backends import BackendServer
 from .crash_suspects import End
@@ -55,7 +54,7 @@
         suspects = self._routing.suspects
         if not suspects:
             return False  # no body is digested while nothing is suspected
-        return suspects.hold(self.id, now_s=time.monotonic()) is not None
+        return suspects.hold(self.id, now_s=clocks.now_s()) is not None
 
     @property
     def is_suspect(self) -> bool:
@@ -67,7 +66,7 @@
 
     def held_back(self) -> HeldBackError | None:
         """Return the refusal of a work that is held back, and log what decided it."""
-        hold = self._routing.suspects.hold(self.id, now_s=time.monotonic())
+        hold = self._routing.suspects.hold(self.id, now_s=clocks.now_s())
         if hold is None:
             return None
         events.log(
--- a/src/violethatch/freshness.py
+++ b/src/violethatch/freshness.py
@@ -11,7 +11,7 @@
 
 from __future__ import annotations
 
-import time
+from . import clocks
 
 
 class StoreClock:
@@ -36,7 +36,7 @@
 
     def now_s(self) -> float | None:
         """Return about what the store's clock shows now; None if unknown."""
-        return None if self._offset_s is None else time.monotonic() - self._offset_s
+        return None if self._offset_s is None else clocks.now_s() - self._offset_s
 
     def earliest_local_s(self, store_s: float) -> float:
         """Return a local time that is not after the store's time *store_s*."""
--- a/src/violethatch/platform/_listener.py
+++ b/src/violethatch/platform/_listener.py
@@ -4,7 +4,6 @@
 from __future__ import annotations
 
 import asyncio
-import time
 
 from collections.abc import Callable
 
@@ -16,7 +15,7 @@
 from aiohttp.web_server import Server
 from aioprometheus import render
 
-from .. import events
+from .. import clocks, events
 from .._problems import problem_response
 from .._router import Router
 from .._serving import listen
@@ -74,7 +73,7 @@
 
     async def _handle(self, request: BaseRequest) -> StreamResponse:
         """Serve one request."""
-        started_s = time.monotonic()
+        started_s = clocks.now_s()
         is_last = self._router.stop_plan.is_stopping
         responder = CallerResponder(request, is_last=is_last)
         call_id = request.headers.get(_headers.CALL_ID, "")
@@ -83,7 +82,7 @@
             call = await read_call(request, received_s=started_s, limits=self._limits())
             await self._router.serve(call, responder)
         except VioletHatchError as error:
-            age_s = time.monotonic() - started_s
+            age_s = clocks.now_s() - started_s
             self._router.refused(call_id, error, age_s=age_s)
             return self._problem(error)
         except (ConnectionError, aiohttp.ClientConnectionResetError):
--- a/src/violethatch/platform/_process.py
+++ b/src/violethatch/platform/_process.py
@@ -12,7 +12,7 @@
 
 import uvloop
 
-from .. import events
+from .. import clocks, events
 from .._router import Router
 from ..errors import SettingsError
 from ..log_output import LogOutput
@@ -150,13 +150,12 @@
     async def _drain(self, parts: Parts) -> None:
         """Finish what was taken, as long as there is time."""
         router = parts.router
-        loop = asyncio.get_running_loop()
-        router.stop_plan.ask(now_s=loop.time())
+        router.stop_plan.ask(now_s=clocks.now_s())
         events.log(events.DRAINING, in_flight=router.in_flight)
-        started_s = loop.time()
+        started_s = clocks.now_s()
         await asyncio.gather(parts.duty.resign(), parts.following.leave())
-        while router.stop_plan.left_s(now_s=loop.time()) > 0:
-            is_known = loop.time() - started_s >= _STOP_STAY_S
+        while router.stop_plan.left_s(now_s=clocks.now_s()) > 0:
+            is_known = clocks.now_s() - started_s >= _STOP_STAY_S
             if is_known and not router.in_flight:
                 return
             await asyncio.sleep(_STOP_LOOK_S)
--- a/src/violethatch/platform/_requests.py
+++ b/src/violethatch/platform/_requests.py
@@ -8,6 +8,7 @@
 
 from aiohttp.web_request import BaseRequest
 
+from .. import clocks
 from ..desired import CallLimits
 from ..errors import BadRequestError, BodyTooLargeError, RequestLateError
 from ..upstream import Call
@@ -62,7 +63,7 @@
     """
     body = bytearray()
     try:
-        async with asyncio.timeout_at(deadline_s):
+        async with asyncio.timeout(clocks.left_s(deadline_s)):
             async for part in request.content.iter_any():
                 body += part
                 if len(body) > limit:
--- a/src/violethatch/platform/_runners.py
+++ b/src/violethatch/platform/_runners.py
@@ -4,7 +4,6 @@
 from __future__ import annotations
 
 import asyncio
-import time
 
 from collections.abc import AsyncIterator, Collection
 from typing import Any
@@ -15,7 +14,7 @@
 
 from multidict import CIMultiDict
 
-from .. import events
+from .. import clocks, events
 from .._call_errors import CALL_ERRORS
 from .._decoding import decoded
 from .._serving import host_and_port
@@ -267,7 +266,7 @@
 
 def _request_headers(send: Send) -> CIMultiDict[str]:
     """Return the headers of a send."""
-    left_ms = max(1.0, (send.deadline_s - time.monotonic()) * _MS_PER_S)
+    left_ms = max(1.0, (send.deadline_s - clocks.now_s()) * _MS_PER_S)
     headers = CIMultiDict(send.call.headers)
     headers[_headers.DEADLINE_MS] = str(int(left_ms))
     headers[_headers.TARGET] = send.server.id
--- a/src/violethatch/relayed_tables.py
+++ b/src/violethatch/relayed_tables.py
@@ -9,12 +9,11 @@
 from __future__ import annotations
 
 import math
-import time
 
 from collections.abc import Collection, Mapping
 from typing import Protocol
 
-from . import events
+from . import clocks, events
 from .errors import TableUnavailableError
 from .instances import InstanceDirectory, InstanceEntry
 from .table_cache import NEVER
@@ -172,7 +171,7 @@
             if view is not None:
                 return view
             wait_s = 0.0
-        now_s = time.monotonic()
+        now_s = clocks.now_s()
         if self._directory.is_reader(now_s=now_s) and self._is_proven(table):
             wait_s = min(wait_s, self._reader_wait_s)
         if now_s < self._store_rests_until_s:
@@ -191,7 +190,7 @@
         if not self._is_proven(table) and table not in self._confirmed:
             self._confirmed.add(table)
             return False
-        return self._directory.source(now_s=time.monotonic()) is not None
+        return self._directory.source(now_s=clocks.now_s()) is not None
 
     async def _follow(
         self, table: str, *, after: int, wait_s: float
@@ -203,7 +202,7 @@
         """
         is_away = False
         for attempt in range(_MOST_SOURCES):
-            source = self._directory.source(now_s=time.monotonic())
+            source = self._directory.source(now_s=clocks.now_s())
             if source is None:
                 return None
             # Without a wait it was away before, and wants to learn of the return.
@@ -219,14 +218,14 @@
                 )
             except PeerAwayError as error:
                 is_away = True
-                self._directory.note_away(source.id, now_s=time.monotonic())
+                self._directory.note_away(source.id, now_s=clocks.now_s())
                 self._note_source(table, "another", f"{source.id}: {error}")
             except NoNewsError as error:
                 if not self._is_proven(table):
                     return self._unchanged(table, after)
                 if attempt:
                     # It had no time to wait: its next proof may be on its way.
-                    self._directory.note_away(source.id, now_s=time.monotonic())
+                    self._directory.note_away(source.id, now_s=clocks.now_s())
                 else:
                     self._leave(source, table, error)
             except PeerSilentError as error:
@@ -257,7 +256,7 @@
 
     def _leave(self, source: InstanceEntry, table: str, error: PeerSilentError) -> None:
         """Follow another instance, or none, for a while."""
-        self._directory.note_down(source.id, now_s=time.monotonic())
+        self._directory.note_down(source.id, now_s=clocks.now_s())
         self._note_source(table, "another", f"{source.id}: {error}")
 
     async def _read_store(self, table: str, *, after: int, wait_s: float) -> TableView:
@@ -273,7 +272,7 @@
             helped = await self._ask_helpers(table, after=after, wait_s=0.0)
             if helped is None:
                 raise
-            self._store_rests_until_s = time.monotonic() + _STORE_REST_S
+            self._store_rests_until_s = clocks.now_s() + _STORE_REST_S
             self._note_source(table, "peers", error.detail)
             return helped
         self._note_source(table, "store", "reads it")
@@ -283,7 +282,7 @@
         self, table: str, *, after: int, wait_s: float
     ) -> TableView | None:
         """Ask some instances for a newer proof; None if nobody has one."""
-        now_s = time.monotonic()
+        now_s = clocks.now_s()
         for helper in self._directory.helpers(now_s=now_s)[:_MOST_HELPERS]:
             try:
                 return await self._ask(helper, table, after=after, wait_s=wait_s)
@@ -299,7 +298,7 @@
 
     def _note_unhelpful(self, helper: InstanceEntry, error: PeerSilentError) -> None:
         """Ask another instance next time."""
-        now_s = time.monotonic()
+        now_s = clocks.now_s()
         if isinstance(error, PeerAwayError):
             self._directory.note_away(helper.id, now_s=now_s)
         else:
@@ -354,7 +353,7 @@
     @property
     def _is_relay(self) -> bool:
         """Whether this instance passes on what readers of its region know."""
-        is_relay = self._directory.is_relay(now_s=time.monotonic())
+        is_relay = self._directory.is_relay(now_s=clocks.now_s())
         return is_relay and self._directory.is_region_large
 
     def _is_proven(self, table: str) -> bool:
--- a/tests/mortal_fleet.py
+++ b/tests/mortal_fleet.py
@@ -5,7 +5,6 @@
 
 import asyncio
 import random
-import time
 
 from router_fakes import (
     FakeAnswer,
@@ -18,6 +17,7 @@
 )
 from routing_samples import call_route, desired_state, plain_server, runner
 from test_instances import entry
+from violethatch import clocks
 from violethatch._peer_datagrams import PeerDatagrams
 from violethatch._peer_links import PeerLinks
 from violethatch._router import Router
@@ -131,13 +131,13 @@
         server = self.by_id.get(send.server.id)
         is_deadly = send.call.body == DEADLY
         if is_deadly:
-            self.arrived_s.append(time.monotonic())
+            self.arrived_s.append(clocks.now_s())
         if server is None:
             raise NotSentError("refused")
         if is_deadly:
             await asyncio.sleep(DEADLY_S)
             if not server.has_ended.is_set():
-                self.ended_s.append(time.monotonic())
+                self.ended_s.append(clocks.now_s())
             self.end(server)
             raise broken()
         if send.path is None:
@@ -185,8 +185,8 @@
         server = self.by_id.get(path.stages[-1].server.id)
         if server is None:
             return
-        self.arrived_s.append(time.monotonic())
-        self.ended_s.append(time.monotonic() + DEADLY_S)
+        self.arrived_s.append(clocks.now_s())
+        self.ended_s.append(clocks.now_s() + DEADLY_S)
         asyncio.get_running_loop().call_later(DEADLY_S, self.end, server)
 
 
@@ -262,7 +262,7 @@
             rng=self.rng,
         )
         router.desired = desired_state(STREAMS, PLAIN, keys=("key-1", "key-2"))
-        router.freshness.proven(time.monotonic())
+        router.freshness.proven(clocks.now_s())
         directory = InstanceDirectory(own)
         directory.take(self.entries, is_whole=True)
         datagrams = PeerDatagrams(directory)
@@ -278,7 +278,7 @@
 
     async def ask(self, router, *, path="/draft/1", body=b"a menu", **changes):
         """Send a request to a router; return the answer, or the error."""
-        router.freshness.proven(time.monotonic())
+        router.freshness.proven(clocks.now_s())
         responder = FakeResponder()
         call = make_call(path=path, body=body, **changes)
         try:
--- a/tests/router_fakes.py
+++ b/tests/router_fakes.py
@@ -4,10 +4,10 @@
 from __future__ import annotations
 
 import asyncio
-import time
 
 from routing_samples import desired_state
 from test_router_settings import filled
+from violethatch import clocks
 from violethatch._routing import Routing
 from violethatch.router_settings import parse_router_settings
 from violethatch.upstream import (
@@ -177,13 +177,13 @@
 def make_routing(client, *servers, rng, **policy):
     """Return the views that calls share, with servers listed."""
     routing = Routing(settings(**policy), client, rng)
-    routing.backends.change(servers, [], now_s=time.monotonic())
+    routing.backends.change(servers, [], now_s=clocks.now_s())
     return routing
 
 
 def make_call(*, path="/draft/1", wait_s=5.0, **changes):
     """Return a caller's request."""
-    now_s = time.monotonic()
+    now_s = clocks.now_s()
     call = Call(
         id="c1",
         method="POST",
--- a/tests/test_edges.py
+++ b/tests/test_edges.py
@@ -8,12 +8,12 @@
 import signal
 import ssl
 import subprocess
-import time
 
 import aiohttp
 import pytest
 
 from proving import label, long_prompt, wait_running
+from violethatch import clocks
 from violethatch_emulator.callers import (
     call_service,
     stream,
@@ -143,9 +143,9 @@
             ),
         )
         body = json.dumps({"model": cluster.model, "prompt": "a", "max_tokens": 3})
-        started_s = time.monotonic()
+        started_s = clocks.now_s()
         status, headers, problem = await post(cluster, "/v1/completions", data=body)
-        assert time.monotonic() - started_s < 5
+        assert clocks.now_s() - started_s < 5
         assert (status, problem["code"], problem["ran"]) == (503, 1201, "no")
         assert "Retry-After" in headers
 
--- a/tests/test_followers.py
+++ b/tests/test_followers.py
@@ -5,11 +5,10 @@
 
 import asyncio
 import random
-import time
 
 import pytest
 
-from violethatch import _followers
+from violethatch import _followers, clocks
 from violethatch._followers import TableFollower
 from violethatch.errors import TableUnavailableError
 from violethatch.freshness import Freshness, StoreClock
@@ -135,19 +134,19 @@
     async def test_empty_answer_is_a_proof(self):
         """An answer without changes proves that the view is current."""
         _, _, freshness = await follow(ScriptedSource(view(5), view(5)))
-        assert freshness.is_fresh(now_s=time.monotonic())
+        assert freshness.is_fresh(now_s=clocks.now_s())
 
     async def test_answers_without_a_wait_are_not_asked_for_at_once(self, monkeypatch):
         """A store that doesn't wait with its answers is still read at a pace."""
         monkeypatch.setattr(_followers, "_IDLE_PAUSES", 50.0)
         source = ScriptedSource(view(5), *[view(5) for _ in range(4)])
-        started_s = time.monotonic()
+        started_s = clocks.now_s()
         await follow(source)
         # The pauses after the first three; the last answer ends the script.
-        assert time.monotonic() - started_s >= 3 * 0.05
+        assert clocks.now_s() - started_s >= 3 * 0.05
 
     @pytest.mark.parametrize("steps", [(), (TableUnavailableError("away"),)])
     async def test_no_answer_is_no_proof(self, steps):
         """Without an answer nothing is proven."""
         _, _, freshness = await follow(ScriptedSource(*steps))
-        assert freshness.age_s(now_s=time.monotonic()) == float("inf")
+        assert freshness.age_s(now_s=clocks.now_s()) == float("inf")
--- a/tests/test_foreign_entries.py
+++ b/tests/test_foreign_entries.py
@@ -6,7 +6,6 @@
 import base64
 import json
 import random
-import time
 
 import msgspec
 import pytest
@@ -17,6 +16,7 @@
 from router_fakes import FakeClient, admitted
 from router_fakes import settings as router_settings
 from test_instances import entry as instance_entry
+from violethatch import clocks
 from violethatch._peer_datagrams import PeerDatagrams
 from violethatch._peer_links import PeerLinks
 from violethatch._router import Router
@@ -192,7 +192,7 @@
         made = router()
         made.take_desired(TableView({"config": value}, 2, 0.0), False)
         assert made.desired is None
-        assert not made.freshness.is_fresh(now_s=time.monotonic())
+        assert not made.freshness.is_fresh(now_s=clocks.now_s())
 
 
 def joined():
@@ -242,7 +242,7 @@
             ["l", "t", "i2", "up", 2, number, 10, b""],
         ):
             datagrams.datagram_received(msgspec.msgpack.encode(fields), None)
-        assert not made.routing.paces.slow(now_s=time.monotonic())
+        assert not made.routing.paces.slow(now_s=clocks.now_s())
         assert made.routing.loads.others.pipe_ms_per_s == 0.0
         assert made.routing.give_retries("model", 0.0) == 0.0
 
--- a/tests/test_held_rows.py
+++ b/tests/test_held_rows.py
@@ -4,13 +4,12 @@
 from __future__ import annotations
 
 import asyncio
-import time
 
 import pytest
 
 from test_crash_suspects import WORK, end, noted
 from test_registration import FakeStore
-from violethatch import _held_rows
+from violethatch import _held_rows, clocks
 from violethatch._held_rows import HELD_PREFIX, HeldRows
 from violethatch.crash_suspects import HELD_LIFE_S, CrashSuspects
 from violethatch.freshness import StoreClock
@@ -22,7 +21,7 @@
 def held_rows(suspects, *, store=None, store_s=1000.0):
     """Return rows whose clock shows *store_s*."""
     clock = StoreClock()
-    clock.observe(store_s, sent_s=time.monotonic())
+    clock.observe(store_s, sent_s=clocks.now_s())
     return HeldRows(store or FakeStore(), "t", suspects, clock=clock)
 
 
@@ -38,7 +37,7 @@
 
 def held():
     """Return what holds the sample work back."""
-    return noted(end("a"), end("b"), end("c"), now_s=time.monotonic())
+    return noted(end("a"), end("b"), end("c"), now_s=clocks.now_s())
 
 
 class TestWritten:
@@ -49,7 +48,7 @@
         rows.keep(WORK)
         ((_, put, _),) = await written(rows, store)
         other = CrashSuspects()
-        now_s = time.monotonic()
+        now_s = clocks.now_s()
         held_rows(other, store_s=1010.0).take(put, now_s=now_s)
         assert other.hold(WORK, now_s=now_s).left_s == pytest.approx(20.0, abs=1.0)
         assert len(other.ends(WORK)) == 3
@@ -63,7 +62,7 @@
         rows.keep(WORK)
         assert await written(rows, store) == [("t", {}, [KEY])]
         other = held()
-        held_rows(other).take({KEY: None}, now_s=time.monotonic())
+        held_rows(other).take({KEY: None}, now_s=clocks.now_s())
         assert not other
 
     async def test_store_that_is_away_gets_it_later(self, monkeypatch):
--- a/tests/test_path_choice.py
+++ b/tests/test_path_choice.py
@@ -5,12 +5,12 @@
 
 import collections
 import random
-import time
 
 import pytest
 
 from router_fakes import FakeClient, admitted, make_routing
 from routing_samples import engine, runner
+from violethatch import clocks
 from violethatch.load_sums import LoadTotals, ServerTotals, server_number
 from violethatch.path_shares import Place
 from violethatch.runner_health import Trouble
@@ -66,7 +66,7 @@
         news = {server_number(f"n{n}-{s}"): taken for n in (0, 1) for s in range(4)}
         for one in made:
             one.loads.take_others(
-                LoadTotals(38, 0.0, news, age_s=1.2), now_s=time.monotonic()
+                LoadTotals(38, 0.0, news, age_s=1.2), now_s=clocks.now_s()
             )
         counts = collections.Counter(one.path(SERVICE).first.id for one in made)
         assert counts["n2-0"] >= max(counts["n0-0"], counts["n1-0"])
@@ -81,7 +81,7 @@
     def test_full_zone_sends_elsewhere(self):
         """Callers are not kept waiting while other zones have room."""
         (one,) = routings(1, *NEAR, *FAR)
-        now_s = time.monotonic()
+        now_s = clocks.now_s()
         for chain in range(3):
             one.loads.told(f"n{chain}-0", ServerLoad(96, 20, 96), now_s=now_s)
         assert one.path(SERVICE).first.availability_zone == "cartago"
@@ -123,7 +123,7 @@
     def test_rests_on_the_best_path_tell_how_long(self):
         """Callers are told of the rests that block them, not of all."""
         (one,) = routings(1, *NEAR[:8])
-        now_s = time.monotonic()
+        now_s = clocks.now_s()
         for server in NEAR[:4]:
             one.health.note(server.id, Trouble.SILENT, now_s=now_s)
         one.health.note("n1-2", Trouble.FULL, now_s=now_s)
@@ -171,7 +171,7 @@
         (one,) = routings(1, *NEAR, *FAR)
         usual = one.path(SERVICE)
         for _ in range(20):
-            one.loads.started(usual, 900.0, crossing_ms=0.0, now_s=time.monotonic())
+            one.loads.started(usual, 900.0, crossing_ms=0.0, now_s=clocks.now_s())
         for number in range(30):
             apart = one.path_apart(SERVICE, avoided=frozenset(), work=f"w{number}")
             assert apart.first.id != usual.first.id
--- a/tests/test_placing.py
+++ b/tests/test_placing.py
@@ -5,7 +5,6 @@
 
 import asyncio
 import random
-import time
 
 import pytest
 
@@ -17,6 +16,7 @@
     _placement_lease,
     _placement_plans,
     _placing,
+    clocks,
 )
 from violethatch._placement_lease import LeaseWrite
 from violethatch._placing import PlacementDuty
@@ -121,11 +121,11 @@
 
     async def test_start_before_is_not_waited_for(self):
         """A runner that has started again knows nothing of its order."""
-        duty, client, routing = make_duty(FakeStore(), *FLEET)
+        duty, _, routing = make_duty(FakeStore(), *FLEET)
         await duty._look()
         assert "a" in duty._ordered
         again = FLEET[0]._replace(born_ms=200)
-        routing.backends.change([again], [], now_s=time.monotonic())
+        routing.backends.change([again], [], now_s=clocks.now_s())
         await duty._look()
         assert set(duty._ordered) == {"b", "c"}
 
@@ -215,7 +215,7 @@
         done = [
             runner(name, *layers, kind="large") for name, layers, _, _ in client.placed
         ]
-        routing.backends.change(done, [], now_s=time.monotonic())
+        routing.backends.change(done, [], now_s=clocks.now_s())
         await duty._look()
         await duty._look()
         assert not duty.is_holder
@@ -241,9 +241,9 @@
         store = FakeStore()
         policy = {"lease_duration_s": "0.1", "lease_margin_s": "0.05"}
         duty, client, _ = make_duty(store, *FLEET, **policy)
-        assert await duty._lease.hold(time.monotonic())
+        assert await duty._lease.hold(clocks.now_s())
         await asyncio.sleep(0.1)
-        plans = duty._due_orders(time.monotonic())
+        plans = duty._due_orders(clocks.now_s())
         await duty._give(plans)
         assert client.placed == []
 
--- a/tests/test_plain_calls.py
+++ b/tests/test_plain_calls.py
@@ -5,7 +5,6 @@
 
 import asyncio
 import random
-import time
 
 import pytest
 
@@ -20,6 +19,7 @@
     refused,
 )
 from routing_samples import call_route, plain_server
+from violethatch import clocks
 from violethatch._plain_calls import PlainCall
 from violethatch.desired import CallKind, Split
 from violethatch.errors import (
@@ -95,17 +95,17 @@
         call, routing = unanswered_call(target_s=0.05, wait_s=0.3)
         serving = asyncio.create_task(call.serve(FakeResponder()))
         await asyncio.sleep(0.2)
-        assert len(routing.health.resting(now_s=time.monotonic())) == 1
+        assert len(routing.health.resting(now_s=clocks.now_s())) == 1
         with pytest.raises(DeadlineError):
             await serving
-        assert len(routing.health.resting(now_s=time.monotonic())) == 1
+        assert len(routing.health.resting(now_s=clocks.now_s())) == 1
 
     async def test_caller_s_short_time_says_nothing(self):
         """A server that had less time than its target is not left alone."""
         call, routing = unanswered_call(target_s=0.5, wait_s=0.05)
         with pytest.raises(DeadlineError):
             await call.serve(FakeResponder())
-        assert not routing.health.resting(now_s=time.monotonic())
+        assert not routing.health.resting(now_s=clocks.now_s())
 
     async def test_refusals_cost_no_attempt(self):
         """Servers that have not run the call don't use up its attempts."""
--- a/tests/test_promises.py
+++ b/tests/test_promises.py
@@ -10,7 +10,6 @@
 
 import asyncio
 import signal
-import time
 
 import pytest
 
@@ -25,6 +24,7 @@
     wait_under_way,
     wait_working,
 )
+from violethatch import clocks
 from violethatch_emulator import RunnerPlan
 from violethatch_emulator.callers import call_service, workspace_spec
 
@@ -227,14 +227,14 @@
     # Slow enough that both read the head before either writes.
     await cluster.control("platform", delay_s=0.3)
     answers = await asyncio.gather(confirm("e1", "north"), confirm("e3", "south"))
-    started_s = time.monotonic()
+    started_s = clocks.now_s()
     await cluster.control("platform", delay_s=0.0)
     found = []
     if sorted(status for status, _ in answers) != [200, 409]:
         found.append(f"answers {answers}")
     for entry in entries:
         await cluster.wait_state(entry, lambda state: state["revision"] == 2)
-    if time.monotonic() - started_s > 10:
+    if clocks.now_s() - started_s > 10:
         found.append("not in force within seconds")
     digests = {(await cluster.state(entry))["config_digest"] for entry in entries}
     return found if len(digests) == 1 else [*found, "instances differ"]
--- a/tests/test_refused_connections.py
+++ b/tests/test_refused_connections.py
@@ -5,12 +5,12 @@
 
 import asyncio
 import socket
-import time
 
 import pytest
 
 from routing_samples import runner
 from test_platform_process import free_ports
+from violethatch import clocks
 from violethatch.platform import _runners
 from violethatch.platform._runners import Runners
 
@@ -30,9 +30,9 @@
     async def test_process_that_has_ended_refuses(self, runners):
         """Nobody listens where it was, and that is told at once."""
         (port,) = free_ports(1)
-        started_s = time.monotonic()
+        started_s = clocks.now_s()
         assert await runners.is_refusing(at(f"127.0.0.1:{port}"))
-        assert time.monotonic() - started_s < _runners._CONNECT_S
+        assert clocks.now_s() - started_s < _runners._CONNECT_S
 
     async def test_process_that_listens_does_not(self, runners):
         """However busy it is: nothing has to be answered."""
@@ -47,9 +47,9 @@
             await asyncio.sleep(60.0)
 
         monkeypatch.setattr(asyncio, "open_connection", silent)
-        started_s = time.monotonic()
+        started_s = clocks.now_s()
         assert not await runners.is_refusing(at("127.0.0.1:1"))
-        assert time.monotonic() - started_s < 1.0
+        assert clocks.now_s() - started_s < 1.0
 
     @pytest.mark.parametrize("address", ["", "nowhere", "127.0.0.1:x", "127.0.0.1:"])
     async def test_address_that_is_none_is_no_refusal(self, runners, address):
--- a/tests/test_region_reads.py
+++ b/tests/test_region_reads.py
@@ -6,11 +6,11 @@
 import asyncio
 import contextlib
 import random
-import time
 
 import pytest
 
 from test_instances import directories, entry
+from violethatch import clocks
 from violethatch._followers import TableFollower
 from violethatch.errors import TableUnavailableError
 from violethatch.freshness import Freshness, StoreClock
@@ -70,7 +70,7 @@
         return self._view(after)
 
     async def _called(self):
-        self.store.calls.append((time.monotonic(), self.id))
+        self.store.calls.append((clocks.now_s(), self.id))
         await self._answered()
 
     async def _answered(self):
@@ -83,7 +83,7 @@
     def _view(self, after):
         version = self.store.version
         values = {"config": b"%d" % version} if version > after else {}
-        return TableView(values, version, time.monotonic())
+        return TableView(values, version, clocks.now_s())
 
 
 class Peers:
@@ -122,7 +122,7 @@
         self.readers = {
             name
             for name, one in self.directories.items()
-            if one.is_reader(now_s=time.monotonic())
+            if one.is_reader(now_s=clocks.now_s())
         }
         self._tasks = [asyncio.create_task(self._follow(n)) for n in self.directories]
 
@@ -214,7 +214,7 @@
         name = min(region.readers)
         region.store.cut.add(name)
         await asyncio.sleep(1.5)
-        assert region.freshness[name].age_s(now_s=time.monotonic()) >= 1.4
+        assert region.freshness[name].age_s(now_s=clocks.now_s()) >= 1.4
 
 
 class TestRefused:
--- a/tests/test_registration.py
+++ b/tests/test_registration.py
@@ -4,11 +4,11 @@
 from __future__ import annotations
 
 import random
-import time
 
 import msgspec
 
 from test_instances import directories, entry
+from violethatch import clocks
 from violethatch._held_rows import HELD_PREFIX, HeldRows
 from violethatch._registration import INSTANCES_TABLE, Registration
 from violethatch.crash_suspects import CrashSuspects
@@ -35,7 +35,7 @@
     """Return a registration whose clock shows *store_s*, if it is known."""
     clock = StoreClock()
     if store_s is not None:
-        clock.observe(store_s, sent_s=time.monotonic())
+        clock.observe(store_s, sent_s=clocks.now_s())
     held = HeldRows(store, INSTANCES_TABLE, CrashSuspects(), clock=clock)
     return Registration(store, directory, clock=clock, held=held, rng=random.Random(1))
 
--- a/tests/test_repeats_that_end_servers.py
+++ b/tests/test_repeats_that_end_servers.py
@@ -20,7 +20,6 @@
 
 import asyncio
 import collections
-import time
 
 import pytest
 
@@ -35,6 +34,7 @@
 )
 from router_fakes import broken, events
 from routing_samples import desired_state
+from violethatch import clocks
 from violethatch.errors import HeldBackError
 
 
@@ -213,5 +213,5 @@
     cut.is_cut = False
     await fleet.ask(fleet.routers[0], body=DEADLY, id="c1")
     await asyncio.sleep(TOLD_S)
-    now_s = time.monotonic()
+    now_s = clocks.now_s()
     assert all(router.routing.suspects.held(now_s=now_s) for router in fleet.routers)
--- a/tests/test_rest_watch.py
+++ b/tests/test_rest_watch.py
@@ -5,13 +5,12 @@
 
 import asyncio
 import random
-import time
 
 import pytest
 
 from router_fakes import FakeClient, make_routing, report
 from routing_samples import plain_server, runner
-from violethatch import _rest_watch, runner_paces
+from violethatch import _rest_watch, clocks, runner_paces
 from violethatch._rest_watch import RestWatch
 from violethatch.runner_health import Trouble
 
@@ -27,7 +26,7 @@
 
 def resting(routing, *, in_s=0.0):
     """Return who rests, now or later."""
-    return routing.health.resting(now_s=time.monotonic() + in_s)
+    return routing.health.resting(now_s=clocks.now_s() + in_s)
 
 
 class TestRestWatch:
@@ -45,7 +44,7 @@
         """No request has to find out that it is still dead."""
         routing = make_routing(FakeClient(), A, rng=random.Random(1))
         routing.note_trouble(A, Trouble.SILENT, "r", "dead")
-        routing.health.prolong("a", now_s=time.monotonic() - 2.0)
+        routing.health.prolong("a", now_s=clocks.now_s() - 2.0)
         ends_s = routing.settings.bounds.stall_s - 0.01
         watch = RestWatch(routing, rng=random.Random(1))
         await asyncio.sleep(0.05)
@@ -106,9 +105,9 @@
         client = FakeClient()
         client.reports["a"] = report(slowness=1.0)
         routing = make_routing(client, A, rng=random.Random(1))
-        routing.paces.note("a", 12.0, now_s=time.monotonic())
+        routing.paces.note("a", 12.0, now_s=clocks.now_s())
         await RestWatch(routing, rng=random.Random(1)).look()
-        assert routing.paces.slow(now_s=time.monotonic()) == {}
+        assert routing.paces.slow(now_s=clocks.now_s()) == {}
 
     async def test_looks_go_on(self):
         """The watch runs until it is cancelled."""
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -4,12 +4,12 @@
 from __future__ import annotations
 
 import random
-import time
 
 import pytest
 
 from router_fakes import FakeClient, settings
 from routing_samples import desired_state
+from violethatch import clocks
 from violethatch._router import Router
 
 
@@ -17,7 +17,7 @@
     """Return a router with a desired state whose proof is so old."""
     made = Router(settings(), client=FakeClient(), decoder=None, rng=random.Random(1))
     made.desired = desired_state()
-    made.freshness.proven(time.monotonic() - proof_age_s)
+    made.freshness.proven(clocks.now_s() - proof_age_s)
     return made
 
 
@@ -31,7 +31,7 @@
         """The balancer takes some seconds; calls are taken up to 4.25 s."""
         made = router(proof_age_s=proof_age_s)
         assert made.is_ready is is_ready
-        assert made.freshness.is_fresh(now_s=time.monotonic())
+        assert made.freshness.is_fresh(now_s=clocks.now_s())
 
     def test_known_loads_are_shown(self):
         """Operators see how many instances' loads are known, and how old that is."""
--- a/tests/test_sightings.py
+++ b/tests/test_sightings.py
@@ -10,7 +10,7 @@
 
 from test_instances import entry
 from test_platform_process import free_ports
-from violethatch import _sighting_link
+from violethatch import _sighting_link, clocks
 from violethatch._peer_datagrams import PeerDatagrams
 from violethatch._sighting_link import SightingLink
 from violethatch.instances import InstanceDirectory
@@ -95,9 +95,9 @@
         links, (own, other) = await self.pair()
         links[0].tell(Sighting("a", Trouble.NAMED, 5.0))
         async with asyncio.timeout(5):
-            while not other.resting(now_s=asyncio.get_running_loop().time()):
+            while not other.resting(now_s=clocks.now_s()):
                 await asyncio.sleep(0.01)
-        assert not own.resting(now_s=asyncio.get_running_loop().time())
+        assert not own.resting(now_s=clocks.now_s())
 
     async def test_entry_that_can_t_be_reached_stops_nobody(self):
         """The others are told, whatever one entry holds as its address."""
@@ -110,7 +110,7 @@
         )
         links[0].tell(Sighting("a", Trouble.NAMED, 5.0))
         async with asyncio.timeout(5):
-            while not other.resting(now_s=asyncio.get_running_loop().time()):
+            while not other.resting(now_s=clocks.now_s()):
                 await asyncio.sleep(0.01)
 
     async def test_bounded_rate(self, monkeypatch):
@@ -133,6 +133,6 @@
         links[0].tell(Sighting("a", Trouble.NAMED, 5.0, born_ms=100))
         links[0].tell(Sighting("b", Trouble.NAMED, 5.0, born_ms=100))
         async with asyncio.timeout(5):
-            while not other.resting(now_s=asyncio.get_running_loop().time()):
+            while not other.resting(now_s=clocks.now_s()):
                 await asyncio.sleep(0.01)
-        assert other.resting(now_s=asyncio.get_running_loop().time()) == {"b"}
+        assert other.resting(now_s=clocks.now_s()) == {"b"}
--- a/tests/test_silent_connections.py
+++ b/tests/test_silent_connections.py
@@ -5,11 +5,11 @@
 
 import asyncio
 import socket
-import time
 
 import pytest
 
 from test_platform_process import Site, event_ids
+from violethatch import clocks
 from violethatch.platform._sessions import _make_socket
 from violethatch_emulator.faults import FaultProxy
 
@@ -52,10 +52,10 @@
         """A read of the store that is never answered is given up on."""
         site.silence()
         site.configure(version=2, keys=("k2",))
-        started_s = time.monotonic()
+        started_s = clocks.now_s()
         await site.wait_status(200, Authorization="Token k2")
         # A read waits for 0.3 s and its answer for 0.8 more; then a short pause.
-        assert time.monotonic() - started_s < 3.0
+        assert clocks.now_s() - started_s < 3.0
 
     async def test_stream_under_way_goes_on(self, site):
         """A stream whose connection falls silent is taken up over another."""
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -5,7 +5,6 @@
 
 import asyncio
 import random
-import time
 
 import pytest
 
@@ -23,6 +22,7 @@
 )
 from routing_samples import call_route, runner
 from routing_samples import engine as routing_engine
+from violethatch import clocks
 from violethatch._streams import StreamCall
 from violethatch.errors import (
     NoRouteError,
@@ -194,7 +194,7 @@
         """Its caller could not be told that it has not run, and to come back."""
         client = FakeClient(LOST, FakeAnswer(events(1)))
         routing = make_routing(client, A, B, rng=random.Random(1))
-        routing.health.note("b", Trouble.SILENT, now_s=time.monotonic() - 2.7)
+        routing.health.note("b", Trouble.SILENT, now_s=clocks.now_s() - 2.7)
         responder = FakeResponder()
         await StreamCall(routing, make_call(), admitted()).serve(responder)
         assert (responder.end, responder.body) == ("whole", events(1))
@@ -264,7 +264,7 @@
         got, routing = await serve(client, HEAD, TAIL, SPARE)
         assert (got.end, len(client.sends)) == ("whole", 1)
         assert [s.server.id for s in client.repaths[0][2].stages] == ["head", "spare"]
-        assert "tail" in routing.health.shunned(now_s=time.monotonic())
+        assert "tail" in routing.health.shunned(now_s=clocks.now_s())
 
     async def test_runner_that_is_slow_to_report_is_gone_around(self):
         """The stream doesn't wait for the end of a probe."""
@@ -278,10 +278,10 @@
 
         client = DarkClient(FakeAnswer(events(1), moved, events(2)))
         client.on_repath = moved.set
-        started_s = time.monotonic()
+        started_s = clocks.now_s()
         got, _ = await serve(client, HEAD, TAIL, SPARE, silence_limit_s="0.9")
         assert (got.end, len(client.repaths)) == ("whole", 1)
-        assert time.monotonic() - started_s < 0.5
+        assert clocks.now_s() - started_s < 0.5
 
     async def test_slow_runner_is_gone_around(self):
         """One that says it is slow is left for another that holds its layers."""
@@ -293,7 +293,7 @@
         got, routing = await serve(client, HEAD, TAIL, SPARE)
         assert (got.end, len(client.sends)) == ("whole", 1)
         assert [s.server.id for s in client.repaths[0][2].stages] == ["head", "spare"]
-        assert not routing.health.resting(now_s=time.monotonic())
+        assert not routing.health.resting(now_s=clocks.now_s())
 
     async def test_slow_runner_without_another_is_waited_for(self):
         """Nothing is given up for it."""
@@ -319,7 +319,7 @@
         async with asyncio.timeout(5):
             while not client.sends:
                 await asyncio.sleep(0.001)
-            routing.backends.change([far[2], SPARE], [], now_s=time.monotonic())
+            routing.backends.change([far[2], SPARE], [], now_s=clocks.now_s())
             await task
         assert [s.server.id for s in client.repaths[0][2].stages] == ["head", "spare"]
 
@@ -425,7 +425,7 @@
         """Runners that fail a part of their streams come back soon; dead ones don't."""
         client = FakeClient(FakeAnswer(b"no", status=500), FakeAnswer(events(1)))
         _, routing = await serve(client, A, B)
-        now_s = time.monotonic()
+        now_s = clocks.now_s()
         assert not routing.health.is_resting("a", now_s=now_s + 0.6)
         rests = []
         for _ in range(6):
@@ -459,7 +459,7 @@
         assert got.end == "whole"
         first, second = (path.stages[1].server.id for _, _, path in client.repaths)
         assert first != second
-        assert routing.health.is_resting(first, now_s=time.monotonic())
+        assert routing.health.is_resting(first, now_s=clocks.now_s())
 
 
 class TestCallerLeaves:
@@ -486,7 +486,7 @@
         """A refusal of a moment ago is no reason to refuse all that come."""
         client = FakeClient(FakeAnswer(events(1)))
         routing = make_routing(client, A, rng=random.Random(1))
-        routing.health.note(A.id, Trouble.ABSENT, now_s=time.monotonic())
+        routing.health.note(A.id, Trouble.ABSENT, now_s=clocks.now_s())
         got = FakeResponder()
         await StreamCall(routing, make_call(), admitted()).serve(got)
         assert got.end == "whole"
@@ -509,7 +509,7 @@
         got, routing = await serve(client, HEAD, TAIL, SPARE)
         assert got.end == "whole"
         assert [path.stages[1].server.id for _, _, path in client.repaths] == ["spare"]
-        assert routing.health.shunned(now_s=time.monotonic()) == {"tail"}
+        assert routing.health.shunned(now_s=clocks.now_s()) == {"tail"}
 
     async def test_runners_that_answer_are_not_left(self):
         """A slow request on a path that is well goes on."""
@@ -519,7 +519,7 @@
         got, routing = await serve(client, HEAD, TAIL)
         assert got.end == "whole"
         assert client.repaths == []
-        assert not routing.health.resting(now_s=time.monotonic())
+        assert not routing.health.resting(now_s=clocks.now_s())
 
 
 class TestLostAnswer:
@@ -530,11 +530,11 @@
         client = FakeClient(asyncio.Event(), FakeAnswer(events(1)))
         for name in ("a", "b"):
             client.reports[name] = report()
-        started_s = time.monotonic()
+        started_s = clocks.now_s()
         got, _ = await serve(client, A, B, silence_limit_s=5.0)
         assert (got.end, got.body) == ("whole", events(1))
         assert [send.server.id for send in client.sends] == ["a", "b"]
-        assert time.monotonic() - started_s < 0.5
+        assert clocks.now_s() - started_s < 0.5
 
     @pytest.mark.parametrize(
         "told",
@@ -592,13 +592,13 @@
         serving = asyncio.create_task(stream.serve(responder))
         await asyncio.sleep(0.02)
         again = TAIL._replace(born_ms=7, layers=None)
-        started_s = time.monotonic()
+        started_s = clocks.now_s()
         routing.take_restarted([TAIL])
         routing.backends.change([again], [], now_s=started_s)
         async with asyncio.timeout(2):
             await serving
         assert (responder.end, responder.body) == ("whole", events(1, 2))
-        assert time.monotonic() - started_s < 0.2
+        assert clocks.now_s() - started_s < 0.2
         assert [s.server.id for s in client.repaths[0][2].stages] == ["head", "spare"]
 
     async def test_stream_elsewhere_goes_on(self):
@@ -618,7 +618,7 @@
     async def test_what_was_learnt_of_the_start_before_is_forgotten(self):
         """Its troubles and its pace were not the new one's."""
         routing = make_routing(FakeClient(), A, B, rng=random.Random(1))
-        now_s = time.monotonic()
+        now_s = clocks.now_s()
         routing.health.note("a", Trouble.SILENT, now_s=now_s)
         routing.paces.note("a", 9.0, now_s=now_s)
         routing.take_restarted([A])
--- a/tests/test_suspect_link.py
+++ b/tests/test_suspect_link.py
@@ -5,14 +5,13 @@
 
 import asyncio
 import random
-import time
 
 import pytest
 
 from mortal_fleet import Network
 from test_crash_suspects import WORK, work
 from test_instances import entry
-from violethatch import _suspect_link
+from violethatch import _suspect_link, clocks
 from violethatch._peer_datagrams import EndsDatagram, PeerDatagrams
 from violethatch._suspect_link import SuspectLink
 from violethatch.crash_suspects import CrashSuspects, End
@@ -48,12 +47,12 @@
     def see(self, instance, lifetime, *, of=WORK):
         """Let an instance see an end."""
         end = End(of, lifetime, False, f"i{instance}")
-        self.suspects[instance].note(end, now_s=time.monotonic())
+        self.suspects[instance].note(end, now_s=clocks.now_s())
         self.links[instance].tell(end)
 
     def who_holds(self):
         """Return how many instances hold the work back."""
-        now_s = time.monotonic()
+        now_s = clocks.now_s()
         return sum(one.hold(WORK, now_s=now_s) is not None for one in self.suspects)
 
 
--- a/tests/test_work_in_hand.py
+++ b/tests/test_work_in_hand.py
@@ -4,11 +4,10 @@
 from __future__ import annotations
 
 import random
-import time
 
 from router_fakes import FakeClient, make_call, make_routing
 from routing_samples import runner
-from violethatch import _work_in_hand
+from violethatch import _work_in_hand, clocks
 from violethatch._work_in_hand import WorkInHand
 from violethatch.crash_suspects import End
 
@@ -25,7 +24,7 @@
     """Let servers end under the sample work."""
     work = work_in_hand(routing).id
     for one in lifetimes:
-        routing.suspects.note(End(work, one, has_begun, "i"), now_s=time.monotonic())
+        routing.suspects.note(End(work, one, has_begun, "i"), now_s=clocks.now_s())
 
 
 class TestDigest:
@@ -42,7 +41,7 @@
         assert not work.is_suspect
         work.answered()
         assert made == []
-        routing.suspects.note(End("0" * 32, "s", False, "i"), now_s=time.monotonic())
+        routing.suspects.note(End("0" * 32, "s", False, "i"), now_s=clocks.now_s())
         for _ in range(3):
             assert not work.is_held
             assert work.held_back() is None
@@ -89,7 +88,7 @@
         client.refusing = {one.id for one in runners}
         routing = make_routing(client, *runners, rng=random.Random(1))
         work = work_in_hand(routing)
-        now_s = time.monotonic()
+        now_s = clocks.now_s()
         assert await work.lost_on_path(runners, since_s=now_s, has_begun=False)
         assert [end.lifetime for end in routing.suspects.ends(work.id)] == ["r0"]
 
@@ -100,7 +99,7 @@
         routing = make_routing(client, A, rng=random.Random(1))
         assert await routing.ends.has_ended(A)
         work = work_in_hand(routing)
-        since_s = time.monotonic()
+        since_s = clocks.now_s()
         assert await work.lost_on_path([A], since_s=since_s, has_begun=False)
         assert not routing.suspects
 
