Read a list of servers in the time it took before, and store only what was held

Cause: the strict checks doubled the time to read 790 entries, since each address was checked anew; a work in bad company twice that was then answered cost a call of the store, though it had never been held; a server that took a connection counted as there for 0.1 s, in which a request could end it unseen.

--- a/src/violethatch/_routing.py
+++ b/src/violethatch/_routing.py
@@ -250,11 +250,13 @@
     def note_answered(self, work: str) -> None:
         """Note that a work was answered whole: it is suspected no more."""
         ends = self.suspects.ends(work)
+        was_held = self.suspects.was_held(work)
         if not self.suspects.clear(work):
             return
-        events.log(events.WORK_CLEARED, work=work, ends=len(ends))
+        events.log(events.WORK_CLEARED, work=work, ends=len(ends), was_held=was_held)
         if len(ends) > 1:
             self.tell_cleared(work)
+        if was_held:
             self.keep_hold(work)
 
     def born_ms(self, server_id: str) -> int:
--- a/src/violethatch/_server_ends.py
+++ b/src/violethatch/_server_ends.py
@@ -18,8 +18,9 @@
 
 
 #: How long a server that took a connection counts as there, in seconds: requests that
-#: are broken off together share one look.
-_THERE_S = 0.1
+#: are broken off together share one look, and one that ends the server soon after an
+#: answer that only failed is not passed over.
+_THERE_S = 0.02
 #: For how long a server that has ended is remembered, in seconds: longer than any
 #: request of before its end is under way.
 _ENDED_LIFE_S = 60.0
--- a/src/violethatch/crash_suspects.py
+++ b/src/violethatch/crash_suspects.py
@@ -157,6 +157,11 @@
         left_s = suspect.until_s - now_s
         return Hold(work, left_s, suspect.holds, tuple(suspect.ends.values()))
 
+    def was_held(self, work: str) -> bool:
+        """Tell whether a work was held back at some time, and is remembered."""
+        suspect = self._suspects.get(work)
+        return suspect is not None and suspect.holds > 0
+
     def take(self, hold: Hold, *, now_s: float) -> bool:
         """Take in how a work was held back elsewhere; tell whether it is news."""
         suspect = self._suspects.get(hold.work)
--- a/src/violethatch/platform/_wire.py
+++ b/src/violethatch/platform/_wire.py
@@ -4,6 +4,7 @@
 from __future__ import annotations
 
 import base64
+import functools
 import re
 
 from typing import Annotated, Literal
@@ -22,6 +23,8 @@
 _ADDRESS = re.compile(r"(\d{1,3})\.(\d{1,3})\.(\d{1,3})\.(\d{1,3}):(\d{1,5})")
 _LAST_BYTE = 255
 _LAST_PORT = 65_535
+#: Addresses whose check is remembered, which halves the time to read a list of 790.
+_MOST_ADDRESSES = 4_096
 #: More layers, slots or versions than any runner has: another writer's number.
 _MOST = 2**31
 Name = Annotated[str, msgspec.Meta(min_length=1)]
@@ -124,50 +127,44 @@
             ValueError: It can't be understood.
         """
         server = decoded(self._server, value)
-        _check_address(server.address)
-        _check_range(server.layers)
+        if not _is_address(server.address):
+            msg = f"no address: {server.address[:40]!r}"
+            raise ValueError(msg)
+        layers = server.layers
+        # By position: that takes a tenth less of the time to read a list.
         return BackendServer(
-            id=server_id,
-            service=server.service,
-            address=server.address,
-            availability_zone=server.zone,
-            slots=server.slots,
-            is_leaving=server.state == _LEAVING,
-            layers=held_range(server.layers),
-            kind=server.kind,
-            weights_version=server.layers.version if server.layers else 0,
-            born_ms=server.born,
+            server_id,
+            server.service,
+            server.address,
+            server.zone,
+            server.slots,
+            server.state == _LEAVING,
+            held_range(layers) if layers is not None else None,
+            server.kind,
+            layers.version if layers is not None else 0,
+            server.born,
         )
 
 
 def held_range(layers: LayersHeld | None) -> LayerRange | None:
-    """Return the layers held, or None if there are none."""
-    if layers is None or layers.end <= layers.first:
-        return None
-    return LayerRange(layers.first, layers.end)
-
-
-def _check_address(address: str) -> None:
-    """Check that an address is an IP number and a port.
+    """Return the layers held, or None if there are none.
 
     Raises:
-        ValueError: It is something else.
+        ValueError: The range ends before it begins.
     """
-    match = _ADDRESS.fullmatch(address)
-    if match is not None:
-        *numbers, port = (int(part) for part in match.groups())
-        if max(numbers) <= _LAST_BYTE and 0 < port <= _LAST_PORT:
-            return
-    msg = f"no address: {address[:40]!r}"
-    raise ValueError(msg)
-
-
-def _check_range(layers: LayersHeld | None) -> None:
-    """Check that a range does not end before it begins.
-
-    Raises:
-        ValueError: It does.
-    """
-    if layers is not None and layers.end < layers.first:
+    if layers is None or layers.end == layers.first:
+        return None
+    if layers.end < layers.first:
         msg = f"layers {layers.first} to {layers.end}"
         raise ValueError(msg)
+    return LayerRange(layers.first, layers.end)
+
+
+@functools.lru_cache(maxsize=_MOST_ADDRESSES)
+def _is_address(address: str) -> bool:
+    """Tell whether an address is an IP number and a port."""
+    match = _ADDRESS.fullmatch(address)
+    if match is None:
+        return False
+    *numbers, port = (int(part) for part in match.groups())
+    return max(numbers) <= _LAST_BYTE and 0 < port <= _LAST_PORT
--- a/tests/test_work_in_hand.py
+++ b/tests/test_work_in_hand.py
@@ -103,6 +103,17 @@
         assert await work.lost_on_path([A], since_s=since_s, has_begun=False)
         assert not routing.suspects
 
+    def test_only_what_was_held_is_stored_again(self):
+        """A work that was in bad company twice costs no call of the store."""
+        kept = []
+        for lifetimes in ("ab", "abc"):
+            routing = make_routing(FakeClient(), A, rng=random.Random(1))
+            routing.keep_hold = kept.append
+            noted(routing, *lifetimes)
+            work_in_hand(routing).answered()
+            assert not routing.suspects
+        assert kept == [work_in_hand(routing).id]
+
     def test_begun_elsewhere_is_no_suspect(self):
         """What was well on its way goes on like the rest."""
         routing = make_routing(FakeClient(), A, rng=random.Random(1))
