--- a/tests/test_suspect_link.py
+++ b/tests/test_suspect_link.py
@@ -83,6 +83,16 @@
         told = await told_of_three(70, lost_part=0.1, seed=seed)
         assert told.who_holds() >= 67
 
+    async def test_late_datagrams(self):
+        """They come up to a second late, in any order."""
+        told = Told(70)
+        told.network.latest_s = 1.0
+        for number, instance in enumerate((3, 30, 60)):
+            told.see(instance, f"s{number}")
+            await asyncio.sleep(0.1)
+        await asyncio.sleep(3.0)
+        assert told.who_holds() == 70
+
     async def test_first_ends_are_told_to_few(self):
         """A server's end doesn't make all instances tell all others of its company."""
         told = Told(350)
