Put an answer that broke off down to a server's end that its new start shows

Cause: a server that is back before it is asked takes connections again, so that its end was seen by nobody.

Change: where a server tells its starts, an answer that broke off at one that takes connections is kept for 3 s; a later start of that id, unless planned, makes it an end under the work. Bounded to 192.

--- a/src/violethatch/_routing.py
+++ b/src/violethatch/_routing.py
@@ -223,6 +223,16 @@
         for server in before:
             if server.is_leaving:
                 self.ends.note_planned(server.lifetime)
+            for end in self.ends.proven(server):
+                events.log(
+                    events.SERVER_ENDED,
+                    work=end.work,
+                    server_id=server.id,
+                    lifetime=end.lifetime,
+                    has_begun=end.has_begun,
+                    is_told_by_new_start=True,
+                )
+                self.note_end(end)
         self.forget(ids)
         for run in tuple(self.runs):
             run.note_restarted(ids)
--- a/src/violethatch/_server_ends.py
+++ b/src/violethatch/_server_ends.py
@@ -11,9 +11,11 @@
 import asyncio
 
 from collections.abc import Callable
+from typing import NamedTuple
 
 from . import clocks
 from .backends import BackendServer
+from .crash_suspects import End
 from .upstream import RunnerClient
 
 
@@ -21,11 +23,28 @@
 #: are broken off together share one look, and one that ends the server soon after an
 #: answer that only failed is not passed over.
 _THERE_S = 0.02
+#: For how long an answer that broke off may turn out to be its server's end, in
+#: seconds: the list tells of a new start within a heartbeat and its own way.
+_DOUBT_LIFE_S = 3.0
+#: The most of such answers: two servers' company.
+_MOST_DOUBTED = 192
 #: For how long a server that has ended is remembered, in seconds: longer than any
 #: request of before its end is under way.
 _ENDED_LIFE_S = 60.0
 
 
+class _Doubt(NamedTuple):
+    """An answer that broke off at a server that takes connections."""
+
+    end: End
+    noted_s: float
+
+    @property
+    def is_recent(self) -> bool:
+        """Whether a start that is told now may be the reason."""
+        return clocks.now_s() - self.noted_s < _DOUBT_LIFE_S
+
+
 class ServerEnds:
     """What one instance has found out of servers that have ended.
 
@@ -48,6 +67,7 @@
         self._ended_s: dict[str, float] = {}
         self._there_s: dict[str, float] = {}
         self._planned_s: dict[str, float] = {}
+        self._doubted: list[_Doubt] = []
         self._looks: dict[str, asyncio.Task[bool]] = {}
 
     def note_ended(self, server: BackendServer) -> None:
@@ -62,6 +82,30 @@
         """Note that a lifetime has ended as planned."""
         self._planned_s[lifetime] = clocks.now_s()
 
+    def doubt(self, server: BackendServer, end: End) -> None:
+        """Keep an end that only a later start of the server would prove.
+
+        A server that is back before it is asked takes connections again.
+        """
+        if not server.born_ms:
+            return  # it doesn't tell its starts apart
+        self._doubted = [one for one in self._doubted if one.is_recent]
+        if len(self._doubted) < _MOST_DOUBTED:
+            self._doubted.append(_Doubt(end, clocks.now_s()))
+
+    def proven(self, before: BackendServer) -> list[End]:
+        """Return the ends that a server's new start proves.
+
+        Args:
+            before: The server as it was before.
+        """
+        lifetime = before.lifetime
+        doubted = [one for one in self._doubted if one.end.lifetime == lifetime]
+        self._doubted = [one for one in self._doubted if one not in doubted]
+        if before.is_leaving:
+            return []
+        return [one.end for one in doubted if one.is_recent]
+
     async def has_ended(self, server: BackendServer) -> bool:
         """Tell whether a server, of which a request was broken off, has ended.
 
--- a/src/violethatch/_work_in_hand.py
+++ b/src/violethatch/_work_in_hand.py
@@ -89,7 +89,9 @@
             server: Where the call was under way.
             has_begun: Whether a part of its answer had come from there.
         """
-        if not await self._routing.ends.has_ended(server):
+        ends = self._routing.ends
+        if not await ends.has_ended(server):
+            ends.doubt(server, self._end(server, has_begun=has_begun))
             return False
         self._note(server, has_begun=has_begun)
         return True
@@ -116,14 +118,16 @@
             self._note(new[0], has_begun=has_begun, together=len(new))
         return bool(ended)
 
+    def _end(self, server: BackendServer, *, has_begun: bool) -> End:
+        """Return a server's end under the work, as this instance has seen it."""
+        witness = self._routing.settings.instance.id
+        return End(self.id, server.lifetime, has_begun, witness)
+
     def _note(
         self, server: BackendServer, *, has_begun: bool, together: int = 1
     ) -> None:
         """Note a server's end under the work, tell others, and log it."""
-        routing = self._routing
-        routing.note_end(
-            End(self.id, server.lifetime, has_begun, routing.settings.instance.id)
-        )
+        self._routing.note_end(self._end(server, has_begun=has_begun))
         events.log(
             events.SERVER_ENDED,
             request_id=self._call.id,
--- a/tests/test_work_in_hand.py
+++ b/tests/test_work_in_hand.py
@@ -103,6 +103,34 @@
         assert await work.lost_on_path([A], since_s=since_s, has_begun=False)
         assert not routing.suspects
 
+    async def test_server_that_is_back_before_it_is_asked(self):
+        """Its new start shows that it had ended, a heartbeat later."""
+        before = A._replace(born_ms=1)
+        routing = make_routing(FakeClient(), before, rng=random.Random(1))
+        work = work_in_hand(routing)
+        assert not await work.lost(before, has_begun=False)
+        assert not routing.suspects
+        routing.take_restarted([before])
+        assert [end.lifetime for end in routing.suspects.ends(work.id)] == ["a/1"]
+
+    async def test_planned_new_start_is_put_down_to_nobody(self):
+        """It had said that it leaves when it broke the rest off."""
+        before = A._replace(born_ms=1)
+        routing = make_routing(FakeClient(), before, rng=random.Random(1))
+        assert not await work_in_hand(routing).lost(before, has_begun=False)
+        routing.take_restarted([before._replace(is_leaving=True)])
+        assert not routing.suspects
+
+    async def test_new_start_long_after_is_put_down_to_nobody(self, monkeypatch):
+        """The answer that broke off then had another cause."""
+        before = A._replace(born_ms=1)
+        routing = make_routing(FakeClient(), before, rng=random.Random(1))
+        assert not await work_in_hand(routing).lost(before, has_begun=False)
+        now_s = clocks.now_s()
+        monkeypatch.setattr(clocks, "now_s", lambda: now_s + 60.0)
+        routing.take_restarted([before])
+        assert not routing.suspects
+
     def test_only_what_was_held_is_stored_again(self):
         """A work that was in bad company twice costs no call of the store."""
         kept = []
