--- a/src/violethatch/_plain_calls.py
+++ b/src/violethatch/_plain_calls.py
@@ -99,7 +99,7 @@
             if self.sends and not await self._may_send_again():
                 break
             if self._work.is_held:
-                break
+                break  # each send of a request that ends servers costs one more
             answer = await self._send_once()
             if answer is None:
                 continue
--- a/src/violethatch/_streams.py
+++ b/src/violethatch/_streams.py
@@ -122,6 +122,8 @@
             VioletHatchError: Nothing of an answer was given to the caller.
         """
         self._routing.stream_began()
+        # A request that ended three servers was sent to six and seven more: each send
+        # was judged for itself.
         while not self._work.is_held:
             if self.sends and not self._may_send_again():
                 break
@@ -131,7 +133,7 @@
             if self.sends and not await self._routing.may_retry(self._service.name):
                 break
             if self._work.is_held:
-                break
+                break  # other tries of it have ended servers while this one waited
             end, status = await self._run(path, responder)
             if end is _End.WHOLE:
                 self._work.answered()
