Decide once what a lost answer says, and digest bodies only where it matters

Cause, found when the whole change was read again: streams and plain calls held the same decision of trouble; a refused call's body was digested although nothing was suspected, which the design note says is not done, and so was that of each broken answer at a server that tells no start; starts of servers were gone through at each search of a path; a lifetime's name was built in two places; what was known of servers that go on was forgotten only when one ended.

Change: each stands once; starts are forgotten when the list changes. Decisions, bounds and limits are as they were.

--- a/src/violethatch/_listed.py
+++ b/src/violethatch/_listed.py
@@ -8,6 +8,10 @@
 from .layers import LayerRange
 
 
+#: Stands between a server's id and its start.
+START_MARK = "/"
+
+
 class BackendServer(NamedTuple):
     """A backend server of some service.
 
@@ -33,4 +37,9 @@
     @property
     def lifetime(self) -> str:
         """What names this start of the server, and none before or after it."""
-        return f"{self.id}/{self.born_ms}" if self.born_ms else self.id
+        return lifetime_name(self.id, self.born_ms)
+
+
+def lifetime_name(server_id: str, born_ms: int) -> str:
+    """Return what names one start of a server; its id where it tells no start."""
+    return f"{server_id}{START_MARK}{born_ms}" if born_ms else server_id
--- a/src/violethatch/_plain_calls.py
+++ b/src/violethatch/_plain_calls.py
@@ -24,7 +24,6 @@
     Answer,
     AnswerLostError,
     Call,
-    ConnectionBrokenError,
     Headers,
     NotSentError,
     Responder,
@@ -151,7 +150,7 @@
             routing.note_trouble(server, Trouble.SILENT, self._call.id, str(error))
         except AnswerLostError as error:
             self.runs += 1
-            trouble = await self._trouble_of(error, server)
+            trouble = await self._work.trouble_of(error, server, has_begun=False)
             routing.note_trouble(server, trouble, self._call.id, str(error))
         except TimeoutError:
             self.runs += 1
@@ -161,15 +160,6 @@
             routing.choice.ended(server.id, load, now_s=clocks.now_s())
         return None
 
-    async def _trouble_of(
-        self, error: AnswerLostError, server: BackendServer
-    ) -> Trouble:
-        """Return what a lost answer says of its server."""
-        if not isinstance(error, ConnectionBrokenError):
-            return Trouble.FAILED
-        has_ended = await self._work.lost(server, has_begun=False)
-        return Trouble.SILENT if has_ended else Trouble.FAILED
-
     def _choose(self, now_s: float) -> BackendServer:
         """Return the server to send to.
 
--- a/src/violethatch/_server_ends.py
+++ b/src/violethatch/_server_ends.py
@@ -72,23 +72,19 @@
 
     def note_ended(self, server: BackendServer) -> None:
         """Note that a server's lifetime is over."""
-        now_s = clocks.now_s()
-        self._forget_old(now_s)
-        if server.lifetime not in self._ended_s:
-            self._ended_s[server.lifetime] = now_s
+        if not self.is_known(server.lifetime, now_s=clocks.now_s()):
+            self._remember(self._ended_s, server.lifetime)
             self.on_end()
 
     def note_planned(self, lifetime: str) -> None:
         """Note that a lifetime has ended as planned."""
-        self._planned_s[lifetime] = clocks.now_s()
+        self._remember(self._planned_s, lifetime)
 
-    def doubt(self, server: BackendServer, end: End) -> None:
+    def doubt(self, end: End) -> None:
         """Keep an end that only a later start of the server would prove.
 
         A server that is back before it is asked takes connections again.
         """
-        if not server.born_ms:
-            return  # it doesn't tell its starts apart
         self._doubted = [one for one in self._doubted if one.is_recent]
         if len(self._doubted) < _MOST_DOUBTED:
             self._doubted.append(_Doubt(end, clocks.now_s()))
@@ -148,12 +144,13 @@
         if is_refusing:
             self.note_ended(server)
         else:
-            self._there_s[server.lifetime] = clocks.now_s()
+            self._remember(self._there_s, server.lifetime)
         return is_refusing
 
-    def _forget_old(self, now_s: float) -> None:
-        """Forget what is too old to matter."""
-        for known in (self._ended_s, self._there_s, self._planned_s):
-            old = [one for one, at_s in known.items() if now_s - at_s > _ENDED_LIFE_S]
-            for lifetime in old:
-                del known[lifetime]
+    def _remember(self, known: dict[str, float], lifetime: str) -> None:
+        """Remember what is known of a lifetime now; forget what is too old."""
+        now_s = clocks.now_s()
+        old = [one for one, at_s in known.items() if now_s - at_s > _ENDED_LIFE_S]
+        for one in old:
+            del known[one]
+        known[lifetime] = now_s
--- a/src/violethatch/_sighting_link.py
+++ b/src/violethatch/_sighting_link.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable
 
 from . import clocks, events
+from ._listed import START_MARK, lifetime_name
 from ._peer_datagrams import PeerDatagrams, SendAllowance, SightingsDatagram
 from .runner_health import Trouble
 from .sightings import Hearsay, Sighting
@@ -21,8 +22,7 @@
 #: each, so that trouble everywhere doesn't fill the slowest links (10 Mbit/s).
 _MOST_A_SECOND = 10
 _MS_PER_S = 1000
-#: Stands between a server's id and its start, and how many digits that has at most.
-_START_MARK = "/"
+#: How many digits a server's start has at most.
 _START_DIGITS = 15
 
 
@@ -81,7 +81,11 @@
         if not self._allowance.take():
             return  # the others meet the trouble by themselves
         seen = [
-            (_lifetime(one), one.trouble.value, int(one.rest_s * _MS_PER_S))
+            (
+                lifetime_name(one.server_id, one.born_ms),
+                one.trouble.value,
+                int(one.rest_s * _MS_PER_S),
+            )
             for one in gathered
         ]
         directory = self._datagrams.directory
@@ -103,16 +107,9 @@
     ]
 
 
-def _lifetime(sighting: Sighting) -> str:
-    """Return a sighting's server with its start, as datagrams name both."""
-    if not sighting.born_ms:
-        return sighting.server_id
-    return f"{sighting.server_id}{_START_MARK}{sighting.born_ms}"
-
-
 def _server_and_start(lifetime: str) -> tuple[str, int]:
     """Return the server's id and its start from a datagram's name for both."""
-    server_id, _, born = lifetime.rpartition(_START_MARK)
+    server_id, _, born = lifetime.rpartition(START_MARK)
     if server_id and born.isdecimal() and len(born) <= _START_DIGITS:
         return server_id, int(born)
     return lifetime, 0
--- a/src/violethatch/_streams.py
+++ b/src/violethatch/_streams.py
@@ -32,7 +32,6 @@
     Answer,
     AnswerLostError,
     Call,
-    ConnectionBrokenError,
     NotSentError,
     Responder,
     Send,
@@ -231,7 +230,9 @@
         except AnswerLostError as error:
             # It was reached, and others' requests may well get their answers.
             self.runs += 1
-            trouble = await self._trouble_of(error, run)
+            trouble = await self._work.trouble_of(
+                error, run.path.first, has_begun=run.has_begun
+            )
             self._leave_first(path.first, str(error), trouble=trouble)
             return _End.LOST, 0
         except TimeoutError:
@@ -262,7 +263,9 @@
         try:
             await self._pass_on(answer, run, responder)
         except (AnswerLostError, SpoiltStreamError) as error:
-            trouble = await self._trouble_of(error, run)
+            trouble = await self._work.trouble_of(
+                error, run.path.first, has_begun=run.has_begun
+            )
             self._routing.note_trouble(
                 run.path.first, trouble, self._call.id, str(error)
             )
@@ -355,17 +358,6 @@
         self._is_framed = answer.is_framed
         await responder.start(answer.status, answer.headers, is_framed=answer.is_framed)
 
-    async def _trouble_of(self, error: Exception, run: StreamRun) -> Trouble:
-        """Return what a lost answer says of the first runner.
-
-        One that has ended is left alone as a silent one is: else it was sent to again
-        as soon as one that has failed once, and refused a connection.
-        """
-        if not isinstance(error, ConnectionBrokenError):
-            return Trouble.FAILED
-        has_ended = await self._work.lost(run.path.first, has_begun=run.has_begun)
-        return Trouble.SILENT if has_ended else Trouble.FAILED
-
     def _leave_first(
         self, server: BackendServer, reason: str, *, trouble: Trouble = Trouble.SILENT
     ) -> None:
--- a/src/violethatch/_work_in_hand.py
+++ b/src/violethatch/_work_in_hand.py
@@ -11,9 +11,10 @@
 from . import clocks, events
 from ._routing import Routing
 from .backends import BackendServer
-from .crash_suspects import End
+from .crash_suspects import End, Hold
 from .errors import HeldBackError
-from .upstream import Call
+from .runner_health import Trouble
+from .upstream import Call, ConnectionBrokenError
 from .work_ids import work_id
 
 
@@ -51,10 +52,7 @@
     @property
     def is_held(self) -> bool:
         """Whether it must not be sent to any server now."""
-        suspects = self._routing.suspects
-        if not suspects:
-            return False  # no body is digested while nothing is suspected
-        return suspects.hold(self.id, now_s=clocks.now_s()) is not None
+        return self._hold() is not None
 
     @property
     def is_suspect(self) -> bool:
@@ -66,7 +64,7 @@
 
     def held_back(self) -> HeldBackError | None:
         """Return the refusal of a work that is held back, and log what decided it."""
-        hold = self._routing.suspects.hold(self.id, now_s=clocks.now_s())
+        hold = self._hold()
         if hold is None:
             return None
         events.log(
@@ -82,6 +80,24 @@
         retry_after_s = min(hold.left_s, _LONGEST_RETRY_S)
         return HeldBackError(msg, retry_after_s=round(retry_after_s, 1))
 
+    def _hold(self) -> Hold | None:
+        """Return how it is held back; nothing is digested if nothing is suspected."""
+        suspects = self._routing.suspects
+        return suspects.hold(self.id, now_s=clocks.now_s()) if suspects else None
+
+    async def trouble_of(
+        self, error: Exception, server: BackendServer, *, has_begun: bool
+    ) -> Trouble:
+        """Return what an answer that was lost says of its server.
+
+        One that has ended is left alone as a silent one is: else it was sent to again
+        as soon as one that has failed once, and refused a connection.
+        """
+        if not isinstance(error, ConnectionBrokenError):
+            return Trouble.FAILED
+        has_ended = await self.lost(server, has_begun=has_begun)
+        return Trouble.SILENT if has_ended else Trouble.FAILED
+
     async def lost(self, server: BackendServer, *, has_begun: bool) -> bool:
         """Note that a server broke the call off; tell whether the server has ended.
 
@@ -91,7 +107,9 @@
         """
         ends = self._routing.ends
         if not await ends.has_ended(server):
-            ends.doubt(server, self._end(server, has_begun=has_begun))
+            if server.born_ms:
+                # A later start would prove it; the others don't tell theirs apart.
+                ends.doubt(self._end(server, has_begun=has_begun))
             return False
         self._note(server, has_begun=has_begun)
         return True
--- a/src/violethatch/backends.py
+++ b/src/violethatch/backends.py
@@ -95,6 +95,7 @@
             refused: The ids of entries that name no server to use: another writer's.
             now_s: The current monotonic time, in seconds.
         """
+        self._starts.forget_old(now_s=now_s)
         found = []
         leaving = []
         restarted = []
--- a/src/violethatch/server_starts.py
+++ b/src/violethatch/server_starts.py
@@ -68,11 +68,14 @@
 
     def due(self, *, now_s: float) -> list[BackendServer]:
         """Return the entries of earlier starts that have stayed, and now count."""
+        ids = [one for one in self._waiting if self._recent(one, now_s) is None]
+        return [self._waiting.pop(one) for one in ids]
+
+    def forget_old(self, *, now_s: float) -> None:
+        """Forget starts that no late write can be taken for any more."""
         old = [one for one in self._newest if self._recent(one, now_s) is None]
         for server_id in old:
             del self._newest[server_id]
-        ids = [one for one in self._waiting if one not in self._newest]
-        return [self._waiting.pop(one) for one in ids]
 
     def _recent(self, server_id: str, now_s: float) -> _Newest | None:
         """Return a server's latest start, if it was first seen a short while ago."""
--- a/tests/test_work_in_hand.py
+++ b/tests/test_work_in_hand.py
@@ -39,6 +39,7 @@
         work = work_in_hand(routing)
         assert not work.is_held
         assert not work.is_suspect
+        assert work.held_back() is None
         work.answered()
         assert made == []
         routing.suspects.note(End("0" * 32, "s", False, "i"), now_s=clocks.now_s())
