--- a/tests/mortal_fleet.py
+++ b/tests/mortal_fleet.py
@@ -204,11 +204,19 @@
         self.lost_part = lost_part
         self.latest_s = latest_s
         self.receivers = {}
+        self.transports = {}
         self.sent = 0
 
-    def transport(self):
-        """Return a transport of one router."""
-        return _Transport(self)
+    def join(self, own, entries):
+        """Return the datagrams of one instance, which knows all others."""
+        directory = InstanceDirectory(own)
+        directory.take(entries, is_whole=True)
+        datagrams = PeerDatagrams(directory)
+        self.transports[own.id] = _Transport(self)
+        datagrams.connection_made(self.transports[own.id])
+        host, port = own.address.split(":")
+        self.receivers[host, int(port)] = datagrams
+        return datagrams
 
     def carry(self, data, to):
         """Carry one datagram."""
@@ -232,6 +240,14 @@
             self.network.carry(data, to)
 
 
+def instance_entries(count):
+    """Return the entries of some instances, by id."""
+    return {
+        f"i{n}": entry(f"i{n}")._replace(address=f"10.0.0.1:{n + 1}", token=f"t{n}")
+        for n in range(count)
+    }
+
+
 class Fleet:
     """Routers in front of the same servers.
 
@@ -245,11 +261,7 @@
         self.rng = random.Random(seed)
         self.servers = servers
         self.network = Network(self.rng, lost_part=lost_part)
-        self.entries = {
-            f"i{n}": entry(f"i{n}")._replace(address=f"10.0.0.1:{n + 1}", token=f"t{n}")
-            for n in range(count)
-        }
-        self.transports = {}
+        self.entries = instance_entries(count)
         self.routers = [self.join(one) for one in self.entries.values()]
 
     def join(self, own):
@@ -263,13 +275,7 @@
         )
         router.desired = desired_state(STREAMS, PLAIN, keys=("key-1", "key-2"))
         router.freshness.proven(clocks.now_s())
-        directory = InstanceDirectory(own)
-        directory.take(self.entries, is_whole=True)
-        datagrams = PeerDatagrams(directory)
-        self.transports[own.id] = self.network.transport()
-        datagrams.connection_made(self.transports[own.id])
-        host, port = own.address.split(":")
-        self.network.receivers[host, int(port)] = datagrams
+        datagrams = self.network.join(own, self.entries)
         PeerLinks(datagrams, router, rng=self.rng).open()
         self.servers.routers.append(router)
         listed = {one: server.listed for one, server in self.servers.by_id.items()}
--- a/tests/test_foreign_entries.py
+++ b/tests/test_foreign_entries.py
@@ -16,6 +16,7 @@
 from router_fakes import FakeClient, admitted
 from router_fakes import settings as router_settings
 from test_instances import entry as instance_entry
+from test_platform_wire import ENTRY
 from violethatch import clocks
 from violethatch._peer_datagrams import PeerDatagrams
 from violethatch._peer_links import PeerLinks
@@ -29,16 +30,8 @@
 from violethatch.upstream import TableView
 
 
-GOOD = {
-    "Service": "model",
-    "Address": "10.1.0.2:8000",
+GOOD = ENTRY | {
     "Zone": "heredia",
-    "Version": "v1",
-    "Slots": 96,
-    "State": "ready",
-    "Sequence": 3,
-    "ColdRemainingMs": 0,
-    "Kind": "large",
     "layers": {"From": 0, "TargetVersion": 80, "Version": 1},
     "born": 1_772_409_800_000,
 }
--- a/tests/test_platform_wire.py
+++ b/tests/test_platform_wire.py
@@ -76,6 +76,21 @@
 }
 
 
+#: An empty runner's entry.
+ENTRY = {
+    "Service": "model",
+    "Address": "10.1.0.2:8000",
+    "Zone": "z1",
+    "Version": "v1",
+    "Slots": 96,
+    "State": "ready",
+    "Sequence": 3,
+    "ColdRemainingMs": 0,
+    "Kind": "large",
+    "layers": None,
+}
+
+
 def decode(config):
     """Decode a desired state."""
     return WireDecoder().desired_state(json.dumps(config).encode())
@@ -127,19 +142,7 @@
 class TestBackendServer:
     def decode(self, **changes):
         """Decode a listed server."""
-        entry = {
-            "Service": "model",
-            "Address": "10.1.0.2:8000",
-            "Zone": "z1",
-            "Version": "v1",
-            "Slots": 96,
-            "State": "ready",
-            "Sequence": 3,
-            "ColdRemainingMs": 0,
-            "Kind": "large",
-            "layers": None,
-        }
-        value = json.dumps(entry | changes).encode()
+        value = json.dumps(ENTRY | changes).encode()
         return WireDecoder().backend_server("i-1", value)
 
     def test_empty_runner(self):
--- a/tests/test_repeats_that_end_servers.py
+++ b/tests/test_repeats_that_end_servers.py
@@ -206,7 +206,7 @@
     """What it alone has seen meanwhile counts with its next end."""
     servers = Servers(model_runner)
     fleet = Fleet(6, servers)
-    cut = fleet.transports["i0"]
+    cut = fleet.network.transports["i0"]
     cut.is_cut = True
     await fleet.ask(fleet.routers[0], body=DEADLY, id="c0")
     await asyncio.sleep(0.6)
--- a/tests/test_suspect_link.py
+++ b/tests/test_suspect_link.py
@@ -8,14 +8,12 @@
 
 import pytest
 
-from mortal_fleet import Network
+from mortal_fleet import Network, instance_entries
 from test_crash_suspects import WORK, work
-from test_instances import entry
 from violethatch import _suspect_link, clocks
-from violethatch._peer_datagrams import EndsDatagram, PeerDatagrams
+from violethatch._peer_datagrams import EndsDatagram
 from violethatch._suspect_link import SuspectLink
 from violethatch.crash_suspects import CrashSuspects, End
-from violethatch.instances import InstanceDirectory
 
 
 class Told:
@@ -28,18 +26,10 @@
 
     def __init__(self, count, *, lost_part=0.0, seed=1):
         self.network = Network(random.Random(seed), lost_part=lost_part)
-        entries = {
-            f"i{n}": entry(f"i{n}")._replace(address=f"10.0.0.1:{n + 1}", token=f"t{n}")
-            for n in range(count)
-        }
+        entries = instance_entries(count)
         self.suspects, self.links, self.datagrams = [], [], []
         for own in entries.values():
-            directory = InstanceDirectory(own)
-            directory.take(entries, is_whole=True)
-            datagrams = PeerDatagrams(directory)
-            datagrams.connection_made(self.network.transport())
-            host, port = own.address.split(":")
-            self.network.receivers[host, int(port)] = datagrams
+            datagrams = self.network.join(own, entries)
             self.suspects.append(CrashSuspects())
             self.links.append(SuspectLink(datagrams, self.suspects[-1]))
             self.datagrams.append(datagrams)
