--- a/Makefile
+++ b/Makefile
@@ -31,8 +31,8 @@
 bench-capacity: $(VENV)/.installed
 	$(PY) bench/capacity.py
 
-# Days of our own that broke something once: FLEETBENCH and SITE name the users'
-# bench and one of its site files.
+# Days of our own (deploy/days/): FLEETBENCH and SITE name the users' bench and one of
+# its site files.
 days:
 	python3 bench/days.py kept
 
--- a/bench/days.py
+++ b/bench/days.py
@@ -5,9 +5,9 @@
     FLEETBENCH=PATH SITE=FILE python3 bench/days.py alone [PART OF A NAME]
     FLEETBENCH=PATH SITE=FILE python3 bench/days.py pairs --count 20 --seed 7
 
-Days that broke something stand in ``bench/days/``; ``kept`` plays these.  The
-others are made by ``_trouble_days.py`` and played from a temporary folder.  Each
-run ends with a line that counts the days and names those that broke a rule.
+Days for incidents and mended findings stand in ``deploy/days/``; ``kept`` plays
+these.  The others are made by ``_trouble_days.py`` and played from a temporary folder.
+Each run ends with a line that counts the days and names those that broke a rule.
 """
 
 from __future__ import annotations
@@ -28,7 +28,7 @@
 from _trouble_days import alone, pairs
 
 
-_KEPT = pathlib.Path(__file__).parent / "days"
+_KEPT = pathlib.Path(__file__).parent.parent / "deploy" / "days"
 #: How long a day may take to play, in seconds.
 _PLAY_LIMIT_S = 580
 #: Days that are played at one time, of some two cores each.
