Hear what servers say of themselves, and tell it in lines and counters

Cause: a line of a refusal named server and trouble. It could not tell whether the server had asked for rest, for how long the instance left it alone, nor whether it rested already when the request went there; no line told that a server leaves.

Change: the head of each answer (call, move, order, report) is read for the server's word. 2119 tells it as it stands; 2108 tells status, the figure asked for, for how long the server is left alone, and how long it still rested when the refusal came. Counters: violethatch_router_server_words_total, violethatch_router_refusals_total with left_alone. Nothing acts on the words yet.

--- a/src/violethatch/_router.py
+++ b/src/violethatch/_router.py
@@ -64,6 +64,8 @@
         self.routing = Routing(settings, client, rng)
         self.metrics = RouterMetrics()
         self.routing.ends.on_end = lambda: self.metrics.server_ends.inc({})
+        self.routing.on_refusal = self.metrics.refused
+        self.routing.gate.on_word = self.metrics.heard
         self.freshness = Freshness(limit_s=settings.proof_limit_s)
         self.stop_plan = StopPlan(grace_s=settings.bounds.grace_s)
         self.desired: DesiredState | None = None
--- a/src/violethatch/_router_metrics.py
+++ b/src/violethatch/_router_metrics.py
@@ -44,6 +44,16 @@
             "Servers found to have ended while they had requests of this instance.",
             registry=self.registry,
         )
+        self.refusals = Counter(
+            "violethatch_router_refusals_total",
+            "Sends that servers refused, by trouble and whether they were left alone.",
+            registry=self.registry,
+        )
+        self.server_words = Counter(
+            "violethatch_router_server_words_total",
+            "What servers said of themselves: rest, leaving, unread.",
+            registry=self.registry,
+        )
         self.rows_refused = Counter(
             "violethatch_router_rows_refused_total",
             "Rows of the store that could not be understood, by table.",
@@ -78,6 +88,15 @@
             streams = sum(one.streams for one in totals.servers.values())
             self.streams_known.set({"whose": whose}, streams)
 
+    def refused(self, trouble: str, was_left_alone: bool) -> None:
+        """Count a send that a server refused."""
+        rests = "yes" if was_left_alone else "no"
+        self.refusals.inc({"trouble": trouble, "left_alone": rests})
+
+    def heard(self, kind: str) -> None:
+        """Count what a server said of itself."""
+        self.server_words.inc({"word": kind})
+
     def works(self, suspected: int, held: int) -> None:
         """Show how many works are suspected, and how many are held back."""
         self.suspected_works.set({"state": "suspected"}, suspected)
--- a/src/violethatch/_routing.py
+++ b/src/violethatch/_routing.py
@@ -12,6 +12,7 @@
 from ._path_choice import PathChoice
 from ._probes import Probes
 from ._server_ends import ServerEnds
+from ._word_gate import WordGate
 from .backends import BackendServer, BackendTable
 from .crash_suspects import CrashSuspects, End
 from .desired import ServiceSpec
@@ -63,6 +64,10 @@
         self.probes = Probes(
             client, on_silent=self._note_silent, on_report=self._note_report
         )
+        self.gate = WordGate()
+        client.listener = self.gate
+        #: Told of each refusal: its trouble, and whether the server rested already.
+        self.on_refusal: Callable[[Trouble, bool], None] = lambda _trouble, _rests: None
         self.ends = ServerEnds(client, listed=self.backends.get)
         #: The streams under way, which have to leave servers that start again.
         self.runs: set[RestartListener] = set()
@@ -332,19 +337,31 @@
             is_told_by_other: Whether that word is another server's.
         """
         trouble = _trouble_of(refusal, is_told_by_other=is_told_by_other)
-        self._note(server_id, trouble)
+        rested_s = self.health.rests_s(now_s=clocks.now_s()).get(server_id, 0.0)
+        rest_s = self._note(server_id, trouble)
+        self.on_refusal(trouble, rested_s > 0)
         events.log(
             events.SERVER_REFUSED,
             request_id=request_id,
             server_id=server_id,
             trouble=trouble.value,
+            status=refusal.word.status,
+            asks_rest_s=refusal.word.rest_s,
+            rested_s=round(rested_s, 3),
+            rest_s=rest_s,
+            is_told_by_other=is_told_by_other,
         )
 
-    def _note(self, server_id: str, trouble: Trouble) -> None:
-        """Leave a server alone for a while, and tell other instances."""
+    def _note(self, server_id: str, trouble: Trouble) -> float | None:
+        """Leave a server alone for a while, and tell other instances.
+
+        Returns:
+            For how long, in seconds, or None if it was left alone already.
+        """
         rest_s = self.health.note(server_id, trouble, now_s=clocks.now_s())
         if rest_s is not None and is_worth_telling(trouble):
             self.tell(Sighting(server_id, trouble, rest_s, self.born_ms(server_id)))
+        return rest_s
 
     def _budget(self, service: str) -> RetryShare:
         """Return this instance's part of a service's retries."""
--- a/src/violethatch/clocks.py
+++ b/src/violethatch/clocks.py
@@ -27,6 +27,16 @@
     return time.clock_gettime(_CLOCK)
 
 
+def wall_s() -> float:
+    """Return the time of day, in seconds since 1970: only to read others' dates.
+
+    It may jump, so that nothing waits by it.
+
+    .. versionadded:: 26.5.0
+    """
+    return time.time()
+
+
 def left_s(until_s: float) -> float:
     """Return how long it is until a time of this clock, in seconds; never below 0.
 
--- a/src/violethatch/events.py
+++ b/src/violethatch/events.py
@@ -58,6 +58,7 @@
 END_HEARD = Event(2116, "end_heard", "Another instance saw a server's end.")
 END_UNTOLD = Event(2117, "end_untold", "Too many ends wait to be told.")
 SERVER_RESTARTED = Event(2118, "server_restarted", "A server is a new start of its id.")
+SERVER_WORD = Event(2119, "server_word", "A server says something of itself.")
 LOAD_NEIGHBOURS = Event(2111, "load_neighbours", "Loads are told to other instances.")
 
 REQUEST_SERVED = Event(2205, "request_served", "A request got its answer.")
--- a/src/violethatch/platform/_headers.py
+++ b/src/violethatch/platform/_headers.py
@@ -24,6 +24,10 @@
 PATH = "Path"
 #: The runner at fault in a refusal.
 AT_SERVER = "At-Server"
+#: The server will end, in whichever answer it stands.
+LEAVING = "Server-Leaving"
+#: For how long the server wants nothing, beside a status that turns a call away.
+RETRY_AFTER = "Retry-After"
 KEY_SCHEME = "Token "
 
 #: Headers that concern one connection only, in lower case.
--- a/src/violethatch/platform/_runners.py
+++ b/src/violethatch/platform/_runners.py
@@ -24,6 +24,7 @@
 from ..upstream import (
     AnswerLostError,
     ConnectionBrokenError,
+    DeafListener,
     Headers,
     NotSentError,
     OrderAnswer,
@@ -32,9 +33,12 @@
     RunnerReport,
     Send,
     ServerLoad,
+    ServerWord,
+    WordListener,
 )
 from . import _headers
 from ._wire import Report, held_range
+from ._words import server_word
 
 
 _ANYTHING: msgspec.json.Decoder[Any] = msgspec.json.Decoder()
@@ -62,7 +66,7 @@
 class _Answer:
     """A server's answer."""
 
-    def __init__(self, answer: aiohttp.ClientResponse) -> None:
+    def __init__(self, answer: aiohttp.ClientResponse, word: ServerWord) -> None:
         self._answer = answer
         self.status = answer.status
         self.is_framed = "Content-Length" in answer.headers or (
@@ -70,7 +74,7 @@
         )
         raw = _headers.decoded(answer.raw_headers)
         self.headers: Headers = _headers.given_back(raw)
-        self.refusal = self._refusal()
+        self.refusal = self._refusal(word)
         self.load = _load(answer.headers.get(_headers.LOAD))
 
     async def parts(self) -> AsyncIterator[bytes]:
@@ -93,13 +97,13 @@
         else:
             self._answer.close()
 
-    def _refusal(self) -> Refusal | None:
+    def _refusal(self, word: ServerWord) -> Refusal | None:
         """Return the server's word that it has not run the call, if any."""
         is_misdirected = self.status == _MISDIRECTED
         if _headers.NOT_RUN not in self._answer.headers and not is_misdirected:
             return None
         address = self._answer.headers.get(_headers.AT_SERVER)
-        return Refusal(address, is_misdirected)
+        return Refusal(address, is_misdirected, word)
 
 
 class Runners:
@@ -116,6 +120,7 @@
         self._kept = kept
         self._fresh = fresh
         self._report = msgspec.json.Decoder(Report)
+        self.listener: WordListener = DeafListener()
 
     async def send(self, send: Send) -> _Answer:
         """Send a call; return its answer once the head is there.
@@ -141,6 +146,7 @@
             raise ConnectionBrokenError(repr(error)) from error
         except CALL_ERRORS as error:
             raise AnswerLostError(repr(error)) from error
+        word = self._hear(send.server, answer, call.id)
         if answer.headers.get(_headers.CALL_ID) != call.id:
             answer.close()
             msg = "the answer belongs to another call"
@@ -149,7 +155,19 @@
             answer.close()
             msg = "the answer is encoded"
             raise AnswerLostError(msg)
-        return _Answer(answer)
+        return _Answer(answer, word)
+
+    def _hear(
+        self,
+        server: BackendServer,
+        answer: aiohttp.ClientResponse,
+        request_id: str = "",
+    ) -> ServerWord:
+        """Pass on, and return, what a server says of itself in an answer's head."""
+        word = server_word(answer)
+        if word.is_said:
+            self.listener.heard(server, word, request_id)
+        return word
 
     async def is_refusing(self, server: BackendServer) -> bool:
         """Tell whether a server refuses connections: nobody listens there."""
@@ -185,6 +203,7 @@
         try:
             async with asyncio.timeout(_REPORT_S):
                 async with session.get(url) as answer:
+                    self._hear(server, answer)
                     body = await answer.read()
             return self._report.decode(body) if answer.status == _OK else None
         except (TimeoutError, *CALL_ERRORS):
@@ -226,6 +245,7 @@
                     data=msgspec.json.encode(order),
                     headers={"Content-Type": "application/json"},
                 ) as answer:
+                    self._hear(server, answer, str(order.get("Id", "")))
                     body = await answer.read()
         except (TimeoutError, *CALL_ERRORS):
             return OrderAnswer(OrderOutcome.UNKNOWN)
--- a/src/violethatch/upstream.py
+++ b/src/violethatch/upstream.py
@@ -82,16 +82,65 @@
     """
 
 
+class ServerWord(NamedTuple):
+    """What a server says of itself in the head of an answer, whatever that answers.
+
+    Attributes:
+        status: The answer's status.
+        rest_s: For how long it wants nothing from this instance, in seconds; None if
+            it asks for no rest.
+        is_leaving: It will end.
+        unread: What of it can't be understood, shortened; empty if all can.
+    """
+
+    status: int = 0
+    rest_s: float | None = None
+    is_leaving: bool = False
+    unread: str = ""
+
+    @property
+    def is_said(self) -> bool:
+        """Whether it says anything."""
+        return self.rest_s is not None or self.is_leaving or bool(self.unread)
+
+
+NO_WORD = ServerWord()
+
+
+class WordListener(Protocol):
+    """Is told what servers say of themselves."""
+
+    def heard(self, server: BackendServer, word: ServerWord, request_id: str) -> None:
+        """Take a server's word in, as soon as an answer's head is there.
+
+        Args:
+            server: Who has answered.
+            word: What it says.
+            request_id: Names the call; empty where it was none.
+        """
+
+
+class DeafListener:
+    """Stands in where nobody listens."""
+
+    def heard(
+        self, _server: BackendServer, _word: ServerWord, _request_id: str
+    ) -> None:
+        """Pass over a server's word."""
+
+
 class Refusal(NamedTuple):
     """A server's word that it has not run the call.
 
     Attributes:
         address: Who is at fault, where the answer names another runner.
         is_misdirected: The server is another one, or lacks the layers.
+        word: What the server says of itself beside that.
     """
 
     address: str | None
     is_misdirected: bool
+    word: ServerWord = NO_WORD
 
 
 class ServerLoad(NamedTuple):
@@ -180,7 +229,13 @@
 
 
 class RunnerClient(Protocol):
-    """Calls backend servers."""
+    """Calls backend servers.
+
+    Attributes:
+        listener: Told what servers say of themselves; whoever uses the client sets it.
+    """
+
+    listener: WordListener
 
     async def send(self, send: Send) -> Answer:
         """Send a call; return its answer once the head is there.
