--- /dev/null
+++ b/tests/asking_servers.py
@@ -0,0 +1,213 @@
+# SPDX-License-Identifier: MIT
+"""Servers that ask for rest or say that they leave, in front of them real clients."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import random
+
+from aiohttp import web
+
+from router_fakes import FakeResponder, make_call, settings
+from routing_samples import call_route, desired_state, plain_server, runner
+from violethatch import clocks
+from violethatch._router import Router
+from violethatch.desired import CallKind, Split
+from violethatch.errors import VioletHatchError
+from violethatch.platform._runners import Runners
+from violethatch.platform._sessions import make_session
+from violethatch.upstream import TableView
+
+
+ID = "Violethatch-Attempt-Id"
+#: How long servers take for what they run, in seconds.
+WORK_S = 0.01
+#: The bound on work for a server that is leaving, in seconds.
+LEAVING_S = 0.3
+#: Sends that wait for a connection are waited for.
+PATIENT = {
+    "first_event_limit_s": "1.0",
+    "gap_limit_s": "1.0",
+    "silence_limit_s": "1.0",
+}
+STREAMS = call_route(max_attempts=3)
+PLAIN = call_route(
+    name="r2",
+    path_prefix="/label/",
+    kind=CallKind.SAFE,
+    is_resumable=False,
+    splits=(Split("labels", 1.0),),
+    max_attempts=3,
+)
+
+
+class AskingServer:
+    """A stand-in of a server, from the users' pages; it notes what reaches it.
+
+    Args:
+        listed: Its entry, without its address.
+    """
+
+    def __init__(self, listed):
+        self.listed = listed
+        #: How requests are turned away: the figure of the rest, or None to run them.
+        self.asks_for = None
+        self.is_leaving = False
+        #: After how many requests it turns the next ones away, of those to come.
+        self.room = 0
+        self.arrived = []
+        #: When it first answered with its word.
+        self.said_s = None
+        self._serving = None
+
+    async def start(self):
+        """Listen on a port of its own."""
+        app = web.Application()
+        app.router.add_get("/api/report", self._report)
+        app.router.add_post("/api/order", self._order)
+        app.router.add_route("*", "/{path:.*}", self._serve)
+        self._serving = web.AppRunner(app, handler_cancellation=True)
+        await self._serving.setup()
+        await web.TCPSite(self._serving, "127.0.0.1", 0).start()
+        address = f"127.0.0.1:{self._serving.addresses[0][1]}"
+        self.listed = self.listed._replace(address=address)
+
+    async def stop(self):
+        """Listen no more."""
+        await self._serving.cleanup()
+
+    def arrivals(self, *, after_s, until_s, machine=""):
+        """Return what reached it within a time, counted from its first word."""
+        return [
+            what
+            for what, at_s in self.arrived
+            if what.startswith(machine)
+            and self.said_s + after_s <= at_s < self.said_s + until_s
+        ]
+
+    def _heads(self, request):
+        """Return the headers of each answer."""
+        heads = {ID: request.headers.get(ID, "")}
+        if self.is_leaving:
+            self._say()
+            heads["Server-Leaving"] = "1"
+        return heads
+
+    def _say(self):
+        if self.said_s is None:
+            self.said_s = clocks.now_s()
+
+    async def _report(self, request):
+        self.arrived.append(("report", clocks.now_s()))
+        body = {"Sequence": 0, "Busy": False, "layers": None, "stalled": []}
+        return web.json_response(body, headers=self._heads(request))
+
+    async def _order(self, request):
+        order = await request.json()
+        self.arrived.append((order["op"], clocks.now_s()))
+        return web.json_response({}, headers=self._heads(request))
+
+    async def _serve(self, request):
+        self.arrived.append((request.headers.get(ID, ""), clocks.now_s()))
+        heads = self._heads(request)
+        if self.asks_for is not None:
+            self._say()
+            heads |= {"Violethatch-Not-Executed": "1", "Retry-After": self.asks_for}
+            return web.Response(status=503, headers=heads)
+        await asyncio.sleep(WORK_S)
+        if request.path.startswith("/label/"):
+            return web.Response(body=b"done", headers=heads)
+        return web.Response(body=b"id: 1\ndata: 1\n\n", headers=heads)
+
+
+class Machine:
+    """One instance, with connections of its own.
+
+    Args:
+        name: Stands before the ids of its requests.
+        servers: What it sends to.
+        seed: Of all its random choices.
+    """
+
+    def __init__(self, name, servers, *, seed=1):
+        self.name = name
+        self.kept = make_session(is_kept=True)
+        self.fresh = make_session(is_kept=False)
+        self.client = Runners(self.kept, self.fresh)
+        made = settings(retry_reserve=200, **PATIENT)
+        bounds = made.bounds._replace(leaving_ms=int(1000 * LEAVING_S))
+        self.router = Router(
+            made._replace(bounds=bounds),
+            client=self.client,
+            decoder=_Listed(),
+            rng=random.Random(seed),
+        )
+        self.router.desired = desired_state(STREAMS, PLAIN)
+        self.list({one.listed.id: one.listed for one in servers}, is_whole=True)
+        self.asked = 0
+
+    def list(self, values, *, is_whole=False):
+        """Tell the instance of the list, or of its changes."""
+        self.router.take_servers(TableView(values, 1, 0.0), is_whole)
+
+    async def ask(self, *, path="/draft/1", **changes):
+        """Send a request; return its answer or the error, and how long it took."""
+        self.asked += 1
+        self.router.freshness.proven(clocks.now_s())
+        call_id = f"{self.name}-{self.asked}"
+        call = make_call(path=path, id=call_id, headers=((ID, call_id),), **changes)
+        responder = FakeResponder()
+        try:
+            await self.router.serve(call, responder)
+        except VioletHatchError as error:
+            return error
+        return responder
+
+    async def keep_asking(self, *, every_s, for_s, path="/draft/1"):
+        """Send requests one after another; return what came of them."""
+        end_s = clocks.now_s() + for_s
+        tasks = []
+        while clocks.now_s() < end_s:
+            tasks.append(asyncio.create_task(self.ask(path=path)))
+            await asyncio.sleep(every_s)
+        return await asyncio.gather(*tasks)
+
+    async def stop(self):
+        """Close all connections."""
+        await self.kept.close()
+        await self.fresh.close()
+
+
+class _Listed:
+    """Lists servers as they are."""
+
+    def backend_server(self, _server_id, value):
+        return value
+
+    def desired_state(self, value):
+        return value
+
+
+@contextlib.asynccontextmanager
+async def servers_and_machines(listed, *, machines=1, seed=1):
+    """Provide servers that listen, and instances that know them."""
+    servers = [AskingServer(one) for one in listed]
+    await asyncio.gather(*(one.start() for one in servers))
+    made = [Machine(f"m{n}", servers, seed=seed + n) for n in range(machines)]
+    try:
+        yield servers, made
+    finally:
+        await asyncio.gather(*(one.stop() for one in made))
+        await asyncio.gather(*(one.stop() for one in servers))
+
+
+def first_choice(path):
+    """Return entries of three servers, of which the first is preferred for a path."""
+    if path.startswith("/label/"):
+        return [plain_server("s1"), plain_server("s2", availability_zone="z2")]
+    return [
+        runner("s1", 0, 80, kind="large"),
+        runner("s2", 0, 80, kind="medium"),
+        runner("s3", 0, 80, kind="medium"),
+    ]
--- /dev/null
+++ b/tests/test_servers_that_ask_for_rest.py
@@ -0,0 +1,78 @@
+# SPDX-License-Identifier: MIT
+"""What a server that asks for rest gets to see of an instance.
+
+Two first runners of a played day turned everything away for nine seconds, and asked
+each time for three seconds of rest. Nobody read that: a refusal for want of room let a
+server rest for 0.3 s, whatever it asked for, so that each instance sent to it again,
+0.5 to 0.7 s apart (lines of one instance: refused at 6.155, 6.849, 7.539, 8.143 and
+8.778 s). Two sends in the time asked for are allowed, from half a second on; there were
+four at one instance and three at another. Each cost its request a retry and a way there
+and back, while the third zone's first runner, which refused none, had room.
+"""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from asking_servers import first_choice, servers_and_machines
+
+
+#: What the server asks for, in seconds, and from when on nothing is to come: what was
+#: on its way when the word came has arrived by then.
+REST_S = 1.2
+UNDER_WAY_S = 0.1
+#: How often requests come, in seconds; many in each rest.
+EVERY_S = 0.02
+
+
+@pytest.mark.parametrize("path", ["/draft/1", "/label/1"])
+async def test_rest_is_kept(path):
+    """Nothing reaches the server until its rest is over; the others serve."""
+    async with servers_and_machines(first_choice(path), machines=2) as (
+        servers,
+        machines,
+    ):
+        servers[0].asks_for = str(REST_S)
+        outcomes = await asyncio.gather(
+            *(
+                one.keep_asking(every_s=EVERY_S, for_s=REST_S + 0.3, path=path)
+                for one in machines
+            )
+        )
+        assert servers[0].said_s is not None
+        for one in machines:
+            again = servers[0].arrivals(
+                after_s=UNDER_WAY_S, until_s=REST_S, machine=one.name
+            )
+            assert again == []
+        assert all(one.end == "whole" for some in outcomes for one in some)
+
+
+@pytest.mark.parametrize("path", ["/draft/1", "/label/1"])
+async def test_sends_that_wait_keep_to_the_rest(path):
+    """What was decided before the word and waits for a connection goes elsewhere."""
+    async with servers_and_machines(first_choice(path)) as (servers, machines):
+        (machine,) = machines
+        servers[0].asks_for = str(REST_S)
+        waits_s = iter([0.0, *(0.15 + 0.05 * n for n in range(12))])
+        for session in (machine.kept, machine.fresh):
+            _slow_connects(session, waits_s, servers[0])
+        outcomes = await asyncio.gather(*(machine.ask(path=path) for _ in range(13)))
+        again = servers[0].arrivals(after_s=UNDER_WAY_S, until_s=REST_S)
+        assert again == []
+        assert all(one.end == "whole" for one in outcomes)
+
+
+def _slow_connects(session, waits_s, server):
+    """Let a session's connections to a server take so long, one after the other."""
+    connector = session.connector
+    connect = connector.connect
+
+    async def late(req, **options):
+        if f"{req.host}:{req.port}" == server.listed.address:
+            await asyncio.sleep(next(waits_s, 0.0))
+        return await connect(req, **options)
+
+    connector.connect = late
