Add a soak of servers that ask for rest, leave and start again at random

Two instances with real connections, of which three in ten take up to half a second, five servers that turn away with figures of all kinds, leave and start again, singly and all together. Checked: no arrival within a rest that was asked of that instance, none after the bound on work for a start that leaves, no request run that was said not to have run, each refusal with when to come back.

--- a/tests/asking_servers.py
+++ b/tests/asking_servers.py
@@ -54,10 +54,17 @@
         #: How requests are turned away: the figure of the rest, or None to run them.
         self.asks_for = None
         self.is_leaving = False
+        #: How long what it runs takes, in seconds.
+        self.work_s = lambda: WORK_S
         self.arrived = []
         self._peers = set()
         #: When it first answered with its word.
         self.said_s = None
+        #: What it has said to which machine, when and in which start of it.
+        self.words = []
+        self.ran = []
+        self.departures = []
+        self.arrivals_by_start = []
         self._serving = None
 
     async def start(self):
@@ -76,6 +83,12 @@
         """Listen no more."""
         await self._serving.cleanup()
 
+    def start_again(self, born_ms):
+        """Be another start under the same id, which has said nothing yet."""
+        self.listed = self.listed._replace(born_ms=born_ms)
+        self.asks_for = None
+        self.is_leaving = False
+
     @property
     def connections(self):
         """How many connections have brought requests."""
@@ -92,10 +105,13 @@
 
     def _heads(self, request):
         """Return the headers of each answer."""
-        heads = {ID: request.headers.get(ID, "")}
+        call_id = request.headers.get(ID, "")
+        heads = {ID: call_id}
         if self.is_leaving:
             self._say()
             heads["Server-Leaving"] = "1"
+            machine = call_id.partition("-")[0]
+            self.departures.append((machine, clocks.now_s(), self.listed.born_ms))
         return heads
 
     def _say(self):
@@ -114,13 +130,20 @@
 
     async def _serve(self, request):
         self._peers.add(request.transport.get_extra_info("peername"))
-        self.arrived.append((request.headers.get(ID, ""), clocks.now_s()))
+        call_id = request.headers.get(ID, "")
+        self.arrived.append((call_id, clocks.now_s()))
+        self.arrivals_by_start.append((*self.arrived[-1], self.listed.born_ms))
         heads = self._heads(request)
         if self.asks_for is not None:
             self._say()
+            machine = call_id.partition("-")[0]
+            self.words.append(
+                (machine, clocks.now_s(), self.asks_for, self.listed.born_ms)
+            )
             heads |= {"Violethatch-Not-Executed": "1", "Retry-After": self.asks_for}
             return web.Response(status=503, headers=heads)
-        await asyncio.sleep(WORK_S)
+        self.ran.append(call_id)
+        await asyncio.sleep(self.work_s())
         if request.path.startswith("/label/"):
             return web.Response(body=b"done", headers=heads)
         return web.Response(body=b"id: 1\ndata: 1\n\n", headers=heads)
@@ -166,6 +189,7 @@
         try:
             await self.router.serve(call, responder)
         except VioletHatchError as error:
+            error.call_id = call_id
             return error
         return responder
 
@@ -194,6 +218,18 @@
         return value
 
 
+def slow_connects(session, wait_s):
+    """Let a session's connections take longer, by a function of the address."""
+    connector = session.connector
+    connect = connector.connect
+
+    async def late(req, **options):
+        await asyncio.sleep(wait_s(f"{req.host}:{req.port}"))
+        return await connect(req, **options)
+
+    connector.connect = late
+
+
 @contextlib.asynccontextmanager
 async def servers_and_machines(listed, *, machines=1, seed=1):
     """Provide servers that listen, and instances that know them."""
--- a/tests/test_servers_that_ask_for_rest.py
+++ b/tests/test_servers_that_ask_for_rest.py
@@ -16,7 +16,7 @@
 
 import pytest
 
-from asking_servers import first_choice, servers_and_machines
+from asking_servers import first_choice, servers_and_machines, slow_connects
 
 
 #: What the server asks for, in seconds, and from when on nothing is to come: what was
@@ -57,22 +57,13 @@
         (machine,) = machines
         servers[0].asks_for = str(REST_S)
         waits_s = iter([0.0, *(0.15 + 0.05 * n for n in range(12))])
+
+        def wait_s(address):
+            return next(waits_s, 0.0) if address == servers[0].listed.address else 0.0
+
         for session in (machine.kept, machine.fresh):
-            _slow_connects(session, waits_s, servers[0])
+            slow_connects(session, wait_s)
         outcomes = await asyncio.gather(*(machine.ask(path=path) for _ in range(13)))
         again = servers[0].arrivals(after_s=UNDER_WAY_S, until_s=REST_S)
         assert again == []
         assert all(one.end == "whole" for one in outcomes)
-
-
-def _slow_connects(session, waits_s, server):
-    """Let a session's connections to a server take so long, one after the other."""
-    connector = session.connector
-    connect = connector.connect
-
-    async def late(req, **options):
-        if f"{req.host}:{req.port}" == server.listed.address:
-            await asyncio.sleep(next(waits_s, 0.0))
-        return await connect(req, **options)
-
-    connector.connect = late
--- /dev/null
+++ b/tests/test_words_soak.py
@@ -0,0 +1,149 @@
+# SPDX-License-Identifier: MIT
+"""Servers that ask for rest, leave and start again at random, under load.
+
+Some seeds run here; ``SEEDS=50 pytest tests/test_words_soak.py`` runs more by hand.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import random
+
+import pytest
+
+from asking_servers import LEAVING_S, servers_and_machines, slow_connects
+from routing_samples import plain_server, runner
+from violethatch import clocks
+
+
+#: What was on its way when a word came has arrived by then, in seconds, also where many
+#: such tests run at a time; the bound on arrivals begins at half a second.
+UNDER_WAY_S = 0.25
+LASTS_S = 4.0
+MACHINES = 2
+FIGURES = ("0.3", "1", "1.5", "0", "2, 1", "soon", "-1")
+LENGTHS_S = {"0.3": 0.3, "1": 1.0, "1.5": 1.5, "2, 1": 2.0}
+
+
+#: Connections take up to so long, in seconds, one in so many of them.
+SLOW_CONNECT_S = 0.5
+SLOW_CONNECTS = 0.3
+#: What servers run takes up to so long, in seconds: it goes on while they turn away.
+WORK_S = 0.4
+
+
+class Trouble:
+    """Turns one server's words on and off at random; notes what they allow.
+
+    Args:
+        server: The server.
+        machines: The instances that have it in their lists.
+        rng: Decides.
+    """
+
+    def __init__(self, server, machines, rng):
+        self.server = server
+        self.machines = machines
+        self.rng = rng
+        self.born_ms = 1
+
+    async def run(self, end_s):
+        """Change what the server says, until a time."""
+        while clocks.now_s() < end_s:
+            await asyncio.sleep(self.rng.uniform(0.05, 0.4))
+            change = self.rng.random()
+            if change < 0.45:
+                self.server.asks_for = self.rng.choice(FIGURES)
+            elif change < 0.85:
+                self.server.asks_for = None
+            elif change < 0.93:
+                self.server.is_leaving = True
+            else:
+                self.start_again()
+
+    def start_again(self):
+        """Let the server start again under its id, free of all it has said."""
+        self.born_ms += 1
+        self.server.start_again(self.born_ms)
+        for machine in self.machines:
+            machine.list({self.server.listed.id: self.server.listed})
+
+
+async def all_ask(servers, rng, end_s):
+    """Let all servers of a service turn everything away from time to time."""
+    while clocks.now_s() < end_s:
+        await asyncio.sleep(rng.uniform(0.2, 0.6))
+        for server in servers:
+            server.asks_for = rng.choice(list(LENGTHS_S))
+
+
+def broken_rests(server):
+    """Return arrivals at a server within rests that it had asked that machine for."""
+    return [
+        (machine, round(at_s - said_s, 3), figure)
+        for machine, said_s, figure, born_ms in server.words
+        for what, at_s, arrived_ms in server.arrivals_by_start
+        if what.startswith(machine)
+        and arrived_ms == born_ms
+        and said_s + UNDER_WAY_S <= at_s < said_s + LENGTHS_S.get(figure, 0.0)
+    ]
+
+
+def late_arrivals(server):
+    """Return arrivals at a start that had said to a machine that it leaves."""
+    return [
+        (machine, round(at_s - said_s, 3))
+        for machine, said_s, born_ms in server.departures
+        for what, at_s, arrived_ms in server.arrivals_by_start
+        if what.startswith(machine)
+        and arrived_ms == born_ms
+        and at_s >= said_s + LEAVING_S
+    ]
+
+
+def connect_s(rng):
+    """Return how long a connection takes beside its usual time, in seconds."""
+    is_slow = rng.random() < SLOW_CONNECTS
+    return rng.uniform(0.0, SLOW_CONNECT_S) if is_slow else 0.0
+
+
+def is_refusal(outcome):
+    """Tell whether a caller was told that nothing has run."""
+    return getattr(outcome, "ran", "") == "no"
+
+
+@pytest.mark.parametrize("seed", range(int(os.environ.get("SEEDS", "3"))))
+async def test_words_are_kept(seed):
+    """Whatever servers say, in whatever order, it is kept, and callers get answers."""
+    rng = random.Random(seed)
+    listed = [
+        *(runner(f"s{n}", 0, 80, kind="large", born_ms=1) for n in range(3)),
+        *(plain_server(f"p{n}", born_ms=1) for n in range(2)),
+    ]
+    async with servers_and_machines(listed, machines=MACHINES, seed=seed) as (
+        servers,
+        machines,
+    ):
+        end_s = clocks.now_s() + LASTS_S
+        for one in servers:
+            one.work_s = lambda: rng.uniform(0.0, WORK_S)
+        for machine in machines:
+            for session in (machine.kept, machine.fresh):
+                slow_connects(session, lambda _address: connect_s(rng))
+        troubles = [Trouble(one, machines, rng) for one in servers]
+        work = [one.run(end_s) for one in troubles]
+        work += [all_ask(some, rng, end_s) for some in (servers[:3], servers[3:])]
+        asking = [
+            one.keep_asking(every_s=0.02, for_s=LASTS_S, path=path)
+            for one in machines
+            for path in ("/draft/1", "/label/1")
+        ]
+        *outcomes, _ = await asyncio.gather(*asking, asyncio.gather(*work))
+    assert [broken_rests(server) for server in servers] == [[]] * len(servers)
+    assert [late_arrivals(server) for server in servers] == [[]] * len(servers)
+    unrun = [one for some in outcomes for one in some if is_refusal(one)]
+    ran = {call_id for server in servers for call_id in server.ran}
+    assert all(one.retry_after_s > 0 for one in unrun)
+    assert {one.call_id for one in unrun}.isdisjoint(ran)
+    assert sum(len(server.words) for server in servers) > 0
