Search the path that is free first once a moment, and time what the gate costs

The search by ends takes some searches where many rest, which each refusal in a storm of them would ask for.

Change: what was found counts for 0.25 s while the same servers rest. The gate's lines go by what binds. bench/decision_costs.py times a look, the clock, and a list of 790 servers.

--- a/bench/decision_costs.py
+++ b/bench/decision_costs.py
@@ -10,6 +10,7 @@
 
 from __future__ import annotations
 
+import json
 import pathlib
 import random
 import statistics
@@ -33,17 +34,21 @@
 from violethatch.paths import LayerMap
 from violethatch.pipe_share import PipeShare
 from violethatch.placement import divide, plan_placement
+from violethatch.platform._wire import WireDecoder
 from violethatch.retries import RetryBudget
 from violethatch.retry_shares import RetryShare
 from violethatch.runner_health import RunnerHealth, Trouble
 from violethatch.runner_paces import RunnerPaces
 from violethatch.stream_loads import StreamLoads
+from violethatch.upstream import Sending
 
 
 #: How often each decision is timed; those that take longer than a tenth of a second in
 #: all are timed less often.
 _REPEATS = 200
 _LONGEST_S = 2.0
+#: Servers in the largest list that is planned for.
+_LISTED = 790
 _MICROSECONDS = 1e6
 
 
@@ -76,6 +81,28 @@
     ]
 
 
+def listed_rows(servers: Sequence[BackendServer]) -> list[tuple[str, bytes]]:
+    """Return the rows of a list as large as the largest that is planned for."""
+    rows = []
+    for n in range(_LISTED):
+        server = servers[n % len(servers)]
+        entry = {
+            "Service": server.service,
+            "Address": server.address,
+            "Zone": server.availability_zone,
+            "Version": "v1",
+            "Slots": server.slots,
+            "State": "ready",
+            "Sequence": n,
+            "ColdRemainingMs": 0,
+            "Kind": server.kind,
+            "born": 1_790_000_000_000 + n,
+            "layers": {"From": 0, "TargetVersion": 20, "Version": 1},
+        }
+        rows.append((f"i-{n}", json.dumps(entry).encode()))
+    return rows
+
+
 def path_choice(servers: Sequence[BackendServer], instances: int) -> PathChoice:
     """Return one instance's choice, with news of all runners."""
     backends = BackendTable(leaving_s=4.0)
@@ -122,6 +149,10 @@
     health = RunnerHealth()
     share = RetryShare(RetryBudget(ratio=0.1, reserve=3.0))
 
+    gate = WordGate(BackendTable(), rng=random.Random(1))
+    rows_listed = listed_rows(servers)
+    decoder = WireDecoder()
+
     def lay_anew() -> None:
         choice._shares.clear()
         choice.path(spec)
@@ -143,13 +174,22 @@
                 health.resting(now_s=clocks.now_s()),
             ),
         ),
+        (
+            "a look at what a server has said",
+            lambda: gate.look(servers[0], Sending.REPORT, ""),
+        ),
+        ("the clock read", clocks.now_s),
+        (
+            f"a list of {_LISTED} servers read",
+            lambda: [decoder.backend_server(one, row) for one, row in rows_listed],
+        ),
         ("a retry taken", lambda: share.withdraw(now_s=0.0)),
         ("a plan where nothing lacks", lambda: plan_placement(whole, engine)),
         ("an empty fleet divided", lambda: divide(hosts, engine)),
     ]
     print(f"{len(servers)} runners, {instances} instances")
     for name, decide in rows:
-        print(f"{median_us(decide):12.0f} us  {name}")
+        print(f"{median_us(decide):12.1f} us  {name}")
     return 0
 
 
--- a/src/violethatch/_path_choice.py
+++ b/src/violethatch/_path_choice.py
@@ -38,8 +38,8 @@
 #: From how many first runners a path is searched for a request that may end one.
 _MOST_FIRSTS = 3
 #: To how many seconds rests are rounded up where the path is searched whose rests are
-#: over first: callers are told times that are spread by more, and each search takes as
-#: long as one for a path.
+#: over first, and for how long that counts: callers are told times that are spread by
+#: more, and it takes some searches, which all that are refused at once would ask for.
 _REST_STEP_S = 0.25
 
 
@@ -80,6 +80,20 @@
     pipe_fullness: float
 
 
+class _FreeFirst(NamedTuple):
+    """The path whose rests are over first, who rested then, and when that was."""
+
+    maps: _Maps
+    resting: frozenset[str]
+    path: Path | None
+    found_s: float
+
+    def is_of(self, maps: _Maps, rests_s: Mapping[str, float], *, now_s: float) -> bool:
+        """Tell whether it counts: the same servers rest, by a list that stands."""
+        is_new = now_s - self.found_s < _REST_STEP_S
+        return is_new and self.maps is maps and self.resting == rests_s.keys()
+
+
 class Blocked(NamedTuple):
     """How long rests block the path that is free soonest, in seconds.
 
@@ -129,6 +143,7 @@
         self._unseen = UnseenStreams()
         self._maps: dict[str, _Maps] = {}
         self._shares: dict[str, _Shares] = {}
+        self._free_first: dict[str, _FreeFirst] = {}
         #: Tells the own place among the zone's instances.
         self.place: Callable[[], Place] = lambda: ALONE
 
@@ -205,12 +220,16 @@
         rests_s = self._health.rests_s(now_s=now_s)
         for server_id, left_s in asked_s.items():
             rests_s[server_id] = max(left_s, rests_s.get(server_id, 0.0))
-        path = self._first_free(maps.whole, rests_s)
-        if path is None:
+        known = self._free_first.get(service.name)
+        if known is None or not known.is_of(maps, rests_s, now_s=now_s):
+            path = self._first_free(maps.whole, rests_s)
+            known = _FreeFirst(maps, frozenset(rests_s), path, now_s)
+            self._free_first[service.name] = known
+        if known.path is None:
             return None
         return Blocked(
-            max(rests_s.get(one, 0.0) for one in path.server_ids),
-            max(asked_s.get(one, 0.0) for one in path.server_ids),
+            max(rests_s.get(one, 0.0) for one in known.path.server_ids),
+            max(asked_s.get(one, 0.0) for one in known.path.server_ids),
         )
 
     def _first_free(
--- a/src/violethatch/_word_gate.py
+++ b/src/violethatch/_word_gate.py
@@ -82,7 +82,7 @@
         if not word.is_said:
             return
         is_longer = self._take_rest(server, word, request_id, now_s=now_s)
-        is_news = word.is_leaving and self.note_leaving(server, server.born_ms)
+        is_news = word.is_leaving and self._note_leaving(server)
         if word.unread:
             self.on_word("unread")
         events.log(
@@ -134,9 +134,11 @@
         if word.rest_s is not None and word.is_binding:
             self._ask_rest(server, word.rest_s, request_id, now_s=clocks.now_s())
 
-    def note_leaving(self, server: BackendServer, born_ms: int) -> bool:
+    def _note_leaving(self, server: BackendServer) -> bool:
         """Note a server's word that it leaves; tell whether that is news."""
-        is_news = self._backends.note_leaving(server.id, born_ms, now_s=clocks.now_s())
+        is_news = self._backends.note_leaving(
+            server.id, server.born_ms, now_s=clocks.now_s()
+        )
         if is_news:
             self.on_word("leaving")
             self.on_leaving(server)
@@ -168,16 +170,16 @@
 
     def explain(self, request_id: str, service: str) -> None:
         """Log the rests and departures that decide over a service's requests."""
-        now_s = clocks.now_s()
+        known = self.words.known()
         rests = [
             {
                 "server_id": server_id,
-                "left_s": round(rest.until_s - now_s, 3),
-                "asked_s": rest.asked_s,
-                "said_to": rest.request_id,
+                "left_s": round(left_s, 3),
+                "asked_s": known[server_id].asked_s,
+                "said_to": known[server_id].request_id,
             }
-            for server_id, rest in self.words.known().items()
-            if self._is_of(server_id, service) and now_s < rest.until_s
+            for server_id, left_s in self.bound(now_s=clocks.now_s()).items()
+            if self._is_of(server_id, service)
         ]
         leaving = self._backends.leaving(service)
         if rests or leaving:
--- a/tests/test_path_choice.py
+++ b/tests/test_path_choice.py
@@ -14,7 +14,7 @@
 from violethatch.load_sums import LoadTotals, ServerTotals, server_number
 from violethatch.path_shares import Place
 from violethatch.runner_health import Trouble
-from violethatch.upstream import ServerLoad
+from violethatch.upstream import ServerLoad, ServerWord
 
 
 ZONE = "heredia"
@@ -130,6 +130,25 @@
         assert one.blocked(SERVICE).left_s <= 0.3
         assert one.blocked(SERVICE).left_s > 0.0
 
+    def test_path_that_is_free_first(self):
+        """Not the one of the quickest runners, nor that of the fewest that rest."""
+        (one,) = routings(1, *NEAR[:8])
+        now_s = clocks.now_s()
+        for server, rest_s in ((NEAR[0], 9.0), (NEAR[4], 2.0), (NEAR[5], 1.9)):
+            word = ServerWord(status=503, rest_s=rest_s, is_binding=True)
+            one.gate.heard(server, word, "c1")
+        for _ in range(2):
+            blocked = one.blocked(SERVICE)
+            assert 1.8 <= blocked.asked_s <= 2.0
+            assert blocked.left_s == blocked.asked_s
+        one.gate.heard(
+            NEAR[1], ServerWord(status=503, rest_s=1.0, is_binding=True), "c2"
+        )
+        assert one.blocked(SERVICE).asked_s <= 2.0
+        for server in (NEAR[3], NEAR[7]):
+            one.health.note(server.id, Trouble.SILENT, now_s=now_s)
+        assert 2.0 <= one.blocked(SERVICE).left_s <= 3.0
+
     def test_lacking_layers_are_not_waited_for(self):
         """Nobody knows when a layer without a holder comes back."""
         (one,) = routings(1, *NEAR[:3])
