--- a/tests/asking_servers.py
+++ b/tests/asking_servers.py
@@ -10,10 +10,15 @@
 from aiohttp import web
 
 from router_fakes import FakeResponder, make_call, settings
-from routing_samples import call_route, desired_state, plain_server, runner
+from routing_samples import (
+    call_route,
+    desired_state,
+    plain_route,
+    plain_server,
+    runner,
+)
 from violethatch import clocks
 from violethatch._router import Router
-from violethatch.desired import CallKind, Split
 from violethatch.errors import VioletHatchError
 from violethatch.platform._runners import Runners
 from violethatch.platform._sessions import make_session
@@ -32,14 +37,7 @@
     "silence_limit_s": "1.0",
 }
 STREAMS = call_route(max_attempts=3)
-PLAIN = call_route(
-    name="r2",
-    path_prefix="/label/",
-    kind=CallKind.SAFE,
-    is_resumable=False,
-    splits=(Split("labels", 1.0),),
-    max_attempts=3,
-)
+PLAIN = plain_route(max_attempts=3)
 
 
 class AskingServer:
--- a/tests/mortal_fleet.py
+++ b/tests/mortal_fleet.py
@@ -15,13 +15,18 @@
     report,
     settings,
 )
-from routing_samples import call_route, desired_state, plain_server, runner
+from routing_samples import (
+    call_route,
+    desired_state,
+    plain_route,
+    plain_server,
+    runner,
+)
 from test_instances import entry
 from violethatch import clocks
 from violethatch._peer_datagrams import PeerDatagrams
 from violethatch._peer_links import PeerLinks
 from violethatch._router import Router
-from violethatch.desired import CallKind, Split
 from violethatch.errors import VioletHatchError
 from violethatch.instances import InstanceDirectory
 from violethatch.upstream import (
@@ -41,14 +46,7 @@
 #: After how long a server is back under a new id, in seconds.
 BACK_S = 0.1
 STREAMS = call_route(max_attempts=2)
-PLAIN = call_route(
-    name="r2",
-    path_prefix="/label/",
-    kind=CallKind.SAFE,
-    is_resumable=False,
-    splits=(Split("labels", 1.0),),
-    max_attempts=2,
-)
+PLAIN = plain_route(max_attempts=2)
 
 
 class Server:
--- a/tests/routing_samples.py
+++ b/tests/routing_samples.py
@@ -96,6 +96,18 @@
     return route._replace(**changes)
 
 
+def plain_route(**changes):
+    """Return a route of calls of the service `labels` that may be repeated."""
+    route = call_route(
+        name="r2",
+        path_prefix="/label/",
+        kind=CallKind.SAFE,
+        is_resumable=False,
+        splits=(Split("labels", 1.0),),
+    )
+    return route._replace(**changes)
+
+
 def desired_state(*routes, version=1, keys=("key-1",), workspace="clinic"):
     """Return a desired state with the services `model` and `labels`."""
     by_host = {}
