Take nothing more before a stopping process closes

Cause: a process that stops looked whether something was under way, found nothing, and closed; it listened until it had ended. A request that came in between was passed on, and its connection ended 18 ms later without an answer. What was under way for more than 0.1 s when it closed was cut as well.

Change: at the close nothing more is taken (new connections are refused, requests on open ones are refused as not run), what is under way ends within the grace, then all closes.

--- a/src/violethatch/draining.py
+++ b/src/violethatch/draining.py
@@ -33,12 +33,17 @@
     def __init__(self, *, grace_s: float) -> None:
         self.grace_s = grace_s
         self.asked_s: float | None = None
+        self._is_closing = False
 
     def ask(self, *, now_s: float) -> None:
         """Note that the stop was asked for."""
         if self.asked_s is None:
             self.asked_s = now_s
 
+    def close(self) -> None:
+        """Note that nothing more is taken: what is under way ends, then all closes."""
+        self._is_closing = True
+
     @property
     def is_stopping(self) -> bool:
         """Whether the stop was asked for."""
@@ -46,6 +51,8 @@
 
     def takes_calls(self, *, is_stream: bool, now_s: float) -> bool:
         """Tell whether a new call is still taken."""
+        if self._is_closing:
+            return False
         if self.asked_s is None:
             return True
         calls_s = self.grace_s - _CALLS_MARGIN_S
--- a/src/violethatch/platform/_connections.py
+++ b/src/violethatch/platform/_connections.py
@@ -47,6 +47,11 @@
         self._stop_head_time()
         super().connection_lost(exc)
 
+    @property
+    def is_serving(self) -> bool:
+        """Whether a request is under way, or read and not begun."""
+        return self._current_request is not None or bool(self._messages)
+
     def _waits_for_head(self) -> bool:
         """Tell whether no request is whole nor under way."""
         if self._request_count == 0:
@@ -83,6 +88,11 @@
         self._limits = limits
         self._options = options
 
+    @property
+    def callers(self) -> list[CallerConnection]:
+        """The connections that are open."""
+        return [one for one in self.connections if isinstance(one, CallerConnection)]
+
     def __call__(self) -> RequestHandler:
         """Return the handler of a new connection."""
         limits = self._limits()
--- a/src/violethatch/platform/_listener.py
+++ b/src/violethatch/platform/_listener.py
@@ -37,6 +37,8 @@
 )
 #: How long connections get to close at the end, in seconds.
 _CLOSE_S = 0.1
+#: How often to look whether all that is under way has ended, in seconds.
+_CLOSE_LOOK_S = 0.02
 _OK = 200
 _UNAVAILABLE = 503
 
@@ -50,10 +52,11 @@
             self._handle, limits=self._limits, auto_decompress=False
         )
         self._had_room = True
+        self._listening: asyncio.Server | None = None
 
     async def start(self, endpoint: str) -> None:
         """Listen on an address."""
-        await listen(self._server, endpoint)
+        self._listening = await listen(self._server, endpoint)
 
     def has_room(self) -> bool:
         """Tell whether further connections can be taken; log when that changes."""
@@ -68,9 +71,25 @@
         return has_room
 
     async def close(self) -> None:
-        """Close all connections."""
+        """Take nothing more, let what is under way end, then close all connections.
+
+        A request that came between the last look and the close was passed on and cut.
+        """
+        plan = self._router.stop_plan
+        plan.close()
+        if self._listening is not None:
+            self._listening.close()
+        while plan.left_s(now_s=clocks.now_s()) > 0:
+            if not self._is_serving:
+                break
+            await asyncio.sleep(_CLOSE_LOOK_S)
         await self._server.shutdown(timeout=_CLOSE_S)
 
+    @property
+    def _is_serving(self) -> bool:
+        """Whether a request is under way on some connection."""
+        return any(one.is_serving for one in self._server.callers)
+
     async def _handle(self, request: BaseRequest) -> StreamResponse:
         """Serve one request."""
         started_s = clocks.now_s()
--- a/src/violethatch/platform/_process.py
+++ b/src/violethatch/platform/_process.py
@@ -86,10 +86,10 @@
         events.log(events.STARTED, id=self._settings.instance.id)
         await stop.wait()
         await self._drain(parts)
+        await callers.close()
         events.log(events.STOPPED, id=self._settings.instance.id)
         for task in self._tasks:
             task.cancel()
-        await callers.close()
         await kept.close()
         await fresh.close()
         self._output.flush()
--- a/tests/test_draining.py
+++ b/tests/test_draining.py
@@ -42,3 +42,12 @@
         plan.ask(now_s=0.0)
         assert not plan.takes_calls(is_stream=True, now_s=0.1)
         assert not plan.takes_calls(is_stream=False, now_s=0.1)
+
+    def test_nothing_is_taken_while_all_closes(self):
+        """Neither in a planned stop nor without one."""
+        plan = StopPlan(grace_s=8.0)
+        plan.close()
+        assert not plan.takes_calls(is_stream=True, now_s=0.0)
+        assert not plan.takes_calls(is_stream=False, now_s=0.0)
+        plan.ask(now_s=0.0)
+        assert not plan.takes_calls(is_stream=False, now_s=0.0)
--- a/tests/test_platform_process.py
+++ b/tests/test_platform_process.py
@@ -123,7 +123,10 @@
         """Write a desired state."""
         route = dict(CONFIG["Routes"][0], TrafficSplit=[], Service="model")
         state = dict(CONFIG, Version=version, Routes=routes or [route])
-        state["Services"] = [{"Name": "model", "Engine": ENGINE}]
+        state["Services"] = [
+            {"Name": "model", "Engine": ENGINE},
+            {"Name": "labels", "MaxConnections": 110},
+        ]
         state["Tenants"] = [{"Name": "clinic", "ApiKeys": list(keys)}]
         if limits is not None:
             state["Limits"] = limits
@@ -402,6 +405,19 @@
         assert set(state["sources"].values()) == {"store"}
 
 
+async def _ask_once(site, number, answered):
+    """Ask on a connection of its own; note the status, if there is an answer."""
+    url = f"http://127.0.0.1:{site.front}/print/1"
+    headers = HEADERS | {ID: f"n{number}"}
+    with contextlib.suppress(aiohttp.ClientError, OSError):
+        async with (
+            aiohttp.ClientSession() as session,
+            session.post(url, data=b"a label", headers=headers) as answer,
+        ):
+            await answer.read()
+            answered[f"n{number}"] = answer.status
+
+
 class TestStop:
     async def test_stream_in_progress_is_finished(self, site):
         """A planned stop cuts nothing and then ends the process."""
@@ -418,6 +434,32 @@
             await site.process.communicate()
         assert site.process.returncode == 0
 
+    async def test_requests_in_the_last_moment(self, site):
+        """What comes on a new connection just before the end is not cut.
+
+        A request that reached a server 3.1 s after the stop was asked for, 14 ms before
+        the process had closed, ended with its connection: nothing had been under way
+        when it was last looked, and the socket was still listened on.
+        """
+        route = dict(CONFIG["Routes"][1], TimeoutMs=3000)
+        await site.start(routes=[route], **{"Bounds.GraceS": "8"})
+        site.list_server("i-1", Service="labels")
+        await site.wait_status(200, path="/print/1", call_id="first")
+        runner = site.runners["i-1"]
+        runner.event_count = 1
+        runner.seen.clear()
+        site.process.send_signal(signal.SIGTERM)
+        await asyncio.sleep(2.8)
+        answered = {}
+        asking = []
+        while site.process.returncode is None:
+            asking.append(asyncio.create_task(_ask_once(site, len(asking), answered)))
+            await asyncio.sleep(0.012)
+        await asyncio.gather(*asking)
+        cut = {one.call_id for one in runner.seen} - answered.keys()
+        assert cut == set()
+        assert 200 in answered.values()
+
     async def test_stopping_process_closes_kept_connections(self, site):
         """Callers are told to go elsewhere with the next answer."""
         await site.start()
