Look only twice a second whether a resting runner may be asked

Cause: what a silent stream's look at a runner that rests came to was not kept, so that each look of each stream wrote a line. Change: it counts for half a second, as a report does. Figures: 1 look instead of 5 in the test. Conclusion: mended.

--- a/src/violethatch/_probes.py
+++ b/src/violethatch/_probes.py
@@ -112,18 +112,20 @@
 
     async def _ask(self, server: BackendServer) -> _Outcome:
         """Ask a server, and remember what it told."""
+        report: RunnerReport | None = None
+        is_asked = True
         try:
             report = await self._client.report(server)
         except KeptBackError:
-            return _Outcome(None, clocks.now_s(), is_asked=False)
+            is_asked = False
         finally:
             self._running.pop(server.id, None)
-        outcome = _Outcome(report, clocks.now_s())
+        outcome = _Outcome(report, clocks.now_s(), is_asked)
         self._known[server.id] = outcome
-        if report is None:
-            self._on_silent(server)
-        else:
+        if report is not None:
             self._on_report(server, report)
+        elif is_asked:
+            self._on_silent(server)
         return outcome
 
 
--- a/tests/test_probes.py
+++ b/tests/test_probes.py
@@ -9,6 +9,7 @@
 from routing_samples import runner
 from violethatch import _probes
 from violethatch._probes import Probes
+from violethatch.upstream import KeptBackError
 
 
 class CountingClient:
@@ -55,6 +56,21 @@
         await asyncio.sleep(0.05)
         assert told == [A]
 
+    async def test_who_wants_nothing_is_not_silent(self):
+        """It is not asked, nobody is told of a silence, and one look counts a while."""
+        looks, told = [], []
+
+        class RestingClient:
+            async def report(self, server):
+                looks.append(server.id)
+                raise KeptBackError("rest", 3.0)
+
+        probes = Probes(RestingClient(), on_silent=told.append)
+        for _ in range(5):
+            found = await probes.look([A], within_s=5.0)
+            assert (found.silent, found.pending, found.unasked) == ((), (), (A,))
+        assert (looks, told) == (["a"], [])
+
     async def test_requests_share_a_probe(self):
         """However many requests wait, a runner is asked once."""
         client = CountingClient()
