--- a/src/violethatch/_routing.py
+++ b/src/violethatch/_routing.py
@@ -374,7 +374,8 @@
         if is_told_by_other and server is not None:
             self.gate.pass_on_rest(server, refusal.word, request_id)
         rested_s = self.health.rests_s(now_s=clocks.now_s()).get(server_id, 0.0)
-        rest_s = self._note(server_id, trouble)
+        guessed_s = self._note(server_id, trouble) or 0.0
+        asked_s = self.gate.bound(now_s=clocks.now_s()).get(server_id, 0.0)
         self.on_refusal(trouble, rested_s > 0)
         events.log(
             events.SERVER_REFUSED,
@@ -384,7 +385,7 @@
             status=refusal.word.status,
             asks_rest_s=refusal.word.rest_s,
             rested_s=round(rested_s, 3),
-            rest_s=rest_s,
+            rest_s=round(max(guessed_s, asked_s), 3),
             is_told_by_other=is_told_by_other,
         )
 
--- a/tests/test_word_gate.py
+++ b/tests/test_word_gate.py
@@ -378,6 +378,19 @@
 
 
 class TestLines:
+    def test_refusal_tells_for_how_long(self, lines):
+        """What was asked for counts where it is longer than the guess."""
+        a = runner("a", 0, 80)
+        routing = make_routing(FakeClient(), a, rng=random.Random(1))
+        routing.note_refusal("a", Refusal(None, False), "c1")
+        routing.gate.heard(a, REST, "c2")
+        routing.note_refusal("a", Refusal(None, False, REST), "c2")
+        first, second = lines_of(lines, log_events.SERVER_REFUSED)
+        assert (first["rest_s"], first["rested_s"]) == (0.3, 0.0)
+        assert second["rest_s"] == pytest.approx(30.0, abs=0.1)
+        assert 0.0 < second["rested_s"] <= 0.3
+        assert (second["status"], second["asks_rest_s"]) == (503, 30.0)
+
     def test_words_and_what_they_keep_back(self, lines):
         """From a request's id to the word that decided, and who had it."""
         a = runner("a", 0, 80)
