Test rests and departures through the whole process

A stand-in runner that asks for rest or says that it leaves, the router's own process before it: what it sends, answers, logs and shows on its metrics' port.

--- a/src/violethatch_emulator/path_runner.py
+++ b/src/violethatch_emulator/path_runner.py
@@ -12,6 +12,7 @@
 
 _ID = "Violethatch-Attempt-Id"
 _NOT_RUN = "Violethatch-Not-Executed"
+_UNAVAILABLE = 503
 
 
 class Seen(NamedTuple):
@@ -47,6 +48,10 @@
         self.dropped: list[str] = []
         #: A status that requests are refused with, unrun, or zero.
         self.refuse_with = 0
+        #: The figure of a rest that refusals ask for, or an empty text.
+        self.asks_rest = ""
+        #: Whether all answers say that it leaves.
+        self.is_leaving = False
         #: Streams stand still after this event, waiting for `stalled_at`.
         self.hang_after: int | None = None
         #: Streams are cut within the event after this one.
@@ -58,11 +63,19 @@
     def application(self) -> web.Application:
         """Return the runner's HTTP application."""
         app = web.Application()
+        app.on_response_prepare.append(self._say)
         app.router.add_get("/api/report", self._report)
         app.router.add_post("/api/order", self._order)
         app.router.add_route("*", "/{path:.*}", self._serve)
         return app
 
+    async def _say(self, _request: web.Request, answer: web.StreamResponse) -> None:
+        """Say in an answer's head what the runner says of itself."""
+        if self.is_leaving:
+            answer.headers["Server-Leaving"] = "1"
+        if self.asks_rest and answer.status == _UNAVAILABLE:
+            answer.headers["Retry-After"] = self.asks_rest
+
     async def _report(self, _request: web.Request) -> web.Response:
         """Tell the runner's state."""
         layers = None
--- a/tests/test_platform_process.py
+++ b/tests/test_platform_process.py
@@ -170,6 +170,12 @@
             await answer.read()
             return answer.status
 
+    async def fetch(self, path):
+        """Return what the metrics' port tells."""
+        url = f"http://127.0.0.1:{self.metrics}{path}"
+        async with self.http.get(url) as answer:
+            return await answer.read()
+
     async def wait_status(self, status, **options):
         """Send requests until one gets *status*."""
         async with asyncio.timeout(15):
@@ -405,6 +411,54 @@
         assert set(state["sources"].values()) == {"store"}
 
 
+class TestWords:
+    async def test_rest_from_answer_to_state_and_metrics(self, site):
+        """The process sends nothing, says so, and serves again afterwards."""
+        await site.start()
+        for runner in site.runners.values():
+            runner.refuse_with = 503
+            runner.asks_rest = "2"
+        assert await site.status_of(call_id="told") == 503
+        told = sum(len(runner.seen) for runner in site.runners.values())
+        assert told == 2
+        async with site.post(call_id="refused") as answer:
+            assert answer.status == 503
+            assert 0.5 < float(answer.headers["Retry-After"]) <= 3.1
+        assert sum(len(runner.seen) for runner in site.runners.values()) == told
+        state = await site.fetch("/state")
+        assert json.loads(state)["asked_rest_s"].keys() == {"i-1", "i-2"}
+        metrics = await site.fetch("/metrics")
+        assert b"violethatch_router_servers_resting 2" in metrics
+        assert b'violethatch_router_server_words_total{word="rest"} 2' in metrics
+        for runner in site.runners.values():
+            runner.refuse_with = 0
+        await site.wait_status(200, call_id="served")
+        site.process.send_signal(signal.SIGTERM)
+        output, _ = await site.process.communicate()
+        lines = [json.loads(line) for line in output.splitlines()]
+        (rests,) = [
+            line
+            for line in lines
+            if line["number"] == 2121 and line["request_id"] == "refused"
+        ]
+        assert {one["said_to"] for one in rests["rests"]} == {"told"}
+
+    async def test_departure_is_known_before_the_list_tells(self, site):
+        """One answer says it; the entry says that the runner is ready."""
+        await site.start()
+        site.list_server("i-2", State="draining")
+        site.runners["i-1"].is_leaving = True
+        assert await site.status_of(call_id="told") == 200
+        site.list_server("i-2")
+        site.list_server("i-1", Slots=97)
+        await site.wait_status(200, call_id="other")
+        seen = len(site.runners["i-1"].seen)
+        for number in range(5):
+            assert await site.status_of(call_id=f"c{number}") == 200
+        assert len(site.runners["i-1"].seen) == seen
+        assert len(site.runners["i-2"].seen) >= 6
+
+
 async def _ask_once(site, number, answered):
     """Ask on a connection of its own; note the status, if there is an answer."""
     url = f"http://127.0.0.1:{site.front}/print/1"
