Tell by when a server was asked which start of it has answered

Cause: a word was kept for the start that was listed when it came. The list tells late of a new start under an id, so that what that start had asked for was forgotten when the list told, and a late word of the start before could stand in its place. A departure that one start had said replaced the other's. Found by a model of it, written after the code.

Ruled out: keeping words through any new start (the next process would be held to what the one before had asked).

Change: a word carries when its request was written; what was asked after a start's birth was answered by it. Departures are kept by start.

--- a/spec/check.sh
+++ b/spec/check.sh
@@ -66,4 +66,8 @@
 for mutant in FROM_RECEIPT FROM_ANSWER ANY_VERSION NO_DOUBT; do
   caught relay.pml "-D$mutant"
 done
+holds rests.pml ""
+for mutant in NO_LOOK SHORTER SUCCESS ANY_START AS_LISTED FORGETS BY_LIST LAST_WORD; do
+  caught rests.pml "-D$mutant"
+done
 rm -f pan pan.* ./*.trail _spin*
--- a/src/violethatch/_word_gate.py
+++ b/src/violethatch/_word_gate.py
@@ -82,7 +82,7 @@
         if not word.is_said:
             return
         is_longer = self._take_rest(server, word, request_id, now_s=now_s)
-        is_news = word.is_leaving and self._note_leaving(server)
+        is_news = word.is_leaving and self._note_leaving(server, word.sent_ms)
         if word.unread:
             self.on_word("unread")
         events.log(
@@ -110,16 +110,17 @@
             self.on_wish(server, word.rest_s)
             return False
         self.on_word("rest")
-        return self._ask_rest(server, word.rest_s, request_id, now_s=now_s)
+        return self._ask_rest(server, word, request_id, now_s=now_s)
 
     def _ask_rest(
-        self, server: BackendServer, length_s: float, request_id: str, *, now_s: float
+        self, server: BackendServer, word: ServerWord, request_id: str, *, now_s: float
     ) -> bool:
         """Keep a rest that a server asks for; tell whether that is longer."""
         return self.words.ask_rest(
             server.id,
-            length_s,
+            word.rest_s or 0.0,
             born_ms=server.born_ms,
+            sent_ms=word.sent_ms,
             request_id=request_id,
             now_s=now_s,
         )
@@ -132,12 +133,12 @@
         The first one has answered: it is left alone for that as well.
         """
         if word.rest_s is not None and word.is_binding:
-            self._ask_rest(server, word.rest_s, request_id, now_s=clocks.now_s())
+            self._ask_rest(server, word, request_id, now_s=clocks.now_s())
 
-    def _note_leaving(self, server: BackendServer) -> bool:
+    def _note_leaving(self, server: BackendServer, sent_ms: int) -> bool:
         """Note a server's word that it leaves; tell whether that is news."""
         is_news = self._backends.note_leaving(
-            server.id, server.born_ms, now_s=clocks.now_s()
+            server.id, server.born_ms, sent_ms=sent_ms, now_s=clocks.now_s()
         )
         if is_news:
             self.on_word("leaving")
--- a/src/violethatch/backends.py
+++ b/src/violethatch/backends.py
@@ -11,6 +11,7 @@
 
 from ._listed import BackendServer
 from .server_starts import ServerStarts
+from .server_words import is_word_of
 
 
 __all__ = (
@@ -69,8 +70,9 @@
         self._servers: dict[str, BackendServer] = {}
         self._starts = ServerStarts()
         self._lapsed_until_s: dict[str, float] = {}
-        #: By id, servers that are leaving by their own word, and since when any are.
-        self._said_leaving: dict[str, int] = {}
+        #: By start, when it was asked that has said that it leaves, the latest last;
+        #: and by id since when a server is known to leave.
+        self._said_leaving: dict[tuple[str, int], int] = {}
         self._leaving_since_s: dict[str, float] = {}
         self._store_returned_s: float | None = None
 
@@ -109,10 +111,11 @@
             known = self._servers.get(entry.id)
             if not self._starts.admits(entry, known, now_s=now_s):
                 continue  # an earlier start's, which may have come late
-            server = self._as_said(entry)
-            if known is not None and _is_new_start(known, server):
+            if known is not None and _is_new_start(known, entry):
                 restarted.append(known)
-                self._leaving_since_s.pop(server.id, None)
+                self._leaving_since_s.pop(entry.id, None)
+                self._carry_word(known, entry)
+            server = self._as_said(entry)
             if known is None:
                 found.append(server.id)
             if server.is_leaving and not (known is not None and known.is_leaving):
@@ -125,7 +128,9 @@
         self.revision += 1
         return ListChange(tuple(found), tuple(lost), tuple(leaving), tuple(restarted))
 
-    def note_leaving(self, server_id: str, born_ms: int, *, now_s: float) -> bool:
+    def note_leaving(
+        self, server_id: str, born_ms: int, *, sent_ms: int = 0, now_s: float
+    ) -> bool:
         """Take a server's own word in that it leaves; tell whether that is news.
 
         It stands for that start of it, whatever its entry says, and also if the entry
@@ -133,14 +138,18 @@
 
         Args:
             server_id: Who has said so.
-            born_ms: Which start of it; 0 where it tells none.
+            born_ms: Which start of it was listed; 0 where it tells none.
+            sent_ms: When the server was asked, by the time of day; 0 if not known.
             now_s: The current monotonic time, in seconds.
         """
         known = self._servers.get(server_id)
         if known is not None and 0 < born_ms < known.born_ms:
-            return False  # an earlier start's word, which came late
-        is_news = self._said_leaving.pop(server_id, None) != born_ms
-        self._said_leaving[server_id] = born_ms
+            if sent_ms < known.born_ms:
+                return False  # an earlier start's word, which came late
+            born_ms = known.born_ms
+        start = (server_id, born_ms)
+        is_news = start not in self._said_leaving
+        self._said_leaving[start] = max(sent_ms, self._said_leaving.pop(start, 0))
         while len(self._said_leaving) > _MOST_SAID_LEAVING:
             del self._said_leaving[next(iter(self._said_leaving))]
         if known is None or known.is_leaving or self._as_said(known) is known:
@@ -224,16 +233,18 @@
         else:
             self._leaving_since_s.pop(server.id, None)
 
+    def _carry_word(self, before: BackendServer, server: BackendServer) -> None:
+        """Take for a new start's word what was asked for after its birth."""
+        sent_ms = self._said_leaving.get((before.id, before.born_ms), 0)
+        if is_word_of(server.born_ms, listed_ms=before.born_ms, sent_ms=sent_ms):
+            self._said_leaving[server.id, server.born_ms] = sent_ms
+
     def _as_said(self, server: BackendServer) -> BackendServer:
         """Return an entry with its server's own word that it leaves, if that stands."""
-        said_ms = self._said_leaving.get(server.id)
-        if said_ms is None:
-            return server
-        if 0 < said_ms < server.born_ms:
-            del self._said_leaving[server.id]  # it was an earlier start's
+        starts = {(server.id, server.born_ms), (server.id, 0)}
+        if starts.isdisjoint(self._said_leaving):
             return server
-        is_same_start = _is_same_start(said_ms, server.born_ms)
-        return server._replace(is_leaving=True) if is_same_start else server
+        return server._replace(is_leaving=True)
 
     def _forget(self, server_id: str) -> bool:
         """Forget a server; tell whether it was known."""
--- a/src/violethatch/platform/_runners.py
+++ b/src/violethatch/platform/_runners.py
@@ -7,7 +7,7 @@
 import contextlib
 import functools
 
-from collections.abc import AsyncIterator, Collection
+from collections.abc import AsyncIterator, Callable, Collection, Iterator
 from typing import Any
 
 import aiohttp
@@ -68,6 +68,19 @@
 _ORDER_S = 1.0
 
 
+class _Sent:
+    """When a request was written, by the time of day; at first, when it was decided."""
+
+    def __init__(self, look: Callable[[], None]) -> None:
+        self._look = look
+        self.at_ms = 0
+
+    def look(self) -> None:
+        """Look whether it may be written, and note when."""
+        self._look()
+        self.at_ms = int(clocks.wall_s() * _MS_PER_S)
+
+
 class _Answer:
     """A server's answer."""
 
@@ -139,7 +152,7 @@
         session = self._fresh if send.is_connection_fresh else self._kept
         url = yarl.URL(f"http://{send.server.address}{call.target}", encoded=True)
         try:
-            with self._gated(send.server, Sending.CALL, call.id):
+            with self._gated(send.server, Sending.CALL, call.id) as sent:
                 answer = await session.request(
                     call.method,
                     url,
@@ -153,7 +166,7 @@
             raise ConnectionBrokenError(repr(error)) from error
         except CALL_ERRORS as error:
             raise AnswerLostError(repr(error)) from error
-        word = self._hear(send.server, answer, call.id)
+        word = self._hear(send.server, answer, sent, call.id)
         if answer.headers.get(_headers.CALL_ID) != call.id:
             answer.close()
             msg = "the answer belongs to another call"
@@ -164,25 +177,28 @@
             raise AnswerLostError(msg)
         return _Answer(answer, word)
 
+    @contextlib.contextmanager
     def _gated(
         self, server: BackendServer, sending: Sending, request_id: str = ""
-    ) -> contextlib.AbstractContextManager[None]:
-        """Return what looks at the gate, now and before each write within.
+    ) -> Iterator[_Sent]:
+        """Look at the gate, now and before each write within; tell when that was.
 
         Raises:
             KeptBackError: Nothing is to be sent to the server.
         """
-        look = functools.partial(self.gate.look, server, sending, request_id)
-        return looking(look)
+        sent = _Sent(functools.partial(self.gate.look, server, sending, request_id))
+        with looking(sent.look):
+            yield sent
 
     def _hear(
         self,
         server: BackendServer,
         answer: aiohttp.ClientResponse,
+        sent: _Sent,
         request_id: str = "",
     ) -> ServerWord:
         """Pass on, and return, what a server says of itself in an answer's head."""
-        word = server_word(answer)
+        word = server_word(answer)._replace(sent_ms=sent.at_ms)
         self.gate.heard(server, word, request_id)
         return word
 
@@ -226,12 +242,12 @@
         """
         url = f"http://{server.address}/api/report"
         try:
-            with self._gated(server, Sending.REPORT):
+            with self._gated(server, Sending.REPORT) as sent:
                 async with (
                     asyncio.timeout(_REPORT_S),
                     session.get(url) as answer,
                 ):
-                    self._hear(server, answer)
+                    self._hear(server, answer, sent)
                     body = await answer.read()
             return self._report.decode(body) if answer.status == _OK else None
         except (TimeoutError, *CALL_ERRORS):
@@ -273,7 +289,7 @@
         """Give an order; tell what came of it."""
         url = f"http://{server.address}/api/order"
         try:
-            with self._gated(server, sending, request_id):
+            with self._gated(server, sending, request_id) as sent:
                 async with (
                     asyncio.timeout(_ORDER_S),
                     self._kept.post(
@@ -282,7 +298,7 @@
                         headers={"Content-Type": "application/json"},
                     ) as answer,
                 ):
-                    self._hear(server, answer, request_id)
+                    self._hear(server, answer, sent, request_id)
                     body = await answer.read()
         except KeptBackError:
             return OrderAnswer(OrderOutcome.KEPT_BACK)  # the gate has logged it
--- a/src/violethatch/server_words.py
+++ b/src/violethatch/server_words.py
@@ -17,7 +17,9 @@
 Both are wishes: a request that has nowhere else to go is not held up by them.
 
 Rests are kept by a server's id and start, so that an entry of the list which goes and
-comes back changes nothing and a new start under the id is free.
+comes back changes nothing and a new start under the id is free.  The list tells late of
+a new start: what has answered a request that was sent after its birth was that start
+already, and its word stands when the list tells.
 
 .. versionadded:: 26.5.0
 """
@@ -48,11 +50,30 @@
 _REMEMBERED_S = 30.0
 
 
+def is_word_of(born_ms: int, *, listed_ms: int, sent_ms: int) -> bool:
+    """Tell whether a word may be that of a start of its server.
+
+    A clock that differs from the server's, or jumps, may take a word for the next
+    start's, or for the one before: by as much as the clocks differ around its birth.
+
+    Args:
+        born_ms: When the start was; 0 where it doesn't tell.
+        listed_ms: Which start was listed when the server was asked; 0 likewise.
+        sent_ms: When it was asked, by the own time of day; 0 where that is not known.
+
+    .. versionadded:: 26.5.0
+    """
+    if not (born_ms and listed_ms) or born_ms == listed_ms:
+        return True
+    return listed_ms < born_ms <= sent_ms
+
+
 class Rest(NamedTuple):
     """A rest that a server has asked this instance for.
 
     Attributes:
-        born_ms: Which start of the server has asked; 0 where it tells none.
+        born_ms: Which start of the server was listed; 0 where it tells none.
+        sent_ms: When the request was sent that it answered, by the time of day.
         asked_s: For how long it has asked, in seconds.
         said_s: When the word came.
         until_s: Until when nothing is sent.
@@ -64,6 +85,7 @@
     """
 
     born_ms: int
+    sent_ms: int
     asked_s: float
     said_s: float
     until_s: float
@@ -77,7 +99,7 @@
 
     def is_of(self, born_ms: int) -> bool:
         """Tell whether it is the word of a start, as far as starts are told."""
-        return not (self.born_ms and born_ms and self.born_ms != born_ms)
+        return is_word_of(born_ms, listed_ms=self.born_ms, sent_ms=self.sent_ms)
 
     def is_avoided(self, *, now_s: float) -> bool:
         """Tell whether others than the first request go elsewhere where they can."""
@@ -108,6 +130,7 @@
         length_s: float,
         *,
         born_ms: int = 0,
+        sent_ms: int = 0,
         request_id: str = "",
         now_s: float,
     ) -> bool:
@@ -116,21 +139,28 @@
         Args:
             server_id: Who asks.
             length_s: For how long it wants nothing, in seconds; 0 is nothing asked.
-            born_ms: Which start of it asks; 0 where it tells none.
+            born_ms: Which start of it was listed; 0 where it tells none.
+            sent_ms: When the request was sent that it answered, by the time of day.
             request_id: What it has answered with that.
             now_s: The current monotonic time, in seconds.
         """
         known = self._rests.get(server_id)
         if known is not None and 0 < born_ms < known.born_ms:
-            return False  # an earlier start's word, which came late
+            if sent_ms < known.born_ms:
+                return False  # an earlier start's word, which came late
+            born_ms = known.born_ms
         if length_s <= 0.0:
             return False
         until_s = now_s + length_s
-        if known is not None and known.is_of(born_ms) and known.until_s >= until_s:
-            return False
+        if known is not None and known.is_of(born_ms):
+            # Either word may be that of a start which is not listed yet.
+            sent_ms = max(known.sent_ms, sent_ms)
+            if known.until_s >= until_s:
+                self._rests[server_id] = known._replace(sent_ms=sent_ms)
+                return False
         spread_s = min(MOST_SPREAD_S, SPREAD_PART * length_s) * self._rng.random()
         self._rests[server_id] = Rest(
-            born_ms, length_s, now_s, until_s, until_s + spread_s, request_id
+            born_ms, sent_ms, length_s, now_s, until_s, until_s + spread_s, request_id
         )
         self._forget_some(now_s)
         return True
--- a/src/violethatch/upstream.py
+++ b/src/violethatch/upstream.py
@@ -120,6 +120,8 @@
             serves others of the same caller meanwhile.
         is_leaving: It will end.
         unread: What of it can't be understood, shortened; empty if all can.
+        sent_ms: When the server was asked, by the time of day; 0 if that isn't known.
+            Its start may be a later one than the list tells yet.
     """
 
     status: int = 0
@@ -127,6 +129,7 @@
     is_binding: bool = False
     is_leaving: bool = False
     unread: str = ""
+    sent_ms: int = 0
 
     @property
     def is_said(self) -> bool:
--- a/tests/asking_servers.py
+++ b/tests/asking_servers.py
@@ -40,6 +40,37 @@
 PLAIN = plain_route(max_attempts=3)
 
 
+#: From when on nothing is to come within a rest, in seconds: what was on its way when
+#: the word came has arrived by then, and what servers allow ends there.
+UNDER_WAY_S = 0.5
+
+
+class Lag:
+    """How late the loop is, at the most: servers and instances of a test share it."""
+
+    def __init__(self):
+        self.most_s = 0.0
+
+    async def watch(self):
+        """Look again and again, until cancelled."""
+        while True:
+            before_s = clocks.now_s()
+            await asyncio.sleep(0.01)
+            late_s = clocks.now_s() - before_s - 0.01
+            self.most_s = max(self.most_s, late_s)
+
+
+@contextlib.asynccontextmanager
+async def watched_lag():
+    """Provide how late the loop was meanwhile."""
+    lag = Lag()
+    watching = asyncio.create_task(lag.watch())
+    try:
+        yield lag
+    finally:
+        watching.cancel()
+
+
 class AskingServer:
     """A stand-in of a server, from the users' pages; it notes what reaches it.
 
--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -246,6 +246,32 @@
         table.change([one._replace(born_ms=9)], [], now_s=3.0)
         assert ids(table) == set()
 
+    def test_new_start_answers_before_the_list_tells_of_it(self):
+        """What was asked after its birth is its word, whatever was listed then."""
+        table, one = self.table()
+        table.note_leaving("a", 5, sent_ms=12, now_s=1.0)
+        table.change([one._replace(born_ms=9)], [], now_s=3.0)
+        assert ids(table) == set()
+        table.change([one._replace(born_ms=20)], [], now_s=4.0)
+        assert ids(table) == {"a"}
+
+    def test_word_that_is_read_after_the_list_has_told(self):
+        """It is the new start's if it was asked for after its birth."""
+        table, _ = self.table(born_ms=9)
+        assert not table.note_leaving("a", 5, sent_ms=7, now_s=1.0)
+        assert ids(table) == {"a"}
+        assert table.note_leaving("a", 5, sent_ms=12, now_s=1.0)
+        assert ids(table) == set()
+
+    def test_earlier_start_s_word_after_a_later_one_s(self):
+        """Each start's word stands for itself, in whatever order they come."""
+        table, one = self.table()
+        table.note_leaving("a", 9, now_s=1.0)
+        table.note_leaving("a", 5, now_s=1.5)
+        assert ids(table) == set()
+        table.change([one._replace(born_ms=9)], [], now_s=3.0)
+        assert ids(table) == set()
+
     def test_bound_on_what_is_remembered(self):
         """The latest words stay."""
         table, _ = self.table()
--- a/tests/test_server_words.py
+++ b/tests/test_server_words.py
@@ -81,6 +81,34 @@
         assert not words.ask_rest("s1", 60.0, born_ms=5, now_s=1.0)
         assert not binds(words, 3.5, born_ms=9)
 
+    def test_new_start_answers_before_the_list_tells_of_it(self):
+        """What was asked after its birth is its word, whatever was listed then."""
+        words = ServerWords(random.Random(1))
+        words.ask_rest("s1", 3.0, born_ms=5, sent_ms=12, now_s=0.0)
+        assert binds(words, 1.0, born_ms=5)
+        assert binds(words, 1.0, born_ms=9)
+        assert not binds(words, 1.0, born_ms=20)
+
+    def test_shorter_word_of_a_start_that_is_not_listed_yet(self):
+        """It stands behind a longer one of the start before."""
+        words = ServerWords(random.Random(1))
+        words.ask_rest("s1", 3.0, born_ms=5, sent_ms=7, now_s=0.0)
+        assert not words.ask_rest("s1", 1.0, born_ms=5, sent_ms=12, now_s=0.5)
+        assert binds(words, 1.4, born_ms=9)
+
+    def test_longer_word_of_the_start_before_that_comes_late(self):
+        """It takes nothing from the start that is not listed yet."""
+        words = ServerWords(random.Random(1))
+        words.ask_rest("s1", 1.0, born_ms=5, sent_ms=12, now_s=0.0)
+        assert words.ask_rest("s1", 3.0, born_ms=5, sent_ms=7, now_s=0.1)
+        assert binds(words, 0.9, born_ms=9)
+
+    def test_word_that_is_read_after_the_list_has_told(self):
+        """It is the new start's if it was asked for after its birth."""
+        words = asked(1.0, born_ms=9)
+        assert words.ask_rest("s1", 3.0, born_ms=5, sent_ms=12, now_s=0.5)
+        assert binds(words, 3.4, born_ms=9)
+
     def test_starts_that_are_not_told_apart(self):
         """Where a start is not told the rest stands: it is the same id."""
         words = asked(3.0)
