--- a/src/violethatch/backends.py
+++ b/src/violethatch/backends.py
@@ -11,7 +11,7 @@
 
 from ._listed import BackendServer
 from .server_starts import ServerStarts
-from .server_words import is_word_of
+from .server_words import is_word_of, start_of_word
 
 
 __all__ = (
@@ -143,11 +143,11 @@
             now_s: The current monotonic time, in seconds.
         """
         known = self._servers.get(server_id)
-        if known is not None and 0 < born_ms < known.born_ms:
-            if sent_ms < known.born_ms:
-                return False  # an earlier start's word, which came late
-            born_ms = known.born_ms
-        start = (server_id, born_ms)
+        known_ms = known.born_ms if known is not None else 0
+        start_ms = start_of_word(born_ms, known_ms=known_ms, sent_ms=sent_ms)
+        if start_ms is None:
+            return False
+        start = (server_id, start_ms)
         is_news = start not in self._said_leaving
         self._said_leaving[start] = max(sent_ms, self._said_leaving.pop(start, 0))
         while len(self._said_leaving) > _MOST_SAID_LEAVING:
--- a/src/violethatch/server_words.py
+++ b/src/violethatch/server_words.py
@@ -68,6 +68,21 @@
     return listed_ms < born_ms <= sent_ms
 
 
+def start_of_word(listed_ms: int, *, known_ms: int, sent_ms: int) -> int | None:
+    """Return which start a word is kept for, or None if it is over.
+
+    Args:
+        listed_ms: Which start was listed when the server was asked; 0 if none is told.
+        known_ms: The latest start that is known; 0 likewise.
+        sent_ms: When the server was asked, by the own time of day.
+
+    .. versionadded:: 26.5.0
+    """
+    if not 0 < listed_ms < known_ms:
+        return listed_ms
+    return known_ms if sent_ms >= known_ms else None
+
+
 class Rest(NamedTuple):
     """A rest that a server has asked this instance for.
 
@@ -145,14 +160,12 @@
             now_s: The current monotonic time, in seconds.
         """
         known = self._rests.get(server_id)
-        if known is not None and 0 < born_ms < known.born_ms:
-            if sent_ms < known.born_ms:
-                return False  # an earlier start's word, which came late
-            born_ms = known.born_ms
-        if length_s <= 0.0:
+        known_ms = known.born_ms if known is not None else 0
+        start_ms = start_of_word(born_ms, known_ms=known_ms, sent_ms=sent_ms)
+        if start_ms is None or length_s <= 0.0:
             return False
         until_s = now_s + length_s
-        if known is not None and known.is_of(born_ms):
+        if known is not None and known.is_of(start_ms):
             # Either word may be that of a start which is not listed yet.
             sent_ms = max(known.sent_ms, sent_ms)
             if known.until_s >= until_s:
@@ -160,7 +173,7 @@
                 return False
         spread_s = min(MOST_SPREAD_S, SPREAD_PART * length_s) * self._rng.random()
         self._rests[server_id] = Rest(
-            born_ms, sent_ms, length_s, now_s, until_s, until_s + spread_s, request_id
+            start_ms, sent_ms, length_s, now_s, until_s, until_s + spread_s, request_id
         )
         self._forget_some(now_s)
         return True
