Take out what the words of servers left dead

A rest kept when it was said, which nothing reads, and the comparison of starts had been split in two for a caller that is gone.

--- a/src/violethatch/backends.py
+++ b/src/violethatch/backends.py
@@ -255,9 +255,4 @@
 
 def _is_new_start(known: BackendServer, server: BackendServer) -> bool:
     """Tell whether an entry is of another start than the one that is known."""
-    return not _is_same_start(known.born_ms, server.born_ms)
-
-
-def _is_same_start(born_ms: int, other_ms: int) -> bool:
-    """Tell whether two words may be of one start: some servers tell none."""
-    return not (born_ms and other_ms) or born_ms == other_ms
+    return bool(known.born_ms and server.born_ms and known.born_ms != server.born_ms)
--- a/src/violethatch/server_words.py
+++ b/src/violethatch/server_words.py
@@ -90,7 +90,6 @@
         born_ms: Which start of the server was listed; 0 where it tells none.
         sent_ms: When the request was sent that it answered, by the time of day.
         asked_s: For how long it has asked, in seconds.
-        said_s: When the word came.
         until_s: Until when nothing is sent.
         returns_s: From when on it is taken up again where there are others.
         request_id: What it has answered with the word; empty if that was no call.
@@ -102,7 +101,6 @@
     born_ms: int
     sent_ms: int
     asked_s: float
-    said_s: float
     until_s: float
     returns_s: float
     request_id: str
@@ -173,7 +171,7 @@
                 return False
         spread_s = min(MOST_SPREAD_S, SPREAD_PART * length_s) * self._rng.random()
         self._rests[server_id] = Rest(
-            start_ms, sent_ms, length_s, now_s, until_s, until_s + spread_s, request_id
+            start_ms, sent_ms, length_s, until_s, until_s + spread_s, request_id
         )
         self._forget_some(now_s)
         return True
