Read the limits that servers name, and tell of words nothing reads

Cause: no line of an instance's output told that a server had named a limit for all instances, nor would one tell of the next word that nobody knows.

Change: the head of each answer is read for the limit; which word counts is decided by when its answer was asked for and came (server_limits). 2123 tells each change of a limit, 2122 names each word of the platform's that nothing reads, once; violethatch_router_server_words_total counts both. Nothing is decided by it yet.

--- a/src/violethatch/_router_metrics.py
+++ b/src/violethatch/_router_metrics.py
@@ -51,7 +51,7 @@
         )
         self.server_words = Counter(
             "violethatch_router_server_words_total",
-            "What servers said of themselves: rest, wish, leaving, unread.",
+            "What servers said of themselves; unknown is what nothing reads.",
             registry=self.registry,
         )
         self.sends_kept_back = Counter(
--- a/src/violethatch/_word_gate.py
+++ b/src/violethatch/_word_gate.py
@@ -14,12 +14,15 @@
 
 from . import clocks, events
 from .backends import BackendServer, BackendTable
+from .server_limits import Limit, ServerLimits
 from .server_words import Rest, ServerWords
 from .upstream import KeptBackError, Sending, ServerWord
 
 
 #: The most servers that one line names.
 _MOST_NAMED = 20
+#: The most words that nothing reads of which a line is logged.
+_MOST_UNKNOWN = 32
 
 
 class _Kept(NamedTuple):
@@ -41,7 +44,10 @@
     def __init__(self, backends: BackendTable, *, rng: random.Random) -> None:
         self._backends = backends
         self.words = ServerWords(rng)
-        #: Told of each word's kind: rest, wish, leaving, unread.
+        self.limits = ServerLimits()
+        #: Words that nothing reads, of which a line was logged.
+        self._unknown: set[str] = set()
+        #: Told of each word's kind: rest, wish, leaving, limit, unread, unknown.
         self.on_word: Callable[[str], None] = lambda _kind: None
         #: Told of what is kept back, and why.
         self.on_kept_back: Callable[[Sending, str], None] = lambda _what, _why: None
@@ -79,6 +85,8 @@
         now_s = clocks.now_s()
         if word.rest_s is None:
             self.words.answered(server.id, now_s=now_s)
+        self._note_unknown(server, word, request_id)
+        self._take_limit(server, word, request_id, now_s=now_s)
         if not word.is_said:
             return
         is_longer = self._take_rest(server, word, request_id, now_s=now_s)
@@ -99,6 +107,61 @@
             unread=word.unread,
         )
 
+    def _take_limit(
+        self, server: BackendServer, word: ServerWord, request_id: str, *, now_s: float
+    ) -> None:
+        """Take in how many requests a server takes from all instances together."""
+        if word.limit_a_s is None:
+            return
+        if word.named_limit_a_s is not None:
+            self.on_word("limit")
+        limit = Limit(
+            word.limit_a_s,
+            server.born_ms,
+            word.sent_ms,
+            word.sent_s,
+            now_s,
+            request_id=request_id,
+        )
+        self.take_limit(server.id, limit)
+
+    def take_limit(self, server_id: str, limit: Limit) -> bool:
+        """Take in a server's word on its limit; tell whether that is news, and log it.
+
+        Args:
+            server_id: Whose word it is.
+            limit: The word, heard here or by another instance.
+        """
+        listed = self._backends.get(server_id)
+        known_ms = listed.born_ms if listed is not None else 0
+        if not self.limits.take(server_id, limit, known_ms=known_ms):
+            return False
+        events.log(
+            events.SERVER_LIMIT,
+            request_id=limit.request_id,
+            server_id=server_id,
+            limit_a_s=None if limit.is_over else limit.per_s,
+            teller=limit.teller,
+        )
+        return True
+
+    def _note_unknown(
+        self, server: BackendServer, word: ServerWord, request_id: str
+    ) -> None:
+        """Count words that nothing reads; log each once, so that it is seen early."""
+        for name in word.unknown:
+            self.on_word("unknown")
+            if name in self._unknown or len(self._unknown) >= _MOST_UNKNOWN:
+                continue
+            self._unknown.add(name)
+            events.log(
+                events.WORD_UNKNOWN,
+                request_id=request_id,
+                server_id=server.id,
+                word=name,
+                status=word.status,
+            )
+
     def _take_rest(
         self, server: BackendServer, word: ServerWord, request_id: str, *, now_s: float
     ) -> bool:
--- a/src/violethatch/events.py
+++ b/src/violethatch/events.py
@@ -63,6 +63,8 @@
 SERVERS_REST = Event(
     2121, "servers_rest", "Servers rest or leave, where a request is refused."
 )
+WORD_UNKNOWN = Event(2122, "word_unknown", "Answers bear a word that nothing reads.")
+SERVER_LIMIT = Event(2123, "server_limit", "A server's limit for all has changed.")
 LOAD_NEIGHBOURS = Event(2111, "load_neighbours", "Loads are told to other instances.")
 
 REQUEST_SERVED = Event(2205, "request_served", "A request got its answer.")
--- a/src/violethatch/platform/_headers.py
+++ b/src/violethatch/platform/_headers.py
@@ -26,6 +26,8 @@
 AT_SERVER = "At-Server"
 #: The server will end, in whichever answer it stands.
 LEAVING = "Server-Leaving"
+#: How many requests a second the server takes from all instances together.
+LIMIT = "Server-Limit"
 #: For how long the server wants nothing, beside a status that turns a call away.
 RETRY_AFTER = "Retry-After"
 KEY_SCHEME = "Token "
@@ -46,6 +48,29 @@
         "upgrade",
     )
 )
+#: How the platform's own headers begin, in lower case, and those that are known.
+_OF_PLATFORM = ("violethatch-", "server-")
+_KNOWN_OF_PLATFORM = frozenset(
+    name.lower()
+    for name in (
+        CALL_ID,
+        DEADLINE_MS,
+        TARGET,
+        WORKSPACE,
+        NOT_RUN,
+        LOAD,
+        TOKEN_COUNT,
+        LEAVING,
+        LIMIT,
+        # The server's proof that an answer is its own, and its id: passed on.
+        "Violethatch-Response-Signature",
+        "Violethatch-Instance-Id",
+        "Violethatch-Model",
+        "Violethatch-Prompt-Prefix",
+        # What measures a server's time, and is no word of the platform's.
+        "Server-Timing",
+    )
+)
 #: Headers of requests that the system sets itself, in lower case.
 _SET_BY_US = frozenset(
     name.lower()
@@ -67,6 +92,14 @@
     return [(name.decode("latin-1"), value.decode("latin-1")) for name, value in raw]
 
 
+def unknown_of_platform(names: Iterable[str]) -> list[str]:
+    """Return, in lower case, names of the platform's that nothing here reads."""
+    lower = {name.lower() for name in names}
+    return sorted(
+        name for name in lower - _KNOWN_OF_PLATFORM if name.startswith(_OF_PLATFORM)
+    )
+
+
 def passed_on(headers: Iterable[tuple[str, str]]) -> list[tuple[str, str]]:
     """Return a request's headers that go on to a server as they are."""
     return _without(headers, _OF_CONNECTION | _SET_BY_US)
--- a/src/violethatch/platform/_runners.py
+++ b/src/violethatch/platform/_runners.py
@@ -69,16 +69,23 @@
 
 
 class _Sent:
-    """When a request was written, by the time of day; at first, when it was decided."""
+    """When a request was written; at first, when it was decided.
+
+    Attributes:
+        at_ms: By the time of day.
+        at_s: By the steady clock, in seconds.
+    """
 
     def __init__(self, look: Callable[[], None]) -> None:
         self._look = look
         self.at_ms = 0
+        self.at_s = 0.0
 
     def look(self) -> None:
         """Look whether it may be written, and note when."""
         self._look()
         self.at_ms = int(clocks.wall_s() * _MS_PER_S)
+        self.at_s = clocks.now_s()
 
 
 class _Answer:
@@ -166,8 +173,9 @@
             raise ConnectionBrokenError(repr(error)) from error
         except CALL_ERRORS as error:
             raise AnswerLostError(repr(error)) from error
-        word = self._hear(send.server, answer, sent, call.id)
-        if answer.headers.get(_headers.CALL_ID) != call.id:
+        is_others = answer.headers.get(_headers.CALL_ID) != call.id
+        word = self._hear(send.server, answer, sent, call.id, is_others=is_others)
+        if is_others:
             answer.close()
             msg = "the answer belongs to another call"
             raise AnswerLostError(msg)
@@ -196,9 +204,22 @@
         answer: aiohttp.ClientResponse,
         sent: _Sent,
         request_id: str = "",
+        *,
+        is_others: bool = False,
     ) -> ServerWord:
-        """Pass on, and return, what a server says of itself in an answer's head."""
-        word = server_word(answer)._replace(sent_ms=sent.at_ms)
+        """Pass on, and return, what a server says of itself in an answer's head.
+
+        Args:
+            server: Who has answered.
+            answer: The answer.
+            sent: When the request was written.
+            request_id: Names the call; empty where it was none.
+            is_others: Whether it is the answer to another call.
+        """
+        word = server_word(answer)._replace(sent_ms=sent.at_ms, sent_s=sent.at_s)
+        if is_others:
+            # Given at any time before, it can end no limit that was named since.
+            word = word._replace(limit_a_s=word.named_limit_a_s, sent_s=0.0)
         self.gate.heard(server, word, request_id)
         return word
 
--- a/src/violethatch/platform/_words.py
+++ b/src/violethatch/platform/_words.py
@@ -3,11 +3,14 @@
 
 from __future__ import annotations
 
+import math
+
 from collections.abc import Iterable
 
 import aiohttp
 
 from .. import clocks
+from ..limit_figures import MOST_A_S, LimitFigure, read_limit
 from ..retry_after import RetryAfter, read_retry_after
 from ..upstream import ServerWord
 from . import _headers
@@ -17,11 +20,15 @@
 #: of them with which that is a promise to keep.
 _TURNED_AWAY = (429, 503)
 _UNAVAILABLE = 503
+#: Says that the request came to another server than it was for.
+_MISDIRECTED = 421
 #: The only value that says that a server leaves, and the one that says the contrary.
 _IS_LEAVING = "1"
 _IS_STAYING = "0"
 #: How much of a value that can't be understood is kept, in characters.
 _MOST_CHARACTERS = 64
+#: How many names that nobody knows an answer tells of at the most.
+_MOST_UNKNOWN = 4
 
 
 def server_word(answer: aiohttp.ClientResponse) -> ServerWord:
@@ -35,17 +42,45 @@
             wall_s=clocks.wall_s(),
         )
     leaving = [value.strip() for value in headers.getall(_headers.LEAVING, ())]
+    limit = read_limit(headers.getall(_headers.LIMIT, ()))
     is_cut = [f"{asked.length_s:g} s at the most"] if asked.is_cut else []
-    unread = [*filter(None, (asked.unread,)), *is_cut, *_unread_leaving(leaving)]
+    unread = [
+        *filter(None, (asked.unread,)),
+        *is_cut,
+        *_unread_leaving(leaving),
+        *_unread_limit(limit),
+    ]
     return ServerWord(
         status=answer.status,
         rest_s=asked.length_s,
         is_binding=answer.status == _UNAVAILABLE,
         is_leaving=_IS_LEAVING in leaving,
+        limit_a_s=_limit_a_s(limit, answer.status),
         unread="; ".join(unread),
+        unknown=tuple(
+            name[:_MOST_CHARACTERS]
+            for name in _headers.unknown_of_platform(headers)[:_MOST_UNKNOWN]
+        ),
     )
 
 
+def _limit_a_s(limit: LimitFigure, status: int) -> float | None:
+    """Return the limit that a server names, or None if its answer tells of none.
+
+    Whoever is not the server that was meant can't tell that its limit is over.
+    """
+    if limit.per_s == math.inf and status == _MISDIRECTED:
+        return None
+    return limit.per_s
+
+
+def _unread_limit(limit: LimitFigure) -> list[str]:
+    """Return what of a limit can't be understood, or is no limit here."""
+    if limit.is_cut:
+        return [f"a limit beyond {MOST_A_S:g} a second is none"]
+    return [f"limit {limit.unread}"] if limit.unread else []
+
+
 def _unread_leaving(values: Iterable[str]) -> list[str]:
     """Return values that say neither that a server leaves nor that it stays."""
     return [
--- /dev/null
+++ b/src/violethatch/server_limits.py
@@ -0,0 +1,144 @@
+# SPDX-License-Identifier: MIT
+"""Which limits servers have named, and whose word is the latest.
+
+A server in need names in its answers how many requests a second it takes from all
+instances together, for as long as it says so.  Answers overtake each other, and
+instances tell each other what they have heard, so each word is kept with the time at
+which the answered request was sent and the time at which the answer came: the server
+spoke between the two.  A word replaces an earlier one if its request was sent after
+that one had come; where nobody can tell which was first, the lower figure counts.  An
+answer that names none ends the limit by the same order.
+
+Limits are kept by a server's id and start, like rests (`server_words`): an entry that
+goes and comes back changes nothing, a new start is free.
+
+.. versionadded:: 26.6.0
+"""
+
+from __future__ import annotations
+
+import math
+
+from collections.abc import Mapping
+from typing import NamedTuple
+
+from .server_words import is_word_of, start_of_word
+
+
+#: Limits that are kept; the one heard of longest ago goes first.  Five times the
+#: servers of the largest fleet that is planned for (790), some 250 bytes each.
+MOST_LIMITS = 4_000
+#: How long an end is remembered, in seconds, so that words of before, which come late
+#: from other instances, don't bring the limit back.
+_END_REMEMBERED_S = 10.0
+
+
+class Limit(NamedTuple):
+    """A limit that a server has named.
+
+    Attributes:
+        per_s: The requests that it takes a second, of all instances together; infinite
+            where it has named none since.
+        born_ms: Which start of the server was listed; 0 where it tells none.
+        sent_ms: When the request was sent that it answered, by the time of day; 0 where
+            another instance has told.
+        sent_s: The same by the steady clock, in seconds.
+        heard_s: When the answer came, likewise.
+        request_id: What it has answered with the word; empty if that was no call.
+        teller: The instance that has passed the word on; empty where this one heard it.
+
+    .. versionadded:: 26.6.0
+    """
+
+    per_s: float
+    born_ms: int
+    sent_ms: int
+    sent_s: float
+    heard_s: float
+    request_id: str = ""
+    teller: str = ""
+
+    @property
+    def is_over(self) -> bool:
+        """Whether the server has said since that it takes any number."""
+        return math.isinf(self.per_s)
+
+    def is_of(self, born_ms: int) -> bool:
+        """Tell whether it is the word of a start, as far as starts are told."""
+        return is_word_of(born_ms, listed_ms=self.born_ms, sent_ms=self.sent_ms)
+
+    def outdates(self, known: Limit) -> bool:
+        """Tell whether it counts instead of a word that is known."""
+        if self.sent_s >= known.heard_s:
+            return True
+        return self.per_s < known.per_s and self.heard_s > known.sent_s
+
+
+class ServerLimits:
+    """The limits that one instance knows of.
+
+    .. versionadded:: 26.6.0
+    """
+
+    def __init__(self) -> None:
+        self._limits: dict[str, Limit] = {}
+
+    def __len__(self) -> int:
+        return len(self._limits)
+
+    def take(self, server_id: str, limit: Limit, *, known_ms: int = 0) -> bool:
+        """Take a word in; tell whether it changes what all have to keep to.
+
+        Args:
+            server_id: Whose word it is.
+            limit: The word.
+            known_ms: The latest start of the server that is known; 0 if none is told.
+        """
+        born_ms = start_of_word(limit.born_ms, known_ms=known_ms, sent_ms=limit.sent_ms)
+        if born_ms is None:
+            return False
+        limit = limit._replace(born_ms=born_ms)
+        known = self._limits.get(server_id)
+        if known is not None and not known.is_of(limit.born_ms):
+            if 0 < limit.born_ms < known.born_ms:
+                return False
+            known = None
+        if known is None and limit.is_over:
+            return False
+        if known is not None and not limit.outdates(known):
+            return False
+        self._keep(server_id, limit)
+        return known is None or known.per_s != limit.per_s
+
+    def get(self, server_id: str, *, born_ms: int = 0) -> Limit | None:
+        """Return the limit of a start of a server, or None if it has named none."""
+        limit = self._limits.get(server_id)
+        if limit is None or limit.is_over or not limit.is_of(born_ms):
+            return None
+        return limit
+
+    def latest(self, server_id: str) -> Limit | None:
+        """Return the latest word on a server's limit, also one that it is over."""
+        return self._limits.get(server_id)
+
+    def known(self) -> Mapping[str, Limit]:
+        """Return, by server, the limits that are not over."""
+        return {one: limit for one, limit in self._limits.items() if not limit.is_over}
+
+    def _keep(self, server_id: str, limit: Limit) -> None:
+        """Keep a word, and no more than the bound of them."""
+        self._limits.pop(server_id, None)
+        over = [
+            one
+            for one, known in self._limits.items()
+            if known.is_over and limit.heard_s - known.heard_s > _END_REMEMBERED_S
+        ]
+        for one in over:
+            del self._limits[one]
+        if len(self._limits) >= MOST_LIMITS:
+            del self._limits[min(self._limits, key=self._heard_s)]
+        self._limits[server_id] = limit
+
+    def _heard_s(self, server_id: str) -> float:
+        """Return when the word on a server's limit was heard."""
+        return self._limits[server_id].heard_s
--- a/src/violethatch/upstream.py
+++ b/src/violethatch/upstream.py
@@ -10,6 +10,7 @@
 from __future__ import annotations
 
 import enum
+import math
 
 from collections.abc import AsyncIterator, Mapping, Sequence
 from typing import NamedTuple, Protocol
@@ -119,21 +120,34 @@
             no room for anybody asks for it, one that only limits how much it gets
             serves others of the same caller meanwhile.
         is_leaving: It will end.
+        limit_a_s: How many requests a second it takes from all instances together;
+            infinite if it names no limit, None if the answer doesn't tell.
         unread: What of it can't be understood, shortened; empty if all can.
+        unknown: Names of words of the platform's that nothing reads.
         sent_ms: When the server was asked, by the time of day; 0 if that isn't known.
             Its start may be a later one than the list tells yet.
+        sent_s: The same by the steady clock, in seconds.
     """
 
     status: int = 0
     rest_s: float | None = None
     is_binding: bool = False
     is_leaving: bool = False
+    limit_a_s: float | None = None
     unread: str = ""
+    unknown: tuple[str, ...] = ()
     sent_ms: int = 0
+    sent_s: float = 0.0
+
+    @property
+    def named_limit_a_s(self) -> float | None:
+        """The limit that it names, if it names one."""
+        limit_a_s = self.limit_a_s
+        return None if limit_a_s is None or math.isinf(limit_a_s) else limit_a_s
 
     @property
     def is_said(self) -> bool:
-        """Whether it says anything."""
+        """Whether it says anything beside how many requests it takes."""
         return self.rest_s is not None or self.is_leaving or bool(self.unread)
 
 
--- a/tests/test_platform_words.py
+++ b/tests/test_platform_words.py
@@ -3,6 +3,8 @@
 
 from __future__ import annotations
 
+import math
+
 import pytest
 
 from aiohttp import web
@@ -39,7 +41,7 @@
         self.words = []
 
     def heard(self, server, word, request_id):
-        if word.is_said:
+        if word.is_said or word.named_limit_a_s is not None or word.unknown:
             self.words.append((server.id, word, request_id))
 
     def look(self, _server, _sending, _request_id):
@@ -177,3 +179,58 @@
     with pytest.raises(AnswerLostError):
         await ask(runners, server, "call")
     assert runners.gate.words[0][1].is_leaving
+
+
+@pytest.mark.parametrize("how", ["call", "report", "move", "order"])
+@pytest.mark.parametrize("status", [200, 404, 421, 429, 500, 503])
+async def test_limit_is_heard_in_every_answer(runners, server, how, status):
+    """Also beside a rest, and beside a refusal; with when it was asked."""
+    server.status = status
+    server.headers = [("Server-Limit", "2.4"), ("Retry-After", "1")]
+    await ask(runners, server, how)
+    ((_, word, _),) = set(runners.gate.words)
+    assert word.limit_a_s == 2.4
+    assert word.sent_s > 0
+
+
+@pytest.mark.parametrize(
+    ("status", "limit_a_s"), [(200, math.inf), (500, math.inf), (421, None)]
+)
+async def test_answer_without_a_limit(runners, server, status, limit_a_s):
+    """It says that there is none, unless it may be another server's."""
+    server.status = status
+    server.headers = [("Server-Leaving", "1")]
+    await ask(runners, server, "call")
+    assert runners.gate.words[0][1].limit_a_s == limit_a_s
+
+
+async def test_limit_beside_another_calls_answer(runners, server):
+    """It was given at any time before, and is no later than what is known."""
+    server.call_id = "c9"
+    server.headers = [("Server-Limit", "2.4")]
+    with pytest.raises(AnswerLostError):
+        await ask(runners, server, "call")
+    ((_, word, _),) = runners.gate.words
+    assert (word.limit_a_s, word.sent_s) == (2.4, 0.0)
+
+
+async def test_garbled_limit_is_told(runners, server):
+    """It neither sets a limit nor ends one, and is passed on for the log."""
+    server.headers = [("Server-Limit", "few")]
+    await ask(runners, server, "call")
+    ((_, word, _),) = runners.gate.words
+    assert (word.limit_a_s, word.unread) == (None, "limit few")
+
+
+async def test_words_that_nothing_reads(runners, server):
+    """Headers of the platform's that aren't known are told, few and shortened."""
+    names = ["Violethatch-New-Word", "Server-Mood", "X-Other", "Server", "Date"]
+    names += [f"Server-{'long' * 40}-{n}" for n in range(9)]
+    server.headers = [(name, "1") for name in names]
+    await ask(runners, server, "call")
+    ((_, word, _),) = runners.gate.words
+    assert len(word.unknown) == 4
+    assert max(map(len, word.unknown)) == 64
+    server.headers = [(name, "1") for name in names[:5]]
+    await ask(runners, server, "call")
+    assert runners.gate.words[1][1].unknown == ("server-mood", "violethatch-new-word")
