Add tests of servers that name a limit, which fail

A server that named 2.4 requests a second for all instances together got 50 in 4 s of one instance and 294 to 299 of six, streams and plain calls alike, where 9 is the figure; the other servers had room. One instance alone breaks it, so that nothing reads the word; six send six times as much, so that reading alone would not do.

--- a/tests/asking_servers.py
+++ b/tests/asking_servers.py
@@ -1,5 +1,5 @@
 # SPDX-License-Identifier: MIT
-"""Servers that ask for rest or say that they leave, in front of them real clients."""
+"""Servers that say something of themselves, in front of them real clients."""
 
 from __future__ import annotations
 
@@ -9,6 +9,7 @@
 
 from aiohttp import web
 
+from mortal_fleet import Network, instance_entries
 from router_fakes import FakeResponder, make_call, settings
 from routing_samples import (
     call_route,
@@ -18,6 +19,7 @@
     runner,
 )
 from violethatch import clocks
+from violethatch._peer_links import PeerLinks
 from violethatch._router import Router
 from violethatch.errors import VioletHatchError
 from violethatch.platform._runners import Runners
@@ -83,6 +85,8 @@
         #: How requests are turned away: the figure of the rest, or None to run them.
         self.asks_for = None
         self.is_leaving = False
+        #: How many requests a second it takes from all, as its answers name it.
+        self.limit_a_s = None
         #: How long what it runs takes, in seconds.
         self.work_s = lambda: WORK_S
         self.arrived = []
@@ -117,6 +121,7 @@
         self.listed = self.listed._replace(born_ms=born_ms)
         self.asks_for = None
         self.is_leaving = False
+        self.limit_a_s = None
 
     @property
     def connections(self):
@@ -127,15 +132,25 @@
         """Return what reached it within a time, counted from its first word."""
         return [
             what
-            for what, at_s in self.arrived
+            for what, at_s in self._arrived(after_s=after_s, until_s=until_s)
             if what.startswith(machine)
-            and self.said_s + after_s <= at_s < self.said_s + until_s
         ]
 
+    def arrival_times(self, *, after_s, until_s):
+        """Return when something reached it, likewise."""
+        return [at_s for _, at_s in self._arrived(after_s=after_s, until_s=until_s)]
+
+    def _arrived(self, *, after_s, until_s):
+        first_s, last_s = self.said_s + after_s, self.said_s + until_s
+        return [one for one in self.arrived if first_s <= one[1] < last_s]
+
     def _heads(self, request):
         """Return the headers of each answer."""
         call_id = request.headers.get(ID, "")
         heads = {ID: call_id}
+        if self.limit_a_s is not None:
+            self._say()
+            heads["Server-Limit"] = self.limit_a_s
         if self.is_leaving:
             self._say()
             heads["Server-Leaving"] = "1"
@@ -247,6 +262,29 @@
         return value
 
 
+def join_machines(machines, *, seed=1):
+    """Let instances tell each other by datagrams; return what carries these."""
+    rng = random.Random(seed)
+    network = Network(rng)
+    entries = instance_entries(len(machines))
+    for machine, own in zip(machines, entries.values(), strict=True):
+        machine.datagrams = network.join(own, entries)
+        PeerLinks(machine.datagrams, machine.router, rng=rng).open()
+    return network
+
+
+def most_within(times_s, span_s):
+    """Return the most of some times that lie within any span so long, in seconds."""
+    times_s = sorted(times_s)
+    first = 0
+    most = 0
+    for last, at_s in enumerate(times_s):
+        while at_s - times_s[first] > span_s:
+            first += 1
+        most = max(most, last - first + 1)
+    return most
+
+
 def slow_connects(session, wait_s):
     """Let a session's connections take longer, by a function of the address."""
     connector = session.connector
