Note a stand-in's departure when its answer goes out

Cause: the soak of words counted an arrival as late that came 0.308 s after the stand-in had decided to say that it leaves, and 0.04 s before its answer went out: it answers up to 0.4 s later.

Change: what an answer says is noted when it is given. The bound stays: the stated one, counted from when it can be known.

--- a/tests/asking_servers.py
+++ b/tests/asking_servers.py
@@ -5,6 +5,7 @@
 
 import asyncio
 import contextlib
+import json
 import random
 
 from aiohttp import web
@@ -145,52 +146,52 @@
         return [one for one in self.arrived if first_s <= one[1] < last_s]
 
     def _heads(self, request):
-        """Return the headers of each answer."""
-        call_id = request.headers.get(ID, "")
-        heads = {ID: call_id}
+        """Return the headers of an answer to a request that has just come."""
+        heads = {ID: request.headers.get(ID, "")}
         if self.limit_a_s is not None:
-            self._say()
             heads["Server-Limit"] = self.limit_a_s
         if self.is_leaving:
-            self._say()
             heads["Server-Leaving"] = "1"
-            machine = call_id.partition("-")[0]
-            self.departures.append((machine, clocks.now_s(), self.listed.born_ms))
         return heads
 
-    def _say(self):
-        if self.said_s is None:
-            self.said_s = clocks.now_s()
+    def _answer(self, heads, born_ms, **answer):
+        """Answer now, and note what is said by it: nobody can know it sooner."""
+        now_s = clocks.now_s()
+        if heads.keys() & {"Server-Limit", "Server-Leaving", "Retry-After"}:
+            self.said_s = self.said_s or now_s
+        machine = heads[ID].partition("-")[0]
+        if "Server-Leaving" in heads:
+            self.departures.append((machine, now_s, born_ms))
+        if "Retry-After" in heads:
+            self.words.append((machine, now_s, heads["Retry-After"], born_ms))
+        return web.Response(headers=heads, **answer)
 
     async def _report(self, request):
         self.arrived.append(("report", clocks.now_s()))
         body = {"Sequence": 0, "Busy": False, "layers": None, "stalled": []}
-        return web.json_response(body, headers=self._heads(request))
+        heads = self._heads(request)
+        return self._answer(heads, self.listed.born_ms, body=json.dumps(body))
 
     async def _order(self, request):
         order = await request.json()
         self.arrived.append((order["op"], clocks.now_s()))
-        return web.json_response({}, headers=self._heads(request))
+        return self._answer(self._heads(request), self.listed.born_ms, body=b"{}")
 
     async def _serve(self, request):
         self._peers.add(request.transport.get_extra_info("peername"))
         call_id = request.headers.get(ID, "")
+        born_ms = self.listed.born_ms
         self.arrived.append((call_id, clocks.now_s()))
-        self.arrivals_by_start.append((*self.arrived[-1], self.listed.born_ms))
+        self.arrivals_by_start.append((*self.arrived[-1], born_ms))
         heads = self._heads(request)
         if self.asks_for is not None:
-            self._say()
-            machine = call_id.partition("-")[0]
-            self.words.append(
-                (machine, clocks.now_s(), self.asks_for, self.listed.born_ms)
-            )
             heads |= {"Violethatch-Not-Executed": "1", "Retry-After": self.asks_for}
-            return web.Response(status=503, headers=heads)
+            return self._answer(heads, born_ms, status=503)
         self.ran.append(call_id)
         await asyncio.sleep(self.work_s())
-        if request.path.startswith("/label/"):
-            return web.Response(body=b"done", headers=heads)
-        return web.Response(body=b"id: 1\ndata: 1\n\n", headers=heads)
+        is_plain = request.path.startswith("/label/")
+        body = b"done" if is_plain else b"id: 1\ndata: 1\n\n"
+        return self._answer(heads, born_ms, body=body)
 
 
 class Machine:
