Keep limits of servers in the project's own interface too

Cause: calls through the project's own interface went to a server that names a limit as before.

Change: each instance keeps an equal part of it, by the number of instances it knows, since these tell each other of no calls; counted right before the write. Where all are limited the caller is told when its part is due, and that nothing has run.

Figures: 2 to 4 calls in 2 s for a quarter of 8 a second, all others at the other server (test).

--- a/src/violethatch/_entry.py
+++ b/src/violethatch/_entry.py
@@ -301,7 +301,9 @@
         self._services.follow(listed, availability_zone=zone)
         self._peers.follow(listed)
         self._follow_operators()
-        self._callers.set_share(1.0 / self._peers.instance_count())
+        share = 1.0 / self._peers.instance_count()
+        self._callers.set_share(share)
+        self._services.set_share(share)
 
     async def _drain(self) -> None:
         """Leave: be unready, finish what is in progress, cut nothing off."""
--- a/src/violethatch/_services.py
+++ b/src/violethatch/_services.py
@@ -21,14 +21,19 @@
     ServiceLostError,
     ServiceUnreachableError,
 )
+from .limit_figures import read_limit
+from .limit_permits import PermitKeepers, PermitStock
 from .ports import ListedInstance
 from .retries import RetryBudget
 from .retry_after import read_retry_after
+from .server_limits import Limit, ServerLimits
 from .server_words import ServerWords
 
 
 #: A backend server's word that it refused the call before starting it.
 _NOT_STARTED_HEADER = "Not-Started"
+#: How many calls a second the server takes of all instances together.
+_LIMIT_HEADER = "Server-Limit"
 _UNAVAILABLE = 503
 _RETRY_AFTER_S = 1.0
 
@@ -55,7 +60,13 @@
         self._timeout = aiohttp.ClientTimeout(total=timeout_s, sock_connect=1.0)
         self._servers: dict[str, list[ListedInstance]] = {}
         self._turn = itertools.count()
-        self._words = ServerWords(random.Random())
+        rng = random.Random()
+        self._words = ServerWords(rng)
+        self._limits = ServerLimits()
+        self._keepers = PermitKeepers(rng)
+        self._permits = PermitStock()
+        #: This instance's part of what servers take of all.
+        self._share = 1.0
         self._session: aiohttp.ClientSession | None = None
 
     async def start(self) -> None:
@@ -92,6 +103,14 @@
             )
         self._servers = servers
 
+    def set_share(self, share: float) -> None:
+        """Take in which part of all instances' calls is this one's.
+
+        Args:
+            share: Above 0, 1 at the most.
+        """
+        self._share = share
+
     def counts(self) -> dict[str, int]:
         """Return how many servers each service has."""
         return {service: len(servers) for service, servers in self._servers.items()}
@@ -150,8 +169,12 @@
         """Send a call to one server."""
         assert self._session is not None
         url = f"http://{server['address']}{call.path}"
+        sent_s = clocks.now_s()
         try:
-            with looking(functools.partial(self._look, server)):
+            with looking(
+                functools.partial(self._look, server),
+                again=functools.partial(self._take_part, server),
+            ):
                 async with self._session.request(
                     call.method,
                     url,
@@ -160,6 +183,7 @@
                     allow_redirects=False,
                 ) as answer:
                     self._hear(server, answer)
+                    self._hear_limit(server, answer, sent_s)
                     body = await answer.read()
         except aiohttp.ClientConnectorError as error:
             raise ServiceUnreachableError(
@@ -202,18 +226,60 @@
             unread=asked.unread,
         )
 
+    def _hear_limit(
+        self, server: ListedInstance, answer: aiohttp.ClientResponse, sent_s: float
+    ) -> None:
+        """Take in how many calls a second a server takes of all instances."""
+        figure = read_limit(answer.headers.getall(_LIMIT_HEADER, ()))
+        if figure.per_s is None:
+            return
+        limit = Limit(figure.per_s, 0, 0, sent_s, clocks.now_s())
+        if not self._limits.take(server["id"], limit):
+            return
+        if limit.is_over:
+            self._permits.forget(server["id"])
+        events.log(
+            events.SERVER_LIMIT,
+            server_id=server["id"],
+            limit_a_s=None if limit.is_over else limit.per_s,
+            share=self._share,
+        )
+
     def _look(self, server: ListedInstance) -> None:
         """Look whether a server may be sent to.
 
         Raises:
-            ServerRefusedError: It has asked for rest.
+            ServerRefusedError: It has asked for rest, or this instance has had its part
+                of what the server takes.
         """
         now_s = clocks.now_s()
         rest = self._words.rest(server["id"], now_s=now_s)
-        if rest is None:
+        if rest is not None:
+            msg = f"{server['id']} has asked for rest"
+            raise ServerRefusedError(msg, retry_after_s=rest.until_s - now_s)
+        left_s = self._permits.closed_s(now_s=now_s).get(server["id"])
+        if left_s is not None:
+            msg = f"{server['id']} takes no more of this instance now"
+            raise ServerRefusedError(msg, retry_after_s=left_s)
+
+    def _take_part(self, server: ListedInstance) -> None:
+        """Look once more, right before the write, and count it if a limit is known.
+
+        Each instance keeps an equal part: these tell each other of no calls.
+
+        Raises:
+            ServerRefusedError: It may not be written.
+        """
+        self._look(server)
+        limit = self._limits.get(server["id"])
+        if limit is None:
             return
-        msg = f"{server['id']} has asked for rest"
-        raise ServerRefusedError(msg, retry_after_s=rest.until_s - now_s)
+        now_s = clocks.now_s()
+        part_a_s = self._share * limit.per_s
+        reply = self._keepers.ask(server["id"], "", part_a_s, now_s=now_s)
+        if not reply.is_given:
+            self._permits.close(server["id"], reply.wait_s, now_s=now_s)
+            self._look(server)
 
 
 def _sooner(
--- a/tests/test_services.py
+++ b/tests/test_services.py
@@ -9,6 +9,7 @@
 
 from aiohttp import web
 
+from violethatch import clocks
 from violethatch._services import Call, PlainServices
 from violethatch.errors import Ran, ServerRefusedError
 from violethatch.retries import RetryBudget
@@ -24,13 +25,15 @@
     def __init__(self, name):
         self.name = name
         self.figure = None
+        self.limit_a_s = None
         self.arrived = 0
         self.address = ""
 
     async def serve(self, _request):
         self.arrived += 1
         if self.figure is None:
-            return web.Response(body=self.name.encode())
+            heads = {"Server-Limit": self.limit_a_s} if self.limit_a_s else {}
+            return web.Response(body=self.name.encode(), headers=heads)
         headers = {"Not-Started": "true", "Retry-After": self.figure}
         return web.Response(status=503, headers=headers)
 
@@ -116,3 +119,46 @@
     for _ in range(4):
         await services.send("slips", CALL, repeatable=False)
     assert servers[0].arrived == 2
+
+
+async def call_often(services, *, for_s):
+    """Send calls one after another; return from whom the answers came."""
+    until_s = clocks.now_s() + for_s
+    bodies = []
+    while clocks.now_s() < until_s:
+        bodies.append((await services.send("slips", CALL, repeatable=False)).body)
+        await asyncio.sleep(0.01)
+    return bodies
+
+
+async def test_part_of_a_limit(servers, services):
+    """Of four instances each sends a quarter; the other server serves the rest."""
+    servers[0].limit_a_s = "8"
+    services.set_share(0.25)
+    await call_often(services, for_s=0.1)
+    before = servers[0].arrived
+    bodies = await call_often(services, for_s=2.0)
+    assert 2 <= servers[0].arrived - before <= 4
+    assert set(bodies) == {b"a", b"b"}
+
+
+async def test_limit_is_over(servers, services):
+    """It ends with the first answer that names none."""
+    servers[0].limit_a_s = "8"
+    await call_often(services, for_s=0.1)
+    servers[0].limit_a_s = None
+    await call_often(services, for_s=0.5)
+    before = servers[0].arrived
+    bodies = await call_often(services, for_s=0.3)
+    assert servers[0].arrived - before >= len(bodies) // 2 - 1
+
+
+async def test_all_are_limited(servers, services):
+    """The answer says that nothing has run, and when to come back."""
+    servers[0].limit_a_s = servers[1].limit_a_s = "0.5"
+    with pytest.raises(ServerRefusedError):
+        await call_often(services, for_s=1.0)
+    with pytest.raises(ServerRefusedError) as caught:
+        await services.send("slips", CALL, repeatable=True)
+    assert caught.value.ran is Ran.NO
+    assert 0.0 < caught.value.retry_after_s <= 4.2
