Keep what is known of a limit's time when a lower word comes late

Cause: a lower word of before, told by another instance, took the place of a later one with its own times, so that an answer without a limit, sent before that later one had come, ended the limit.

Change: where two words overlap the lower figure counts, with the later times of both. spec/limits.pml models answers that overtake each other and instances that tell each other late.

--- a/spec/check.sh
+++ b/spec/check.sh
@@ -70,4 +70,8 @@
 for mutant in NO_LOOK SHORTER SUCCESS ANY_START AS_LISTED FORGETS BY_LIST LAST_WORD; do
   caught rests.pml "-D$mutant"
 done
+holds limits.pml ""
+for mutant in AS_IT_COMES ANY_END LATER_SENT; do
+  caught limits.pml "-D$mutant"
+done
 rm -f pan pan.* ./*.trail _spin*
--- a/src/violethatch/server_limits.py
+++ b/src/violethatch/server_limits.py
@@ -67,11 +67,20 @@
         """Tell whether it is the word of a start, as far as starts are told."""
         return is_word_of(born_ms, listed_ms=self.born_ms, sent_ms=self.sent_ms)
 
-    def outdates(self, known: Limit) -> bool:
-        """Tell whether it counts instead of a word that is known."""
+    def after(self, known: Limit) -> Limit | None:
+        """Return what counts when it comes after a word that is known; None if that.
+
+        Where nobody can tell which of both was said first, the lower figure counts for
+        as long as either might: until an answer to what is sent when both have come.
+        """
         if self.sent_s >= known.heard_s:
-            return True
-        return self.per_s < known.per_s and self.heard_s > known.sent_s
+            return self
+        if self.per_s < known.per_s and self.heard_s > known.sent_s:
+            return self._replace(
+                sent_s=max(self.sent_s, known.sent_s),
+                heard_s=max(self.heard_s, known.heard_s),
+            )
+        return None
 
 
 class ServerLimits:
@@ -105,9 +114,10 @@
             known = None
         if known is None and limit.is_over:
             return False
-        if known is not None and not limit.outdates(known):
+        counting = limit if known is None else limit.after(known)
+        if counting is None:
             return False
-        self._keep(server_id, limit)
+        self._keep(server_id, counting)
         return known is None or known.per_s != limit.per_s
 
     def get(self, server_id: str, *, born_ms: int = 0) -> Limit | None:
--- a/tests/test_server_limits.py
+++ b/tests/test_server_limits.py
@@ -49,6 +49,12 @@
         assert taken(limit(50, 1, 2), limit(5, 0.5, 3)) == 5
         assert taken(limit(5, 0.5, 3), limit(50, 1, 2)) == 5
 
+    def test_lower_word_of_before_keeps_the_later_ones_time(self):
+        """An old answer without a limit ends nothing, whatever lower word came since."""
+        words = (limit(50, 0, 10), limit(5, 1, 3), limit(OVER, 4, 11))
+        assert taken(*words) == 5
+        assert taken(*words, limit(50, 12, 13)) == 50
+
     def test_word_of_before_the_end(self):
         """What another instance heard before the end doesn't bring it back."""
         words = (limit(5, 0, 1), limit(OVER, 2, 3), limit(5, 0.5, 1.5))
