--- a/tests/test_server_limits.py
+++ b/tests/test_server_limits.py
@@ -50,7 +50,7 @@
         assert taken(limit(5, 0.5, 3), limit(50, 1, 2)) == 5
 
     def test_lower_word_of_before_keeps_the_later_ones_time(self):
-        """An old answer without a limit ends nothing, whatever lower word came since."""
+        """An old answer without a limit ends nothing, whatever came since."""
         words = (limit(50, 0, 10), limit(5, 1, 3), limit(OVER, 4, 11))
         assert taken(*words) == 5
         assert taken(*words, limit(50, 12, 13)) == 50
