Test that every way to a limited server needs a permit

Change: tests only: calls, moves, orders and reports with and without one, what waits for a connection, permits that are not used, callers where all servers are limited, retries, ends, new starts, a limit beside a rest, lines of words that nothing reads.

--- a/tests/test_word_gate.py
+++ b/tests/test_word_gate.py
@@ -4,6 +4,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import random
 
 import pytest
@@ -12,6 +13,7 @@
     LEAVING_S,
     first_choice,
     servers_and_machines,
+    slow_connects,
     watched_lag,
 )
 from mortal_fleet import Fleet, Servers
@@ -32,6 +34,7 @@
 from violethatch._streams import StreamCall
 from violethatch.errors import OverloadedError
 from violethatch.layers import LayerRange
+from violethatch.limit_permits import Permit
 from violethatch.paths import Path, Stage
 from violethatch.runner_health import Trouble
 from violethatch.upstream import (
@@ -428,3 +431,173 @@
             "c1",
         )
         assert kept == [(Sending.CALL, "rest")]
+
+
+LIMITED = ServerWord(status=200, limit_a_s=0.5)
+#: A limit under which a permit is due at once, as far as a test can wait.
+WIDE = ServerWord(status=200, limit_a_s=50.0)
+
+
+def hear(machine, server, word, request_id="c0"):
+    """Let an instance hear a server's word, just asked for."""
+    now_s = clocks.now_s()
+    machine.router.routing.gate.heard(
+        server.listed, word._replace(sent_s=now_s), request_id
+    )
+
+
+class TestLimits:
+    @pytest.mark.parametrize("how", WAYS)
+    async def test_every_way_needs_a_permit(self, how):
+        """Nothing is written without one, and the caller of it learns that."""
+        async with servers_and_machines(first_choice("/draft/1")) as (servers, made):
+            hear(made[0], servers[0], LIMITED)
+            assert await try_way(made[0].client, servers[0].listed, how)
+            assert servers[0].arrived == []
+
+    @pytest.mark.parametrize("how", WAYS)
+    async def test_every_way_uses_a_permit_up(self, how):
+        """It is counted with what all send."""
+        async with servers_and_machines(first_choice("/draft/1")) as (servers, made):
+            servers[0].limit_a_s = "50"
+            hear(made[0], servers[0], WIDE)
+            await try_way(made[0].client, servers[0].listed, "report")
+            gate = made[0].router.routing.gate
+            await asyncio.sleep(1.0)
+            gate.permits.forget("s1")
+            before = len(servers[0].arrived)
+            assert not await try_way(made[0].client, servers[0].listed, how)
+            arrived = len(servers[0].arrived) - before
+            (state,) = gate.limits_state().values()
+            assert state.sent == arrived
+            assert state.given >= arrived
+
+    async def test_permit_lapses_while_a_connection_is_waited_for(self):
+        """What was decided long before is not written; no connection is lost."""
+        async with servers_and_machines(first_choice("/draft/1")) as (servers, made):
+            gate = made[0].router.routing.gate
+            hear(made[0], servers[0], WIDE)
+            lapsed = Permit(clocks.now_s() - 0.01)
+            with pytest.raises(KeptBackError):
+                gate.look(servers[0].listed, Sending.CALL, "c1", lapsed)
+            slow_connects(made[0].kept, lambda _address: 0.3)
+            gate.permits.give_back("s1", Permit(clocks.now_s() + 0.1))
+            with pytest.raises(KeptBackError):
+                await made[0].client.send(send_to(servers[0].listed))
+            assert servers[0].arrived == []
+
+    async def test_word_that_comes_while_a_connection_is_waited_for(self):
+        """What was decided without a permit is not written then."""
+        async with servers_and_machines(first_choice("/draft/1")) as (servers, made):
+            slow_connects(made[0].kept, lambda _address: 0.2)
+            sending = asyncio.create_task(
+                made[0].client.send(send_to(servers[0].listed))
+            )
+            await asyncio.sleep(0.05)
+            hear(made[0], servers[0], LIMITED)
+            with pytest.raises(KeptBackError):
+                await sending
+            assert servers[0].arrived == []
+
+    async def test_permit_that_is_not_used_is_kept(self):
+        """The next send uses it, while it is good."""
+        async with servers_and_machines(first_choice("/draft/1")) as (servers, made):
+            gate = made[0].router.routing.gate
+            hear(made[0], servers[0], LIMITED)
+            permit = Permit(clocks.now_s() + 5.0)
+            gate.settle(servers[0].listed, permit, was_written=False)
+            assert await gate.admit(servers[0].listed, Sending.CALL, "c1") == permit
+            with pytest.raises(KeptBackError):
+                await gate.admit(servers[0].listed, Sending.CALL, "c2")
+
+    async def test_no_permit_is_asked_for_a_server_that_rests(self):
+        """It would be spent in vain."""
+        async with servers_and_machines(first_choice("/draft/1")) as (servers, made):
+            gate = made[0].router.routing.gate
+            hear(made[0], servers[0], LIMITED)
+            gate.heard(servers[0].listed, REST, "c0")
+            with pytest.raises(KeptBackError) as caught:
+                await gate.admit(servers[0].listed, Sending.CALL, "c1")
+            assert caught.value.reason == "rest"
+            assert len(gate.keepers) == 0
+
+    @pytest.mark.parametrize("path", ["/draft/1", "/label/1"])
+    async def test_all_are_limited(self, path, lines):
+        """At once: not run, when a permit is due, and which limits decided."""
+        async with servers_and_machines(first_choice(path)) as (servers, made):
+            for number, server in enumerate(servers):
+                hear(made[0], server, LIMITED, f"c{number}")
+            async with watched_lag() as lag:
+                started_s = clocks.now_s()
+                error = await made[0].ask(path=path)
+                took_s = clocks.now_s() - started_s
+            assert took_s < 0.1 + lag.most_s
+            assert (error.code, error.ran) == (OverloadedError.code, "no")
+            assert 1.5 <= error.retry_after_s <= 7.0
+            assert all(server.arrived == [] for server in servers)
+            line = lines_of(lines, log_events.SERVERS_REST)[-1]
+            assert line["limited"] == len(servers)
+            assert {one["limit_a_s"] for one in line["limits"]} == {0.5}
+            assert {one["limit_said_to"] for one in line["limits"]} == {
+                f"c{n}" for n in range(len(servers))
+            }
+
+    async def test_no_retry_is_spent(self):
+        """A send whose refusal is known costs nothing."""
+        async with servers_and_machines(first_choice("/draft/1")) as (servers, made):
+            routing = made[0].router.routing
+            for server in servers[:-1]:
+                hear(made[0], server, LIMITED)
+            before = routing._budget("model").own.balance
+            got = [await made[0].ask() for _ in range(5)]
+            assert all(one.end == "whole" for one in got)
+            assert routing._budget("model").own.balance >= before
+
+    async def test_limit_is_over(self):
+        """The first answer that names none ends it; its server is left for a while."""
+        async with servers_and_machines(first_choice("/draft/1")) as (servers, made):
+            gate = made[0].router.routing.gate
+            hear(made[0], servers[0], LIMITED)
+            assert await try_way(made[0].client, servers[0].listed, "call")
+            await asyncio.sleep(0.01)
+            hear(made[0], servers[0], ServerWord(status=200, limit_a_s=math.inf))
+            now_s = clocks.now_s()
+            assert "s1" not in gate.bound(now_s=now_s)
+            assert gate.avoided(now_s=now_s) == {"s1"}
+            assert gate.avoided(now_s=now_s + 1.0) == set()
+            assert not await try_way(made[0].client, servers[0].listed, "call")
+
+    async def test_new_start_is_free(self):
+        """Its limit goes with a start, as its rests do."""
+        async with servers_and_machines(first_choice("/draft/1")) as (servers, made):
+            one = servers[0].listed._replace(born_ms=5)
+            made[0].list({one.id: one})
+            servers[0].listed = one
+            hear(made[0], servers[0], LIMITED._replace(sent_ms=6))
+            assert await try_way(made[0].client, one, "call")
+            made[0].list({one.id: None})
+            made[0].list({one.id: one})
+            assert await try_way(made[0].client, one, "call")
+            made[0].list({one.id: one._replace(born_ms=9)})
+            assert not await try_way(made[0].client, one, "call")
+
+    async def test_beside_a_rest(self):
+        """Both words of one answer count."""
+        async with servers_and_machines(first_choice("/draft/1")) as (servers, made):
+            gate = made[0].router.routing.gate
+            hear(made[0], servers[0], REST._replace(limit_a_s=2.4))
+            assert set(gate.rests(now_s=clocks.now_s())) == {"s1"}
+            assert gate.limit_of("s1").per_s == 2.4
+
+    def test_words_that_nothing_reads(self, lines):
+        """One line each, a bounded number of them, and all are counted."""
+        a = runner("a", 0, 80)
+        routing = make_routing(FakeClient(), a, rng=random.Random(1))
+        counted = []
+        routing.gate.on_word = counted.append
+        for number in range(100):
+            word = ServerWord(status=200, unknown=(f"server-{number}", "server-x"))
+            routing.gate.heard(a, word, "c1")
+        named = [one["word"] for one in lines_of(lines, log_events.WORD_UNKNOWN)]
+        assert len(named) == len(set(named)) == 32
+        assert counted == ["unknown"] * 200
