Add limits to the soak of words

Change: servers name limits, none, and figures that can't be understood, for half a second to six at a time, while datagrams are lost and doubled and connections are slow; from a second after an answer that names a figure no more comes over any four seconds, and callers are told truly what has run.

--- a/tests/test_words_soak.py
+++ b/tests/test_words_soak.py
@@ -1,5 +1,5 @@
 # SPDX-License-Identifier: MIT
-"""Servers that ask for rest, leave and start again at random, under load.
+"""Servers that ask for rest, name limits, leave and start again at random, under load.
 
 Some seeds run here; ``SEEDS=50 pytest tests/test_words_soak.py`` runs more by hand.
 """
@@ -16,6 +16,8 @@
     ID,
     LEAVING_S,
     UNDER_WAY_S,
+    join_machines,
+    most_within,
     servers_and_machines,
     slow_connects,
     watched_lag,
@@ -247,3 +249,106 @@
     assert all(one.retry_after_s > 0 for one in unrun)
     assert {one.call_id for one in unrun}.isdisjoint(ran)
     assert sum(len(server.words) for server in servers) > 0
+
+
+#: How long servers that name limits are watched, in seconds, and by how many instances.
+LIMITS_LAST_S = 9.0
+LIMIT_MACHINES = 4
+#: What servers name: limits, none, and what can't be understood.
+LIMITS = ("0.5", "2.4", "4.9", "12", None, "some", "0")
+#: How long a limit stays, in seconds: some spans end within it, some don't.
+STAYS_S = (0.5, 6.0)
+#: From when on after a word all keep to it, and over any span so long, in seconds.
+KNOWN_S = 1.0
+SPAN_S = 4.0
+#: Which part of the datagrams between instances is lost, and comes twice.
+LOST_PART = 0.03
+
+
+class LimitTrouble:
+    """Changes one server's limit at random; notes what it allows.
+
+    Args:
+        server: The server.
+        rng: Decides.
+    """
+
+    def __init__(self, server, rng):
+        self.server = server
+        self.rng = rng
+        #: Since when it names what, or names nothing.
+        self.named = [(clocks.now_s(), None)]
+
+    async def run(self, end_s):
+        """Change the limit, until a time."""
+        while clocks.now_s() < end_s:
+            self.server.limit_a_s = self.rng.choice(LIMITS)
+            self.named.append((clocks.now_s(), self.server.limit_a_s))
+            await asyncio.sleep(self.rng.uniform(*STAYS_S))
+
+    def broken(self, lag_s):
+        """Return the limits beyond which requests came, and by how many."""
+        found = []
+        ends_s = [since_s for since_s, _ in self.named[1:]] + [clocks.now_s()]
+        for (since_s, figure), end_s in zip(self.named, ends_s, strict=True):
+            if figure is None or figure == "some":
+                continue
+            told_s = self.told_s(since_s, end_s)
+            if told_s is None:
+                continue
+            came_s = [
+                at_s
+                for _, at_s in self.server.arrived
+                if told_s + KNOWN_S + lag_s <= at_s < end_s
+            ]
+            allowed = max(1, int(SPAN_S * float(figure)))
+            most = most_within(came_s, SPAN_S - lag_s)
+            if most > allowed:
+                found.append((figure, most, allowed))
+        return found
+
+    def told_s(self, since_s, end_s):
+        """Return when the first request of a time came: its answer names the limit."""
+        came_s = [at_s for _, at_s in self.server.arrived if since_s <= at_s < end_s]
+        return min(came_s, default=None)
+
+
+@pytest.mark.parametrize("seed", range(int(os.environ.get("SEEDS", "2"))))
+async def test_limits_are_kept(seed):
+    """Whatever servers name, all instances together send no more; callers get answers.
+
+    Datagrams are lost and come twice, connections take long.
+    """
+    rng = random.Random(seed)
+    listed = [
+        *(runner(f"s{n}", 0, 80, kind="large") for n in range(3)),
+        *(plain_server(f"p{n}") for n in range(2)),
+    ]
+    async with (
+        servers_and_machines(listed, machines=LIMIT_MACHINES, seed=seed) as (
+            servers,
+            machines,
+        ),
+        watched_lag() as lag,
+    ):
+        join_machines(machines, seed=seed).lost_part = LOST_PART
+        end_s = clocks.now_s() + LIMITS_LAST_S
+        for machine in machines:
+            for session in (machine.kept, machine.fresh):
+                slow_connects(session, lambda _address: connect_s(rng))
+        troubles = [LimitTrouble(one, rng) for one in servers]
+        asking = [
+            one.keep_asking(every_s=0.05, for_s=LIMITS_LAST_S, path=path)
+            for one in machines
+            for path in ("/draft/1", "/label/1")
+        ]
+        changing = asyncio.gather(*(one.run(end_s) for one in troubles))
+        *outcomes, _ = await asyncio.gather(*asking, changing)
+        broken = [one.broken(lag.most_s) for one in troubles]
+    assert broken == [[]] * len(troubles)
+    unrun = [one for some in outcomes for one in some if is_refusal(one)]
+    ran = {call_id for server in servers for call_id in server.ran}
+    assert all(one.retry_after_s > 0 for one in unrun)
+    assert {one.call_id for one in unrun}.isdisjoint(ran)
+    others = [one for some in outcomes for one in some if not is_refusal(one)]
+    assert all(getattr(one, "end", "") == "whole" for one in others)
