Work out who keeps a limit once for each list of instances

Cause: each question for a permit built the list of instances anew and ranked the server's zone, several times.

Change: both are kept for a revision of the list. A test of the end: instances take a server up one after another.

--- a/src/violethatch/_limit_link.py
+++ b/src/violethatch/_limit_link.py
@@ -16,8 +16,8 @@
 import math
 import random
 
-from collections.abc import Callable, Coroutine, Iterable, Sequence
-from typing import Any
+from collections.abc import Callable, Coroutine, Iterable, Mapping, Sequence
+from typing import Any, NamedTuple
 
 from . import clocks, events
 from ._listed import lifetime_name, server_and_start
@@ -70,6 +70,14 @@
 _LONGEST_AGO_MS = 2**31 - 1
 
 
+class _List(NamedTuple):
+    """The instances of one revision, and by server and zone who may keep permits."""
+
+    revision: int
+    entries: Mapping[str, InstanceEntry]
+    candidates: dict[tuple[str, str], Sequence[str]]
+
+
 class LimitLink:
     """Asks keepers for permits, gives them, and tells of limits.
 
@@ -100,6 +108,7 @@
         #: By instance, how many questions in a row it has not answered.
         self._missed: dict[str, int] = {}
         self._passed_over_until_s: dict[str, float] = {}
+        self._list = _List(-1, {}, {})
         self._started_s = clocks.now_s()
         self._known_ids: set[str] = set()
         self._allowance = SendAllowance(most_a_second=_MOST_TOLD_A_S)
@@ -165,7 +174,7 @@
         own_id = self._directory.own.id
         entries = self._entries()
         now_s = clocks.now_s()
-        for candidate in self._candidates(server_id, entries):
+        for candidate in self._candidates(server_id):
             if candidate == own_id:
                 if self._may_keep(now_s=now_s):
                     return None
@@ -187,32 +196,37 @@
         That one then keeps them, whomever it takes for the keeper: else two that both
         have just started would each point to the other.
         """
-        candidates = self._candidates(server_id, self._entries())
+        candidates = self._candidates(server_id)
         own_id = self._directory.own.id
         if own_id not in candidates:
             return False
         return candidates.index(own_id) < candidates.index(keeper.id)
 
-    def _entries(self) -> dict[str, InstanceEntry]:
+    def _entries(self) -> Mapping[str, InstanceEntry]:
         """Return all instances, this one included, by id."""
-        own = self._directory.own
-        return {one.id: one for one in self._directory.others()} | {own.id: own}
+        if self._list.revision != self._directory.revision:
+            own = self._directory.own
+            entries = {one.id: one for one in self._directory.others()}
+            self._list = _List(self._directory.revision, entries | {own.id: own}, {})
+        return self._list.entries
 
-    def _candidates(
-        self, server_id: str, entries: dict[str, InstanceEntry]
-    ) -> list[str]:
+    def _candidates(self, server_id: str) -> Sequence[str]:
         """Return who may keep a server's permits, in turn."""
+        entries = self._entries()
         zone = self._gate.zone_of(server_id)
-        near = [one.id for one in entries.values() if one.availability_zone == zone]
-        return [*rendezvous(server_id, near or entries, count=_CANDIDATES)]
+        known = self._list.candidates.get((server_id, zone))
+        if known is None:
+            near = [one.id for one in entries.values() if one.availability_zone == zone]
+            known = rendezvous(server_id, near or entries, count=_CANDIDATES)
+            self._list.candidates[server_id, zone] = known
+        return known
 
     def _give(self, server_id: str, asker: str, limit: Limit) -> PermitReply:
         """Give a permit of those that this instance keeps."""
         part = 1.0
-        entries = self._entries()
-        if self._directory.own.id not in self._candidates(server_id, entries):
+        if self._directory.own.id not in self._candidates(server_id):
             # Nobody who may keep them answers: each instance has its part.
-            part = 1.0 / len(entries)
+            part = 1.0 / len(self._entries())
         return self._gate.give_permit(server_id, asker, part * limit.per_s)
 
     async def _ask_keeper(
--- a/tests/test_limit_link.py
+++ b/tests/test_limit_link.py
@@ -132,6 +132,23 @@
         known = None if math.isinf(limit_a_s) else limit_a_s
         assert [one.limit_a_s() for one in members.all] == [known] * 8
 
+    @pytest.mark.parametrize("count", [8, 350])
+    async def test_server_is_taken_up_one_after_another(self, count):
+        """All hear of the end together, and come back over a second."""
+        members = Members(count)
+        members.all[0].hear(2.4)
+        await asyncio.sleep(0.1)
+        now_s = clocks.now_s()
+        members.all[0].hear(math.inf)
+        await asyncio.sleep(0.1)
+        back = [
+            sum("s1" not in one.gate.avoided(now_s=now_s + s) for one in members.all)
+            for s in (0.25, 0.5, 0.75, 1.2)
+        ]
+        assert back[-1] == count
+        assert back[0] <= max(4, 0.4 * count)
+        assert back == sorted(back)
+
     async def test_all_are_told_at_once(self):
         """Hundreds that hear the word in the same moment don't all tell all."""
         members = Members(350)
@@ -221,7 +238,7 @@
         members = Members(9)
         members.all[0].hear(9.0)
         await asyncio.sleep(0.05)
-        keepers = members.all[0].link._candidates(SERVER.id, members.entries)
+        keepers = members.all[0].link._candidates(SERVER.id)
         alone = next(one for one in members.all if one.own.id not in keepers)
         members.cut(alone)
         for _ in range(9):
