Give limits of servers a gate of their own

Change: _limit_gate keeps what servers have named and this instance's permits; _word_gate asks it, and the link between instances knows nothing else. Moved code, decisions as before: the tests pass with other names only.

--- a/src/violethatch/_limit_link.py
+++ b/src/violethatch/_limit_link.py
@@ -20,6 +20,7 @@
 from typing import Any, NamedTuple
 
 from . import clocks, events
+from ._limit_gate import LimitGate
 from ._listed import lifetime_name, server_and_start
 from ._peer_datagrams import (
     LimitDatagram,
@@ -28,7 +29,6 @@
     PermitDatagram,
     SendAllowance,
 )
-from ._word_gate import WordGate
 from .backends import BackendServer
 from .instances import InstanceEntry
 from .limit_permits import GIVEN, SPAN_S, PermitReply
@@ -91,7 +91,7 @@
     def __init__(
         self,
         datagrams: PeerDatagrams,
-        gate: WordGate,
+        gate: LimitGate,
         *,
         rng: random.Random,
         is_leaving: Callable[[], bool] = lambda: False,
@@ -227,7 +227,7 @@
         if self._directory.own.id not in self._candidates(server_id):
             # Nobody who may keep them answers: each instance has its part.
             part = 1.0 / len(self._entries())
-        return self._gate.give_permit(server_id, asker, part * limit.per_s)
+        return self._gate.give(server_id, asker, part * limit.per_s)
 
     async def _ask_keeper(
         self,
@@ -280,12 +280,12 @@
         if asker is None:
             return  # its entry is not known here yet
         server_id, limit = _heard_limit(message, message.limit_a_s)
-        if self._gate.take_limit(server_id, limit) and self._keeper(server_id) is None:
+        if self._gate.take(server_id, limit) and self._keeper(server_id) is None:
             self._tell_all(server_id, limit, but=message.sender)
         known = self._gate.limit_of(server_id, born_ms=limit.born_ms)
         if known is None:
             self._answer(asker, message.number, GIVEN)
-            latest = self._gate.limits.latest(server_id)
+            latest = self._gate.known.latest(server_id)
             if latest is not None and latest.is_over:
                 self._send_limit(asker, server_id, latest)
             return
@@ -333,7 +333,7 @@
     def _take_limit(self, message: LimitDatagram) -> None:
         """Take a word in that another instance has heard."""
         server_id, limit = _heard_limit(message, message.limit_a_s)
-        is_news = self._gate.take_limit(server_id, limit)
+        is_news = self._gate.take(server_id, limit)
         if is_news and message.is_for_all:
             self._tell_all(server_id, limit, but=message.sender)
 
@@ -349,7 +349,7 @@
 
     def _tell_again(self, peers: Sequence[InstanceEntry], server_id: str) -> None:
         """Tell some instances once more, of what is the latest word by now."""
-        latest = self._gate.limits.latest(server_id)
+        latest = self._gate.known.latest(server_id)
         if latest is not None:
             self._tell(peers, server_id, latest)
 
@@ -388,7 +388,7 @@
         self._known_ids = set(others)
         if not newcomers:
             return
-        for server_id, limit in self._gate.limits.known().items():
+        for server_id, limit in self._gate.known.known().items():
             if self._keeper(server_id) is None:
                 self._tell(newcomers, server_id, limit)
 
--- a/src/violethatch/_peer_links.py
+++ b/src/violethatch/_peer_links.py
@@ -37,7 +37,7 @@
         self.loads = LoadLink(datagrams, router.routing.loads)
         self.limits = LimitLink(
             datagrams,
-            router.routing.gate,
+            router.routing.gate.limits,
             rng=rng,
             is_leaving=lambda: router.stop_plan.is_stopping,
         )
@@ -51,6 +51,6 @@
         routing.tell_cleared = self._suspects.tell_cleared
         routing.tell_pace = self._paces.tell
         routing.ask_for_retries = self._retries.ask
-        routing.gate.ask_permit = self.limits.ask
-        routing.gate.tell_limit = self.limits.tell
+        routing.gate.limits.ask_permit = self.limits.ask
+        routing.gate.limits.tell = self.limits.tell
         routing.know_instances(count=directory.__len__, place=directory.place)
--- a/src/violethatch/_router.py
+++ b/src/violethatch/_router.py
@@ -67,7 +67,7 @@
         self.routing.on_refusal = self.metrics.refused
         self.routing.gate.on_word = self.metrics.heard
         self.routing.gate.on_kept_back = self.metrics.kept_back
-        self.routing.gate.on_permit = self.metrics.permit
+        self.routing.gate.limits.on_permit = self.metrics.permit
         self.freshness = Freshness(limit_s=settings.proof_limit_s)
         self.stop_plan = StopPlan(grace_s=settings.bounds.grace_s)
         self.desired: DesiredState | None = None
@@ -216,7 +216,7 @@
             "asked_rest_s": self.routing.gate.state(),
             "server_limits": {
                 one: limit._asdict()
-                for one, limit in self.routing.gate.limits_state().items()
+                for one, limit in self.routing.gate.limits.state().items()
             },
             "sources": dict(self.sources()),
             "load_instances": 1 + self.routing.loads.others.instances,
@@ -234,7 +234,7 @@
         )
         suspects = self.routing.suspects
         self.metrics.servers_resting.set({}, len(self.routing.gate.state()))
-        self.metrics.limits(self.routing.gate.limits_state())
+        self.metrics.limits(self.routing.gate.limits.state())
         self.metrics.works(len(suspects), len(suspects.held(now_s=now_s)))
 
     def _proof_age_s(self) -> float | None:
--- a/src/violethatch/_router_metrics.py
+++ b/src/violethatch/_router_metrics.py
@@ -7,7 +7,7 @@
 
 from aioprometheus import Counter, Gauge, Histogram, Registry
 
-from ._word_gate import LimitState
+from ._limit_gate import LimitState
 from .desired import Admitted
 from .load_sums import LoadTotals
 
--- a/src/violethatch/_word_gate.py
+++ b/src/violethatch/_word_gate.py
@@ -11,20 +11,14 @@
 
 import random
 
-from collections.abc import Awaitable, Callable, Iterable
+from collections.abc import Callable, Iterable
 from typing import Any, NamedTuple
 
 from . import clocks, events
+from ._limit_gate import LimitGate
 from .backends import BackendServer, BackendTable
-from .limit_permits import (
-    PERMIT_LIFE_S,
-    SPAN_S,
-    Permit,
-    PermitKeepers,
-    PermitReply,
-    PermitStock,
-)
-from .server_limits import Limit, ServerLimits
+from .limit_permits import Permit
+from .server_limits import Limit
 from .server_words import Rest, ServerWords
 from .upstream import KeptBackError, Sending, ServerWord
 
@@ -35,10 +29,6 @@
 _MOST_UNKNOWN = 32
 
 
-#: Over how long instances take a server up again whose limit is over, in seconds.
-_RETURN_S = 1.0
-
-
 class _Kept(NamedTuple):
     """Why something is kept back, and for how much longer, in seconds."""
 
@@ -48,20 +38,6 @@
     limit: Limit | None = None
 
 
-class LimitState(NamedTuple):
-    """A server's limit, and what of it was used in the last span.
-
-    Attributes:
-        limit_a_s: Requests a second that the server takes of all instances.
-        sent: What this instance has written to it.
-        given: For how many requests this instance has given permits, to all.
-    """
-
-    limit_a_s: float
-    sent: int
-    given: int
-
-
 class WordGate:
     """Keeps rests and departures that servers have told this instance.
 
@@ -73,20 +49,7 @@
     def __init__(self, backends: BackendTable, *, rng: random.Random) -> None:
         self._backends = backends
         self.words = ServerWords(rng)
-        self.limits = ServerLimits()
-        self.permits = PermitStock()
-        self.keepers = PermitKeepers(rng)
-        #: Asks whoever keeps a server's permits; where there is nobody else, this
-        #: instance.
-        self.ask_permit: Callable[[BackendServer, Limit], Awaitable[PermitReply]]
-        self.ask_permit = self._ask_itself
-        #: Tells other instances of a limit that this one has heard of.
-        self.tell_limit: Callable[[str, Limit], None] = lambda _server_id, _limit: None
-        self._rng = rng
-        #: By server whose limit is over, from when on it is taken up again.
-        self._returns_s: dict[str, float] = {}
-        #: Told of each answer to a question for a permit: given, refused.
-        self.on_permit: Callable[[str], None] = lambda _outcome: None
+        self.limits = LimitGate(backends, rng=rng)
         #: Words that nothing reads, of which a line was logged.
         self._unknown: set[str] = set()
         #: Told of each word's kind: rest, wish, leaving, limit, unread, unknown.
@@ -117,18 +80,10 @@
         if limit is None:
             return None
         # The limit is for all instances: each for itself would send many times as much.
-        left_s = self.permits.closed_s(now_s=now_s).get(server.id, 0.0)
-        if not left_s:
-            permit = self.permits.take(server.id, now_s=now_s)
-            if permit is not None:
-                return permit
-            reply = await self.ask_permit(server, limit)
-            self.on_permit("given" if reply.is_given else "refused")
-            if reply.is_given:
-                return Permit(now_s + PERMIT_LIFE_S)
-            left_s = reply.wait_s
-            self.permits.close(server.id, left_s, now_s=clocks.now_s())
-        kept = _Kept("limit", left_s, limit=limit)
+        permit = await self.limits.ask(server, limit)
+        if isinstance(permit, Permit):
+            return permit
+        kept = _Kept("limit", permit, limit=limit)
         self._check(kept, server, sending, request_id)
         return None
 
@@ -158,12 +113,7 @@
         self, server: BackendServer, permit: Permit | None, *, was_written: bool
     ) -> None:
         """Use a permit up, or keep it for another send if nothing was written."""
-        if permit is None:
-            return
-        if was_written:
-            self.permits.used(server.id, now_s=clocks.now_s())
-        else:
-            self.permits.give_back(server.id, permit)
+        self.limits.settle(server, permit, was_written=was_written)
 
     def _check(
         self,
@@ -188,30 +138,19 @@
             reason=kept.reason,
             left_s=round(kept.left_s, 3),
             said_to=kept.rest.request_id if kept.rest else None,
-            **self._limit_fields(server.id, kept.limit),
+            **self.limits.fields(server.id, kept.limit),
         )
         raise KeptBackError(kept.reason, kept.left_s)
 
-    def _limit_fields(self, server_id: str, limit: Limit | None) -> dict[str, object]:
-        """Return what a line tells of a limit, if there is one."""
-        if limit is None:
-            return {}
-        now_s = clocks.now_s()
-        return {
-            "limit_a_s": limit.per_s,
-            "limit_age_s": round(now_s - limit.heard_s, 3),
-            "limit_said_to": limit.request_id,
-            "limit_teller": limit.teller,
-            "sent_of_late": self.permits.used_within(server_id, SPAN_S, now_s=now_s),
-        }
-
     def heard(self, server: BackendServer, word: ServerWord, request_id: str) -> None:
         """Take a server's word in, as soon as an answer's head is there."""
         now_s = clocks.now_s()
         if word.rest_s is None:
             self.words.answered(server.id, now_s=now_s)
         self._note_unknown(server, word, request_id)
-        self._take_limit(server, word, request_id, now_s=now_s)
+        if word.named_limit_a_s is not None:
+            self.on_word("limit")
+        self.limits.heard(server, word, request_id)
         if not word.is_said:
             return
         is_longer = self._take_rest(server, word, request_id, now_s=now_s)
@@ -232,87 +171,9 @@
             unread=word.unread,
         )
 
-    def _take_limit(
-        self, server: BackendServer, word: ServerWord, request_id: str, *, now_s: float
-    ) -> None:
-        """Take in how many requests a server takes from all instances together."""
-        if word.limit_a_s is None:
-            return
-        if word.named_limit_a_s is not None:
-            self.on_word("limit")
-        limit = Limit(
-            word.limit_a_s,
-            server.born_ms,
-            word.sent_ms,
-            word.sent_s,
-            now_s,
-            request_id=request_id,
-        )
-        if self.take_limit(server.id, limit):
-            self.tell_limit(server.id, limit)
-
-    def take_limit(self, server_id: str, limit: Limit) -> bool:
-        """Take in a server's word on its limit; tell whether that is news, and log it.
-
-        Args:
-            server_id: Whose word it is.
-            limit: The word, heard here or by another instance.
-        """
-        listed = self._backends.get(server_id)
-        known_ms = listed.born_ms if listed is not None else 0
-        if not self.limits.take(server_id, limit, known_ms=known_ms):
-            return False
-        if limit.is_over:
-            self.permits.forget(server_id)
-            self._take_up_later(server_id)
-        events.log(
-            events.SERVER_LIMIT,
-            request_id=limit.request_id,
-            server_id=server_id,
-            limit_a_s=None if limit.is_over else limit.per_s,
-            teller=limit.teller,
-        )
-        return True
-
-    def _take_up_later(self, server_id: str) -> None:
-        """Send to a server whose limit is over only where there is no other, at first.
-
-        All instances hear of that in the same moment.
-        """
-        now_s = clocks.now_s()
-        self._returns_s = {
-            one: returns_s
-            for one, returns_s in self._returns_s.items()
-            if now_s < returns_s
-        }
-        self._returns_s[server_id] = now_s + self._rng.uniform(0.0, _RETURN_S)
-
-    def limit_of(self, server_id: str, *, born_ms: int = 0) -> Limit | None:
-        """Return the limit of a server's present start, if it has named one.
-
-        Args:
-            server_id: Whose limit it is.
-            born_ms: Which start is meant where the server is not listed.
-        """
-        listed = self._backends.get(server_id)
-        return self.limits.get(server_id, born_ms=listed.born_ms if listed else born_ms)
-
     def _limit_of(self, server: BackendServer) -> Limit | None:
         """Return the limit that binds towards a server, if it has named one."""
-        return self.limit_of(server.id, born_ms=server.born_ms)
-
-    def zone_of(self, server_id: str) -> str:
-        """Return a listed server's availability zone; empty if it isn't listed."""
-        listed = self._backends.get(server_id)
-        return listed.availability_zone if listed is not None else ""
-
-    def give_permit(self, server_id: str, asker: str, per_s: float) -> PermitReply:
-        """Give a permit of those that this instance keeps for all."""
-        return self.keepers.ask(server_id, asker, per_s, now_s=clocks.now_s())
-
-    async def _ask_itself(self, server: BackendServer, limit: Limit) -> PermitReply:
-        """Give itself a permit, where there is no other instance."""
-        return self.give_permit(server.id, "", limit.per_s)
+        return self.limits.limit_of(server.id, born_ms=server.born_ms)
 
     def _note_unknown(
         self, server: BackendServer, word: ServerWord, request_id: str
@@ -379,11 +240,7 @@
 
     def bound(self, *, now_s: float) -> dict[str, float]:
         """Return, by server that nothing may be sent to, for how many seconds more."""
-        bound = {
-            server_id: left_s
-            for server_id, left_s in self.permits.closed_s(now_s=now_s).items()
-            if self.limit_of(server_id) is not None
-        }
+        bound = self.limits.closed(now_s=now_s)
         for server_id, left_s in self.rests(now_s=now_s).items():
             bound[server_id] = max(left_s, bound.get(server_id, 0.0))
         return bound
@@ -403,9 +260,7 @@
             for server_id, rest in self.words.known().items()
             if rest.is_avoided(now_s=now_s) and self._is_its_word(server_id, rest)
         )
-        return resting.union(
-            one for one, returns_s in self._returns_s.items() if now_s < returns_s
-        )
+        return resting | self.limits.returning(now_s=now_s)
 
     def first_end_s(self, servers: Iterable[BackendServer]) -> float:
         """Return when the first of some servers may be sent to, in seconds from now.
@@ -429,8 +284,8 @@
             if self._is_of(server_id, service)
         ]
         limits = [
-            {"server_id": server_id, **self._limit_fields(server_id, limit)}
-            for server_id, limit in self._present_limits().items()
+            {"server_id": server_id, **self.limits.fields(server_id, limit)}
+            for server_id, limit in self.limits.present().items()
             if self._is_of(server_id, service)
         ]
         leaving = self._backends.leaving(service)
@@ -446,33 +301,11 @@
                 leaving=leaving[:_MOST_NAMED],
             )
 
-    def _present_limits(self) -> dict[str, Limit]:
-        """Return, by listed server, the limit of its present start."""
-        known = {one: self.limit_of(one) for one in self.limits.known()}
-        return {
-            one: limit
-            for one, limit in known.items()
-            if limit is not None and self._backends.get(one) is not None
-        }
-
     def state(self) -> dict[str, Any]:
         """Return the rests that are kept now, for a dump."""
         rests = self.rests(now_s=clocks.now_s())
         return {one: round(left_s, 3) for one, left_s in rests.items()}
 
-    def limits_state(self) -> dict[str, LimitState]:
-        """Return some limits that are kept now, for a dump and for gauges."""
-        now_s = clocks.now_s()
-        given = self.keepers.given_within(SPAN_S, now_s=now_s)
-        return {
-            one: LimitState(
-                limit.per_s,
-                self.permits.used_within(one, SPAN_S, now_s=now_s),
-                given.get(one, 0),
-            )
-            for one, limit in list(self._present_limits().items())[:_MOST_NAMED]
-        }
-
     def _is_its_word(self, server_id: str, rest: Rest) -> bool:
         """Tell whether a rest is the word of a listed server's present start."""
         server = self._backends.get(server_id)
--- a/tests/test_limit_link.py
+++ b/tests/test_limit_link.py
@@ -35,20 +35,21 @@
         self.datagrams = network.join(own, entries)
         backends = BackendTable()
         backends.change([SERVER], [], now_s=clocks.now_s())
-        self.gate = WordGate(backends, rng=rng)
+        self.words = WordGate(backends, rng=rng)
+        self.gate = self.words.limits
         self.is_leaving = False
         self.link = LimitLink(
             self.datagrams, self.gate, rng=rng, is_leaving=lambda: self.is_leaving
         )
         self.link._started_s -= 2 * SPAN_S
         self.gate.ask_permit = self.link.ask
-        self.gate.tell_limit = self.link.tell
+        self.gate.tell = self.link.tell
 
     def hear(self, limit_a_s):
         """Let the server name a limit, or none, in an answer to this instance."""
         now_s = clocks.now_s()
         word = ServerWord(status=200, limit_a_s=limit_a_s, sent_s=now_s)
-        self.gate.heard(SERVER, word, "c1")
+        self.words.heard(SERVER, word, "c1")
 
     def limit_a_s(self):
         """Return the limit that it knows; None if there is none."""
@@ -142,7 +143,7 @@
         members.all[0].hear(math.inf)
         await asyncio.sleep(0.1)
         back = [
-            sum("s1" not in one.gate.avoided(now_s=now_s + s) for one in members.all)
+            sum("s1" not in one.words.avoided(now_s=now_s + s) for one in members.all)
             for s in (0.25, 0.5, 0.75, 1.2)
         ]
         assert back[-1] == count
@@ -182,7 +183,7 @@
         await asyncio.sleep(0.05)
         one = next(one for one in members.all if one is not members.keeper())
         now_s = clocks.now_s()
-        members.keeper().gate.limits.take(
+        members.keeper().gate.known.take(
             "s1", Limit(math.inf, 0, 0, now_s, now_s + 0.001)
         )
         assert (await one.ask()).is_given
--- a/tests/test_word_gate.py
+++ b/tests/test_word_gate.py
@@ -464,11 +464,11 @@
             await try_way(made[0].client, servers[0].listed, "report")
             gate = made[0].router.routing.gate
             await asyncio.sleep(1.0)
-            gate.permits.forget("s1")
+            gate.limits.permits.forget("s1")
             before = len(servers[0].arrived)
             assert not await try_way(made[0].client, servers[0].listed, how)
             arrived = len(servers[0].arrived) - before
-            (state,) = gate.limits_state().values()
+            (state,) = gate.limits.state().values()
             assert state.sent == arrived
             assert state.given >= arrived
 
@@ -481,7 +481,7 @@
             with pytest.raises(KeptBackError):
                 gate.look(servers[0].listed, Sending.CALL, "c1", lapsed)
             slow_connects(made[0].kept, lambda _address: 0.3)
-            gate.permits.give_back("s1", Permit(clocks.now_s() + 0.1))
+            gate.limits.permits.give_back("s1", Permit(clocks.now_s() + 0.1))
             with pytest.raises(KeptBackError):
                 await made[0].client.send(send_to(servers[0].listed))
             assert servers[0].arrived == []
@@ -519,7 +519,7 @@
             with pytest.raises(KeptBackError) as caught:
                 await gate.admit(servers[0].listed, Sending.CALL, "c1")
             assert caught.value.reason == "rest"
-            assert len(gate.keepers) == 0
+            assert len(gate.limits.keepers) == 0
 
     @pytest.mark.parametrize("path", ["/draft/1", "/label/1"])
     async def test_all_are_limited(self, path, lines):
@@ -587,7 +587,7 @@
             gate = made[0].router.routing.gate
             hear(made[0], servers[0], REST._replace(limit_a_s=2.4))
             assert set(gate.rests(now_s=clocks.now_s())) == {"s1"}
-            assert gate.limit_of("s1").per_s == 2.4
+            assert gate.limits.limit_of("s1").per_s == 2.4
 
     def test_words_that_nothing_reads(self, lines):
         """One line each, a bounded number of them, and all are counted."""
