Give the places that a limit leaves to urgent requests first

Cause: permits went to who asked first, whatever the priority of workspaces and routes.

Change: who has a less urgent request waits longer while there are more urgent ones, and what was refused closes a server to requests as urgent and less. No permit is held back for it.

--- a/src/violethatch/_limit_gate.py
+++ b/src/violethatch/_limit_gate.py
@@ -62,7 +62,7 @@
         self.keepers = PermitKeepers(rng)
         #: Asks whoever keeps a server's permits; where there is nobody else, this
         #: instance.
-        self.ask_permit: Callable[[BackendServer, Limit], Awaitable[PermitReply]]
+        self.ask_permit: Callable[[BackendServer, Limit, int], Awaitable[PermitReply]]
         self.ask_permit = self._ask_itself
         #: Tells other instances of a limit that this one has heard of.
         self.tell: Callable[[str, Limit], None] = lambda _server_id, _limit: None
@@ -124,25 +124,33 @@
         listed = self._backends.get(server_id)
         return listed.availability_zone if listed is not None else ""
 
-    async def ask(self, server: BackendServer, limit: Limit) -> Permit | float:
+    async def ask(
+        self, server: BackendServer, limit: Limit, *, priority: int
+    ) -> Permit | float:
         """Return a permit for one send, or for how long there is none, in seconds."""
         now_s = clocks.now_s()
-        left_s = self.permits.closed_s(now_s=now_s).get(server.id)
+        left_s = self.permits.closed_s(priority=priority, now_s=now_s).get(server.id)
         if left_s is not None:
             return left_s
         permit = self.permits.take(server.id, now_s=now_s)
         if permit is not None:
             return permit
-        reply = await self.ask_permit(server, limit)
+        reply = await self.ask_permit(server, limit, priority)
         self.on_permit("given" if reply.is_given else "refused")
         if reply.is_given:
             return Permit(now_s + PERMIT_LIFE_S)
-        self.permits.close(server.id, reply.wait_s, now_s=clocks.now_s())
+        self.permits.close(
+            server.id, reply.wait_s, priority=priority, now_s=clocks.now_s()
+        )
         return reply.wait_s
 
-    def give(self, server_id: str, asker: str, per_s: float) -> PermitReply:
+    def give(
+        self, server_id: str, asker: str, per_s: float, *, priority: int
+    ) -> PermitReply:
         """Give a permit of those that this instance keeps for all."""
-        return self.keepers.ask(server_id, asker, per_s, now_s=clocks.now_s())
+        return self.keepers.ask(
+            server_id, asker, per_s, priority=priority, now_s=clocks.now_s()
+        )
 
     def settle(
         self, server: BackendServer, permit: Permit | None, *, was_written: bool
@@ -155,11 +163,12 @@
         else:
             self.permits.give_back(server.id, permit)
 
-    def closed(self, *, now_s: float) -> dict[str, float]:
+    def closed(self, *, priority: int, now_s: float) -> dict[str, float]:
         """Return, by server of which nothing may be asked, for how many seconds."""
+        closed_s = self.permits.closed_s(priority=priority, now_s=now_s)
         return {
             server_id: left_s
-            for server_id, left_s in self.permits.closed_s(now_s=now_s).items()
+            for server_id, left_s in closed_s.items()
             if self.limit_of(server_id) is not None
         }
 
@@ -217,6 +226,8 @@
         }
         self._returns_s[server_id] = now_s + self._rng.uniform(0.0, _RETURN_S)
 
-    async def _ask_itself(self, server: BackendServer, limit: Limit) -> PermitReply:
+    async def _ask_itself(
+        self, server: BackendServer, limit: Limit, priority: int
+    ) -> PermitReply:
         """Give itself a permit, where there is no other instance."""
-        return self.give(server.id, "", limit.per_s)
+        return self.give(server.id, "", limit.per_s, priority=priority)
--- a/src/violethatch/_limit_link.py
+++ b/src/violethatch/_limit_link.py
@@ -64,6 +64,8 @@
 #: early enough that all know within a second.
 _AGAIN_S = 0.4
 _MS_PER_S = 1000
+#: The least urgent priority that is told.
+_LAST_PRIORITY = 9
 #: The answer to who asks and is the keeper by the list of who is asked.
 _YOURS = PermitReply(is_given=False, wait_s=-1.0)
 #: The longest time ago that is told: what is older is as old as that.
@@ -123,19 +125,22 @@
             await asyncio.sleep(_LOOK_S)
             self._tell_newcomers()
 
-    async def ask(self, server: BackendServer, limit: Limit) -> PermitReply:
+    async def ask(
+        self, server: BackendServer, limit: Limit, priority: int
+    ) -> PermitReply:
         """Ask for a permit to send to a server; at the most some moments.
 
         Args:
             server: Whom something is to be sent to.
             limit: What is known of its limit.
+            priority: Of what is to be sent; 0 is the most urgent.
         """
         waiting = self._waiting.get(server.id, 0)
         if waiting >= _MOST_ASKED:
             return PermitReply(is_given=False, wait_s=_ANSWER_S)
         self._waiting[server.id] = waiting + 1
         try:
-            return await self._ask(server, limit)
+            return await self._ask(server, limit, priority)
         finally:
             self._waiting[server.id] -= 1
             if not self._waiting[server.id]:
@@ -149,20 +154,24 @@
         else:
             self._send_limit(keeper, server_id, limit, is_for_all=True)
 
-    async def _ask(self, server: BackendServer, limit: Limit) -> PermitReply:
+    async def _ask(
+        self, server: BackendServer, limit: Limit, priority: int
+    ) -> PermitReply:
         """Ask the keeper, and the next one if that gives no answer."""
+        own_id = self._directory.own.id
         for _ in range(_TRIES):
             keeper = self._keeper(server.id)
             if keeper is None:
-                return self._give(server.id, self._directory.own.id, limit)
+                return self._give(server.id, own_id, limit, priority)
             reply = await self._ask_keeper(
                 keeper,
                 server.id,
                 limit,
+                priority,
                 is_passed_on=self._has_resigned(server.id, keeper),
             )
             if reply is _YOURS:
-                return self._give(server.id, self._directory.own.id, limit)
+                return self._give(server.id, own_id, limit, priority)
             if reply is not None:
                 return reply
         return PermitReply(is_given=False, wait_s=_NO_ANSWER_S)
@@ -221,19 +230,22 @@
             self._list.candidates[server_id, zone] = known
         return known
 
-    def _give(self, server_id: str, asker: str, limit: Limit) -> PermitReply:
+    def _give(
+        self, server_id: str, asker: str, limit: Limit, priority: int
+    ) -> PermitReply:
         """Give a permit of those that this instance keeps."""
         part = 1.0
         if self._directory.own.id not in self._candidates(server_id):
             # Nobody who may keep them answers: each instance has its part.
             part = 1.0 / len(self._entries())
-        return self._gate.give(server_id, asker, part * limit.per_s)
+        return self._gate.give(server_id, asker, part * limit.per_s, priority=priority)
 
     async def _ask_keeper(
         self,
         keeper: InstanceEntry,
         server_id: str,
         limit: Limit,
+        priority: int,
         *,
         is_passed_on: bool = False,
     ) -> PermitReply | None:
@@ -251,6 +263,7 @@
             limit_a_s=limit.per_s,
             sent_ago_ms=_ago_ms(limit.sent_s, now_s),
             heard_ago_ms=_ago_ms(limit.heard_s, now_s),
+            priority=min(_LAST_PRIORITY, max(0, priority)),
             is_passed_on=is_passed_on,
         )
         self._datagrams.send(keeper, message)
@@ -291,24 +304,27 @@
             return
         keeper = None if message.is_passed_on else self._keeper(server_id)
         if keeper is None:
-            self._answer(asker, message.number, self._give(server_id, asker.id, known))
+            reply = self._give(server_id, asker.id, known, message.priority)
+            self._answer(asker, message.number, reply)
         elif keeper.id == asker.id:
             self._answer(asker, message.number, _YOURS)
         else:
-            self._start(self._pass_on(asker, message.number, keeper, server_id, known))
+            self._start(self._pass_on(asker, message, keeper, server_id, known))
 
     async def _pass_on(
         self,
         asker: InstanceEntry,
-        number: int,
+        message: PermitAskDatagram,
         keeper: InstanceEntry,
         server_id: str,
         limit: Limit,
     ) -> None:
         """Ask the keeper for another instance, and answer that one."""
-        reply = await self._ask_keeper(keeper, server_id, limit, is_passed_on=True)
+        reply = await self._ask_keeper(
+            keeper, server_id, limit, message.priority, is_passed_on=True
+        )
         if reply is not None:
-            self._answer(asker, number, reply)
+            self._answer(asker, message.number, reply)
 
     def _answer(self, asker: InstanceEntry, number: int, reply: PermitReply) -> None:
         """Answer a question."""
--- a/src/violethatch/_path_choice.py
+++ b/src/violethatch/_path_choice.py
@@ -155,6 +155,7 @@
         first: BackendServer | None = None,
         kept: Path | None = None,
         may_doubt: bool = False,
+        priority: int = 0,
     ) -> Path | None:
         """Return the path to send along; see `Routing.path`."""
         if service.engine is None:
@@ -164,7 +165,7 @@
         # What is under way at runners that rest stays there.
         stays = kept.server_ids if kept is not None else frozenset()
         for left_out in self._left_out(
-            avoided, stays=stays, may_doubt=may_doubt, now_s=now_s
+            avoided, stays=stays, may_doubt=may_doubt, priority=priority, now_s=now_s
         ):
             view = self._view(left_out, kept, now_s=now_s)
             if first is None:
@@ -207,8 +208,8 @@
                 return path
         return None
 
-    def blocked(self, service: ServiceSpec) -> Blocked | None:
-        """Return how long rests block all paths.
+    def blocked(self, service: ServiceSpec, *, priority: int = 0) -> Blocked | None:
+        """Return how long rests and limits block all paths for a priority.
 
         None where some layer has no holder, whether it rests or not.
         """
@@ -216,7 +217,7 @@
             return None
         maps = self._maps_of(service, service.engine)
         now_s = clocks.now_s()
-        asked_s = self._gate.bound(now_s=now_s)
+        asked_s = self._gate.bound(priority=priority, now_s=now_s)
         rests_s = self._health.rests_s(now_s=now_s)
         for server_id, left_s in asked_s.items():
             rests_s[server_id] = max(left_s, rests_s.get(server_id, 0.0))
@@ -259,6 +260,7 @@
         *,
         stays: frozenset[str],
         may_doubt: bool,
+        priority: int,
         now_s: float,
     ) -> list[frozenset[str]]:
         """Return whom to leave out, and whom if that leaves no path.
@@ -267,9 +269,11 @@
             avoided: Runners to leave alone in any case.
             stays: Runners that the request is on already.
             may_doubt: Whether runners that may only be full are used.
+            priority: The request's.
             now_s: The current monotonic time, in seconds.
         """
-        bound = avoided | (self._gate.bound(now_s=now_s).keys() - stays)
+        closed = self._gate.bound(priority=priority, now_s=now_s).keys()
+        bound = avoided | (closed - stays)
         resting = self._health.resting(now_s=now_s) | bound
         wished = self._gate.avoided(now_s=now_s) - stays
         steps = [resting | wished, resting]
--- a/src/violethatch/_peer_datagrams.py
+++ b/src/violethatch/_peer_datagrams.py
@@ -108,6 +108,7 @@
     limit_a_s: Amount
     sent_ago_ms: Count
     heard_ago_ms: Count
+    priority: Count
     #: Whether the sender asks for another, who took it for the keeper.
     is_passed_on: bool
 
--- a/src/violethatch/_plain_calls.py
+++ b/src/violethatch/_plain_calls.py
@@ -186,7 +186,8 @@
         8 ms to a server that refused all.
         """
         gate = self._routing.gate
-        closed = self._refused_by | gate.bound(now_s=now_s).keys()
+        bound = gate.bound(priority=self._admitted.priority, now_s=now_s)
+        closed = self._refused_by | bound.keys()
         servers = self._routing.usable(self._admitted.service.name)
         resting = self._routing.health.resting(now_s=now_s)
         return self._routing.choice.choose(
@@ -274,9 +275,9 @@
             msg = "no backend server is listed"
             retry_after_s = routing.come_back_s()
             return ServiceUnreachableError(msg, retry_after_s=retry_after_s)
-        asked_s = routing.gate.first_end_s(servers)
+        asked_s = routing.gate.first_end_s(servers, priority=self._admitted.priority)
         if asked_s > 0.0:
-            msg = "all backend servers have asked for rest"
+            msg = "all backend servers want nothing now"
             retry_after_s = routing.come_back_s(asked_s=asked_s)
             return OverloadedError(msg, retry_after_s=retry_after_s)
         if self._refused_by:
--- a/src/violethatch/_routing.py
+++ b/src/violethatch/_routing.py
@@ -150,6 +150,7 @@
         first: BackendServer | None = None,
         kept: Path | None = None,
         may_doubt: bool = False,
+        priority: int = 0,
     ) -> Path | None:
         """Return the quickest path of a service over healthy runners.
 
@@ -160,10 +161,16 @@
             kept: The path that the request is on, if it moves from one.
             may_doubt: Whether runners that may only be full are used where the
                 others don't hold all layers.
+            priority: The request's; 0 is the most urgent.
         """
         self.expire()
         return self._paths.path(
-            service, avoided=avoided, first=first, kept=kept, may_doubt=may_doubt
+            service,
+            avoided=avoided,
+            first=first,
+            kept=kept,
+            may_doubt=may_doubt,
+            priority=priority,
         )
 
     def path_apart(
@@ -176,13 +183,13 @@
         self.expire()
         return self._paths.path_apart(service, avoided=avoided, key=work)
 
-    def blocked(self, service: ServiceSpec) -> Blocked | None:
-        """Return how long rests block all paths.
+    def blocked(self, service: ServiceSpec, *, priority: int = 0) -> Blocked | None:
+        """Return how long rests and limits block all paths for a priority.
 
         None where some layer has no holder, whether it rests or not.
         """
         self.expire()
-        return self._paths.blocked(service)
+        return self._paths.blocked(service, priority=priority)
 
     def come_back_s(self, blocked_s: float = 0.0, *, asked_s: float = 0.0) -> float:
         """Return when a caller who is turned away should come back, in seconds.
--- a/src/violethatch/_streams.py
+++ b/src/violethatch/_streams.py
@@ -173,14 +173,20 @@
             if apart is not None:
                 return apart
         path = self._routing.path(
-            self._service, avoided=self._avoided, may_doubt=not self.sends
+            self._service,
+            avoided=self._avoided,
+            may_doubt=not self.sends,
+            priority=self._admitted.priority,
         )
         pauses = _ROOM_PAUSES if self.runs else 0
         while path is None and pauses:
             pauses -= 1
             await asyncio.sleep(_ROOM_PAUSE_S)
             path = self._routing.path(
-                self._service, avoided=self._avoided, may_doubt=not pauses
+                self._service,
+                avoided=self._avoided,
+                may_doubt=not pauses,
+                priority=self._admitted.priority,
             )
         return path
 
@@ -397,7 +403,7 @@
         if held is not None:
             return held
         self._routing.gate.explain(self._call.id, self._service.name)
-        blocked = self._routing.blocked(self._service)
+        blocked = self._routing.blocked(self._service, priority=self._admitted.priority)
         if blocked is None:
             retry_after_s = self._routing.come_back_s(_NO_HOLDER_S)
             return NoRouteError(
--- a/src/violethatch/_word_gate.py
+++ b/src/violethatch/_word_gate.py
@@ -62,7 +62,12 @@
         self.on_leaving: Callable[[BackendServer], None] = lambda _one: None
 
     async def admit(
-        self, server: BackendServer, sending: Sending, request_id: str
+        self,
+        server: BackendServer,
+        sending: Sending,
+        request_id: str,
+        *,
+        priority: int = 0,
     ) -> Permit | None:
         """Ask for what a send to a server needs, when it is decided.
 
@@ -80,7 +85,7 @@
         if limit is None:
             return None
         # The limit is for all instances: each for itself would send many times as much.
-        permit = await self.limits.ask(server, limit)
+        permit = await self.limits.ask(server, limit, priority=priority)
         if isinstance(permit, Permit):
             return permit
         kept = _Kept("limit", permit, limit=limit)
@@ -238,9 +243,14 @@
             self.on_leaving(server)
         return is_news
 
-    def bound(self, *, now_s: float) -> dict[str, float]:
-        """Return, by server that nothing may be sent to, for how many seconds more."""
-        bound = self.limits.closed(now_s=now_s)
+    def bound(self, *, priority: int = 0, now_s: float) -> dict[str, float]:
+        """Return, by server that nothing may be sent to, for how many seconds more.
+
+        Args:
+            priority: Of what is to be sent; 0 is the most urgent.
+            now_s: The current monotonic time, in seconds.
+        """
+        bound = self.limits.closed(priority=priority, now_s=now_s)
         for server_id, left_s in self.rests(now_s=now_s).items():
             bound[server_id] = max(left_s, bound.get(server_id, 0.0))
         return bound
@@ -262,12 +272,14 @@
         )
         return resting | self.limits.returning(now_s=now_s)
 
-    def first_end_s(self, servers: Iterable[BackendServer]) -> float:
+    def first_end_s(
+        self, servers: Iterable[BackendServer], *, priority: int = 0
+    ) -> float:
         """Return when the first of some servers may be sent to, in seconds from now.
 
         0 where nothing keeps that back.
         """
-        bound = self.bound(now_s=clocks.now_s())
+        bound = self.bound(priority=priority, now_s=clocks.now_s())
         return min((bound.get(one.id, 0.0) for one in servers), default=0.0)
 
     def explain(self, request_id: str, service: str) -> None:
--- a/src/violethatch/limit_permits.py
+++ b/src/violethatch/limit_permits.py
@@ -15,6 +15,10 @@
 parts of the instances that are listed; a few instances, by rank, that alone send there;
 parts by demand, told along the tree of loads.
 
+Who has a more urgent request asks again sooner, so that the places which a limit
+leaves go to what workspaces and routes put first; no permit is held back for that, and
+what is less urgent gets some.
+
 The limits' reasons: what all send stays within the figure over any `SPAN_S`, counted
 with the life of permits; and permits come spread over the span, so that a server in
 need gets no bursts, and a keeper that takes over from another adds little to what that
@@ -50,6 +54,10 @@
 #: permit, and so many times a second at the most, of some 100 bytes there and back.
 _ASKS_A_PERMIT = 8.0
 _MOST_ASKS_A_S = 30.0
+#: How many times longer who has a less urgent request waits, and for how long after a
+#: more urgent one was asked for, in seconds: those take what comes free meanwhile.
+_LESS_URGENT = 8.0
+_URGENT_LIFE_S = 2.0
 #: The longest that anybody is told to wait, in seconds: the demand of all may have gone
 #: to one by then.
 _LONGEST_WAIT_S = 30.0
@@ -94,23 +102,30 @@
         self._due_s = now_s
         self._asked_s: dict[str, float] = {}
         self._swept_s = now_s
+        #: By priority, when a request of it was last asked for.
+        self._wanted_s: dict[int, float] = {}
 
-    def ask(self, asker: str, per_s: float, *, now_s: float) -> PermitReply:
+    def ask(
+        self, asker: str, per_s: float, *, priority: int = 0, now_s: float
+    ) -> PermitReply:
         """Give a permit, or tell when to ask again.
 
         Args:
             asker: The instance that has a request for the server.
             per_s: The server's limit.
+            priority: The request's; 0 is the most urgent.
             now_s: The current monotonic time, in seconds.
         """
         self._take_rate(max(LEAST_A_S, per_s), now_s=now_s)
         self._note_asker(asker, now_s=now_s)
+        self._wanted_s[priority] = now_s
         free_s = self._free_s(now_s=now_s)
         if now_s >= free_s:
             self._given_s.append(now_s)
             self._due_s = max(self._due_s, now_s) + 1.0 / self._per_s
             return GIVEN
-        return PermitReply(is_given=False, wait_s=self._wait_s(free_s - now_s))
+        wait_s = self._wait_s(free_s - now_s, priority, now_s=now_s)
+        return PermitReply(is_given=False, wait_s=wait_s)
 
     def given_within(self, span_s: float, *, now_s: float) -> int:
         """Return how many permits were given of late."""
@@ -152,12 +167,18 @@
                 if now_s - asked_s < _ASKER_LIFE_S
             }
 
-    def _wait_s(self, free_in_s: float) -> float:
+    def _wait_s(self, free_in_s: float, priority: int, *, now_s: float) -> float:
         """Return when one of those who ask should ask again, in seconds."""
         asks_a_s = min(_MOST_ASKS_A_S, _ASKS_A_PERMIT * self._per_s)
         mean_s = len(self._asked_s) / asks_a_s
         spread_s = self._rng.uniform(0.0, 2.0 * mean_s)
-        return min(_LONGEST_WAIT_S, max(free_in_s, spread_s))
+        wait_s = max(free_in_s, spread_s)
+        if any(
+            one < priority and now_s - wanted_s < _URGENT_LIFE_S
+            for one, wanted_s in self._wanted_s.items()
+        ):
+            wait_s = free_in_s + _LESS_URGENT * spread_s
+        return min(_LONGEST_WAIT_S, wait_s)
 
 
 class PermitKeepers:
@@ -177,27 +198,34 @@
         return len(self._kept)
 
     def ask(
-        self, lifetime: str, asker: str, per_s: float, *, now_s: float
+        self,
+        server_id: str,
+        asker: str,
+        per_s: float,
+        *,
+        priority: int = 0,
+        now_s: float,
     ) -> PermitReply:
         """Give a permit for a server, or tell when to ask again.
 
         Args:
-            lifetime: The server's start.
-            asker: The instance that has a request for it.
-            per_s: Its limit.
+            server_id: Whom the request is for.
+            asker: The instance that has it.
+            per_s: The server's limit.
+            priority: The request's; 0 is the most urgent.
             now_s: The current monotonic time, in seconds.
         """
-        known = self._kept.pop(lifetime, None)
+        known = self._kept.pop(server_id, None)
         keeper = known[0] if known else PermitKeeper(rng=self._rng, now_s=now_s)
         self._forget_old(now_s=now_s)
-        self._kept[lifetime] = (keeper, now_s)
-        return keeper.ask(asker, per_s, now_s=now_s)
+        self._kept[server_id] = (keeper, now_s)
+        return keeper.ask(asker, per_s, priority=priority, now_s=now_s)
 
     def given_within(self, span_s: float, *, now_s: float) -> dict[str, int]:
-        """Return, by start of a server, how many permits were given of late."""
+        """Return, by server, how many permits were given of late."""
         return {
-            lifetime: keeper.given_within(span_s, now_s=now_s)
-            for lifetime, (keeper, _) in self._kept.items()
+            server_id: keeper.given_within(span_s, now_s=now_s)
+            for server_id, (keeper, _) in self._kept.items()
         }
 
     def _forget_old(self, *, now_s: float) -> None:
@@ -233,7 +261,8 @@
 
     def __init__(self) -> None:
         self._permits: dict[str, list[Permit]] = {}
-        self._closed_until_s: dict[str, float] = {}
+        #: By server and priority, until when nothing of it or less urgent is asked for.
+        self._closed_until_s: dict[str, dict[int, float]] = {}
         #: When requests were written with permits, the latest of each server.
         self._used_s: dict[str, collections.deque[float]] = {}
 
@@ -261,20 +290,29 @@
         used_s = self._used_s.get(server_id, ())
         return sum(now_s - at_s < span_s for at_s in used_s)
 
-    def close(self, server_id: str, wait_s: float, *, now_s: float) -> None:
-        """Send nothing to a server, and ask for nothing, for a while."""
-        until_s = now_s + wait_s
-        self._closed_until_s[server_id] = max(
-            until_s, self._closed_until_s.get(server_id, 0.0)
-        )
+    def close(
+        self, server_id: str, wait_s: float, *, priority: int = 0, now_s: float
+    ) -> None:
+        """Send nothing to a server, and ask for nothing, for a while.
 
-    def closed_s(self, *, now_s: float) -> dict[str, float]:
-        """Return, by server, for how much longer nothing may be asked, in seconds."""
-        return {
-            one: until_s - now_s
-            for one, until_s in self._closed_until_s.items()
-            if now_s < until_s
+        Args:
+            server_id: The server.
+            wait_s: For how long, in seconds.
+            priority: Of what was refused: more urgent requests may still ask.
+            now_s: The current monotonic time, in seconds.
+        """
+        closed = self._closed_until_s.setdefault(server_id, {})
+        closed[priority] = max(now_s + wait_s, closed.get(priority, 0.0))
+
+    def closed_s(self, *, priority: int = 0, now_s: float) -> dict[str, float]:
+        """Return, by server, for how long nothing of a priority may be asked for."""
+        until_s = {
+            server_id: max(
+                (at_s for one, at_s in closed.items() if one <= priority), default=0.0
+            )
+            for server_id, closed in self._closed_until_s.items()
         }
+        return {one: at_s - now_s for one, at_s in until_s.items() if now_s < at_s}
 
     def forget(self, server_id: str) -> None:
         """Forget a server whose limit is over."""
--- a/src/violethatch/platform/_runners.py
+++ b/src/violethatch/platform/_runners.py
@@ -165,7 +165,9 @@
         session = self._fresh if send.is_connection_fresh else self._kept
         url = yarl.URL(f"http://{send.server.address}{call.target}", encoded=True)
         try:
-            async with self._gated(send.server, Sending.CALL, call.id) as sent:
+            async with self._gated(
+                send.server, Sending.CALL, call.id, priority=send.priority
+            ) as sent:
                 answer = await session.request(
                     call.method,
                     url,
@@ -193,7 +195,12 @@
 
     @contextlib.asynccontextmanager
     async def _gated(
-        self, server: BackendServer, sending: Sending, request_id: str = ""
+        self,
+        server: BackendServer,
+        sending: Sending,
+        request_id: str = "",
+        *,
+        priority: int = 0,
     ) -> AsyncIterator[_Sent]:
         """Look at the gate, now and before the write within; tell when that was.
 
@@ -201,7 +208,7 @@
             KeptBackError: Nothing is to be sent to the server.
         """
         gate = self.gate
-        permit = await gate.admit(server, sending, request_id)
+        permit = await gate.admit(server, sending, request_id, priority=priority)
         sent = _Sent(functools.partial(gate.look, server, sending, request_id, permit))
         try:
             with looking(sent.look, again=sent.write):
--- a/src/violethatch/upstream.py
+++ b/src/violethatch/upstream.py
@@ -159,7 +159,12 @@
     """Knows what servers have said of themselves, and what may be sent to them."""
 
     async def admit(
-        self, server: BackendServer, sending: Sending, request_id: str
+        self,
+        server: BackendServer,
+        sending: Sending,
+        request_id: str,
+        *,
+        priority: int = 0,
     ) -> Permit | None:
         """Ask for what a send to a server needs, when it is decided.
 
@@ -167,6 +172,7 @@
             server: Whom it is for.
             sending: What it is.
             request_id: Names the call; empty where it is none.
+            priority: The call's; 0 is the most urgent.
 
         Returns:
             The permit to send with, or None where none is needed.
@@ -213,7 +219,12 @@
     """Lets everything through, and hears nothing."""
 
     async def admit(
-        self, _server: BackendServer, _sending: Sending, _request_id: str
+        self,
+        _server: BackendServer,
+        _sending: Sending,
+        _request_id: str,
+        *,
+        priority: int = 0,
     ) -> Permit | None:
         """Let everything through."""
         return None
--- a/tests/test_limit_link.py
+++ b/tests/test_limit_link.py
@@ -63,7 +63,7 @@
 
     async def ask(self):
         """Ask for a permit."""
-        return await self.link.ask(SERVER, self.gate.limit_of(SERVER.id))
+        return await self.link.ask(SERVER, self.gate.limit_of(SERVER.id), 0)
 
     def list(self, entries):
         """Take a list of instances in."""
--- a/tests/test_limit_permits.py
+++ b/tests/test_limit_permits.py
@@ -3,6 +3,7 @@
 
 from __future__ import annotations
 
+import collections
 import heapq
 import random
 
@@ -59,6 +60,9 @@
         self.keeper = PermitKeeper(rng=self.rng, now_s=0.0)
         self.sent_s = []
         self.asks = 0
+        #: The priorities that requests have, each as often, and how many were sent.
+        self.priorities = (0,)
+        self.sent_of = collections.Counter()
         self.coming = [(self.next_s(0.0), one) for one in range(instances)]
         heapq.heapify(self.coming)
 
@@ -77,15 +81,17 @@
     def request(self, one, per_s, now_s):
         """Send a request with a permit, if there is one; use it late by chance."""
         stock = self.stocks[one]
-        if stock.closed_s(now_s=now_s):
+        priority = self.rng.choice(self.priorities)
+        if stock.closed_s(priority=priority, now_s=now_s):
             return
         self.asks += 1
-        reply = self.keeper.ask(str(one), per_s, now_s=now_s + WAY_S)
+        reply = self.keeper.ask(str(one), per_s, priority=priority, now_s=now_s + WAY_S)
         if reply.is_given:
             late_s = self.rng.choice((2 * WAY_S, PERMIT_LIFE_S))
             self.sent_s.append(now_s + late_s)
+            self.sent_of[priority] += 1
         else:
-            stock.close("s1", reply.wait_s, now_s=now_s + 2 * WAY_S)
+            stock.close("s1", reply.wait_s, priority=priority, now_s=now_s + 2 * WAY_S)
 
     def most(self):
         """Return the most that came within any span."""
@@ -117,6 +123,21 @@
         whole_a_s = 1.0 / SPAN_S if SPAN_S * per_s < 2.0 else per_s
         assert replay.used_part(min(per_s, whole_a_s), until_s) >= USED_PART
 
+    @pytest.mark.parametrize("seed", range(3))
+    @pytest.mark.parametrize("instances", [1, 8, 64])
+    @pytest.mark.parametrize("per_s", [2.4, 4.9, 50.0])
+    def test_urgent_requests_get_most(self, per_s, instances, seed):
+        """Where nothing else serves; others get some, and nothing is left unused."""
+        of_each_a_s = max(DEMAND_A_S * instances, 2 * per_s)
+        replay = Replay(instances, 2 * of_each_a_s, seed=seed)
+        replay.priorities = (1, 2)
+        replay.play(LASTS_S, per_s)
+        sent = replay.sent_of
+        assert replay.most() <= SPAN_S * per_s
+        assert replay.used_part(per_s, LASTS_S) >= USED_PART
+        assert sent[1] >= 1.5 * sent[2]
+        assert sent[2] >= 0.05 * sent.total()
+
     @pytest.mark.parametrize("instances", [8, 64, 350])
     @pytest.mark.parametrize("per_s", [2.4, 50.0])
     def test_questions_do_not_grow_with_instances(self, instances, per_s):
@@ -230,6 +251,15 @@
         assert stock.take("s1", now_s=1.5) == Permit(2.0)
         assert stock.take("s1", now_s=1.5) == Permit(3.0)
 
+    def test_more_urgent_requests_may_ask(self):
+        """What was refused says nothing of what goes before it."""
+        stock = PermitStock()
+        stock.close("s1", 2.0, priority=2, now_s=0.0)
+        assert stock.closed_s(priority=1, now_s=0.5) == {}
+        assert stock.closed_s(priority=2, now_s=0.5) == {"s1": 1.5}
+        stock.close("s1", 3.0, priority=1, now_s=0.0)
+        assert stock.closed_s(priority=2, now_s=0.5) == {"s1": 2.5}
+
     def test_longer_wait_counts(self):
         stock = PermitStock()
         stock.close("s1", 2.0, now_s=0.0)
--- a/tests/test_platform_words.py
+++ b/tests/test_platform_words.py
@@ -44,7 +44,7 @@
         if word.is_said or word.named_limit_a_s is not None or word.unknown:
             self.words.append((server.id, word, request_id))
 
-    async def admit(self, _server, _sending, _request_id):
+    async def admit(self, _server, _sending, _request_id, *, priority):
         return None
 
     def look(self, _server, _sending, _request_id, _permit):
--- a/tests/test_word_gate.py
+++ b/tests/test_word_gate.py
@@ -185,7 +185,7 @@
     def __init__(self, looks):
         self.looks = looks
 
-    async def admit(self, _server, _sending, _request_id):
+    async def admit(self, _server, _sending, _request_id, *, priority):
         return None
 
     def settle(self, _server, _permit, *, was_written):
@@ -542,6 +542,23 @@
                 f"c{n}" for n in range(len(servers))
             }
 
+    async def test_urgent_request_asks_where_another_was_refused(self):
+        """It is on a path that is closed to less urgent ones."""
+        async with servers_and_machines(first_choice("/draft/1")) as (servers, made):
+            routing = made[0].router.routing
+            hear(made[0], servers[0], LIMITED)
+            with pytest.raises(KeptBackError):
+                await routing.gate.admit(
+                    servers[0].listed, Sending.CALL, "c1", priority=2
+                )
+            now_s = clocks.now_s()
+            assert set(routing.gate.bound(priority=2, now_s=now_s)) == {"s1"}
+            assert routing.gate.bound(priority=1, now_s=now_s) == {}
+            others = frozenset({"s2", "s3"})
+            service = admitted().service
+            assert routing.path(service, avoided=others, priority=2) is None
+            assert routing.path(service, avoided=others, priority=1).first.id == "s1"
+
     async def test_no_retry_is_spent(self):
         """A send whose refusal is known costs nothing."""
         async with servers_and_machines(first_choice("/draft/1")) as (servers, made):
