Leave permits with who gives them while a limit lasts

Change: what an instance has left to the next one stays there until the limit is over. A question whose wait ended late, since the asker itself was held up, no longer counts against the keeper.

--- a/src/violethatch/_limit_link.py
+++ b/src/violethatch/_limit_link.py
@@ -43,6 +43,9 @@
 _PASSED_ON_S = 0.03
 #: How often a request asks where it gets no answer: a datagram may be lost.
 _TRIES = 2
+#: A wait that ended so much later than it should, in seconds, says that the instance
+#: itself was held up: the keeper may have answered, and others ask it on.
+_HELD_UP_S = 0.02
 #: How many questions in a row go without an answer before a keeper is passed over, and
 #: for how long, in seconds.  Who takes its place doesn't know what it has given, so
 #: that losses alone must not come to that: one in ten lost does once in 20,000 times.
@@ -112,6 +115,8 @@
         self._passed_over_until_s: dict[str, float] = {}
         self._list = _List(-1, {}, {})
         self._started_s = clocks.now_s()
+        #: Servers whose permits fall to this instance, which it leaves to the next one.
+        self._left_to_next: set[str] = set()
         self._known_ids: set[str] = set()
         self._allowance = SendAllowance(most_a_second=_MOST_TOLD_A_S)
         self._tasks: set[asyncio.Task[None]] = set()
@@ -124,6 +129,9 @@
         while True:
             await asyncio.sleep(_LOOK_S)
             self._tell_newcomers()
+            self._left_to_next = {
+                one for one in self._left_to_next if self._gate.limit_of(one)
+            }
 
     async def ask(
         self, server: BackendServer, limit: Limit, priority: int
@@ -185,19 +193,24 @@
         now_s = clocks.now_s()
         for candidate in self._candidates(server_id):
             if candidate == own_id:
-                if self._may_keep(now_s=now_s):
+                if self._may_keep(server_id, now_s=now_s):
                     return None
             elif now_s >= self._passed_over_until_s.get(candidate, 0.0):
                 return entries[candidate]
         return None
 
-    def _may_keep(self, *, now_s: float) -> bool:
+    def _may_keep(self, server_id: str, *, now_s: float) -> bool:
         """Tell whether this instance keeps permits that fall to it.
 
         Who has just started, or is about to end, leaves them to the next one: others'
-        lists don't tell it yet, or no longer.
+        lists don't tell it yet, or no longer.  It does so until the limit is over:
+        whoever takes over doesn't know what was given.
         """
-        return now_s - self._started_s >= SPAN_S and not self._is_leaving()
+        if now_s - self._started_s < SPAN_S or self._is_leaving():
+            self._left_to_next.add(server_id)
+        elif self._gate.limit_of(server_id) is None:
+            self._left_to_next.discard(server_id)
+        return server_id not in self._left_to_next
 
     def _has_resigned(self, server_id: str, keeper: InstanceEntry) -> bool:
         """Tell whether this instance leaves a server's permits to the keeper.
@@ -267,11 +280,13 @@
             is_passed_on=is_passed_on,
         )
         self._datagrams.send(keeper, message)
+        limit_s = _PASSED_ON_S if is_passed_on else _ANSWER_S
         try:
-            async with asyncio.timeout(_PASSED_ON_S if is_passed_on else _ANSWER_S):
+            async with asyncio.timeout(limit_s):
                 reply = await answer
         except TimeoutError:
-            self._note_missed(keeper.id)
+            if clocks.now_s() - now_s < limit_s + _HELD_UP_S:
+                self._note_missed(keeper.id)
             return None
         finally:
             del self._asked[number]
--- a/tests/test_limit_link.py
+++ b/tests/test_limit_link.py
@@ -269,17 +269,35 @@
         assert len(holders) == 1
         assert holders[0] is not keeper
 
-    async def test_all_have_just_started(self):
-        """They still agree on one."""
+    @pytest.mark.parametrize("then_s", [0.0, 2 * SPAN_S])
+    async def test_all_have_just_started(self, then_s):
+        """They still agree on one, which stays it while the limit lasts."""
         members = Members(9)
         for member in members.all:
             member.link._started_s = clocks.now_s()
         members.all[0].hear(50.0)
         await asyncio.sleep(0.05)
-        for _ in range(30):
+        for number in range(30):
             await asyncio.gather(*(one.ask() for one in members.all))
+            if number == 10:
+                for member in members.all:
+                    member.link._started_s -= then_s
         assert sum(len(one.gate.keepers) for one in members.all) == 1
 
+    async def test_what_was_left_to_the_next_one_comes_back(self):
+        """When the limit is over, so that the next one begins at the first again."""
+        members = Members(9)
+        keeper = members.keeper()
+        keeper.link._started_s = clocks.now_s()
+        members.all[0].hear(50.0)
+        await asyncio.sleep(0.05)
+        assert keeper.keeper_id() != keeper.own.id
+        keeper.link._started_s -= 2 * SPAN_S
+        assert keeper.keeper_id() != keeper.own.id
+        members.all[0].hear(math.inf)
+        await asyncio.sleep(0.05)
+        assert keeper.keeper_id() == keeper.own.id
+
     async def test_lists_that_differ(self):
         """Some don't list the keeper yet: whom they ask asks it."""
         members = Members(9)
--- a/tests/test_words_soak.py
+++ b/tests/test_words_soak.py
@@ -351,4 +351,5 @@
     assert all(one.retry_after_s > 0 for one in unrun)
     assert {one.call_id for one in unrun}.isdisjoint(ran)
     others = [one for some in outcomes for one in some if not is_refusal(one)]
-    assert all(getattr(one, "end", "") == "whole" for one in others)
+    cut = [one for one in others if getattr(one, "end", "") != "whole"]
+    assert [getattr(one, "detail", one) for one in cut] == []
