Log what a view of the store rests on: era, version, source, age

Callers saw requests at a server that drained; the lines could not show why. No line had the version of a whole read, nothing read the store's era, and a request's line had the age of the desired state's proof only, not that of the list of servers.

The header Store-Era is decoded with each answer of the store and passed on with each view. New lines: 2413 (a newer era), 2414 (an answer of an older one), 2415 (a whole read, with era and version before and after). 2205, 2206 and 2203 have the state of the list of servers at the last send, 2205 of a plain call its server; 2104 to 2106 and 2401 have era and source. No decision changes.

--- a/src/violethatch/_followers.py
+++ b/src/violethatch/_followers.py
@@ -12,6 +12,7 @@
 from .errors import TableUnavailableError
 from .freshness import Freshness, StoreClock
 from .router_settings import StoreSection
+from .store_era import NO_ERA, TableState
 from .table_cache import TableCache
 from .upstream import HistoryGoneError, TableSource, TableView
 
@@ -69,6 +70,8 @@
         self._returned = returned
         self._rng = rng
         self._version: int | None = None
+        self._era = NO_ERA
+        self._proof_source: str | None = None
         self._is_away = False
         self._cache = cache or TableCache()
         self._first_pause_s = first_pause_s
@@ -77,6 +80,16 @@
         #: The newest return of the store that other instances have told of.
         self._told_return_s: float | None = None
 
+    def state(self) -> TableState:
+        """Return what this instance's view of the table rests on."""
+        age_s = self._freshness.age_s(now_s=clocks.now_s())
+        return TableState(
+            self._era,
+            self._version,
+            self._proof_source,
+            None if age_s == float("inf") else round(age_s, 3),
+        )
+
     async def run(self) -> None:
         """Follow the table until cancelled."""
         while True:
@@ -142,13 +155,30 @@
 
     def _take_in(self, view: TableView, *, is_whole: bool) -> None:
         """Take in what was read, for this instance and for others."""
+        if is_whole:
+            self._log_read(view)
         self._cache.take(view, is_whole=is_whole)
         self._version = view.version
+        self._era = view.era
+        self._proof_source = view.source
         if view.values or is_whole:
             self._take(view, is_whole)
         if self._clock.is_known:
             self._freshness.proven(self._clock.earliest_local_s(view.store_s))
 
+    def _log_read(self, view: TableView) -> None:
+        """Log that the whole table was read."""
+        events.log(
+            events.TABLE_READ,
+            table=self.table,
+            rows=len(view.values),
+            era=view.era,
+            era_before=self._era,
+            row_version=view.version,
+            row_version_before=self._cache.version,
+            source=view.source,
+        )
+
     def _note_away(self, error: TableUnavailableError) -> None:
         """Log once that the store does not answer."""
         if self._is_away:
--- a/src/violethatch/_plain_calls.py
+++ b/src/violethatch/_plain_calls.py
@@ -20,6 +20,7 @@
     VioletHatchError,
 )
 from .runner_health import Trouble
+from .store_era import UNREAD
 from .upstream import (
     Answer,
     AnswerLostError,
@@ -86,8 +87,11 @@
         #: Sends that may have run.
         self.runs = 0
         self.sends = 0
-        #: When the latest send began.
+        #: When the latest send began, the server it went to, and what the list of
+        #: servers rested on.
         self._sent_s = 0.0
+        self.server_id: str | None = None
+        self.list_state = UNREAD
 
     async def serve(self, responder: Responder) -> int:
         """Answer the caller; return the status.
@@ -146,6 +150,8 @@
         routing = self._routing
         now_s = clocks.now_s()
         self._sent_s = now_s
+        self.server_id = server.id
+        self.list_state = routing.list_state()
         self._tried.add(server.id)
         self.sends += 1
         limit_s = self._limit_s(now_s)
--- a/src/violethatch/_router.py
+++ b/src/violethatch/_router.py
@@ -27,6 +27,7 @@
 )
 from .freshness import Freshness
 from .router_settings import RouterSettings
+from .store_era import TableState
 from .upstream import Call, Decoder, Responder, RunnerClient, TableView
 
 
@@ -74,6 +75,8 @@
         self.in_flight = 0
         #: Tells, by table, from whom this instance has it.
         self.sources: Callable[[], Mapping[str, str]] = dict
+        #: Returns, by table, what this instance's view of it rests on.
+        self.tables: Callable[[], Mapping[str, TableState]] = dict
         self._decoder = decoder
 
     @property
@@ -109,6 +112,7 @@
             reason=error.detail,
             retry_after_s=error.retry_after_s,
             after_s=round(age_s, 4),
+            list_state=self.routing.list_state()._asdict(),
             state_version=self.desired.version if self.desired else None,
             proof_age_s=self._proof_age_s(),
         )
@@ -140,6 +144,8 @@
             revision=state.version,
             routes=sum(len(routes) for routes in state.routes.values()),
             row_version=view.version,
+            era=view.era,
+            source=view.source,
         )
 
     def take_servers(self, view: TableView, is_whole: bool) -> None:
@@ -158,7 +164,13 @@
             (events.RUNNER_LEAVING, change.leaving),
         ):
             if ids:
-                events.log(event, server_ids=list(ids), row_version=view.version)
+                events.log(
+                    event,
+                    server_ids=list(ids),
+                    row_version=view.version,
+                    era=view.era,
+                    source=view.source,
+                )
         self.routing.forget(change.lost)
         self.routing.take_restarted(change.restarted)
 
@@ -219,6 +231,7 @@
                 for one, limit in self.routing.gate.limits.state().items()
             },
             "sources": dict(self.sources()),
+            "tables": {one: state._asdict() for one, state in self.tables().items()},
             "load_instances": 1 + self.routing.loads.others.instances,
             "load_age_s": self.routing.loads.others_age_s(now_s=now_s),
         }
@@ -232,6 +245,7 @@
             loads.others,
             loads.others_age_s(now_s=now_s),
         )
+        self.metrics.tables(self.tables())
         suspects = self.routing.suspects
         self.metrics.servers_resting.set({}, len(self.routing.gate.state()))
         self.metrics.limits(self.routing.gate.limits.state())
@@ -280,18 +294,21 @@
         self, call: Call, admitted: Admitted, responder: Responder
     ) -> None:
         """Serve a call by its route's kind, and log how it went."""
-        stream_fields: dict[str, object] = {}
+        fields: dict[str, object] = {}
         first_event_s = None
         if admitted.route.kind is CallKind.STREAM and admitted.service.engine:
             stream = StreamCall(self.routing, call, admitted)
             status = await stream.serve(responder)
             first_event_s = stream.first_event_s
             sends, moves = stream.sends, stream.repaths
-            stream_fields = stream.log_fields()
+            fields = stream.log_fields()
+            list_state = stream.list_state
         else:
             plain = PlainCall(self.routing, call, admitted)
             status = await plain.serve(responder)
             sends, moves = plain.sends, 0
+            fields = {"server_id": plain.server_id}
+            list_state = plain.list_state
         took_s = clocks.now_s() - call.received_s
         self.metrics.served(admitted, status, took_s, first_event_s)
         events.log(
@@ -305,7 +322,8 @@
             moves=moves,
             first_event_s=round(first_event_s, 4) if first_event_s else None,
             took_s=round(took_s, 4),
-            **stream_fields,
+            **fields,
+            list_state=list_state._asdict(),
             state_version=self.desired.version if self.desired else None,
             proof_age_s=self._proof_age_s(),
         )
--- a/src/violethatch/_router_metrics.py
+++ b/src/violethatch/_router_metrics.py
@@ -10,6 +10,7 @@
 from ._limit_gate import LimitState
 from .desired import Admitted
 from .load_sums import LoadTotals
+from .store_era import StoreEra, TableState
 
 
 _LATENCY_BUCKETS_S = [0.03, 0.1, 0.2, 0.5, 1.0, 3.0, 10.0]
@@ -42,6 +43,26 @@
             "Calls of the platform's store, by outcome.",
             registry=self.registry,
         )
+        self.store_restores = Counter(
+            "violethatch_router_store_restores_total",
+            "Newer eras of the store seen by this instance, after the first one.",
+            registry=self.registry,
+        )
+        self.table_versions = Gauge(
+            "violethatch_router_table_version",
+            "The version up to which a table's changes are known here.",
+            registry=self.registry,
+        )
+        self.table_eras = Gauge(
+            "violethatch_router_table_era",
+            "The store's era of a table's version; -1 where none is named.",
+            registry=self.registry,
+        )
+        self.table_ages_s = Gauge(
+            "violethatch_router_table_proof_age_seconds",
+            "The age of a table's newest proof; -1 without one.",
+            registry=self.registry,
+        )
         self.server_ends = Counter(
             "violethatch_router_server_ends_total",
             "Servers found to have ended while they had requests of this instance.",
@@ -108,6 +129,21 @@
             registry=self.registry,
         )
 
+    def watch_era(self, era: StoreEra) -> None:
+        """Count the store's restores."""
+        era.on_restore(lambda: self.store_restores.inc({}))
+
+    def tables(self, states: Mapping[str, TableState]) -> None:
+        """Show what this instance's views of the tables rest on."""
+        for table, state in states.items():
+            labels = {"table": table}
+            age_s = state.proof_age_s
+            self.table_eras.set(labels, state.era)
+            self.table_versions.set(
+                labels, -1 if state.version is None else state.version
+            )
+            self.table_ages_s.set(labels, -1.0 if age_s is None else age_s)
+
     def loads(self, own: LoadTotals, others: LoadTotals, age_s: float | None) -> None:
         """Show what is known of loads."""
         self.instances_summed.set({}, own.instances + others.instances)
--- a/src/violethatch/_routing.py
+++ b/src/violethatch/_routing.py
@@ -27,6 +27,7 @@
 from .runner_paces import RunnerPaces
 from .server_choice import ServerChoice
 from .sightings import Hearsay, Sighting, is_worth_telling
+from .store_era import UNREAD, TableState
 from .stream_loads import StreamLoads
 from .turning_away import come_back_s
 from .upstream import Refusal, RunnerClient, RunnerReport
@@ -84,6 +85,8 @@
         self.tell_pace: Callable[[str, float], None] = lambda _id, _slowness: None
         self.progress = Progress(longest_silence_s=settings.policy.gap_limit_s)
         self.choice = ServerChoice(rng)
+        #: Returns what this instance's list of servers rests on.
+        self.list_state: Callable[[], TableState] = lambda: UNREAD
         #: Tells how many instances are known to serve; 0 where none is.
         self.instances: Callable[[], int] = lambda: 0
         self.loads = StreamLoads()
--- a/src/violethatch/_streams.py
+++ b/src/violethatch/_streams.py
@@ -28,6 +28,7 @@
 from .event_stream import EventSplitter, SpoiltStreamError, StreamProgress
 from .paths import Path
 from .runner_health import Trouble, tells_of_server
+from .store_era import UNREAD
 from .upstream import (
     Answer,
     AnswerLostError,
@@ -88,6 +89,8 @@
         self.repaths = 0
         #: The path that it was sent along last.
         self.path: Path | None = None
+        #: What the list of servers rested on then.
+        self.list_state = UNREAD
         self.first_event_s: float | None = None
         #: The longest pause between events that were given to the caller.
         self.longest_gap_s = 0.0
@@ -202,6 +205,7 @@
     async def _run(self, path: Path, responder: Responder) -> tuple[_End, int]:
         """Send the call along a path and pass its events on."""
         self.path = path
+        self.list_state = self._routing.list_state()
         self._progress.run_again()
         send = Send(
             call=self._call,
--- a/src/violethatch/platform/_following.py
+++ b/src/violethatch/platform/_following.py
@@ -22,6 +22,7 @@
 from ..instances import InstanceDirectory
 from ..relayed_tables import RelayedTables
 from ..router_settings import RouterSettings, StoreSection
+from ..store_era import TableState
 from ..table_cache import TableCache
 from ..upstream import TableView
 from ._store import Store
@@ -90,10 +91,13 @@
             bound_s=settings.bounds.change_s,
         )
         router.sources = lambda: self._tables.sources
+        router.tables = self.states
         self._datagrams = PeerDatagrams(directory)
         self._links = PeerLinks(self._datagrams, router, rng=rng)
         self._followers = self._make_followers()
         self._instances_follower = self._make_instances_follower()
+        _, servers = self._followers
+        router.routing.list_state = servers.state
 
     @property
     def _is_relaying(self) -> bool:
@@ -128,6 +132,11 @@
         if self._is_relaying:
             await self._registration.remove()
 
+    def states(self) -> dict[str, TableState]:
+        """Return, by table, what this instance's view of it rests on."""
+        followers = [*self._followers, self._instances_follower]
+        return {follower.table: follower.state() for follower in followers}
+
     def take_settings(self, settings: RouterSettings) -> None:
         """Take changed settings in; addresses stay until the next start."""
         for follower in self._followers:
--- a/src/violethatch/platform/_parts.py
+++ b/src/violethatch/platform/_parts.py
@@ -16,6 +16,7 @@
 from .._router import Router
 from ..instances import InstanceDirectory, InstanceEntry
 from ..router_settings import RouterSettings
+from ..store_era import StoreEra
 from ._following import Following
 from ._runners import Runners
 from ._store import Store
@@ -58,7 +59,9 @@
     router = Router(
         settings, client=Runners(kept, fresh), decoder=WireDecoder(), rng=rng
     )
-    store = Store(settings.store, kept, router.metrics)
+    era = StoreEra()
+    router.metrics.watch_era(era)
+    store = Store(settings.store, kept, router.metrics, era=era)
     directory = InstanceDirectory(_own_entry(settings))
     duty = PlacementDuty(
         router.routing,
--- a/src/violethatch/platform/_store.py
+++ b/src/violethatch/platform/_store.py
@@ -8,7 +8,7 @@
 import json
 
 from collections.abc import Mapping, Sequence
-from typing import Any
+from typing import Any, NamedTuple
 
 import aiohttp
 import msgspec
@@ -21,6 +21,7 @@
 from ..ports import ABSENT, AnswerLostError, Put
 from ..ports import Row as TableRow
 from ..router_settings import StoreSection
+from ..store_era import NO_ERA, StoreEra
 from ..upstream import HistoryGoneError, TableView
 from ._wire import Row, Rows
 
@@ -33,6 +34,18 @@
 _MS_PER_S = 1000.0
 #: The product's own table.
 _OWN_TABLE = "violethatch"
+#: The header that names the store's era, in all its answers.
+_ERA_HEADER = "Store-Era"
+#: Longer numbers are not read as an era.
+_MAX_ERA_DIGITS = 15
+
+
+class _Reply(NamedTuple):
+    """An answer of the store."""
+
+    status: int
+    rows: Rows
+    era: int
 
 
 class Store:
@@ -42,6 +55,7 @@
         settings: Where the store is.
         session: Makes the calls.
         metrics: Counts them.
+        era: The newest era seen; each answer's is recorded there.
     """
 
     def __init__(
@@ -49,7 +63,10 @@
         settings: StoreSection,
         session: aiohttp.ClientSession,
         metrics: RouterMetrics,
+        *,
+        era: StoreEra | None = None,
     ) -> None:
+        self.era = era or StoreEra()
         self.take_settings(settings)
         self._session = session
         self._metrics = metrics
@@ -68,17 +85,18 @@
         """
         values: dict[str, bytes | None] = {}
         start = ""
-        first: Rows | None = None
+        first: _Reply | None = None
         while True:
             params = {"table": table} | ({"From": start} if start else {})
-            status, page = await self._read("rows-get", params, self._timeout_s)
-            if status != _OK:
-                raise self._unavailable("rows-get", f"status {status}")
+            reply = await self._read("rows-get", params, self._timeout_s)
+            if reply.status != _OK:
+                raise self._unavailable("rows-get", f"status {reply.status}")
             # Changes go on from the first page, so that none falls between.
-            first = first or page
+            first = first or reply
+            page = reply.rows
             values.update((row.key, row.content) for row in page.rows)
             if not page.more or not page.rows:
-                return TableView(values, first.ver, first.now_ms / _MS_PER_S)
+                return _view(values, first)
             start = page.rows[-1].key + "\0"
 
     async def read_changes(self, table: str, *, after: int, wait_s: float) -> TableView:
@@ -93,11 +111,12 @@
             "StartAfter": str(after),
             "WaitMs": str(int(wait_s * _MS_PER_S)),
         }
-        status, page = await self._read("rows-feed", params, wait_s + self._timeout_s)
-        if status == _HISTORY_GONE:
+        reply = await self._read("rows-feed", params, wait_s + self._timeout_s)
+        if reply.status == _HISTORY_GONE:
             raise HistoryGoneError
-        values = {row.key: row.content for row in page.rows}
-        return TableView(values, max(after, page.ver), page.now_ms / _MS_PER_S)
+        values = {row.key: row.content for row in reply.rows.rows}
+        view = _view(values, reply)
+        return view._replace(version=max(after, view.version))
 
     async def read_row(self, key: str) -> TableRow | None:
         """Return a row of the product's own table, or None if there is none.
@@ -106,8 +125,8 @@
             TableUnavailableError: The store refuses or is silent.
         """
         params = {"table": _OWN_TABLE, "From": key, "limit": "1"}
-        _, page = await self._read("rows-get", params, self._timeout_s)
-        for row in page.rows:
+        reply = await self._read("rows-get", params, self._timeout_s)
+        for row in reply.rows.rows:
             if row.key == key:
                 return table_row(row)
         return None
@@ -126,8 +145,8 @@
             "put": [place | {"Value": value}],
             "Remove": [],
         }
-        status, page = await self._write(body)
-        return LeaseWrite(status == _OK, page.ver)
+        reply = await self._write(body)
+        return LeaseWrite(reply.status == _OK, reply.rows.ver)
 
     async def write_entries(
         self, table: str, put: Mapping[str, bytes], remove: Sequence[str]
@@ -149,46 +168,44 @@
         }
         await self._write(body)
 
-    async def _write(self, body: dict[str, Any]) -> tuple[int, Rows]:
-        """Write rows; return the status and the answer.
+    async def _write(self, body: dict[str, Any]) -> _Reply:
+        """Write rows; return the answer.
 
         Raises:
             TableUnavailableError: Nothing was written.
             AnswerLostError: It was written, or not; it can't be told.
         """
         try:
-            status, page = await self._call(
-                "POST", "rows-tx", self._timeout_s, json=body
-            )
+            reply = await self._call("POST", "rows-tx", self._timeout_s, json=body)
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
             raise self._unavailable("rows-tx", repr(error)) from error
         except (TimeoutError, *CALL_ERRORS) as error:
             self._metrics.store_calls.inc({"call": "rows-tx", "outcome": "lost"})
             msg = f"rows-tx: {error!r}"
             raise AnswerLostError(msg) from error
-        if status in _REFUSALS:
-            raise self._unavailable("rows-tx", f"status {status}")
-        return status, page
+        if reply.status in _REFUSALS:
+            raise self._unavailable("rows-tx", f"status {reply.status}")
+        return reply
 
     async def _read(
         self, call: str, params: dict[str, str], timeout_s: float
-    ) -> tuple[int, Rows]:
+    ) -> _Reply:
         """Make a reading call.
 
         Raises:
             TableUnavailableError: The store refuses or is silent.
         """
         try:
-            status, page = await self._call("GET", call, timeout_s, params=params)
+            reply = await self._call("GET", call, timeout_s, params=params)
         except (TimeoutError, *CALL_ERRORS) as error:
             raise self._unavailable(call, repr(error)) from error
-        if status not in (_OK, _HISTORY_GONE):
-            raise self._unavailable(call, f"status {status}")
-        return status, page
+        if reply.status not in (_OK, _HISTORY_GONE):
+            raise self._unavailable(call, f"status {reply.status}")
+        return reply
 
     async def _call(
         self, method: str, call: str, timeout_s: float, **options: Any
-    ) -> tuple[int, Rows]:
+    ) -> _Reply:
         """Make a call; one that is given up on takes its connection with it."""
         async with asyncio.timeout(timeout_s):
             async with self._session.request(
@@ -198,7 +215,10 @@
         is_read = answer.status in (_OK, _CONDITION_FAILED)
         if is_read or answer.status == _HISTORY_GONE:
             self._metrics.store_calls.inc({"call": call, "outcome": "answered"})
-        return answer.status, self._rows.decode(body) if is_read else Rows()
+        era = _era(answer.headers.get(_ERA_HEADER))
+        self.era.observe(era, source="store")
+        rows = self._rows.decode(body) if is_read else Rows()
+        return _Reply(answer.status, rows, era)
 
     def _unavailable(self, call: str, reason: str) -> TableUnavailableError:
         """Count a call that came to nothing; return its error."""
@@ -206,6 +226,19 @@
         return TableUnavailableError(f"{call}: {reason}")
 
 
+def _era(text: str | None) -> int:
+    """Return the era that a header names, or `NO_ERA`."""
+    if text is None or not text.isdecimal() or len(text) > _MAX_ERA_DIGITS:
+        return NO_ERA
+    return int(text)
+
+
+def _view(values: dict[str, bytes | None], reply: _Reply) -> TableView:
+    """Return rows as the view that an answer gives of their table."""
+    store_s = reply.rows.now_ms / _MS_PER_S
+    return TableView(values, reply.rows.ver, store_s, era=reply.era)
+
+
 def table_row(row: Row) -> TableRow | None:
     """Return a row in the product's words, or None if it is gone."""
     content = row.content
--- a/src/violethatch/relayed_tables.py
+++ b/src/violethatch/relayed_tables.py
@@ -330,7 +330,7 @@
         if view.store_s < self._known_s.get(table, float(NEVER)):
             msg = "older than what is known"
             raise PeerSilentError(msg)
-        return self._noted(table, view)
+        return self._noted(table, view._replace(source=peer.id))
 
     @property
     def _reader_wait_s(self) -> float:
@@ -382,4 +382,5 @@
                 source=source,
                 before=before,
                 reason=reason,
+                known_store_s=self._known_s.get(table),
             )
--- a/src/violethatch/table_cache.py
+++ b/src/violethatch/table_cache.py
@@ -48,6 +48,11 @@
         )
         self._news = asyncio.Event()
 
+    @property
+    def version(self) -> int:
+        """The version up to which changes are known, or `NEVER`."""
+        return self._version
+
     def take(self, view: TableView, *, is_whole: bool) -> None:
         """Take in what was read."""
         if is_whole:
--- a/src/violethatch/upstream.py
+++ b/src/violethatch/upstream.py
@@ -20,6 +20,7 @@
 from .layers import LayerRange
 from .limit_permits import Permit
 from .paths import Path
+from .store_era import NO_ERA
 
 
 Headers = Sequence[tuple[str, str]]
@@ -435,6 +436,8 @@
         is_relayed: Whether another instance has passed it on, so that the
             store's time may be from before the question.
         returned_s: Where it was relayed, since when the store answers again.
+        era: The store's era that the version and the time belong to.
+        source: The instance that passed it on; `store` for the store itself.
     """
 
     values: Mapping[str, bytes | None]
@@ -443,6 +446,8 @@
     is_whole: bool = False
     is_relayed: bool = False
     returned_s: float | None = None
+    era: int = NO_ERA
+    source: str = "store"
 
 
 class TableSource(Protocol):
