--- /dev/null
+++ b/tests/test_store_restored.py
@@ -0,0 +1,74 @@
+# SPDX-License-Identifier: MIT
+"""A store that is restored from a copy: versions fall and are given out again."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from restorable_store import BOUND_S, SLACK_S, RestorableRegion, RestorableStore
+from routing_samples import plain_server
+from violethatch.backends import BackendTable
+from violethatch.table_cache import TableCache
+from violethatch.upstream import TableView
+
+
+@pytest.fixture
+async def region():
+    """Provide a large region whose instances have read the table."""
+    store = RestorableStore()
+    for server in ("s1", "s2", "s3"):
+        store.write(server, b"ready")
+    made = RestorableRegion(store, count=40)
+    await made.all_know(5.0)
+    await asyncio.sleep(1.0)
+    yield made
+    await made.stop()
+
+
+class TestRegion:
+    async def test_draining_after_a_restore_reaches_no_follower(self, region):
+        """Changes at versions that were given out before reach every instance."""
+        store = region.store
+        copy = store.copy()
+        for number in range(3):
+            store.write("s3", b"ready %d" % number)
+        await region.all_know(BOUND_S)
+        store.is_away = True
+        await asyncio.sleep(1.0)
+        store.restore(copy)
+        store.is_away = False
+        await region.all_know(5.0)
+        store.write("s1", b"draining")
+        await region.all_know(BOUND_S + SLACK_S)
+
+
+def view(version, **values):
+    """Return an answer of the store at its time `version` seconds."""
+    return TableView(values, version, float(version))
+
+
+class TestTableCache:
+    async def test_older_whole_read_hides_later_changes(self):
+        """A whole read labelled with a version above its own hides what follows."""
+        cache = TableCache()
+        cache.take(view(480, s1=b"ready"), is_whole=True)
+        cache.take(view(490, s1=b"draining"), is_whole=False)
+        cache.take(view(500, s2=b"ready"), is_whole=False)
+        behind = view(480, s1=b"ready")._replace(store_s=510.0)
+        cache.take(behind, is_whole=True)
+        first = await cache.news(after=470, known_s=0.0, wait_s=0.0)
+        cache.take(view(500, s1=b"draining")._replace(store_s=511.0), is_whole=False)
+        then = await cache.news(after=first.version, known_s=first.store_s, wait_s=0.0)
+        assert {**first.values, **then.values}["s1"] == b"draining"
+
+
+class TestBackendTable:
+    def test_draining_server_is_ready_again_after_a_restore(self):
+        """A copy from before the draining does not make the server usable."""
+        table = BackendTable()
+        table.change([plain_server("a"), plain_server("b")], [], now_s=0.0)
+        table.change([plain_server("a", is_leaving=True)], [], now_s=1.0)
+        table.replace([plain_server("a"), plain_server("b")], now_s=2.0)
+        assert [server.id for server in table.usable("labels")] == ["b"]
