Compare positions in the store by era before version

Callers: requests reached a server up to 3.8 s after it had reported that it drains.

Cause: the store was restored from a copy, its versions fell (254 was given out twice) and each place that keeps or passes on a version compared them as if they only grew. A cache kept the higher version over an older whole read, so that no follower was ever sent the changes numbered up to it, while each answer proved the follower current: 2 of 69 instances knew. A restored store that has overtaken the old version gives no 410 either.

Change: a view names the era of its version and time. Caches keep the position of the whole table they read; a question names its era, and an older era, or a later proof at a lower version, is answered with the whole table. Changes from another era count as lost history. Answers of an older era than one seen are not believed. The store's clock is mapped anew in a new era, and no proof lies in the future.

Its fake now refuses changes of another era as the client of the store does.

Fakes of existing tests take the era; what they assert is unchanged.

--- a/src/violethatch/_followers.py
+++ b/src/violethatch/_followers.py
@@ -13,7 +13,7 @@
 from .freshness import Freshness, StoreClock
 from .router_settings import StoreSection
 from .store_era import NO_ERA, TableState
-from .table_cache import TableCache
+from .table_cache import NEVER, TableCache
 from .upstream import HistoryGoneError, TableSource, TableView
 
 
@@ -121,8 +121,10 @@
         is_waiting = self._version is not None and not self._is_away
         view = await self._read()
         is_whole = self._version is None or view.is_whole
+        if is_whole and self._is_older(view):
+            view = view._replace(is_restored=True)
         if not view.is_relayed:
-            self._clock.observe(view.store_s, sent_s=sent_s)
+            self._clock.observe(view.store_s, sent_s=sent_s, era=view.era)
         self._pause_s = 0.0
         self._note_back(view)
         self._take_in(view, is_whole=is_whole)
@@ -150,9 +152,15 @@
         # After an outage the first read only asks, so as to learn soon.
         wait_s = 0.0 if self._is_away else self.settings.change_wait_s
         return await self._source.read_changes(
-            self.table, after=self._version, wait_s=wait_s
+            self.table, after=self._version, wait_s=wait_s, era=self._era
         )
 
+    def _is_older(self, view: TableView) -> bool:
+        """Return whether a whole table is of a store that went back in its history."""
+        if self._cache.version == NEVER:
+            return False
+        return view.era > self._era or view.version < self._cache.version
+
     def _take_in(self, view: TableView, *, is_whole: bool) -> None:
         """Take in what was read, for this instance and for others."""
         if is_whole:
@@ -164,7 +172,8 @@
         if view.values or is_whole:
             self._take(view, is_whole)
         if self._clock.is_known:
-            self._freshness.proven(self._clock.earliest_local_s(view.store_s))
+            proven_s = self._clock.earliest_local_s(view.store_s)
+            self._freshness.proven(min(proven_s, clocks.now_s()))
 
     def _log_read(self, view: TableView) -> None:
         """Log that the whole table was read."""
@@ -199,10 +208,11 @@
         It may have been away only for the instance that reads it for this one.
         """
         is_told = self._note_told_return(view)
-        is_back = self._is_away
+        is_back = self._is_away or view.is_restored
         if is_back:
-            self._is_away = False
-            events.log(events.TABLE_REACHABLE, table=self.table)
+            if self._is_away:
+                self._is_away = False
+                events.log(events.TABLE_REACHABLE, table=self.table)
             if not view.is_relayed:
                 self._cache.returned(view.store_s)
         if is_back or is_told:
--- a/src/violethatch/_relay_http.py
+++ b/src/violethatch/_relay_http.py
@@ -25,6 +25,7 @@
 from ._serving import listen
 from .instances import InstanceEntry
 from .relayed_tables import NoNewsError, PeerAwayError, PeerSilentError
+from .store_era import NO_ERA
 from .table_cache import TableCache
 from .upstream import TableView
 
@@ -52,6 +53,7 @@
     store_s: float
     is_whole: bool
     returned_s: float | None
+    era: int = NO_ERA
 
 
 class RelayListener:
@@ -90,6 +92,7 @@
             known_s = float(request.query["known_s"])
             wait_s = float(request.query["wait_s"])
             is_patient = request.query.get("patient") == "1"
+            era = int(request.query["era"]) if "era" in request.query else None
         except (KeyError, ValueError):
             return Response(status=_BAD_REQUEST)
         if cache is None:
@@ -98,6 +101,7 @@
             after=after,
             known_s=known_s,
             wait_s=min(wait_s, _MOST_WAIT_S),
+            era=era,
             is_patient=is_patient,
         )
         if view is None:
@@ -125,6 +129,7 @@
         known_s: float,
         wait_s: float,
         margin_s: float,
+        era: int = NO_ERA,
         is_patient: bool = False,
     ) -> TableView:
         """Return a table's changes; see `PeerReads.changes`.
@@ -140,6 +145,7 @@
             "known_s": repr(known_s),
             "wait_s": repr(wait_s),
             "patient": str(int(is_patient)),
+            "era": str(era),
         }
         try:
             async with asyncio.timeout(wait_s + margin_s):
@@ -183,7 +189,12 @@
 def _encoded(view: TableView) -> bytes:
     """Return an answer's body; its first byte tells whether it is compressed."""
     answer = _Answer(
-        dict(view.values), view.version, view.store_s, view.is_whole, view.returned_s
+        dict(view.values),
+        view.version,
+        view.store_s,
+        view.is_whole,
+        view.returned_s,
+        view.era,
     )
     body = msgspec.msgpack.encode(answer)
     is_compressed = len(body) >= _COMPRESSED_FROM_BYTES
@@ -213,4 +224,5 @@
         is_whole=answer.is_whole,
         is_relayed=True,
         returned_s=answer.returned_s,
+        era=answer.era,
     )
--- a/src/violethatch/freshness.py
+++ b/src/violethatch/freshness.py
@@ -12,6 +12,7 @@
 from __future__ import annotations
 
 from . import clocks
+from .store_era import NO_ERA
 
 
 class StoreClock:
@@ -22,12 +23,22 @@
 
     def __init__(self) -> None:
         self._offset_s: float | None = None
+        self._era = NO_ERA
 
-    def observe(self, store_s: float, *, sent_s: float) -> None:
-        """Learn from a call sent at *sent_s* that was answered at *store_s*."""
+    def observe(self, store_s: float, *, sent_s: float, era: int = NO_ERA) -> None:
+        """Learn from a call sent at *sent_s* that was answered at *store_s*.
+
+        A newer era's clock replaces the one before, which may have shown another time.
+        """
         offset_s = sent_s - store_s
-        if self._offset_s is None or offset_s > self._offset_s:
+        if self._offset_s is None or era > self._era or offset_s > self._offset_s:
             self._offset_s = offset_s
+        self._era = max(era, self._era)
+
+    @property
+    def era(self) -> int:
+        """The newest era of which a call was observed."""
+        return self._era
 
     @property
     def is_known(self) -> bool:
--- a/src/violethatch/platform/_following.py
+++ b/src/violethatch/platform/_following.py
@@ -89,6 +89,7 @@
             directory,
             unproven=(INSTANCES_TABLE,),
             bound_s=settings.bounds.change_s,
+            era=store.era,
         )
         router.sources = lambda: self._tables.sources
         router.tables = self.states
--- a/src/violethatch/platform/_store.py
+++ b/src/violethatch/platform/_store.py
@@ -41,11 +41,16 @@
 
 
 class _Reply(NamedTuple):
-    """An answer of the store."""
+    """An answer of the store.
+
+    Attributes:
+        is_current: Whether no answer of a newer era was seen before it.
+    """
 
     status: int
     rows: Rows
     era: int
+    is_current: bool
 
 
 class Store:
@@ -93,17 +98,21 @@
                 raise self._unavailable("rows-get", f"status {reply.status}")
             # Changes go on from the first page, so that none falls between.
             first = first or reply
+            if reply.era != first.era:
+                raise self._unavailable("rows-get", "restored between two pages")
             page = reply.rows
             values.update((row.key, row.content) for row in page.rows)
             if not page.more or not page.rows:
                 return _view(values, first)
             start = page.rows[-1].key + "\0"
 
-    async def read_changes(self, table: str, *, after: int, wait_s: float) -> TableView:
+    async def read_changes(
+        self, table: str, *, after: int, wait_s: float, era: int = NO_ERA
+    ) -> TableView:
         """Return changes as soon as there are any, or none after *wait_s*.
 
         Raises:
-            HistoryGoneError: Changes since *after* are no longer known.
+            HistoryGoneError: Changes since *after* can't be had any more.
             TableUnavailableError: The store refuses or is silent.
         """
         params = {
@@ -112,7 +121,8 @@
             "WaitMs": str(int(wait_s * _MS_PER_S)),
         }
         reply = await self._read("rows-feed", params, wait_s + self._timeout_s)
-        if reply.status == _HISTORY_GONE:
+        # A restored store may have given the version out again already.
+        if reply.status == _HISTORY_GONE or reply.era != era:
             raise HistoryGoneError
         values = {row.key: row.content for row in reply.rows.rows}
         view = _view(values, reply)
@@ -185,6 +195,10 @@
             raise AnswerLostError(msg) from error
         if reply.status in _REFUSALS:
             raise self._unavailable("rows-tx", f"status {reply.status}")
+        if not reply.is_current:
+            self._metrics.store_calls.inc({"call": "rows-tx", "outcome": "lost"})
+            msg = "rows-tx: an answer of an older era"
+            raise AnswerLostError(msg)
         return reply
 
     async def _read(
@@ -201,6 +215,8 @@
             raise self._unavailable(call, repr(error)) from error
         if reply.status not in (_OK, _HISTORY_GONE):
             raise self._unavailable(call, f"status {reply.status}")
+        if not reply.is_current:
+            raise self._unavailable(call, "an answer of an older era")
         return reply
 
     async def _call(
@@ -216,9 +232,9 @@
         if is_read or answer.status == _HISTORY_GONE:
             self._metrics.store_calls.inc({"call": call, "outcome": "answered"})
         era = _era(answer.headers.get(_ERA_HEADER))
-        self.era.observe(era, source="store")
+        is_current = self.era.observe(era, source="store")
         rows = self._rows.decode(body) if is_read else Rows()
-        return _Reply(answer.status, rows, era)
+        return _Reply(answer.status, rows, era, is_current)
 
     def _unavailable(self, call: str, reason: str) -> TableUnavailableError:
         """Count a call that came to nothing; return its error."""
--- a/src/violethatch/relayed_tables.py
+++ b/src/violethatch/relayed_tables.py
@@ -16,6 +16,7 @@
 from . import clocks, events
 from .errors import TableUnavailableError
 from .instances import InstanceDirectory, InstanceEntry
+from .store_era import NO_ERA, Position, ProofTime, StoreEra
 from .table_cache import NEVER
 from .upstream import TableSource, TableView
 
@@ -49,6 +50,10 @@
 _MOST_HELPERS = 2
 
 
+_NOWHERE = Position(NO_ERA, NEVER)
+_UNPROVEN = ProofTime(NO_ERA, float(NEVER))
+
+
 class PeerSilentError(Exception):
     """Another instance gave no answer, or has no newer proof.
 
@@ -85,6 +90,7 @@
         known_s: float,
         wait_s: float,
         margin_s: float,
+        era: int = NO_ERA,
         is_patient: bool = False,
     ) -> TableView:
         """Return a table's changes with a newer proof than *known_s*.
@@ -96,6 +102,7 @@
             known_s: The newest proof that is known.
             wait_s: How long the instance may wait for news, in seconds.
             margin_s: How much longer its answer may take, in seconds.
+            era: The store's era of *after* and *known_s*.
             is_patient: Whether it should wait also while the store is away.
 
         Raises:
@@ -115,6 +122,7 @@
         unproven: Tables of which only changes count, and no proof that there
             were none.
         bound_s: How late a change may be in force, in seconds.
+        era: The newest era seen; each view's is recorded there.
 
     .. versionadded:: 26.1.0
     """
@@ -127,13 +135,15 @@
         *,
         unproven: Collection[str] = (),
         bound_s: float = CHANGE_BOUND_S,
+        era: StoreEra | None = None,
     ) -> None:
         self.bound_s = bound_s
         self._store = store
         self._peers = peers
         self._directory = directory
         self._unproven = unproven
-        self._known_s: dict[str, float] = {}
+        self._era = era or StoreEra()
+        self._known: dict[str, ProofTime] = {}
         self._sources: dict[str, str] = {}
         self._store_rests_until_s = 0.0
         #: Unproven tables whose changes were read from the store once.
@@ -153,21 +163,24 @@
         try:
             return self._noted(table, await self._store.read_table(table))
         except TableUnavailableError as error:
-            view = await self._ask_helpers(table, after=NEVER, wait_s=0.0)
+            view = await self._ask_helpers(table, after=_NOWHERE, wait_s=0.0)
             if view is None:
                 raise
             self._note_source(table, "peers", error.detail)
             return view
 
-    async def read_changes(self, table: str, *, after: int, wait_s: float) -> TableView:
+    async def read_changes(
+        self, table: str, *, after: int, wait_s: float, era: int = NO_ERA
+    ) -> TableView:
         """Return changes as soon as there are any, or a newer proof.
 
         Raises:
-            HistoryGoneError: Changes since *after* are no longer known.
+            HistoryGoneError: Changes since *after* can't be had any more.
             TableUnavailableError: Neither the store nor any instance answers.
         """
+        position = Position(era, after)
         if self._may_follow(table):
-            view = await self._follow(table, after=after, wait_s=wait_s)
+            view = await self._follow(table, after=position, wait_s=wait_s)
             if view is not None:
                 return view
             wait_s = 0.0
@@ -175,11 +188,11 @@
         if self._directory.is_reader(now_s=now_s) and self._is_proven(table):
             wait_s = min(wait_s, self._reader_wait_s)
         if now_s < self._store_rests_until_s:
-            view = await self._ask_helpers(table, after=after, wait_s=self._follow_s)
+            view = await self._ask_helpers(table, after=position, wait_s=self._follow_s)
             if view is not None:
                 return view
             wait_s = 0.0
-        return await self._read_store(table, after=after, wait_s=wait_s)
+        return await self._read_store(table, after=position, wait_s=wait_s)
 
     def _may_follow(self, table: str) -> bool:
         """Tell whether another instance is asked before the store.
@@ -193,7 +206,7 @@
         return self._directory.source(now_s=clocks.now_s()) is not None
 
     async def _follow(
-        self, table: str, *, after: int, wait_s: float
+        self, table: str, *, after: Position, wait_s: float
     ) -> TableView | None:
         """Ask who reads for this instance; None if it has to read the store itself.
 
@@ -249,25 +262,30 @@
             return _PATIENT_S
         return self._follow_s if self._is_proven(table) else wait_s
 
-    def _unchanged(self, table: str, after: int) -> TableView:
+    def _unchanged(self, table: str, after: Position) -> TableView:
         """Return that nothing has changed, as of the newest proof."""
-        store_s = self._known_s.get(table, float(NEVER))
-        return TableView({}, after, store_s, is_relayed=True)
+        known = self._known.get(table, _UNPROVEN)
+        store_s = known.store_s if known.era == after.era else float(NEVER)
+        return TableView({}, after.version, store_s, is_relayed=True, era=after.era)
 
     def _leave(self, source: InstanceEntry, table: str, error: PeerSilentError) -> None:
         """Follow another instance, or none, for a while."""
         self._directory.note_down(source.id, now_s=clocks.now_s())
         self._note_source(table, "another", f"{source.id}: {error}")
 
-    async def _read_store(self, table: str, *, after: int, wait_s: float) -> TableView:
+    async def _read_store(
+        self, table: str, *, after: Position, wait_s: float
+    ) -> TableView:
         """Read the store itself; ask other instances if it gives no answer.
 
         Raises:
-            HistoryGoneError: Changes since *after* are no longer known.
+            HistoryGoneError: Changes since *after* can't be had any more.
             TableUnavailableError: Neither the store nor any instance answers.
         """
         try:
-            view = await self._store.read_changes(table, after=after, wait_s=wait_s)
+            view = await self._store.read_changes(
+                table, after=after.version, wait_s=wait_s, era=after.era
+            )
         except TableUnavailableError as error:
             helped = await self._ask_helpers(table, after=after, wait_s=0.0)
             if helped is None:
@@ -279,7 +297,7 @@
         return self._noted(table, view)
 
     async def _ask_helpers(
-        self, table: str, *, after: int, wait_s: float
+        self, table: str, *, after: Position, wait_s: float
     ) -> TableView | None:
         """Ask some instances for a newer proof; None if nobody has one."""
         now_s = clocks.now_s()
@@ -309,7 +327,7 @@
         peer: InstanceEntry,
         table: str,
         *,
-        after: int,
+        after: Position,
         wait_s: float,
         is_patient: bool = False,
     ) -> TableView:
@@ -321,13 +339,14 @@
         view = await self._peers.changes(
             peer,
             table,
-            after=after,
-            known_s=self._outdated_s(table),
+            after=after.version,
+            known_s=self._outdated_s(table, after.era),
             wait_s=wait_s,
             margin_s=self.bound_s * self._margin_part,
+            era=after.era,
             is_patient=is_patient,
         )
-        if view.store_s < self._known_s.get(table, float(NEVER)):
+        if view.proof < self._known.get(table, _UNPROVEN):
             msg = "older than what is known"
             raise PeerSilentError(msg)
         return self._noted(table, view._replace(source=peer.id))
@@ -360,15 +379,18 @@
         """Tell whether also a proof counts that nothing has changed."""
         return table not in self._unproven
 
-    def _outdated_s(self, table: str) -> float:
-        """Return the store's time up to which a proof is of no use."""
+    def _outdated_s(self, table: str, era: int) -> float:
+        """Return the time of an era of the store up to which a proof is of no use."""
         if not self._is_proven(table):
             return math.inf
-        return self._known_s.get(table, float(NEVER))
+        known = self._known.get(table, _UNPROVEN)
+        return known.store_s if known.era == era else float(NEVER)
 
     def _noted(self, table: str, view: TableView) -> TableView:
-        """Remember the newest proof of a table."""
-        self._known_s[table] = max(self._known_s.get(table, float(NEVER)), view.store_s)
+        """Remember the newest proof of a table, and the store's era."""
+        self._known[table] = max(self._known.get(table, _UNPROVEN), view.proof)
+        if view.era > self._era.current:
+            self._era.observe(view.era, source=view.source)
         return view
 
     def _note_source(self, table: str, source: str, reason: str) -> None:
@@ -382,5 +404,5 @@
                 source=source,
                 before=before,
                 reason=reason,
-                known_store_s=self._known_s.get(table),
+                known=self._known.get(table),
             )
--- a/src/violethatch/store_era.py
+++ b/src/violethatch/store_era.py
@@ -19,6 +19,26 @@
 NO_ERA = -1
 
 
+class Position(NamedTuple):
+    """A place in the store's history; positions compare by era first.
+
+    .. versionadded:: 26.7.0
+    """
+
+    era: int
+    version: int
+
+
+class ProofTime(NamedTuple):
+    """A time of the store's steady clock, which may be set back by a restore.
+
+    .. versionadded:: 26.7.0
+    """
+
+    era: int
+    store_s: float
+
+
 class TableState(NamedTuple):
     """What one instance's view of a table rests on.
 
--- a/src/violethatch/table_cache.py
+++ b/src/violethatch/table_cache.py
@@ -15,6 +15,7 @@
 
 from typing import NamedTuple
 
+from .store_era import NO_ERA, Position, ProofTime
 from .upstream import TableView
 
 
@@ -25,7 +26,7 @@
 
 
 class _Change(NamedTuple):
-    """Rows that have changed between two versions."""
+    """Rows that have changed between two versions of one era."""
 
     after: int
     view: TableView
@@ -40,8 +41,8 @@
     def __init__(self) -> None:
         self.is_away = True
         self._values: dict[str, bytes] = {}
-        self._version = NEVER
-        self._store_s = float(NEVER)
+        self._position = Position(NO_ERA, NEVER)
+        self._proof = ProofTime(NO_ERA, float(NEVER))
         self._returned_s: float | None = None
         self._changes: collections.deque[_Change] = collections.deque(
             maxlen=_MOST_CHANGES
@@ -51,22 +52,26 @@
     @property
     def version(self) -> int:
         """The version up to which changes are known, or `NEVER`."""
-        return self._version
+        return self._position.version
 
     def take(self, view: TableView, *, is_whole: bool) -> None:
-        """Take in what was read."""
+        """Take in what was read.
+
+        A whole table may be older than what was known, where the store was restored
+        from a copy: its own position counts then.
+        """
         if is_whole:
             self._values.clear()
             self._changes.clear()
-        elif view.version > self._version:
-            self._changes.append(_Change(self._version, view))
+        elif view.version > self._position.version:
+            self._changes.append(_Change(self._position.version, view))
         for key, value in view.values.items():
             if value is None:
                 self._values.pop(key, None)
             else:
                 self._values[key] = value
-        self._version = max(self._version, view.version)
-        self._store_s = max(self._store_s, view.store_s)
+        self._position = view.position
+        self._proof = max(self._proof, view.proof)
         self.is_away = False
         self._tell()
 
@@ -80,7 +85,13 @@
         self._tell()
 
     async def news(
-        self, *, after: int, known_s: float, wait_s: float, is_patient: bool = False
+        self,
+        *,
+        after: int,
+        known_s: float,
+        wait_s: float,
+        era: int | None = None,
+        is_patient: bool = False,
     ) -> TableView | None:
         """Return what has changed, or a newer proof; None if there is neither.
 
@@ -88,45 +99,57 @@
             after: The version that is known.
             known_s: The newest proof that is known, by the store's clock.
             wait_s: How long to wait for news, in seconds.
+            era: The store's era of *after* and *known_s*; this cache's if omitted.
             is_patient: Whether to wait also while the store can't be read: the
                 asker knows of that, and wants to learn of the return.
         """
         try:
             async with asyncio.timeout(wait_s):
                 while is_patient or not self.is_away:
-                    if self._is_news(after, known_s):
-                        return self._since(after)
+                    asked_era = self._position.era if era is None else era
+                    known = ProofTime(asked_era, known_s)
+                    if self._is_news(Position(asked_era, after), known):
+                        return self._since(Position(asked_era, after))
                     await self._news.wait()
         except TimeoutError:
             return None
         return None
 
-    def _is_news(self, after: int, known_s: float) -> bool:
+    def _is_news(self, after: Position, known: ProofTime) -> bool:
         """Tell whether there is something newer, and from a store that answers."""
-        is_newer = self._version > after or self._store_s > known_s
-        return is_newer and not self.is_away
+        if self.is_away or self._position.era < after.era:
+            return False
+        return self._position > after or self._proof > known
 
     def _tell(self) -> None:
         """Wake all who wait for news."""
         self._news.set()
         self._news = asyncio.Event()
 
-    def _since(self, after: int) -> TableView:
-        """Return the changes after a version, or the whole table."""
-        values: dict[str, bytes | None] = {}
-        is_whole = False
-        if after < self._version:
-            later = [one for one in self._changes if one.view.version > after]
-            is_whole = not later or later[0].after > after
-            for change in later:
-                values.update(change.view.values)
-            if is_whole:
-                values = dict(self._values)
+    def _since(self, after: Position) -> TableView:
+        """Return the changes after a position, or the whole table."""
+        changes = self._changes_since(after)
         return TableView(
-            values,
-            max(after, self._version),
-            self._store_s,
-            is_whole=is_whole,
+            dict(self._values) if changes is None else changes,
+            self._position.version,
+            self._proof.store_s,
+            is_whole=changes is None,
             is_relayed=True,
             returned_s=self._returned_s,
+            era=self._position.era,
         )
+
+    def _changes_since(self, after: Position) -> dict[str, bytes | None] | None:
+        """Return the rows changed after a position, or None if they aren't kept."""
+        if after == self._position:
+            return {}
+        # A later proof at a lower version is that of a store that went back.
+        if after.era != self._position.era or after.version > self._position.version:
+            return None
+        later = [one for one in self._changes if one.view.version > after.version]
+        if not later or later[0].after > after.version:
+            return None
+        values: dict[str, bytes | None] = {}
+        for change in later:
+            values.update(change.view.values)
+        return values
--- a/src/violethatch/upstream.py
+++ b/src/violethatch/upstream.py
@@ -20,7 +20,7 @@
 from .layers import LayerRange
 from .limit_permits import Permit
 from .paths import Path
-from .store_era import NO_ERA
+from .store_era import NO_ERA, Position, ProofTime
 
 
 Headers = Sequence[tuple[str, str]]
@@ -422,7 +422,10 @@
 
 
 class HistoryGoneError(Exception):
-    """The store has forgotten the changes asked for; read the table again."""
+    """The changes asked for can't be had any more; read the table again.
+
+    The store has forgotten them, or was restored from a copy since.
+    """
 
 
 class TableView(NamedTuple):
@@ -438,6 +441,8 @@
         returned_s: Where it was relayed, since when the store answers again.
         era: The store's era that the version and the time belong to.
         source: The instance that passed it on; `store` for the store itself.
+        is_restored: Whether these are all rows of a store that went back in its
+            history: rows may be missing or old until they are written again.
     """
 
     values: Mapping[str, bytes | None]
@@ -448,6 +453,17 @@
     returned_s: float | None = None
     era: int = NO_ERA
     source: str = "store"
+    is_restored: bool = False
+
+    @property
+    def position(self) -> Position:
+        """The place in the store's history from where changes go on."""
+        return Position(self.era, self.version)
+
+    @property
+    def proof(self) -> ProofTime:
+        """The store's time at which these rows were current."""
+        return ProofTime(self.era, self.store_s)
 
 
 class TableSource(Protocol):
@@ -460,11 +476,19 @@
             TableUnavailableError: The store refuses or is silent.
         """
 
-    async def read_changes(self, table: str, *, after: int, wait_s: float) -> TableView:
+    async def read_changes(
+        self, table: str, *, after: int, wait_s: float, era: int = NO_ERA
+    ) -> TableView:
         """Return changes as soon as there are any, or none after *wait_s*.
 
+        Args:
+            table: The table's name.
+            after: The version that is known.
+            wait_s: How long the answer may wait for a change, in seconds.
+            era: The store's era that *after* belongs to.
+
         Raises:
-            HistoryGoneError: Changes since *after* are no longer known.
+            HistoryGoneError: Changes since *after* can't be had any more.
             TableUnavailableError: The store refuses or is silent.
         """
 
--- a/tests/restorable_store.py
+++ b/tests/restorable_store.py
@@ -46,6 +46,8 @@
         self.rows = {}
         self.calls = []
         self.is_away = False
+        #: Ids of instances that get no answer from others.
+        self.cut = set()
         self.changed = asyncio.Event()
 
     def write(self, key, value):
@@ -78,7 +80,7 @@
         self._called()
         return self._view(self.present())
 
-    async def read_changes(self, table, *, after, wait_s, **_):
+    async def read_changes(self, table, *, after, wait_s, era=NO_ERA):
         self._called()
         self._require(after)
         if self.version <= after:
@@ -87,7 +89,10 @@
                     await self.changed.wait()
         self._require(after)
         rows = self.rows.items()
-        return self._view({key: value for key, (value, at) in rows if at > after})
+        view = self._view({key: value for key, (value, at) in rows if at > after})
+        if view.era != era:
+            raise HistoryGoneError
+        return view
 
     def _called(self):
         self.calls.append(clocks.now_s())
--- a/tests/test_followers.py
+++ b/tests/test_followers.py
@@ -13,6 +13,7 @@
 from violethatch.errors import TableUnavailableError
 from violethatch.freshness import Freshness, StoreClock
 from violethatch.router_settings import StoreSection
+from violethatch.store_era import NO_ERA
 from violethatch.upstream import HistoryGoneError, TableView
 
 
@@ -26,7 +27,7 @@
     async def read_table(self, table):
         return await self._next(("table", table))
 
-    async def read_changes(self, table, *, after, wait_s):
+    async def read_changes(self, table, *, after, wait_s, era=NO_ERA):
         return await self._next(("changes", after, wait_s))
 
     async def _next(self, asked):
--- a/tests/test_region_reads.py
+++ b/tests/test_region_reads.py
@@ -21,6 +21,7 @@
     RelayedTables,
 )
 from violethatch.router_settings import StoreSection
+from violethatch.store_era import NO_ERA
 from violethatch.table_cache import TableCache
 from violethatch.upstream import TableView
 
@@ -60,7 +61,7 @@
         await self._called()
         return self._view(self.store.version)
 
-    async def read_changes(self, _table, *, after, wait_s):
+    async def read_changes(self, _table, *, after, wait_s, era=NO_ERA):
         await self._called()
         if self.store.version <= after:
             with contextlib.suppress(TimeoutError):
@@ -94,14 +95,18 @@
         self.own_id = own_id
 
     async def changes(
-        self, peer, _table, *, after, known_s, wait_s, margin_s, is_patient=False
+        self, peer, _table, *, after, known_s, wait_s, margin_s, era, is_patient=False
     ):
         if self.region.store.cut & {peer.id, self.own_id}:
             await asyncio.sleep(wait_s + margin_s)
             raise PeerSilentError("no answer")
         cache = self.region.caches[peer.id]
         view = await cache.news(
-            after=after, known_s=known_s, wait_s=wait_s, is_patient=is_patient
+            after=after,
+            known_s=known_s,
+            wait_s=wait_s,
+            era=era,
+            is_patient=is_patient,
         )
         if view is None:
             raise PeerAwayError("away") if cache.is_away else NoNewsError("no news")
--- a/tests/test_relayed_tables.py
+++ b/tests/test_relayed_tables.py
@@ -20,6 +20,7 @@
     PeerSilentError,
     RelayedTables,
 )
+from violethatch.store_era import NO_ERA
 from violethatch.table_cache import TableCache
 from violethatch.upstream import TableView
 
@@ -110,7 +111,16 @@
         self.waits = []
 
     async def changes(
-        self, peer, table, *, after, known_s, wait_s, margin_s, is_patient=False
+        self,
+        peer,
+        table,
+        *,
+        after,
+        known_s,
+        wait_s,
+        margin_s,
+        era=NO_ERA,
+        is_patient=False,
     ):
         self.asked.append((peer.id, after, known_s))
         self.waits.append((wait_s, is_patient))
--- a/tests/test_store_restored.py
+++ b/tests/test_store_restored.py
@@ -43,6 +43,17 @@
         store.write("s1", b"draining")
         await region.all_know(BOUND_S + SLACK_S)
 
+    async def test_restore_that_no_read_failed_for_is_missed(self, region):
+        """A restored store may have overtaken the old version before the next read."""
+        store = region.store
+        copy = store.copy()
+        store.write("s3", b"ready 1")
+        await region.all_know(BOUND_S)
+        store.restore(copy)
+        store.write("s1", b"draining")
+        store.write("s2", b"ready 2")
+        await region.all_know(BOUND_S + SLACK_S)
+
 
 def view(version, **values):
     """Return an answer of the store at its time `version` seconds."""
