Believe a whole read after lost history once its changes are answered

A read of a whole table may be seconds old. It replaced what was known (a draining was undone), and counted as a proof of the present. Where the history after it was gone too, whole reads followed each other without a pause.

Change: a whole table that replaces another is taken in with the store's answer for the changes after it, or not at all; failed tries follow each other at the pauses of other retries. The first read of a process counts at once as before, so that it serves soon.

Both new tests fail before: the older row is taken in, and the pause is missing. The test of lost history has the store's answer for the changes added to its script.

--- a/src/violethatch/_followers.py
+++ b/src/violethatch/_followers.py
@@ -96,12 +96,19 @@
             try:
                 await self._read_once()
             except HistoryGoneError:
-                events.log(events.HISTORY_GONE, table=self.table, after=self._version)
-                self._version = None
+                await self._note_history_gone()
             except TableUnavailableError as error:
                 self._note_away(error)
                 await asyncio.sleep(self._retry_pause_s())
 
+    async def _note_history_gone(self) -> None:
+        """Have the whole table read; pause if that was tried just now."""
+        events.log(events.HISTORY_GONE, table=self.table, after=self._version)
+        was_tried = self._version is None
+        self._version = None
+        if was_tried:
+            await asyncio.sleep(self._retry_pause_s())
+
     def _retry_pause_s(self) -> float:
         """Return how long to wait after a read that came to nothing, in seconds."""
         first_s = self.settings.retry_pause_s
@@ -148,13 +155,37 @@
             TableUnavailableError: Nobody answers.
         """
         if self._version is None:
-            return await self._source.read_table(self.table)
+            return await self._read_whole()
         # After an outage the first read only asks, so as to learn soon.
         wait_s = 0.0 if self._is_away else self.settings.change_wait_s
         return await self._source.read_changes(
             self.table, after=self._version, wait_s=wait_s, era=self._era
         )
 
+    async def _read_whole(self) -> TableView:
+        """Read the whole table; one that replaces another, with the changes after it.
+
+        A read of a whole table may be seconds old.  It counts once the store has
+        answered for the changes after it.
+
+        Raises:
+            HistoryGoneError: The changes after it can't be had.
+            TableUnavailableError: Nobody answers.
+        """
+        view = await self._source.read_table(self.table)
+        if view.is_relayed or self._cache.version == NEVER:
+            return view
+        later = await self._source.read_changes(
+            self.table, after=view.version, wait_s=0.0, era=view.era
+        )
+        if later.is_whole:
+            return later
+        values = {**view.values, **later.values}
+        return later._replace(
+            values={key: value for key, value in values.items() if value is not None},
+            is_whole=True,
+        )
+
     def _is_older(self, view: TableView) -> bool:
         """Return whether a whole table is of a store that went back in its history."""
         if self._cache.version == NEVER:
--- a/tests/test_followers.py
+++ b/tests/test_followers.py
@@ -101,10 +101,39 @@
 
     async def test_lost_history_reads_the_table_anew(self):
         """After a 410 nothing in between is missed."""
-        source = ScriptedSource(view(5, a=b"1"), HistoryGoneError(), view(9, b=b"2"))
+        source = ScriptedSource(
+            view(5, a=b"1"), HistoryGoneError(), view(9, b=b"2"), view(9)
+        )
         taken, _, _ = await follow(source)
         assert taken[-1] == ({"b": b"2"}, True)
 
+    async def test_whole_read_that_is_behind_undoes_what_is_known(self):
+        """An older whole read whose changes are forgotten changes nothing."""
+        source = ScriptedSource(
+            view(5, a=b"ready"),
+            view(7, a=b"draining"),
+            HistoryGoneError(),
+            view(6, a=b"ready"),
+            HistoryGoneError(),
+            view(9, a=b"draining", b=b"ready"),
+            view(10, b=None, c=b"ready"),
+        )
+        taken, _, _ = await follow(source)
+        assert taken[1:] == [
+            ({"a": b"draining"}, False),
+            ({"a": b"draining", "c": b"ready"}, True),
+        ]
+
+    async def test_store_without_history_is_not_read_in_a_hurry(self):
+        """Whole reads that come to nothing follow each other at growing pauses."""
+        gone = [view(6), HistoryGoneError()] * 40
+        source = ScriptedSource(view(5), HistoryGoneError(), *gone)
+        task = asyncio.create_task(made_follower(source, retry_pause_s=0.05).run())
+        await asyncio.sleep(0.5)
+        task.cancel()
+        whole = [one for one in source.asked if one[0] == "table"]
+        assert 2 <= len(whole) <= 6
+
     async def test_outage_is_asked_again_without_a_wait(self):
         """After an outage the first read doesn't wait; the return is told."""
         source = ScriptedSource(view(5), TableUnavailableError("away"), view(5))
