Map the clock of a restored store anew at every instance

A restored store's steady clock may show another time. Followers never call the store, so that their mapping would stay that of the era before: relayed proofs would count as older than they are (callers with keys refused), or as newer.

Change: where a newer era is seen, each instance reads the store itself once, spread over a second or at 60 instances a second. Regions of 8, 72 and 350 instances, one restore: no more than one read an instance beside the usual ones, 100 in any second at most.

--- a/src/violethatch/platform/_following.py
+++ b/src/violethatch/platform/_following.py
@@ -90,6 +90,8 @@
             unproven=(INSTANCES_TABLE,),
             bound_s=settings.bounds.change_s,
             era=store.era,
+            clock=self._clock,
+            rng=rng,
         )
         router.sources = lambda: self._tables.sources
         router.tables = self.states
--- a/src/violethatch/relayed_tables.py
+++ b/src/violethatch/relayed_tables.py
@@ -9,12 +9,14 @@
 from __future__ import annotations
 
 import math
+import random
 
 from collections.abc import Collection, Mapping
 from typing import Protocol
 
 from . import clocks, events
 from .errors import TableUnavailableError
+from .freshness import StoreClock
 from .instances import InstanceDirectory, InstanceEntry
 from .store_era import NO_ERA, Position, ProofTime, StoreEra
 from .table_cache import NEVER
@@ -46,6 +48,10 @@
 #: For how long peers are asked before the store after it gave no answer, in
 #: seconds.
 _STORE_REST_S = 2.0
+#: The reads a second by which all instances together map the clock of a restored
+#: store, and the shortest time over which they are spread, in seconds.
+_CLOCK_READS_A_S = 60.0
+_MIN_CLOCK_SPREAD_S = 1.0
 #: How many helpers are asked in one try.
 _MOST_HELPERS = 2
 
@@ -123,6 +129,8 @@
             were none.
         bound_s: How late a change may be in force, in seconds.
         era: The newest era seen; each view's is recorded there.
+        clock: Maps the store's clock, which only calls of the store itself do.
+        rng: Spreads the calls that map it anew.
 
     .. versionadded:: 26.1.0
     """
@@ -136,6 +144,8 @@
         unproven: Collection[str] = (),
         bound_s: float = CHANGE_BOUND_S,
         era: StoreEra | None = None,
+        clock: StoreClock | None = None,
+        rng: random.Random | None = None,
     ) -> None:
         self.bound_s = bound_s
         self._store = store
@@ -143,6 +153,11 @@
         self._directory = directory
         self._unproven = unproven
         self._era = era or StoreEra()
+        self._clock = clock
+        self._rng = rng or random.Random()
+        #: From when on the store itself is read, to map a new era's clock.
+        self._map_clock_s = 0.0
+        self._era.on_restore(self._plan_clock_read)
         self._known: dict[str, ProofTime] = {}
         self._sources: dict[str, str] = {}
         self._store_rests_until_s = 0.0
@@ -179,7 +194,9 @@
             TableUnavailableError: Neither the store nor any instance answers.
         """
         position = Position(era, after)
-        if self._may_follow(table):
+        if self._is_clock_due:
+            wait_s = 0.0
+        elif self._may_follow(table):
             view = await self._follow(table, after=position, wait_s=wait_s)
             if view is not None:
                 return view
@@ -194,6 +211,24 @@
             wait_s = 0.0
         return await self._read_store(table, after=position, wait_s=wait_s)
 
+    def _plan_clock_read(self) -> None:
+        """Plan the read that maps a new era's clock."""
+        spread_s = max(_MIN_CLOCK_SPREAD_S, len(self._directory) / _CLOCK_READS_A_S)
+        self._map_clock_s = clocks.now_s() + self._rng.uniform(0.0, spread_s)
+
+    @property
+    def _is_clock_due(self) -> bool:
+        """Whether the store has to be read to map its clock.
+
+        A restored store's clock may show another time, by which a relayed proof would
+        count as older or newer than it is.
+        """
+        if self._clock is None or not self._clock.is_known:
+            return False
+        if self._clock.era >= self._era.current:
+            return False
+        return clocks.now_s() >= self._map_clock_s
+
     def _may_follow(self, table: str) -> bool:
         """Tell whether another instance is asked before the store.
 
--- a/tests/restorable_store.py
+++ b/tests/restorable_store.py
@@ -40,6 +40,8 @@
 
     def __init__(self, *, names_era=True):
         self.era = 1
+        #: How far its clock is ahead of the local one, in seconds.
+        self.clock_ahead_s = 100.0
         self.names_era = names_era
         self.version = 0
         self.oldest = 0
@@ -105,7 +107,8 @@
 
     def _view(self, values):
         era = self.era if self.names_era else NO_ERA
-        return TableView(values, self.version, clocks.now_s(), era=era)
+        store_s = clocks.now_s() + self.clock_ahead_s
+        return TableView(values, self.version, store_s, era=era)
 
 
 class RestorableRegion:
@@ -118,17 +121,24 @@
         )
         self.caches = {name: TableCache() for name in self.directories}
         self.rows = {name: {} for name in self.directories}
+        self.freshness = {name: Freshness(limit_s=10.0) for name in self.directories}
         self._tasks = [asyncio.create_task(self._follow(n)) for n in self.directories]
 
     async def _follow(self, name):
+        clock = StoreClock()
         await TableFollower(
             TABLE,
             source=RelayedTables(
-                self.store, Peers(self, name), self.directories[name], bound_s=BOUND_S
+                self.store,
+                Peers(self, name),
+                self.directories[name],
+                bound_s=BOUND_S,
+                clock=clock,
+                rng=random.Random(name),
             ),
             settings=StoreSection("127.0.0.1:1"),
-            clock=StoreClock(),
-            freshness=Freshness(limit_s=10.0),
+            clock=clock,
+            freshness=self.freshness[name],
             take=lambda view, is_whole: self._take(name, view, is_whole),
             returned=lambda: None,
             rng=random.Random(name),
@@ -149,6 +159,11 @@
         present = self.store.present()
         return {name for name, rows in self.rows.items() if rows != present}
 
+    def proof_ages_s(self):
+        """Return the ages of every instance's newest proof."""
+        now_s = clocks.now_s()
+        return [one.age_s(now_s=now_s) for one in self.freshness.values()]
+
     async def all_know(self, within_s):
         """Wait until every instance has the store's rows."""
         async with asyncio.timeout(within_s):
--- a/tests/test_store_restored.py
+++ b/tests/test_store_restored.py
@@ -54,6 +54,54 @@
         store.write("s2", b"ready 2")
         await region.all_know(BOUND_S + SLACK_S)
 
+    @pytest.mark.parametrize("step_s", [-50.0, 0.0, 50.0])
+    async def test_clock_of_a_restored_store_spoils_proofs(self, region, step_s):
+        """Proofs are as old as they are, whatever time the restored store shows."""
+        store = region.store
+        copy = store.copy()
+        store.write("s3", b"ready 1")
+        await region.all_know(BOUND_S)
+        store.restore(copy)
+        store.clock_ahead_s += step_s
+        await region.all_know(BOUND_S + SLACK_S)
+        await asyncio.sleep(BOUND_S)
+        assert max(region.proof_ages_s()) <= BOUND_S
+        store.is_away = True
+        await asyncio.sleep(2.0)
+        assert min(region.proof_ages_s()) >= 1.0
+
+
+class TestHerd:
+    @pytest.mark.parametrize("count", [8, 72, 350])
+    async def test_restored_store_is_read_by_all_at_once(self, count):
+        """Each instance reads at most once more, and 100 a second do together."""
+        store = RestorableStore()
+        store.write("s1", b"ready")
+        made = RestorableRegion(store, count=count)
+        await made.all_know(20.0)
+        copy = store.copy()
+        store.write("s1", b"ready 1")
+        await made.all_know(5.0)
+        store.calls.clear()
+        await asyncio.sleep(2.0)
+        steady_a_s = len(store.calls) / 2.0
+        store.calls.clear()
+        store.restore(copy)
+        await made.all_know(BOUND_S + SLACK_S)
+        await asyncio.sleep(1.5 + count / 60)
+        extra = len(store.calls) - steady_a_s * (store.calls[-1] - store.calls[0])
+        assert extra <= count + 20
+        assert most_in_a_second(store.calls) <= 100 + 2 * steady_a_s
+        await made.stop()
+
+
+def most_in_a_second(calls_s):
+    """Return how many calls fell into the busiest second."""
+    return max(
+        sum(1 for at_s in calls_s if start_s <= at_s < start_s + 1.0)
+        for start_s in calls_s
+    )
+
 
 def view(version, **values):
     """Return an answer of the store at its time `version` seconds."""
