Keep departures over a list that was restored from a copy

Callers: a request may reach a server that drains, where the copy lists it as ready, or one that has left; and find no server where the copy lists fewer.

Cause: a whole list replaced what was known, whatever was known to have happened since.

Change: a start of a server that drained stays draining. One that the copy lacks is used for 2.5 s more, as entries are written again within about two.

--- a/src/violethatch/_router.py
+++ b/src/violethatch/_router.py
@@ -154,7 +154,9 @@
         present, refused = self._decoded_servers(view)
         backends = self.routing.backends
         if is_whole:
-            change = backends.replace(present, refused=refused, now_s=now_s)
+            change = backends.replace(
+                present, refused=refused, is_restored=view.is_restored, now_s=now_s
+            )
         else:
             gone = [key for key, value in view.values.items() if value is None]
             change = backends.change(present, gone, refused=refused, now_s=now_s)
--- a/src/violethatch/backends.py
+++ b/src/violethatch/backends.py
@@ -10,6 +10,7 @@
 from typing import NamedTuple
 
 from ._listed import BackendServer
+from .departures import Departures
 from .server_starts import ServerStarts
 from .server_words import is_word_of, start_of_word
 
@@ -18,6 +19,7 @@
     "LAPSE_GRACE_S",
     "LAPSE_WINDOW_S",
     "LEAVING_S",
+    "REWRITE_GRACE_S",
     "BackendServer",
     "BackendTable",
     "ListChange",
@@ -36,6 +38,9 @@
 #: those of the largest fleet that is planned for (790).
 _MOST_SAID_LEAVING = 4_000
 LAPSE_GRACE_S = LEAVING_S * _LAPSE_PART
+#: How long a server stays listed that a restored store lacks, in seconds: entries are
+#: written again within about two.
+REWRITE_GRACE_S = 2.5
 
 
 class ListChange(NamedTuple):
@@ -75,6 +80,7 @@
         self._said_leaving: dict[tuple[str, int], int] = {}
         self._leaving_since_s: dict[str, float] = {}
         self._store_returned_s: float | None = None
+        self._departures = Departures()
 
     def __len__(self) -> int:
         return len(self._servers)
@@ -111,11 +117,12 @@
             known = self._servers.get(entry.id)
             if not self._starts.admits(entry, known, now_s=now_s):
                 continue  # an earlier start's, which may have come late
+            self._departures.listed_again(entry.id)
             if known is not None and _is_new_start(known, entry):
                 restarted.append(known)
                 self._leaving_since_s.pop(entry.id, None)
                 self._carry_word(known, entry)
-            server = self._as_said(entry)
+            server = self._as_said(_still_leaving(known, entry))
             if known is None:
                 found.append(server.id)
             if server.is_leaving and not (known is not None and known.is_leaving):
@@ -123,7 +130,13 @@
             self._note_since(server, now_s=now_s)
             self._lapsed_until_s.pop(server.id, None)
             self._servers[server.id] = server
-        lost = [one for one in gone if self._remove(one, now_s=now_s)]
+        lost = []
+        for server_id in gone:
+            known = self._servers.get(server_id)
+            if known is not None:
+                self._departures.note(known, now_s=now_s)
+            if self._remove(server_id, now_s=now_s):
+                lost.append(server_id)
         lost += [one for one in refused if self._forget(one)]
         self.revision += 1
         return ListChange(tuple(found), tuple(lost), tuple(leaving), tuple(restarted))
@@ -174,12 +187,36 @@
         present: Sequence[BackendServer],
         *,
         refused: Collection[str] = (),
+        is_restored: bool = False,
         now_s: float,
     ) -> ListChange:
-        """Take the whole list in."""
+        """Take the whole list in.
+
+        Args:
+            present: The listed servers.
+            refused: The ids of entries that name no server to use.
+            is_restored: Whether the store was restored from a copy: its list undoes no
+                departure, and a server that it lacks may write again.
+            now_s: The current monotonic time, in seconds.
+        """
         gone = self._servers.keys() - {server.id for server in present} - {*refused}
+        if is_restored:
+            self._departures.restored(now_s=now_s)
+        present = [
+            one for one in present if not self._departures.is_undone(one, now_s=now_s)
+        ]
+        if is_restored:
+            gone = {one for one in gone if not self._await_rewrite(one, now_s=now_s)}
         return self.change(present, sorted(gone), refused=refused, now_s=now_s)
 
+    def _await_rewrite(self, server_id: str, *, now_s: float) -> bool:
+        """Keep a server that a copy lacks for a while; return whether it is kept."""
+        if self._servers[server_id].is_leaving:
+            return False
+        until_s = now_s + REWRITE_GRACE_S
+        self._lapsed_until_s.setdefault(server_id, until_s)
+        return True
+
     def expire(self, *, now_s: float) -> tuple[str, ...]:
         """Forget lapsed entries that did not come back; return their ids."""
         expired = tuple(
@@ -253,6 +290,16 @@
         return self._servers.pop(server_id, None) is not None
 
 
+def _still_leaving(known: BackendServer | None, entry: BackendServer) -> BackendServer:
+    """Return an entry as draining if that start of its server drained before.
+
+    A server that drains ends: only an older read lists the start as ready again.
+    """
+    if known is None or not known.is_leaving or _is_new_start(known, entry):
+        return entry
+    return entry._replace(is_leaving=True)
+
+
 def _is_new_start(known: BackendServer, server: BackendServer) -> bool:
     """Tell whether an entry is of another start than the one that is known."""
     return bool(known.born_ms and server.born_ms and known.born_ms != server.born_ms)
