Fence grants that a restored store has lost

Cause: a lease is judged by its row. A copy may lack a grant, so that its epoch is given out again; show a row that was resigned, or none, so that it is taken while its holder still gives orders; and give its version out again, so that a renewal meets another row.

Change: the row names the era it was written in. In a newer era every view of it is dropped: a holder goes on only if the copy has its latest renewal. A takeover of a row of an older era waits for a whole lease and leaves out 1000 epochs for each restore. A write that a newer era has answered gives no right.

--- a/src/violethatch/_placement_lease.py
+++ b/src/violethatch/_placement_lease.py
@@ -13,6 +13,7 @@
 from .leases import Lease
 from .ports import AnswerLostError, Put, Row
 from .router_settings import RouterPolicySection
+from .store_era import StoreEra
 
 
 _JOB = "placement"
@@ -61,6 +62,7 @@
         holder: Names this process's lifetime.
         policy: The lease's duration and margin.
         rng: Spreads tries of many instances.
+        era: The store's era; in a newer one the lease has to be seen again.
     """
 
     def __init__(
@@ -70,6 +72,7 @@
         holder: str,
         policy: RouterPolicySection,
         rng: random.Random,
+        era: StoreEra | None = None,
     ) -> None:
         self._store = store
         self._rng = rng
@@ -80,6 +83,8 @@
             margin_s=policy.lease_margin_s,
         )
         self._next_try_s = 0.0
+        self._era = era or StoreEra()
+        self._era.on_restore(self._note_restored)
 
     def take_policy(self, policy: RouterPolicySection) -> None:
         """Take changed times in; a lease that is held keeps its row's."""
@@ -114,6 +119,7 @@
         await asyncio.sleep(self._rng.uniform(0.0, _SPREAD_S))
         sent_s = clocks.now_s()
         row = await self._store.read_row(self._lease.row_key)
+        self._lease.era = self._era.current
         self._lease.observe(row, now_s=sent_s)
         self._delay_try()
         return await self._write(self._lease.wanted_write(now_s=sent_s), sent_s)
@@ -140,6 +146,7 @@
         """Write the lease's row; tell whether the lease is held."""
         if put is None:
             return False
+        era = self._era.current
         try:
             write = await self._store.write_row(put)
         except AnswerLostError as error:
@@ -147,7 +154,8 @@
             _log_unreachable(str(error))
             self._next_try_s = 0.0
             return False
-        if not write.is_written:
+        # In another era the condition may have met a version that was given out again.
+        if not write.is_written or self._era.current != era:
             return False
         is_new = not self._lease.is_confirmed
         self._lease.written(put, sent_s=sent_s, version=write.version)
@@ -156,6 +164,12 @@
             events.log(events.LEASE_WON, job=_JOB, epoch=epoch)
         return True
 
+    def _note_restored(self) -> None:
+        """Have the lease seen again, now that the store was restored from a copy."""
+        if self._lease.is_confirmed:
+            events.log(events.LEASE_LOST, job=_JOB, reason="store restored from a copy")
+        self._lease.restored(self._era.current)
+
     def _delay_try(self) -> None:
         """Leave the lease alone for a while."""
         pause_s = _TRY_PAUSE_S * self._rng.uniform(*_PAUSE_PARTS)
--- a/src/violethatch/_placing.py
+++ b/src/violethatch/_placing.py
@@ -25,6 +25,7 @@
 from .layers import LayerRange
 from .placement import Host
 from .router_settings import RouterPolicySection
+from .store_era import StoreEra
 from .upstream import KeptBackError
 
 
@@ -78,6 +79,7 @@
         holder: Names this process's lifetime.
         rng: Spreads tries of many instances.
         directory: Says whose turn it is to plan; without it, everybody's.
+        era: The store's era, for the lease.
     """
 
     def __init__(
@@ -88,11 +90,12 @@
         holder: str,
         rng: random.Random,
         directory: InstanceDirectory | None = None,
+        era: StoreEra | None = None,
     ) -> None:
         self._routing = routing
         self.desired: DesiredState | None = None
         self._lease = PlacementLease(
-            store, holder=holder, policy=routing.settings.policy, rng=rng
+            store, holder=holder, policy=routing.settings.policy, rng=rng, era=era
         )
         self._plans = PlacementPlans(directory)
         self._watches: defaultdict[str, FleetWatch] = defaultdict(FleetWatch)
--- a/src/violethatch/leases.py
+++ b/src/violethatch/leases.py
@@ -7,30 +7,39 @@
 duration, and the holder stops a margin earlier, counted from before it sent
 the write that renewed it.
 
+A store that is restored from a copy may have lost grants.  The row names the store's
+era in which it was written; an observer that takes over a row of an older era waits for
+as long as a lost grant may last, and leaves out more epochs than can have been lost.
+
 .. versionadded:: 26.1.0
 """
 
 from __future__ import annotations
 
 from collections.abc import Mapping
-from typing import Annotated, Any, TypedDict, cast
+from typing import Annotated, Any, NotRequired, TypedDict, cast
 
 import msgspec
 
 from .ports import ABSENT, Put, Row
+from .store_era import NO_ERA
 
 
 #: No lease lasts longer, in seconds; a row that says so is no lease.
 _LONGEST_S = 600.0
+#: The epochs left out for each restore of the store, more than its copy can be behind:
+#: a grant takes some tenths of a second, and a copy is some seconds old.
+EPOCHS_A_RESTORE = 1000
 
 
 class LeaseValue(TypedDict):
-    """The value of a lease's row."""
+    """The value of a lease's row; `era` stands in it where the store names one."""
 
     holder: str
     epoch: int
     renewal: int
     duration_s: float
+    era: NotRequired[int]
 
 
 class _LeaseShape(msgspec.Struct):
@@ -40,6 +49,7 @@
     epoch: Annotated[int, msgspec.Meta(ge=0, lt=2**53)]
     renewal: Annotated[int, msgspec.Meta(ge=0, lt=2**53)]
     duration_s: Annotated[float, msgspec.Meta(ge=0)]
+    era: Annotated[int, msgspec.Meta(ge=0, lt=2**40)] = 0
 
 
 class Lease:
@@ -57,9 +67,11 @@
     __slots__ = (
         "_asked",
         "_confirmed_s",
+        "_is_restored",
         "_row",
         "_seen_s",
         "duration_s",
+        "era",
         "holder",
         "margin_s",
         "row_key",
@@ -75,12 +87,28 @@
         self.holder = holder
         self.duration_s = duration_s
         self.margin_s = margin_s
+        #: The store's era; set before a row of it is observed.
+        self.era = NO_ERA
+        self._is_restored = False
         self._row = Row(row_key, ABSENT, {})
         self._seen_s: float | None = None
         self._confirmed_s: float | None = None
         #: The latest write that was wanted, and when.
         self._asked: tuple[Put, float] | None = None
 
+    def restored(self, era: int) -> None:
+        """Forget what was seen before the store was restored from a copy.
+
+        The lease is held on if the copy has the latest renewal, which the next row
+        shows.
+        """
+        self.era = era
+        self._is_restored = True
+        if self._confirmed_s is not None:
+            renewal = Put(self.row_key, dict(self._row.value), ABSENT)
+            self._asked = (renewal, self._confirmed_s)
+        self._confirmed_s = self._seen_s = None
+
     def observe(self, row: Row | None, *, now_s: float) -> None:
         """Take note of the row as it was read at *now_s*.
 
@@ -125,14 +153,29 @@
         if self._seen_s is None:
             return None
         row = self._row
-        if row.version == ABSENT:
-            return self._put(epoch=1, renewal=0)
         if self.held_epoch(now_s=now_s) is not None:
             renewal = int(row.value["renewal"]) + 1
             return self._put(epoch=int(row.value["epoch"]), renewal=renewal)
-        if now_s - self._seen_s >= float(row.value["duration_s"]):
-            return self._put(epoch=int(row.value["epoch"]) + 1, renewal=0)
-        return None
+        if now_s - self._seen_s < self._wait_s():
+            return None
+        epoch = 0 if row.version == ABSENT else int(row.value["epoch"])
+        return self._put(epoch=epoch + self._lost_epochs() + 1, renewal=0)
+
+    def _wait_s(self) -> float:
+        """Return for how long the row has to stay as it is before a takeover."""
+        if self._row.version == ABSENT:
+            return self.duration_s if self._is_restored else 0.0
+        duration_s = float(self._row.value["duration_s"])
+        is_older = self._row_era() < self.era
+        return max(duration_s, self.duration_s) if is_older else duration_s
+
+    def _lost_epochs(self) -> int:
+        """Return how many epochs to leave out for grants that a restore has lost."""
+        return EPOCHS_A_RESTORE * max(0, self.era - max(0, self._row_era()))
+
+    def _row_era(self) -> int:
+        """Return the store's era in which the row was written, if it tells."""
+        return int(self._row.value.get("era", NO_ERA))
 
     def written(self, put: Put, *, sent_s: float, version: int | None = None) -> None:
         """Note that *put*, sent at *sent_s*, has taken effect.
@@ -185,6 +228,8 @@
             renewal=renewal,
             duration_s=self.duration_s,
         )
+        if self.era != NO_ERA:
+            value["era"] = self.era
         return Put(self.row_key, cast("dict[str, Any]", value), self._row.version)
 
 
--- a/src/violethatch/platform/_parts.py
+++ b/src/violethatch/platform/_parts.py
@@ -69,6 +69,7 @@
         holder=f"{settings.instance.id}/{secrets.token_hex(4)}",
         rng=rng,
         directory=directory,
+        era=era,
     )
     following = Following(
         settings,
