Write again the entries of instances that a restored store has lost

An instance whose entry is lost is not counted by others for up to ten minutes: its loads, limits and retries, and whom it follows. One that left comes back with the copy for half an hour: others follow it, wait and go elsewhere, every five seconds.

Change: an instance that reads that its entry is gone, or is an earlier process's, writes it again within two seconds, or at 50 instances a second. Entries that a copy lacks are kept; those that were removed are not asked, and removed with the next write.

--- a/src/violethatch/_registration.py
+++ b/src/violethatch/_registration.py
@@ -4,8 +4,11 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import random
 
+from collections.abc import Mapping
+
 import msgspec
 
 from . import clocks, events
@@ -29,6 +32,10 @@
 #: doubles it, so that many instances don't press a store that refuses them.
 _RETRY_S = 3.0
 _LONGEST_RETRY_S = 30.0
+#: The entries a second that all instances together write again after the store has lost
+#: them, and the shortest time over which they are spread, in seconds.
+_REWRITES_A_S = 50.0
+_MIN_REWRITE_SPREAD_S = 2.0
 #: Between which parts of a wait is drawn, so that instances don't write all at once.
 _WAIT_PARTS = (0.7, 1.3)
 #: The most old entries that one write removes (the store takes 100 in one).
@@ -61,15 +68,31 @@
         self._held = held
         self._rng = rng
         self._retry_s = _RETRY_S
+        self._written: InstanceEntry | None = None
+        #: Set when the store has lost the entry.
+        self._is_lost = asyncio.Event()
+        self._is_leaving = False
 
     async def run(self) -> None:
         """Keep the entry, until cancelled."""
-        while True:
+        while not self._is_leaving:
             pause_s = await self._step()
-            await asyncio.sleep(pause_s * self._rng.uniform(*_WAIT_PARTS))
+            await self._pause(pause_s * self._rng.uniform(*_WAIT_PARTS))
+
+    async def _pause(self, pause_s: float) -> None:
+        """Wait, or until some moment after the store has lost the entry."""
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(pause_s):
+                await self._is_lost.wait()
+        if not self._is_lost.is_set():
+            return
+        spread_s = max(_MIN_REWRITE_SPREAD_S, len(self._directory) / _REWRITES_A_S)
+        await asyncio.sleep(self._rng.uniform(0.0, spread_s))
+        self._is_lost.clear()
 
     async def remove(self) -> None:
         """Take the entry away: others then ask elsewhere at once."""
+        self._is_leaving = True
         try:
             own_id = self._directory.own.id
             await self._store.write_entries(INSTANCES_TABLE, {}, [own_id])
@@ -89,12 +112,31 @@
         }
         if not entries and not is_whole:
             return
-        self._directory.take(entries, is_whole=is_whole)
+        self._directory.take(entries, is_whole=is_whole, is_restored=view.is_restored)
+        self._note_lost(entries, is_whole)
         events.log(events.INSTANCES_KNOWN, count=len(self._directory))
 
+    def _note_lost(
+        self, entries: Mapping[str, InstanceEntry | None], is_whole: bool
+    ) -> None:
+        """Have the entry written again if the store has lost it."""
+        own_id = self._directory.own.id
+        written = self._written
+        if written is None or self._is_leaving:
+            return
+        if own_id not in entries and not is_whole:
+            return
+        entry = entries.get(own_id)
+        if entry is not None and (
+            entry.token == written.token or entry.written_s >= written.written_s
+        ):
+            return
+        events.log(events.ENTRY_LOST, id=own_id)
+        self._is_lost.set()
+
     async def _step(self) -> float:
         """Write the entry if it can be dated; return when to go on, in seconds."""
-        if not self._clock.is_known:
+        if self._is_leaving or not self._clock.is_known:
             return _CLOCK_LOOK_S
         if await self._write():
             self._retry_s = _RETRY_S
@@ -117,6 +159,7 @@
         except (TableUnavailableError, AnswerLostError) as error:
             events.log(events.ENTRY_UNWRITTEN, reason=str(error))
             return False
+        self._written = entry
         return True
 
 
--- a/src/violethatch/instances.py
+++ b/src/violethatch/instances.py
@@ -47,6 +47,8 @@
 #: After how long an entry that was not renewed counts no more, in seconds.
 ENTRY_LIFE_S = 1800.0
 
+#: The removed entries that are remembered, the latest ones: a region's, three times.
+_MAX_REMOVED = 1_000
 #: How many instances of a zone are asked at least when the store can't be.
 _HELPERS_A_ZONE = 2
 #: Keys the rendezvous hash that ranks the readers.
@@ -104,6 +106,10 @@
         #: Grows whenever entries were taken in.
         self.revision = 0
         self._entries: dict[str, InstanceEntry] = {}
+        #: The latest entries that were removed, and those that a copy of the store has
+        #: all the same.
+        self._removed: dict[str, InstanceEntry] = {}
+        self._undone: set[str] = set()
         self._down_until_s: dict[str, float] = {}
         self._away_until_s: dict[str, float] = {}
         self._ranks_known: _Ranks | None = None
@@ -115,30 +121,64 @@
         return len(self._entries)
 
     def take(
-        self, entries: Mapping[str, InstanceEntry | None], *, is_whole: bool
+        self,
+        entries: Mapping[str, InstanceEntry | None],
+        *,
+        is_whole: bool,
+        is_restored: bool = False,
     ) -> None:
         """Take entries in.
 
         Args:
             entries: By id, an entry, or None where it is gone.
             is_whole: Whether these are all entries.
+            is_restored: Whether the store was restored from a copy: entries that it
+                lacks are written again, and those that were removed stay so.
         """
         self.revision += 1
         if is_whole:
-            self._entries.clear()
+            self._undone = {one for one in entries if self._is_undone(entries[one])}
+        else:
+            self._undone -= entries.keys()
+        if is_whole and not is_restored:
+            for instance_id in self._entries.keys() - entries.keys():
+                self._remove(instance_id)
         for instance_id, entry in entries.items():
+            if instance_id in self._undone:
+                continue
             if entry is None:
-                self._entries.pop(instance_id, None)
+                self._remove(instance_id)
             else:
+                self._removed.pop(instance_id, None)
                 self._entries[instance_id] = entry
 
+    def _is_undone(self, entry: InstanceEntry | None) -> bool:
+        """Return whether an entry is one that was removed, or an earlier one."""
+        removed = self._removed.get(entry.id) if entry is not None else None
+        if entry is None or removed is None or entry.token != removed.token:
+            return False
+        return entry.written_s <= removed.written_s
+
+    def _remove(self, instance_id: str) -> None:
+        """Remove an entry, and remember it for a copy that may still have it."""
+        entry = self._entries.pop(instance_id, None)
+        if entry is None:
+            return
+        self._removed[instance_id] = entry
+        while len(self._removed) > _MAX_REMOVED:
+            del self._removed[next(iter(self._removed))]
+
     def expired(self, *, store_s: float) -> list[str]:
-        """Return the ids of entries that were not renewed for long."""
-        return [
+        """Return the ids of entries to remove from the store.
+
+        They were not renewed for long, or a copy of the store has brought them back.
+        """
+        old = [
             entry.id
             for entry in self._entries.values()
             if entry.id != self.own.id and store_s - entry.written_s > ENTRY_LIFE_S
         ]
+        return old + sorted(self._undone - {self.own.id})
 
     def note_down(self, instance_id: str, *, now_s: float) -> None:
         """Note that an instance gave no answer."""
--- a/tests/test_registration.py
+++ b/tests/test_registration.py
@@ -3,6 +3,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import random
 
 import msgspec
@@ -100,3 +101,64 @@
         entries = {one: msgspec.json.encode(entry(one)) for one in ("i1", "i3")}
         made.take(TableView(entries | row, 2, 0.0), True)
         assert sorted(one.id for one in directory.others()) == ["i3"]
+
+
+class TestRestoredStore:
+    def made(self):
+        """Return a registration that has written its entry, and what it is."""
+        store = FakeStore()
+        directory = directories([entry("i1"), entry("i2")])["i1"]
+        return registration(store, directory, store_s=50.0), store, directory
+
+    async def rewritten(self, made, store):
+        """Return the rows that are written after a view, within two and a half s."""
+        store.writes.clear()
+        task = asyncio.create_task(made.run())
+        await asyncio.sleep(2.5)
+        task.cancel()
+        return [set(put) for _, put, _ in store.writes]
+
+    async def test_copy_without_the_own_entry_hides_the_instance(self):
+        """An entry that the store has lost is written again, once."""
+        made, store, directory = self.made()
+        assert await made._write()
+        made._note_lost({"i2": entry("i2")}, True)
+        assert await self.rewritten(made, store) == [{"i1"}, {"i1"}]
+        assert len(directory) == 2
+
+    async def test_copy_with_an_earlier_process_under_the_id(self):
+        """The entry of the process before is replaced, that of a later one is not."""
+        made, _, _ = self.made()
+        assert await made._write()
+        earlier = entry("i1", written_s=1.0)._replace(token="earlier")
+        later = entry("i1", written_s=1e6)._replace(token="later")
+        made._note_lost({"i1": later}, False)
+        assert not made._is_lost.is_set()
+        made._note_lost({"i1": earlier}, False)
+        assert made._is_lost.is_set()
+
+    async def test_instance_that_leaves_writes_itself_again(self):
+        """Its own removal is no loss."""
+        made, store, _ = self.made()
+        assert await made._write()
+        await made.remove()
+        made.take(TableView({"i1": None}, 2, 1.0), False)
+        assert await self.rewritten(made, store) == []
+
+    def test_copy_lacks_instances(self):
+        """They are known until they have written their entries again."""
+        directory = directories([entry("i1"), entry("i2"), entry("i3")])["i1"]
+        directory.take({"i1": entry("i1")}, is_whole=True, is_restored=True)
+        assert sorted(one.id for one in directory.others()) == ["i2", "i3"]
+
+    def test_copy_brings_back_an_instance_that_left(self):
+        """It is not asked, and its entry is removed; a new process is known."""
+        directory = directories([entry("i1"), entry("i2")])["i1"]
+        directory.take({"i2": None}, is_whole=False)
+        copy = {"i1": entry("i1"), "i2": entry("i2")}
+        directory.take(copy, is_whole=True, is_restored=True)
+        assert directory.others() == []
+        assert directory.expired(store_s=1.0) == ["i2"]
+        directory.take({"i2": entry("i2")._replace(token="new")}, is_whole=False)
+        assert [one.id for one in directory.others()] == ["i2"]
+        assert directory.expired(store_s=1.0) == []
