Write again held works that a restored store has lost

A work that ends servers would be let through by instances that start after the restore, and one that was cleared would be held back again.

Change: an instance that has written or removed a held work's row does so again where a restored store's table shows otherwise, if that still holds, at the pace of other writes.

--- a/src/violethatch/_held_rows.py
+++ b/src/violethatch/_held_rows.py
@@ -85,6 +85,9 @@
         #: Works whose rows have to be written, or removed.
         self._waiting: dict[str, None] = {}
         self._has_work = asyncio.Event()
+        #: Works whose rows were written here, the latest ones, and whether they were
+        #: held back then.
+        self._written: dict[str, bool] = {}
         #: By key, until when each known row counts, by the store's clock.
         self._until_store_s: dict[str, float] = {}
 
@@ -107,8 +110,26 @@
             await asyncio.sleep(retry_s)
             retry_s = min(_LONGEST_RETRY_S, 2 * retry_s)
 
-    def take(self, values: Mapping[str, bytes | None], *, now_s: float) -> None:
-        """Take rows in; one that can't be understood holds nothing back."""
+    def take(
+        self,
+        values: Mapping[str, bytes | None],
+        *,
+        is_restored: bool = False,
+        now_s: float,
+    ) -> None:
+        """Take rows in; one that can't be understood holds nothing back.
+
+        Args:
+            values: By key, a row, or None where it is gone.
+            is_restored: Whether these are all rows of a store that was restored from a
+                copy: what was written here and is lost is written again.
+            now_s: The current monotonic time, in seconds.
+        """
+        if is_restored:
+            lost = self._lost(values)
+            values = {key: values[key] for key in values.keys() - lost}
+            for key in sorted(lost):
+                self.keep(key.removeprefix(HELD_PREFIX))
         for key, value in values.items():
             if value is None:
                 self._until_store_s.pop(key, None)
@@ -116,6 +137,11 @@
             else:
                 self._take_row(key, value, now_s)
 
+    def _lost(self, values: Mapping[str, bytes | None]) -> set[str]:
+        """Return the keys whose rows are not as they were written here."""
+        keys = {HELD_PREFIX + work: is_held for work, is_held in self._written.items()}
+        return {key for key, is_held in keys.items() if (key in values) != is_held}
+
     def expired(self, *, store_s: float) -> list[str]:
         """Return the keys of rows that count no more."""
         return [
@@ -154,10 +180,18 @@
             return False
         for work in works:
             self._waiting.pop(work, None)
+            self._note_written(work, is_held=rows[HELD_PREFIX + work] is not None)
         if not self._waiting:
             self._has_work.clear()
         return True
 
+    def _note_written(self, work: str, *, is_held: bool) -> None:
+        """Remember what was written of a work."""
+        self._written.pop(work, None)
+        self._written[work] = is_held
+        while len(self._written) > _MOST_WAITING:
+            del self._written[next(iter(self._written))]
+
     def _row(self, work: str, store_s: float) -> bytes | None:
         """Return a work's row, or None if it is not held back."""
         hold = self._suspects.hold(work, now_s=clocks.now_s())
--- a/src/violethatch/_registration.py
+++ b/src/violethatch/_registration.py
@@ -104,7 +104,7 @@
         """Take others' entries in, and the works that are held back."""
         is_held = {key: key.startswith(HELD_PREFIX) for key in view.values}
         rows = {key: value for key, value in view.values.items() if is_held[key]}
-        self._held.take(rows, now_s=clocks.now_s())
+        self._held.take(rows, is_restored=view.is_restored, now_s=clocks.now_s())
         entries = {
             instance_id: _entry(instance_id, value)
             for instance_id, value in view.values.items()
--- a/tests/test_held_rows.py
+++ b/tests/test_held_rows.py
@@ -116,3 +116,28 @@
         held_rows(suspects).take({KEY: b"[3,1e300,[]]"}, now_s=0.0)
         assert suspects.hold(WORK, now_s=HELD_LIFE_S - 1) is not None
         assert suspects.hold(WORK, now_s=HELD_LIFE_S) is None
+
+    async def test_copy_without_the_row_lets_the_work_through(self):
+        """What a restored store has lost is written again where it was written."""
+        store = FakeStore()
+        rows = held_rows(held(), store=store)
+        rows.keep(WORK)
+        await written(rows, store)
+        rows.take({}, is_restored=True, now_s=clocks.now_s())
+        writes = await written(rows, store, count=2)
+        assert [set(put) for _, put, _ in writes] == [{KEY}, {KEY}]
+
+    async def test_copy_with_a_removed_row_holds_the_work_back(self):
+        """It is removed again, and holds nothing back here."""
+        store = FakeStore()
+        suspects = held()
+        rows = held_rows(suspects, store=store)
+        rows.keep(WORK)
+        await written(rows, store)
+        ((_, copy, _),) = store.writes
+        suspects.clear(WORK)
+        rows.keep(WORK)
+        await written(rows, store, count=2)
+        rows.take(copy, is_restored=True, now_s=clocks.now_s())
+        assert not suspects
+        assert (await written(rows, store, count=3))[-1] == ("t", {}, [KEY])
