Ask the store itself for the changes after a whole read

The question that makes a whole read count followed an instance that waits for its own next proof. It goes to the store now, and tries that come to nothing follow each other at the first pause, as the store does answer.

--- a/src/violethatch/_followers.py
+++ b/src/violethatch/_followers.py
@@ -102,12 +102,17 @@
                 await asyncio.sleep(self._retry_pause_s())
 
     async def _note_history_gone(self) -> None:
-        """Have the whole table read; pause if that was tried just now."""
+        """Have the whole table read; pause if that was tried just now.
+
+        The store answers, so that the pause does not grow as it does for one that is
+        unavailable.
+        """
         events.log(events.HISTORY_GONE, table=self.table, after=self._version)
         was_tried = self._version is None
         self._version = None
         if was_tried:
-            await asyncio.sleep(self._retry_pause_s())
+            pause_s = self.settings.retry_pause_s
+            await asyncio.sleep(pause_s * self._rng.uniform(*_PAUSE_PARTS))
 
     def _retry_pause_s(self) -> float:
         """Return how long to wait after a read that came to nothing, in seconds."""
@@ -176,7 +181,7 @@
         if view.is_relayed or self._cache.version == NEVER:
             return view
         later = await self._source.read_changes(
-            self.table, after=view.version, wait_s=0.0, era=view.era
+            self.table, after=view.version, wait_s=0.0, era=view.era, is_direct=True
         )
         if later.is_whole:
             return later
--- a/src/violethatch/platform/_store.py
+++ b/src/violethatch/platform/_store.py
@@ -107,7 +107,13 @@
             start = page.rows[-1].key + "\0"
 
     async def read_changes(
-        self, table: str, *, after: int, wait_s: float, era: int = NO_ERA
+        self,
+        table: str,
+        *,
+        after: int,
+        wait_s: float,
+        era: int = NO_ERA,
+        is_direct: bool = True,
     ) -> TableView:
         """Return changes as soon as there are any, or none after *wait_s*.
 
--- a/src/violethatch/relayed_tables.py
+++ b/src/violethatch/relayed_tables.py
@@ -185,7 +185,13 @@
             return view
 
     async def read_changes(
-        self, table: str, *, after: int, wait_s: float, era: int = NO_ERA
+        self,
+        table: str,
+        *,
+        after: int,
+        wait_s: float,
+        era: int = NO_ERA,
+        is_direct: bool = False,
     ) -> TableView:
         """Return changes as soon as there are any, or a newer proof.
 
@@ -194,6 +200,8 @@
             TableUnavailableError: Neither the store nor any instance answers.
         """
         position = Position(era, after)
+        if is_direct:
+            return await self._read_store(table, after=position, wait_s=wait_s)
         if self._is_clock_due:
             wait_s = 0.0
         elif self._may_follow(table):
--- a/src/violethatch/upstream.py
+++ b/src/violethatch/upstream.py
@@ -477,7 +477,13 @@
         """
 
     async def read_changes(
-        self, table: str, *, after: int, wait_s: float, era: int = NO_ERA
+        self,
+        table: str,
+        *,
+        after: int,
+        wait_s: float,
+        era: int = NO_ERA,
+        is_direct: bool = False,
     ) -> TableView:
         """Return changes as soon as there are any, or none after *wait_s*.
 
@@ -486,6 +492,7 @@
             after: The version that is known.
             wait_s: How long the answer may wait for a change, in seconds.
             era: The store's era that *after* belongs to.
+            is_direct: Whether to ask the store itself before any instance.
 
         Raises:
             HistoryGoneError: Changes since *after* can't be had any more.
