Test a restored store that names no era too

A draining reaches every instance where the version fell; a version that was overtaken before the next read, and a clock that was set back, can't be told without the era.

--- a/tests/test_store_restored.py
+++ b/tests/test_store_restored.py
@@ -16,9 +16,15 @@
 
 
 @pytest.fixture
-async def region():
+def names_era():
+    """Tell whether the store names its era."""
+    return True
+
+
+@pytest.fixture
+async def region(names_era):
     """Provide a large region whose instances have read the table."""
-    store = RestorableStore()
+    store = RestorableStore(names_era=names_era)
     for server in ("s1", "s2", "s3"):
         store.write(server, b"ready")
     made = RestorableRegion(store, count=40)
@@ -29,6 +35,7 @@
 
 
 class TestRegion:
+    @pytest.mark.parametrize("names_era", [True, False])
     async def test_draining_after_a_restore_reaches_no_follower(self, region):
         """Changes at versions that were given out before reach every instance."""
         store = region.store
