Add a soak of a store that goes back, and fix what it found

The soak replays 24 instances in virtual time over a store that is restored, forgets its history, reads behind and is unavailable, with instances cut off. It checks that a proof holds for the rows at that time, and that changes come within 2 s. A store that names no era, restored and past its old version again before the next read, can't be told by versions: after a read that came to nothing the next one reads the whole table then, and who knows less than its reader's latest whole read gets the whole table too. A proof by a clock that is not mapped yet may lie in the future: it counts no more, where it counted as just now.

--- a/src/violethatch/_followers.py
+++ b/src/violethatch/_followers.py
@@ -209,7 +209,9 @@
             self._take(view, is_whole)
         if self._clock.is_known:
             proven_s = self._clock.earliest_local_s(view.store_s)
-            self._freshness.proven(min(proven_s, clocks.now_s()))
+            # A time to come shows that a restored store's clock is not mapped yet.
+            if proven_s <= clocks.now_s():
+                self._freshness.proven(proven_s)
 
     def _log_read(self, view: TableView) -> None:
         """Log that the whole table was read."""
--- a/src/violethatch/relayed_tables.py
+++ b/src/violethatch/relayed_tables.py
@@ -20,7 +20,7 @@
 from .instances import InstanceDirectory, InstanceEntry
 from .store_era import NO_ERA, Position, ProofTime, StoreEra
 from .table_cache import NEVER
-from .upstream import TableSource, TableView
+from .upstream import HistoryGoneError, TableSource, TableView
 
 
 #: The bound on how late a change may be in force that is assumed unless a site
@@ -164,6 +164,8 @@
         self._known: dict[str, ProofTime] = {}
         self._sources: dict[str, str] = {}
         self._store_rests_until_s = 0.0
+        #: Tables whose latest read of the store came to nothing.
+        self._interrupted: set[str] = set()
         #: Unproven tables whose changes were read from the store once.
         self._confirmed: set[str] = set()
 
@@ -303,6 +305,7 @@
         """
         view = await self._ask_helpers(table, after=after, wait_s=0.0)
         if view is None:
+            self._interrupted.add(table)
             msg = "the store refuses those who read for this instance"
             raise TableUnavailableError(msg)
         return view
@@ -343,6 +346,7 @@
                 table, after=after.version, wait_s=wait_s, era=after.era
             )
         except TableUnavailableError as error:
+            self._interrupted.add(table)
             helped = await self._ask_helpers(table, after=after, wait_s=0.0)
             if helped is None:
                 raise
@@ -350,6 +354,11 @@
             self._note_source(table, "peers", error.detail)
             return helped
         self._note_source(table, "store", "reads it")
+        if table in self._interrupted:
+            self._interrupted.discard(table)
+            if view.era == NO_ERA:
+                # It may have been restored meanwhile, without a sign of that.
+                raise HistoryGoneError
         return self._noted(table, view)
 
     async def _ask_helpers(
--- a/src/violethatch/table_cache.py
+++ b/src/violethatch/table_cache.py
@@ -43,6 +43,8 @@
         self._values: dict[str, bytes] = {}
         self._position = Position(NO_ERA, NEVER)
         self._proof = ProofTime(NO_ERA, float(NEVER))
+        #: When the whole table was read that the changes go on from.
+        self._whole_since = ProofTime(NO_ERA, float(NEVER))
         self._returned_s: float | None = None
         self._changes: collections.deque[_Change] = collections.deque(
             maxlen=_MOST_CHANGES
@@ -63,6 +65,7 @@
         if is_whole:
             self._values.clear()
             self._changes.clear()
+            self._whole_since = view.proof
         elif view.version > self._position.version:
             self._changes.append(_Change(self._position.version, view))
         for key, value in view.values.items():
@@ -109,7 +112,7 @@
                     asked_era = self._position.era if era is None else era
                     known = ProofTime(asked_era, known_s)
                     if self._is_news(Position(asked_era, after), known):
-                        return self._since(Position(asked_era, after))
+                        return self._since(Position(asked_era, after), known)
                     await self._news.wait()
         except TimeoutError:
             return None
@@ -126,9 +129,11 @@
         self._news.set()
         self._news = asyncio.Event()
 
-    def _since(self, after: Position) -> TableView:
+    def _since(self, after: Position, known: ProofTime) -> TableView:
         """Return the changes after a position, or the whole table."""
-        changes = self._changes_since(after)
+        # A view from before the whole read may have rows that it has replaced.
+        is_replaced = known < self._whole_since
+        changes = None if is_replaced else self._changes_since(after)
         return TableView(
             dict(self._values) if changes is None else changes,
             self._position.version,
--- a/tests/restorable_store.py
+++ b/tests/restorable_store.py
@@ -24,6 +24,7 @@
 
 TABLE = "servers"
 BOUND_S = 2.0
+TIMEOUT_S = 0.8
 #: What a busy machine may add.
 SLACK_S = 0.4
 
@@ -48,8 +49,12 @@
         self.rows = {}
         self.calls = []
         self.is_away = False
-        #: Ids of instances that get no answer from others.
+        #: Ids of instances that get no answer, from others and from the store.
         self.cut = set()
+        #: Until when, and by how many seconds, whole reads are behind.
+        self.stale_until_s, self.behind_s = 0.0, 0.0
+        #: Each moment of a change, with the rows, the version and the era from then on.
+        self.timeline = []
         self.changed = asyncio.Event()
 
     def write(self, key, value):
@@ -62,6 +67,11 @@
         """Return a copy to restore from."""
         return Copy(dict(self.rows), self.version)
 
+    def forget_history(self):
+        """Know no changes from before now."""
+        self.oldest = self.version
+        self._wake()
+
     def restore(self, copy):
         """Start a new era from a copy."""
         self.rows, self.version = dict(copy.rows), copy.version
@@ -75,12 +85,21 @@
         return {key: value for key, (value, _) in rows if value is not None}
 
     def _wake(self):
+        now_s = clocks.now_s()
+        self.timeline.append((now_s, self.present(), self.version, self.era))
         self.changed.set()
         self.changed = asyncio.Event()
 
     async def read_table(self, table):
         self._called()
-        return self._view(self.present())
+        now_s = clocks.now_s()
+        if now_s >= self.stale_until_s:
+            return self._view(self.present())
+        # What a restore has undone can't be read any more, however late the read is.
+        own = [one for one in self.timeline if one[3] == self.era]
+        past = [one for one in own if one[0] <= now_s - self.behind_s]
+        _, rows, version, _ = past[-1] if past else own[0]
+        return self._view(rows)._replace(version=version)
 
     async def read_changes(self, table, *, after, wait_s, era=NO_ERA, is_direct=True):
         self._called()
@@ -111,6 +130,31 @@
         return TableView(values, self.version, store_s, era=era)
 
 
+class InstanceReads:
+    """One instance's way to the store."""
+
+    def __init__(self, store, instance_id):
+        self.store = store
+        self.id = instance_id
+
+    async def read_table(self, table):
+        await self._passed()
+        view = await self.store.read_table(table)
+        await self._passed()
+        return view
+
+    async def read_changes(self, table, **asked):
+        await self._passed()
+        view = await self.store.read_changes(table, **asked)
+        await self._passed()
+        return view
+
+    async def _passed(self):
+        if self.id in self.store.cut:
+            await asyncio.sleep(TIMEOUT_S)
+            raise TableUnavailableError("no answer")
+
+
 class RestorableRegion:
     """Instances of five zones that follow one table of a restorable store."""
 
@@ -129,7 +173,7 @@
         await TableFollower(
             TABLE,
             source=RelayedTables(
-                self.store,
+                InstanceReads(self.store, name),
                 Peers(self, name),
                 self.directories[name],
                 bound_s=BOUND_S,
