--- a/spec/check.sh
+++ b/spec/check.sh
@@ -74,4 +74,8 @@
 for mutant in AS_IT_COMES ANY_END LATER_SENT; do
   caught limits.pml "-D$mutant"
 done
+holds restores.pml ""
+for mutant in KEEP_VERSION NO_ERA NO_CONFIRM UNDO; do
+  caught restores.pml "-D$mutant"
+done
 rm -f pan pan.* ./*.trail _spin*
