Let the stand-in store be restored from a copy and read behind

It names its era, gives versions out again, refuses reads from versions that it doesn't have, and can answer whole reads from a copy. A router process in front of it keeps a draining and a removed key over the copy, with and without eras, finds a change behind a version that was passed again, and writes its entry anew.

--- a/src/violethatch_emulator/store.py
+++ b/src/violethatch_emulator/store.py
@@ -8,7 +8,7 @@
 import json
 import time
 
-from typing import Any
+from typing import Any, NamedTuple
 
 from aiohttp import web
 
@@ -16,10 +16,25 @@
 _PAGE_ROWS = 500
 
 
+class StoreCopy(NamedTuple):
+    """What a store has had at one moment."""
+
+    rows: dict[str, dict[str, tuple[bytes | None, int]]]
+    version: int
+
+
 class StoreStandIn:
-    """Keeps rows in memory; can be away, lose answers and forget history."""
+    """Keeps rows in memory; can be away, lose answers, forget history and go back.
 
-    def __init__(self) -> None:
+    Args:
+        names_era: Whether answers have the header `Store-Era`.
+    """
+
+    def __init__(self, *, names_era: bool = True) -> None:
+        self.names_era = names_era
+        self.era = 1
+        #: A copy that whole reads are answered from, while they are behind.
+        self.reads_behind: StoreCopy | None = None
         #: By table and key, the value and the version; None where it is gone.
         self.rows: dict[str, dict[str, tuple[bytes | None, int]]] = {}
         self.version = 0
@@ -51,10 +66,27 @@
         """Answer 410 to all who ask for changes since before now."""
         self._oldest = self.version
 
+    def copy(self) -> StoreCopy:
+        """Return a copy to be restored from."""
+        rows = {table: dict(one) for table, one in self.rows.items()}
+        return StoreCopy(rows, self.version)
+
+    def restore(self, copy: StoreCopy) -> None:
+        """Start a new era from a copy; what was written since is gone."""
+        self.rows = {table: dict(one) for table, one in copy.rows.items()}
+        self.version = copy.version
+        self.era += 1
+        self.forget_history()
+        self._wake()
+
     def _write(self, table: str, key: str, value: bytes | None) -> None:
         """Give a row its next version."""
         self.version += 1
         self.rows.setdefault(table, {})[key] = (value, self.version)
+        self._wake()
+
+    def _wake(self) -> None:
+        """Wake the reads that wait for changes."""
         self._changed.set()
         self._changed = asyncio.Event()
 
@@ -63,29 +95,37 @@
         """Count a call; refuse it if the store is away."""
         self.calls.append(request.path.rpartition("/")[2])
         if self.refuse_with:
-            return web.Response(status=self.refuse_with)
+            return self._named(web.Response(status=self.refuse_with))
         answer: web.StreamResponse = await handler(request)
+        return self._named(answer)
+
+    def _named(self, answer: web.StreamResponse) -> web.StreamResponse:
+        """Return an answer with the era's header."""
+        if self.names_era:
+            answer.headers["Store-Era"] = str(self.era)
         return answer
 
     async def _get(self, request: web.Request) -> web.Response:
         """Answer a table's rows in the order of their keys."""
         start = request.query.get("From", "")
         limit = int(request.query.get("limit", _PAGE_ROWS))
-        table = self.rows.get(request.query["table"], {})
+        name = request.query["table"]
+        content = self.reads_behind or StoreCopy(self.rows, self.version)
+        table = content.rows.get(name, {})
         keys = sorted(
             key for key, (value, _) in table.items() if key >= start and value
         )
-        rows = [self._row(request.query["table"], key) for key in keys[:limit]]
-        return self._answer(rows, more=len(keys) > limit)
+        rows = [_row(name, key, *table[key]) for key in keys[:limit]]
+        return self._answer(rows, more=len(keys) > limit, version=content.version)
 
     async def _feed(self, request: web.Request) -> web.Response:
         """Answer the rows changed since a version, as soon as there are any."""
         after = int(request.query["StartAfter"])
         table = request.query["table"]
         give_up_s = time.monotonic() + int(request.query["WaitMs"]) / 1000
-        if after < self._oldest:
-            return web.Response(status=410)
         while True:
+            if not self._oldest <= after <= self.version:
+                return web.Response(status=410)
             changed = self._changed
             versions = self.rows.get(table, {})
             keys = [key for key, (_, version) in versions.items() if version > after]
@@ -115,20 +155,29 @@
 
     def _row(self, table: str, key: str) -> dict[str, Any]:
         """Return a row as it is told."""
-        value, version = self.rows.get(table, {}).get(key, (None, 0))
-        row: dict[str, Any] = {"table": table, "part": "", "Key": key, "ver": version}
-        if value is None:
-            return row | {"gone": True}
-        return row | {"Value": base64.b64encode(value).decode()}
+        return _row(table, key, *self.rows.get(table, {}).get(key, (None, 0)))
 
     def _answer(
-        self, rows: list[dict[str, Any]], *, more: bool = False, status: int = 200
+        self,
+        rows: list[dict[str, Any]],
+        *,
+        more: bool = False,
+        status: int = 200,
+        version: int | None = None,
     ) -> web.Response:
         """Return an answer with the newest version and the store's clock."""
         body = {
             "Rows": rows,
             "more": more,
-            "ver": self.version,
+            "ver": self.version if version is None else version,
             "now_ms": int(time.monotonic() * 1000) + 7_000_000,
         }
         return web.json_response(body, status=status)
+
+
+def _row(table: str, key: str, value: bytes | None, version: int) -> dict[str, Any]:
+    """Return a row as it is told."""
+    row: dict[str, Any] = {"table": table, "part": "", "Key": key, "ver": version}
+    if value is None:
+        return row | {"gone": True}
+    return row | {"Value": base64.b64encode(value).decode()}
--- a/tests/test_platform_process.py
+++ b/tests/test_platform_process.py
@@ -272,6 +272,59 @@
         assert site.runners["i-1"].seen == []
 
 
+class TestRestoredStore:
+    @pytest.mark.parametrize("names_era", [True, False])
+    async def test_copy_undoes_a_draining_and_a_removed_key(self, site, names_era):
+        """What is known to have happened stands, whatever the copy says."""
+        site.store.names_era = names_era
+        await site.start()
+        copy = site.store.copy()
+        site.list_server("i-1", State="draining")
+        site.configure(version=2, keys=("k2",))
+        await site.wait_status(200, Authorization="Token k2")
+        site.store.restore(copy)
+        await asyncio.sleep(1.5)
+        site.runners["i-1"].seen.clear()
+        assert await site.status_of() == 401
+        for number in range(5):
+            key = {"Authorization": "Token k2"}
+            assert await site.status_of(call_id=f"c{number}", **key) == 200
+        assert site.runners["i-1"].seen == []
+
+    async def test_restore_that_no_read_failed_for_hides_a_change(self, site):
+        """A new key is known, though the store has passed its old version already."""
+        await site.start()
+        copy = site.store.copy()
+        site.list_server("i-1", Slots=95)
+        calls = len(site.store.calls)
+        async with asyncio.timeout(5):
+            while len(site.store.calls) < calls + 4:
+                await asyncio.sleep(0.02)
+        site.store.restore(copy)
+        site.configure(version=2, keys=("k2",))
+        site.list_server("i-1", Slots=94)
+        site.list_server("i-2", Slots=94)
+        await site.wait_status(200, Authorization="Token k2")
+        state = json.loads(await site.fetch("/state"))
+        assert state["tables"]["op"]["era"] == 2
+
+    async def test_lost_instance_is_written_again(self, site):
+        """Its entry is in the restored store again after some seconds."""
+        await site.start()
+        async with asyncio.timeout(10):
+            while not site.store.rows.get("violethatch_instances"):
+                await asyncio.sleep(0.02)
+        copy = site.store.copy()._replace(rows={})
+        site.store.restore(copy)
+        site.configure(version=2)
+        for name in site.runners:
+            site.list_server(name)
+        async with asyncio.timeout(10):
+            while not site.store.rows.get("violethatch_instances"):
+                await asyncio.sleep(0.02)
+        assert await site.status_of() == 200
+
+
 class TestDesiredState:
     async def test_change_is_in_force_soon(self, site):
         """A new version's key is taken, and the old one's refused."""
