Split waits and peers' interface from relayed tables, and call updates so

"News" of a table is an update in code and tests (NoUpdateError, TableCache.updates). Behaviour is unchanged.

--- a/spec/restores.pml
+++ b/spec/restores.pml
@@ -148,7 +148,7 @@
   od
 }
 
-/* table_cache.TableCache.news, and the follower that asks. */
+/* table_cache.TableCache.updates, and the follower that asks. */
 active proctype follower() {
   bool is_whole;
 
--- a/src/violethatch/_relay_http.py
+++ b/src/violethatch/_relay_http.py
@@ -24,7 +24,7 @@
 from ._decoding import decoded
 from ._serving import listen
 from .instances import InstanceEntry
-from .relayed_tables import NoNewsError, PeerAwayError, PeerSilentError
+from .peer_reads import NoUpdateError, PeerAwayError, PeerSilentError
 from .store_era import NO_ERA
 from .table_cache import TableCache
 from .upstream import TableView
@@ -33,11 +33,11 @@
 _TOKEN_HEADER = "Violethatch-Peer"
 _PATH = "/changes"
 _OK = 200
-_NO_NEWS = 204
+_NO_UPDATE = 204
 _AWAY = 503
 _BAD_REQUEST = 400
 _FORBIDDEN = 403
-#: The longest wait for news that is granted, in seconds.
+#: The longest wait for an update that is granted, in seconds.
 _MOST_WAIT_S = 5.0
 #: From this size on bodies are compressed, in bytes; below, a packet holds them.
 _COMPRESSED_FROM_BYTES = 1_400
@@ -46,7 +46,7 @@
 
 
 class _Answer(msgspec.Struct, array_like=True):
-    """A table's news."""
+    """A table's updates."""
 
     values: dict[str, bytes | None]
     version: int
@@ -82,10 +82,10 @@
         shown = request.headers.get(_TOKEN_HEADER, "")
         if not hmac.compare_digest(shown.encode(), self._token.encode()):
             return Response(status=_FORBIDDEN)
-        return await self._news(request)
+        return await self._answer(request)
 
-    async def _news(self, request: BaseRequest) -> Response:
-        """Answer with the news of the table that a request names."""
+    async def _answer(self, request: BaseRequest) -> Response:
+        """Answer with the updates of the table that a request names."""
         cache = self._caches.get(request.query.get("table", ""))
         try:
             after = int(request.query["after"])
@@ -97,7 +97,7 @@
             return Response(status=_BAD_REQUEST)
         if cache is None:
             return Response(status=_BAD_REQUEST)
-        view = await cache.news(
+        view = await cache.updates(
             after=after,
             known_s=known_s,
             wait_s=min(wait_s, _MOST_WAIT_S),
@@ -105,7 +105,7 @@
             is_patient=is_patient,
         )
         if view is None:
-            return Response(status=_AWAY if cache.is_away else _NO_NEWS)
+            return Response(status=_AWAY if cache.is_away else _NO_UPDATE)
         return Response(body=_encoded(view))
 
 
@@ -135,7 +135,7 @@
         """Return a table's changes; see `PeerReads.changes`.
 
         Raises:
-            NoNewsError: There was none in time.
+            NoUpdateError: There was none in time.
             PeerAwayError: The store refuses it.
             PeerSilentError: It gave no answer.
         """
@@ -150,7 +150,7 @@
         try:
             async with asyncio.timeout(wait_s + margin_s):
                 status, body = await self._get(peer, query)
-            _require_news(status)
+            _require_update(status)
             return _decoded(body, self._decoder)
         except (TimeoutError, *CALL_ERRORS) as error:
             raise PeerSilentError(repr(error)) from error
@@ -167,17 +167,17 @@
             return answer.status, await answer.read()
 
 
-def _require_news(status: int) -> None:
-    """Pass an answer with news.
+def _require_update(status: int) -> None:
+    """Pass an answer with updates.
 
     Raises:
-        NoNewsError: It says that there is none.
+        NoUpdateError: It says that there is none.
         PeerAwayError: The store refuses it.
         PeerSilentError: It is a refusal.
     """
-    if status == _NO_NEWS:
-        msg = "no news"
-        raise NoNewsError(msg)
+    if status == _NO_UPDATE:
+        msg = "no update"
+        raise NoUpdateError(msg)
     if status == _AWAY:
         msg = "the store refuses it"
         raise PeerAwayError(msg)
@@ -204,7 +204,7 @@
 
 
 def _decoded(body: bytes, decoder: msgspec.msgpack.Decoder[_Answer]) -> TableView:
-    """Return a table's news from an answer's body.
+    """Return a table's updates from an answer's body.
 
     Raises:
         ValueError: It can't be understood.
--- a/src/violethatch/platform/_following.py
+++ b/src/violethatch/platform/_following.py
@@ -145,7 +145,7 @@
         for follower in self._followers:
             follower.settings = settings.store
         self._instances_follower.settings = _patient(settings.store)
-        self._tables.bound_s = settings.bounds.change_s
+        self._tables.take_bound(settings.bounds.change_s)
 
     @property
     def _first_pause_s(self) -> float:
--- a/src/violethatch/relayed_tables.py
+++ b/src/violethatch/relayed_tables.py
@@ -12,12 +12,18 @@
 import random
 
 from collections.abc import Collection, Mapping
-from typing import Protocol
 
 from . import clocks, events
 from .errors import TableUnavailableError
 from .freshness import StoreClock
 from .instances import InstanceDirectory, InstanceEntry
+from .peer_reads import (
+    NoUpdateError,
+    PeerAwayError,
+    PeerReads,
+    PeerSilentError,
+)
+from .read_waits import ReadWaits
 from .store_era import NO_ERA, Position, ProofTime, StoreEra
 from .table_cache import NEVER
 from .upstream import HistoryGoneError, TableSource, TableView
@@ -26,24 +32,6 @@
 #: The bound on how late a change may be in force that is assumed unless a site
 #: states another, in seconds.
 CHANGE_BOUND_S = 2.0
-#: The longest bound of which waits are parts, in seconds: several of them add up where
-#: two instances fail at the same time, and a request takes its own time to arrive.
-_MAX_WAIT_BOUND_S = 2.0
-#: The part of that bound for which a read of the store waits whose reader others
-#: follow.
-_READER_PART = 0.4
-#: The same in a large region, where relays pass it on.
-_REGION_READER_PART = 0.3
-#: The part of it for which a relay lets its reader wait for its next proof: that
-#: takes a read and the pause after one that brought changes.
-_RELAY_PART = 0.45
-#: The same for who follows a relay, which may just have changed its reader.
-_FOLLOW_PART = 0.6
-#: The part of it for which relays then still wait for the answer, and the others, so
-#: that a reader that is cut off is noticed after half of the bound, and a relay after
-#: three quarters.
-_RELAY_MARGIN_PART = 0.05
-_FOLLOW_MARGIN_PART = 0.15
 #: How long a question waits that was told before that the store is away, in seconds.
 _PATIENT_S = 1.0
 #: How many instances are asked before the store is.
@@ -63,64 +51,6 @@
 _UNPROVEN = ProofTime(NO_ERA, float(NEVER))
 
 
-class PeerSilentError(Exception):
-    """Another instance gave no answer, or has no newer proof.
-
-    .. versionadded:: 26.1.0
-    """
-
-
-class NoNewsError(PeerSilentError):
-    """Another instance has nothing newer than what was known.
-
-    .. versionadded:: 26.1.0
-    """
-
-
-class PeerAwayError(PeerSilentError):
-    """The store refuses another instance too.
-
-    .. versionadded:: 26.2.0
-    """
-
-
-class PeerReads(Protocol):
-    """Asks other instances.
-
-    .. versionadded:: 26.1.0
-    """
-
-    async def changes(
-        self,
-        peer: InstanceEntry,
-        table: str,
-        *,
-        after: int,
-        known_s: float,
-        wait_s: float,
-        margin_s: float,
-        era: int = NO_ERA,
-        is_patient: bool = False,
-    ) -> TableView:
-        """Return a table's changes with a newer proof than *known_s*.
-
-        Args:
-            peer: Who is asked.
-            table: The table's name.
-            after: The version that is known.
-            known_s: The newest proof that is known.
-            wait_s: How long the instance may wait for news, in seconds.
-            margin_s: How much longer its answer may take, in seconds.
-            era: The store's era of *after* and *known_s*.
-            is_patient: Whether it should wait also while the store is away.
-
-        Raises:
-            NoNewsError: There was none in time.
-            PeerAwayError: The store refuses it.
-            PeerSilentError: It gave no answer.
-        """
-
-
 class RelayedTables:
     """Reads tables from the store, or from who reads it for others.
 
@@ -150,7 +80,7 @@
         clock: StoreClock | None = None,
         rng: random.Random | None = None,
     ) -> None:
-        self.bound_s = bound_s
+        self._waits = ReadWaits(directory, bound_s=bound_s)
         self._store = store
         self._peers = peers
         self._directory = directory
@@ -169,9 +99,13 @@
         #: Unproven tables whose changes were read from the store once.
         self._confirmed: set[str] = set()
 
+    def take_bound(self, bound_s: float) -> None:
+        """Take a changed bound on changes in, in seconds."""
+        self._waits.bound_s = bound_s
+
     @property
     def sources(self) -> Mapping[str, str]:
-        """By table, whose id its news came from last; `store` for the store."""
+        """By table, the instance its updates came from last; `store` for the store."""
         return self._sources
 
     async def read_table(self, table: str) -> TableView:
@@ -217,9 +151,11 @@
             wait_s = 0.0
         now_s = clocks.now_s()
         if self._directory.is_reader(now_s=now_s) and self._is_proven(table):
-            wait_s = min(wait_s, self._reader_wait_s)
+            wait_s = min(wait_s, self._waits.reader_s)
         if now_s < self._store_rests_until_s:
-            view = await self._ask_helpers(table, after=position, wait_s=self._follow_s)
+            view = await self._ask_helpers(
+                table, after=position, wait_s=self._waits.follow_s
+            )
             if view is not None:
                 return view
             wait_s = 0.0
@@ -282,7 +218,7 @@
                 is_away = True
                 self._directory.note_away(source.id, now_s=clocks.now_s())
                 self._note_source(table, "another", f"{source.id}: {error}")
-            except NoNewsError as error:
+            except NoUpdateError as error:
                 if not self._is_proven(table):
                     return self._unchanged(table, after)
                 if attempt:
@@ -319,7 +255,7 @@
             return 0.0
         if wait_s <= 0:
             return _PATIENT_S
-        return self._follow_s if self._is_proven(table) else wait_s
+        return self._waits.follow_s if self._is_proven(table) else wait_s
 
     def _unchanged(self, table: str, after: Position) -> TableView:
         """Return that nothing has changed, as of the newest proof."""
@@ -407,7 +343,7 @@
             after=after.version,
             known_s=self._outdated_s(table, after.era),
             wait_s=wait_s,
-            margin_s=self._wait_bound_s * self._margin_part,
+            margin_s=self._waits.margin_s,
             era=after.era,
             is_patient=is_patient,
         )
@@ -416,35 +352,6 @@
             raise PeerSilentError(msg)
         return self._noted(table, view._replace(source=peer.id))
 
-    @property
-    def _wait_bound_s(self) -> float:
-        """The bound of which waits are parts, in seconds."""
-        return min(self.bound_s, _MAX_WAIT_BOUND_S)
-
-    @property
-    def _reader_wait_s(self) -> float:
-        """How long a read waits whose reader others follow, in seconds."""
-        is_large = self._directory.is_region_large
-        part = _REGION_READER_PART if is_large else _READER_PART
-        return self._wait_bound_s * part
-
-    @property
-    def _follow_s(self) -> float:
-        """How long another instance may wait for its next proof, in seconds."""
-        part = _RELAY_PART if self._is_relay else _FOLLOW_PART
-        return self._wait_bound_s * part
-
-    @property
-    def _margin_part(self) -> float:
-        """The part of the bound for which an answer may be late."""
-        return _RELAY_MARGIN_PART if self._is_relay else _FOLLOW_MARGIN_PART
-
-    @property
-    def _is_relay(self) -> bool:
-        """Whether this instance passes on what readers of its region know."""
-        is_relay = self._directory.is_relay(now_s=clocks.now_s())
-        return is_relay and self._directory.is_region_large
-
     def _is_proven(self, table: str) -> bool:
         """Tell whether also a proof counts that nothing has changed."""
         return table not in self._unproven
@@ -464,7 +371,7 @@
         return view
 
     def _note_source(self, table: str, source: str, reason: str) -> None:
-        """Log where a table's news comes from, if that has changed."""
+        """Log where a table's updates come from, if that has changed."""
         before = self._sources.get(table)
         self._sources[table] = source
         if before is not None and before != source:
--- a/src/violethatch/table_cache.py
+++ b/src/violethatch/table_cache.py
@@ -49,7 +49,7 @@
         self._changes: collections.deque[_Change] = collections.deque(
             maxlen=_MOST_CHANGES
         )
-        self._news = asyncio.Event()
+        self._updated = asyncio.Event()
 
     @property
     def version(self) -> int:
@@ -87,7 +87,7 @@
         self.is_away = True
         self._tell()
 
-    async def news(
+    async def updates(
         self,
         *,
         after: int,
@@ -101,7 +101,7 @@
         Args:
             after: The version that is known.
             known_s: The newest proof that is known, by the store's clock.
-            wait_s: How long to wait for news, in seconds.
+            wait_s: How long to wait for an update, in seconds.
             era: The store's era of *after* and *known_s*; this cache's if omitted.
             is_patient: Whether to wait also while the store can't be read: the
                 asker knows of that, and wants to learn of the return.
@@ -111,23 +111,23 @@
                 while is_patient or not self.is_away:
                     asked_era = self._position.era if era is None else era
                     known = ProofTime(asked_era, known_s)
-                    if self._is_news(Position(asked_era, after), known):
+                    if self._is_newer(Position(asked_era, after), known):
                         return self._since(Position(asked_era, after), known)
-                    await self._news.wait()
+                    await self._updated.wait()
         except TimeoutError:
             return None
         return None
 
-    def _is_news(self, after: Position, known: ProofTime) -> bool:
+    def _is_newer(self, after: Position, known: ProofTime) -> bool:
         """Tell whether there is something newer, and from a store that answers."""
         if self.is_away or self._position.era < after.era:
             return False
         return self._position > after or self._proof > known
 
     def _tell(self) -> None:
-        """Wake all who wait for news."""
-        self._news.set()
-        self._news = asyncio.Event()
+        """Wake every question that waits for an update."""
+        self._updated.set()
+        self._updated = asyncio.Event()
 
     def _since(self, after: Position, known: ProofTime) -> TableView:
         """Return the changes after a position, or the whole table."""
--- a/tests/test_region_reads.py
+++ b/tests/test_region_reads.py
@@ -14,12 +14,8 @@
 from violethatch._followers import TableFollower
 from violethatch.errors import TableUnavailableError
 from violethatch.freshness import Freshness, StoreClock
-from violethatch.relayed_tables import (
-    NoNewsError,
-    PeerAwayError,
-    PeerSilentError,
-    RelayedTables,
-)
+from violethatch.peer_reads import NoUpdateError, PeerAwayError, PeerSilentError
+from violethatch.relayed_tables import RelayedTables
 from violethatch.router_settings import StoreSection
 from violethatch.store_era import NO_ERA
 from violethatch.table_cache import TableCache
@@ -101,7 +97,7 @@
             await asyncio.sleep(wait_s + margin_s)
             raise PeerSilentError("no answer")
         cache = self.region.caches[peer.id]
-        view = await cache.news(
+        view = await cache.updates(
             after=after,
             known_s=known_s,
             wait_s=wait_s,
@@ -109,7 +105,7 @@
             is_patient=is_patient,
         )
         if view is None:
-            raise PeerAwayError("away") if cache.is_away else NoNewsError("no news")
+            raise PeerAwayError("away") if cache.is_away else NoUpdateError("no update")
         return view
 
 
--- a/tests/test_relayed_tables.py
+++ b/tests/test_relayed_tables.py
@@ -14,12 +14,8 @@
 from violethatch._relay_http import RelayClient, RelayListener
 from violethatch.errors import TableUnavailableError
 from violethatch.instances import LEAST_MEMBERS, LEAST_REGION
-from violethatch.relayed_tables import (
-    NoNewsError,
-    PeerAwayError,
-    PeerSilentError,
-    RelayedTables,
-)
+from violethatch.peer_reads import NoUpdateError, PeerAwayError, PeerSilentError
+from violethatch.relayed_tables import RelayedTables
 from violethatch.store_era import NO_ERA
 from violethatch.table_cache import TableCache
 from violethatch.upstream import TableView
@@ -41,37 +37,37 @@
 
     async def test_changes_since_a_version(self):
         """Who is behind gets what has changed, and from where to go on."""
-        news = await self.made().news(after=5, known_s=5.0, wait_s=0.0)
+        news = await self.made().updates(after=5, known_s=5.0, wait_s=0.0)
         assert news.values == {"a": b"2", "b": None, "c": b"3"}
         assert (news.version, news.is_whole, news.is_relayed) == (9, False, True)
-        news = await self.made().news(after=7, known_s=5.0, wait_s=0.0)
+        news = await self.made().updates(after=7, known_s=5.0, wait_s=0.0)
         assert news.values == {"b": None, "c": b"3"}
 
     async def test_version_within_a_change(self):
         """What came with a change is told again; nothing is left out."""
-        news = await self.made().news(after=6, known_s=5.0, wait_s=0.0)
+        news = await self.made().updates(after=6, known_s=5.0, wait_s=0.0)
         assert news.values == {"a": b"2", "b": None, "c": b"3"}
         assert not news.is_whole
 
     @pytest.mark.parametrize("after", [-1, 3])
     async def test_whole_table_for_who_is_far_behind(self, after):
         """A version that no change begins at gets the whole table."""
-        news = await self.made().news(after=after, known_s=0.0, wait_s=0.0)
+        news = await self.made().updates(after=after, known_s=0.0, wait_s=0.0)
         assert news.values == {"a": b"2", "c": b"3"}
         assert news.is_whole
 
     async def test_newer_proof_is_news(self):
         """Nothing has changed, and that is proven at a later time."""
         cache = self.made()
-        assert await cache.news(after=9, known_s=9.0, wait_s=0.01) is None
+        assert await cache.updates(after=9, known_s=9.0, wait_s=0.01) is None
         cache.take(view(9, store_s=12.0), is_whole=False)
-        news = await cache.news(after=9, known_s=9.0, wait_s=0.0)
+        news = await cache.updates(after=9, known_s=9.0, wait_s=0.0)
         assert (news.values, news.store_s) == ({}, 12.0)
 
     async def test_waits_for_a_change(self):
         """A question waits until there is something to tell."""
         cache = self.made()
-        asking = asyncio.create_task(cache.news(after=9, known_s=9.0, wait_s=5.0))
+        asking = asyncio.create_task(cache.updates(after=9, known_s=9.0, wait_s=5.0))
         await asyncio.sleep(0)
         cache.take(view(11, d=b"4"), is_whole=False)
         assert (await asking).values == {"d": b"4"}
@@ -79,7 +75,7 @@
     async def test_away_tells_at_once(self):
         """Who can't read the store itself lets its followers go at once."""
         cache = self.made()
-        asking = asyncio.create_task(cache.news(after=9, known_s=9.0, wait_s=5.0))
+        asking = asyncio.create_task(cache.updates(after=9, known_s=9.0, wait_s=5.0))
         await asyncio.sleep(0)
         cache.note_away()
         async with asyncio.timeout(1):
@@ -90,7 +86,7 @@
         cache = self.made()
         cache.note_away()
         asking = asyncio.create_task(
-            cache.news(after=9, known_s=9.0, wait_s=5.0, is_patient=True)
+            cache.updates(after=9, known_s=9.0, wait_s=5.0, is_patient=True)
         )
         await asyncio.sleep(0)
         cache.take(view(9, store_s=12.0), is_whole=False)
@@ -99,7 +95,7 @@
 
     async def test_never_back_to_an_older_version(self):
         """Who is ahead gets no older table."""
-        assert await self.made().news(after=20, known_s=20.0, wait_s=0.01) is None
+        assert await self.made().updates(after=20, known_s=20.0, wait_s=0.01) is None
 
 
 class ScriptedPeers:
@@ -180,7 +176,7 @@
         """Without a newer proof the store itself is asked, at once."""
         directory, reader = follower_of()
         store = ScriptedSource(view(6), view(6, store_s=7.0))
-        peers = ScriptedPeers(NoNewsError("no news"), view(7))
+        peers = ScriptedPeers(NoUpdateError("no update"), view(7))
         tables = RelayedTables(store, peers, directory)
         await tables.read_changes("op", after=5, wait_s=2.4)
         assert store.asked == [("changes", 5, 0.0)]
@@ -222,7 +218,7 @@
     async def test_nobody_knows(self):
         """With no newer proof anywhere the table is unavailable."""
         store = ScriptedSource(AWAY)
-        peers = ScriptedPeers(*[NoNewsError("no news")] * 3)
+        peers = ScriptedPeers(*[NoUpdateError("no update")] * 3)
         tables = RelayedTables(store, peers, reader_of())
         with pytest.raises(TableUnavailableError):
             await tables.read_changes("op", after=5, wait_s=2.4)
@@ -248,7 +244,7 @@
     async def test_table_without_proofs(self):
         """No news of such a table says that nothing has changed."""
         directory, _ = follower_of()
-        peers = ScriptedPeers(NoNewsError("no news"))
+        peers = ScriptedPeers(NoUpdateError("no update"))
         tables = RelayedTables(
             ScriptedSource(view(5), view(5)),
             peers,
@@ -289,7 +285,7 @@
         """An instance that knows nothing newer says so."""
         cache = TableCache()
         cache.take(view(5), is_whole=True)
-        with pytest.raises(NoNewsError):
+        with pytest.raises(NoUpdateError):
             await self.ask(cache, after=5, known_s=5.0)
 
     async def test_away_is_told(self):
--- a/tests/test_store_restored.py
+++ b/tests/test_store_restored.py
@@ -125,9 +125,11 @@
         cache.take(view(500, s2=b"ready"), is_whole=False)
         behind = view(480, s1=b"ready")._replace(store_s=510.0)
         cache.take(behind, is_whole=True)
-        first = await cache.news(after=470, known_s=0.0, wait_s=0.0)
+        first = await cache.updates(after=470, known_s=0.0, wait_s=0.0)
         cache.take(view(500, s1=b"draining")._replace(store_s=511.0), is_whole=False)
-        then = await cache.news(after=first.version, known_s=first.store_s, wait_s=0.0)
+        then = await cache.updates(
+            after=first.version, known_s=first.store_s, wait_s=0.0
+        )
         assert {**first.values, **then.values}["s1"] == b"draining"
 
 
