--- a/src/violethatch/table_cache.py
+++ b/src/violethatch/table_cache.py
@@ -43,8 +43,8 @@
         self._values: dict[str, bytes] = {}
         self._position = Position(NO_ERA, NEVER)
         self._proof = ProofTime(NO_ERA, float(NEVER))
-        #: When the whole table was read that the changes go on from.
-        self._whole_since = ProofTime(NO_ERA, float(NEVER))
+        #: When a whole table replaced another one last.
+        self._replaced_at = ProofTime(NO_ERA, float(NEVER))
         self._returned_s: float | None = None
         self._changes: collections.deque[_Change] = collections.deque(
             maxlen=_MOST_CHANGES
@@ -63,9 +63,10 @@
         from a copy: its own position counts then.
         """
         if is_whole:
+            if self.version != NEVER:
+                self._replaced_at = view.proof
             self._values.clear()
             self._changes.clear()
-            self._whole_since = view.proof
         elif view.version > self._position.version:
             self._changes.append(_Change(self._position.version, view))
         for key, value in view.values.items():
@@ -131,8 +132,8 @@
 
     def _since(self, after: Position, known: ProofTime) -> TableView:
         """Return the changes after a position, or the whole table."""
-        # A view from before the whole read may have rows that it has replaced.
-        is_replaced = known < self._whole_since
+        # An older view may have rows that the store has undone.
+        is_replaced = known < self._replaced_at
         changes = None if is_replaced else self._changes_since(after)
         return TableView(
             dict(self._values) if changes is None else changes,
