--- a/src/violethatch/_relay_http.py
+++ b/src/violethatch/_relay_http.py
@@ -41,6 +41,8 @@
 _MOST_WAIT_S = 5.0
 #: From this size on bodies are compressed, in bytes; below, a packet holds them.
 _COMPRESSED_FROM_BYTES = 1_400
+#: The largest table that is unpacked, in bytes.
+_MAX_UNPACKED_BYTES = 16_000_000
 #: The quickest of zlib's levels: JSON shrinks to a tenth at it already.
 _COMPRESSION_LEVEL = 1
 
@@ -203,6 +205,23 @@
     return bytes([is_compressed]) + body
 
 
+def _unpacked(packed: bytes) -> bytes:
+    """Return what was packed.
+
+    Raises:
+        ValueError: It can't be unpacked, or is too large.
+    """
+    unpacker = zlib.decompressobj()
+    try:
+        body = unpacker.decompress(packed, _MAX_UNPACKED_BYTES)
+    except zlib.error as error:
+        raise ValueError(str(error)) from error
+    if not unpacker.eof:
+        msg = f"cut off, or over {_MAX_UNPACKED_BYTES} bytes"
+        raise ValueError(msg)
+    return body
+
+
 def _decoded(body: bytes, decoder: msgspec.msgpack.Decoder[_Answer]) -> TableView:
     """Return a table's updates from an answer's body.
 
@@ -212,11 +231,8 @@
     if not body:
         msg = "an empty answer"
         raise ValueError(msg)
-    rest = body[1:]
-    try:
-        answer = decoded(decoder, zlib.decompress(rest) if body[0] else rest)
-    except zlib.error as error:
-        raise ValueError(str(error)) from error
+    packed = body[1:]
+    answer = decoded(decoder, _unpacked(packed) if body[0] else packed)
     return TableView(
         answer.values,
         answer.version,
--- a/tests/test_relayed_tables.py
+++ b/tests/test_relayed_tables.py
@@ -11,6 +11,7 @@
 from test_followers import ScriptedSource
 from test_instances import directories, entry
 from test_platform_process import free_ports
+from violethatch import _relay_http
 from violethatch._relay_http import RelayClient, RelayListener
 from violethatch.errors import TableUnavailableError
 from violethatch.instances import LEAST_MEMBERS, LEAST_REGION
@@ -281,6 +282,14 @@
         assert (news.version, news.store_s, news.is_whole) == (5, 5.0, True)
         assert (news.is_relayed, news.returned_s) == (True, 3.0)
 
+    async def test_small_answer_unpacks_to_any_size(self, monkeypatch):
+        """An answer that unpacks to more than a table may have is refused."""
+        monkeypatch.setattr(_relay_http, "_MAX_UNPACKED_BYTES", 200_000)
+        cache = TableCache()
+        cache.take(view(5, a=b"x" * 300_000), is_whole=True)
+        with pytest.raises(PeerSilentError, match="200000"):
+            await self.ask(cache)
+
     async def test_no_news(self):
         """An instance that knows nothing newer says so."""
         cache = TableCache()
