--- a/tests/test_change_delay.py
+++ b/tests/test_change_delay.py
@@ -97,3 +97,57 @@
     )
     print(f"{zone_size} {'+'.join(roles) or 'none'}: {worst_s:.2f} s")
     assert worst_s < AIM_S
+
+
+async def delay_after_replacement_s(zone_size, roles, rng):
+    """Return the delay of a change after instances left, each heard of at random."""
+    region = ZonedRegion(zone_size=zone_size)
+    await region.all_know(30.0)
+    await asyncio.sleep(3.0 + rng.uniform(0.0, 2.0))
+    found = region.roles()
+    gone = {found[role] for role in roles if role in found}
+    region.store.cut |= gone
+    for one in region.directories.values():
+        asyncio.get_running_loop().call_later(
+            rng.uniform(0.0, 1.5),
+            lambda one=one: one.take(dict.fromkeys(gone), is_whole=False),
+        )
+    await asyncio.sleep(rng.uniform(0.0, 1.5))
+    written_s = clocks.now_s()
+    region.store.write()
+    await region.all_know(30.0)
+    took_s = clocks.now_s() - written_s
+    await region.stop()
+    return took_s
+
+
+async def delay_after_waking_s(zone_size, roles, rng):
+    """Return the delay of a change at instances that were cut off until just before."""
+    region = ZonedRegion(zone_size=zone_size)
+    await region.all_know(30.0)
+    await asyncio.sleep(3.0)
+    found = region.roles()
+    region.store.cut |= {found[role] for role in roles if role in found}
+    await asyncio.sleep(rng.uniform(0.5, 6.0))
+    region.store.cut.clear()
+    written_s = clocks.now_s()
+    region.store.write()
+    await region.all_know(30.0)
+    took_s = clocks.now_s() - written_s
+    await region.stop()
+    return took_s
+
+
+@pytest.mark.parametrize("zone_size", [5, 18, 40])
+@pytest.mark.parametrize("play", [delay_after_replacement_s, delay_after_waking_s])
+def test_change_is_late_after_replacement_or_waking(zone_size, play, monkeypatch):
+    """Readers that others followed leave, or were cut off until a moment ago."""
+    monkeypatch.setattr(test_region_reads, "BOUND_S", PLATFORM_BOUND_S)
+    rng = random.Random(40)
+    for roles in (("reader",), ("reader", "other reader"), ("reader", "relay")):
+        worst_s = max(
+            virtual_time.run(lambda r=roles: play(zone_size, r, rng), monkeypatch)
+            for _ in range(TRIES)
+        )
+        print(f"{play.__name__} {zone_size} {'+'.join(roles)}: {worst_s:.2f} s")
+        assert worst_s < AIM_S
