Call the recheck before a write a send check

_last_look is _send_checks; looking, LookingRequest and the gate's look are send_check, CheckedRequest and check_send. Behaviour is unchanged.

--- a/bench/decision_costs.py
+++ b/bench/decision_costs.py
@@ -176,7 +176,7 @@
         ),
         (
             "a look at what a server has said",
-            lambda: gate.look(servers[0], Sending.REPORT, ""),
+            lambda: gate.check_send(servers[0], Sending.REPORT, ""),
         ),
         ("the clock read", clocks.now_s),
         (
--- a/src/violethatch/_services.py
+++ b/src/violethatch/_services.py
@@ -14,7 +14,7 @@
 
 from . import clocks, events
 from ._keyed import Answer
-from ._last_look import LookingRequest, looking
+from ._send_checks import CheckedRequest, send_check
 from .errors import (
     Ran,
     ServerRefusedError,
@@ -78,7 +78,7 @@
             connector=connector,
             timeout=self._timeout,
             auto_decompress=False,
-            request_class=LookingRequest,
+            request_class=CheckedRequest,
         )
         # The library would send PUT, DELETE and GET a second time by itself
         # when a connection breaks; retries are ours alone.
@@ -131,7 +131,7 @@
         sends = 0
         for server in self._in_turn(service):
             try:
-                self._look(server)
+                self._check_send(server)
             except ServerRefusedError as resting:
                 error = _sooner(error, resting) if not may_have_run else error
                 continue
@@ -171,9 +171,9 @@
         url = f"http://{server['address']}{call.path}"
         sent_s = clocks.now_s()
         try:
-            with looking(
-                functools.partial(self._look, server),
-                again=functools.partial(self._take_part, server),
+            with send_check(
+                functools.partial(self._check_send, server),
+                before_write=functools.partial(self._take_part, server),
             ):
                 async with self._session.request(
                     call.method,
@@ -245,7 +245,7 @@
             share=self._share,
         )
 
-    def _look(self, server: ListedInstance) -> None:
+    def _check_send(self, server: ListedInstance) -> None:
         """Look whether a server may be sent to.
 
         Raises:
@@ -270,7 +270,7 @@
         Raises:
             ServerRefusedError: It may not be written.
         """
-        self._look(server)
+        self._check_send(server)
         limit = self._limits.get(server["id"])
         if limit is None:
             return
@@ -279,7 +279,7 @@
         reply = self._keepers.ask(server["id"], "", part_a_s, now_s=now_s)
         if not reply.is_given:
             self._permits.close(server["id"], reply.wait_s, now_s=now_s)
-            self._look(server)
+            self._check_send(server)
 
 
 def _sooner(
--- a/src/violethatch/_word_gate.py
+++ b/src/violethatch/_word_gate.py
@@ -92,14 +92,14 @@
         self._check(kept, server, sending, request_id)
         return None
 
-    def look(
+    def check_send(
         self,
         server: BackendServer,
         sending: Sending,
         request_id: str,
         permit: Permit | None = None,
     ) -> None:
-        """Look whether something may be sent to a server.
+        """Check that something may be sent to a server, right before it is written.
 
         Raises:
             KeptBackError: It may not.
--- a/src/violethatch/platform/_runners.py
+++ b/src/violethatch/platform/_runners.py
@@ -19,7 +19,7 @@
 from .. import clocks, events
 from .._call_errors import CALL_ERRORS
 from .._decoding import decoded
-from .._last_look import looking
+from .._send_checks import send_check
 from .._serving import host_and_port
 from ..backends import BackendServer
 from ..layers import LayerRange
@@ -76,21 +76,21 @@
         at_s: By the steady clock, in seconds.
     """
 
-    def __init__(self, look: Callable[[], None]) -> None:
-        self._look = look
+    def __init__(self, check: Callable[[], None]) -> None:
+        self._check = check
         self.at_ms = 0
         self.at_s = 0.0
         self.was_written = False
 
-    def look(self) -> None:
-        """Look whether it may be written, and note when."""
-        self._look()
+    def check(self) -> None:
+        """Check that it may be written, and note when."""
+        self._check()
         self.at_ms = int(clocks.wall_s() * _MS_PER_S)
         self.at_s = clocks.now_s()
 
     def write(self) -> None:
-        """Look once more, right before it is written."""
-        self.look()
+        """Check once more, right before it is written."""
+        self.check()
         self.was_written = True
 
 
@@ -209,9 +209,11 @@
         """
         gate = self.gate
         permit = await gate.admit(server, sending, request_id, priority=priority)
-        sent = _Sent(functools.partial(gate.look, server, sending, request_id, permit))
+        sent = _Sent(
+            functools.partial(gate.check_send, server, sending, request_id, permit)
+        )
         try:
-            with looking(sent.look, again=sent.write):
+            with send_check(sent.check, before_write=sent.write):
                 yield sent
         finally:
             gate.settle(server, permit, was_written=sent.was_written)
--- a/src/violethatch/platform/_sessions.py
+++ b/src/violethatch/platform/_sessions.py
@@ -13,7 +13,7 @@
 
 from aiohttp.client_proto import ResponseHandler
 
-from .._last_look import LookingRequest
+from .._send_checks import CheckedRequest
 
 
 #: How long a connection may take to come about, in seconds: a lost opening
@@ -79,7 +79,7 @@
     )
     session = aiohttp.ClientSession(
         connector=connector,
-        request_class=LookingRequest,
+        request_class=CheckedRequest,
         cookie_jar=aiohttp.DummyCookieJar(),
         auto_decompress=False,
         skip_auto_headers=_NOT_ADDED,
--- a/src/violethatch/upstream.py
+++ b/src/violethatch/upstream.py
@@ -182,14 +182,14 @@
             KeptBackError: Nothing may be sent.
         """
 
-    def look(
+    def check_send(
         self,
         server: BackendServer,
         sending: Sending,
         request_id: str,
         permit: Permit | None = None,
     ) -> None:
-        """Look whether something may be sent to a server; asked right before it is.
+        """Check that something may be sent to a server, right before it is written.
 
         Args:
             server: Whom it is for.
@@ -230,7 +230,7 @@
         """Let everything through."""
         return None
 
-    def look(
+    def check_send(
         self,
         _server: BackendServer,
         _sending: Sending,
@@ -354,7 +354,7 @@
 class RunnerClient(Protocol):
     """Calls backend servers.
 
-    Each of its methods looks at the gate right before it writes anything, and tells it
+    Each of its methods asks the gate right before it writes anything, and tells it
     of each answer's head.
 
     Attributes:
--- a/tests/test_platform_words.py
+++ b/tests/test_platform_words.py
@@ -47,7 +47,7 @@
     async def admit(self, _server, _sending, _request_id, *, priority):
         return None
 
-    def look(self, _server, _sending, _request_id, _permit):
+    def check_send(self, _server, _sending, _request_id, _permit):
         pass
 
     def settle(self, _server, _permit, *, was_written):
--- a/tests/test_word_gate.py
+++ b/tests/test_word_gate.py
@@ -191,7 +191,7 @@
     def settle(self, _server, _permit, *, was_written):
         assert not was_written
 
-    def look(self, _server, _sending, _request_id, _permit):
+    def check_send(self, _server, _sending, _request_id, _permit):
         error = next(self.looks)
         if error is not None:
             raise error
@@ -363,7 +363,7 @@
 
     async def repath(server, call_id, path):
         try:
-            routing.gate.look(server, Sending.MOVE, call_id)
+            routing.gate.check_send(server, Sending.MOVE, call_id)
         except KeptBackError:
             return OrderAnswer(OrderOutcome.KEPT_BACK)
         return await move(server, call_id, path)
@@ -417,7 +417,7 @@
         routing.gate.on_kept_back = lambda what, why: kept.append((what, why))
         routing.gate.heard(a, REST, "c1")
         with pytest.raises(KeptBackError):
-            routing.gate.look(a, Sending.CALL, "c2")
+            routing.gate.check_send(a, Sending.CALL, "c2")
         (word,) = lines_of(lines, log_events.SERVER_WORD)
         assert (word["request_id"], word["asks_rest_s"], word["is_longer"]) == (
             "c1",
@@ -479,7 +479,7 @@
             hear(made[0], servers[0], WIDE)
             lapsed = Permit(clocks.now_s() - 0.01)
             with pytest.raises(KeptBackError):
-                gate.look(servers[0].listed, Sending.CALL, "c1", lapsed)
+                gate.check_send(servers[0].listed, Sending.CALL, "c1", lapsed)
             slow_connects(made[0].kept, lambda _address: 0.3)
             gate.limits.permits.give_back("s1", Permit(clocks.now_s() + 0.1))
             with pytest.raises(KeptBackError):
--- a/tests/test_words_soak.py
+++ b/tests/test_words_soak.py
@@ -24,7 +24,7 @@
 )
 from routing_samples import plain_server, runner
 from violethatch import clocks
-from violethatch._last_look import LookingRequest
+from violethatch._send_checks import CheckedRequest
 
 
 LASTS_S = 4.0
@@ -101,7 +101,7 @@
     def __init__(self, monkeypatch, machines):
         self.heard = []
         self.writes = []
-        write = LookingRequest.send
+        write = CheckedRequest.send
 
         async def noted(request, connection):
             # The look lies between the two times, and nothing waits there.
@@ -112,7 +112,7 @@
             self.writes.append((call_id, address, before_s, clocks.now_s()))
             return answer
 
-        monkeypatch.setattr(LookingRequest, "send", noted)
+        monkeypatch.setattr(CheckedRequest, "send", noted)
         for machine in machines:
             self.listen(machine)
 
