Know an instance again that one whole list had lacked

Callers: others would not have counted that instance until it renewed its entry. Only a restored list leaves it out now, and the whole ones after it. Both tests pass, and one of the directory alone, which fails before.

--- a/src/violethatch/instances.py
+++ b/src/violethatch/instances.py
@@ -136,10 +136,11 @@
                 lacks are written again, and those that were removed stay so.
         """
         self.revision += 1
-        if is_whole:
-            self._undone = {one for one in entries if self._is_undone(entries[one])}
-        else:
+        if not is_whole:
             self._undone -= entries.keys()
+        else:
+            suspect = entries.keys() if is_restored else self._undone & entries.keys()
+            self._undone = {one for one in suspect if self._is_undone(entries[one])}
         if is_whole and not is_restored:
             for instance_id in self._entries.keys() - entries.keys():
                 self._remove(instance_id)
--- a/tests/test_registration.py
+++ b/tests/test_registration.py
@@ -151,12 +151,21 @@
         directory.take({"i1": entry("i1")}, is_whole=True, is_restored=True)
         assert sorted(one.id for one in directory.others()) == ["i2", "i3"]
 
+    def test_instance_that_one_list_lacked_stays_unknown(self):
+        """Without a restore a whole list says who is there."""
+        directory = directories([entry("i1"), entry("i2")])["i1"]
+        directory.take({"i1": entry("i1")}, is_whole=True)
+        assert directory.others() == []
+        directory.take({"i1": entry("i1"), "i2": entry("i2")}, is_whole=True)
+        assert [one.id for one in directory.others()] == ["i2"]
+
     def test_copy_brings_back_an_instance_that_left(self):
         """It is not asked, and its entry is removed; a new process is known."""
         directory = directories([entry("i1"), entry("i2")])["i1"]
         directory.take({"i2": None}, is_whole=False)
         copy = {"i1": entry("i1"), "i2": entry("i2")}
         directory.take(copy, is_whole=True, is_restored=True)
+        directory.take(copy, is_whole=True)
         assert directory.others() == []
         assert directory.expired(store_s=1.0) == ["i2"]
         directory.take({"i2": entry("i2")._replace(token="new")}, is_whole=False)
