--- a/tests/test_change_delay.py
+++ b/tests/test_change_delay.py
@@ -64,21 +64,31 @@
         found |= {"far relay": relays[-1]} if relays else {}
         return found
 
+    def cut(self, roles):
+        """Cut the instances off that have some roles; return them."""
+        found = self.roles()
+        gone = {found[role] for role in roles if role in found}
+        self.store.cut |= gone
+        return gone
+
+    async def change_s(self):
+        """Change the table; return how long that took to the last instance."""
+        written_s = clocks.now_s()
+        self.store.write()
+        await self.all_know(30.0)
+        took_s = clocks.now_s() - written_s
+        await self.stop()
+        return took_s
+
 
 async def delay_s(zone_size, roles, rng):
     """Return how long a change took to the last instance, in seconds."""
     region = ZonedRegion(zone_size=zone_size)
     await region.all_know(30.0)
     await asyncio.sleep(3.0 + rng.uniform(0.0, 2.0))
-    found = region.roles()
-    region.store.cut |= {found[role] for role in roles if role in found}
+    region.cut(roles)
     await asyncio.sleep(rng.uniform(0.0, 0.4))
-    written_s = clocks.now_s()
-    region.store.write()
-    await region.all_know(30.0)
-    took_s = clocks.now_s() - written_s
-    await region.stop()
-    return took_s
+    return await region.change_s()
 
 
 ROLES = ("reader", "other reader", "relay", "other relay", "far relay")
@@ -104,21 +114,14 @@
     region = ZonedRegion(zone_size=zone_size)
     await region.all_know(30.0)
     await asyncio.sleep(3.0 + rng.uniform(0.0, 2.0))
-    found = region.roles()
-    gone = {found[role] for role in roles if role in found}
-    region.store.cut |= gone
+    gone = region.cut(roles)
     for one in region.directories.values():
         asyncio.get_running_loop().call_later(
             rng.uniform(0.0, 1.5),
             lambda one=one: one.take(dict.fromkeys(gone), is_whole=False),
         )
     await asyncio.sleep(rng.uniform(0.0, 1.5))
-    written_s = clocks.now_s()
-    region.store.write()
-    await region.all_know(30.0)
-    took_s = clocks.now_s() - written_s
-    await region.stop()
-    return took_s
+    return await region.change_s()
 
 
 async def delay_after_waking_s(zone_size, roles, rng):
@@ -126,16 +129,10 @@
     region = ZonedRegion(zone_size=zone_size)
     await region.all_know(30.0)
     await asyncio.sleep(3.0)
-    found = region.roles()
-    region.store.cut |= {found[role] for role in roles if role in found}
+    region.cut(roles)
     await asyncio.sleep(rng.uniform(0.5, 6.0))
     region.store.cut.clear()
-    written_s = clocks.now_s()
-    region.store.write()
-    await region.all_know(30.0)
-    took_s = clocks.now_s() - written_s
-    await region.stop()
-    return took_s
+    return await region.change_s()
 
 
 @pytest.mark.parametrize("zone_size", [5, 18, 40])
