Leave a full slow zone for runners elsewhere that are less full

Cause: a zone whose own chain is slower than others' left it only for runners that are under 0.6 full.

Change: where the own zone is full (0.9), whatever is less full elsewhere is used; where all is fuller, the own zone stays.

Two tests of that load, red before.

--- a/src/violethatch/near_paths.py
+++ b/src/violethatch/near_paths.py
@@ -99,11 +99,14 @@
         self, near: Path, far: Path, fullness: Mapping[str, float]
     ) -> bool:
         """Tell whether a path elsewhere is so much better than the own zone's."""
+        near_fullness = _fullest(near, fullness)
+        far_fullness = _fullest(far, fullness)
+        if near_fullness >= FULL:
+            return far_fullness < near_fullness
         if not self._is_quick:
             is_quicker = NEAR_FACTOR * far.token_ms < near.token_ms
-            return is_quicker and _fullest(far, fullness) < ZONE_FULLNESS
-        is_searched_now = self._turn == 0
-        return is_searched_now or _fullest(near, fullness) >= FULL
+            return is_quicker and far_fullness < ZONE_FULLNESS
+        return self._turn == 0  # a path that was searched for just now
 
     def _next_far(self, fullness: Mapping[str, float]) -> Path | None:
         """Search over all runners, or return what was found before, in turn."""
--- a/tests/test_near_paths.py
+++ b/tests/test_near_paths.py
@@ -84,6 +84,19 @@
         search = NearFirst(Searches(slow), Searches(FAR[0]))
         assert search.find({"far-0": 0.7}) is slow
 
+    def test_full_slow_zone_uses_partly_full_runners_elsewhere(self):
+        """A slow chain kept 135 streams on 96 slots while other zones were 0.65 full."""
+        slow = NEAR._replace(token_ms=2.0)
+        search = NearFirst(Searches(slow), Searches(*FAR))
+        fullness = {"near": 1.4, "far-0": 0.65, "far-1": 0.65}
+        assert all(search.find(fullness) in FAR for _ in range(8))
+
+    def test_fuller_runners_elsewhere_are_no_way_out(self):
+        """With every zone full, the emptiest runners are used."""
+        search = NearFirst(Searches(NEAR), Searches(*FAR))
+        fullness = {"near": 1.0, "far-0": 1.3, "far-1": 1.3}
+        assert all(search.find(fullness) is NEAR for _ in range(8))
+
     def test_zones_alike_are_compared_without_what_is_laid_out(self):
         """Parts fill the own zone only in thought; others fill theirs likewise."""
         near = Searches(NEAR, *[NEAR._replace(token_ms=1.9)] * 7)
