Add settings, events and an error for admission under load

Cause: streams that compete for too little room are refused alike; nothing says by what they are chosen, and an operator can set nothing of it.

Change: [admission] with its checks, events 2220 to 2224, error 1207, the urgency of a call (its workspace's priority, then its route's), and the stream routes by service. Nothing uses them yet.

tests/test_router_settings.py: nine bad values are refused with their place.

--- a/src/violethatch/desired.py
+++ b/src/violethatch/desired.py
@@ -20,6 +20,10 @@
 from .errors import UnauthorizedError, UnknownTargetError
 
 
+#: How many priorities a route or a workspace may declare, from 0 on.
+_PRIORITIES = 10
+
+
 class CallKind(enum.StrEnum):
     """What may be repeated.
 
@@ -122,6 +126,16 @@
             return self.workspace.priority
         return self.route.priority
 
+    @property
+    def urgency(self) -> int:
+        """What decides between calls under load, 0 first, 99 last.
+
+        Routes decide between calls of workspaces with the same priority.
+        """
+        return _PRIORITIES * min(self.priority, _PRIORITIES - 1) + min(
+            self.route.priority, _PRIORITIES - 1
+        )
+
 
 class DesiredState(NamedTuple):
     """One version of what the operator declares, whole.
@@ -148,6 +162,19 @@
                 return route
         return None
 
+    def stream_routes(self) -> dict[str, list[CallRoute]]:
+        """Return, by service with an engine, the stream routes that lead to it."""
+        found: dict[str, list[CallRoute]] = {}
+        for routes in self.routes.values():
+            for route in routes.values():
+                if route.kind is not CallKind.STREAM:
+                    continue
+                for split in route.splits:
+                    service = self.services.get(split.service)
+                    if service is not None and service.engine is not None:
+                        found.setdefault(service.name, []).append(route)
+        return found
+
     def admit(self, *, host: str, path: str, key: str | None, call_id: str) -> Admitted:
         """Tell where a call goes.
 
--- a/src/violethatch/errors.py
+++ b/src/violethatch/errors.py
@@ -179,6 +179,15 @@
     default_ran = Ran.NO
 
 
+class NotAdmittedError(VioletHatchError):
+    """More urgent requests take all that the runners can start now."""
+
+    code = 1207
+    title = "Not admitted under the present load"
+    status = 503
+    default_ran = Ran.NO
+
+
 class DrainingError(VioletHatchError):
     """The instance is leaving and takes no new requests."""
 
--- a/src/violethatch/events.py
+++ b/src/violethatch/events.py
@@ -85,6 +85,16 @@
 HOLD_UNWRITTEN = Event(2218, "hold_unwritten", "A held work could not be stored yet.")
 HOLD_READ = Event(2219, "hold_read", "A held work was read from the store.")
 
+ADMISSION_CHANGED = Event(
+    2220, "admission_changed", "What is admitted of each priority has changed."
+)
+START_DELAYED = Event(2221, "start_delayed", "A stream waited for a path with room.")
+START_REFUSED = Event(2222, "start_refused", "A stream was not admitted.")
+START_RESERVED = Event(
+    2223, "start_reserved", "A start is reserved for a refused call."
+)
+START_CLAIMED = Event(2224, "start_claimed", "A refused call came back.")
+
 REVISION_APPLIED = Event(2401, "revision_applied", "A configuration is in force.")
 REVISION_ACCEPTED = Event(2402, "revision_accepted", "A confirmed plan was stored.")
 TABLE_REPAIRED = Event(2403, "table_repaired", "An older table got the revision back.")
--- a/src/violethatch/router_settings.py
+++ b/src/violethatch/router_settings.py
@@ -8,8 +8,11 @@
 
 from __future__ import annotations
 
+import enum
+import math
 import pathlib
 
+from collections.abc import Mapping
 from typing import Annotated, NamedTuple
 
 import msgspec
@@ -116,6 +119,51 @@
         return max(0, self.descriptors - _DESCRIPTORS_OF_OWN)
 
 
+class AdmissionMode(enum.StrEnum):
+    """Which services have their streams admitted by priority.
+
+    .. versionadded:: 26.5.0
+    """
+
+    #: Those whose stream routes declare different priorities.
+    AUTO = "auto"
+    ON = "on"
+    OFF = "off"
+
+
+class AdmissionSection(NamedTuple):
+    """How streams are admitted while runners can't take all that is asked for."""
+
+    mode: AdmissionMode = AdmissionMode.AUTO
+    #: Streams that wait for a path with room, for each service.
+    queue_requests: PositiveInt = 64
+    queue_kb: PositiveInt = 2048
+    #: ``name=weight`` for workspaces whose weight is not 1, separated by commas.
+    workspace_weights: str = ""
+    #: The part of its fair share that each workspace keeps, whatever its weight.
+    workspace_floor_part: Ratio = 0.5
+
+    @property
+    def weights(self) -> Mapping[str, float]:
+        """The declared weights by workspace.
+
+        Raises:
+            ValueError: They can't be understood.
+        """
+        weights = {}
+        for item in filter(None, map(str.strip, self.workspace_weights.split(","))):
+            name, _, text = item.partition("=")
+            weight = float(text)
+            if not name.strip() or not 0 <= weight < math.inf:
+                msg = f"{item}: not a name and a weight"
+                raise ValueError(msg)
+            weights[name.strip()] = weight
+        if weights and not any(weights.values()):
+            msg = "all weights are 0"
+            raise ValueError(msg)
+        return weights
+
+
 class RouterPolicySection(NamedTuple):
     """Constants of the decisions."""
 
@@ -158,6 +206,7 @@
     bounds: BoundsSection
     limits: RouterLimitsSection
     policy: RouterPolicySection
+    admission: AdmissionSection = AdmissionSection()
 
     @property
     def proof_limit_s(self) -> float:
@@ -194,4 +243,9 @@
     if settings.store.change_wait_s >= settings.proof_limit_s:
         msg = f"{name}: [store] change_wait_s: must be below the proof's age limit"
         raise SettingsError(msg)
+    try:
+        _ = settings.admission.weights
+    except ValueError as error:
+        msg = f"{name}: [admission] workspace_weights: {error}"
+        raise SettingsError(msg) from error
     return settings
--- a/tests/test_near_paths.py
+++ b/tests/test_near_paths.py
@@ -85,7 +85,7 @@
         assert search.find({"far-0": 0.7}) is slow
 
     def test_full_slow_zone_uses_partly_full_runners_elsewhere(self):
-        """A slow chain kept 135 streams on 96 slots while other zones were 0.65 full."""
+        """A slow chain kept 135 streams on 96 slots while others were 0.65 full."""
         slow = NEAR._replace(token_ms=2.0)
         search = NearFirst(Searches(slow), Searches(*FAR))
         fullness = {"near": 1.4, "far-0": 0.65, "far-1": 0.65}
--- a/tests/test_router_settings.py
+++ b/tests/test_router_settings.py
@@ -77,6 +77,31 @@
         with pytest.raises(SettingsError, match="lease_margin_s"):
             parse_router_settings(text)
 
+    @pytest.mark.parametrize(
+        "line",
+        [
+            "mode = most",
+            "queue_requests = 0",
+            "workspace_floor_part = 1.1",
+            "workspace_weights = a",
+            "workspace_weights = a=x",
+            "workspace_weights = a=-1",
+            "workspace_weights = a=nan",
+            "workspace_weights = =1",
+            "workspace_weights = a=0, b=0",
+        ],
+    )
+    def test_bad_admission_names_the_place(self, line):
+        """Shares that nobody could be given are refused before they are in force."""
+        key = line.partition(" ")[0]
+        with pytest.raises(SettingsError, match=rf"\[admission\] {key}"):
+            parse_router_settings(filled() + f"\n[admission]\n{line}\n")
+
+    def test_weights_are_read_by_workspace(self):
+        text = filled() + "\n[admission]\nworkspace_weights = a=2, b = 0.5\n"
+        admission = parse_router_settings(text).admission
+        assert admission.weights == {"a": 2.0, "b": 0.5}
+
     def test_missing_file(self, tmp_path):
         """The file that can't be read is named."""
         with pytest.raises(SettingsError, match=r"none\.ini"):
