Import the exported parts at their first use

Cause: the package's __init__ imported all parts for embedding, which every router process paid for; it uses few of them.

Change: exported names, and the modules that hold them, are imported at first use (PEP 562).

tests/test_start_imports.py holds in fresh interpreters which modules the process leaves out, that the platform's package imports no library before __main__, and that all exported names resolve.

--- /dev/null
+++ b/tests/test_start_imports.py
@@ -0,0 +1,94 @@
+# SPDX-License-Identifier: MIT
+"""What a router process imports, and when."""
+
+from __future__ import annotations
+
+import os
+import pathlib
+import subprocess
+import sys
+
+import pytest
+
+import violethatch
+
+
+SOURCES = pathlib.Path(violethatch.__file__).parent
+#: What the process imports before it listens.
+PROCESS = "import violethatch.platform._process"
+#: Parts for embedding, the command line's parser and the wire of the other roles.
+UNUSED = {
+    "argparse",
+    "capnp",
+    "defopt",
+    "violethatch._peer_wire",
+    "violethatch.attempts",
+    "violethatch.cli",
+    "violethatch.gossip",
+    "violethatch.limits",
+    "violethatch.loads",
+    "violethatch.routes",
+}
+
+
+def python(code):
+    """Run code in a fresh interpreter without site packages' hooks; return its output.
+
+    Hooks of the machine's Python may import modules on their own.
+    """
+    path = os.pathsep.join([str(SOURCES.parent), *filter(None, sys.path)])
+    done = subprocess.run(
+        [sys.executable, "-S", "-OO", "-c", code],
+        env={"PATH": os.environ["PATH"], "PYTHONPATH": path},
+        capture_output=True,
+        text=True,
+        check=True,
+    )
+    return done.stdout.split()
+
+
+def loaded(code):
+    """Return the names of the modules that a fresh interpreter has after *code*."""
+    return set(python(f"{code}\nimport sys\nprint(*sys.modules)"))
+
+
+class TestProcess:
+    def test_unused_modules_stay_out(self):
+        """Guards against start time spent on modules that no router uses."""
+        names = loaded(PROCESS)
+        assert "violethatch._router" in names
+        assert not names & UNUSED
+
+    def test_package_imports_no_library(self):
+        """Guards against libraries that are imported before `__main__` runs.
+
+        `python -m violethatch.platform` imports the package first; `__main__` then sets
+        variables that uvloop and aiohttp read when they are imported.
+        """
+        names = loaded("import violethatch.platform")
+        assert not names & {"aiohttp", "asyncio", "uvloop", "violethatch._router"}
+
+    def test_package_still_exports(self):
+        """Guards against a lost name of the package."""
+        code = "from violethatch.platform import *; print(run.__name__, settings_path)"
+        assert python(code)[0] == "run"
+
+
+class TestExports:
+    def test_import_loads_no_part(self):
+        """Guards against parts that are imported with the package."""
+        names = loaded("import violethatch")
+        assert [name for name in names if name.startswith("violethatch.")] == []
+
+    def test_all_names_resolve(self):
+        """Guards against an exported name without a module, and the reverse."""
+        assert set(violethatch._MODULES) == set(violethatch.__all__)
+        assert set(violethatch.__all__) <= set(dir(violethatch))
+        for name, module in violethatch._MODULES.items():
+            part = getattr(violethatch, module)
+            assert getattr(violethatch, name) is getattr(part, name)
+
+    def test_unknown_name(self):
+        """Guards against an import error of another kind than other modules give."""
+        with pytest.raises(AttributeError, match="no attribute 'unknown'"):
+            _ = violethatch.unknown
