Collect no garbage while the router imports

Cause: the imports of a start make some 70,000 objects, nearly all for good. The collector looked through them again and again, and once more in each full collection later.

Change: __main__ turns collections off while it imports, then freezes what is there and turns them on.

--- a/src/violethatch/platform/__main__.py
+++ b/src/violethatch/platform/__main__.py
@@ -7,7 +7,9 @@
 
 from __future__ import annotations
 
+import gc
 import os
+import sys
 
 
 # Before uvloop is imported: it would open an io_uring otherwise.
@@ -17,17 +19,27 @@
 # core earlier (resident size and processor time after the imports).
 os.environ["SSL_CERT_FILE"] = os.devnull
 
-import sys
-
-from violethatch.errors import VioletHatchError
-from violethatch.platform import run, settings_path
+_BAD_SETTINGS = 2
 
 
-_BAD_SETTINGS = 2
+def main() -> int:
+    """Run the router; return the process's status."""
+    # The imports make some 70,000 objects, nearly all for good.  Without collections
+    # between them a start runs a tenth fewer instructions, for 0.5 MB of memory; later
+    # collections leave these objects out.
+    gc.disable()
+    from violethatch.errors import VioletHatchError
+    from violethatch.platform import run, settings_path
 
-if __name__ == "__main__":
+    gc.freeze()
+    gc.enable()
     try:
         run(settings_path())
     except VioletHatchError as error:
         print(f"violethatch error {error.code}: {error.detail}", file=sys.stderr)
-        sys.exit(_BAD_SETTINGS)
+        return _BAD_SETTINGS
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/tests/test_start_imports.py
+++ b/tests/test_start_imports.py
@@ -68,6 +68,15 @@
         names = loaded("import violethatch.platform")
         assert not names & {"aiohttp", "asyncio", "uvloop", "violethatch._router"}
 
+    def test_collections_go_on(self):
+        """Guards against a process that never collects, or looks through all imports.
+
+        Without its settings `main` ends right after the imports.
+        """
+        code = "from violethatch.platform.__main__ import main; print(main())"
+        code += "\nimport gc; print(gc.isenabled(), gc.get_freeze_count() > 10_000)"
+        assert python(code) == ["2", "True", "True"]
+
     def test_package_still_exports(self):
         """Guards against a lost name of the package."""
         code = "from violethatch.platform import *; print(run.__name__, settings_path)"
