Decode the stride of an engine's events

An engine may produce several tokens in one pass, so that a gap between events is that many token times; the desired state states it as `stride`. EngineSpec gets stride_tokens as its last field, 1 if it is missing.

Measured: tests/test_platform_wire.py, tests/test_paths.py and tests/test_stream_loads.py pass; make lint is clean.

--- a/src/violethatch/engine_model.py
+++ b/src/violethatch/engine_model.py
@@ -59,6 +59,8 @@
     zone_delay_ms: Mapping[tuple[str, str], float]
     activation_bytes: float
     pipe_mbps: float
+    #: Tokens that one pass makes, and that come in one event.
+    stride_tokens: float = 1.0
 
     @property
     def crossing_ms(self) -> float:
--- a/src/violethatch/platform/_desired_row.py
+++ b/src/violethatch/platform/_desired_row.py
@@ -114,6 +114,7 @@
     delays: list[_Delay] = []
     act_bytes: float = 0.0
     pipe_mbps: float = 0.0
+    stride: float = 1.0
 
     def decoded(self) -> EngineSpec:
         """Return the engine's figures in the product's words."""
@@ -138,6 +139,7 @@
             activation_bytes=self.act_bytes,
             pipe_mbps=self.pipe_mbps,
             zone_delay_ms={(one.start, one.end): one.delay_ms for one in self.delays},
+            stride_tokens=self.stride,
         )
 
 
--- a/tests/test_platform_wire.py
+++ b/tests/test_platform_wire.py
@@ -123,6 +123,20 @@
         assert engine.delay_ms("z2", "z1") == 0.75
         assert services["labels"].engine is None
 
+    def test_stride(self):
+        """An engine that states no stride makes one token in a pass."""
+
+        def stride(**changes):
+            service = {"Name": "model", "Engine": {**ENGINE, **changes}}
+            return (
+                decode({**CONFIG, "Services": [service]})
+                .services["model"]
+                .engine.stride_tokens
+            )
+
+        assert stride() == 1.0
+        assert stride(stride=5) == 5.0
+
     def test_keys_name_their_workspace(self):
         """Each key leads to its workspace and its priority."""
         workspaces = decode(CONFIG).workspaces_by_key
