Carry demand along the tree of instances

Cause: an instance sees its own part of what is offered only.

LoadTotals and LoadDatagram have demand. It goes first within the unchanged bytes of a tick, servers get the remainder. Offers without workspaces leave a neighbour's workspaces as they were told, since each offer has one.

Datagrams without demand have the same bytes as before: msgspec writes defaults of arrays out (two bytes), so that they are encoded without the field. Both versions read each other's.

--- a/src/violethatch/_load_link.py
+++ b/src/violethatch/_load_link.py
@@ -6,10 +6,11 @@
 import asyncio
 import struct
 
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 
 from . import clocks, events
 from ._peer_datagrams import LoadDatagram, PeerDatagrams
+from .demand import DemandFeed, unpacked
 from .load_changes import ChangeFeed
 from .load_sums import Direction, LoadSums, LoadTotals, ServerTotals
 from .stream_loads import StreamLoads
@@ -31,6 +32,8 @@
 _UNIT_TOKEN_LAYERS = 256
 _MOST_COUNT = 0xFFFF
 _MS_PER_S = 1000
+#: What msgpack puts before the bytes of a demand.
+_DEMAND_HEADER_BYTES = 2
 #: What a server takes in a datagram.
 SERVER_BYTES = _SERVER.size
 
@@ -52,6 +55,7 @@
         self._turn = 0
         #: By neighbour, what it was told, and in which direction.
         self._feeds: dict[str, tuple[Direction, ChangeFeed]] = {}
+        self._demands = DemandFeed()
         datagrams.on(LoadDatagram, self._take)
 
     async def run(self) -> None:
@@ -74,16 +78,24 @@
             )
         for gone in self._feeds.keys() - neighbours.keys():
             del self._feeds[gone]
+            self._demands.forget(gone)
         if not neighbours:
             return
         own = self._loads.own_totals(now_s=now_s)
-        most = most_servers(min(len(neighbours), MOST_TOLD_A_TICK))
         peers = {one.id: one for one in self._directory.others()}
-        for neighbour in self._in_turn(list(neighbours)):
-            if neighbour not in peers:
-                continue  # its entry has gone meanwhile
+        # An entry may have gone since the neighbours were found.
+        told = [one for one in self._in_turn(list(neighbours)) if one in peers]
+        totals_by_neighbour = {
+            one: self._sums.sum_for(one, neighbours[one], own, now_s=now_s)
+            for one in told
+        }
+        demands = self._demands.pack(
+            {one: totals.demand for one, totals in totals_by_neighbour.items()},
+            most_bytes=most_demand_bytes(len(told)),
+        )
+        most = most_servers(len(told), demands.values())
+        for neighbour, totals in totals_by_neighbour.items():
             direction = neighbours[neighbour]
-            totals = self._sums.sum_for(neighbour, direction, own, now_s=now_s)
             picked = self._feed(neighbour, direction).pick(totals.servers, most=most)
             message = LoadDatagram(
                 token=peers[neighbour].token,
@@ -93,6 +105,7 @@
                 pipe_ms_per_s=round(totals.pipe_ms_per_s, 1),
                 age_ms=round(totals.age_s * _MS_PER_S),
                 servers=_packed(picked),
+                demand=demands[neighbour],
             )
             self._datagrams.send(peers[neighbour], message)
 
@@ -121,16 +134,39 @@
             pipe_ms_per_s=message.pipe_ms_per_s,
             servers=_unpacked(message.servers),
             age_s=message.age_ms / _MS_PER_S,
+            demand=unpacked(message.demand),
         )
         now_s = clocks.now_s()
         direction = Direction(message.direction)
         self._sums.take(message.sender, direction, change, now_s=now_s)
 
 
-def most_servers(neighbours: int) -> int:
-    """Return how many servers fit a datagram, within the bytes of a second."""
-    each = _MOST_BYTES_A_SECOND * TICK_S / neighbours - ENVELOPE_BYTES
-    return max(1, int(each / _SERVER.size))
+def most_servers(neighbours: int, demands: Iterable[bytes] = ()) -> int:
+    """Return how many servers fit a datagram, within the bytes of a second.
+
+    Args:
+        neighbours: How many are told in a tick.
+        demands: The demand in each of their datagrams, which goes first.
+    """
+    left = _most_content_bytes(neighbours) - sum(
+        _DEMAND_HEADER_BYTES + len(demand) for demand in demands if demand
+    )
+    return max(1, int(left / max(1, neighbours) / _SERVER.size))
+
+
+def most_demand_bytes(neighbours: int) -> int:
+    """Return how much demand fits a tick's datagrams, with one server in each.
+
+    Args:
+        neighbours: How many are told in a tick.
+    """
+    least = neighbours * (_DEMAND_HEADER_BYTES + _SERVER.size)
+    return max(0, int(_most_content_bytes(neighbours)) - least)
+
+
+def _most_content_bytes(neighbours: int) -> float:
+    """Return what a tick's datagrams may hold beside their envelopes."""
+    return _MOST_BYTES_A_SECOND * TICK_S - neighbours * ENVELOPE_BYTES
 
 
 def _packed(servers: Mapping[int, ServerTotals]) -> bytes:
--- a/src/violethatch/_peer_datagrams.py
+++ b/src/violethatch/_peer_datagrams.py
@@ -31,8 +31,8 @@
     seen: list[tuple[str, str, int]]
 
 
-class LoadDatagram(msgspec.Struct, array_like=True, tag="l"):
-    """A sum of loads; the token is the receiver's own."""
+class _PlainLoadDatagram(msgspec.Struct, array_like=True, tag="l"):
+    """A sum of loads where nothing is governed; the token is the receiver's own."""
 
     token: str
     sender: str
@@ -44,6 +44,13 @@
     servers: bytes
 
 
+class LoadDatagram(_PlainLoadDatagram, tag="l"):
+    """A sum of loads; the token is the receiver's own."""
+
+    #: What is offered, packed, see `demand`; instances before 26.5.0 don't send it.
+    demand: bytes = b""
+
+
 class PaceDatagram(msgspec.Struct, array_like=True, tag="p"):
     """A runner's word on its pace; the token is the receiver's own."""
 
@@ -148,6 +155,20 @@
 )
 
 
+def encoded(message: Datagram) -> bytes:
+    """Return a datagram's bytes.
+
+    Sums of loads without demand are encoded without that field: msgspec writes
+    defaults of arrays out, which would add two bytes where nothing is governed.
+    """
+    if isinstance(message, LoadDatagram) and not message.demand:
+        plain = [
+            getattr(message, name) for name in _PlainLoadDatagram.__struct_fields__
+        ]
+        return msgspec.msgpack.encode(_PlainLoadDatagram(*plain))
+    return msgspec.msgpack.encode(message)
+
+
 class SendAllowance:
     """How often something may be sent to all instances.
 
@@ -209,7 +230,7 @@
         """Send a datagram; one that can't be sent is lost."""
         if self._transport is None:
             return
-        body = msgspec.msgpack.encode(message)
+        body = encoded(message)
         try:
             self._transport.sendto(body, host_and_port(peer.address))
         except (OSError, ValueError) as error:
--- a/src/violethatch/load_sums.py
+++ b/src/violethatch/load_sums.py
@@ -23,6 +23,13 @@
 from collections.abc import Iterable, Mapping
 from typing import NamedTuple
 
+from .demand import (
+    MOST_HEAVIEST_SENT,
+    NO_DEMAND,
+    Demand,
+    DemandKey,
+    total_demand,
+)
 from .instances import InstanceDirectory, InstanceEntry, ranked
 
 
@@ -31,6 +38,13 @@
 FAN_OUT = 3
 #: How long what a neighbour told counts, in seconds: four ticks may be lost.
 TOLD_LIFE_S = 1.2
+#: How long the workspaces that a neighbour told count where it sends offers alone, in
+#: seconds: it tells them to one of up to nine neighbours each tick, and one datagram
+#: may be lost.
+HEAVIEST_LIFE_S = 5.0
+#: How long a workspace counts that a full list no longer names, in seconds: three
+#: lists, of which an inner instance of the tree is sent one every half second.
+UNNAMED_LIFE_S = 1.5
 #: How long an instance that does not answer is passed over at first, in seconds.
 SUSPECTED_S = 5.0
 #: The same at most, in seconds: it doubles each time, so that also where most of a
@@ -77,6 +91,7 @@
             second.
         servers: By the server's number, what they have there.
         age_s: How old that is on average over the instances, in seconds.
+        demand: What they are offered, of governed services.
 
     .. versionadded:: 26.2.0
     """
@@ -85,6 +100,7 @@
     pipe_ms_per_s: float
     servers: Mapping[int, ServerTotals]
     age_s: float = 0.0
+    demand: Demand = NO_DEMAND
 
 
 #: What nobody has.
@@ -112,7 +128,9 @@
     pipe_ms_per_s = 0.0
     ages_s = 0.0
     servers: dict[int, ServerTotals] = {}
+    demands: list[Demand] = []
     for part in parts:
+        demands.append(part.demand)
         instances += part.instances
         pipe_ms_per_s += part.pipe_ms_per_s
         ages_s += part.instances * part.age_s
@@ -122,7 +140,8 @@
                 known.streams + added.streams, known.token_layers + added.token_layers
             )
     age_s = ages_s / instances if instances else 0.0
-    return LoadTotals(instances, pipe_ms_per_s, servers, age_s)
+    demand = total_demand(demands)
+    return LoadTotals(instances, pipe_ms_per_s, servers, age_s, demand)
 
 
 class _Told:
@@ -134,6 +153,10 @@
         self.pipe_ms_per_s = 0.0
         self.age_s = 0.0
         self.servers: dict[int, ServerTotals] = {}
+        self.demand: Demand = NO_DEMAND
+        self.heaviest_told_s = 0.0
+        #: When each workspace of the demand was last named.
+        self.named_s: dict[tuple[DemandKey, int], float] = {}
         self.told_s = 0.0
 
     def take(self, change: LoadTotals, *, now_s: float) -> None:
@@ -141,6 +164,7 @@
         self.instances = change.instances
         self.pipe_ms_per_s = change.pipe_ms_per_s
         self.age_s = change.age_s
+        self._take_demand(change.demand, now_s=now_s)
         self.told_s = now_s
         for number, totals in change.servers.items():
             if totals.streams or totals.token_layers:
@@ -148,10 +172,46 @@
             else:
                 self.servers.pop(number, None)
 
+    def _take_demand(self, demand: Demand, *, now_s: float) -> None:
+        """Take demand in; offers come from workspaces, so that none are unchanged."""
+        is_known = now_s - self.heaviest_told_s <= HEAVIEST_LIFE_S
+        if demand.offers_per_s and not demand.heaviest_per_s and is_known:
+            heaviest_per_s = self.demand.heaviest_per_s
+        else:
+            heaviest_per_s = self._with_unnamed(demand.heaviest_per_s, now_s=now_s)
+            self.heaviest_told_s = now_s
+        self.demand = demand._replace(heaviest_per_s=heaviest_per_s)
+
+    def _with_unnamed(
+        self, named_per_s: Mapping[tuple[DemandKey, int], float], *, now_s: float
+    ) -> Mapping[tuple[DemandKey, int], float]:
+        """Return workspaces with those that a full list may just have left out.
+
+        Counts of one second waver, so that workspaces near the end of a list come
+        and go.  What isn't named has at most the least rate that is.
+        """
+        self.named_s |= dict.fromkeys(named_per_s, now_s)
+        self.named_s = {
+            entry: named_s
+            for entry, named_s in self.named_s.items()
+            if now_s - named_s <= UNNAMED_LIFE_S
+        }
+        if len(named_per_s) < MOST_HEAVIEST_SENT:
+            return named_per_s
+        least_per_s = min(named_per_s.values())
+        unnamed_per_s = {
+            entry: min(rate, least_per_s)
+            for entry, rate in self.demand.heaviest_per_s.items()
+            if entry in self.named_s
+        }
+        return {**unnamed_per_s, **named_per_s}
+
     def totals(self, *, now_s: float) -> LoadTotals:
         """Return all that it has told, as old as that is now."""
         age_s = self.age_s + now_s - self.told_s
-        return LoadTotals(self.instances, self.pipe_ms_per_s, self.servers, age_s)
+        return LoadTotals(
+            self.instances, self.pipe_ms_per_s, self.servers, age_s, self.demand
+        )
 
 
 class _Suspicion(NamedTuple):
--- a/src/violethatch/stream_loads.py
+++ b/src/violethatch/stream_loads.py
@@ -14,9 +14,11 @@
 import collections
 import math
 
+from collections.abc import Callable
 from typing import NamedTuple
 
 from .backends import BackendServer
+from .demand import NO_DEMAND, Demand
 from .engine_model import EngineSpec
 from .load_sums import NOTHING, LoadTotals, ServerTotals, server_number
 from .paths import LayerMap, Path, Stage
@@ -35,6 +37,11 @@
 _GAIN = 0.05
 
 
+def _no_demand() -> Demand:
+    """Return what is offered where no service is governed."""
+    return NO_DEMAND
+
+
 class _Told(NamedTuple):
     """A first runner's word on its load, and when it came."""
 
@@ -45,10 +52,15 @@
 class StreamLoads:
     """One instance's view of the streams on runners.
 
+    Attributes:
+        own_demand: Returns what this instance is offered, of governed services, which
+            others are told with its totals.
+
     .. versionadded:: 26.1.0
     """
 
     def __init__(self) -> None:
+        self.own_demand: Callable[[], Demand] = _no_demand
         self._own_token_layers: dict[str, float] = {}
         self._own_by_first: dict[str, int] = {}
         #: When own streams crossed between zones, and for how long, in ms.
@@ -89,7 +101,12 @@
             )
             for server_id, token_layers in self._own_token_layers.items()
         }
-        return LoadTotals(1, self._own_pipe_ms_per_s(now_s=now_s), servers)
+        return LoadTotals(
+            instances=1,
+            pipe_ms_per_s=self._own_pipe_ms_per_s(now_s=now_s),
+            servers=servers,
+            demand=self.own_demand(),
+        )
 
     def started(
         self, path: Path, tokens: float, *, crossing_ms: float, now_s: float
--- a/tests/test_load_link.py
+++ b/tests/test_load_link.py
@@ -17,7 +17,17 @@
 from test_platform_process import free_ports
 from violethatch import _load_link
 from violethatch._load_link import LoadLink
-from violethatch._peer_datagrams import LoadDatagram, PeerDatagrams
+from violethatch._peer_datagrams import LoadDatagram, PeerDatagrams, encoded
+from violethatch.demand import (
+    MOST_HEAVIEST_SENT,
+    MOST_KEYS_SENT,
+    NO_DEMAND,
+    Demand,
+    DemandFeed,
+    DemandKey,
+    packed,
+    unpacked,
+)
 from violethatch.instances import InstanceDirectory
 from violethatch.load_sums import ServerTotals
 from violethatch.paths import find_path
@@ -25,6 +35,25 @@
 
 
 PATH = find_path([runner("a", 0, 40), runner("b", 40, 80)], engine(), zone="z1")
+KEY = DemandKey(7, 1)
+OFFERED = Demand({KEY: 12.0}, {(KEY, 3): 8.0, (KEY, 4): 4.0})
+#: As much as a datagram may hold.
+MUCH_OFFERED = Demand(
+    {DemandKey(7, priority): 50.0 for priority in range(MOST_KEYS_SENT)},
+    {(KEY, workspace): 20.0 for workspace in range(MOST_HEAVIEST_SENT)},
+)
+
+
+class LoadDatagramBefore(msgspec.Struct, array_like=True, tag="l"):
+    """A sum of loads as instances before 26.5.0 send and read it."""
+
+    token: str
+    sender: str
+    direction: str
+    instances: int
+    pipe_ms_per_s: float
+    age_ms: int
+    servers: bytes
 
 
 class TestLoadLink:
@@ -52,6 +81,29 @@
         for task in tasks:
             task.cancel()
 
+    async def test_demand_of_others_is_known(self):
+        """Guards against demand that is lost between counter and sums."""
+        entries = [
+            entry(f"i{n}")._replace(address=f"127.0.0.1:{port}", token=f"t{n}")
+            for n, port in enumerate(free_ports(3))
+        ]
+        loads, tasks = [], []
+        for own in entries:
+            directory = InstanceDirectory(own)
+            directory.take({one.id: one for one in entries}, is_whole=True)
+            datagrams = PeerDatagrams(directory)
+            await datagrams.start(own.address)
+            loads.append(StreamLoads())
+            tasks.append(asyncio.create_task(LoadLink(datagrams, loads[-1]).run()))
+        loads[0].own_demand = lambda: OFFERED
+        async with asyncio.timeout(10):
+            for one in loads[1:]:
+                while one.others.demand != OFFERED:
+                    await asyncio.sleep(0.02)
+        assert loads[0].others.demand == NO_DEMAND
+        for task in tasks:
+            task.cancel()
+
     def test_noise_is_no_load(self):
         """A datagram whose servers are not whole is refused."""
         datagrams = PeerDatagrams(InstanceDirectory(entry("i0")._replace(token="t")))
@@ -88,6 +140,71 @@
         ticks = 1 / _load_link.TICK_S
         assert datagram_bytes * neighbours * ticks <= 4000
 
+    @pytest.mark.parametrize("neighbours", range(1, _load_link.MOST_TOLD_A_TICK + 1))
+    @pytest.mark.parametrize("demand", [OFFERED, MUCH_OFFERED])
+    def test_demand_takes_no_more_bytes(self, neighbours, demand):
+        """Guards against demand that goes on top of what loads may take."""
+        feed = DemandFeed()
+        for _ in range(4):
+            demands = feed.pack(
+                {str(n): demand for n in range(neighbours)},
+                most_bytes=_load_link.most_demand_bytes(neighbours),
+            )
+            assert all(unpacked(data).offers_per_s for data in demands.values())
+            most = _load_link.most_servers(neighbours, demands.values())
+            servers = dict.fromkeys(range(most), ServerTotals(90, 1e6))
+            tick_bytes = sum(
+                28  # of IP and UDP
+                + len(
+                    encoded(
+                        LoadDatagram(
+                            token="0" * 16,
+                            sender="edge-some-availability-zone-11",
+                            direction="u",
+                            instances=350,
+                            pipe_ms_per_s=123.4,
+                            age_ms=4000,
+                            servers=_load_link._packed(servers),
+                            demand=data,
+                        )
+                    )
+                )
+                for data in demands.values()
+            )
+            assert tick_bytes <= 3000 * _load_link.TICK_S
+
+    def test_without_demand_nothing_changes_on_the_wire(self):
+        """Guards against bytes that are sent where no service is governed."""
+        fields = ("token", "sender", "u", 3, 12.5, 400, b"12345678")
+        before = msgspec.msgpack.encode(LoadDatagramBefore(*fields))
+        assert encoded(LoadDatagram(*fields)) == before
+        for neighbours in range(1, 7):
+            none = [b""] * neighbours
+            most = _load_link.most_servers(neighbours, none)
+            assert most == _load_link.most_servers(neighbours)
+
+    def test_versions_understand_each_other(self):
+        """Guards against loads that are lost while a fleet is upgraded."""
+        fields = ("token", "sender", "u", 3, 12.5, 400, b"12345678")
+        before = msgspec.msgpack.encode(LoadDatagramBefore(*fields))
+        read = msgspec.msgpack.decode(before, type=LoadDatagram)
+        assert read == LoadDatagram(*fields)
+        now = encoded(LoadDatagram(*fields, demand=packed(OFFERED)))
+        read_before = msgspec.msgpack.decode(now, type=LoadDatagramBefore)
+        assert read_before == LoadDatagramBefore(*fields)
+        assert unpacked(msgspec.msgpack.decode(now, type=LoadDatagram).demand) == (
+            OFFERED
+        )
+
+    def test_incomplete_demand_is_no_load(self):
+        """Guards against sums taken from a datagram that can't be understood."""
+        datagrams = PeerDatagrams(InstanceDirectory(entry("i0")._replace(token="t")))
+        link = LoadLink(datagrams, StreamLoads())
+        message = LoadDatagram("t", "i1", "u", 1, 0.0, 0, b"", packed(OFFERED)[:-1])
+        with pytest.raises(ValueError, match="complete"):
+            link._take(message)
+        datagrams.datagram_received(encoded(message), None)
+
     @given(st.dictionaries(st.integers(0, 2**32 - 1), st.integers(0, 10**6)))
     def test_packed_totals_come_back(self, streams):
         """Up to the bounds of the packing and its unit."""
--- a/tests/test_load_sums.py
+++ b/tests/test_load_sums.py
@@ -9,12 +9,15 @@
 from hypothesis import strategies as st
 
 from test_instances import entry
+from violethatch.demand import MOST_HEAVIEST_SENT, NO_DEMAND, Demand, DemandKey
 from violethatch.instances import InstanceDirectory
 from violethatch.load_sums import (
     FAN_OUT,
+    HEAVIEST_LIFE_S,
     NOTHING,
     SUSPECTED_S,
     TOLD_LIFE_S,
+    UNNAMED_LIFE_S,
     Direction,
     LoadSums,
     LoadTotals,
@@ -25,6 +28,7 @@
 
 
 TICK_S = 0.25
+KEY = DemandKey(7, 1)
 
 
 def own(streams):
@@ -93,6 +97,12 @@
         """Instances, the pipe's time and each server's totals add up."""
         both = total([own(2), own(3), NOTHING])
         assert both == LoadTotals(2, 4.0, {7: ServerTotals(5, 500.0)})
+        assert both.demand is NO_DEMAND
+
+    def test_demand_adds_up(self):
+        """Guards against a sum that leaves demand out."""
+        one = own(2)._replace(demand=Demand({KEY: 3.0}, {(KEY, 5): 2.0}))
+        assert total([one, own(1), one]).demand == Demand({KEY: 6.0}, {(KEY, 5): 4.0})
 
     def test_numbers_are_the_same_everywhere(self):
         """A server's number doesn't depend on the process."""
@@ -213,3 +223,45 @@
         """What comes from elsewhere than parent, children or roots is left out."""
         sums = Fleet([5, 2]).sums["0-0"]
         assert not sums.take("0-9", Direction.UP, own(3), now_s=0.0)
+
+
+class TestToldDemand:
+    """What a neighbour's datagrams say of demand, one after the other."""
+
+    def known(self, *words, now_s):
+        """Return the demand known after words, each with its moment."""
+        sums = Fleet([1, 1]).sums["0-0"]
+        for at_s, heaviest in words:
+            demand = Demand({KEY: 90.0}, {(KEY, n): r for n, r in heaviest.items()})
+            change = own(1)._replace(demand=demand)
+            assert sums.take("1-0", Direction.ACROSS, change, now_s=at_s)
+        sums.refresh(now_s=now_s)
+        heaviest_per_s = sums.others.demand.heaviest_per_s
+        return {workspace: rate for (_, workspace), rate in heaviest_per_s.items()}
+
+    def test_offers_alone_leave_workspaces_as_they_are(self):
+        """Guards against workspaces that are known in some ticks only."""
+        told = {1: 4.0, 2: 3.0}
+        assert self.known((0.0, told), (0.25, {}), (0.5, {}), now_s=0.5) == told
+
+    def test_workspaces_are_not_known_forever(self):
+        """Guards against old workspaces where no news of them comes."""
+        ticks = [(n * 1.0, {}) for n in range(1, 8)]
+        assert HEAVIEST_LIFE_S < 7.0
+        assert self.known((0.0, {1: 4.0}), *ticks, now_s=7.0) == {}
+
+    def test_short_list_is_all(self):
+        """Guards against a workspace that counts after it has ended."""
+        first, second = {1: 4.0, 2: 3.0}, {2: 5.0}
+        assert self.known((0.0, first), (0.5, second), now_s=0.5) == second
+
+    def test_full_list_leaves_some_out(self):
+        """Guards against workspaces that come and go at the end of full lists."""
+        full = {n: 9.0 + n for n in range(MOST_HEAVIEST_SENT)}
+        first = {**full, 99: 20.0}
+        del first[0]
+        known = self.known((0.0, first), (0.5, full), now_s=0.5)
+        assert known == {**full, 99: 9.0}
+        again = [(0.5 * n, full) for n in range(1, 5)]
+        assert UNNAMED_LIFE_S < 2.0
+        assert self.known((0.0, first), *again, now_s=2.0) == full
--- a/tests/test_stream_loads.py
+++ b/tests/test_stream_loads.py
@@ -6,6 +6,7 @@
 import pytest
 
 from routing_samples import engine, runner
+from violethatch.demand import NO_DEMAND, Demand, DemandKey
 from violethatch.load_sums import LoadTotals, ServerTotals, server_number
 from violethatch.paths import find_path
 from violethatch.stream_loads import StreamLoads, fullness_added
@@ -88,6 +89,14 @@
         assert loads.fullness(A, engine(), now_s=1.0) == pytest.approx(0.75)
         assert loads.fullness(A, engine(), now_s=60.0) == pytest.approx(0.25)
 
+    def test_own_demand_is_told(self):
+        """Guards against demand that is counted and not told, or told uncounted."""
+        loads = StreamLoads()
+        assert loads.own_totals(now_s=0.0).demand is NO_DEMAND
+        offered = Demand({DemandKey(7, 1): 3.0}, {})
+        loads.own_demand = lambda: offered
+        assert loads.own_totals(now_s=0.0).demand == offered
+
     def test_own_totals_are_what_others_are_told(self):
         """Streams count at the first runner, KV cache at each."""
         loads = StreamLoads()
