--- a/src/violethatch/_peer_datagrams.py
+++ b/src/violethatch/_peer_datagrams.py
@@ -15,11 +15,17 @@
 from ._decoding import decoded
 from ._serving import host_and_port
 from .instances import InstanceDirectory, InstanceEntry
+from .return_slots import ClaimOutcome
 
 
 #: Numbers that mean something: no sum may become infinite, or no number at all.
 Amount = Annotated[float, msgspec.Meta(ge=0, le=1e9)]
 Count = Annotated[int, msgspec.Meta(ge=0, lt=2**31)]
+#: No start is reserved for later, in ms: three times the latest retry that is told.
+LONGEST_LEFT_MS = 9_000
+LeftMs = Annotated[int, msgspec.Meta(ge=0, le=LONGEST_LEFT_MS)]
+#: A work's id; what is longer is not read, see `work_ids.check_work_id`.
+WorkId = Annotated[str, msgspec.Meta(max_length=32)]
 
 
 class SightingsDatagram(msgspec.Struct, array_like=True, tag="s"):
@@ -141,6 +147,35 @@
     work: str
 
 
+class ReservedDatagram(msgspec.Struct, array_like=True, tag="v"):
+    """A start that is reserved for a work; the token is the receiver's own."""
+
+    token: str
+    sender: str
+    work: WorkId
+    left_ms: LeftMs
+
+
+class ClaimDatagram(msgspec.Struct, array_like=True, tag="q"):
+    """A claim of a work's reservation; the token is the receiver's own."""
+
+    token: str
+    sender: str
+    number: Count
+    work: WorkId
+
+
+class ClaimedDatagram(msgspec.Struct, array_like=True, tag="a"):
+    """An answer to a claim; the token is the receiver's own."""
+
+    token: str
+    sender: str
+    #: That of the claim.
+    number: Count
+    outcome: ClaimOutcome
+    left_ms: LeftMs
+
+
 Datagram = (
     SightingsDatagram
     | LoadDatagram
@@ -152,6 +187,9 @@
     | LimitDatagram
     | PermitAskDatagram
     | PermitDatagram
+    | ReservedDatagram
+    | ClaimDatagram
+    | ClaimedDatagram
 )
 
 
