Count told starts by quarter second as they are told

Cause: each refusal counted all told starts anew, 134 us at an instance that is alone with a room of 329 starts per second.

The counts are kept, and what has passed is dropped once in a quarter second. One more test: less urgent callers don't get the last starts while urgent ones are refused, which no test had seen.

--- a/src/violethatch/return_slots.py
+++ b/src/violethatch/return_slots.py
@@ -116,6 +116,9 @@
         self._updated_s = 0.0
         #: By the number of the start, the time that was told.
         self._taken: dict[int, float] = {}
+        #: By quarter second, how many were told; and the latest one that has passed.
+        self._in_slots: collections.Counter[int] = collections.Counter()
+        self._slot = -1
         #: Recent refusals, and their number by priority.
         self._refused: collections.deque[tuple[float, int]] = collections.deque()
         self._counts: collections.Counter[int] = collections.Counter()
@@ -147,6 +150,7 @@
             return Slot(now_s + max(LEAST_S, latest_s), is_reserved=False)
         at_s = self._time_s(number, now_s=now_s)
         self._taken[number] = at_s
+        self._in_slots[int(at_s // SLOT_S)] += 1
         return Slot(at_s, is_reserved=True)
 
     def reserved(self, *, now_s: float) -> int:
@@ -165,9 +169,14 @@
         self._updated_s = now_s
         is_usable = math.isfinite(starts_per_s) and starts_per_s > 0.0
         self._per_s = RESERVED_PART * starts_per_s if is_usable else 0.0
-        self._taken = {
-            number: at_s for number, at_s in self._taken.items() if at_s > now_s
-        }
+        slot = int(now_s // SLOT_S)
+        if slot != self._slot:
+            self._slot = slot
+            self._taken = {
+                number: at_s for number, at_s in self._taken.items() if at_s > now_s
+            }
+            for passed in [one for one in self._in_slots if one < slot]:
+                del self._in_slots[passed]
         if not self._taken:
             self._passed %= 1.0
         while self._refused and now_s - self._refused[0][0] >= _URGENT_S:
@@ -186,22 +195,21 @@
         """Return the number of the start to reserve; None if none is left."""
         if latest_s < LEAST_S or not self._per_s:
             return None
-        # A higher rate brings starts closer: those told before count in their slots.
-        in_slots = collections.Counter(
-            int(at_s // SLOT_S) for at_s in self._taken.values()
-        )
         most_in_slot = math.ceil(SLOT_S * self._per_s)
         left = sum(count for one, count in self._counts.items() if one < priority)
         held_s = self._held_part(priority, now_s=now_s) * (latest_s - LEAST_S)
-        number = math.ceil(self._passed + (LEAST_S + held_s) * self._per_s)
+        first = math.ceil(self._passed + (LEAST_S + held_s) * self._per_s)
         last = math.floor(self._passed + latest_s * self._per_s)
-        while number <= last:
-            slot = int(self._time_s(number, now_s=now_s) // SLOT_S)
-            if number not in self._taken and in_slots[slot] < most_in_slot:
-                if not left:
-                    return number
-                left -= 1
-            number += 1
+        for one in range(first, last + 1):
+            if one in self._taken:
+                continue
+            # A higher rate brings starts closer to those that were told before it.
+            slot = int(self._time_s(one, now_s=now_s) // SLOT_S)
+            if self._in_slots[slot] >= most_in_slot:
+                continue
+            if not left:
+                return one
+            left -= 1
         return None
 
     def _held_part(self, priority: int, *, now_s: float) -> float:
--- a/tests/test_return_slots.py
+++ b/tests/test_return_slots.py
@@ -258,6 +258,16 @@
         assert urgent.is_reserved
         assert all(urgent.at_s < one.at_s for one in less)
 
+    def test_urgent_callers_that_go_on(self):
+        """The last starts are not given to less urgent callers meanwhile."""
+        slots = slots_of()
+        for _ in range(10):
+            slots.reserve(0, starts_per_s=20.0, most_s=3.0, now_s=100.0)
+        less = slots.reserve(2, starts_per_s=20.0, most_s=3.0, now_s=100.1)
+        urgent = slots.reserve(0, starts_per_s=20.0, most_s=3.0, now_s=100.2)
+        assert urgent.is_reserved
+        assert urgent.at_s < less.at_s
+
     def test_single_priority_has_the_early_starts(self):
         """Nothing is left to urgent callers where none of them is refused."""
         slots = slots_of()
