--- a/tests/test_return_slots.py
+++ b/tests/test_return_slots.py
@@ -59,11 +59,15 @@
 
 
 class Replay(NamedTuple):
-    """All callers, and by quarter second what was reserved and offered."""
+    """All callers, and by quarter second what was reserved and offered.
+
+    What callers who were refused have offered is counted by itself as well.
+    """
 
     callers: list[Refused]
     reserved: collections.Counter[int]
     offered: collections.Counter[int]
+    returned: collections.Counter[int]
 
 
 def room_a_s(at_s):
@@ -77,7 +81,7 @@
     slots = [ReturnSlots(rng=rng) for _ in range(count)]
     kept = [ReservedStarts() for _ in range(count)]
     callers = [Refused(number, rng) for number in range(REFUSED)]
-    done = Replay(callers, collections.Counter(), collections.Counter())
+    done = Replay(callers, *(collections.Counter() for _ in range(3)))
     coming = collections.defaultdict(list)
 
     @functools.cache
@@ -129,10 +133,12 @@
                 caller.is_served = True
                 left -= 1.0
                 done.offered[int(now_s // SLOT_S)] += 1
+                done.returned[int(now_s // SLOT_S)] += 1
             elif any(one.outcome is ClaimOutcome.EARLY for one in claims):
                 leave(caller, now_s + claims[0].left_s, now_s)
             else:
                 offers.append((caller.priority, tick, caller))
+                done.returned[int(now_s // SLOT_S)] += 1
         if not is_full:
             base += TICK_S * DEMAND_A_S
             usual = rng.choices(PRIORITIES, WEIGHTS, k=int(base))
@@ -202,7 +208,12 @@
 
 
 def check_second_peak(done):
-    """Returns and the usual demand don't exceed the room in any half second."""
+    """Returns don't exceed the room, nor do they with the usual demand.
+
+    The two together by half seconds: within that time the room is known everywhere.
+    """
+    for number in range(RETURNS_BEGIN, round(END_S / SLOT_S)):
+        assert done.returned[number] <= 1.2 * room_of_slot(number)
     for number in range(RETURNS_BEGIN, round(END_S / SLOT_S) - 1):
         pair = (number, number + 1)
         offered = sum(done.offered[slot] for slot in pair)
