Admit streams by priority and workspace, queue them, and reserve starts

Cause: while runners can't take all that is asked for, streams of all priorities were refused alike, in the order of their coming, and nothing waited before a first send.

Change: _admission.py joins room, demand, plan, queue and reserved starts, for services whose stream routes declare different priorities (or by [admission] mode). Demand may take 0.8 KB a second beside what loads have: within their bytes, an instance with four neighbours told each of them of one server in a datagram instead of nine.

--- a/src/violethatch/_admission.py
+++ b/src/violethatch/_admission.py
@@ -173,6 +173,8 @@
         capacity: Knows the runners.
         peers: Knows what other instances are asked for.
         returns: Reserves starts.
+        phase: Where the instance begins to spread what it admits, 0 to 1: hundreds that
+            begin alike would admit their first requests together.
     """
 
     def __init__(
@@ -182,11 +184,13 @@
         capacity: Capacity,
         peers: PeerDemand,
         returns: Returns,
+        phase: float,
     ) -> None:
         self.section = section
         self.capacity = capacity
         self.peers = peers
         self.returns = returns
+        self.phase = phase
         self.observer: AdmissionObserver = _Unobserved()
         self.counter = DemandCounter()
         self._desired: DesiredState | None = None
@@ -326,8 +330,9 @@
         self._spec = spec
         self._number = server_number(spec.name)
         self._targets = Targets(0.0, 0.0)
-        self._planner = Planner(policy=_policy(admission.section))
-        self._admitter = Admitter()
+        policy = _policy(admission.section)
+        self._planner = Planner(policy=policy)
+        self._admitter = Admitter(policy=policy, phase=admission.phase)
         self._queue = StartQueue(
             most_requests=admission.section.queue_requests,
             most_bytes=admission.section.queue_kb * 1024,
@@ -347,7 +352,9 @@
 
     def take_section(self, section: AdmissionSection) -> None:
         """Take changed settings in."""
-        self._planner = Planner(policy=_policy(section))
+        policy = _policy(section)
+        self._planner = Planner(policy=policy)
+        self._admitter = Admitter(policy=policy, phase=self._admission.phase)
         dropped = self._queue.resize(
             most_requests=section.queue_requests, most_bytes=section.queue_kb * 1024
         )
--- a/src/violethatch/_load_link.py
+++ b/src/violethatch/_load_link.py
@@ -21,6 +21,9 @@
 #: The most bytes that an instance sends for this in a second, of the 4 KB that
 #: all of control may take.
 _MOST_BYTES_A_SECOND = 3000
+#: What demand may take beside that: with less, an instance with four neighbours told
+#: each of them of one server in a datagram instead of nine.
+_MOST_DEMAND_BYTES_A_SECOND = 800
 #: What a datagram takes beside its servers: headers, token, names and counts.
 ENVELOPE_BYTES = 110
 #: The most neighbours that are told in one tick: more would leave each datagram
@@ -148,9 +151,11 @@
         neighbours: How many are told in a tick.
         demands: The demand in each of their datagrams, which goes first.
     """
-    left = _most_content_bytes(neighbours) - sum(
+    demand_bytes = sum(
         _DEMAND_HEADER_BYTES + len(demand) for demand in demands if demand
     )
+    beyond = max(0.0, demand_bytes - _MOST_DEMAND_BYTES_A_SECOND * TICK_S)
+    left = _most_content_bytes(neighbours) - beyond
     return max(1, int(left / max(1, neighbours) / _SERVER.size))
 
 
@@ -161,7 +166,8 @@
         neighbours: How many are told in a tick.
     """
     least = neighbours * (_DEMAND_HEADER_BYTES + _SERVER.size)
-    return max(0, int(_most_content_bytes(neighbours)) - least)
+    of_demand = _MOST_DEMAND_BYTES_A_SECOND * TICK_S
+    return max(0, int(_most_content_bytes(neighbours) + of_demand) - least)
 
 
 def _most_content_bytes(neighbours: int) -> float:
--- a/src/violethatch/_path_choice.py
+++ b/src/violethatch/_path_choice.py
@@ -27,6 +27,7 @@
 )
 from .paths import LayerMap, Path
 from .pipe_share import PipeShare
+from .room import Room, Targets, room
 from .runner_health import RunnerHealth
 from .runner_paces import RunnerPaces
 from .stream_loads import StreamLoads, fullness_added
@@ -80,6 +81,27 @@
     pipe_fullness: float
 
 
+class _KnownRoom(NamedTuple):
+    """A service's room, and what it was worked out from."""
+
+    maps: _Maps
+    gone: frozenset[str]
+    paces: Mapping[str, float]
+    targets: Targets
+    room: Room
+
+    def is_of(
+        self,
+        maps: _Maps,
+        gone: frozenset[str],
+        paces: Mapping[str, float],
+        targets: Targets,
+    ) -> bool:
+        """Tell whether nothing of that has changed."""
+        is_same = self.maps is maps and self.gone == gone
+        return is_same and self.paces == paces and self.targets == targets
+
+
 class _FreeFirst(NamedTuple):
     """The path whose rests are over first, who rested then, and when that was."""
 
@@ -144,6 +166,7 @@
         self._maps: dict[str, _Maps] = {}
         self._shares: dict[str, _Shares] = {}
         self._free_first: dict[str, _FreeFirst] = {}
+        self._rooms: dict[str, _KnownRoom] = {}
         #: Tells the own place among the zone's instances.
         self.place: Callable[[], Place] = lambda: ALONE
 
@@ -250,6 +273,42 @@
                 found, latest = path, middle
         return found
 
+    def room(self, service: ServiceSpec, targets: Targets) -> Room:
+        """Return what the runners that are there can take; full ones count.
+
+        Args:
+            service: A service with an engine.
+            targets: What its callers wait for.
+        """
+        assert service.engine is not None
+        now_s = clocks.now_s()
+        maps = self._maps_of(service, service.engine)
+        gone = self._health.shunned(now_s=now_s)
+        paces = self._paces.slow(now_s=now_s)
+        known = self._rooms.get(service.name)
+        if known is None or not known.is_of(maps, gone, paces, targets):
+            found = room(maps.whole, left_out=gone, paces=paces, targets=targets)
+            known = _KnownRoom(maps, gone, paces, targets, found)
+            self._rooms[service.name] = known
+        return known.room
+
+    def running(self, service: ServiceSpec) -> int:
+        """Return the streams of all instances at the runners that are there."""
+        assert service.engine is not None
+        now_s = clocks.now_s()
+        gone = self._health.shunned(now_s=now_s)
+        holders = self._maps_of(service, service.engine).whole.holders
+        return sum(
+            self._loads.totals_at(one.id, now_s=now_s).streams
+            for one in holders.values()
+            if one.layers is not None and one.layers.first == 0 and one.id not in gone
+        )
+
+    def fullness_of_first(self, service: ServiceSpec, path: Path) -> float:
+        """Return the part of a path's first runner that is taken."""
+        assert service.engine is not None
+        return self._loads.fullness(path.first, service.engine, now_s=clocks.now_s())
+
     def began(self) -> None:
         """Count a stream that this instance begins."""
         self._unseen.began(now_s=clocks.now_s())
--- a/src/violethatch/_peer_links.py
+++ b/src/violethatch/_peer_links.py
@@ -10,6 +10,7 @@
 from ._pace_link import PaceLink
 from ._peer_datagrams import PeerDatagrams
 from ._retry_link import RetryLink
+from ._return_link import ReturnLink
 from ._router import Router
 from ._sighting_link import SightingLink
 from ._suspect_link import SuspectLink
@@ -34,6 +35,7 @@
         self._paces = PaceLink(datagrams, router.routing.paces)
         self._retries = RetryLink(datagrams, router.routing, rng=rng)
         self._suspects = SuspectLink(datagrams, router.routing.suspects)
+        self._returns = ReturnLink(datagrams, rng=rng)
         self.loads = LoadLink(datagrams, router.routing.loads)
         self.limits = LimitLink(
             datagrams,
@@ -53,4 +55,5 @@
         routing.ask_for_retries = self._retries.ask
         routing.gate.limits.ask_permit = self.limits.ask
         routing.gate.limits.tell = self.limits.tell
+        routing.admission.returns = self._returns
         routing.know_instances(count=directory.__len__, place=directory.place)
--- a/src/violethatch/_router.py
+++ b/src/violethatch/_router.py
@@ -69,6 +69,7 @@
         self.routing.gate.on_word = self.metrics.heard
         self.routing.gate.on_kept_back = self.metrics.kept_back
         self.routing.gate.limits.on_permit = self.metrics.permit
+        self.routing.admission.observer = self.metrics
         self.freshness = Freshness(limit_s=settings.proof_limit_s)
         self.stop_plan = StopPlan(grace_s=settings.bounds.grace_s)
         self.desired: DesiredState | None = None
@@ -139,6 +140,7 @@
         if self.desired is not None and state.version <= self.desired.version:
             return
         self.desired = state
+        self.routing.admission.take_desired(state)
         events.log(
             events.REVISION_APPLIED,
             revision=state.version,
@@ -235,6 +237,7 @@
             "sources": dict(self.sources()),
             "tables": {one: state._asdict() for one, state in self.tables().items()},
             "load_instances": 1 + self.routing.loads.others.instances,
+            "admission": self.routing.admission.dump(),
             "load_age_s": self.routing.loads.others_age_s(now_s=now_s),
         }
 
@@ -249,6 +252,7 @@
         )
         self.metrics.tables(self.tables())
         suspects = self.routing.suspects
+        self.metrics.admission(self.routing.admission.states())
         self.metrics.servers_resting.set({}, len(self.routing.gate.state()))
         self.metrics.limits(self.routing.gate.limits.state())
         self.metrics.works(len(suspects), len(suspects.held(now_s=now_s)))
--- a/src/violethatch/_router_metrics.py
+++ b/src/violethatch/_router_metrics.py
@@ -7,12 +7,14 @@
 
 from aioprometheus import Counter, Gauge, Histogram, Registry
 
+from ._admission import AdmissionState
 from ._limit_gate import LimitState
 from .desired import Admitted
 from .load_sums import LoadTotals
 from .store_era import StoreEra, TableState
 
 
+_WAIT_BUCKETS_S = [0.01, 0.03, 0.06, 0.12, 0.25]
 _LATENCY_BUCKETS_S = [0.03, 0.1, 0.2, 0.5, 1.0, 3.0, 10.0]
 
 
@@ -118,6 +120,37 @@
             "Instances whose loads this one knows, itself included.",
             registry=self.registry,
         )
+        self.admission_room = Gauge(
+            "violethatch_router_admission_room_streams",
+            "Streams that a service's usable runners can take at once.",
+            registry=self.registry,
+        )
+        self.admission_running = Gauge(
+            "violethatch_router_admission_running_streams",
+            "Streams of all instances at a service's usable runners.",
+            registry=self.registry,
+        )
+        self.admission_parts = Gauge(
+            "violethatch_router_admission_part",
+            "The part of a priority's streams that is admitted, where it is below 1.",
+            registry=self.registry,
+        )
+        self.admission_queue = Gauge(
+            "violethatch_router_admission_queue_requests",
+            "Streams of a service that wait here for a path with room.",
+            registry=self.registry,
+        )
+        self.admission_refusals = Counter(
+            "violethatch_router_admission_refusals_total",
+            "Streams that were not admitted, by priority and reason.",
+            registry=self.registry,
+        )
+        self.admission_wait_s = Histogram(
+            "violethatch_router_admission_wait_seconds",
+            "How long streams waited for a path with room.",
+            buckets=_WAIT_BUCKETS_S,
+            registry=self.registry,
+        )
         self.load_age_s = Gauge(
             "violethatch_router_load_age_seconds",
             "Age of what it knows of the others' loads; -1 where nothing is known.",
@@ -133,6 +166,32 @@
         """Count the store's restores."""
         era.on_restore(lambda: self.store_restores.inc({}))
 
+    def admission(self, states: Mapping[str, AdmissionState]) -> None:
+        """Show the governed services' admission, and theirs alone."""
+        for gauge in (
+            self.admission_room,
+            self.admission_running,
+            self.admission_parts,
+            self.admission_queue,
+        ):
+            gauge.values.clear()
+        for service, state in states.items():
+            labels = {"service": service}
+            if state.room is not None:
+                self.admission_room.set(labels, state.room.streams)
+            self.admission_running.set(labels, state.running)
+            self.admission_queue.set(labels, state.waiting)
+            for priority, part in state.plan.parts.items():
+                self.admission_parts.set(labels | {"priority": str(priority)}, part)
+
+    def refused_start(self, priority: int, reason: str) -> None:
+        """Count a stream that was not admitted."""
+        self.admission_refusals.inc({"priority": str(priority), "reason": reason})
+
+    def waited(self, wait_s: float) -> None:
+        """Count how long a stream waited for a path with room."""
+        self.admission_wait_s.observe({}, wait_s)
+
     def tables(self, states: Mapping[str, TableState]) -> None:
         """Show what this instance's views of the tables rest on."""
         for table, state in states.items():
--- a/src/violethatch/_routing.py
+++ b/src/violethatch/_routing.py
@@ -9,12 +9,14 @@
 from typing import Protocol
 
 from . import clocks, events
+from ._admission import Admission
 from ._path_choice import Blocked, PathChoice
 from ._probes import Probes
 from ._server_ends import ServerEnds
 from ._word_gate import WordGate
 from .backends import BackendServer, BackendTable
 from .crash_suspects import CrashSuspects, End
+from .demand import Demand
 from .desired import ServiceSpec
 from .path_shares import Place
 from .paths import Path
@@ -22,6 +24,7 @@
 from .progress import Progress
 from .retries import RetryBudget
 from .retry_shares import RetryShare
+from .return_slots import Claim, ClaimOutcome, Slot
 from .router_settings import RouterSettings
 from .runner_health import RunnerHealth, Trouble
 from .runner_paces import RunnerPaces
@@ -104,6 +107,14 @@
             pipe=PipeShare(rng),
             instances=lambda: self.instances(),
         )
+        self.admission = Admission(
+            settings.admission,
+            capacity=self._paths,
+            peers=_PeerDemand(self),
+            returns=_SpreadReturns(rng),
+            phase=rng.random(),
+        )
+        self.loads.own_demand = self.admission.demand
 
     def take_settings(self, settings: RouterSettings) -> None:
         """Take changed settings in."""
@@ -111,6 +122,7 @@
         self.backends.leaving_s = settings.bounds.leaving_s
         self.health.stall_s = settings.bounds.stall_s
         self.progress.longest_silence_s = settings.policy.gap_limit_s
+        self.admission.take_settings(settings.admission)
 
     def count_request(self, service: str) -> None:
         """Note a caller's request, which earns a part of a retry."""
@@ -429,6 +441,57 @@
         return part / instances if instances else _UNKNOWN_RESERVE
 
 
+class _PeerDemand:
+    """What other instances are asked for, as their sums of loads tell it."""
+
+    def __init__(self, routing: Routing) -> None:
+        self._routing = routing
+
+    def demand(self) -> Demand:
+        """Return the sum over all other instances that are heard."""
+        return self._routing.loads.others.demand
+
+    def age_s(self) -> float | None:
+        """Return the age of that sum in seconds, or None without any."""
+        return self._routing.loads.others_age_s(now_s=clocks.now_s())
+
+    def are_known(self) -> bool:
+        """Tell whether other instances are known to serve."""
+        return self._routing.instances() > 1
+
+    def heard(self) -> int:
+        """Return how many other instances are in the sum."""
+        return self._routing.loads.others.instances
+
+
+class _SpreadReturns:
+    """Spreads refused callers over time, with nothing reserved.
+
+    Args:
+        rng: Draws.
+    """
+
+    def __init__(self, rng: random.Random) -> None:
+        self._rng = rng
+
+    def slot(
+        self,
+        _service: str,
+        _work: str,
+        _priority: int,
+        *,
+        starts_per_s: float,
+        most_s: float,
+    ) -> Slot:
+        """Return when a caller should come back."""
+        back_s = come_back_s(most_s if not starts_per_s else 0.0, rng=self._rng)
+        return Slot(clocks.now_s() + back_s, is_reserved=False)
+
+    async def claim(self, _work: str) -> Claim:
+        """Return that nothing is reserved."""
+        return Claim(ClaimOutcome.UNKNOWN, 0.0)
+
+
 async def _ask_nobody(_service: str) -> bool:
     """Stand in for other instances where there are none."""
     return False
--- a/src/violethatch/_streams.py
+++ b/src/violethatch/_streams.py
@@ -10,9 +10,11 @@
 
 import asyncio
 import enum
+import functools
 import math
 
 from . import clocks, events
+from ._admission import StartRequest
 from ._routing import Routing
 from ._stream_run import StreamRun
 from ._work_in_hand import WorkInHand
@@ -80,6 +82,13 @@
         self._work = WorkInHand(routing, call, admitted.workspace_name)
         self._progress = StreamProgress(last_id=call.last_event_id)
         self._tokens = _expected_tokens(call, admitted.service)
+        self._request = StartRequest(
+            call=call,
+            priority=admitted.urgency,
+            workspace=admitted.workspace_name,
+            tokens=self._tokens,
+            target_s=admitted.route.target_latency_s,
+        )
         self._avoided: frozenset[str] = frozenset()
         self._is_started = False
         self._is_framed = True
@@ -110,6 +119,7 @@
             "expected_path_ms": round(path.token_ms, 2) if path else None,
             "longest_gap_s": round(self.longest_gap_s, 4),
             "is_in_target": self.is_in_target,
+            "urgency": self._request.priority,
         }
 
     @property
@@ -127,7 +137,22 @@
         Raises:
             VioletHatchError: Nothing of an answer was given to the caller.
         """
+        admission = self._routing.admission
+        if not self._work.is_held and self._call.last_event_id is None:
+            await admission.admit(self._service.name, self._request)
         self._routing.stream_began()
+        try:
+            return await self._serve_admitted(responder)
+        finally:
+            if self.runs:
+                admission.ended(self._service.name, is_in_target=self.is_in_target)
+
+    async def _serve_admitted(self, responder: Responder) -> int:
+        """Answer the caller of an admitted stream; return the status.
+
+        Raises:
+            VioletHatchError: Nothing of an answer was given to the caller.
+        """
         # A request that ended three servers was sent to six and seven more: each send
         # was judged for itself.
         while not self._work.is_held:
@@ -175,13 +200,19 @@
             )
             if apart is not None:
                 return apart
-        path = self._routing.path(
+        find = functools.partial(
+            self._routing.path,
             self._service,
             avoided=self._avoided,
             may_doubt=not self.sends,
             priority=self._admitted.priority,
         )
-        pauses = _ROOM_PAUSES if self.runs else 0
+        if not self.runs:
+            return await self._routing.admission.path(
+                self._service.name, self._request, find, is_blocked=self._is_blocked
+            )
+        path = find()
+        pauses = _ROOM_PAUSES
         while path is None and pauses:
             pauses -= 1
             await asyncio.sleep(_ROOM_PAUSE_S)
@@ -193,6 +224,11 @@
             )
         return path
 
+    def _is_blocked(self, wait_s: float) -> bool:
+        """Tell whether there will be no path for some time, as far as is known."""
+        blocked = self._routing.blocked(self._service, priority=self._admitted.priority)
+        return blocked is None or blocked.left_s > wait_s
+
     def _may_send_again(self) -> bool:
         """Tell whether another send is allowed."""
         unrun = self._refusals + self._kept_back
@@ -408,14 +444,17 @@
             return held
         self._routing.gate.explain(self._call.id, self._service.name)
         blocked = self._routing.blocked(self._service, priority=self._admitted.priority)
+        blocked_s = _NO_HOLDER_S if blocked is None else blocked.left_s
+        retry_after_s = self._routing.admission.retry_after_s(
+            self._service.name, self._request, blocked_s=blocked_s
+        )
+        if retry_after_s is None:
+            asked_s = 0.0 if blocked is None else blocked.asked_s
+            retry_after_s = self._routing.come_back_s(blocked_s, asked_s=asked_s)
         if blocked is None:
-            retry_after_s = self._routing.come_back_s(_NO_HOLDER_S)
             return NoRouteError(
                 "some layers have no holder", retry_after_s=retry_after_s
             )
-        retry_after_s = self._routing.come_back_s(
-            blocked.left_s, asked_s=blocked.asked_s
-        )
         return OverloadedError("no path has room", retry_after_s=retry_after_s)
 
 
--- a/src/violethatch/platform/_following.py
+++ b/src/violethatch/platform/_following.py
@@ -128,6 +128,8 @@
             work.append(self._links.loads.run())
             work.append(self._links.limits.run())
             work.append(self._instances_follower.run())
+        else:
+            work.append(self._router.routing.admission.run())
         return work
 
     async def leave(self) -> None:
--- a/tests/test_start_queue.py
+++ b/tests/test_start_queue.py
@@ -6,6 +6,7 @@
 import collections
 import pickle
 import random
+import statistics
 import sys
 
 from typing import NamedTuple
