Send new streams past first runners without free slots

Cause: the cost of a full first runner grows with the time of its own steps, which is short at a quick one, so that it stayed the best choice.

Change: while there is another path, new streams leave out first runners with 0.85 of their slots taken.

One test, red before.

--- a/src/violethatch/_path_choice.py
+++ b/src/violethatch/_path_choice.py
@@ -33,6 +33,9 @@
 from .stream_loads import StreamLoads, fullness_added
 
 
+#: The part of its slots from which a first runner counts as having none left: what is
+#: known of it is up to a second old, in which a seventh of its streams begin anew.
+_NO_SLOT = 0.85
 #: Into how many parts moves are laid: each stream of an instance that has to move
 #: costs as many searches, and waits for them.
 _MOVE_PARTS = 4
@@ -187,9 +190,13 @@
         maps = self._maps_of(service, service.engine)
         # What is under way at runners that rest stays there.
         stays = kept.server_ids if kept is not None else frozenset()
-        for left_out in self._left_out(
+        steps = self._left_out(
             avoided, stays=stays, may_doubt=may_doubt, priority=priority, now_s=now_s
-        ):
+        )
+        if first is None:
+            full = self._full_firsts(maps.whole, now_s=now_s)
+            steps = list(dict.fromkeys([steps[0] | full, *steps]))
+        for left_out in steps:
             view = self._view(left_out, kept, now_s=now_s)
             if first is None:
                 path = self._shared_path(service.name, maps, view, now_s=now_s)
@@ -340,6 +347,20 @@
             steps.append(self._health.shunned(now_s=now_s) | bound)
         return list(dict.fromkeys(steps))
 
+    def _full_firsts(self, layer_map: LayerMap, *, now_s: float) -> frozenset[str]:
+        """Return the runners with no slot for a stream that begins there.
+
+        Such a stream waits for another one to end, which takes longer than its first
+        event may, whatever its path's steps take.
+        """
+        return frozenset(
+            one.id
+            for one in layer_map.holders.values()
+            if one.layers is not None
+            and one.layers.first == 0
+            and self._loads.slots_taken(one, now_s=now_s) >= _NO_SLOT
+        )
+
     def _view(
         self, left_out: frozenset[str], kept: Path | None, *, now_s: float
     ) -> _View:
--- a/src/violethatch/stream_loads.py
+++ b/src/violethatch/stream_loads.py
@@ -155,10 +155,15 @@
         Its room is its KV cache, and its slots for streams that begin there.
         """
         known = self.totals_at(server.id, now_s=now_s)
-        streams = max(known.streams, self._told_streams(server, now_s=now_s))
-        slots_taken = streams / max(1, server.slots)
+        slots_taken = self.slots_taken(server, now_s=now_s)
         return max(slots_taken, _kv_cache_taken(server, engine, known.token_layers))
 
+    def slots_taken(self, server: BackendServer, *, now_s: float) -> float:
+        """Return the part of a runner's slots that streams which begin there take."""
+        known = self.totals_at(server.id, now_s=now_s)
+        streams = max(known.streams, self._told_streams(server, now_s=now_s))
+        return streams / max(1, server.slots)
+
     def forget(self, server_id: str) -> None:
         """Forget a runner that is no longer listed."""
         self._told_by_first.pop(server_id, None)
--- a/tests/test_path_choice.py
+++ b/tests/test_path_choice.py
@@ -86,6 +86,19 @@
             one.loads.told(f"n{chain}-0", ServerLoad(96, 20, 96), now_s=now_s)
         assert one.path(SERVICE).first.availability_zone == "cartago"
 
+    def test_quick_first_runner_without_slots_is_passed_over(self):
+        """A quick one kept 102 to 115 streams on its 96 slots, slower ones had free."""
+        quick = [runner(f"q{n}", 40 * n, 40 * n + 40, kind="large") for n in (0, 1)]
+        slow = [runner(f"s{n}", 10 * n, 10 * n + 10, kind="small") for n in range(8)]
+        (one,) = routings(1, *quick, *slow)
+        now_s = clocks.now_s()
+        one.loads.told("q0", ServerLoad(50, 0, 96), now_s=now_s)
+        assert one.path(SERVICE).first.id == "q0"
+        one.loads.told("q0", ServerLoad(90, 0, 96), now_s=now_s)
+        assert one.path(SERVICE).first.id == "s0"
+        one.loads.told("s0", ServerLoad(90, 0, 96), now_s=now_s)
+        assert one.path(SERVICE) is not None
+
     def test_zone_that_lacks_layers_sends_elsewhere(self):
         """A broken zone's callers are served along whole chains."""
         (one,) = routings(1, *NEAR[:3], *FAR)
