--- a/src/violethatch/_load_link.py
+++ b/src/violethatch/_load_link.py
@@ -6,7 +6,7 @@
 import asyncio
 import struct
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 
 from . import clocks, events
 from ._peer_datagrams import LoadDatagram, PeerDatagrams
@@ -59,6 +59,8 @@
         #: By neighbour, what it was told, and in which direction.
         self._feeds: dict[str, tuple[Direction, ChangeFeed]] = {}
         self._demands = DemandFeed()
+        #: Called each tick, once the sums are those of the tick.
+        self.on_tick: Callable[[], None] = lambda: None
         datagrams.on(LoadDatagram, self._take)
 
     async def run(self) -> None:
@@ -71,6 +73,7 @@
         """Tell each neighbour once, and let go of old words."""
         self._sums.refresh(now_s=now_s)
         self._loads.take_others(self._sums.others, now_s=now_s)
+        self.on_tick()
         neighbours = self._sums.neighbours(now_s=now_s)
         if neighbours != self._neighbours:
             self._neighbours = neighbours
--- a/src/violethatch/_peer_links.py
+++ b/src/violethatch/_peer_links.py
@@ -37,6 +37,7 @@
         self._suspects = SuspectLink(datagrams, router.routing.suspects)
         self._returns = ReturnLink(datagrams, rng=rng)
         self.loads = LoadLink(datagrams, router.routing.loads)
+        self.loads.on_tick = router.routing.admission.refresh
         self.limits = LimitLink(
             datagrams,
             router.routing.gate.limits,
--- a/tests/test_load_link.py
+++ b/tests/test_load_link.py
@@ -104,6 +104,15 @@
         for task in tasks:
             task.cancel()
 
+    async def test_each_tick_is_announced_with_its_sums(self):
+        """Guards against admission plans that are made anew only by requests."""
+        loads, seen = StreamLoads(), []
+        link = LoadLink(PeerDatagrams(InstanceDirectory(entry("i0"))), loads)
+        link.on_tick = lambda: seen.append(loads.others)
+        link._tick(now_s=1.0)
+        link._tick(now_s=1.25)
+        assert len(seen) == 2
+
     def test_noise_is_no_load(self):
         """A datagram whose servers are not whole is refused."""
         datagrams = PeerDatagrams(InstanceDirectory(entry("i0")._replace(token="t")))
