Preview admission settings at a dump's demand

Cause: a wrong weight or floor refuses callers at once, and nothing told beforehand what it refuses. The dump lacked the active settings, had an infinite rate while everything is admitted, and neither it nor the metrics showed reserved starts. A refusal without a path reserved a start that no line told of: 2223 was declared and never written.

Change: violethatch preview-admission compares the [admission] settings of a file with the active ones, by service, priority and workspace (admission_preview.py, free of I/O). The dump has admission_settings, admission_kept_starts and by service route_priorities, reserved_starts and the workspaces' numbers; admitted_per_s is null while everything is admitted. Metric violethatch_router_admission_reserved_starts. 2223 is written for a start that is reserved where no path was found; for other refusals 2222 tells it. Admitter.fraction is public, as the preview needs it.

--- a/src/violethatch/_admission.py
+++ b/src/violethatch/_admission.py
@@ -10,6 +10,7 @@
 
 import asyncio
 import collections
+import math
 
 from collections.abc import Callable, Iterable, Mapping
 from typing import Any, NamedTuple, Protocol
@@ -23,7 +24,7 @@
 from .paths import Path
 from .return_slots import Claim, ClaimOutcome, Slot
 from .room import Room, Targets
-from .router_settings import AdmissionMode, AdmissionSection
+from .router_settings import AdmissionSection
 from .start_queue import StartQueue, Waiting
 from .upstream import Call
 from .work_ids import work_id
@@ -128,6 +129,12 @@
     async def claim(self, work: str) -> Claim:
         """Use a reserved start, if there is one and it is due."""
 
+    def reserved(self, service: str) -> int:
+        """Return how many starts are reserved by this instance and not yet due."""
+
+    def kept(self) -> int:
+        """Return how many reservations this instance keeps that can be claimed."""
+
 
 class AdmissionState(NamedTuple):
     """A service's admission as metrics show it."""
@@ -136,6 +143,7 @@
     room: Room | None
     running: int
     waiting: int
+    reserved: int
 
 
 class AdmissionObserver(Protocol):
@@ -230,9 +238,7 @@
 
     def _is_governed(self, routes: Iterable[CallRoute]) -> bool:
         """Tell whether a service's streams are admitted by priority."""
-        if self.section.mode is AdmissionMode.AUTO:
-            return len({route.priority for route in routes}) > 1
-        return self.section.mode is AdmissionMode.ON
+        return self.section.governs(route.priority for route in routes)
 
     async def run(self) -> None:
         """Make plans anew, until cancelled."""
@@ -330,6 +336,7 @@
         self._spec = spec
         self._number = server_number(spec.name)
         self._targets = Targets(0.0, 0.0)
+        self._route_priorities: list[int] = []
         policy = _policy(admission.section)
         self._planner = Planner(policy=policy)
         self._admitter = Admitter(policy=policy, phase=admission.phase)
@@ -364,6 +371,7 @@
         """Take in the routes that lead to the service: the tightest targets count."""
         self._spec = spec
         routes = tuple(routes)
+        self._route_priorities = sorted({route.priority for route in routes})
         gaps_s = [route.gap_target_s for route in routes if route.gap_target_s]
         self._targets = Targets(
             first_event_s=min(route.target_latency_s for route in routes),
@@ -521,7 +529,19 @@
     def slot_s(self, request: StartRequest, *, reason: str) -> float:
         """Return in how many seconds a caller should come back, and count it."""
         self._admission.observer.refused_start(request.priority, reason)
-        return max(0.0, self._slot(request).at_s - clocks.now_s())
+        slot = self._slot(request)
+        left_s = max(0.0, slot.at_s - clocks.now_s())
+        if slot.is_reserved:
+            events.log(
+                events.START_RESERVED,
+                request_id=request.call.id,
+                service=self._spec.name,
+                priority=request.priority,
+                workspace=request.workspace,
+                reason=reason,
+                left_s=round(left_s, 3),
+            )
+        return left_s
 
     def ended(self, *, is_in_target: bool, now_s: float) -> None:
         """Note whether an own stream came within its targets."""
@@ -529,12 +549,23 @@
 
     def state(self) -> AdmissionState:
         """Return the state, for metrics."""
-        return AdmissionState(self._plan, self._room, self._running, len(self._queue))
+        return AdmissionState(
+            self._plan,
+            self._room,
+            self._running,
+            len(self._queue),
+            self._admission.returns.reserved(self._spec.name),
+        )
 
     def dump(self) -> dict[str, Any]:
         """Return the state, for a person or a tool."""
         names = self._admission.workspace_names()
+        plan = self._plan._asdict()
+        plan["parts"] = {str(p): part for p, part in self._plan.parts.items()}
+        if not math.isfinite(self._plan.admitted_per_s):
+            plan["admitted_per_s"] = None  # JSON has no infinity
         return {
+            "route_priorities": self._route_priorities,
             "room": self._room._asdict() if self._room else None,
             "running": self._running,
             "demand_per_s": {str(p): r for p, r in sorted(self._demand.items())},
@@ -542,15 +573,16 @@
                 {
                     "priority": priority,
                     "workspace": names.get(number, str(number)),
+                    "number": number,
                     "offers_per_s": rate,
                 }
                 for (priority, number), rate in sorted(self._heaviest.items())
             ],
             "age_s": self._age_s,
-            "plan": self._plan._asdict()
-            | {"parts": {str(p): part for p, part in self._plan.parts.items()}},
+            "plan": plan,
             "queue_requests": len(self._queue),
             "queue_bytes": self._queue.size_bytes,
+            "reserved_starts": self._admission.returns.reserved(self._spec.name),
         }
 
     def _count(self, request: StartRequest, *, now_s: float) -> None:
--- a/src/violethatch/_router_metrics.py
+++ b/src/violethatch/_router_metrics.py
@@ -140,6 +140,11 @@
             "Streams of a service that wait here for a path with room.",
             registry=self.registry,
         )
+        self.admission_reserved = Gauge(
+            "violethatch_router_admission_reserved_starts",
+            "Starts of a service reserved by this instance that are not yet due.",
+            registry=self.registry,
+        )
         self.admission_refusals = Counter(
             "violethatch_router_admission_refusals_total",
             "Streams that were not admitted, by priority and reason.",
@@ -173,6 +178,7 @@
             self.admission_running,
             self.admission_parts,
             self.admission_queue,
+            self.admission_reserved,
         ):
             gauge.values.clear()
         for service, state in states.items():
@@ -181,6 +187,7 @@
                 self.admission_room.set(labels, state.room.streams)
             self.admission_running.set(labels, state.running)
             self.admission_queue.set(labels, state.waiting)
+            self.admission_reserved.set(labels, state.reserved)
             for priority, part in state.plan.parts.items():
                 self.admission_parts.set(labels | {"priority": str(priority)}, part)
 
--- a/src/violethatch/_routing.py
+++ b/src/violethatch/_routing.py
@@ -491,6 +491,14 @@
         """Return that nothing is reserved."""
         return Claim(ClaimOutcome.UNKNOWN, 0.0)
 
+    def reserved(self, _service: str) -> int:
+        """Return that nothing is reserved."""
+        return 0
+
+    def kept(self) -> int:
+        """Return that nothing is kept."""
+        return 0
+
 
 async def _ask_nobody(_service: str) -> bool:
     """Stand in for other instances where there are none."""
--- a/src/violethatch/admission_plan.py
+++ b/src/violethatch/admission_plan.py
@@ -368,7 +368,9 @@
 
         .. versionadded:: 26.5.0
         """
-        part = self._fraction(plan, priority, workspace, workspace_offers_per_s)
+        part = self.fraction(
+            plan, priority, workspace, workspace_offers_per_s=workspace_offers_per_s
+        )
         if part >= 1.0:
             return True
         if part <= 0.0:
@@ -385,18 +387,29 @@
         self._remainders[key] = remainder - is_admitted
         return is_admitted
 
-    def _fraction(
-        self, plan: Plan, priority: int, workspace: int, offers_per_s: float | None
+    def fraction(
+        self,
+        plan: Plan,
+        priority: int,
+        workspace: int,
+        *,
+        workspace_offers_per_s: float | None,
     ) -> float:
-        """Return the fraction that is admitted of a workspace's requests."""
+        """Return the fraction that is admitted of a workspace's requests.
+
+        It may be above 1, where a workspace could have more than it asks for.  The
+        arguments are those of `admits`.
+
+        .. versionadded:: 26.5.0
+        """
         level_per_s = plan.workspace_starts_per_s
         if priority != plan.level or level_per_s is None:
             return _part(plan, priority)
-        if not offers_per_s:
+        if not workspace_offers_per_s:
             return plan.rest_part
         weight = self._policy.weights.get(workspace, 1.0)
         allowed_per_s = max(plan.workspace_floor_per_s, weight * level_per_s)
-        return allowed_per_s / offers_per_s
+        return allowed_per_s / workspace_offers_per_s
 
 
 def _part(plan: Plan, priority: int) -> float:
--- a/src/violethatch/cli.py
+++ b/src/violethatch/cli.py
@@ -80,6 +80,35 @@
         print(line)
 
 
+def preview_admission(*, settings: str, state: str) -> None:
+    """Show what would be refused under other settings, at a running instance's demand.
+
+    Args:
+        settings: The router's settings file (INI) whose [admission] is tried.
+        state: An instance's state dump: a file, or the URL of /state on its metrics
+            port.
+    """
+    from .admission_preview import active_section, parse_state, preview_lines
+
+    proposed = load_router_settings(settings).admission
+    try:
+        dump = parse_state(_read_state(state))
+        active = active_section(dump)
+    except ValueError as error:
+        sys.exit(f"{state}: {error}")
+    for line in preview_lines(dump, active=active, proposed=proposed):
+        print(line)
+
+
+def _read_state(source: str) -> bytes:
+    """Read a state dump from a URL or a file."""
+    if not source.startswith(("http://", "https://")):
+        return pathlib.Path(source).read_bytes()
+    with urllib.request.urlopen(source, timeout=30) as answer:
+        data: bytes = answer.read()
+        return data
+
+
 def check_settings(*, settings: str) -> None:
     """Check a settings file and say what is wrong with it.
 
@@ -166,6 +195,7 @@
                 confirm,
                 state,
                 explain,
+                preview_admission,
             ],
             argv=sys.argv[1:],
         )
--- a/src/violethatch/router_settings.py
+++ b/src/violethatch/router_settings.py
@@ -12,7 +12,7 @@
 import math
 import pathlib
 
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from typing import Annotated, NamedTuple
 
 import msgspec
@@ -143,6 +143,15 @@
     #: The part of its fair share that each workspace keeps, whatever its weight.
     workspace_floor_part: Ratio = 0.5
 
+    def governs(self, priorities: Iterable[int]) -> bool:
+        """Tell whether a service is governed whose stream routes have *priorities*.
+
+        .. versionadded:: 26.5.0
+        """
+        if self.mode is AdmissionMode.AUTO:
+            return len(set(priorities)) > 1
+        return self.mode is AdmissionMode.ON
+
     @property
     def weights(self) -> Mapping[str, float]:
         """The declared weights by workspace.
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -6,6 +6,7 @@
 import asyncio
 import random
 
+import msgspec
 import pytest
 
 import virtual_time
@@ -19,9 +20,10 @@
     make_routing,
 )
 from routing_samples import call_route, desired_state, runner
-from violethatch import clocks
+from violethatch import _admission, clocks
 from violethatch._admission import Admission, StartRequest
 from violethatch._streams import StreamCall
+from violethatch.admission_preview import active_section, parse_state, preview
 from violethatch.demand import NO_DEMAND, Demand, DemandKey
 from violethatch.errors import NotAdmittedError
 from violethatch.load_sums import server_number
@@ -94,6 +96,12 @@
     async def claim(self, work):
         return self.claims.get(work, Claim(ClaimOutcome.UNKNOWN, 0.0))
 
+    def reserved(self, _service):
+        return len(self.slots)
+
+    def kept(self):
+        return 3
+
 
 class Bench:
     """An instance's admission between fakes."""
@@ -392,3 +400,37 @@
         assert caught.value.code == 1201
         assert caught.value.retry_after_s == pytest.approx(1.0, abs=0.1)
         assert len(returns.slots) == 1
+
+    async def test_start_reserved_without_a_path_is_logged(self, monkeypatch):
+        """Guards against a refusal whose reservation no line tells of."""
+        seen = []
+        monkeypatch.setattr(
+            _admission.events,
+            "log",
+            lambda event, **fields: seen.append((event, fields)),
+        )
+        bench = Bench()
+        told_s = bench.admission.retry_after_s("model", request(MOST), blocked_s=0.2)
+        [(event, fields)] = seen
+        assert event.number == 2223
+        assert fields["left_s"] == pytest.approx(told_s, abs=0.01)
+        assert (fields["priority"], fields["reason"]) == (MOST, "no_path")
+        assert fields["workspace"] == "clinic"
+
+
+class TestDump:
+    def test_overload_can_be_previewed(self):
+        """Guards against a dump that the preview can't read, or reads otherwise."""
+        bench = Bench()
+        bench.overload()
+        state = {
+            "admission": bench.admission.dump(),
+            "admission_settings": bench.admission.section._asdict(),
+        }
+        dump = parse_state(msgspec.json.encode(state))
+        [service] = preview(dump, active_section(dump))
+        assert service.level == bench.admission.states()["model"].plan.level == LEAST
+        assert [one.priority for one in service.priorities] == [MOST, LEAST]
+        assert service.priorities[0].refused_per_s == 0.0
+        assert 0.0 < service.priorities[1].refused_per_s <= 80.0
+        assert dump["admission"]["model"]["route_priorities"] == [0, 2]
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -3,14 +3,18 @@
 
 from __future__ import annotations
 
+import json
 import random
 
+import msgspec
 import pytest
 
 from router_fakes import FakeClient, settings
 from routing_samples import desired_state
 from violethatch import clocks
 from violethatch._router import Router
+from violethatch.admission_preview import active_section, parse_state
+from violethatch.router_settings import AdmissionMode, AdmissionSection
 
 
 def router(*, proof_age_s):
@@ -41,3 +45,44 @@
         assert gauge.get({}) == 1
         assert made.metrics.load_age_s.get({}) == -1.0
         assert made.state()["load_instances"] == 1
+
+
+class TestState:
+    def test_dump_is_valid_json(self):
+        """Guards against figures that JSON does not have, such as an open plan's."""
+        made = router(proof_age_s=0.0)
+        made.routing.admission.section = AdmissionSection(mode=AdmissionMode.ON)
+        made.routing.admission.take_desired(made.desired)
+        made.routing.admission.refresh()
+        state = made.state()
+        [service] = state["admission"].values()
+        assert service["plan"]["admitted_per_s"] is None
+        assert service["plan"]["level"] is None
+        data = msgspec.json.encode(state)
+        assert json.loads(data, parse_constant=pytest.fail) == state
+        dump = parse_state(data)
+        assert active_section(dump) == made.routing.admission.section
+
+    def test_admission_is_shown(self):
+        """Guards against reservations that neither metrics nor the dump show."""
+        made = router(proof_age_s=0.0)
+        admission = made.routing.admission
+        admission.section = AdmissionSection(mode=AdmissionMode.ON)
+        admission.take_desired(made.desired)
+        admission.returns = Reserved()
+        made.show_state()
+        gauge = made.metrics.admission_reserved
+        [service] = made.state()["admission"]
+        assert gauge.get({"service": service}) == 2
+        assert made.state()["admission"][service]["reserved_starts"] == 2
+        assert made.state()["admission_kept_starts"] == 5
+
+
+class Reserved:
+    """Reserved and kept starts."""
+
+    def reserved(self, _service):
+        return 2
+
+    def kept(self):
+        return 5
--- a/tests/test_start_imports.py
+++ b/tests/test_start_imports.py
@@ -22,6 +22,7 @@
     "capnp",
     "defopt",
     "violethatch._peer_wire",
+    "violethatch.admission_preview",
     "violethatch.attempts",
     "violethatch.cli",
     "violethatch.gossip",
@@ -68,6 +69,13 @@
         names = loaded("import violethatch.platform")
         assert not names & {"aiohttp", "asyncio", "uvloop", "violethatch._router"}
 
+    def test_preview_imports_no_server(self):
+        """Guards against a command for operators that loads the router's libraries."""
+        code = "import violethatch.cli, violethatch.admission_preview"
+        names = loaded(code)
+        assert "violethatch.admission_preview" in names
+        assert not names & {"aiohttp", "uvloop", "violethatch._router"}
+
     def test_collections_go_on(self):
         """Guards against a process that never collects, or looks through all imports.
 
