--- a/tests/test_admission_preview.py
+++ b/tests/test_admission_preview.py
@@ -3,7 +3,9 @@
 
 from __future__ import annotations
 
+import http.server
 import sys
+import threading
 
 import msgspec
 import pytest
@@ -235,6 +237,34 @@
         shown = [line.split() for line in capsys.readouterr().out.splitlines()]
         assert ["clinic", "40.0", "30.0", "25.0"] in shown
 
+    def test_reads_a_url(self, monkeypatch, tmp_path, capsys):
+        """Guards against a dump that can be read from a file alone."""
+        data = msgspec.json.encode(dump())
+
+        class Handler(http.server.BaseHTTPRequestHandler):
+            def do_GET(self):
+                self.send_response(200 if self.path == "/state" else 404)
+                self.end_headers()
+                self.wfile.write(data)
+
+            def log_message(self, *_arguments):
+                pass
+
+        settings = tmp_path / "router.ini"
+        settings.write_text(SETTINGS)
+        with http.server.HTTPServer(("127.0.0.1", 0), Handler) as server:
+            threading.Thread(target=server.serve_forever, daemon=True).start()
+            url = f"http://127.0.0.1:{server.server_port}"
+            arguments = ["preview-admission", "--settings", str(settings), "--state"]
+            self.run(monkeypatch, *arguments, f"{url}/state")
+            shown = [line.split() for line in capsys.readouterr().out.splitlines()]
+            assert ["clinic", "40.0", "30.0", "30.0"] in shown
+            with pytest.raises(SystemExit) as ended:
+                self.run(monkeypatch, *arguments, f"{url}/other")
+            server.shutdown()
+        assert ended.value.code == 1
+        assert "404" in capsys.readouterr().err
+
     def test_wrong_file(self, monkeypatch, tmp_path):
         """Guards against a traceback for a file that is no dump."""
         state, settings = tmp_path / "state.json", tmp_path / "router.ini"
