--- a/src/violethatch/_admission.py
+++ b/src/violethatch/_admission.py
@@ -433,7 +433,7 @@
         if self._planned_s is None or now_s - self._planned_s > _MAX_AGE_S:
             self.refresh(now_s=now_s)  # the process was suspended
         plan = self._plan
-        if plan.level is None or plan.parts.get(request.priority, 1.0) >= 1.0:
+        if plan.level is None or plan.part_of(request.priority) >= 1.0:
             self._count(request, now_s=now_s)
             return
         claim = await self._admission.returns.claim(request.work)
@@ -661,7 +661,7 @@
             room_streams=round(self._room.streams, 1) if self._room else None,
             running=self._running,
             level=self._plan.level,
-            part=round(self._plan.parts.get(request.priority, 1.0), 3),
+            part=round(self._plan.part_of(request.priority), 3),
             workspace_starts_per_s=self._plan.workspace_starts_per_s,
             age_s=self._age_s,
             is_fallback=self._plan.is_fallback,
--- a/src/violethatch/admission_plan.py
+++ b/src/violethatch/admission_plan.py
@@ -78,6 +78,17 @@
     workspace_floor_per_s: float = 0.0
     rest_part: float = 1.0
 
+    def part_of(self, priority: int) -> float:
+        """Return the fraction that is admitted of a priority, over all workspaces.
+
+        Args:
+            priority: 0 to 99; 0 is the most urgent.
+        """
+        is_less_urgent = (
+            not self.is_fallback and self.level is not None and priority > self.level
+        )
+        return self.parts.get(priority, 0.0 if is_less_urgent else 1.0)
+
 
 #: Everything is admitted.
 OPEN = Plan({}, None, None, math.inf, is_fallback=False)
@@ -209,7 +220,7 @@
         if not alone:
             # Goes on from the last plan: nothing else is known of the overload.
             last = self._past[-1].plan if self._past else OPEN
-            alone = {one: _part(last, one) for one in {*demand, *last.parts}}
+            alone = {one: last.part_of(one) for one in {*demand, *last.parts}}
             self._stepped_s = now_s
         priorities = sorted({*alone, *demand})
         limited = {
@@ -404,7 +415,7 @@
         """
         level_per_s = plan.workspace_starts_per_s
         if priority != plan.level or level_per_s is None:
-            return _part(plan, priority)
+            return plan.part_of(priority)
         if not workspace_offers_per_s:
             return plan.rest_part
         weight = self._policy.weights.get(workspace, 1.0)
@@ -412,14 +423,6 @@
         return allowed_per_s / workspace_offers_per_s
 
 
-def _part(plan: Plan, priority: int) -> float:
-    """Return the fraction that a plan admits of a priority, over all workspaces."""
-    is_less_urgent = (
-        not plan.is_fallback and plan.level is not None and priority > plan.level
-    )
-    return plan.parts.get(priority, 0.0 if is_less_urgent else 1.0)
-
-
 def _level(offers: Mapping[int, float], admissible_per_s: float) -> int | None:
     """Return the first priority that does not fit, or None if all do."""
     left_per_s = admissible_per_s
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -194,6 +194,14 @@
         admitted = [await bench.admits(LEAST) for _ in range(50)]
         assert 0 < sum(admitted) < 40
 
+    async def test_priority_without_demand_yet_is_not_put_first(self):
+        """With no room, a priority that nobody had asked for was admitted whole."""
+        bench = Bench()
+        bench.runners.streams = 1000
+        bench.peers.sum = Demand({DemandKey(MODEL, MOST): 90.0}, {})
+        bench.admission.refresh()
+        assert not any([await bench.admits(LEAST) for _ in range(10)])
+
     async def test_refusal_says_when_to_come_back(self):
         """The time is a third of the caller's at the most."""
         bench = Bench()
