--- a/tests/test_platform_process.py
+++ b/tests/test_platform_process.py
@@ -600,6 +600,20 @@
                 assert line
 
 
+class TestAdmission:
+    async def test_plans_are_made_where_instances_ask_each_other(self, site):
+        """Plans were made anew only by a request that met one older than 2 s."""
+        route = dict(CONFIG["Routes"][0], TrafficSplit=[], Service="model")
+        urgent = route | {"Name": "r0", "PathPrefix": "/urgent/", "Priority": 0}
+        await site.start(routes=[route, urgent])
+        async with asyncio.timeout(5):
+            while True:
+                state = json.loads(await site.fetch("/state"))
+                if state["admission"]["model"]["room"] is not None:
+                    break
+                await asyncio.sleep(0.1)
+
+
 class TestExplaining:
     async def test_lines_and_metrics_tell_of_a_request(self, site):
         """The request's id leads to its line; the counters count it."""
