Refuse nothing by plan while no room is known

Cause: with a room of 0 (no list read yet, no runner left, or targets that no runner meets) the plan refused all streams with 1207, the most urgent ones too, also where a path existed.

Change: a room of 0 refuses nothing by itself; the search for a path answers 1201 or 1202 as without admission. Where own streams have ended lately, their part within target decides, as with late sums.

tests/test_admission.py: two tests, of which each fails without the change (first request refused).

--- a/src/violethatch/_admission.py
+++ b/src/violethatch/_admission.py
@@ -404,11 +404,16 @@
         self._room = admission.capacity.room(self._spec, self._targets)
         self._running = admission.capacity.running(self._spec)
         self._age_s = peers.age_s() if peers.are_known() else 0.0
-        if self._age_s is None or self._age_s > _MAX_AGE_S:
+        in_target_part = self._in_target_part(now_s=now_s)
+        is_stale = self._age_s is None or self._age_s > _MAX_AGE_S
+        has_room = self._room.streams > 0.0
+        if not has_room and in_target_part is None:
+            # No list has been read, no runner is left, or none meets the targets.
+            # Searches for paths tell these apart; without any, they are refused.
+            plan = OPEN
+        elif is_stale or not has_room:
             plan = self._planner.plan_alone(
-                self._demand,
-                in_target_part=self._in_target_part(now_s=now_s),
-                now_s=now_s,
+                self._demand, in_target_part=in_target_part, now_s=now_s
             )
         else:
             plan = self._planner.plan(
@@ -416,7 +421,7 @@
                 self._heaviest,
                 self._room,
                 self._running,
-                age_s=self._age_s,
+                age_s=self._age_s or 0.0,
                 now_s=now_s,
             )
         self._plan = plan
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -38,6 +38,7 @@
 STATE = desired_state(URGENT, LATER)
 _SERVER = runner("a", 0, 80)
 PATH = Path((Stage(_SERVER, _SERVER.layers),), 1.0)
+NO_ROOM = Room(0.0, 0.0, 0.0, 0.0)
 FREE = Room(streams=100.0, starts_per_s=50.0, tokens_per_s=1e4, stream_s=2.0)
 MODEL = server_number("model")
 #: Urgencies of calls of a workspace of priority 0 on the two routes.
@@ -253,6 +254,28 @@
         assert all([await bench.admits(MOST) for _ in range(10)])
         assert 10 <= sum(admitted) <= 100
 
+    async def test_unknown_runners_are_no_reason_to_refuse(self):
+        """A new instance refused all with 1207 until it had read its first list."""
+        bench = Bench()
+        bench.runners.now = NO_ROOM
+        bench.peers.sum = Demand({DemandKey(MODEL, LEAST): 80.0}, {})
+        bench.admission.refresh()
+        assert all([await bench.admits(LEAST) for _ in range(20)])
+        assert await bench.path(lambda: PATH) is PATH
+
+    async def test_targets_that_no_runner_meets_admit_neither_all_nor_nothing(self):
+        """Targets below what the engine can do are no room at all, late or not."""
+        bench = Bench()
+        bench.runners.now = NO_ROOM
+        rates = {DemandKey(MODEL, MOST): 20.0, DemandKey(MODEL, LEAST): 80.0}
+        bench.peers.sum = Demand(rates, {})
+        for _ in range(20):
+            bench.admission.ended("model", is_in_target=False)
+        bench.admission.refresh()
+        admitted = [await bench.admits(LEAST) for _ in range(100)]
+        assert all([await bench.admits(MOST) for _ in range(10)])
+        assert 10 <= sum(admitted) <= 99
+
     def test_suspended_instance_plans_anew_before_it_decides(self, monkeypatch):
         """A plan that is 10 s old refused streams that had room."""
 
