--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -240,6 +240,14 @@
             assert caught.value.retry_after_s == 0.7
         assert bench.returns.slots == []
 
+    async def test_priority_without_offers_waits_for_its_level(self):
+        """The first streams of a route were admitted whole until the next plan."""
+        bench = Bench()
+        bench.runners.streams = 95
+        bench.peers.sum = Demand({DemandKey(MODEL, MOST): 200.0}, {})
+        bench.admission.refresh()
+        assert not any([await bench.admits(LEAST) for _ in range(20)])
+
     async def test_missing_sums_admit_neither_all_nor_nothing(self):
         bench = Bench()
         bench.peers.old_s = 5.0
