Keep outcomes of streams for two seconds only

Cause: outcomes were dropped only when the fallback read them. While sums came, one entry per stream stayed until the process ended.

Change: they are dropped as others are added.

tests/test_admission.py: one test, which fails without the change (2,000 outcomes over 20 s kept).

--- a/src/violethatch/_admission.py
+++ b/src/violethatch/_admission.py
@@ -551,6 +551,7 @@
     def ended(self, *, is_in_target: bool, now_s: float) -> None:
         """Note whether an own stream came within its targets."""
         self._outcomes.append((now_s, is_in_target))
+        self._drop_outcomes(now_s=now_s)
 
     def state(self) -> AdmissionState:
         """Return the state, for metrics."""
@@ -678,12 +679,16 @@
 
     def _in_target_part(self, *, now_s: float) -> float | None:
         """Return the part of own streams that ended in target lately."""
-        while self._outcomes and now_s - self._outcomes[0][0] > _OUTCOME_SPAN_S:
-            self._outcomes.popleft()
+        self._drop_outcomes(now_s=now_s)
         if len(self._outcomes) < _MIN_OUTCOMES:
             return None
         return sum(one for _, one in self._outcomes) / len(self._outcomes)
 
+    def _drop_outcomes(self, *, now_s: float) -> None:
+        """Drop the outcomes that are older than their span."""
+        while self._outcomes and now_s - self._outcomes[0][0] > _OUTCOME_SPAN_S:
+            self._outcomes.popleft()
+
     def _log_plan(self, *, now_s: float) -> None:
         """Log a plan whose level has changed, once a second at the most."""
         known, logged_s = self._logged or (OPEN, float("-inf"))
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -248,6 +248,15 @@
         bench.admission.refresh()
         assert not any([await bench.admits(LEAST) for _ in range(20)])
 
+    async def test_outcomes_are_kept_for_their_span_only(self, monkeypatch):
+        """While sums came, each stream's outcome was kept until the process ended."""
+        bench = Bench()
+        now_s = clocks.now_s()
+        for number in range(2000):
+            monkeypatch.setattr(clocks, "now_s", lambda n=number: now_s + n / 100)
+            bench.admission.ended("model", is_in_target=True)
+        assert len(bench.admission._services["model"]._outcomes) <= 201
+
     async def test_missing_sums_admit_neither_all_nor_nothing(self):
         bench = Bench()
         bench.peers.old_s = 5.0
