Keep the planner's state when settings are reloaded

Cause: each reload made a new planner and admitter. An instance without sums began anew at 0.95 of each less urgent priority (from 0.2, it takes 8 s to get back there), and the level could change at once.

Change: the policy is replaced, the rest is kept.

tests/test_admission.py: one test, which fails without the change (0.95 instead of 0.2).

--- a/src/violethatch/_admission.py
+++ b/src/violethatch/_admission.py
@@ -360,8 +360,8 @@
     def take_section(self, section: AdmissionSection) -> None:
         """Take changed settings in."""
         policy = _policy(section)
-        self._planner = Planner(policy=policy)
-        self._admitter = Admitter(policy=policy, phase=self._admission.phase)
+        self._planner.take_policy(policy)
+        self._admitter.take_policy(policy)
         dropped = self._queue.resize(
             most_requests=section.queue_requests, most_bytes=section.queue_kb * 1024
         )
--- a/src/violethatch/admission_plan.py
+++ b/src/violethatch/admission_plan.py
@@ -145,6 +145,16 @@
         self._alone: dict[int, float] = {}
         self._stepped_s = -math.inf
 
+    def take_policy(self, policy: WorkspacePolicy) -> None:
+        """Share by another policy from the next plan on.
+
+        Args:
+            policy: How workspaces share the priority that does not fit.
+
+        .. versionadded:: 26.5.0
+        """
+        self._policy = policy
+
     def plan(
         self,
         demand: Mapping[int, float],
@@ -360,6 +370,16 @@
         self._phase = phase
         self._remainders: dict[tuple[int, int], float] = {}
 
+    def take_policy(self, policy: WorkspacePolicy) -> None:
+        """Use other weights from the next request on.
+
+        Args:
+            policy: The weights of workspaces.
+
+        .. versionadded:: 26.5.0
+        """
+        self._policy = policy
+
     def admits(
         self,
         plan: Plan,
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -257,6 +257,23 @@
             bench.admission.ended("model", is_in_target=True)
         assert len(bench.admission._services["model"]._outcomes) <= 201
 
+    async def test_reload_keeps_what_own_observations_have_reduced(self, monkeypatch):
+        """Any reload let the fallback begin anew at 0.95 of each priority."""
+        bench = Bench()
+        bench.peers.old_s = None
+        bench.peers.sum = Demand({DemandKey(MODEL, one): 9.0 for one in (0, 2)}, {})
+        now_s = clocks.now_s()
+        for number in range(40):
+            monkeypatch.setattr(clocks, "now_s", lambda n=number: now_s + n / 4)
+            for _ in range(5):
+                bench.admission.ended("model", is_in_target=False)
+            bench.admission.refresh()
+        before = bench.admission.states()["model"].plan.parts[LEAST]
+        assert before == pytest.approx(0.2)
+        bench.admission.take_settings(AdmissionSection(queue_requests=8))
+        bench.admission.refresh()
+        assert bench.admission.states()["model"].plan.parts[LEAST] == before
+
     async def test_missing_sums_admit_neither_all_nor_nothing(self):
         bench = Bench()
         bench.peers.old_s = 5.0
