Wake waiting streams by their own search, the most urgent first

Cause: whether a waiting stream may start was decided by the search of the one that had waited longest, whatever its priority, target or limits. Streams taken out of the queue without a path of their own were refused at once; streams with a path were held where the oldest had none. An error in one search ended the task that wakes and refuses all others, which then were held until another stream came. A call of an id that had just been woken lost its place to the first one's clean-up and was never answered.

Change: the next stream of each priority is tried, the most urgent first, and taken out only with a path. Room beyond the target of a more urgent stream is left to that one. An error ends its own call. A wait is cleaned up only while it is the one that holds the place. When governing ends, waiting streams get any path, as if nothing had been governed. A check costs one search per waiting priority, of one before.

tests/test_admission.py: four tests, each of which fails without the change.

--- a/src/violethatch/_admission.py
+++ b/src/violethatch/_admission.py
@@ -380,10 +380,13 @@
 
     def release(self) -> None:
         """Let all that waits look for a path as if nothing were governed."""
-        for one in self._queue.expire(now_s=float("inf")):
-            waiter = self._waiters.pop(one.id, None)
-            if waiter is not None and not waiter.found.done():
-                waiter.found.set_result(waiter.find())
+        for one in self._queue.expire(now_s=math.inf):
+            try:
+                path = self._waiters[one.id].find()
+            except Exception as error:
+                self._end_wait(one.id, error)
+            else:
+                self._end_wait(one.id, path)
 
     def refresh(self, *, now_s: float) -> None:
         """Make the plan anew from what is known now."""
@@ -484,7 +487,7 @@
         call = request.call
         if not len(self._queue):
             path = find()
-            if self._with_room(request, path) is not None:
+            if self._with_room(request.target_s, path) is not None:
                 return path
             limit_s = call.received_s + _WAIT_PART * request.target_s
             if path is None and is_blocked(limit_s - now_s):
@@ -506,18 +509,17 @@
             self._give_up([offer.displaced])
         if not offer.is_taken:
             return None
-        waiter = _Waiter(
-            asyncio.get_running_loop().create_future(),
-            lambda: self._with_room(request, find()),
-        )
+        waiter = _Waiter(asyncio.get_running_loop().create_future(), find)
         self._waiters[call.id] = waiter
         if self._pump is None or self._pump.done():
             self._pump = asyncio.create_task(self._start_waiting())
         try:
             path = await waiter.found
         finally:
-            self._queue.remove(call.id)
-            self._waiters.pop(call.id, None)
+            # Once it is woken, another call of the same id may wait.
+            if self._waiters.get(call.id) is waiter:
+                self._queue.remove(call.id)
+                del self._waiters[call.id]
         waited_s = clocks.now_s() - now_s
         self._admission.observer.waited(waited_s)
         events.log(
@@ -599,13 +601,13 @@
             now_s=now_s,
         )
 
-    def _with_room(self, request: StartRequest, path: Path | None) -> Path | None:
+    def _with_room(self, target_s: float, path: Path | None) -> Path | None:
         """Return a path if its first runner starts a stream within the target."""
         if path is None:
             return None
         fullness = self._admission.capacity.fullness_of_first(self._spec, path)
         stream_s = self._room.stream_s if self._room is not None else 0.0
-        queued_part = _RUNNER_QUEUE_PART * request.target_s / max(stream_s, 1.0)
+        queued_part = _RUNNER_QUEUE_PART * target_s / max(stream_s, 1.0)
         return path if fullness < 1.0 + queued_part else None
 
     async def _start_waiting(self) -> None:
@@ -613,26 +615,49 @@
         while len(self._queue):
             await asyncio.sleep(_QUEUE_TICK_S)
             self._give_up(self._queue.expire(now_s=clocks.now_s()))
-            while self._may_start():
-                one = self._queue.next(now_s=clocks.now_s())
-                waiter = self._waiters.pop(one.id, None) if one is not None else None
-                if waiter is None:
-                    break
-                if not waiter.found.done():
-                    waiter.found.set_result(waiter.find())
+            is_started = True
+            while is_started:
+                is_started = self._start_one()
                 await asyncio.sleep(0)  # the stream counts itself in
 
-    def _may_start(self) -> bool:
-        """Tell whether a waiting stream would find a path now."""
-        waiter = next(iter(self._waiters.values()), None)
-        return waiter is not None and waiter.find() is not None
+    def _start_one(self) -> bool:
+        """Start the most urgent stream that finds a path; tell whether there is one.
+
+        Limits of servers may close paths to some priorities only, so that the next
+        stream of each is tried.  Room beyond the target of a more urgent stream is left
+        to that stream.
+        """
+        now_s = clocks.now_s()
+        least_target_s = math.inf
+        for one in self._queue.firsts(now_s=now_s):
+            waiter = self._waiters[one.id]
+            least_target_s = min(least_target_s, one.target_s - one.read_s)
+            try:
+                path = self._with_room(least_target_s, waiter.find())
+            except Exception as error:
+                self._queue.remove(one.id)
+                self._end_wait(one.id, error)
+                return True
+            if path is not None:
+                self._queue.next(now_s=now_s, priority=one.priority)
+                self._end_wait(one.id, path)
+                return True
+        return False
+
+    def _end_wait(self, call_id: str, outcome: Path | Exception | None) -> None:
+        """Let a waiting stream go on."""
+        waiter = self._waiters.pop(call_id, None)
+        if waiter is None or waiter.found.done():
+            return
+        if isinstance(outcome, Exception):
+            waiter.found.set_exception(outcome)
+        else:
+            waiter.found.set_result(outcome)
 
     def _give_up(self, waiting: Iterable[Waiting]) -> None:
         """Let streams go on without a path; they are refused."""
         for one in waiting:
-            waiter = self._waiters.pop(one.id, None)
-            if waiter is not None and not waiter.found.done():
-                waiter.found.set_result(None)
+            self._end_wait(one.id, None)
 
     def _slot(self, request: StartRequest) -> Slot:
         """Reserve a start for a refused caller."""
--- a/src/violethatch/start_queue.py
+++ b/src/violethatch/start_queue.py
@@ -190,8 +190,8 @@
         groups = (self.small, self.large)
         return sum(len(one.entries) - one.first(now_s) for one in groups)
 
-    def start(self, now_s: float) -> Waiting | None:
-        """Choose the request to start now, and count it in its group."""
+    def first(self, now_s: float) -> _Place | None:
+        """Return the place of the request to start now."""
         chosen: tuple[float, float, int, _Place] | None = None
         for group in (self.small, self.large):
             index = group.first(now_s)
@@ -199,9 +199,14 @@
                 limit_s, number, place = group.entries[index]
                 rank = (group.served(), limit_s, number, place)
                 chosen = rank if chosen is None else min(chosen, rank)
-        if chosen is None:
+        return chosen[3] if chosen is not None else None
+
+    def start(self, now_s: float) -> Waiting | None:
+        """Choose the request to start now, and count it in its group."""
+        place = self.first(now_s)
+        if place is None:
             return None
-        one, _, record = chosen[3]
+        one, _, record = place
         record.is_started = True
         record.group.started += record.is_recent
         return one
@@ -304,18 +309,33 @@
         self._size_bytes += one.size_bytes
         return Offer(is_taken=True, displaced=displaced)
 
-    def next(self, *, now_s: float) -> Waiting | None:
+    def firsts(self, *, now_s: float) -> list[Waiting]:
+        """Return the next request of each priority, the most urgent first.
+
+        Args:
+            now_s: The current time, in seconds.
+
+        .. versionadded:: 26.5.0
+        """
+        lanes = (self._lanes[priority] for priority in self._priorities)
+        places = (lane.first(now_s) for lane in lanes if lane.waiting)
+        return [place.one for place in places if place is not None]
+
+    def next(self, *, now_s: float, priority: int | None = None) -> Waiting | None:
         """Take out the request to start now; None if there is none.
 
         Requests past their limits are left to `expire`.
 
         Args:
             now_s: The current time, in seconds.
+            priority: Whose next request is taken; None: the most urgent that waits.
 
         .. versionadded:: 26.5.0
         """
-        for priority in self._priorities:
-            lane = self._lanes[priority]
+        for other in self._priorities:
+            if priority is not None and other != priority:
+                continue
+            lane = self._lanes[other]
             one = lane.start(now_s) if lane.waiting else None
             if one is not None:
                 self._drop(one.id)
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -390,6 +390,95 @@
 
         assert virtual_time.run(replay, monkeypatch) == [MOST] * 3
 
+    def test_failed_search_holds_nobody_else(self, monkeypatch):
+        """An error in one search ended the task that wakes and refuses all others."""
+
+        async def replay():
+            bench = Bench()
+            bench.admission.refresh()
+            began_s = clocks.now_s()
+
+            def fail():
+                if clocks.now_s() > began_s:
+                    raise RuntimeError("broken")
+
+            failing = asyncio.create_task(bench.path(fail, id="c1"))
+            await asyncio.sleep(0)
+            waiting = asyncio.create_task(bench.path(lambda: None, LEAST, id="c2"))
+            done, pending = await asyncio.wait([failing, waiting], timeout=1.0)
+            for one in pending:
+                one.cancel()
+            return [one in done and one.exception() for one in (failing, waiting)]
+
+        failure, others_failure = virtual_time.run(replay, monkeypatch)
+        assert isinstance(failure, RuntimeError)
+        assert others_failure is None
+
+    def test_room_for_longer_targets_refuses_nobody_early(self, monkeypatch):
+        """Urgent streams were refused at once where a later route's target had room."""
+
+        async def replay():
+            bench = Bench()
+            bench.runners.now = FREE._replace(starts_per_s=800.0)
+            bench.admission.refresh()
+            bench.runners.first_fullness = 1.5
+            began_s = clocks.now_s()
+
+            async def wait(priority, target_s):
+                one = request(priority, id=f"c{priority}")._replace(target_s=target_s)
+                path = await bench.admission.path(
+                    "model", one, lambda: PATH, is_blocked=lambda _s: False
+                )
+                return path, clocks.now_s() - began_s
+
+            later = asyncio.create_task(wait(LEAST, 1.0))
+            await asyncio.sleep(0)
+            urgent = asyncio.create_task(wait(MOST, 0.5))
+            await asyncio.sleep(0.03)
+            bench.runners.first_fullness = 1.2  # room within 1 s, but not within 0.5 s
+            await asyncio.sleep(0.03)
+            # The place that comes free is not for the less urgent one.
+            assert not urgent.done()
+            assert not later.done()
+            bench.runners.first_fullness = 0.9
+            return await urgent, await later
+
+        (urgent, waited_s), (later, _) = virtual_time.run(replay, monkeypatch)
+        assert urgent is PATH
+        assert later is PATH
+        assert waited_s <= 0.09
+
+    def test_stream_without_a_path_holds_no_other_priority(self, monkeypatch):
+        """Limits of servers may leave paths to the more urgent streams only."""
+
+        async def replay():
+            bench = Bench()
+            bench.runners.now = FREE._replace(starts_per_s=800.0)
+            bench.admission.refresh()
+            free_s = clocks.now_s() + 0.03
+            later = asyncio.create_task(bench.path(lambda: None, LEAST, id="c1"))
+            await asyncio.sleep(0)
+            path = await bench.path(
+                lambda: PATH if clocks.now_s() >= free_s else None, id="c2"
+            )
+            return path, await later
+
+        path, later = virtual_time.run(replay, monkeypatch)
+        assert path is PATH
+        assert later is None
+
+    async def test_call_of_an_id_that_was_just_woken_is_answered(self):
+        """The first one's clean-up took its place: it was never answered."""
+        bench = Bench()
+        bench.admission.refresh()
+        first = asyncio.create_task(bench.path(lambda: None))
+        await asyncio.sleep(0)
+        governed = bench.admission._services["model"]
+        second = asyncio.create_task(bench.path(lambda: None))
+        governed._give_up(governed._queue.expire(now_s=clocks.now_s() + 1.0))
+        await asyncio.wait([first, second], timeout=1.0)
+        assert second.done()
+
     def test_smaller_queue_refuses_what_no_longer_fits(self, monkeypatch):
         async def replay():
             bench = Bench()
