Start reserved streams ahead of the queue, and hold nobody at a known block

Cause: a stream that used a reserved start was put behind those that waited, and refused where they were too many for its limit. While any stream waited, others that could not be served were held up to a quarter of their target instead of being refused.

Change: admit tells whether the start is reserved, and path searches at once then; the page says so. A known block is looked at also while others wait; it refuses where the search finds no path either.

tests/test_admission.py: two tests.

--- a/src/violethatch/_admission.py
+++ b/src/violethatch/_admission.py
@@ -261,15 +261,17 @@
         """Tell whether a service's streams are admitted by priority."""
         return service in self._services
 
-    async def admit(self, service: str, request: StartRequest) -> None:
+    async def admit(self, service: str, request: StartRequest) -> bool:
         """Admit a stream, or refuse it at once.
 
+        Returns:
+            Whether it uses a reserved start, which goes ahead of those that wait.
+
         Raises:
             NotAdmittedError: It is refused; nothing has run.
         """
         governed = self._services.get(service)
-        if governed is not None:
-            await governed.admit(request)
+        return governed is not None and await governed.admit(request)
 
     async def path(
         self,
@@ -278,6 +280,7 @@
         find: Callable[[], Path | None],
         *,
         is_blocked: Callable[[float], bool],
+        is_reserved: bool = False,
     ) -> Path | None:
         """Return a path for a stream's first send, waiting briefly for one with room.
 
@@ -286,11 +289,14 @@
             request: The stream.
             find: Searches for a path.
             is_blocked: Tells whether there will be none for so many seconds.
+            is_reserved: Whether it uses a reserved start.
         """
         governed = self._services.get(service)
         if governed is None:
             return find()
-        return await governed.path(request, find, is_blocked=is_blocked)
+        return await governed.path(
+            request, find, is_blocked=is_blocked, is_reserved=is_reserved
+        )
 
     def retry_after_s(
         self, service: str, request: StartRequest, *, blocked_s: float
@@ -431,8 +437,8 @@
         self._planned_s = now_s
         self._log_plan(now_s=now_s)
 
-    async def admit(self, request: StartRequest) -> None:
-        """Admit a stream, or refuse it at once.
+    async def admit(self, request: StartRequest) -> bool:
+        """Admit a stream, or refuse it at once; tell whether its start is reserved.
 
         Raises:
             NotAdmittedError: It is refused; nothing has run.
@@ -443,7 +449,7 @@
         plan = self._plan
         if plan.level is None or plan.part_of(request.priority) >= 1.0:
             self._count(request, now_s=now_s)
-            return
+            return False
         claim = await self._admission.returns.claim(request.work)
         if claim.outcome is not ClaimOutcome.UNKNOWN:
             events.log(
@@ -454,7 +460,7 @@
                 left_s=round(claim.left_s, 3),
             )
         if claim.outcome is ClaimOutcome.DUE:
-            return
+            return True
         if claim.outcome is ClaimOutcome.EARLY:
             raise self._refusal(request, claim.left_s, reason="early", is_kept=True)
         now_s = clocks.now_s()
@@ -474,6 +480,7 @@
                 reason="level",
                 is_kept=slot.is_reserved,
             )
+        return False
 
     async def path(
         self,
@@ -481,17 +488,21 @@
         find: Callable[[], Path | None],
         *,
         is_blocked: Callable[[float], bool],
+        is_reserved: bool,
     ) -> Path | None:
         """Return a path with room, or None after a short wait for one."""
         now_s = clocks.now_s()
         call = request.call
-        if not len(self._queue):
+        limit_s = call.received_s + _WAIT_PART * request.target_s
+        goes_first = is_reserved or not len(self._queue)
+        if goes_first:
             path = find()
             if self._with_room(request.target_s, path) is not None:
                 return path
-            limit_s = call.received_s + _WAIT_PART * request.target_s
             if path is None and is_blocked(limit_s - now_s):
                 return None
+        elif is_blocked(limit_s - now_s) and find() is None:
+            return None
         offer = self._queue.offer(
             Waiting(
                 id=call.id,
@@ -499,7 +510,7 @@
                 tokens=request.tokens,
                 size_bytes=len(call.body) + _REQUEST_BYTES,
                 read_s=call.received_s,
-                limit_s=call.received_s + _WAIT_PART * request.target_s,
+                limit_s=limit_s,
                 target_s=call.received_s + request.target_s,
             ),
             starts_per_s=self._own_starts_per_s(),
--- a/src/violethatch/_streams.py
+++ b/src/violethatch/_streams.py
@@ -90,6 +90,8 @@
             target_s=admitted.route.target_latency_s,
         )
         self._avoided: frozenset[str] = frozenset()
+        #: Whether its first send uses a start that was reserved for it.
+        self._is_reserved = False
         self._is_started = False
         self._is_framed = True
         self._refusals = 0
@@ -139,7 +141,7 @@
         """
         admission = self._routing.admission
         if not self._work.is_held and self._call.last_event_id is None:
-            await admission.admit(self._service.name, self._request)
+            self._is_reserved = await admission.admit(self._service.name, self._request)
         self._routing.stream_began()
         try:
             return await self._serve_admitted(responder)
@@ -209,7 +211,11 @@
         )
         if not self.runs:
             return await self._routing.admission.path(
-                self._service.name, self._request, find, is_blocked=self._is_blocked
+                self._service.name,
+                self._request,
+                find,
+                is_blocked=self._is_blocked,
+                is_reserved=self._is_reserved,
             )
         path = find()
         pauses = _ROOM_PAUSES
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -479,6 +479,42 @@
         await asyncio.wait([first, second], timeout=1.0)
         assert second.done()
 
+    async def test_reserved_start_goes_ahead_of_the_queue(self):
+        """A caller who had come back in time was refused behind those that waited."""
+        bench = Bench()
+        bench.overload()
+        waiting = asyncio.create_task(bench.path(lambda: None, id="c1"))
+        await asyncio.sleep(0)
+        one = request(LEAST, id="c2")
+        bench.returns.claims[one.work] = Claim(ClaimOutcome.DUE, 0.0)
+        is_reserved = await bench.admission.admit("model", one)
+        path = await bench.admission.path(
+            "model",
+            one,
+            lambda: PATH,
+            is_blocked=lambda _s: False,
+            is_reserved=is_reserved,
+        )
+        assert is_reserved
+        assert path is PATH
+        assert not waiting.done()
+        assert await waiting is None
+
+    async def test_known_block_is_not_waited_for_behind_others(self):
+        """Callers were held for what could not be served if others waited already."""
+        bench = Bench()
+        bench.runners.now = FREE._replace(starts_per_s=800.0)
+        bench.admission.refresh()
+        waiting = asyncio.create_task(bench.path(lambda: None, id="c1"))
+        await asyncio.sleep(0)
+        began_s = clocks.now_s()
+        path = await bench.admission.path(
+            "model", request(MOST, id="c2"), lambda: None, is_blocked=lambda _s: True
+        )
+        assert path is None
+        assert clocks.now_s() - began_s < 0.05
+        assert await waiting is None
+
     def test_smaller_queue_refuses_what_no_longer_fits(self, monkeypatch):
         async def replay():
             bench = Bench()
