--- a/src/violethatch/platform/_following.py
+++ b/src/violethatch/platform/_following.py
@@ -122,13 +122,15 @@
     def work(self) -> list[Coroutine[Any, Any, None]]:
         """Return all that has to run until the process ends."""
         work = [follower.run() for follower in self._followers]
-        work.append(self._router.routing.admission.run())
         if self._is_relaying:
             work.append(self._registration.run())
             work.append(self._held.run())
             work.append(self._links.loads.run())
             work.append(self._links.limits.run())
             work.append(self._instances_follower.run())
+        else:
+            # Where instances tell each other of loads, each tick makes plans anew.
+            work.append(self._router.routing.admission.run())
         return work
 
     async def leave(self) -> None:
