Take off what the loop stood still in all where tries are counted

Cause: test_tries_while_the_loop_is_held_up failed once at load 30 (6 arrivals, lag 0.208 s). The check took off the longest single hold, but a hold that follows the first one before the sends are written adds up with it. Brought about by a second hold of 0.1 s, 1 ms after the one of 0.2 s: 12 sends 0.32 s after the third end, longest hold 0.194 s. All 12 sends are written at once when the second hold ends; when each was decided was not traced.

Change: of each arrival, the time that the loop stood still between the third end and it is taken off. Holds outside of that are no longer taken off, nor wake-ups that are late by less than 10 ms. The test has a second case with the second hold.

--- a/tests/asking_servers.py
+++ b/tests/asking_servers.py
@@ -46,6 +46,8 @@
 #: From when on nothing is to come within a rest, in seconds: what was on its way when
 #: the word came has arrived by then, and what servers allow ends there.
 UNDER_WAY_S = 0.5
+#: Below this, in seconds, a wake-up is not late: timers of a busy machine.
+LEAST_HOLD_S = 0.01
 
 
 class Lag:
@@ -53,14 +55,24 @@
 
     def __init__(self):
         self.most_s = 0.0
+        #: From when until when it stood still.
+        self._holds = []
+
+    def held_s(self, from_s, until_s):
+        """Return for how long it stood still between two times: holds add up."""
+        parts = [min(end, until_s) - max(begin, from_s) for begin, end in self._holds]
+        return sum(part for part in parts if part > 0.0)
 
     async def watch(self):
         """Look again and again, until cancelled."""
         while True:
             before_s = clocks.now_s()
             await asyncio.sleep(0.01)
-            late_s = clocks.now_s() - before_s - 0.01
+            now_s = clocks.now_s()
+            late_s = now_s - before_s - 0.01
             self.most_s = max(self.most_s, late_s)
+            if late_s >= LEAST_HOLD_S:
+                self._holds.append((now_s - late_s, now_s))
 
 
 @contextlib.asynccontextmanager
--- a/tests/test_repeats_that_end_servers.py
+++ b/tests/test_repeats_that_end_servers.py
@@ -59,17 +59,21 @@
         await asyncio.sleep(PAUSE_S)
 
 
-def arrivals_after(servers, *, lag_s=0.0):
+def arrivals_after(servers, lag=None):
     """Return how often it reached servers after all could know it.
 
     Args:
         servers: What it reached.
-        lag_s: How late the loop was, which all instances and their datagrams share.
+        lag: How late the loop was, which all instances and their datagrams share.
+            What it stood still between the last end and an arrival is taken off.
     """
     if len(servers.ended_s) < ENDS:
         return 0
-    known_s = servers.ended_s[ENDS - 1] + TOLD_S + lag_s
-    return sum(at_s > known_s for at_s in servers.arrived_s)
+    ended_s = servers.ended_s[ENDS - 1]
+    known_s = ended_s + TOLD_S
+    if lag is None:
+        return sum(at_s > known_s for at_s in servers.arrived_s)
+    return sum(at_s > known_s + lag.held_s(ended_s, at_s) for at_s in servers.arrived_s)
 
 
 @pytest.mark.parametrize("instances", [1, 6])
@@ -212,29 +216,36 @@
     fleet = Fleet(6, servers, seed=seed)
     async with watched_lag() as lag:
         await try_at_the_same_moment(fleet)
-    assert arrivals_after(servers, lag_s=lag.most_s) <= MOST_AFTER
+    assert arrivals_after(servers, lag) <= MOST_AFTER
 
 
-async def test_tries_while_the_loop_is_held_up():
+@pytest.mark.parametrize("second_hold_s", [0.0, TOLD_S])
+async def test_tries_while_the_loop_is_held_up(second_hold_s):
     """What was decided before the third end is written after the hold: all at once.
 
     Twelve second sends came 0.17 s after it where the loop stood still for 0.15 s, and
-    0.01 to 0.04 s after it where it did not.
+    0.01 to 0.04 s after it where it did not; they came 0.32 s after it with holds of
+    0.2 and 0.1 s in succession, of which the longer one alone explains 0.3 s.
     """
     servers = Servers(model_runner, count=8)
     fleet = Fleet(6, servers, seed=0)
     end = servers.end
 
+    def hold():
+        loop = asyncio.get_running_loop()
+        loop.call_later(0.001, time.sleep, second_hold_s)
+        time.sleep(2 * TOLD_S)
+
     def end_and_hold(server):
         end(server)
         if len(servers.ended_s) == 1:
-            asyncio.get_running_loop().call_later(0.001, time.sleep, 2 * TOLD_S)
+            asyncio.get_running_loop().call_later(0.001, hold)
 
     servers.end = end_and_hold
     async with watched_lag() as lag:
         await try_at_the_same_moment(fleet)
     assert lag.most_s >= TOLD_S
-    assert arrivals_after(servers, lag_s=lag.most_s) <= MOST_AFTER
+    assert arrivals_after(servers, lag) <= MOST_AFTER
 
 
 async def test_cut_off_instance_tells_when_it_is_back():
