--- a/src/violethatch/admission_plan.py
+++ b/src/violethatch/admission_plan.py
@@ -49,6 +49,9 @@
 _TARGET_PART = 0.9
 #: The most workspaces for which an admitter keeps a remainder, some 0.5 MB.
 _MOST_REMAINDERS = 4096
+#: Below this a weight counts as 0: next to usual ones it is lost in rounding, and the
+#: level at which it would have its share gave more to all than there is.
+_LEAST_WEIGHT = 1e-6
 #: Spreads the first remainders of keys evenly over 0 to 1 (golden ratio).
 _GOLDEN = 0.6180339887498949
 
@@ -143,6 +146,8 @@
         )
         #: Fractions of the fallback; empty while there are sums.
         self._alone: dict[int, float] = {}
+        #: Whether the last plan from sums refused some, or own streams were late since.
+        self._was_overloaded = False
         self._stepped_s = -math.inf
 
     def take_policy(self, policy: WorkspacePolicy) -> None:
@@ -232,6 +237,11 @@
             last = self._past[-1].plan if self._past else OPEN
             alone = {one: last.part_of(one) for one in {*demand, *last.parts}}
             self._stepped_s = now_s
+            self._was_overloaded = last.level is not None
+        is_late = in_target_part is not None and in_target_part < _TARGET_PART
+        self._was_overloaded = self._was_overloaded or is_late
+        if not self._was_overloaded:
+            return self._keep(OPEN._replace(is_fallback=True), now_s=now_s)
         priorities = sorted({*alone, *demand})
         limited = {
             one: min(_MOST_PART, max(_LEAST_PART, alone.get(one, 1.0)))
@@ -239,7 +249,7 @@
         }
         if in_target_part is not None and now_s - self._stepped_s >= _STEP_S:
             self._stepped_s = now_s
-            _step(limited, is_fall=in_target_part < _TARGET_PART)
+            _step(limited, is_fall=is_late)
         self._alone = dict.fromkeys(priorities[:1], 1.0) | limited
         reduced = (one for one, part in limited.items() if part < _MOST_PART)
         level = next(reduced, max(limited, default=None))
@@ -499,7 +509,7 @@
     edges: list[tuple[float, float]] = []
     used_per_s = slope = 0.0
     for offers_per_s, weight, count in shares:
-        if weight <= 0.0 or offers_per_s <= floor_per_s:
+        if weight < _LEAST_WEIGHT or offers_per_s <= floor_per_s:
             used_per_s += count * min(floor_per_s, offers_per_s)
             continue
         used_per_s += count * floor_per_s
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -310,6 +310,15 @@
         assert all([await bench.admits(MOST) for _ in range(10)])
         assert 10 <= sum(admitted) <= 99
 
+    async def test_missing_sums_alone_refuse_nobody(self):
+        """One stream in twenty was refused at an instance that had just started."""
+        bench = Bench()
+        bench.peers.old_s = None
+        for _ in range(20):
+            bench.admission.ended("model", is_in_target=True)
+        bench.admission.refresh()
+        assert all([await bench.admits(LEAST) for _ in range(60)])
+
     def test_suspended_instance_plans_anew_before_it_decides(self, monkeypatch):
         """A plan that is 10 s old refused streams that had room."""
 
