--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -20,7 +20,7 @@
     make_routing,
 )
 from routing_samples import call_route, desired_state, runner
-from violethatch import _admission, clocks
+from violethatch import _governed_service, clocks
 from violethatch._admission import Admission, StartRequest
 from violethatch._streams import StreamCall
 from violethatch.admission_preview import active_section, parse_state, preview
@@ -618,7 +618,7 @@
         """Guards against a refusal whose reservation no line tells of."""
         seen = []
         monkeypatch.setattr(
-            _admission.events,
+            _governed_service.events,
             "log",
             lambda event, **fields: seen.append((event, fields)),
         )
