Call the loads that runners advertise reports

Change: in stream_loads.py told() is record_report(), and what it keeps is a report. No behaviour changes; the tests of loads, paths, streams and links pass.

--- a/src/violethatch/_streams.py
+++ b/src/violethatch/_streams.py
@@ -306,7 +306,7 @@
             return _End.LOST, 0
         if answer.load is not None:
             now_s = clocks.now_s()
-            self._routing.loads.told(path.first.id, answer.load, now_s=now_s)
+            self._routing.loads.record_report(path.first.id, answer.load, now_s=now_s)
         try:
             return await self._take(answer, run, responder)
         finally:
--- a/src/violethatch/stream_loads.py
+++ b/src/violethatch/stream_loads.py
@@ -34,8 +34,8 @@
 #: is full: fewer wait for their turn in its next passes.
 _MIN_QUEUE = 4
 _QUEUE_PART = 0.125
-#: How long a first runner's word counts, in seconds; some requests' time.
-_TOLD_LIFE_S = 2.0
+#: How long a first runner's report counts, in seconds; some requests' time.
+_REPORT_LIFE_S = 2.0
 _NO_STREAMS = ServerTotals(0, 0.0)
 #: How fast the usual time of a stream follows what is seen, per stream.
 _GAIN = 0.05
@@ -46,11 +46,11 @@
     return NO_DEMAND
 
 
-class _Told(NamedTuple):
-    """A first runner's word on its load, and when it came."""
+class _Report(NamedTuple):
+    """The load that a first runner has reported, and when it came."""
 
     load: ServerLoad
-    told_s: float
+    received_s: float
 
 
 class StreamLoads:
@@ -58,7 +58,7 @@
 
     Attributes:
         own_demand: Returns what this instance is offered, of governed services, which
-            others are told with its totals.
+            is sent to others with its totals.
 
     .. versionadded:: 26.1.0
     """
@@ -69,7 +69,7 @@
         self._own_by_first: dict[str, int] = {}
         #: When own streams crossed between zones, and for how long, in ms.
         self._crossings: collections.deque[tuple[float, float]] = collections.deque()
-        self._told_by_first: dict[str, _Told] = {}
+        self._reports_by_first: dict[str, _Report] = {}
         self._others: LoadTotals = NOTHING
         self._others_taken_s = 0.0
         #: How long own streams last, in seconds; None before one has ended.
@@ -77,7 +77,7 @@
 
     @property
     def others(self) -> LoadTotals:
-        """What all other instances have, as they last told."""
+        """What all other instances have, as they last reported."""
         return self._others
 
     def take_others(self, others: LoadTotals, *, now_s: float) -> None:
@@ -140,9 +140,9 @@
         for stage in path.stages:
             self._add(stage, -tokens)
 
-    def told(self, first_id: str, load: ServerLoad, *, now_s: float) -> None:
-        """Take in a first runner's word on the streams it has from all."""
-        self._told_by_first[first_id] = _Told(load, now_s)
+    def record_report(self, first_id: str, load: ServerLoad, *, now_s: float) -> None:
+        """Take in what a first runner reports of the streams it has from all."""
+        self._reports_by_first[first_id] = _Report(load, now_s)
 
     def fullness_of(self, layer_map: LayerMap, *, now_s: float) -> dict[str, float]:
         """Return, by runner, how full it is."""
@@ -169,19 +169,19 @@
         is all that it has room for.
         """
         known = self.totals_at(server.id, now_s=now_s)
-        streams = max(known.streams, self._told_streams(server, now_s=now_s))
+        streams = max(known.streams, self._reported_streams(server, now_s=now_s))
         taken = streams / max(1, server.slots)
-        told = self._told_by_first.get(server.id)
-        if told is None or now_s - told.told_s >= _TOLD_LIFE_S:
+        report = self._reports_by_first.get(server.id)
+        if report is None or now_s - report.received_s >= _REPORT_LIFE_S:
             return taken
-        running, waiting = told.load.running, told.load.waiting
+        running, waiting = report.load.running, report.load.waiting
         if waiting < max(_MIN_QUEUE, _QUEUE_PART * running):
             return taken
         return max(taken, 1.0 + waiting / max(1, running))
 
     def forget(self, server_id: str) -> None:
         """Forget a runner that is no longer listed."""
-        self._told_by_first.pop(server_id, None)
+        self._reports_by_first.pop(server_id, None)
 
     def pipe_fullness(self, *, now_s: float) -> float:
         """Return the part of the time that the pipe between zones is taken."""
@@ -200,11 +200,11 @@
         Of the others' streams those have ended since that last about as long as the
         news is old.
         """
-        told = self._others.servers.get(server_number(server_id), _NO_STREAMS)
+        reported = self._others.servers.get(server_number(server_id), _NO_STREAMS)
         left = self._part_left(now_s=now_s)
         return ServerTotals(
-            round(left * told.streams) + self._own_by_first.get(server_id, 0),
-            left * told.token_layers + self._own_token_layers.get(server_id, 0.0),
+            round(left * reported.streams) + self._own_by_first.get(server_id, 0),
+            left * reported.token_layers + self._own_token_layers.get(server_id, 0.0),
         )
 
     def _part_left(self, *, now_s: float) -> float:
@@ -214,12 +214,12 @@
             return 1.0
         return math.exp(-age_s / self._stream_s)
 
-    def _told_streams(self, server: BackendServer, *, now_s: float) -> int:
-        """Return the streams that a runner told of, if it did so lately."""
-        told = self._told_by_first.get(server.id)
-        if told is None or now_s - told.told_s >= _TOLD_LIFE_S:
+    def _reported_streams(self, server: BackendServer, *, now_s: float) -> int:
+        """Return the streams that a runner has reported lately, waiting ones too."""
+        report = self._reports_by_first.get(server.id)
+        if report is None or now_s - report.received_s >= _REPORT_LIFE_S:
             return 0
-        return told.load.running + told.load.waiting
+        return report.load.running + report.load.waiting
 
     def _add(self, stage: Stage, tokens: float) -> None:
         """Add to a runner's tokens times layers."""
--- a/tests/test_path_choice.py
+++ b/tests/test_path_choice.py
@@ -83,7 +83,7 @@
         (one,) = routings(1, *NEAR, *FAR)
         now_s = clocks.now_s()
         for chain in range(3):
-            one.loads.told(f"n{chain}-0", ServerLoad(96, 20, 96), now_s=now_s)
+            one.loads.record_report(f"n{chain}-0", ServerLoad(96, 20, 96), now_s=now_s)
         assert one.path(SERVICE).first.availability_zone == "cartago"
 
     def test_quick_first_runner_without_slots_is_passed_over(self):
@@ -92,11 +92,11 @@
         slow = [runner(f"s{n}", 10 * n, 10 * n + 10, kind="small") for n in range(8)]
         (one,) = routings(1, *quick, *slow)
         now_s = clocks.now_s()
-        one.loads.told("q0", ServerLoad(50, 0, 96), now_s=now_s)
+        one.loads.record_report("q0", ServerLoad(50, 0, 96), now_s=now_s)
         assert one.path(SERVICE).first.id == "q0"
-        one.loads.told("q0", ServerLoad(90, 0, 96), now_s=now_s)
+        one.loads.record_report("q0", ServerLoad(90, 0, 96), now_s=now_s)
         assert one.path(SERVICE).first.id == "s0"
-        one.loads.told("s0", ServerLoad(90, 0, 96), now_s=now_s)
+        one.loads.record_report("s0", ServerLoad(90, 0, 96), now_s=now_s)
         assert one.path(SERVICE) is not None
 
     def test_zone_that_lacks_layers_sends_elsewhere(self):
--- a/tests/test_stream_loads.py
+++ b/tests/test_stream_loads.py
@@ -39,7 +39,7 @@
     def test_first_runners_word_counts_for_a_while(self):
         """What a first runner says of its slots is believed while it is new."""
         loads = StreamLoads()
-        loads.told("a", ServerLoad(running=72, waiting=0, slots=96), now_s=0.0)
+        loads.record_report("a", ServerLoad(running=72, waiting=0, slots=96), now_s=0.0)
         assert loads.fullness(A, engine(), now_s=1.0) == pytest.approx(0.75)
         assert loads.fullness(A, engine(), now_s=60.0) == 0.0
 
@@ -81,7 +81,7 @@
     def test_fuller_word_counts(self):
         """The runner's own word and the others' sums are of different ages."""
         loads = StreamLoads()
-        loads.told("a", ServerLoad(running=72, waiting=0, slots=96), now_s=0.0)
+        loads.record_report("a", ServerLoad(running=72, waiting=0, slots=96), now_s=0.0)
         loads.take_others(
             LoadTotals(5, 0.0, {server_number("a"): ServerTotals(24, 1.0)}),
             now_s=0.0,
@@ -92,9 +92,9 @@
     def test_runner_with_a_queue_is_full(self):
         """With its memory full, one ran 75 streams on 96 slots while 48 waited."""
         loads = StreamLoads()
-        loads.told("a", ServerLoad(75, 3, 96), now_s=0.0)
+        loads.record_report("a", ServerLoad(75, 3, 96), now_s=0.0)
         assert loads.slots_taken(A, now_s=0.0) < 0.85
-        loads.told("a", ServerLoad(75, 48, 96), now_s=0.0)
+        loads.record_report("a", ServerLoad(75, 48, 96), now_s=0.0)
         assert loads.slots_taken(A, now_s=0.0) == pytest.approx(1.64)
         assert loads.slots_taken(A, now_s=60.0) == 0.0
 
