Make one piece of code serve where the hard load's parts did the same twice

Change: _slots_taken takes the known streams; LayerMap.firsts is made once a list; Call.work_id, WorkspacePolicy.named, STALE_S and MOST_S serve both. No behaviour changes, no assertion does; tests/test_work_in_hand.py counts digests where they are made now.

--- a/bench/admission_costs.py
+++ b/bench/admission_costs.py
@@ -23,6 +23,7 @@
 
 import eliot
 
+from decision_costs import placed_servers
 from violethatch import clocks
 from violethatch._admission import Admission, StartRequest
 from violethatch._hosts import Host
@@ -34,7 +35,6 @@
     encoded,
 )
 from violethatch.admission_plan import Admitter, Plan, Planner, WorkspacePolicy
-from violethatch.backends import BackendServer
 from violethatch.demand import (
     MOST_BYTES,
     MOST_HEAVIEST_KEPT,
@@ -52,7 +52,6 @@
 from violethatch.errors import NotAdmittedError
 from violethatch.load_sums import server_number
 from violethatch.paths import LayerMap, Path
-from violethatch.placement import divide
 from violethatch.return_slots import (
     MOST_WORKS,
     UNKNOWN,
@@ -130,21 +129,7 @@
         Host(f"r{n}", f"z{n % 3}", kinds[n // 3 % len(kinds)], None)
         for n in range(runners)
     ]
-    orders = divide(hosts, _ENGINE)
-    servers = [
-        BackendServer(
-            id=one.id,
-            service="model",
-            address=f"10.0.0.1:{9000 + n}",
-            availability_zone=one.availability_zone,
-            slots=_ENGINE.slots,
-            is_leaving=False,
-            layers=orders.get(one.id),
-            kind=one.kind,
-        )
-        for n, one in enumerate(hosts)
-    ]
-    return LayerMap(servers, _ENGINE)
+    return LayerMap(placed_servers(hosts, _ENGINE), _ENGINE)
 
 
 def full_demand(seed: int) -> Demand:
--- a/src/violethatch/_admission.py
+++ b/src/violethatch/_admission.py
@@ -23,11 +23,12 @@
     StartRequest,
     Unobserved,
 )
-from ._governed_service import MAX_RETURN_S, GovernedService
+from ._governed_service import GovernedService
 from .demand import NO_DEMAND, RUNNING, Demand, DemandCounter, DemandKey, total_demand
 from .desired import CallRoute, DesiredState
 from .load_sums import server_number
 from .paths import Path
+from .return_slots import MOST_S
 from .router_settings import AdmissionSection
 
 
@@ -93,20 +94,18 @@
         """Begin and end governing services."""
         if self._desired is None:
             return
-        for name, routes in self._desired.stream_routes().items():
+        governed = {
+            name: routes
+            for name, routes in self._desired.stream_routes().items()
+            if self._is_governed(routes)
+        }
+        for name, routes in governed.items():
             spec = self._desired.services[name]
-            if not self._is_governed(routes):
-                continue
             known = self._services.get(name)
             if known is None:
                 known = self._services[name] = GovernedService(self, spec)
             known.take_routes(spec, routes)
-        governed = {
-            name
-            for name, routes in self._desired.stream_routes().items()
-            if self._is_governed(routes)
-        }
-        for name in self._services.keys() - governed:
+        for name in self._services.keys() - governed.keys():
             self._services.pop(name).release()
 
     def _is_governed(self, routes: Iterable[CallRoute]) -> bool:
@@ -186,7 +185,7 @@
         than starts are reserved ahead.
         """
         governed = self._services.get(service)
-        if governed is None or blocked_s >= MAX_RETURN_S:
+        if governed is None or blocked_s >= MOST_S:
             return None
         slot_s = governed.slot_s(request, reason="no_path")
         return max(slot_s, blocked_s)
--- a/src/violethatch/_admission_types.py
+++ b/src/violethatch/_admission_types.py
@@ -13,7 +13,6 @@
 from .room import Room, Targets
 from .router_settings import AdmissionSection
 from .upstream import Call
-from .work_ids import work_id
 
 
 class StartRequest(NamedTuple):
@@ -35,14 +34,7 @@
     @property
     def work(self) -> str:
         """The id that stays the same when the caller comes back."""
-        call = self.call
-        return work_id(
-            caller=self.workspace,
-            method=call.method,
-            host=call.host,
-            target=call.target,
-            body=call.body,
-        )
+        return self.call.work_id(self.workspace)
 
 
 class Capacity(Protocol):
--- a/src/violethatch/_governed_service.py
+++ b/src/violethatch/_governed_service.py
@@ -12,28 +12,24 @@
 
 from . import clocks, events
 from ._admission_types import AdmissionShared, AdmissionState, StartRequest
-from .admission_plan import OPEN, Admitter, Plan, Planner, WorkspacePolicy
+from .admission_plan import OPEN, STALE_S, Admitter, Plan, Planner, WorkspacePolicy
 from .demand import RUNNING, DemandKey, total_demand
 from .desired import CallRoute, ServiceSpec
 from .errors import NotAdmittedError
 from .load_sums import server_number
 from .paths import Path
-from .return_slots import ClaimOutcome, Slot
+from .return_slots import MOST_S, ClaimOutcome, Slot
 from .room import Room, Targets
 from .router_settings import AdmissionSection
 from .start_queue import StartQueue, Waiting
 
 
-#: After how long the sums of other instances count no more, in seconds.
-_MAX_AGE_S = 2.0
 #: The part of a stream's target for which it may wait: the rest is for its first event.
 _WAIT_PART = 0.25
 #: How often waiting streams are checked, in seconds; a tenth of the shortest wait.
 _QUEUE_TICK_S = 0.0125
 #: The part of the time that a caller has left after which it does not come back.
 _RETURN_PART = 1 / 3
-#: The latest time at which a refused caller is asked to come back, in seconds.
-MAX_RETURN_S = 3.0
 #: Over how long own streams are counted as in target or not, in seconds.
 _OUTCOME_SPAN_S = 2.0
 #: The fewest own streams in that time that say anything.
@@ -64,7 +60,9 @@
         self.own_running = 0
         self._targets = Targets(0.0, 0.0)
         self._route_priorities: list[int] = []
-        policy = _policy(admission.section)
+        policy = WorkspacePolicy.named(
+            admission.section.weights, admission.section.workspace_floor_part
+        )
         self._planner = Planner(policy=policy)
         self._admitter = Admitter(policy=policy, phase=admission.phase)
         self._queue = StartQueue(
@@ -86,7 +84,7 @@
 
     def take_section(self, section: AdmissionSection) -> None:
         """Take changed settings in."""
-        policy = _policy(section)
+        policy = WorkspacePolicy.named(section.weights, section.workspace_floor_part)
         self._planner.take_policy(policy)
         self._admitter.take_policy(policy)
         dropped = self._queue.resize(
@@ -135,7 +133,7 @@
         self._running = max(admission.capacity.running(self._spec), round(summed))
         self._age_s = peers.age_s() if peers.are_known() else 0.0
         in_target_part = self._in_target_part(now_s=now_s)
-        is_stale = self._age_s is None or self._age_s > _MAX_AGE_S
+        is_stale = self._age_s is None or self._age_s > STALE_S
         has_room = self._room.streams > 0.0
         if not has_room and in_target_part is None:
             # No list has been read, no runner is left, or none meets the targets.
@@ -165,7 +163,7 @@
             NotAdmittedError: It is refused; nothing has run.
         """
         now_s = clocks.now_s()
-        if self._planned_s is None or now_s - self._planned_s > _MAX_AGE_S:
+        if self._planned_s is None or now_s - self._planned_s > STALE_S:
             self.refresh(now_s=now_s)  # the process was suspended
         plan = self._plan
         if plan.level is None or plan.part_of(request.priority) >= 1.0:
@@ -399,7 +397,7 @@
             request.work,
             request.priority,
             starts_per_s=self._own_starts_per_s(),
-            most_s=min(MAX_RETURN_S, _RETURN_PART * left_s),
+            most_s=min(MOST_S, _RETURN_PART * left_s),
         )
 
     def _own_starts_per_s(self) -> float:
@@ -469,9 +467,3 @@
             age_s=self._age_s,
             is_fallback=self._plan.is_fallback,
         )
-
-
-def _policy(section: AdmissionSection) -> WorkspacePolicy:
-    """Return the shares of workspaces that the settings give."""
-    weights = {server_number(name): one for name, one in section.weights.items()}
-    return WorkspacePolicy(weights, section.workspace_floor_part)
--- a/src/violethatch/_path_choice.py
+++ b/src/violethatch/_path_choice.py
@@ -304,11 +304,10 @@
         assert service.engine is not None
         now_s = clocks.now_s()
         gone = self._health.shunned(now_s=now_s)
-        holders = self._maps_of(service, service.engine).whole.holders
         return sum(
             self._loads.totals_at(one.id, now_s=now_s).streams
-            for one in holders.values()
-            if one.layers is not None and one.layers.first == 0 and one.id not in gone
+            for one in self._maps_of(service, service.engine).whole.firsts
+            if one.id not in gone
         )
 
     def fullness_of_first(self, service: ServiceSpec, path: Path) -> float:
@@ -355,10 +354,8 @@
         """
         return frozenset(
             one.id
-            for one in layer_map.holders.values()
-            if one.layers is not None
-            and one.layers.first == 0
-            and self._loads.slots_taken(one, now_s=now_s) >= _NO_SLOT
+            for one in layer_map.firsts
+            if self._loads.slots_taken(one, now_s=now_s) >= _NO_SLOT
         )
 
     def _view(
--- a/src/violethatch/_work_in_hand.py
+++ b/src/violethatch/_work_in_hand.py
@@ -15,7 +15,6 @@
 from .errors import HeldBackError
 from .runner_health import Trouble
 from .upstream import Call, ConnectionBrokenError
-from .work_ids import work_id
 
 
 #: The longest time after which a caller is told to come back, in seconds: what is held
@@ -40,14 +39,7 @@
     @functools.cached_property
     def id(self) -> str:
         """The work's id; a digest, made when it is first asked for."""
-        call = self._call
-        return work_id(
-            caller=self._workspace,
-            method=call.method,
-            host=call.host,
-            target=call.target,
-            body=call.body,
-        )
+        return self._call.work_id(self._workspace)
 
     @property
     def is_held(self) -> bool:
--- a/src/violethatch/admission_plan.py
+++ b/src/violethatch/admission_plan.py
@@ -21,6 +21,7 @@
 from collections.abc import Iterable, Mapping
 from typing import NamedTuple
 
+from .load_sums import server_number
 from .room import Room
 
 
@@ -111,6 +112,11 @@
     weights: Mapping[int, float]
     floor_part: float
 
+    @classmethod
+    def named(cls, weights: Mapping[str, float], floor_part: float) -> WorkspacePolicy:
+        """Return the policy for weights by the workspaces' names."""
+        return cls({server_number(one): w for one, w in weights.items()}, floor_part)
+
 
 #: All workspaces alike.
 EQUAL = WorkspacePolicy({}, 0.5)
--- a/src/violethatch/admission_preview.py
+++ b/src/violethatch/admission_preview.py
@@ -21,7 +21,6 @@
 import msgspec
 
 from .admission_plan import STALE_S, Admitter, Plan, Planner, WorkspacePolicy
-from .load_sums import server_number
 from .room import Room
 from .router_settings import AdmissionSection
 
@@ -223,8 +222,7 @@
             PriorityPreview(one, rate, 0.0, ()) for one, rate in sorted(demand.items())
         ]
         return ServicePreview(name, False, False, None, priorities)
-    weights = {server_number(one): each for one, each in section.weights.items()}
-    policy = WorkspacePolicy(weights, section.workspace_floor_part)
+    policy = WorkspacePolicy.named(section.weights, section.workspace_floor_part)
     plan = _plan(dump, demand, policy)
     admitter = Admitter(policy=policy)
     priorities = [
--- a/src/violethatch/paths.py
+++ b/src/violethatch/paths.py
@@ -161,6 +161,8 @@
         self.engine = engine
         holders = [one for one in servers if one.layers and one.kind in engine.kinds]
         self.holders = {holder.id: holder for holder in holders}
+        #: Those that a path may begin at.
+        self.firsts = [one for one in holders if one.layers and one.layers.first == 0]
         self._zones = sorted({holder.availability_zone for holder in holders})
         self._segments = segments(holders, engine)
         self._read_ms = {
--- a/src/violethatch/stream_loads.py
+++ b/src/violethatch/stream_loads.py
@@ -159,7 +159,7 @@
         Its room is its KV cache, and its slots for streams that begin there.
         """
         known = self.totals_at(server.id, now_s=now_s)
-        slots_taken = self.slots_taken(server, now_s=now_s)
+        slots_taken = self._slots_taken(server, known.streams, now_s=now_s)
         return max(slots_taken, _kv_cache_taken(server, engine, known.token_layers))
 
     def slots_taken(self, server: BackendServer, *, now_s: float) -> float:
@@ -169,12 +169,18 @@
         is all that it has room for.
         """
         known = self.totals_at(server.id, now_s=now_s)
-        streams = max(known.streams, self._reported_streams(server, now_s=now_s))
-        taken = streams / max(1, server.slots)
+        return self._slots_taken(server, known.streams, now_s=now_s)
+
+    def _slots_taken(
+        self, server: BackendServer, streams: int, *, now_s: float
+    ) -> float:
+        """Return the part of a runner's slots that some known streams take."""
+        slots = max(1, server.slots)
         report = self._reports_by_first.get(server.id)
         if report is None or now_s - report.received_s >= _REPORT_LIFE_S:
-            return taken
+            return streams / slots
         running, waiting = report.load.running, report.load.waiting
+        taken = max(streams, running + waiting) / slots
         if waiting < max(_MIN_QUEUE, _QUEUE_PART * running):
             return taken
         return max(taken, 1.0 + waiting / max(1, running))
@@ -214,13 +220,6 @@
             return 1.0
         return math.exp(-age_s / self._stream_s)
 
-    def _reported_streams(self, server: BackendServer, *, now_s: float) -> int:
-        """Return the streams that a runner has reported lately, waiting ones too."""
-        report = self._reports_by_first.get(server.id)
-        if report is None or now_s - report.received_s >= _REPORT_LIFE_S:
-            return 0
-        return report.load.running + report.load.waiting
-
     def _add(self, stage: Stage, tokens: float) -> None:
         """Add to a runner's tokens times layers."""
         added = tokens * stage.layers.size
--- a/src/violethatch/upstream.py
+++ b/src/violethatch/upstream.py
@@ -21,6 +21,7 @@
 from .limit_permits import Permit
 from .paths import Path
 from .store_era import NO_ERA, Position, ProofTime
+from .work_ids import work_id
 
 
 Headers = Sequence[tuple[str, str]]
@@ -50,6 +51,16 @@
     last_event_id: int | None
     prompt_tokens: int | None
 
+    def work_id(self, workspace: str | None) -> str:
+        """Return the id of the call's work, the same when its caller comes back."""
+        return work_id(
+            caller=workspace,
+            method=self.method,
+            host=self.host,
+            target=self.target,
+            body=self.body,
+        )
+
     def deadline_within_s(self, timeout_s: float) -> float:
         """Return until when the call may take, in monotonic seconds."""
         return min(self.deadline_s, self.received_s + timeout_s)
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -564,19 +564,25 @@
         assert bench.admission.states()["model"].waiting == 0
 
 
+def overloaded(client):
+    """Return the views of a full instance, and a call of the least urgent route."""
+    routing = make_routing(client, runner("a", 0, 80), rng=random.Random(1))
+    routing.admission.take_desired(STATE)
+    routing.admission.capacity = runners = Runners()
+    runners.streams = 1000
+    routing.admission.peers = peers = Peers()
+    peers.sum = Demand({DemandKey(MODEL, LEAST): 90.0}, {})
+    routing.admission.refresh()
+    admitted = STATE.admit(
+        host="menu.example", path="/later/1", key="key-1", call_id="c1"
+    )
+    return routing, admitted
+
+
 class TestStreams:
     async def test_refused_stream_is_sent_to_nobody(self):
         client = FakeClient(FakeAnswer(events(1)))
-        routing = make_routing(client, runner("a", 0, 80), rng=random.Random(1))
-        routing.admission.take_desired(STATE)
-        routing.admission.capacity = runners = Runners()
-        runners.streams = 1000
-        routing.admission.peers = peers = Peers()
-        peers.sum = Demand({DemandKey(MODEL, LEAST): 90.0}, {})
-        routing.admission.refresh()
-        admitted = STATE.admit(
-            host="menu.example", path="/later/1", key="key-1", call_id="c1"
-        )
+        routing, admitted = overloaded(client)
         call = make_call(path="/later/1")
         with pytest.raises(NotAdmittedError):
             await StreamCall(routing, call, admitted).serve(FakeResponder())
@@ -585,16 +591,7 @@
     async def test_resumed_stream_goes_on(self):
         """What has begun isn't refused for want of room."""
         client = FakeClient(FakeAnswer(events(8)))
-        routing = make_routing(client, runner("a", 0, 80), rng=random.Random(1))
-        routing.admission.take_desired(STATE)
-        routing.admission.capacity = runners = Runners()
-        runners.streams = 1000
-        routing.admission.peers = peers = Peers()
-        peers.sum = Demand({DemandKey(MODEL, LEAST): 90.0}, {})
-        routing.admission.refresh()
-        admitted = STATE.admit(
-            host="menu.example", path="/later/1", key="key-1", call_id="c1"
-        )
+        routing, admitted = overloaded(client)
         call = make_call(path="/later/1", last_event_id=7)
         responder = FakeResponder()
         await StreamCall(routing, call, admitted).serve(responder)
--- a/tests/test_work_in_hand.py
+++ b/tests/test_work_in_hand.py
@@ -7,7 +7,7 @@
 
 from router_fakes import FakeClient, make_call, make_routing
 from routing_samples import runner
-from violethatch import _work_in_hand, clocks
+from violethatch import clocks, upstream
 from violethatch._work_in_hand import WorkInHand
 from violethatch.crash_suspects import End
 
@@ -31,9 +31,9 @@
     def test_no_body_is_digested_while_nothing_is_suspected(self, monkeypatch):
         """A large body costs nothing then, and is digested once afterwards."""
         made = []
-        real = _work_in_hand.work_id
+        real = upstream.work_id
         monkeypatch.setattr(
-            _work_in_hand, "work_id", lambda **parts: made.append(1) or real(**parts)
+            upstream, "work_id", lambda **parts: made.append(1) or real(**parts)
         )
         routing = make_routing(FakeClient(), A, rng=random.Random(1))
         work = work_in_hand(routing)
