Log what a final refusal and an unanswered read rest on

Change: 2405 has read_s, 2206 and 2203 have desired_table, and violethatch_router_refusal_proof_age_seconds counts answers of 401 and 404. No decision changes.

--- a/src/violethatch/_followers.py
+++ b/src/violethatch/_followers.py
@@ -77,6 +77,8 @@
         self._first_pause_s = first_pause_s
         #: The latest pause before a retry, in seconds; 0 while reads are answered.
         self._pause_s = 0.0
+        #: When the latest read was begun, in monotonic seconds.
+        self._read_began_s = 0.0
         #: The newest return of the store that other instances have told of.
         self._told_return_s: float | None = None
 
@@ -129,7 +131,7 @@
 
     async def _read_once(self) -> None:
         """Read the table or its next changes, and take them in."""
-        sent_s = clocks.now_s()
+        sent_s = self._read_began_s = clocks.now_s()
         is_waiting = self._version is not None and not self._is_away
         view = await self._read()
         is_whole = self._version is None or view.is_whole
@@ -237,6 +239,7 @@
             events.TABLE_UNREACHABLE,
             table=self.table,
             reason=error.detail,
+            read_s=round(clocks.now_s() - self._read_began_s, 3),
             proof_age_s=round(age_s, 3) if age_s != float("inf") else None,
         )
 
--- a/src/violethatch/_router.py
+++ b/src/violethatch/_router.py
@@ -27,7 +27,7 @@
 )
 from .freshness import Freshness
 from .router_settings import RouterSettings
-from .store_era import TableState
+from .store_era import UNREAD, TableState
 from .upstream import Call, Decoder, Responder, RunnerClient, TableView
 
 
@@ -78,6 +78,8 @@
         self.sources: Callable[[], Mapping[str, str]] = dict
         #: Returns, by table, what this instance's view of it rests on.
         self.tables: Callable[[], Mapping[str, TableState]] = dict
+        #: Returns what the desired state rests on.
+        self.desired_table: Callable[[], TableState] = lambda: UNREAD
         self._decoder = decoder
 
     @property
@@ -106,6 +108,9 @@
     def refused(self, call_id: str, error: VioletHatchError, *, age_s: float) -> None:
         """Log and count a request that ended with one of our own errors."""
         self.metrics.requests.inc({"outcome": str(error.code)})
+        if isinstance(error, (UnknownTargetError, UnauthorizedError)):
+            proof_age_s = self.freshness.age_s(now_s=clocks.now_s())
+            self.metrics.refusal_proof_age_s.observe({}, proof_age_s)
         events.log(
             events.REQUEST_REFUSED if error.ran == "no" else events.REQUEST_FAILED,
             request_id=call_id,
@@ -115,6 +120,7 @@
             after_s=round(age_s, 4),
             list_state=self.routing.list_state()._asdict(),
             state_version=self.desired.version if self.desired else None,
+            desired_table=self.desired_table()._asdict(),
             proof_age_s=self._proof_age_s(),
         )
 
--- a/src/violethatch/_router_metrics.py
+++ b/src/violethatch/_router_metrics.py
@@ -15,6 +15,7 @@
 
 
 _WAIT_BUCKETS_S = [0.01, 0.03, 0.06, 0.12, 0.25]
+_PROOF_AGE_BUCKETS_S = [0.5, 1.0, 1.5, 2.0, 3.0, 4.0]
 _LATENCY_BUCKETS_S = [0.03, 0.1, 0.2, 0.5, 1.0, 3.0, 10.0]
 
 
@@ -40,6 +41,12 @@
             buckets=_LATENCY_BUCKETS_S,
             registry=self.registry,
         )
+        self.refusal_proof_age_s = Histogram(
+            "violethatch_router_refusal_proof_age_seconds",
+            "The desired state's proof age when it refused a route or a key for good.",
+            buckets=_PROOF_AGE_BUCKETS_S,
+            registry=self.registry,
+        )
         self.store_calls = Counter(
             "violethatch_router_store_calls_total",
             "Calls of the platform's store, by outcome.",
--- a/src/violethatch/platform/_following.py
+++ b/src/violethatch/platform/_following.py
@@ -99,7 +99,8 @@
         self._links = PeerLinks(self._datagrams, router, rng=rng)
         self._followers = self._make_followers()
         self._instances_follower = self._make_instances_follower()
-        _, servers = self._followers
+        desired, servers = self._followers
+        router.desired_table = desired.state
         router.routing.list_state = servers.state
 
     @property
