--- a/tests/test_platform_process.py
+++ b/tests/test_platform_process.py
@@ -53,6 +53,9 @@
 class Site:
     """A store, two runners that hold the model, and one router process."""
 
+    #: Settings of the store beside the deployed ones.
+    store_settings = "change_wait_s = 0.3\n\n"
+
     def __init__(self, path):
         self.path = path
         self.store = StoreStandIn()
@@ -88,7 +91,7 @@
         )
         settings = self.path / "router.ini"
         settings.write_text(
-            text.replace("[bounds]", "change_wait_s = 0.3\n\n[bounds]")
+            text.replace("[bounds]", f"{self.store_settings}[bounds]")
             + "\n[policy]\nfirst_event_limit_s = 1.0\ngap_limit_s = 0.5\n"
         )
         self.http = aiohttp.ClientSession()
--- a/tests/test_region_reads.py
+++ b/tests/test_region_reads.py
@@ -127,12 +127,20 @@
         }
         self._tasks = [asyncio.create_task(self._follow(n)) for n in self.directories]
 
+    def store_reads(self, name):
+        """Return an instance's way to the store."""
+        return Reads(self.store, name)
+
+    def peer_reads(self, name):
+        """Return an instance's way to the others."""
+        return Peers(self, name)
+
     async def _follow(self, name):
         await TableFollower(
             "op",
             source=RelayedTables(
-                Reads(self.store, name),
-                Peers(self, name),
+                self.store_reads(name),
+                self.peer_reads(name),
                 self.directories[name],
                 bound_s=BOUND_S,
             ),
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -9,11 +9,16 @@
 import msgspec
 import pytest
 
-from router_fakes import FakeClient, settings
+from router_fakes import FakeClient, FakeResponder, make_call, settings
 from routing_samples import desired_state
 from violethatch import clocks
 from violethatch._router import Router
 from violethatch.admission_preview import active_section, parse_state
+from violethatch.errors import (
+    UnauthorizedError,
+    UnknownTargetError,
+    UnprovenStateError,
+)
 from violethatch.router_settings import AdmissionMode, AdmissionSection
 
 
@@ -47,6 +52,27 @@
         assert made.state()["load_instances"] == 1
 
 
+class TestRefusals:
+    @pytest.mark.parametrize(
+        ("changes", "error"),
+        [
+            ({"host": "new.example"}, UnknownTargetError),
+            ({"key": "k2"}, UnauthorizedError),
+        ],
+    )
+    async def test_refusal_for_good_rests_on_a_proof_older_than_changes_may_be(
+        self, changes, error
+    ):
+        """A route or a key that was added 2 s ago may be missing here."""
+        call = make_call()._replace(**changes)
+        with pytest.raises(error):
+            await router(proof_age_s=1.9).serve(call, FakeResponder())
+        for proof_age_s in (2.0, 3.0, 4.0):
+            with pytest.raises(UnprovenStateError) as caught:
+                await router(proof_age_s=proof_age_s).serve(call, FakeResponder())
+            assert caught.value.retry_after_s > 0
+
+
 class TestState:
     def test_dump_is_valid_json(self):
         """Guards against figures that JSON does not have, such as an open plan's."""
--- a/tests/test_silent_connections.py
+++ b/tests/test_silent_connections.py
@@ -9,11 +9,15 @@
 import pytest
 
 from test_platform_process import Site, event_ids
+from test_router_settings import FIELDS
 from violethatch import clocks
 from violethatch.platform._sessions import _make_socket
 from violethatch_emulator.faults import FaultProxy
 
 
+CHANGE_BOUND_S = int(FIELDS["Bounds.ConfigApplyMs"]) / 1000
+
+
 class SilentSite(Site):
     """A site whose store and runners are reached through proxies."""
 
@@ -38,6 +42,22 @@
             proxy.silence()
 
 
+class DeployedSite(SilentSite):
+    """A site whose router has the deployed settings of the store and its bounds."""
+
+    store_settings = ""
+
+    async def start(self):
+        await super().start(**{"Bounds.RevokeMs": FIELDS["Bounds.RevokeMs"]})
+
+    async def wait_for_read(self):
+        """Wait until the router has just begun to wait for changes."""
+        begun = self.store.calls.count("rows-feed")
+        async with asyncio.timeout(5):
+            while self.store.calls.count("rows-feed") < begun + 2:
+                await asyncio.sleep(0.01)
+
+
 @pytest.fixture
 async def site(tmp_path):
     """Provide a site that is started."""
@@ -47,6 +67,32 @@
     await made.stop()
 
 
+@pytest.fixture
+async def deployed_site(tmp_path):
+    """Provide a site with deployed settings that is started."""
+    made = DeployedSite(tmp_path)
+    await made.start()
+    yield made
+    await made.stop()
+
+
+class TestDeployedSettings:
+    @pytest.mark.parametrize("silences", [1, 2])
+    async def test_added_key_is_refused_behind_a_silent_read(
+        self, deployed_site, silences
+    ):
+        """A read that has just begun to wait falls silent, and so may the next."""
+        site = deployed_site
+        await site.wait_for_read()
+        for number in range(silences):
+            await asyncio.sleep(0.6 * number)
+            site.silence()
+        site.configure(version=2, keys=("k1", "k2"))
+        written_s = clocks.now_s()
+        await site.wait_status(200, Authorization="Token k2")
+        assert clocks.now_s() - written_s < CHANGE_BOUND_S
+
+
 class TestSilentConnections:
     async def test_changes_still_come(self, site):
         """A read of the store that is never answered is given up on."""
