Refuse for good only on a proof younger than the bound on changes

What callers saw: 401 and 404 for a key or a route that the newest desired state has.

Cause: an instance refused for good while its proof of the desired state was younger than 4.25 s. That limit is a part of the bound on removed keys (5 s); a desired state has to be in force within ConfigApplyMs (2 s). Class: the bound of one promise used for another.

Change: a key or a route that isn't known counts as missing while the proof is younger than ConfigApplyMs; from then on the answer is 503 with Retry-After and code 1205, as nothing has run.

--- a/src/violethatch/_router.py
+++ b/src/violethatch/_router.py
@@ -285,7 +285,8 @@
                 host=call.host, path=call.target, key=call.key, call_id=call.id
             )
         except (UnknownTargetError, UnauthorizedError):
-            if is_fresh:
+            # A newer desired state may have what is missing here.
+            if self.freshness.age_s(now_s=now_s) < self.settings.refusal_limit_s:
                 raise
             raise self._unproven() from None
         if not is_fresh and admitted.workspace is not None:
--- a/src/violethatch/router_settings.py
+++ b/src/violethatch/router_settings.py
@@ -82,6 +82,11 @@
         """The bound on work for a server that is leaving, in seconds."""
         return self.leaving_ms / 1000
 
+    @property
+    def config_apply_s(self) -> float:
+        """The bound on a desired state to be in force, in seconds."""
+        return self.config_apply_ms / 1000
+
     @property
     def change_s(self) -> float:
         """The bound on taking any change in, in seconds."""
@@ -222,6 +227,11 @@
         """How old the proof of the desired state may be, in seconds."""
         return self.bounds.key_removal_s * self.policy.proof_part
 
+    @property
+    def refusal_limit_s(self) -> float:
+        """How old that proof may be for a route or a key to count as missing."""
+        return min(self.proof_limit_s, self.bounds.config_apply_s)
+
     @property
     def ready_limit_s(self) -> float:
         """How old that proof may be while callers are sent here, in seconds."""
