Let every read of changes wait for a part of the bound on changes

What callers saw: 401 and 404 as an older desired state says, for up to 3.7 s after a change.

Cause: instances that nobody follows, as all do in zones of fewer than five, let a read wait for change_wait_s (2.4 s) and its answer for call_timeout_s (0.8 s) more: longer together than the 2 s in which a desired state has to be in force. Only reads that others follow were bounded.

Change: a direct read waits for 0.55 of the bound, at the most 1.1 s, and its answer has 0.2 of it to begin; the body of an answer has the usual limit of a call. A read that doesn't wait has the usual limit too.

--- a/src/violethatch/platform/_store.py
+++ b/src/violethatch/platform/_store.py
@@ -112,6 +112,7 @@
         *,
         after: int,
         wait_s: float,
+        answer_s: float | None = None,
         era: int = NO_ERA,
         is_direct: bool = True,
     ) -> TableView:
@@ -126,7 +127,8 @@
             "StartAfter": str(after),
             "WaitMs": str(int(wait_s * _MS_PER_S)),
         }
-        reply = await self._read("rows-feed", params, wait_s + self._timeout_s)
+        answer_s = self._timeout_s if answer_s is None else answer_s
+        reply = await self._read("rows-feed", params, wait_s + answer_s)
         # A restored store may have given the version out again already.
         if reply.status == _HISTORY_GONE or reply.era != era:
             raise HistoryGoneError
@@ -228,11 +230,20 @@
     async def _call(
         self, method: str, call: str, timeout_s: float, **options: Any
     ) -> _Reply:
-        """Make a call; one that is given up on takes its connection with it."""
-        async with asyncio.timeout(timeout_s):
+        """Make a call; one that is given up on takes its connection with it.
+
+        Args:
+            method: The call's HTTP method.
+            call: The call's name.
+            timeout_s: How long its answer may take to begin, in seconds; the rest of
+                the answer has the usual limit of a call.
+            options: What else aiohttp takes.
+        """
+        async with asyncio.timeout(timeout_s) as limit:
             async with self._session.request(
                 method, f"{self._base}/{call}", **options
             ) as answer:
+                limit.reschedule(asyncio.get_running_loop().time() + self._timeout_s)
                 body = await answer.read()
         is_read = answer.status in (_OK, _CONDITION_FAILED)
         if is_read or answer.status == _HISTORY_GONE:
--- a/src/violethatch/read_waits.py
+++ b/src/violethatch/read_waits.py
@@ -16,6 +16,11 @@
 #: The longest bound of which waits are parts, in seconds: several of them add up where
 #: two instances fail at the same time, and a request takes its own time to arrive.
 _MAX_WAIT_BOUND_S = 2.0
+#: The part of the bound for which a read waits whose reader nobody follows.
+_DIRECT_PART = 0.55
+#: The part of it for which its answer may then take to begin: a connection that has
+#: fallen silent leaves time for another read within the bound.
+_ANSWER_PART = 0.2
 #: The part of the bound for which a read of the store waits whose reader others
 #: follow.
 _READER_PART = 0.4
@@ -47,6 +52,16 @@
         self.bound_s = bound_s
         self._directory = directory
 
+    @property
+    def direct_s(self) -> float:
+        """How long a read waits whose reader nobody follows, in seconds."""
+        return self._part_s(_DIRECT_PART)
+
+    @property
+    def answer_s(self) -> float:
+        """How much later than its wait a read's answer may begin, in seconds."""
+        return self._part_s(_ANSWER_PART)
+
     @property
     def reader_s(self) -> float:
         """How long a read waits whose reader others follow, in seconds."""
--- a/src/violethatch/relayed_tables.py
+++ b/src/violethatch/relayed_tables.py
@@ -26,7 +26,7 @@
 from .read_waits import ReadWaits
 from .store_era import NO_ERA, Position, ProofTime, StoreEra
 from .table_cache import NEVER
-from .upstream import HistoryGoneError, TableSource, TableView
+from .upstream import HistoryGoneError, TableStore, TableView
 
 
 #: The bound on how late a change may be in force that is assumed unless a site
@@ -70,7 +70,7 @@
 
     def __init__(
         self,
-        store: TableSource,
+        store: TableStore,
         peers: PeerReads,
         directory: InstanceDirectory,
         *,
@@ -150,8 +150,10 @@
                 return view
             wait_s = 0.0
         now_s = clocks.now_s()
-        if self._directory.is_reader(now_s=now_s) and self._is_proven(table):
-            wait_s = min(wait_s, self._waits.reader_s)
+        if self._is_proven(table):
+            is_reader = self._directory.is_reader(now_s=now_s)
+            bound_s = self._waits.reader_s if is_reader else self._waits.direct_s
+            wait_s = min(wait_s, bound_s)
         if now_s < self._store_rests_until_s:
             view = await self._ask_helpers(
                 table, after=position, wait_s=self._waits.follow_s
@@ -279,7 +281,11 @@
         """
         try:
             view = await self._store.read_changes(
-                table, after=after.version, wait_s=wait_s, era=after.era
+                table,
+                after=after.version,
+                wait_s=wait_s,
+                answer_s=self._waits.answer_s if wait_s > 0 else None,
+                era=after.era,
             )
         except TableUnavailableError as error:
             self._interrupted.add(table)
--- a/src/violethatch/upstream.py
+++ b/src/violethatch/upstream.py
@@ -511,6 +511,36 @@
         """
 
 
+class TableStore(TableSource, Protocol):
+    """Reads the tables at the store itself."""
+
+    async def read_changes(
+        self,
+        table: str,
+        *,
+        after: int,
+        wait_s: float,
+        answer_s: float | None = None,
+        era: int = NO_ERA,
+        is_direct: bool = True,
+    ) -> TableView:
+        """Return changes as soon as there are any, or none after *wait_s*.
+
+        Args:
+            table: The table's name.
+            after: The version that is known.
+            wait_s: How long the answer may wait for a change, in seconds.
+            answer_s: How much later than that it may begin, in seconds; the usual
+                limit of a call if omitted.
+            era: The store's era that *after* belongs to.
+            is_direct: Changes nothing here.
+
+        Raises:
+            HistoryGoneError: Changes since *after* can't be had any more.
+            TableUnavailableError: The store refuses or is silent.
+        """
+
+
 class Decoder(Protocol):
     """Reads the store's rows into the project's types."""
 
--- a/tests/restorable_store.py
+++ b/tests/restorable_store.py
@@ -101,7 +101,9 @@
         _, rows, version, _ = past[-1] if past else own[0]
         return self._view(rows)._replace(version=version)
 
-    async def read_changes(self, table, *, after, wait_s, era=NO_ERA, is_direct=True):
+    async def read_changes(
+        self, table, *, after, wait_s, era=NO_ERA, is_direct=True, answer_s=None
+    ):
         self._called()
         self._require(after)
         if self.version <= after:
--- a/tests/test_followers.py
+++ b/tests/test_followers.py
@@ -27,7 +27,9 @@
     async def read_table(self, table):
         return await self._next(("table", table))
 
-    async def read_changes(self, table, *, after, wait_s, era=NO_ERA, is_direct=False):
+    async def read_changes(
+        self, table, *, after, wait_s, era=NO_ERA, is_direct=False, answer_s=None
+    ):
         return await self._next(("changes", after, wait_s))
 
     async def _next(self, asked):
--- a/tests/test_region_reads.py
+++ b/tests/test_region_reads.py
@@ -57,7 +57,9 @@
         await self._called()
         return self._view(self.store.version)
 
-    async def read_changes(self, _table, *, after, wait_s, era=NO_ERA, is_direct=True):
+    async def read_changes(
+        self, _table, *, after, wait_s, era=NO_ERA, is_direct=True, answer_s=None
+    ):
         await self._called()
         if self.store.version <= after:
             with contextlib.suppress(TimeoutError):
--- a/tests/test_silent_reads.py
+++ b/tests/test_silent_reads.py
@@ -106,9 +106,9 @@
             await self._connections.call(work, limit_s=ANSWER_TIMEOUT_S)
         )
 
-    async def read_changes(self, table, *, wait_s, **asked):
+    async def read_changes(self, table, *, wait_s, answer_s=None, **asked):
         work = super().read_changes(table, wait_s=wait_s, **asked)
-        limit_s = wait_s + ANSWER_TIMEOUT_S
+        limit_s = wait_s + (ANSWER_TIMEOUT_S if answer_s is None else answer_s)
         return self._required(await self._connections.call(work, limit_s=limit_s))
 
     def _required(self, view):
