Repeat a lost read at once over a new connection

What callers saw: 401 and 404 as an older desired state says, after connections fell silent or broke.

Cause: a read whose connection broke or fell silent counted as a store, or another instance, that is unavailable. The next read followed after a pause, and over another connection that had rested, which may be silent too; other instances were asked in between, which were in the same state, and an instance that followed one whose connection was silent left it for 5 s. Class: the failure of one connection taken for that of its other end.

Change: ReadLostError and PeerLostError tell a lost answer from a connection that does not come about and from a refusal. A lost read is repeated once, without a wait, before anybody else is asked; after a lost answer connections that rested are not used for as long as one may rest (_connection_choice.py).

The fakes of test_region_reads.py answer as the clients do: a lost read, then no connection.

--- a/src/violethatch/_call_errors.py
+++ b/src/violethatch/_call_errors.py
@@ -10,3 +10,5 @@
 #: descriptor of a connect that was given up on is in use again; one that nobody took
 #: ended a process.
 CALL_ERRORS = (aiohttp.ClientError, OSError, ValueError, RuntimeError)
+#: What a call ends with whose connection did not come about: nothing was sent.
+NOT_CONNECTED = (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError)
--- a/src/violethatch/_relay_http.py
+++ b/src/violethatch/_relay_http.py
@@ -13,18 +13,23 @@
 
 from collections.abc import Mapping
 
-import aiohttp
 import msgspec
 
 from aiohttp.web_request import BaseRequest
 from aiohttp.web_response import Response
 from aiohttp.web_server import Server
 
-from ._call_errors import CALL_ERRORS
+from ._call_errors import CALL_ERRORS, NOT_CONNECTED
+from ._connection_choice import ConnectionChoice
 from ._decoding import decoded
 from ._serving import listen
 from .instances import InstanceEntry
-from .peer_reads import NoUpdateError, PeerAwayError, PeerSilentError
+from .peer_reads import (
+    NoUpdateError,
+    PeerAwayError,
+    PeerLostError,
+    PeerSilentError,
+)
 from .store_era import NO_ERA
 from .table_cache import TableCache
 from .upstream import TableView
@@ -115,11 +120,11 @@
     """Asks other instances for their tables.
 
     Args:
-        session: Makes the calls.
+        connections: Make the calls.
     """
 
-    def __init__(self, session: aiohttp.ClientSession) -> None:
-        self._session = session
+    def __init__(self, connections: ConnectionChoice) -> None:
+        self._connections = connections
         self._decoder = msgspec.msgpack.Decoder(_Answer)
 
     async def changes(
@@ -139,6 +144,7 @@
         Raises:
             NoUpdateError: There was none in time.
             PeerAwayError: The store refuses it.
+            PeerLostError: The connection broke or fell silent.
             PeerSilentError: It gave no answer.
         """
         query = {
@@ -154,14 +160,17 @@
                 status, body = await self._get(peer, query)
             _require_update(status)
             return _decoded(body, self._decoder)
-        except (TimeoutError, *CALL_ERRORS) as error:
+        except (*NOT_CONNECTED, ValueError) as error:
             raise PeerSilentError(repr(error)) from error
+        except (TimeoutError, *CALL_ERRORS) as error:
+            self._connections.note_lost()
+            raise PeerLostError(repr(error)) from error
 
     async def _get(
         self, peer: InstanceEntry, query: Mapping[str, str]
     ) -> tuple[int, bytes]:
         """Return the status and the body of an instance's answer."""
-        async with self._session.get(
+        async with self._connections.session.get(
             f"http://{peer.address}{_PATH}",
             params=query,
             headers={_TOKEN_HEADER: peer.token},
--- a/src/violethatch/errors.py
+++ b/src/violethatch/errors.py
@@ -289,6 +289,13 @@
     default_ran = Ran.NO
 
 
+class ReadLostError(TableUnavailableError):
+    """A read's connection broke or fell silent; the table service may be well."""
+
+    code = 1403
+    title = "Read of a table lost"
+
+
 class ClaimRefusedError(VioletHatchError):
     """The claim that must come before a keyed call can't be made."""
 
--- a/src/violethatch/peer_reads.py
+++ b/src/violethatch/peer_reads.py
@@ -34,6 +34,13 @@
     """
 
 
+class PeerLostError(PeerSilentError):
+    """The connection to another instance broke or fell silent; it may be well.
+
+    .. versionadded:: 26.7.0
+    """
+
+
 class PeerReads(Protocol):
     """Asks other instances.
 
@@ -67,5 +74,6 @@
         Raises:
             NoUpdateError: There was none in time.
             PeerAwayError: The store refuses it.
+            PeerLostError: The connection broke or fell silent.
             PeerSilentError: It gave no answer.
         """
--- a/src/violethatch/platform/_following.py
+++ b/src/violethatch/platform/_following.py
@@ -8,8 +8,7 @@
 from collections.abc import Callable, Coroutine
 from typing import Any
 
-import aiohttp
-
+from .._connection_choice import ConnectionChoice
 from .._followers import TableFollower
 from .._held_rows import HeldRows
 from .._peer_datagrams import PeerDatagrams
@@ -48,7 +47,7 @@
     Args:
         settings: Validated settings.
         store: The store itself.
-        session: Asks other instances.
+        connections: Ask other instances.
         directory: The instance's view of all others.
         router: Takes the desired state and the servers.
         duty: Takes the desired state.
@@ -60,7 +59,7 @@
         settings: RouterSettings,
         *,
         store: Store,
-        session: aiohttp.ClientSession,
+        connections: ConnectionChoice,
         directory: InstanceDirectory,
         router: Router,
         duty: PlacementDuty,
@@ -85,7 +84,7 @@
         self._relay = RelayListener(self._caches, token=directory.own.token)
         self._tables = RelayedTables(
             store,
-            RelayClient(session),
+            RelayClient(connections),
             directory,
             unproven=(INSTANCES_TABLE,),
             bound_s=settings.bounds.change_s,
--- a/src/violethatch/platform/_parts.py
+++ b/src/violethatch/platform/_parts.py
@@ -3,6 +3,7 @@
 
 from __future__ import annotations
 
+import functools
 import random
 import secrets
 
@@ -11,6 +12,7 @@
 
 import aiohttp
 
+from .._connection_choice import ConnectionChoice
 from .._placing import PlacementDuty
 from .._rest_watch import RestWatch
 from .._router import Router
@@ -19,6 +21,7 @@
 from ..store_era import StoreEra
 from ._following import Following
 from ._runners import Runners
+from ._sessions import KEEP_S
 from ._store import Store
 from ._wire import WireDecoder
 
@@ -61,7 +64,8 @@
     )
     era = StoreEra()
     router.metrics.watch_era(era)
-    store = Store(settings.store, kept, router.metrics, era=era)
+    connections = functools.partial(ConnectionChoice, kept, fresh, max_rest_s=KEEP_S)
+    store = Store(settings.store, connections(), router.metrics, era=era)
     directory = InstanceDirectory(_own_entry(settings))
     duty = PlacementDuty(
         router.routing,
@@ -74,7 +78,7 @@
     following = Following(
         settings,
         store=store,
-        session=kept,
+        connections=connections(),
         directory=directory,
         router=router,
         duty=duty,
--- a/src/violethatch/platform/_sessions.py
+++ b/src/violethatch/platform/_sessions.py
@@ -21,7 +21,7 @@
 _CONNECT_S = 0.6
 #: How long idle connections are kept, in seconds; servers close theirs
 #: earlier than they say now and then.
-_KEEP_S = 4.0
+KEEP_S = 4.0
 #: After how long unacknowledged bytes end a connection, in ms.
 _UNACKED_MS = 3000
 #: After how long without bytes the kernel asks whether a connection's peer is there,
@@ -67,7 +67,7 @@
         is_kept: Whether connections are used again.
     """
     options: dict[str, Any] = (
-        {"keepalive_timeout": _KEEP_S} if is_kept else {"force_close": True}
+        {"keepalive_timeout": KEEP_S} if is_kept else {"force_close": True}
     )
     connector = aiohttp.TCPConnector(
         limit=0, use_dns_cache=False, socket_factory=_make_socket, **options
--- a/src/violethatch/platform/_store.py
+++ b/src/violethatch/platform/_store.py
@@ -10,14 +10,14 @@
 from collections.abc import Mapping, Sequence
 from typing import Any, NamedTuple
 
-import aiohttp
 import msgspec
 
 from .. import events
-from .._call_errors import CALL_ERRORS
+from .._call_errors import CALL_ERRORS, NOT_CONNECTED
+from .._connection_choice import ConnectionChoice
 from .._placement_lease import LeaseWrite
 from .._router_metrics import RouterMetrics
-from ..errors import TableUnavailableError
+from ..errors import ReadLostError, TableUnavailableError
 from ..ports import ABSENT, AnswerLostError, Put
 from ..ports import Row as TableRow
 from ..router_settings import StoreSection
@@ -58,7 +58,7 @@
 
     Args:
         settings: Where the store is.
-        session: Makes the calls.
+        connections: Make the calls.
         metrics: Counts them.
         era: The newest era seen; each answer's is recorded there.
     """
@@ -66,14 +66,14 @@
     def __init__(
         self,
         settings: StoreSection,
-        session: aiohttp.ClientSession,
+        connections: ConnectionChoice,
         metrics: RouterMetrics,
         *,
         era: StoreEra | None = None,
     ) -> None:
         self.era = era or StoreEra()
         self.take_settings(settings)
-        self._session = session
+        self._connections = connections
         self._metrics = metrics
         self._rows = msgspec.json.Decoder(Rows)
 
@@ -195,9 +195,10 @@
         """
         try:
             reply = await self._call("POST", "rows-tx", self._timeout_s, json=body)
-        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
+        except NOT_CONNECTED as error:
             raise self._unavailable("rows-tx", repr(error)) from error
         except (TimeoutError, *CALL_ERRORS) as error:
+            self._connections.note_lost()
             self._metrics.store_calls.inc({"call": "rows-tx", "outcome": "lost"})
             msg = f"rows-tx: {error!r}"
             raise AnswerLostError(msg) from error
@@ -215,12 +216,15 @@
         """Make a reading call.
 
         Raises:
+            ReadLostError: The connection broke or fell silent.
             TableUnavailableError: The store refuses or is silent.
         """
         try:
             reply = await self._call("GET", call, timeout_s, params=params)
-        except (TimeoutError, *CALL_ERRORS) as error:
+        except (*NOT_CONNECTED, ValueError) as error:
             raise self._unavailable(call, repr(error)) from error
+        except (TimeoutError, *CALL_ERRORS) as error:
+            raise self._lost(call, repr(error)) from error
         if reply.status not in (_OK, _HISTORY_GONE):
             raise self._unavailable(call, f"status {reply.status}")
         if not reply.is_current:
@@ -240,7 +244,7 @@
             options: What else aiohttp takes.
         """
         async with asyncio.timeout(timeout_s) as limit:
-            async with self._session.request(
+            async with self._connections.session.request(
                 method, f"{self._base}/{call}", **options
             ) as answer:
                 limit.reschedule(asyncio.get_running_loop().time() + self._timeout_s)
@@ -253,6 +257,12 @@
         rows = self._rows.decode(body) if is_read else Rows()
         return _Reply(answer.status, rows, era, is_current)
 
+    def _lost(self, call: str, reason: str) -> ReadLostError:
+        """Note that a read's answer was lost; return its error."""
+        self._connections.note_lost()
+        self._metrics.store_calls.inc({"call": call, "outcome": "lost"})
+        return ReadLostError(f"{call}: {reason}")
+
     def _unavailable(self, call: str, reason: str) -> TableUnavailableError:
         """Count a call that came to nothing; return its error."""
         self._metrics.store_calls.inc({"call": call, "outcome": "unavailable"})
--- a/src/violethatch/read_waits.py
+++ b/src/violethatch/read_waits.py
@@ -21,6 +21,9 @@
 #: The part of it for which its answer may then take to begin: a connection that has
 #: fallen silent leaves time for another read within the bound.
 _ANSWER_PART = 0.2
+#: The part of it for which another instance may wait that is asked once more, as it
+#: may be about to find out that its own source is silent.
+_REPEAT_PART = 0.1
 #: The part of the bound for which a read of the store waits whose reader others
 #: follow.
 _READER_PART = 0.4
@@ -31,11 +34,8 @@
 _RELAY_PART = 0.45
 #: The same for who follows a relay, which may just have changed its reader.
 _FOLLOW_PART = 0.6
-#: The part of it for which relays then still wait for the answer, and the others, so
-#: that a reader that is cut off is noticed after half of the bound, and a relay after
-#: three quarters.
-_RELAY_MARGIN_PART = 0.05
-_FOLLOW_MARGIN_PART = 0.15
+#: The part of it for which its answer is then still waited for.
+_MARGIN_PART = 0.05
 
 
 class ReadWaits:
@@ -62,6 +62,11 @@
         """How much later than its wait a read's answer may begin, in seconds."""
         return self._part_s(_ANSWER_PART)
 
+    @property
+    def repeat_s(self) -> float:
+        """How long another instance may wait that is asked once more, in seconds."""
+        return self._part_s(_REPEAT_PART)
+
     @property
     def reader_s(self) -> float:
         """How long a read waits whose reader others follow, in seconds."""
@@ -76,8 +81,7 @@
     @property
     def margin_s(self) -> float:
         """How much later than that its answer may come, in seconds."""
-        is_relay = self._is_relay
-        return self._part_s(_RELAY_MARGIN_PART if is_relay else _FOLLOW_MARGIN_PART)
+        return self._part_s(_MARGIN_PART)
 
     @property
     def _is_relay(self) -> bool:
--- a/tests/test_call_errors.py
+++ b/tests/test_call_errors.py
@@ -7,6 +7,7 @@
 
 from router_fakes import make_call
 from routing_samples import runner
+from violethatch._connection_choice import ConnectionChoice
 from violethatch._router_metrics import RouterMetrics
 from violethatch.errors import TableUnavailableError
 from violethatch.platform._runners import Runners
@@ -41,7 +42,8 @@
 @pytest.fixture
 def store():
     """Provide a store that can't be called."""
-    return Store(StoreSection("127.0.0.1:1"), BrokenSession(), RouterMetrics())
+    connections = ConnectionChoice(BrokenSession(), BrokenSession(), max_rest_s=4.0)
+    return Store(StoreSection("127.0.0.1:1"), connections, RouterMetrics())
 
 
 class TestStore:
--- a/tests/test_region_reads.py
+++ b/tests/test_region_reads.py
@@ -12,9 +12,9 @@
 from test_instances import directories, entry
 from violethatch import clocks
 from violethatch._followers import TableFollower
-from violethatch.errors import TableUnavailableError
+from violethatch.errors import ReadLostError, TableUnavailableError
 from violethatch.freshness import Freshness, StoreClock
-from violethatch.peer_reads import NoUpdateError, PeerAwayError, PeerSilentError
+from violethatch.peer_reads import NoUpdateError, PeerAwayError, PeerLostError
 from violethatch.relayed_tables import RelayedTables
 from violethatch.router_settings import StoreSection
 from violethatch.store_era import NO_ERA
@@ -27,6 +27,7 @@
 SLACK_S = 0.4
 COUNT = 40
 TIMEOUT_S = 0.8
+CONNECT_TIMEOUT_S = 0.6
 
 
 class Store:
@@ -65,19 +66,22 @@
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(wait_s):
                     await self.store.changed.wait()
-        await self._answered()
+        if self.id in self.store.cut:
+            await asyncio.sleep(TIMEOUT_S if answer_s is None else answer_s)
+            raise ReadLostError("no answer")
+        self._require_served()
         return self._view(after)
 
     async def _called(self):
         self.store.calls.append((clocks.now_s(), self.id))
-        await self._answered()
+        if self.id in self.store.cut:
+            await asyncio.sleep(CONNECT_TIMEOUT_S)
+            raise TableUnavailableError("no connection")
+        self._require_served()
 
-    async def _answered(self):
+    def _require_served(self):
         if self.id in self.store.refused:
             raise TableUnavailableError("status 429")
-        if self.id in self.store.cut:
-            await asyncio.sleep(TIMEOUT_S)
-            raise TableUnavailableError("no answer")
 
     def _view(self, after):
         version = self.store.version
@@ -97,7 +101,7 @@
     ):
         if self.region.store.cut & {peer.id, self.own_id}:
             await asyncio.sleep(wait_s + margin_s)
-            raise PeerSilentError("no answer")
+            raise PeerLostError("no answer")
         cache = self.region.caches[peer.id]
         view = await cache.updates(
             after=after,
--- a/tests/test_relayed_tables.py
+++ b/tests/test_relayed_tables.py
@@ -12,6 +12,7 @@
 from test_instances import directories, entry
 from test_platform_process import free_ports
 from violethatch import _relay_http
+from violethatch._connection_choice import ConnectionChoice
 from violethatch._relay_http import RelayClient, RelayListener
 from violethatch.errors import TableUnavailableError
 from violethatch.instances import LEAST_MEMBERS, LEAST_REGION
@@ -269,7 +270,8 @@
         asked = {"after": -1, "known_s": -1.0, "wait_s": 0.1, "margin_s": 0.5}
         asked |= options
         async with aiohttp.ClientSession() as session:
-            return await RelayClient(session).changes(peer, "op", **asked)
+            connections = ConnectionChoice(session, session, max_rest_s=4.0)
+            return await RelayClient(connections).changes(peer, "op", **asked)
 
     @pytest.mark.parametrize("size", [1, 300_000])
     async def test_news_come_as_they_are(self, size):
--- a/tests/test_silent_reads.py
+++ b/tests/test_silent_reads.py
@@ -21,9 +21,11 @@
 from test_instances import directories, entry
 from test_region_reads import Peers, Reads, Region, Store
 from violethatch import clocks
-from violethatch.errors import TableUnavailableError
+from violethatch._connection_choice import ConnectionChoice
+from violethatch.errors import ReadLostError
 from violethatch.freshness import Freshness
-from violethatch.peer_reads import PeerSilentError
+from violethatch.peer_reads import PeerLostError, PeerSilentError
+from violethatch.platform._sessions import KEEP_S
 from violethatch.table_cache import TableCache
 
 
@@ -76,29 +78,39 @@
 
 
 class Connections:
-    """An instance's connections to one other party."""
+    """An instance's connections to one other party; *choice* is for all of a kind."""
 
-    def __init__(self, network):
+    def __init__(self, network, choice):
         self._network = network
+        self._choice = choice
         self._idle = []
 
     async def call(self, work, *, limit_s):
         """Return what *work* answers over a connection, or None if it gives nothing."""
         if self._network.kind is Break.RESET:
             self._idle = [one for one in self._idle if one == self._network.generation]
-        generation = self._idle.pop(0) if self._idle else self._network.generation
+        is_kept = self._choice.session == "kept"
+        is_idle = is_kept and self._idle
+        generation = self._idle.pop(0) if is_idle else self._network.generation
         answer = await self._network.exchange(generation, work, limit_s=limit_s)
-        if answer is not None:
+        if answer is None:
+            self._choice.note_lost()
+        elif is_kept:
             self._idle.append(generation)
         return answer
 
 
+def connection_choice():
+    """Return a choice between kept and new connections."""
+    return ConnectionChoice("kept", "fresh", max_rest_s=KEEP_S)
+
+
 class BreakableReads(Reads):
     """An instance's way to the store, over connections that may break."""
 
     def __init__(self, network, store, instance_id):
         super().__init__(store, instance_id)
-        self._connections = Connections(network)
+        self._connections = Connections(network, connection_choice())
 
     async def read_table(self, table):
         work = super().read_table(table)
@@ -113,7 +125,7 @@
 
     def _required(self, view):
         if view is None:
-            raise TableUnavailableError("no answer")
+            raise ReadLostError("no answer")
         return view
 
 
@@ -123,14 +135,17 @@
     def __init__(self, network, region, own_id):
         super().__init__(region, own_id)
         self._network = network
+        self._choice = connection_choice()
         self._connections = {}
 
     async def changes(self, peer, table, *, wait_s, margin_s, **asked):
-        connections = self._connections.setdefault(peer.id, Connections(self._network))
+        connections = self._connections.setdefault(
+            peer.id, Connections(self._network, self._choice)
+        )
         work = self._answered(peer, table, wait_s=wait_s, margin_s=margin_s, **asked)
         answer = await connections.call(work, limit_s=wait_s + margin_s)
         if answer is None:
-            raise PeerSilentError("no answer")
+            raise PeerLostError("no answer")
         if isinstance(answer, PeerSilentError):
             raise answer
         return answer
