Wait for one instance at the most while the store is left alone

Cause: an instance that was refused by the store, and helped by another one, leaves the store alone for 2 s and lets others wait for their next proof. Where these leave it alone too, two questions of 1.2 s followed each other before the store was asked: longer together than the 2 s in which a desired state has to be in force.

Change: only the first question waits; the next one, and the store after it, are asked at once.

test_instances_that_leave_the_store_alone_wait_for_each_other failed before with waits of [1.2, 1.2].

--- a/src/violethatch/relayed_tables.py
+++ b/src/violethatch/relayed_tables.py
@@ -339,7 +339,10 @@
     async def _ask_helpers(
         self, table: str, *, after: Position, wait_s: float
     ) -> TableView | None:
-        """Ask some instances for a newer proof; None if nobody has one."""
+        """Ask some instances for a newer proof; None if nobody has one.
+
+        Only the first one may wait for its next proof.
+        """
         now_s = clocks.now_s()
         for helper in self._directory.helpers(now_s=now_s)[:_MOST_HELPERS]:
             try:
@@ -352,6 +355,7 @@
                     instance_id=helper.id,
                     reason=str(error),
                 )
+                wait_s = 0.0
         return None
 
     def _note_unhelpful(self, helper: InstanceEntry, error: PeerSilentError) -> None:
--- a/tests/test_relayed_tables.py
+++ b/tests/test_relayed_tables.py
@@ -14,13 +14,18 @@
 from violethatch import _relay_http
 from violethatch._connection_choice import ConnectionChoice
 from violethatch._relay_http import RelayClient, RelayListener
-from violethatch.errors import TableUnavailableError
+from violethatch.errors import ReadLostError, TableUnavailableError
 from violethatch.instances import LEAST_MEMBERS, LEAST_REGION
-from violethatch.peer_reads import NoUpdateError, PeerAwayError, PeerSilentError
+from violethatch.peer_reads import (
+    NoUpdateError,
+    PeerAwayError,
+    PeerLostError,
+    PeerSilentError,
+)
 from violethatch.relayed_tables import RelayedTables
 from violethatch.store_era import NO_ERA
 from violethatch.table_cache import TableCache
-from violethatch.upstream import TableView
+from violethatch.upstream import HistoryGoneError, TableView
 
 
 def view(version, *, store_s=None, **values):
@@ -217,6 +222,40 @@
             found = await tables.read_changes("op", after=5, wait_s=2.4)
         assert found.version == 8
 
+    async def test_lost_read_is_taken_for_a_store_that_is_unavailable(self):
+        """It is repeated without a wait before any instance is asked."""
+        store = ScriptedSource(ReadLostError("no answer"), view(6))
+        tables = RelayedTables(store, ScriptedPeers(), reader_of())
+        with pytest.raises(HistoryGoneError):
+            await tables.read_changes("op", after=5, wait_s=2.4)
+        assert store.asked == [("changes", 5, 0.8), ("changes", 5, 0.0)]
+
+    async def test_lost_whole_read_is_taken_for_a_store_that_is_unavailable(self):
+        """It is repeated before any instance is asked."""
+        store = ScriptedSource(ReadLostError("no answer"), view(6))
+        tables = RelayedTables(store, ScriptedPeers(), reader_of())
+        assert (await tables.read_table("op")).version == 6
+
+    async def test_source_is_left_for_one_lost_answer(self):
+        """Its connection may have gone silent while it is well."""
+        directory, reader = follower_of()
+        peers = ScriptedPeers(PeerLostError("no answer"), view(7))
+        tables = RelayedTables(ScriptedSource(), peers, directory)
+        assert (await tables.read_changes("op", after=5, wait_s=2.4)).version == 7
+        assert [one[0] for one in peers.asked] == [reader, reader]
+
+    async def test_instances_that_leave_the_store_alone_wait_for_each_other(self):
+        """Two questions in series that each wait take longer than a change may."""
+        store = ScriptedSource(AWAY, view(9))
+        nothing = [NoUpdateError("no update")] * 2
+        peers = ScriptedPeers(view(8), *nothing)
+        directory = reader_of(count=LEAST_MEMBERS + 2)
+        tables = RelayedTables(store, peers, directory)
+        assert (await tables.read_changes("op", after=5, wait_s=2.4)).version == 8
+        with pytest.raises(HistoryGoneError):
+            await tables.read_changes("op", after=8, wait_s=2.4)
+        assert [wait_s for wait_s, _ in peers.waits if wait_s > 0] == [1.2]
+
     async def test_nobody_knows(self):
         """With no newer proof anywhere the table is unavailable."""
         store = ScriptedSource(AWAY)
