Give up a long read when another read of the store is lost

Cause: the read of the instances' table waits for 20 s. On a connection that has fallen silent nobody ends it but the kernel, after 3 s at the best. That table also has the works that are held back because servers end under them, which others have to know within ContactMs.

Change: reads that are lost are repeated in a module of their own, _repeated_reads.py; it gives a read that waits for 5 s or more up when another one is lost, and repeats it over a new connection.

test_long_read_stays_on_a_connection_that_fell_silent_with_another: such a read had no end but its wait before.

--- a/src/violethatch/relayed_tables.py
+++ b/src/violethatch/relayed_tables.py
@@ -15,7 +15,8 @@
 from collections.abc import Collection, Mapping
 
 from . import clocks, events
-from .errors import ReadLostError, TableUnavailableError
+from ._repeated_reads import RepeatedReads
+from .errors import TableUnavailableError
 from .freshness import StoreClock
 from .instances import InstanceDirectory, InstanceEntry
 from .peer_reads import (
@@ -83,7 +84,7 @@
         rng: random.Random | None = None,
     ) -> None:
         self._waits = ReadWaits(directory, bound_s=bound_s)
-        self._store = store
+        self._store = RepeatedReads(store, on_lost=self._note_interrupted)
         self._peers = peers
         self._directory = directory
         self._unproven = unproven
@@ -117,7 +118,7 @@
             TableUnavailableError: Neither the store nor any instance answers.
         """
         try:
-            return self._noted(table, await self._read_whole(table))
+            return self._noted(table, await self._store.read_table(table))
         except TableUnavailableError as error:
             view = await self._ask_helpers(table, after=_NOWHERE, wait_s=0.0)
             if view is None:
@@ -282,9 +283,15 @@
             TableUnavailableError: Neither the store nor any instance answers.
         """
         try:
-            view = await self._read_later(table, after=after, wait_s=wait_s)
+            view = await self._store.read_changes(
+                table,
+                after=after.version,
+                wait_s=wait_s,
+                answer_s=self._waits.answer_s if wait_s > 0 else None,
+                era=after.era,
+            )
         except TableUnavailableError as error:
-            self._interrupted.add(table)
+            self._note_interrupted(table)
             helped = await self._ask_helpers(table, after=after, wait_s=0.0)
             if helped is None:
                 raise
@@ -299,43 +306,6 @@
                 raise HistoryGoneError
         return self._noted(table, view)
 
-    async def _read_whole(self, table: str) -> TableView:
-        """Read a whole table at the store; repeat a read that was lost.
-
-        Raises:
-            TableUnavailableError: The store gives no answer.
-        """
-        try:
-            return await self._store.read_table(table)
-        except ReadLostError as error:
-            self._note_repeated(table, "store", error.detail)
-            return await self._store.read_table(table)
-
-    async def _read_later(
-        self, table: str, *, after: Position, wait_s: float
-    ) -> TableView:
-        """Read changes at the store; repeat a read that was lost, without a wait.
-
-        Raises:
-            HistoryGoneError: Changes since *after* can't be had any more.
-            TableUnavailableError: The store gives no answer.
-        """
-        answer_s = self._waits.answer_s if wait_s > 0 else None
-        try:
-            return await self._store.read_changes(
-                table,
-                after=after.version,
-                wait_s=wait_s,
-                answer_s=answer_s,
-                era=after.era,
-            )
-        except ReadLostError as error:
-            self._interrupted.add(table)
-            self._note_repeated(table, "store", error.detail)
-            return await self._store.read_changes(
-                table, after=after.version, wait_s=0.0, era=after.era
-            )
-
     async def _ask_helpers(
         self, table: str, *, after: Position, wait_s: float
     ) -> TableView | None:
@@ -393,7 +363,9 @@
         try:
             view = await ask(wait_s=wait_s)
         except PeerLostError as error:
-            self._note_repeated(table, peer.id, str(error))
+            events.log(
+                events.READ_REPEATED, table=table, source=peer.id, reason=str(error)
+            )
             view = await ask(wait_s=min(wait_s, self._waits.repeat_s))
         if view.proof < self._known.get(table, _UNPROVEN):
             msg = "older than what is known"
@@ -418,9 +390,9 @@
             self._era.observe(view.era, source=view.source)
         return view
 
-    def _note_repeated(self, table: str, source: str, reason: str) -> None:
-        """Log that a read is sent once more, over a new connection."""
-        events.log(events.READ_REPEATED, table=table, source=source, reason=reason)
+    def _note_interrupted(self, table: str) -> None:
+        """Note that the store may have been restored since the last read of a table."""
+        self._interrupted.add(table)
 
     def _note_source(self, table: str, source: str, reason: str) -> None:
         """Log where a table's updates come from, if that has changed."""
