Hold changes behind silent connections against the platform's bound

Cause: test_changes_still_come allowed 3.0 s, written to the figure of a router that took that long; the platform states 2 s (ConfigApplyMs). And nothing held how much a silence of all connections costs the store.

--- a/src/violethatch/_repeated_reads.py
+++ b/src/violethatch/_repeated_reads.py
@@ -1,5 +1,5 @@
 # SPDX-License-Identifier: MIT
-"""Reads of the store that are sent once more, over another connection, if they are lost.
+"""Reads of the store that are sent once more if their answer is lost.
 
 Connections fall silent, or break, while the store is well.  A lost read is repeated
 without a wait.  A read that waits for long is given up when a shorter one is lost, as
--- a/src/violethatch/_router.py
+++ b/src/violethatch/_router.py
@@ -122,6 +122,7 @@
             state_version=self.desired.version if self.desired else None,
             desired_table=self.desired_table()._asdict(),
             proof_age_s=self._proof_age_s(),
+            refusal_limit_s=self.settings.refusal_limit_s,
         )
 
     def caller_left(self, call: Call) -> None:
--- a/tests/test_silent_connections.py
+++ b/tests/test_silent_connections.py
@@ -100,8 +100,7 @@
         site.configure(version=2, keys=("k2",))
         started_s = clocks.now_s()
         await site.wait_status(200, Authorization="Token k2")
-        # A read waits for 0.3 s and its answer for 0.8 more; then a short pause.
-        assert clocks.now_s() - started_s < 3.0
+        assert clocks.now_s() - started_s < CHANGE_BOUND_S
 
     async def test_stream_under_way_goes_on(self, site):
         """A stream whose connection falls silent is taken up over another."""
--- a/tests/test_silent_reads.py
+++ b/tests/test_silent_reads.py
@@ -254,3 +254,36 @@
     late = sum(one >= CHANGE_BOUND_S for one in delays_s)
     print(f"{zone_sizes} refused: {max(delays_s):.2f} s, {late} of {tries}")
     assert max(delays_s) < CHANGE_BOUND_S
+
+
+#: The reads a second that the platform grants its largest sites, and their instances.
+MAX_READS_A_S = 6000
+MANY = (117, 117, 116)
+
+
+async def reads_after_silence(zone_sizes, rng):
+    """Return the most reads of the store in any second after a silence."""
+    region = BreakableRegion(zone_sizes)
+    await region.all_know(30.0)
+    await asyncio.sleep(3.0 + rng.uniform(0.0, 2.4))
+    region.network.break_all(Break.SILENT)
+    region.store.calls.clear()
+    await asyncio.sleep(5.0)
+    called_s = [called_s for called_s, _ in region.store.calls]
+    await region.stop()
+    return max(
+        sum(first_s <= one < first_s + 1.0 for one in called_s) for first_s in called_s
+    )
+
+
+@pytest.mark.parametrize("zone_sizes", [(3, 3, 2), (24, 24, 24), MANY])
+def test_store_is_read_by_all_at_once_after_a_silence(zone_sizes, monkeypatch):
+    """Instances leave those that they follow, and all read the store themselves."""
+    rng = random.Random(49)
+    worst = max(
+        virtual_time.run(lambda: reads_after_silence(zone_sizes, rng), monkeypatch)
+        for _ in range(3)
+    )
+    print(f"{zone_sizes}: {worst} reads in a second")
+    # Two tables are followed so; all of it stays below a tenth of what is granted.
+    assert 2 * worst < MAX_READS_A_S / 10
