Soak desired states with silent connections, resets, refusals and restarts

Cause: the soaks that exist break streams, words and tables in virtual time; none checks from outside, with the deployed settings, that no answer contradicts an acknowledged desired state.

Change: tests/test_change_soak.py. Two router processes, a store and two runners behind proxies; states follow each other, each adding a key and removing the oldest.

--- /dev/null
+++ b/tests/test_change_soak.py
@@ -0,0 +1,312 @@
+# SPDX-License-Identifier: MIT
+"""A seeded soak of desired states: real processes, faults from outside, and callers.
+
+Two router processes with the deployed settings read a store through proxies.  Desired
+states follow each other, each with a key of its own, while connections go silent or are
+reset, the store refuses or forgets, and processes are reloaded, frozen, stopped and
+killed, in series and overlapping.  Callers keep their connections until a process is
+gone, and check every answer against the acknowledged states.
+`CHANGE_SOAK_SEEDS` sets how many seeds are played.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import os
+import random
+import signal
+import sys
+
+from typing import NamedTuple
+
+import aiohttp
+import pytest
+
+from test_platform_process import HEADERS, ID, Site, free_ports
+from test_router_settings import FIELDS, filled
+from violethatch import clocks
+from violethatch_emulator.faults import FaultProxy
+
+
+SEEDS = int(os.environ.get("CHANGE_SOAK_SEEDS", "2"))
+ROUTERS = 2
+TURBULENT_S = 8.0
+CALM_S = 6.0
+#: The platform's bounds: until when a change is in force and a removed key is refused
+#: anywhere, and how long nothing may be disturbed for the first to hold.
+CHANGE_S = int(FIELDS["Bounds.ConfigApplyMs"]) / 1000
+REMOVAL_S = int(FIELDS["Bounds.RevokeMs"]) / 1000
+CONTACT_S = 3.0
+#: For how many versions a key is there.
+KEY_LIFE = 4
+ALLOWED, REFUSED = 200, (401, 403, 404)
+
+
+class State(NamedTuple):
+    """A desired state that was acknowledged."""
+
+    acked_s: float
+    keys: frozenset[str]
+
+
+class Instance:
+    """One router process, and its way to the store."""
+
+    def __init__(self, proxy, settings, front):
+        self.proxy = proxy
+        self.settings = settings
+        self.front = front
+        self.process = None
+        self.disturbed_s = 0.0
+
+    async def start(self):
+        """Start the process."""
+        self.process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-m",
+            "violethatch.platform",
+            env=os.environ | {"VIOLETHATCH_BOOT": str(self.settings)},
+            stdout=asyncio.subprocess.DEVNULL,
+        )
+
+    def signal(self, number):
+        """Send a signal to the process, if it is there."""
+        if self.process.returncode is None:
+            self.process.send_signal(number)
+
+
+class Fleet(Site):
+    """Instances that share a store and two runners, all behind proxies."""
+
+    def __init__(self, path):
+        super().__init__(path)
+        self.instances = []
+        self.proxies = []
+        self.states = []
+
+    async def start(self):
+        """Start everything, and wait until each instance serves."""
+        store_port = await self._serve(self.store.application())
+        for name, runner in self.runners.items():
+            runner.layers = (0, 80)
+            port = await self._serve(runner.application())
+            self.addresses[name] = f"127.0.0.1:{await self._proxied(port)}"
+            self.list_server(name)
+        self.change()
+        for number in range(ROUTERS):
+            store_address = f"127.0.0.1:{await self._proxied(store_port)}"
+            front, ready, metrics, peers = free_ports(4)
+            text = filled(
+                **{
+                    "Node": f"edge-{number}",
+                    "Listen.Front": f"127.0.0.1:{front}",
+                    "Listen.Ready": f"127.0.0.1:{ready}",
+                    "Ip": "127.0.0.1",
+                    "InternalPorts.0": str(metrics),
+                    "InternalPorts.1": str(peers),
+                    "Platform.Address": store_address,
+                    "Bounds.GraceS": "4",
+                }
+            )
+            settings = self.path / f"router-{number}.ini"
+            settings.write_text(text)
+            self.instances.append(Instance(self.proxies[-1], settings, front))
+            await self.instances[-1].start()
+
+    async def _proxied(self, port):
+        self.proxies.append(FaultProxy(port=port))
+        return await self.proxies[-1].start()
+
+    async def stop(self):
+        """End what was started."""
+        for one in self.instances:
+            one.signal(signal.SIGKILL)
+            await one.process.wait()
+        await super().stop()
+        for proxy in self.proxies:
+            await proxy.stop()
+
+    def change(self):
+        """Write the next desired state: a key is added, the oldest one removed."""
+        version = len(self.states) + 1
+        keys = [f"k{n}" for n in range(max(1, version - KEY_LIFE + 1), version + 1)]
+        self.configure(version=version, keys=("base", *keys))
+        self.states.append(State(clocks.now_s(), frozenset(("base", *keys))))
+
+    def may_be_in_force(self, sent_s, answered_s):
+        """Return the states that a request may be handled by."""
+        before = [one for one in self.states if one.acked_s <= sent_s - CHANGE_S]
+        after = [one for one in self.states if sent_s - CHANGE_S < one.acked_s]
+        return before[-1:] + [one for one in after if one.acked_s <= answered_s]
+
+    def was_removed(self, key, sent_s):
+        """Return whether a key was taken away long before a request was sent."""
+        known = [one for one in self.states if one.acked_s <= sent_s - REMOVAL_S]
+        return any(key in one.keys for one in known) and key not in known[-1].keys
+
+
+class Soak:
+    """One play of the soak."""
+
+    def __init__(self, fleet, seed):
+        self.fleet = fleet
+        self.rng = random.Random(seed)
+        self.faults = []
+        self.checked = 0
+        self.calls = 0
+        self.store_disturbed_s = clocks.now_s()
+
+    async def play(self):
+        """Play to the end; return what was broken."""
+        await asyncio.sleep(CONTACT_S)
+        tasks = [asyncio.create_task(self._change())]
+        tasks += [
+            asyncio.create_task(self._call(one)) for one in self.fleet.instances * 2
+        ]
+        for _ in range(2):
+            await self._disturb(clocks.now_s() + TURBULENT_S)
+            await asyncio.sleep(CALM_S)
+        for task in tasks:
+            task.cancel()
+        for ended in await asyncio.gather(*tasks, return_exceptions=True):
+            if not isinstance(ended, asyncio.CancelledError):
+                raise ended
+        return self.faults
+
+    async def _change(self):
+        """Change the desired state again and again."""
+        while True:
+            await asyncio.sleep(self.rng.choice((0.1, 0.3, 1.0, 2.5)))
+            self.fleet.change()
+
+    async def _call(self, instance):
+        """Send requests with keys old and new, over connections that are kept."""
+        timeout = aiohttp.ClientTimeout(total=5.0)
+        async with aiohttp.ClientSession(timeout=timeout) as session:
+            while True:
+                await asyncio.sleep(self.rng.uniform(0.01, 0.06))
+                newest = len(self.fleet.states)
+                key = f"k{max(1, newest - self.rng.choice((0, 0, 1, 2, 3, 5, 9)))}"
+                sent_s = clocks.now_s()
+                with contextlib.suppress(aiohttp.ClientError, TimeoutError):
+                    status = await self._status(session, instance, key)
+                    self._check(instance, key, sent_s, status)
+
+    async def _status(self, session, instance, key):
+        """Return the status that a request with a key gets."""
+        self.calls += 1
+        headers = HEADERS | {ID: f"c{self.calls}", "Authorization": f"Token {key}"}
+        url = f"http://127.0.0.1:{instance.front}/draft/1"
+        async with session.post(url, data=b"a menu", headers=headers) as answer:
+            await answer.read()
+            return answer.status
+
+    def _check(self, instance, key, sent_s, status):
+        """Check an answer against the states that were acknowledged."""
+        self.checked += 1
+        states = self.fleet.may_be_in_force(sent_s, clocks.now_s())
+        is_allowed = all(key in one.keys for one in states)
+        disturbed_s = max(instance.disturbed_s, self.store_disturbed_s)
+        in_touch = sent_s - disturbed_s >= CONTACT_S
+        if status in REFUSED and is_allowed:
+            self._fault(instance, key, sent_s, f"refused with {status}")
+        if status == ALLOWED and self.fleet.was_removed(key, sent_s):
+            self._fault(instance, key, sent_s, "a removed key was served")
+        if in_touch and is_allowed and status != ALLOWED:
+            self._fault(instance, key, sent_s, f"{status} in touch")
+        if (
+            in_touch
+            and status == ALLOWED
+            and not any(key in one.keys for one in states)
+        ):
+            self._fault(instance, key, sent_s, "an older state in touch")
+
+    def _fault(self, instance, key, sent_s, what):
+        number = self.fleet.instances.index(instance)
+        newest = len(self.fleet.states)
+        self.faults.append(f"{sent_s:.2f}: {number}: {what}, {key}, newest {newest}")
+
+    async def _disturb(self, end_s):
+        """Disturb instances and the store until a time; wait for what is under way."""
+        under_way = []
+        while clocks.now_s() < end_s:
+            await asyncio.sleep(self.rng.uniform(0.1, 1.2))
+            kinds = (
+                self._silence,
+                self._reset,
+                self._refuse,
+                self._forget,
+                self._reload,
+            )
+            kinds += (self._silence, self._freeze, self._restart)
+            chosen = self.rng.choice(kinds)
+            instance = self.rng.choice(self.fleet.instances)
+            under_way.append(asyncio.create_task(chosen(instance)))
+        await asyncio.gather(*under_way)
+
+    async def _silence(self, instance):
+        """Let all open connections go silent, or those of one instance to the store."""
+        if self.rng.random() < 0.5:
+            instance.proxy.silence()
+            instance.disturbed_s = clocks.now_s()
+            return
+        for proxy in self.fleet.proxies:
+            proxy.silence()
+        self.store_disturbed_s = clocks.now_s()
+
+    async def _reset(self, _instance):
+        """Reset all connections to the store."""
+        for one in self.fleet.instances:
+            one.proxy.drop_connections()
+        self.store_disturbed_s = clocks.now_s()
+
+    async def _refuse(self, _instance):
+        """Let the store refuse everybody for a while."""
+        self.fleet.store.refuse_with = 503
+        await asyncio.sleep(self.rng.uniform(0.1, 2.0))
+        self.fleet.store.refuse_with = 0
+        self.store_disturbed_s = clocks.now_s()
+
+    async def _forget(self, _instance):
+        """Let the store forget its history."""
+        self.fleet.store.forget_history()
+        self.store_disturbed_s = clocks.now_s()
+
+    async def _reload(self, instance):
+        """Have an instance read its settings again."""
+        instance.signal(signal.SIGHUP)
+
+    async def _freeze(self, instance):
+        """Let an instance stand still."""
+        instance.signal(signal.SIGSTOP)
+        await asyncio.sleep(self.rng.uniform(0.3, 2.0))
+        instance.signal(signal.SIGCONT)
+        instance.disturbed_s = clocks.now_s()
+
+    async def _restart(self, instance):
+        """Stop or kill an instance, and start it again."""
+        process = instance.process
+        if process.returncode is not None:
+            return
+        instance.signal(signal.SIGCONT)
+        instance.signal(self.rng.choice((signal.SIGTERM, signal.SIGKILL)))
+        await process.wait()
+        if instance.process is process:
+            await instance.start()
+        instance.disturbed_s = clocks.now_s() + 1.0
+
+
+@pytest.mark.parametrize("seed", range(SEEDS))
+async def test_answers_contradict_acknowledged_states(seed, tmp_path):
+    """Callers are refused, or served, as an older desired state says."""
+    fleet = Fleet(tmp_path)
+    try:
+        await fleet.start()
+        soak = Soak(fleet, seed)
+        faults = await soak.play()
+        print(f"seed {seed}: {soak.checked} answers, {len(fleet.states)} states")
+    finally:
+        await fleet.stop()
+    assert faults == []
+    assert soak.checked > 500
