Count an instance that stops, or stands still, as disturbed in the soak of desired states

The soak noted a stop, a freeze and a refusing store when they were over, not while they lasted. In the platform's words an instance that has got SIGTERM is not in touch.

Change: disturbances are counted from their beginning to their end (Disturbances); checks and bounds are as they were. Processes' lines are kept beside their settings, and a fault names its call.

--- a/tests/test_change_soak.py
+++ b/tests/test_change_soak.py
@@ -38,6 +38,8 @@
 CHANGE_S = int(FIELDS["Bounds.ConfigApplyMs"]) / 1000
 REMOVAL_S = int(FIELDS["Bounds.RevokeMs"]) / 1000
 CONTACT_S = 3.0
+#: How long a process takes to listen.
+START_S = 1.0
 #: For how many versions a key is there.
 KEY_LIFE = 4
 ALLOWED, REFUSED = 200, (401, 403, 404)
@@ -50,6 +52,28 @@
     keys: frozenset[str]
 
 
+class Disturbances:
+    """What disturbs an instance, or the store, and until when."""
+
+    def __init__(self):
+        self.ended_s = 0.0
+        self._under_way = 0
+
+    @contextlib.contextmanager
+    def one(self):
+        """Count a disturbance that lasts as long as the context."""
+        self._under_way += 1
+        try:
+            yield
+        finally:
+            self._under_way -= 1
+            self.ended_s = clocks.now_s()
+
+    def is_quiet(self, at_s):
+        """Return whether there is none, and was none for some time before."""
+        return not self._under_way and at_s - self.ended_s >= CONTACT_S
+
+
 class Instance:
     """One router process, and its way to the store."""
 
@@ -57,18 +81,20 @@
         self.proxy = proxy
         self.settings = settings
         self.front = front
+        self.log = settings.with_suffix(".log")
         self.process = None
-        self.disturbed_s = 0.0
+        self.disturbances = Disturbances()
 
     async def start(self):
-        """Start the process."""
-        self.process = await asyncio.create_subprocess_exec(
-            sys.executable,
-            "-m",
-            "violethatch.platform",
-            env=os.environ | {"VIOLETHATCH_BOOT": str(self.settings)},
-            stdout=asyncio.subprocess.DEVNULL,
-        )
+        """Start the process; its lines go on in its log."""
+        with self.log.open("ab") as log:
+            self.process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                "-m",
+                "violethatch.platform",
+                env=os.environ | {"VIOLETHATCH_BOOT": str(self.settings)},
+                stdout=log,
+            )
 
     def signal(self, number):
         """Send a signal to the process, if it is there."""
@@ -155,7 +181,7 @@
         self.faults = []
         self.checked = 0
         self.calls = 0
-        self.store_disturbed_s = clocks.now_s()
+        self.store = Disturbances()
 
     async def play(self):
         """Play to the end; return what was broken."""
@@ -189,26 +215,31 @@
                 newest = len(self.fleet.states)
                 key = f"k{max(1, newest - self.rng.choice((0, 0, 1, 2, 3, 5, 9)))}"
                 sent_s = clocks.now_s()
+                is_quiet = self._is_quiet(instance, sent_s)
                 with contextlib.suppress(aiohttp.ClientError, TimeoutError):
                     status = await self._status(session, instance, key)
-                    self._check(instance, key, sent_s, status)
+                    is_quiet = is_quiet and self._is_quiet(instance, sent_s)
+                    self._check(instance, key, sent_s, status, in_touch=is_quiet)
+
+    def _is_quiet(self, instance, at_s):
+        """Return whether nothing disturbs an instance or the store."""
+        return instance.disturbances.is_quiet(at_s) and self.store.is_quiet(at_s)
 
     async def _status(self, session, instance, key):
         """Return the status that a request with a key gets."""
         self.calls += 1
-        headers = HEADERS | {ID: f"c{self.calls}", "Authorization": f"Token {key}"}
+        call_id = f"{key}-{self.calls}"
+        headers = HEADERS | {ID: call_id, "Authorization": f"Token {key}"}
         url = f"http://127.0.0.1:{instance.front}/draft/1"
         async with session.post(url, data=b"a menu", headers=headers) as answer:
             await answer.read()
             return answer.status
 
-    def _check(self, instance, key, sent_s, status):
+    def _check(self, instance, key, sent_s, status, *, in_touch):
         """Check an answer against the states that were acknowledged."""
         self.checked += 1
         states = self.fleet.may_be_in_force(sent_s, clocks.now_s())
         is_allowed = all(key in one.keys for one in states)
-        disturbed_s = max(instance.disturbed_s, self.store_disturbed_s)
-        in_touch = sent_s - disturbed_s >= CONTACT_S
         if status in REFUSED and is_allowed:
             self._fault(instance, key, sent_s, f"refused with {status}")
         if status == ALLOWED and self.fleet.was_removed(key, sent_s):
@@ -225,7 +256,9 @@
     def _fault(self, instance, key, sent_s, what):
         number = self.fleet.instances.index(instance)
         newest = len(self.fleet.states)
-        self.faults.append(f"{sent_s:.2f}: {number}: {what}, {key}, newest {newest}")
+        self.faults.append(
+            f"{sent_s:.2f}: {number}: {what}, {key}, newest {newest}, call {self.calls}"
+        )
 
     async def _disturb(self, end_s):
         """Disturb instances and the store until a time; wait for what is under way."""
@@ -248,30 +281,30 @@
     async def _silence(self, instance):
         """Let all open connections go silent, or those of one instance to the store."""
         if self.rng.random() < 0.5:
-            instance.proxy.silence()
-            instance.disturbed_s = clocks.now_s()
+            with instance.disturbances.one():
+                instance.proxy.silence()
             return
-        for proxy in self.fleet.proxies:
-            proxy.silence()
-        self.store_disturbed_s = clocks.now_s()
+        with self.store.one():
+            for proxy in self.fleet.proxies:
+                proxy.silence()
 
     async def _reset(self, _instance):
         """Reset all connections to the store."""
-        for one in self.fleet.instances:
-            one.proxy.drop_connections()
-        self.store_disturbed_s = clocks.now_s()
+        with self.store.one():
+            for one in self.fleet.instances:
+                one.proxy.drop_connections()
 
     async def _refuse(self, _instance):
         """Let the store refuse everybody for a while."""
-        self.fleet.store.refuse_with = 503
-        await asyncio.sleep(self.rng.uniform(0.1, 2.0))
-        self.fleet.store.refuse_with = 0
-        self.store_disturbed_s = clocks.now_s()
+        with self.store.one():
+            self.fleet.store.refuse_with = 503
+            await asyncio.sleep(self.rng.uniform(0.1, 2.0))
+            self.fleet.store.refuse_with = 0
 
     async def _forget(self, _instance):
         """Let the store forget its history."""
-        self.fleet.store.forget_history()
-        self.store_disturbed_s = clocks.now_s()
+        with self.store.one():
+            self.fleet.store.forget_history()
 
     async def _reload(self, instance):
         """Have an instance read its settings again."""
@@ -279,22 +312,23 @@
 
     async def _freeze(self, instance):
         """Let an instance stand still."""
-        instance.signal(signal.SIGSTOP)
-        await asyncio.sleep(self.rng.uniform(0.3, 2.0))
-        instance.signal(signal.SIGCONT)
-        instance.disturbed_s = clocks.now_s()
+        with instance.disturbances.one():
+            instance.signal(signal.SIGSTOP)
+            await asyncio.sleep(self.rng.uniform(0.3, 2.0))
+            instance.signal(signal.SIGCONT)
 
     async def _restart(self, instance):
         """Stop or kill an instance, and start it again."""
         process = instance.process
         if process.returncode is not None:
             return
-        instance.signal(signal.SIGCONT)
-        instance.signal(self.rng.choice((signal.SIGTERM, signal.SIGKILL)))
-        await process.wait()
-        if instance.process is process:
-            await instance.start()
-        instance.disturbed_s = clocks.now_s() + 1.0
+        with instance.disturbances.one():
+            instance.signal(signal.SIGCONT)
+            instance.signal(self.rng.choice((signal.SIGTERM, signal.SIGKILL)))
+            await process.wait()
+            if instance.process is process:
+                await instance.start()
+                await asyncio.sleep(START_S)
 
 
 @pytest.mark.parametrize("seed", range(SEEDS))
