Claim a block of ports for each test process

Cause: ports were chosen by the number of the worker, so that two whole runs of the tests on one machine took each other's (three tests failed in one of them).

Change: a test process claims a block by listening on its first port until it ends (own_ports.py).

--- a/tests/test_callers_listener.py
+++ b/tests/test_callers_listener.py
@@ -10,9 +10,10 @@
 import pytest
 
 from asking_servers import PLAIN
+from own_ports import free_ports
 from router_fakes import FakeAnswer, FakeClient, settings
 from routing_samples import desired_state, plain_server
-from test_platform_process import HEADERS, ID, free_ports
+from test_platform_process import HEADERS, ID
 from violethatch import clocks
 from violethatch._router import Router
 from violethatch.platform._listener import CallersListener
--- a/tests/test_change_soak.py
+++ b/tests/test_change_soak.py
@@ -23,7 +23,8 @@
 import aiohttp
 import pytest
 
-from test_platform_process import HEADERS, ID, Site, free_ports
+from own_ports import free_ports
+from test_platform_process import HEADERS, ID, Site
 from test_router_settings import FIELDS, filled
 from violethatch import clocks
 from violethatch_emulator.faults import FaultProxy
--- a/tests/test_load_link.py
+++ b/tests/test_load_link.py
@@ -12,9 +12,9 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from own_ports import free_ports
 from routing_samples import engine, runner
 from test_instances import entry
-from test_platform_process import free_ports
 from violethatch import _load_link
 from violethatch._load_link import LoadLink
 from violethatch._peer_datagrams import LoadDatagram, PeerDatagrams, encoded
--- a/tests/test_platform_process.py
+++ b/tests/test_platform_process.py
@@ -5,7 +5,6 @@
 
 import asyncio
 import contextlib
-import itertools
 import json
 import os
 import signal
@@ -17,6 +16,7 @@
 
 from aiohttp import web
 
+from own_ports import free_ports
 from test_platform_wire import CONFIG, ENGINE
 from test_router_settings import filled
 from violethatch_emulator.path_runner import PathRunner
@@ -31,25 +31,6 @@
 }
 
 
-#: Below the range that systems give out by themselves, so that no other socket
-#: takes a port between its choice here and its use; a range for each worker.
-FIRST_PORT = 21_000
-PORTS_A_WORKER = 1_000
-WORKER = int(os.environ.get("PYTEST_XDIST_WORKER", "gw0").removeprefix("gw"))
-PORTS = itertools.count(FIRST_PORT + PORTS_A_WORKER * WORKER)
-
-
-def free_ports(count):
-    """Return ports that nobody listens on, and that nobody else is given."""
-    found = []
-    while len(found) < count:
-        port = next(PORTS)
-        with socket.socket() as one, contextlib.suppress(OSError):
-            one.bind(("127.0.0.1", port))
-            found.append(port)
-    return found
-
-
 class Site:
     """A store, two runners that hold the model, and one router process."""
 
--- a/tests/test_refused_connections.py
+++ b/tests/test_refused_connections.py
@@ -8,8 +8,8 @@
 
 import pytest
 
+from own_ports import free_ports
 from routing_samples import runner
-from test_platform_process import free_ports
 from violethatch import clocks
 from violethatch.platform import _runners
 from violethatch.platform._runners import Runners
--- a/tests/test_relayed_tables.py
+++ b/tests/test_relayed_tables.py
@@ -8,9 +8,9 @@
 import aiohttp
 import pytest
 
+from own_ports import free_ports
 from test_followers import ScriptedSource
 from test_instances import directories, entry
-from test_platform_process import free_ports
 from violethatch import _relay_http
 from violethatch._connection_choice import ConnectionChoice
 from violethatch._relay_http import RelayClient, RelayListener
--- a/tests/test_return_link.py
+++ b/tests/test_return_link.py
@@ -12,7 +12,7 @@
 import virtual_time
 
 from mortal_fleet import Network, instance_entries
-from test_platform_process import free_ports
+from own_ports import free_ports
 from violethatch import _return_link, clocks
 from violethatch._peer_datagrams import (
     ClaimDatagram,
--- a/tests/test_sightings.py
+++ b/tests/test_sightings.py
@@ -8,8 +8,8 @@
 
 import pytest
 
+from own_ports import free_ports
 from test_instances import entry
-from test_platform_process import free_ports
 from violethatch import _sighting_link, clocks
 from violethatch._peer_datagrams import PeerDatagrams
 from violethatch._sighting_link import SightingLink
