Call a store that gives no answer unavailable where tables are read

Change: TableCache and TableFollower are unavailable, InstanceDirectory notes who is refused, and PeerAwayError is PeerRefusedError.

--- a/src/violethatch/_followers.py
+++ b/src/violethatch/_followers.py
@@ -72,7 +72,7 @@
         self._version: int | None = None
         self._era = NO_ERA
         self._proof_source: str | None = None
-        self._is_away = False
+        self._is_unavailable = False
         self._cache = cache or TableCache()
         self._first_pause_s = first_pause_s
         #: The latest pause before a retry, in seconds; 0 while reads are answered.
@@ -100,7 +100,7 @@
             except HistoryGoneError:
                 await self._note_history_gone()
             except TableUnavailableError as error:
-                self._note_away(error)
+                self._note_unavailable(error)
                 await asyncio.sleep(self._retry_pause_s())
 
     async def _note_history_gone(self) -> None:
@@ -132,7 +132,7 @@
     async def _read_once(self) -> None:
         """Read the table or its next changes, and take them in."""
         sent_s = self._read_began_s = clocks.now_s()
-        is_waiting = self._version is not None and not self._is_away
+        is_waiting = self._version is not None and not self._is_unavailable
         view = await self._read()
         is_whole = self._version is None or view.is_whole
         if is_whole and self._is_older(view):
@@ -164,7 +164,7 @@
         if self._version is None:
             return await self._read_whole()
         # After an outage the first read only asks, so as to learn soon.
-        wait_s = 0.0 if self._is_away else self.settings.change_wait_s
+        wait_s = 0.0 if self._is_unavailable else self.settings.change_wait_s
         return await self._source.read_changes(
             self.table, after=self._version, wait_s=wait_s, era=self._era
         )
@@ -228,12 +228,12 @@
             source=view.source,
         )
 
-    def _note_away(self, error: TableUnavailableError) -> None:
+    def _note_unavailable(self, error: TableUnavailableError) -> None:
         """Log once that the store does not answer."""
-        if self._is_away:
+        if self._is_unavailable:
             return
-        self._is_away = True
-        self._cache.note_away()
+        self._is_unavailable = True
+        self._cache.note_unavailable()
         age_s = self._freshness.age_s(now_s=clocks.now_s())
         events.log(
             events.TABLE_UNREACHABLE,
@@ -246,13 +246,13 @@
     def _note_back(self, view: TableView) -> None:
         """Log that the store answers again, and tell of it.
 
-        It may have been away only for the instance that reads it for this one.
+        It may have been unavailable only to the instance that reads it for this one.
         """
         is_told = self._note_told_return(view)
-        is_back = self._is_away or view.is_restored
+        is_back = self._is_unavailable or view.is_restored
         if is_back:
-            if self._is_away:
-                self._is_away = False
+            if self._is_unavailable:
+                self._is_unavailable = False
                 events.log(events.TABLE_REACHABLE, table=self.table)
             if not view.is_relayed:
                 self._cache.returned(view.store_s)
--- a/src/violethatch/_relay_http.py
+++ b/src/violethatch/_relay_http.py
@@ -26,8 +26,8 @@
 from .instances import InstanceEntry
 from .peer_reads import (
     NoUpdateError,
-    PeerAwayError,
     PeerLostError,
+    PeerRefusedError,
     PeerSilentError,
 )
 from .store_era import NO_ERA
@@ -39,7 +39,7 @@
 _PATH = "/changes"
 _OK = 200
 _NO_UPDATE = 204
-_AWAY = 503
+_UNAVAILABLE = 503
 _BAD_REQUEST = 400
 _FORBIDDEN = 403
 #: The longest wait for an update that is granted, in seconds.
@@ -112,7 +112,7 @@
             is_patient=is_patient,
         )
         if view is None:
-            return Response(status=_AWAY if cache.is_away else _NO_UPDATE)
+            return Response(status=_UNAVAILABLE if cache.is_unavailable else _NO_UPDATE)
         return Response(body=_encoded(view))
 
 
@@ -143,7 +143,7 @@
 
         Raises:
             NoUpdateError: There was none in time.
-            PeerAwayError: The store refuses it.
+            PeerRefusedError: The store refuses it.
             PeerLostError: The connection broke or fell silent.
             PeerSilentError: It gave no answer.
         """
@@ -183,15 +183,15 @@
 
     Raises:
         NoUpdateError: It says that there is none.
-        PeerAwayError: The store refuses it.
+        PeerRefusedError: The store refuses it.
         PeerSilentError: It is a refusal.
     """
     if status == _NO_UPDATE:
         msg = "no update"
         raise NoUpdateError(msg)
-    if status == _AWAY:
+    if status == _UNAVAILABLE:
         msg = "the store refuses it"
-        raise PeerAwayError(msg)
+        raise PeerRefusedError(msg)
     if status != _OK:
         msg = f"status {status}"
         raise PeerSilentError(msg)
--- a/src/violethatch/instances.py
+++ b/src/violethatch/instances.py
@@ -41,9 +41,9 @@
 SUBSTITUTES = 4
 #: How long an instance that gave no answer counts as down, in seconds.
 DOWN_S = 5.0
-#: How long an instance counts as away that says that the store refuses it, in
+#: How long an instance counts as refused by the store that says so, in
 #: seconds; it may be back within two.
-AWAY_S = 1.0
+REFUSED_S = 1.0
 #: After how long an entry that was not renewed counts no more, in seconds.
 ENTRY_LIFE_S = 1800.0
 
@@ -111,7 +111,7 @@
         self._removed: dict[str, InstanceEntry] = {}
         self._undone: set[str] = set()
         self._down_until_s: dict[str, float] = {}
-        self._away_until_s: dict[str, float] = {}
+        self._refused_until_s: dict[str, float] = {}
         self._ranks_known: _Ranks | None = None
         #: The own place, and the revision that it is of.
         self._place = ALONE
@@ -185,9 +185,9 @@
         """Note that an instance gave no answer."""
         self._down_until_s[instance_id] = now_s + DOWN_S
 
-    def note_away(self, instance_id: str, *, now_s: float) -> None:
+    def note_refused(self, instance_id: str, *, now_s: float) -> None:
         """Note that an instance has said that the store refuses it."""
-        self._away_until_s[instance_id] = now_s + AWAY_S
+        self._refused_until_s[instance_id] = now_s + REFUSED_S
 
     def source(self, *, now_s: float) -> InstanceEntry | None:
         """Return the instance to follow, or None to read the store oneself."""
@@ -222,12 +222,12 @@
         up = [one for one in self._ranks().region if self._is_up(one, now_s)]
         order = _spread(up, self._zone_of)
         first = order[:READERS]
-        present = [one for one in first if not self._is_away(one, now_s)]
+        present = [one for one in first if not self._is_refused(one, now_s)]
         if present:
             return present
         # They are asked again, but the next ones find out whether they are served.
         substitutes = order[READERS : READERS + SUBSTITUTES]
-        served = [one for one in substitutes if not self._is_away(one, now_s)]
+        served = [one for one in substitutes if not self._is_refused(one, now_s)]
         return served[:READERS] or first
 
     def _relays(self, *, now_s: float) -> Sequence[str]:
@@ -235,7 +235,7 @@
         zone = self._zone_up(self.own.availability_zone, now_s=now_s)
         if len(zone) < LEAST_MEMBERS:
             return ()
-        present = [one for one in zone if not self._is_away(one, now_s)] or zone
+        present = [one for one in zone if not self._is_refused(one, now_s)] or zone
         return present[: math.ceil(len(zone) / FOLLOWERS_A_READER)]
 
     def _nearest(self, readers: Sequence[str]) -> str:
@@ -282,7 +282,7 @@
         helpers = [*self._region_readers(now_s=now_s)]
         for zone in zones:
             helpers.extend(self._zone_helpers(zone, now_s=now_s))
-        helpers.sort(key=lambda one: self._is_away(one, now_s))
+        helpers.sort(key=lambda one: self._is_refused(one, now_s))
         return [
             self._entries[one]
             for one in dict.fromkeys(helpers)
@@ -330,9 +330,9 @@
         """Tell whether an instance is not thought to be down."""
         return now_s >= self._down_until_s.get(instance_id, 0.0)
 
-    def _is_away(self, instance_id: str, now_s: float) -> bool:
+    def _is_refused(self, instance_id: str, now_s: float) -> bool:
         """Tell whether the store was refused to an instance a moment ago."""
-        return now_s < self._away_until_s.get(instance_id, 0.0)
+        return now_s < self._refused_until_s.get(instance_id, 0.0)
 
 
 def _spread(ids: Sequence[str], zone_of: Callable[[str], str]) -> list[str]:
--- a/src/violethatch/peer_reads.py
+++ b/src/violethatch/peer_reads.py
@@ -27,7 +27,7 @@
     """
 
 
-class PeerAwayError(PeerSilentError):
+class PeerRefusedError(PeerSilentError):
     """The store refuses another instance too.
 
     .. versionadded:: 26.2.0
@@ -69,11 +69,11 @@
             wait_s: How long the instance may wait for an update, in seconds.
             margin_s: How much longer its answer may take, in seconds.
             era: The store's era of *after* and *known_s*.
-            is_patient: Whether it should wait also while the store is away.
+            is_patient: Whether it should wait also while the store is unavailable.
 
         Raises:
             NoUpdateError: There was none in time.
-            PeerAwayError: The store refuses it.
+            PeerRefusedError: The store refuses it.
             PeerLostError: The connection broke or fell silent.
             PeerSilentError: It gave no answer.
         """
--- a/src/violethatch/relayed_tables.py
+++ b/src/violethatch/relayed_tables.py
@@ -21,9 +21,9 @@
 from .instances import InstanceDirectory, InstanceEntry
 from .peer_reads import (
     NoUpdateError,
-    PeerAwayError,
     PeerLostError,
     PeerReads,
+    PeerRefusedError,
     PeerSilentError,
 )
 from .read_waits import ReadWaits
@@ -35,7 +35,8 @@
 #: The bound on how late a change may be in force that is assumed unless a site
 #: states another, in seconds.
 CHANGE_BOUND_S = 2.0
-#: How long a question waits that was told before that the store is away, in seconds.
+#: How long a question waits that was told before that the store is unavailable, in
+#: seconds.
 _PATIENT_S = 1.0
 #: How many instances are asked before the store is.
 _MOST_SOURCES = 3
@@ -203,12 +204,12 @@
         Raises:
             TableUnavailableError: The store refuses those who read for it.
         """
-        is_away = False
+        is_refused = False
         for attempt in range(_MOST_SOURCES):
             source = self._directory.source(now_s=clocks.now_s())
             if source is None:
                 return None
-            # Without a wait it was away before, and wants to learn of the return.
+            # Without a wait it was unavailable before: its recovery is awaited.
             is_patient = attempt == 0 and wait_s <= 0
             patience_s = self._patience_s(table, attempt, wait_s)
             try:
@@ -219,16 +220,16 @@
                     wait_s=patience_s,
                     is_patient=is_patient,
                 )
-            except PeerAwayError as error:
-                is_away = True
-                self._directory.note_away(source.id, now_s=clocks.now_s())
+            except PeerRefusedError as error:
+                is_refused = True
+                self._directory.note_refused(source.id, now_s=clocks.now_s())
                 self._note_source(table, "another", f"{source.id}: {error}")
             except NoUpdateError as error:
                 if not self._is_proven(table):
                     return self._unchanged(table, after)
                 if attempt:
                     # It had no time to wait: its next proof may be on its way.
-                    self._directory.note_away(source.id, now_s=clocks.now_s())
+                    self._directory.note_refused(source.id, now_s=clocks.now_s())
                 else:
                     self._leave(source, table, error)
             except PeerSilentError as error:
@@ -236,7 +237,7 @@
             else:
                 self._note_source(table, source.id, "follows it")
                 return view
-        return await self._ask_elsewhere(table, after=after) if is_away else None
+        return await self._ask_elsewhere(table, after=after) if is_refused else None
 
     async def _ask_elsewhere(self, table: str, *, after: Position) -> TableView:
         """Ask other zones' relays, which may have read the store themselves.
@@ -331,8 +332,8 @@
     def _note_unhelpful(self, helper: InstanceEntry, error: PeerSilentError) -> None:
         """Ask another instance next time."""
         now_s = clocks.now_s()
-        if isinstance(error, PeerAwayError):
-            self._directory.note_away(helper.id, now_s=now_s)
+        if isinstance(error, PeerRefusedError):
+            self._directory.note_refused(helper.id, now_s=now_s)
         else:
             self._directory.note_down(helper.id, now_s=now_s)
 
--- a/src/violethatch/table_cache.py
+++ b/src/violethatch/table_cache.py
@@ -39,7 +39,7 @@
     """
 
     def __init__(self) -> None:
-        self.is_away = True
+        self.is_unavailable = True
         self._values: dict[str, bytes] = {}
         self._position = Position(NO_ERA, NEVER)
         self._proof = ProofTime(NO_ERA, float(NEVER))
@@ -76,16 +76,16 @@
                 self._values[key] = value
         self._position = view.position
         self._proof = max(self._proof, view.proof)
-        self.is_away = False
+        self.is_unavailable = False
         self._tell()
 
     def returned(self, store_s: float) -> None:
         """Note that the store answers again since its time *store_s*."""
         self._returned_s = store_s
 
-    def note_away(self) -> None:
+    def note_unavailable(self) -> None:
         """Note that nothing is known any more of how the table goes on."""
-        self.is_away = True
+        self.is_unavailable = True
         self._tell()
 
     async def updates(
@@ -109,7 +109,7 @@
         """
         try:
             async with asyncio.timeout(wait_s):
-                while is_patient or not self.is_away:
+                while is_patient or not self.is_unavailable:
                     asked_era = self._position.era if era is None else era
                     known = ProofTime(asked_era, known_s)
                     if self._is_newer(Position(asked_era, after), known):
@@ -121,7 +121,7 @@
 
     def _is_newer(self, after: Position, known: ProofTime) -> bool:
         """Tell whether there is something newer, and from a store that answers."""
-        if self.is_away or self._position.era < after.era:
+        if self.is_unavailable or self._position.era < after.era:
             return False
         return self._position > after or self._proof > known
 
--- a/tests/test_instances.py
+++ b/tests/test_instances.py
@@ -8,13 +8,13 @@
 import pytest
 
 from violethatch.instances import (
-    AWAY_S,
     DOWN_S,
     ENTRY_LIFE_S,
     FOLLOWERS_A_READER,
     LEAST_MEMBERS,
     LEAST_REGION,
     READERS,
+    REFUSED_S,
     SUBSTITUTES,
     InstanceDirectory,
     InstanceEntry,
@@ -91,11 +91,11 @@
         readers = {name for name, one in made.items() if one.is_reader(now_s=0.0)}
         for one in made.values():
             for reader in readers:
-                one.note_away(reader, now_s=0.0)
+                one.note_refused(reader, now_s=0.0)
         found = sources({k: v for k, v in made.items() if k not in readers}, now_s=0.1)
         assert 1 <= list(found.values()).count(None) <= READERS
         assert readers.isdisjoint(found.values())
-        assert sources(made, now_s=AWAY_S)[next(iter(readers))] is None
+        assert sources(made, now_s=REFUSED_S)[next(iter(readers))] is None
 
     def test_store_that_refuses_all_is_asked_by_few(self):
         """When substitutes are refused too, all wait for the readers."""
@@ -104,7 +104,7 @@
         for name, one in made.items():
             for other in made:
                 if other != name:
-                    one.note_away(other, now_s=0.0)
+                    one.note_refused(other, now_s=0.0)
         asking = {n for n, one in made.items() if one.source(now_s=0.1) is None}
         assert readers <= asking
         assert len(asking) <= READERS + SUBSTITUTES
--- a/tests/test_region_reads.py
+++ b/tests/test_region_reads.py
@@ -14,7 +14,7 @@
 from violethatch._followers import TableFollower
 from violethatch.errors import ReadLostError, TableUnavailableError
 from violethatch.freshness import Freshness, StoreClock
-from violethatch.peer_reads import NoUpdateError, PeerAwayError, PeerLostError
+from violethatch.peer_reads import NoUpdateError, PeerLostError, PeerRefusedError
 from violethatch.relayed_tables import RelayedTables
 from violethatch.router_settings import StoreSection
 from violethatch.store_era import NO_ERA
@@ -111,7 +111,9 @@
             is_patient=is_patient,
         )
         if view is None:
-            raise PeerAwayError("away") if cache.is_away else NoUpdateError("no update")
+            if cache.is_unavailable:
+                raise PeerRefusedError("unavailable")
+            raise NoUpdateError("no update")
         return view
 
 
--- a/tests/test_relayed_tables.py
+++ b/tests/test_relayed_tables.py
@@ -18,8 +18,8 @@
 from violethatch.instances import LEAST_MEMBERS, LEAST_REGION
 from violethatch.peer_reads import (
     NoUpdateError,
-    PeerAwayError,
     PeerLostError,
+    PeerRefusedError,
     PeerSilentError,
 )
 from violethatch.relayed_tables import RelayedTables
@@ -84,14 +84,14 @@
         cache = self.made()
         asking = asyncio.create_task(cache.updates(after=9, known_s=9.0, wait_s=5.0))
         await asyncio.sleep(0)
-        cache.note_away()
+        cache.note_unavailable()
         async with asyncio.timeout(1):
             assert await asking is None
 
     async def test_patient_question_waits_for_the_return(self):
         """Who knows of the outage learns of its end at once."""
         cache = self.made()
-        cache.note_away()
+        cache.note_unavailable()
         asking = asyncio.create_task(
             cache.updates(after=9, known_s=9.0, wait_s=5.0, is_patient=True)
         )
@@ -194,7 +194,7 @@
         """A store that is away is not asked by all who follow."""
         directory, reader = follower_of(count=LEAST_REGION)
         store = ScriptedSource(view(6))
-        peers = ScriptedPeers(*[PeerAwayError("away")] * 5, view(7))
+        peers = ScriptedPeers(*[PeerRefusedError("away")] * 5, view(7))
         tables = RelayedTables(store, peers, directory)
         with pytest.raises(TableUnavailableError):
             await tables.read_changes("op", after=5, wait_s=2.4)
@@ -342,10 +342,10 @@
         """An instance that the store refuses says so, also of news that it has."""
         cache = TableCache()
         cache.take(view(5), is_whole=True)
-        cache.note_away()
-        with pytest.raises(PeerAwayError):
+        cache.note_unavailable()
+        with pytest.raises(PeerRefusedError):
             await self.ask(cache)
-        with pytest.raises(PeerAwayError):
+        with pytest.raises(PeerRefusedError):
             await self.ask(cache, wait_s=0.01, is_patient=True)
 
     async def test_wrong_token(self):
