--- a/src/violethatch/events.py
+++ b/src/violethatch/events.py
@@ -109,8 +109,8 @@
 STORE_RESTORED = Event(2413, "store_restored", "The store was restored from a copy.")
 STORE_ERA_OLD = Event(2414, "store_era_old", "An answer has an older era of the store.")
 TABLE_READ = Event(2415, "table_read", "A whole table was read.")
-READ_REPEATED = Event(2417, "read_repeated", "A lost read was sent once more.")
 ENTRY_LOST = Event(2416, "entry_lost", "The store has lost the own entry.")
+READ_REPEATED = Event(2417, "read_repeated", "A lost read was sent once more.")
 ENTRY_UNWRITTEN = Event(2412, "entry_unwritten", "The own entry may not be written.")
 
 PEER_FOUND = Event(2501, "peer_found", "A peer answers heartbeats.")
--- a/src/violethatch/platform/_parts.py
+++ b/src/violethatch/platform/_parts.py
@@ -64,7 +64,7 @@
     )
     era = StoreEra()
     router.metrics.watch_era(era)
-    connections = functools.partial(ConnectionChoice, kept, fresh, max_rest_s=KEEP_S)
+    connections = functools.partial(ConnectionChoice, kept, fresh, max_idle_s=KEEP_S)
     store = Store(settings.store, connections(), router.metrics, era=era)
     directory = InstanceDirectory(_own_entry(settings))
     duty = PlacementDuty(
--- a/tests/test_call_errors.py
+++ b/tests/test_call_errors.py
@@ -42,7 +42,7 @@
 @pytest.fixture
 def store():
     """Provide a store that can't be called."""
-    connections = ConnectionChoice(BrokenSession(), BrokenSession(), max_rest_s=4.0)
+    connections = ConnectionChoice(BrokenSession(), BrokenSession(), max_idle_s=4.0)
     return Store(StoreSection("127.0.0.1:1"), connections, RouterMetrics())
 
 
--- a/tests/test_connection_choice.py
+++ b/tests/test_connection_choice.py
@@ -7,11 +7,11 @@
 from violethatch._connection_choice import ConnectionChoice
 
 
-def test_connections_that_rested_beside_a_lost_one_are_used(monkeypatch):
-    """They may have fallen silent with it; those opened later are kept again."""
+def test_idle_connections_are_used_after_a_lost_answer(monkeypatch):
+    """They may have fallen silent too; those opened later are kept again."""
     now_s = 100.0
     monkeypatch.setattr(clocks, "now_s", lambda: now_s)
-    choice = ConnectionChoice("kept", "fresh", max_rest_s=4.0)
+    choice = ConnectionChoice("kept", "fresh", max_idle_s=4.0)
     assert choice.session == "kept"
     choice.note_lost()
     now_s += 3.9
--- a/tests/test_relayed_tables.py
+++ b/tests/test_relayed_tables.py
@@ -309,7 +309,7 @@
         asked = {"after": -1, "known_s": -1.0, "wait_s": 0.1, "margin_s": 0.5}
         asked |= options
         async with aiohttp.ClientSession() as session:
-            connections = ConnectionChoice(session, session, max_rest_s=4.0)
+            connections = ConnectionChoice(session, session, max_idle_s=4.0)
             return await RelayClient(connections).changes(peer, "op", **asked)
 
     @pytest.mark.parametrize("size", [1, 300_000])
--- a/tests/test_silent_reads.py
+++ b/tests/test_silent_reads.py
@@ -102,7 +102,7 @@
 
 def connection_choice():
     """Return a choice between kept and new connections."""
-    return ConnectionChoice("kept", "fresh", max_rest_s=KEEP_S)
+    return ConnectionChoice("kept", "fresh", max_idle_s=KEEP_S)
 
 
 class BreakableReads(Reads):
