Note a lost answer in one place, and build the soak's fleet on the site with proxies

Cause, from reading the whole change again: a lost read and a lost write of the store were noted and counted by the same two lines in two places; one of two places that note an interrupted read called a method of one line, the other the set itself; the soak of desired states made, silenced and stopped proxies as SilentSite does.

Change: Store._note_lost serves both; RepeatedReads is given the set's add; Fleet is a SilentSite. No behaviour changes, no assertion does.

--- a/src/violethatch/platform/_store.py
+++ b/src/violethatch/platform/_store.py
@@ -198,8 +198,7 @@
         except NOT_CONNECTED as error:
             raise self._unavailable("rows-tx", repr(error)) from error
         except (TimeoutError, *CALL_ERRORS) as error:
-            self._connections.note_lost()
-            self._metrics.store_calls.inc({"call": "rows-tx", "outcome": "lost"})
+            self._note_lost("rows-tx")
             msg = f"rows-tx: {error!r}"
             raise AnswerLostError(msg) from error
         if reply.status in _REFUSALS:
@@ -224,7 +223,9 @@
         except (*NOT_CONNECTED, ValueError) as error:
             raise self._unavailable(call, repr(error)) from error
         except (TimeoutError, *CALL_ERRORS) as error:
-            raise self._lost(call, repr(error)) from error
+            self._note_lost(call)
+            msg = f"{call}: {error!r}"
+            raise ReadLostError(msg) from error
         if reply.status not in (_OK, _HISTORY_GONE):
             raise self._unavailable(call, f"status {reply.status}")
         if not reply.is_current:
@@ -257,11 +258,10 @@
         rows = self._rows.decode(body) if is_read else Rows()
         return _Reply(answer.status, rows, era, is_current)
 
-    def _lost(self, call: str, reason: str) -> ReadLostError:
-        """Note that a read's answer was lost; return its error."""
+    def _note_lost(self, call: str) -> None:
+        """Count a call whose answer was lost; use no idle connection for a while."""
         self._connections.note_lost()
         self._metrics.store_calls.inc({"call": call, "outcome": "lost"})
-        return ReadLostError(f"{call}: {reason}")
 
     def _unavailable(self, call: str, reason: str) -> TableUnavailableError:
         """Count a call that came to nothing; return its error."""
--- a/src/violethatch/relayed_tables.py
+++ b/src/violethatch/relayed_tables.py
@@ -85,7 +85,10 @@
         rng: random.Random | None = None,
     ) -> None:
         self._waits = ReadWaits(directory, bound_s=bound_s)
-        self._store = RepeatedReads(store, on_lost=self._note_interrupted)
+        #: Tables whose latest read of the store came to nothing: it may have been
+        #: restored since.
+        self._interrupted: set[str] = set()
+        self._store = RepeatedReads(store, on_lost=self._interrupted.add)
         self._peers = peers
         self._directory = directory
         self._unproven = unproven
@@ -98,8 +101,6 @@
         self._known: dict[str, ProofTime] = {}
         self._sources: dict[str, str] = {}
         self._store_rests_until_s = 0.0
-        #: Tables whose latest read of the store came to nothing.
-        self._interrupted: set[str] = set()
         #: Unproven tables whose changes were read from the store once.
         self._confirmed: set[str] = set()
 
@@ -292,7 +293,7 @@
                 era=after.era,
             )
         except TableUnavailableError as error:
-            self._note_interrupted(table)
+            self._interrupted.add(table)
             helped = await self._ask_helpers(table, after=after, wait_s=0.0)
             if helped is None:
                 raise
@@ -391,10 +392,6 @@
             self._era.observe(view.era, source=view.source)
         return view
 
-    def _note_interrupted(self, table: str) -> None:
-        """Note that the store may have been restored since the last read of a table."""
-        self._interrupted.add(table)
-
     def _note_source(self, table: str, source: str, reason: str) -> None:
         """Log where a table's updates come from, if that has changed."""
         before = self._sources.get(table)
--- a/tests/test_change_soak.py
+++ b/tests/test_change_soak.py
@@ -26,6 +26,7 @@
 from own_ports import free_ports
 from test_platform_process import HEADERS, ID, Site
 from test_router_settings import FIELDS, filled
+from test_silent_connections import SilentSite
 from violethatch import clocks
 from violethatch_emulator.faults import FaultProxy
 
@@ -103,26 +104,27 @@
             self.process.send_signal(number)
 
 
-class Fleet(Site):
+class Fleet(SilentSite):
     """Instances that share a store and two runners, all behind proxies."""
 
     def __init__(self, path):
         super().__init__(path)
         self.instances = []
-        self.proxies = []
         self.states = []
 
     async def start(self):
         """Start everything, and wait until each instance serves."""
-        store_port = await self._serve(self.store.application())
+        store_port = await Site._serve(self, self.store.application())
         for name, runner in self.runners.items():
             runner.layers = (0, 80)
             port = await self._serve(runner.application())
-            self.addresses[name] = f"127.0.0.1:{await self._proxied(port)}"
+            self.addresses[name] = f"127.0.0.1:{port}"
             self.list_server(name)
         self.change()
         for number in range(ROUTERS):
-            store_address = f"127.0.0.1:{await self._proxied(store_port)}"
+            proxy = FaultProxy(port=store_port)
+            self.proxies.append(proxy)
+            store_address = f"127.0.0.1:{await proxy.start()}"
             front, ready, metrics, peers = free_ports(4)
             text = filled(
                 **{
@@ -138,21 +140,15 @@
             )
             settings = self.path / f"router-{number}.ini"
             settings.write_text(text)
-            self.instances.append(Instance(self.proxies[-1], settings, front))
+            self.instances.append(Instance(proxy, settings, front))
             await self.instances[-1].start()
 
-    async def _proxied(self, port):
-        self.proxies.append(FaultProxy(port=port))
-        return await self.proxies[-1].start()
-
     async def stop(self):
         """End what was started."""
         for one in self.instances:
             one.signal(signal.SIGKILL)
             await one.process.wait()
         await super().stop()
-        for proxy in self.proxies:
-            await proxy.stop()
 
     def change(self):
         """Write the next desired state: a key is added, the oldest one removed."""
@@ -290,8 +286,7 @@
                 instance.proxy.silence()
             return
         with self.store.one():
-            for proxy in self.fleet.proxies:
-                proxy.silence()
+            self.fleet.silence()
 
     async def _reset(self, _instance):
         """Reset all connections to the store."""
