--- a/src/violethatch/_peer_links.py
+++ b/src/violethatch/_peer_links.py
@@ -33,7 +33,7 @@
         self._sightings = SightingLink(datagrams, router.routing.hearsay)
         self._sightings.born_ms = router.routing.born_ms
         self._paces = PaceLink(datagrams, router.routing.paces)
-        self._retries = RetryLink(datagrams, router.routing, rng=rng)
+        self._retries = RetryLink(datagrams, router.routing.retries, rng=rng)
         self._suspects = SuspectLink(datagrams, router.routing.suspects)
         self._returns = ReturnLink(datagrams, rng=rng)
         self.loads = LoadLink(datagrams, router.routing.loads)
@@ -53,7 +53,7 @@
         routing.tell_end = self._suspects.tell
         routing.tell_cleared = self._suspects.tell_cleared
         routing.tell_pace = self._paces.tell
-        routing.ask_for_retries = self._retries.ask
+        routing.retries.ask_for_retries = self._retries.ask
         routing.gate.limits.ask_permit = self.limits.ask
         routing.gate.limits.tell = self.limits.tell
         routing.admission.returns = self._returns
--- a/src/violethatch/_plain_calls.py
+++ b/src/violethatch/_plain_calls.py
@@ -116,7 +116,7 @@
             except KeptBackError:
                 self._kept_back += 1
                 if is_again:
-                    self._routing.return_retry(self._admitted.service.name)
+                    self._routing.retries.return_retry(self._admitted.service.name)
                 continue
             if answer is None:
                 continue
@@ -139,7 +139,7 @@
 
     async def _is_paid(self) -> bool:
         """Tell whether another send is paid for."""
-        return await self._routing.may_retry(self._admitted.service.name)
+        return await self._routing.retries.may_retry(self._admitted.service.name)
 
     async def _send_once(self, server: BackendServer) -> _Whole | None:
         """Send the call once; return an answer that could be passed on.
--- a/src/violethatch/_router.py
+++ b/src/violethatch/_router.py
@@ -98,7 +98,7 @@
                 is known.
         """
         admitted = self._admit(call)
-        self.routing.count_request(admitted.service.name)
+        self.routing.retries.count_request(admitted.service.name)
         self.in_flight += 1
         try:
             await self._serve_admitted(call, admitted, responder)
--- a/src/violethatch/_routing.py
+++ b/src/violethatch/_routing.py
@@ -5,26 +5,24 @@
 
 import random
 
-from collections.abc import Awaitable, Callable, Collection, Iterable, Sequence
+from collections.abc import Callable, Collection, Iterable, Sequence
 from typing import Protocol
 
 from . import clocks, events
 from ._admission import Admission
+from ._admission_ports import SpreadReturns, SummedDemand
 from ._path_choice import Blocked, PathChoice
 from ._probes import Probes
+from ._retry_budgets import RetryBudgets
 from ._server_ends import ServerEnds
 from ._word_gate import WordGate
 from .backends import BackendServer, BackendTable
 from .crash_suspects import CrashSuspects, End
-from .demand import Demand
 from .desired import ServiceSpec
 from .path_shares import Place
 from .paths import Path
 from .pipe_share import PipeShare
 from .progress import Progress
-from .retries import RetryBudget
-from .retry_shares import RetryShare
-from .return_slots import Claim, ClaimOutcome, Slot
 from .router_settings import RouterSettings
 from .runner_health import RunnerHealth, Trouble
 from .runner_paces import RunnerPaces
@@ -36,14 +34,6 @@
 from .upstream import Refusal, RunnerClient, RunnerReport
 
 
-#: How long a request waits for retries that others give, in seconds: some ways there
-#: and back, as many may want the same ones.
-_RETRY_WAIT_S = 0.15
-#: Retries that an instance saves up in the moment after its start, until it has read
-#: how many others there are.
-_UNKNOWN_RESERVE = 1.0
-
-
 class RestartListener(Protocol):
     """Is told of servers that have started again."""
 
@@ -93,10 +83,9 @@
         #: Tells how many instances are known to serve; 0 where none is.
         self.instances: Callable[[], int] = lambda: 0
         self.loads = StreamLoads()
-        self._has_others = False
-        #: Asks other instances for a service's retries, where there are any.
-        self.ask_for_retries: Callable[[str], Awaitable[bool]] = _ask_nobody
-        self._budgets: dict[str, RetryShare] = {}
+        self.retries = RetryBudgets(
+            settings, is_usable=lambda service: bool(self.backends.usable(service))
+        )
         self._paths = PathChoice(
             settings.instance.availability_zone,
             backends=self.backends,
@@ -110,8 +99,8 @@
         self.admission = Admission(
             settings.admission,
             capacity=self._paths,
-            peers=_PeerDemand(self),
-            returns=_SpreadReturns(rng),
+            peers=SummedDemand(self.loads, instances=lambda: self.instances()),
+            returns=SpreadReturns(rng),
             phase=rng.random(),
         )
         self.loads.own_demand = self.admission.demand
@@ -119,44 +108,12 @@
     def take_settings(self, settings: RouterSettings) -> None:
         """Take changed settings in."""
         self.settings = settings
+        self.retries.settings = settings
         self.backends.leaving_s = settings.bounds.leaving_s
         self.health.stall_s = settings.bounds.stall_s
         self.progress.longest_silence_s = settings.policy.gap_limit_s
         self.admission.take_settings(settings.admission)
 
-    def count_request(self, service: str) -> None:
-        """Note a caller's request, which earns a part of a retry."""
-        budget = self._budget(service).own
-        budget.resize(self._reserve())
-        budget.deposit()
-
-    async def may_retry(self, service: str) -> bool:
-        """Take a retry from the service's budget; tell whether there was one."""
-        budget = self._budget(service)
-        give_up_s = clocks.now_s() + _RETRY_WAIT_S
-        while budget.left(now_s=clocks.now_s()) < 1.0:
-            is_given = await self.ask_for_retries(service)
-            if not is_given or clocks.now_s() >= give_up_s:
-                break
-        is_paid = budget.withdraw(now_s=clocks.now_s())
-        if not is_paid:
-            events.log(events.RETRIES_SPENT, service=service)
-        return is_paid
-
-    def return_retry(self, service: str) -> None:
-        """Take back a retry that was paid for a send which was kept back."""
-        self._budget(service).own.give_back()
-
-    def give_retries(self, service: str, wanted: float) -> float:
-        """Take off and return what another instance gets of a service's retries."""
-        if service not in self._budgets and not self.backends.usable(service):
-            return 0.0
-        return self._budget(service).give(wanted)
-
-    def take_retries(self, service: str, amount: float) -> None:
-        """Take in what another instance has taken off its part."""
-        self._budget(service).take(amount, now_s=clocks.now_s())
-
     def path(
         self,
         service: ServiceSpec,
@@ -229,7 +186,7 @@
             place: Tells the own place among those of the own zone.
         """
         self.instances = count
-        self._has_others = True
+        self.retries.instances = count
         self._paths.place = place
 
     def usable(self, service: str) -> list[BackendServer]:
@@ -422,88 +379,6 @@
             self.tell(Sighting(server_id, trouble, rest_s, self.born_ms(server_id)))
         return rest_s
 
-    def _budget(self, service: str) -> RetryShare:
-        """Return this instance's part of a service's retries."""
-        budget = self._budgets.get(service)
-        if budget is None:
-            ratio = self.settings.bounds.retry_ratio * self.settings.policy.retry_part
-            budget = RetryShare(RetryBudget(ratio=ratio, reserve=self._reserve()))
-            self._budgets[service] = budget
-        return budget
-
-    def _reserve(self) -> float:
-        """Return this instance's part of the retries that all may save up."""
-        policy = self.settings.policy
-        if not self._has_others:
-            return policy.retry_reserve
-        part = self.settings.bounds.retry_slack * policy.retry_slack_part
-        instances = self.instances()
-        return part / instances if instances else _UNKNOWN_RESERVE
-
-
-class _PeerDemand:
-    """What other instances are asked for, as their sums of loads tell it."""
-
-    def __init__(self, routing: Routing) -> None:
-        self._routing = routing
-
-    def demand(self) -> Demand:
-        """Return the sum over all other instances that are heard."""
-        return self._routing.loads.others.demand
-
-    def age_s(self) -> float | None:
-        """Return the age of that sum in seconds, or None without any."""
-        return self._routing.loads.others_age_s(now_s=clocks.now_s())
-
-    def are_known(self) -> bool:
-        """Tell whether other instances are known to serve."""
-        return self._routing.instances() > 1
-
-    def heard(self) -> int:
-        """Return how many other instances are in the sum."""
-        return self._routing.loads.others.instances
-
-
-class _SpreadReturns:
-    """Spreads refused callers over time, with nothing reserved.
-
-    Args:
-        rng: Draws.
-    """
-
-    def __init__(self, rng: random.Random) -> None:
-        self._rng = rng
-
-    def slot(
-        self,
-        _service: str,
-        _work: str,
-        _priority: int,
-        *,
-        starts_per_s: float,
-        most_s: float,
-    ) -> Slot:
-        """Return when a caller should come back."""
-        back_s = come_back_s(most_s if not starts_per_s else 0.0, rng=self._rng)
-        return Slot(clocks.now_s() + back_s, is_reserved=False)
-
-    async def claim(self, _work: str) -> Claim:
-        """Return that nothing is reserved."""
-        return Claim(ClaimOutcome.UNKNOWN, 0.0)
-
-    def reserved(self, _service: str) -> int:
-        """Return that nothing is reserved."""
-        return 0
-
-    def kept(self) -> int:
-        """Return that nothing is kept."""
-        return 0
-
-
-async def _ask_nobody(_service: str) -> bool:
-    """Stand in for other instances where there are none."""
-    return False
-
 
 def _trouble_of(refusal: Refusal, *, is_told_by_other: bool) -> Trouble:
     """Return the trouble that a refusal tells of."""
--- a/src/violethatch/_streams.py
+++ b/src/violethatch/_streams.py
@@ -166,7 +166,9 @@
             if path is None:
                 break
             is_again = self.sends > 0
-            if is_again and not await self._routing.may_retry(self._service.name):
+            if is_again and not await self._routing.retries.may_retry(
+                self._service.name
+            ):
                 break
             if self._work.is_held:
                 break  # other tries of it have ended servers while this one waited
@@ -180,7 +182,7 @@
             if end is _End.PASSED_ON:
                 return status
             if end is _End.KEPT_BACK and is_again:
-                self._routing.return_retry(self._service.name)
+                self._routing.retries.return_retry(self._service.name)
         if not self._is_started:
             raise self._failure()
         responder.abort()
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -142,7 +142,7 @@
         got, _ = await serve(client, A, B, retry_reserve=1, retry_part=0)
         assert got.end == "whole"
         routing = make_routing(client, A, B, rng=random.Random(1), retry_part=0)
-        while await routing.may_retry("model"):
+        while await routing.retries.may_retry("model"):
             pass
         client.answers = [FakeAnswer(events(1), LOST), FakeAnswer(events(2))]
         responder = FakeResponder()
--- a/tests/test_word_gate.py
+++ b/tests/test_word_gate.py
@@ -271,13 +271,15 @@
             refused(), KeptBackError("rest", 1.0), FakeAnswer(events(1))
         )
         routing = make_routing(client, a, b, rng=random.Random(1), retry_reserve="5")
-        before = routing._budget("model").own.balance
+        before = routing.retries.budget("model").own.balance
         responder = FakeResponder()
         stream = StreamCall(routing, make_call(), admitted())
         await stream.serve(responder)
         assert responder.end == "whole"
         assert stream.sends == 2
-        assert routing._budget("model").own.balance == pytest.approx(before - 1.0)
+        assert routing.retries.budget("model").own.balance == pytest.approx(
+            before - 1.0
+        )
 
     async def test_sends_that_are_kept_back_end(self):
         """A gate that keeps all back makes no endless loop."""
@@ -565,10 +567,10 @@
             routing = made[0].router.routing
             for server in servers[:-1]:
                 hear(made[0], server, LIMITED)
-            before = routing._budget("model").own.balance
+            before = routing.retries.budget("model").own.balance
             got = [await made[0].ask() for _ in range(5)]
             assert all(one.end == "whole" for one in got)
-            assert routing._budget("model").own.balance >= before
+            assert routing.retries.budget("model").own.balance >= before
 
     async def test_limit_is_over(self):
         """The first answer that names none ends it; its server is left for a while."""
