--- a/src/violethatch/_router.py
+++ b/src/violethatch/_router.py
@@ -315,7 +315,7 @@
         if admitted.route.kind is CallKind.STREAM and admitted.service.engine:
             stream = StreamCall(self.routing, call, admitted)
             status = await stream.serve(responder)
-            first_event_s = stream.first_event_s
+            first_event_s = stream.output.first_event_s
             sends, moves = stream.sends, stream.repaths
             fields = stream.log_fields()
             list_state = stream.list_state
--- a/src/violethatch/_streams.py
+++ b/src/violethatch/_streams.py
@@ -11,11 +11,11 @@
 import asyncio
 import enum
 import functools
-import math
 
 from . import clocks, events
 from ._admission import StartRequest
 from ._routing import Routing
+from ._stream_output import StreamOutput
 from ._stream_run import StreamRun
 from ._work_in_hand import WorkInHand
 from .backends import BackendServer
@@ -27,7 +27,7 @@
     PipelineFailedError,
     VioletHatchError,
 )
-from .event_stream import EventSplitter, SpoiltStreamError, StreamProgress
+from .event_stream import SpoiltStreamError
 from .paths import Path
 from .runner_health import Trouble, tells_of_server
 from .store_era import UNREAD
@@ -80,7 +80,7 @@
         self._route = admitted.route
         self._deadline_s = call.deadline_within_s(admitted.route.timeout_s)
         self._work = WorkInHand(routing, call, admitted.workspace_name)
-        self._progress = StreamProgress(last_id=call.last_event_id)
+        self.output = StreamOutput(call, admitted.route)
         self._tokens = _expected_tokens(call, admitted.service)
         self._request = StartRequest(
             call=call,
@@ -92,8 +92,6 @@
         self._avoided: frozenset[str] = frozenset()
         #: Whether its first send uses a start that was reserved for it.
         self._is_reserved = False
-        self._is_started = False
-        self._is_framed = True
         self._refusals = 0
         self._kept_back = 0
         self.runs = 0
@@ -102,10 +100,6 @@
         self.path: Path | None = None
         #: What the list of servers rested on then.
         self.list_state = UNREAD
-        self.first_event_s: float | None = None
-        #: The longest pause between events that were given to the caller.
-        self.longest_gap_s = 0.0
-        self._given_s: float | None = None
 
     @property
     def sends(self) -> int:
@@ -119,20 +113,11 @@
             "first": path.first.id if path else None,
             "stages": len(path.stages) if path else 0,
             "expected_path_ms": round(path.token_ms, 2) if path else None,
-            "longest_gap_s": round(self.longest_gap_s, 4),
-            "is_in_target": self.is_in_target,
+            "longest_gap_s": round(self.output.longest_gap_s, 4),
+            "is_in_target": self.output.is_in_target,
             "urgency": self._request.priority,
         }
 
-    @property
-    def is_in_target(self) -> bool:
-        """Whether the events so far came within the route's targets."""
-        if self.first_event_s is None:
-            return False
-        gap_target_s = self._route.gap_target_s or math.inf
-        is_first_timely = self.first_event_s <= self._route.target_latency_s
-        return is_first_timely and self.longest_gap_s <= gap_target_s
-
     async def serve(self, responder: Responder) -> int:
         """Answer the caller; return the status.
 
@@ -149,7 +134,9 @@
         finally:
             admission.over(self._service.name)
             if self.runs:
-                admission.ended(self._service.name, is_in_target=self.is_in_target)
+                admission.ended(
+                    self._service.name, is_in_target=self.output.is_in_target
+                )
 
     async def _serve_admitted(self, responder: Responder) -> int:
         """Answer the caller of an admitted stream; return the status.
@@ -183,13 +170,13 @@
                 return status
             if end is _End.KEPT_BACK and is_again:
                 self._routing.retries.return_retry(self._service.name)
-        if not self._is_started:
+        if not self.output.is_started:
             raise self._failure()
         responder.abort()
         events.log(
             events.STREAM_CUT,
             request_id=self._call.id,
-            last_event_id=self._progress.last_id,
+            last_event_id=self.output.progress.last_id,
             runs=self.runs,
         )
         return 0
@@ -252,7 +239,7 @@
         """Send the call along a path and pass its events on."""
         self.path = path
         self.list_state = self._routing.list_state()
-        self._progress.run_again()
+        self.output.progress.run_again()
         send = Send(
             call=self._call,
             server=path.first,
@@ -260,7 +247,7 @@
             deadline_s=self._deadline_s,
             priority=self._admitted.priority,
             workspace=self._admitted.workspace_name,
-            last_event_id=self._progress.last_id,
+            last_event_id=self.output.progress.last_id,
             # The first run may have been lost with a connection that had rested.
             is_connection_fresh=not self._route.is_resumable or self.runs > 0,
         )
@@ -328,7 +315,7 @@
         if not _OK <= answer.status < _MULTIPLE_CHOICES:
             return await self._take_failure(answer, run, responder)
         try:
-            await self._pass_on(answer, run, responder)
+            await self.output.pass_on(run.parts(answer), answer, responder)
         except (AnswerLostError, SpoiltStreamError) as error:
             trouble = await self._work.trouble_of(
                 error, run.path.first, has_begun=run.has_begun
@@ -364,7 +351,7 @@
                 f"answered {answer.status}",
             )
         is_last = not self._route.is_resumable or self.runs >= self._route.max_attempts
-        if self._is_started or not is_last:
+        if self.output.is_started or not is_last:
             return _End.LOST, 0
         try:
             async with asyncio.timeout(clocks.left_s(self._deadline_s)):
@@ -377,54 +364,6 @@
         )
         return _End.PASSED_ON, answer.status
 
-    async def _pass_on(
-        self, answer: Answer, run: StreamRun, responder: Responder
-    ) -> None:
-        """Give whole events to the caller as they come.
-
-        Raises:
-            AnswerLostError: The stream broke off.
-            SpoiltStreamError: Its bytes are not the next events.
-            TimeoutError: It was silent for too long.
-        """
-        splitter = EventSplitter()
-        async for part in run.parts(answer):
-            wanted: list[bytes] = []
-            try:
-                for event in splitter.feed(part):
-                    if self._progress.take(event):
-                        wanted.append(event.data)  # noqa: PERF401 (kept on errors)
-            finally:
-                # What was counted as taken has to reach the caller, also when
-                # a later event of the same bytes spoils the stream.
-                if wanted:
-                    await self._give(b"".join(wanted), answer, responder)
-        if splitter.has_rest:
-            msg = "the stream ended within an event"
-            raise SpoiltStreamError(msg)
-        if not self._is_started:
-            await self._start(answer, responder)
-        if self._is_framed and not answer.is_framed:
-            msg = "the stream's end can't be told from a cut"
-            raise AnswerLostError(msg)
-
-    async def _give(self, data: bytes, answer: Answer, responder: Responder) -> None:
-        """Give events to the caller, after the head."""
-        now_s = clocks.now_s()
-        if self._given_s is not None:
-            self.longest_gap_s = max(self.longest_gap_s, now_s - self._given_s)
-        self._given_s = now_s
-        if not self._is_started:
-            self.first_event_s = now_s - self._call.received_s
-            await self._start(answer, responder)
-        await responder.write(data)
-
-    async def _start(self, answer: Answer, responder: Responder) -> None:
-        """Begin the answer as its first run has begun."""
-        self._is_started = True
-        self._is_framed = answer.is_framed
-        await responder.start(answer.status, answer.headers, is_framed=answer.is_framed)
-
     def _leave_first(
         self, server: BackendServer, reason: str, *, trouble: Trouble = Trouble.SILENT
     ) -> None:
@@ -440,7 +379,7 @@
             request_id=self._call.id,
             path=[stage.server.id for stage in run.path.stages],
             suspects=sorted(run.suspects),
-            last_event_id=self._progress.last_id,
+            last_event_id=self.output.progress.last_id,
         )
 
     def _failure(self) -> VioletHatchError:
