--- a/src/violethatch/_peer_links.py
+++ b/src/violethatch/_peer_links.py
@@ -57,4 +57,5 @@
         routing.gate.limits.ask_permit = self.limits.ask
         routing.gate.limits.tell = self.limits.tell
         routing.admission.returns = self._returns
+        routing.link_watch.is_active = True
         routing.know_instances(count=directory.__len__, place=directory.place)
--- a/src/violethatch/_router.py
+++ b/src/violethatch/_router.py
@@ -14,7 +14,7 @@
 from ._routing import Routing
 from ._streams import StreamCall
 from .backends import BackendServer
-from .desired import Admitted, CallKind, DesiredState
+from .desired import Admitted, CallKind, DesiredState, ServiceSpec
 from .draining import StopPlan
 from .errors import (
     DrainingError,
@@ -65,6 +65,8 @@
         self.routing = Routing(settings, client, rng)
         self.metrics = RouterMetrics()
         self.routing.ends.on_end = lambda: self.metrics.server_ends.inc({})
+        self.routing.service_of = self._declared
+        self.routing.link_watch.on_check = self.metrics.checked_links
         self.routing.on_refusal = self.metrics.refused
         self.routing.gate.on_word = self.metrics.heard
         self.routing.gate.on_kept_back = self.metrics.kept_back
@@ -236,6 +238,10 @@
             "held_works": self.routing.suspects.held(now_s=now_s),
             "suspected_works": len(self.routing.suspects),
             "resting": sorted(self.routing.health.resting(now_s=now_s)),
+            "lost_links": {
+                service: lost._asdict()
+                for service, lost in self.routing.link_watch.links.lost().items()
+            },
             "asked_rest_s": self.routing.gate.state(),
             "server_limits": {
                 one: limit._asdict()
@@ -262,10 +268,15 @@
         self.metrics.tables(self.tables())
         suspects = self.routing.suspects
         self.metrics.admission(self.routing.admission.states())
+        self.metrics.lost_links(self.routing.link_watch.links.lost())
         self.metrics.servers_resting.set({}, len(self.routing.gate.state()))
         self.metrics.limits(self.routing.gate.limits.state())
         self.metrics.works(len(suspects), len(suspects.held(now_s=now_s)))
 
+    def _declared(self, service: str) -> ServiceSpec | None:
+        """Return what the desired state declares for a service, if it does."""
+        return self.desired.services.get(service) if self.desired else None
+
     def _proof_age_s(self) -> float | None:
         """Return the age of the desired state's proof, for a log line."""
         age_s = self.freshness.age_s(now_s=clocks.now_s())
--- a/src/violethatch/_router_metrics.py
+++ b/src/violethatch/_router_metrics.py
@@ -3,7 +3,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 
 from aioprometheus import Counter, Gauge, Histogram, Registry
 
@@ -97,6 +97,16 @@
             "Servers that have asked this instance for rest.",
             registry=self.registry,
         )
+        self.link_checks = Counter(
+            "violethatch_router_link_checks_total",
+            "Checks of the links to a service's servers, by outcome.",
+            registry=self.registry,
+        )
+        self.links_lost = Gauge(
+            "violethatch_router_links_lost",
+            "1 for each service none of whose servers can be reached from here.",
+            registry=self.registry,
+        )
         self.limit_permits = Counter(
             "violethatch_router_limit_permits_total",
             "Answers to what was asked before sends to limited servers.",
@@ -238,6 +248,16 @@
         """Count what was not written to a server."""
         self.sends_kept_back.inc({"sending": sending, "reason": reason})
 
+    def checked_links(self, outcome: str) -> None:
+        """Count a check of links."""
+        self.link_checks.inc({"outcome": outcome})
+
+    def lost_links(self, services: Iterable[str]) -> None:
+        """Show the services whose links are lost, and them alone."""
+        self.links_lost.values.clear()
+        for service in services:
+            self.links_lost.set({"service": service}, 1)
+
     def permit(self, outcome: str) -> None:
         """Count an answer to a question for a permit."""
         self.limit_permits.inc({"outcome": outcome})
--- a/src/violethatch/_routing.py
+++ b/src/violethatch/_routing.py
@@ -19,6 +19,7 @@
 from .backends import BackendServer, BackendTable
 from .crash_suspects import CrashSuspects, End
 from .desired import ServiceSpec
+from .forwarding import LinkWatch
 from .path_shares import Place
 from .paths import Path
 from .pipe_share import PipeShare
@@ -58,6 +59,14 @@
         self.probes = Probes(
             client, on_silent=self._note_silent, on_report=self._note_report
         )
+        #: Returns what is declared for a service, if it is.
+        self.service_of: Callable[[str], ServiceSpec | None] = lambda _name: None
+        self.link_watch = LinkWatch(
+            self,
+            listed=self.backends.usable,
+            zone=settings.instance.availability_zone,
+            rng=rng,
+        )
         self.gate = WordGate(self.backends, rng=rng)
         self.gate.on_wish = self._note_wish
         self.gate.on_leaving = self._note_leaving
@@ -270,6 +279,12 @@
         server = self.backends.get(server_id)
         return server.born_ms if server is not None else 0
 
+    async def is_answering(self, server: BackendServer) -> bool | None:
+        """Tell whether a server answers over a new connection; None if not asked."""
+        service = self.service_of(server.service)
+        health_path = service.health_path if service is not None else ""
+        return await self.client.is_answering(server, health_path=health_path)
+
     def in_zones(self, service: ServiceSpec, zones: Collection[str]) -> frozenset[str]:
         """Return the ids of a service's servers in some zones."""
         return frozenset(
@@ -323,6 +338,8 @@
     ) -> None:
         """Leave a server alone for a while, and log why."""
         self._note(server.id, trouble)
+        if trouble is Trouble.SILENT:
+            self.link_watch.suspect(server)
         events.log(
             events.SERVER_TROUBLE,
             request_id=request_id,
--- a/src/violethatch/desired.py
+++ b/src/violethatch/desired.py
@@ -84,11 +84,16 @@
 
 
 class ServiceSpec(NamedTuple):
-    """A service; one with an engine serves a model."""
+    """A service; one with an engine serves a model.
+
+    Attributes:
+        health_path: Where its servers tell that they are well, or an empty text.
+    """
 
     name: str
     max_connections: int
     engine: EngineSpec | None
+    health_path: str = ""
 
 
 class CallLimits(NamedTuple):
--- a/src/violethatch/events.py
+++ b/src/violethatch/events.py
@@ -66,6 +66,9 @@
 WORD_UNKNOWN = Event(2122, "word_unknown", "Answers bear a word that nothing reads.")
 SERVER_LIMIT = Event(2123, "server_limit", "A server's limit for all has changed.")
 KEEPER_SILENT = Event(2124, "keeper_silent", "Who keeps a limit gives no answer.")
+LINKS_LOST = Event(2125, "links_lost", "No server of a service can be reached.")
+LINKS_BACK = Event(2126, "links_back", "A server of such a service answers again.")
+LINKS_SOUND = Event(2127, "links_sound", "Others answer where one server is silent.")
 LOAD_NEIGHBOURS = Event(2111, "load_neighbours", "Loads are told to other instances.")
 
 REQUEST_SERVED = Event(2205, "request_served", "A request got its answer.")
--- a/src/violethatch/platform/_desired_row.py
+++ b/src/violethatch/platform/_desired_row.py
@@ -146,6 +146,7 @@
 class _Service(PascalBody):
     name: str
     max_connections: int = 0
+    health_path: str = ""
     engine: dict[str, Any] | None = None
 
     def decoded(self) -> ServiceSpec:
@@ -153,7 +154,9 @@
         engine = None
         if self.engine is not None and self.engine.get("layers"):
             engine = msgspec.convert(self.engine, _Engine).decoded()
-        return ServiceSpec(self.name, self.max_connections, engine)
+        return ServiceSpec(
+            self.name, self.max_connections, engine, health_path=self.health_path
+        )
 
 
 class _Limits(PascalBody):
--- a/src/violethatch/platform/_runners.py
+++ b/src/violethatch/platform/_runners.py
@@ -55,6 +55,7 @@
 _MS_PER_S = 1000.0
 #: The last of the priorities that the platform knows; 0 is the first.
 _LAST_PRIORITY = 9
+_REPORT_PATH = "/api/report"
 #: How long a report may take, in seconds: a slow way and back, and its work.
 _REPORT_S = 0.25
 #: After how long it is asked for on a new connection as well, in seconds: the kept one
@@ -257,6 +258,41 @@
         writer.transport.abort()
         return False
 
+    async def is_answering(
+        self, server: BackendServer, *, health_path: str
+    ) -> bool | None:
+        """Tell whether a server answers over a new connection, whatever it answers.
+
+        None if it wants nothing now, so that it was not asked.
+        """
+        path = _REPORT_PATH if server.kind else health_path
+        if not path:
+            return await self._connects(server)
+        url = yarl.URL(f"http://{server.address}{path}", encoded=True)
+        try:
+            async with (
+                self._gated(server, Sending.REPORT) as sent,
+                asyncio.timeout(_REPORT_S),
+                self._fresh.get(url, allow_redirects=False) as answer,
+            ):
+                self._hear(server, answer, sent)
+        except KeptBackError:
+            return None
+        except (TimeoutError, *CALL_ERRORS):
+            return False
+        return True
+
+    async def _connects(self, server: BackendServer) -> bool:
+        """Tell whether a server takes a connection."""
+        try:
+            host, port = host_and_port(server.address)
+            async with asyncio.timeout(_REPORT_S):
+                _, writer = await asyncio.open_connection(host, port)
+        except (TimeoutError, *CALL_ERRORS):
+            return False
+        writer.transport.abort()
+        return True
+
     async def report(self, server: BackendServer) -> RunnerReport | None:
         """Return a runner's report, or None if none came in time.
 
@@ -281,7 +317,7 @@
         Raises:
             KeptBackError: It was not asked.
         """
-        url = f"http://{server.address}/api/report"
+        url = f"http://{server.address}{_REPORT_PATH}"
         try:
             async with (
                 self._gated(server, Sending.REPORT) as sent,
--- a/src/violethatch/upstream.py
+++ b/src/violethatch/upstream.py
@@ -386,6 +386,20 @@
     async def is_refusing(self, server: BackendServer) -> bool:
         """Tell whether a server refuses connections: nobody listens there."""
 
+    async def is_answering(
+        self, server: BackendServer, *, health_path: str
+    ) -> bool | None:
+        """Tell whether a server answers over a new connection, whatever it answers.
+
+        Args:
+            server: Whom to ask.
+            health_path: Where a plain service's servers are asked; where it is empty,
+                a connection is enough.
+
+        Returns:
+            None if the server wants nothing now, so that it was not asked.
+        """
+
     async def report(self, server: BackendServer) -> RunnerReport | None:
         """Return a runner's report, or None if none came in time.
 
--- a/tests/router_fakes.py
+++ b/tests/router_fakes.py
@@ -116,6 +116,9 @@
         self.looked.append(server.id)
         return server.id in self.refusing
 
+    async def is_answering(self, server, *, health_path):
+        return server.id not in self.refusing
+
     async def report(self, server):
         return self.reports.get(server.id)
 
