--- a/src/violethatch/_routing.py
+++ b/src/violethatch/_routing.py
@@ -32,7 +32,7 @@
 from .store_era import UNREAD, TableState
 from .stream_loads import StreamLoads
 from .turning_away import come_back_s
-from .upstream import Refusal, RunnerClient, RunnerReport
+from .upstream import Reached, Refusal, RunnerClient, RunnerReport
 
 
 class RestartListener(Protocol):
@@ -63,7 +63,8 @@
         self.service_of: Callable[[str], ServiceSpec | None] = lambda _name: None
         self.link_watch = LinkWatch(
             self,
-            listed=self.backends.usable,
+            listed=self.backends.entries,
+            services=self.backends.services,
             zone=settings.instance.availability_zone,
             rng=rng,
         )
@@ -279,11 +280,11 @@
         server = self.backends.get(server_id)
         return server.born_ms if server is not None else 0
 
-    async def is_answering(self, server: BackendServer) -> bool | None:
-        """Tell whether a server answers over a new connection; None if not asked."""
+    async def reach(self, server: BackendServer) -> Reached:
+        """Ask a server over a new connection; any answer will do."""
         service = self.service_of(server.service)
         health_path = service.health_path if service is not None else ""
-        return await self.client.is_answering(server, health_path=health_path)
+        return await self.client.reach(server, health_path=health_path)
 
     def in_zones(self, service: ServiceSpec, zones: Collection[str]) -> frozenset[str]:
         """Return the ids of a service's servers in some zones."""
--- a/src/violethatch/_work_in_hand.py
+++ b/src/violethatch/_work_in_hand.py
@@ -87,7 +87,7 @@
         """
         if not isinstance(error, ConnectionBrokenError):
             return Trouble.FAILED
-        self._routing.link_watch.note_break(server)
+        self._routing.link_watch.suspect(server)
         has_ended = await self.lost(server, has_begun=has_begun)
         return Trouble.SILENT if has_ended else Trouble.FAILED
 
--- a/src/violethatch/backends.py
+++ b/src/violethatch/backends.py
@@ -229,6 +229,10 @@
             self.revision += 1
         return expired
 
+    def services(self) -> frozenset[str]:
+        """Return the services that have listed servers."""
+        return frozenset(server.service for server in self._servers.values())
+
     def usable(self, service: str) -> list[BackendServer]:
         """Return a service's servers that may get new work."""
         return [
@@ -237,6 +241,15 @@
             if server.service == service and not server.is_leaving
         ]
 
+    def entries(self, service: str) -> list[BackendServer]:
+        """Return the usable servers that calls of a service are sent to.
+
+        Those are the runners that a path may begin at, where there are any.
+        """
+        usable = self.usable(service)
+        firsts = [one for one in usable if one.layers and one.layers.first == 0]
+        return firsts or usable
+
     def leaving(self, service: str) -> list[str]:
         """Return the ids of a service's listed servers that leave."""
         return [
--- a/src/violethatch/forwarding/_link_watch.py
+++ b/src/violethatch/forwarding/_link_watch.py
@@ -9,26 +9,29 @@
 import asyncio
 import random
 
-from collections.abc import Callable, Sequence
+from collections import defaultdict
+from collections.abc import Callable, Iterable, Sequence
 from typing import Protocol
 
 from .. import clocks, events
 from .._listed import BackendServer
-from ._links import LinkCheck, ServerLinks, servers_to_check
+from ..upstream import Reached
+from ._links import LinkCheck, LostLinks, ServerLinks, servers_to_check
 
 
 #: How often servers are asked again while links are lost, in seconds.
 _RECHECK_S = 0.25
+#: Servers of a service that are asked at the return of its links.
+_MAX_ASKED = 8
+#: How long a check waits for those of the other services, in seconds.
+_OTHERS_S = 0.3
 
 
 class ServerProbe(Protocol):
     """Asks servers whether they are there."""
 
-    async def is_answering(self, server: BackendServer) -> bool | None:
-        """Tell whether a server answers over a new connection, whatever it answers.
-
-        None where it was not asked.
-        """
+    async def reach(self, server: BackendServer) -> Reached:
+        """Ask a server over a new connection; any answer will do."""
 
 
 class LinkWatch:
@@ -36,7 +39,8 @@
 
     Args:
         probe: Asks servers.
-        listed: Returns a service's servers that may get new work.
+        listed: Returns the servers that calls of a service may be sent to.
+        services: Returns the services that have listed servers.
         zone: The instance's availability zone.
         rng: Chooses whom to ask.
     """
@@ -46,18 +50,22 @@
         probe: ServerProbe,
         *,
         listed: Callable[[str], Sequence[BackendServer]],
+        services: Callable[[], Iterable[str]],
         zone: str,
         rng: random.Random,
     ) -> None:
         self.links = ServerLinks()
         #: Whether links are checked: no other instance can help one that is alone.
         self.is_active = False
-        #: Told of a service whose links were lost, and since when, at their return.
-        self.on_return: Callable[[str, float], None] = lambda _service, _since_s: None
+        #: Told at the return of links who answers, and since when they were lost.
+        self.on_return: Callable[[Sequence[str], float], None] = (
+            lambda _server_ids, _since_s: None
+        )
         #: Told of each check's outcome.
         self.on_check: Callable[[str], None] = lambda _outcome: None
         self._probe = probe
         self._listed = listed
+        self._services = services
         self._zone = zone
         self._rng = rng
         self._checks: dict[str, asyncio.Task[bool]] = {}
@@ -74,23 +82,22 @@
             The check, which tells whether the links are lost; None where none is
             needed.
         """
-        service = server.service
-        running = self._checks.get(service)
-        if running is not None:
-            return running
-        if not self.is_active:
-            return None
-        if not self.links.needs_check(service, now_s=clocks.now_s()):
-            return None
-        check = asyncio.create_task(self._check(server))
-        self._checks[service] = check
-        return check
+        return self._begin_check(server.service, server)
+
+    def note_late(self, server: BackendServer, *, sent_s: float) -> None:
+        """Note a late answer; it leads to a check where none has come since.
 
-    def note_break(self, server: BackendServer) -> None:
-        """Note an answer that broke off; several servers' lead to a check."""
-        if self.links.note_break(server, now_s=clocks.now_s()):
+        Args:
+            server: Who has not answered.
+            sent_s: When the request was sent, in monotonic seconds.
+        """
+        if not self.links.has_answered(server.service, since_s=sent_s):
             self.suspect(server)
 
+    def note_answer(self, service: str) -> None:
+        """Note that a server of a service has answered a call."""
+        self.links.note_answer(service, now_s=clocks.now_s())
+
     async def settled(self, service: str) -> bool:
         """Tell whether links are lost, after a check that is under way has ended."""
         running = self._checks.get(service)
@@ -119,88 +126,115 @@
 
         check.add_done_callback(take)
 
-    async def _check(self, suspect: BackendServer) -> bool:
-        """Ask other servers of a suspected server's service; tell whether all fail."""
-        service = suspect.service
+    def _begin_check(
+        self, service: str, suspect: BackendServer | None
+    ) -> asyncio.Task[bool] | None:
+        """Return the check of a service's links that is under way, if one is needed."""
+        running = self._checks.get(service)
+        if running is not None:
+            return running
+        if not self.is_active:
+            return None
+        if not self.links.needs_check(service, now_s=clocks.now_s()):
+            return None
+        check = asyncio.create_task(self._check(service, suspect))
+        self._checks[service] = check
+        return check
+
+    async def _check(self, service: str, suspect: BackendServer | None) -> bool:
+        """Ask servers of a service; tell whether the links to them are lost."""
         began_s = clocks.now_s()
         try:
             asked = servers_to_check(
                 self._listed(service), suspect=suspect, zone=self._zone, rng=self._rng
             )
             check = await self._ask(asked)
+            if check.unclear and not (check.answered or check.silent):
+                await self._check_others(service)
         finally:
             self._checks.pop(service, None)
-        if check.silent and not check.answered:
-            check = check._replace(silent=(suspect.id, *check.silent))
         self._take(service, check, began_s=began_s)
         return self.is_lost(service)
 
-    async def _ask(self, servers: Sequence[BackendServer]) -> LinkCheck:
-        """Ask servers at once; one answer is enough."""
-        answered, silent = [], []
-        asked = {asyncio.create_task(self._is_answering(one)): one for one in servers}
-        for next_done in asyncio.as_completed(asked):
-            server_id, is_answering = await next_done
-            if is_answering:
-                answered.append(server_id)
-                break
-            if is_answering is not None:
-                silent.append(server_id)
-        for task in asked:
-            task.cancel()
-        return LinkCheck(tuple(answered), tuple(silent))
-
-    async def _is_answering(self, server: BackendServer) -> tuple[str, bool | None]:
-        """Ask one server; return its id beside what it came to."""
-        return server.id, await self._probe.is_answering(server)
+    async def _check_others(self, service: str) -> None:
+        """Check the links to the other services' servers."""
+        others = [one for one in self._services() if one != service]
+        checks = [self._begin_check(one, None) for one in others]
+        running = [check for check in checks if check is not None]
+        if running:
+            # They may wait for this one in turn.
+            await asyncio.wait(running, timeout=_OTHERS_S)
+
+    async def _ask(
+        self, servers: Sequence[BackendServer], *, is_one_enough: bool = True
+    ) -> LinkCheck:
+        """Ask servers at once."""
+        found: defaultdict[Reached, list[str]] = defaultdict(list)
+        asked = [asyncio.create_task(self._reach(one)) for one in servers]
+        try:
+            for next_done in asyncio.as_completed(asked):
+                server_id, reached = await next_done
+                found[reached].append(server_id)
+                if reached is Reached.ANSWERED and is_one_enough:
+                    break
+        finally:
+            for task in asked:
+                task.cancel()
+        return LinkCheck(
+            answered=tuple(found[Reached.ANSWERED]),
+            silent=tuple(found[Reached.SILENT]),
+            unclear=tuple(found[Reached.CONNECTED]),
+        )
+
+    async def _reach(self, server: BackendServer) -> tuple[str, Reached]:
+        """Ask one server; return its id beside what that came to."""
+        return server.id, await self._probe.reach(server)
 
     def _take(self, service: str, check: LinkCheck, *, began_s: float) -> None:
         """Take a check's outcome in, log it, and act on a changed belief."""
-        lost = self.links.lost().get(service)
+        before = self.links.lost().get(service)
         is_changed = self.links.note_check(service, check, began_s=began_s)
         self.on_check("answered" if check.answered else "silent")
-        if not is_changed:
-            if lost is None:
-                self._log_check(service, check, began_s)
-            return
-        if lost is None:
-            events.log(
-                events.LINKS_LOST,
-                service=service,
-                silent=list(check.silent),
-                check_s=round(clocks.now_s() - began_s, 4),
-            )
+        check_s = round(clocks.now_s() - began_s, 4)
+        fields = {"service": service, **check._asdict(), "check_s": check_s}
+        if is_changed and before is None:
+            events.log(events.LINKS_LOST, **fields)
             self._rechecks[service] = asyncio.create_task(self._recheck(service))
-            return
+        elif is_changed and before is not None:
+            self._note_return(service, before, check)
+        elif before is None:
+            events.log(events.LINKS_SOUND, **fields)
+
+    def _note_return(self, service: str, lost: LostLinks, check: LinkCheck) -> None:
+        """Log that links are back, and tell whoever wants to know."""
         events.log(
             events.LINKS_BACK,
             service=service,
             answered=list(check.answered),
             lost_s=round(clocks.now_s() - lost.since_s, 3),
         )
-        self.on_return(service, lost.since_s)
-
-    def _log_check(self, service: str, check: LinkCheck, began_s: float) -> None:
-        """Log a check that found the links sound, or nobody to ask."""
-        events.log(
-            events.LINKS_SOUND,
-            service=service,
-            answered=list(check.answered),
-            silent=list(check.silent),
-            check_s=round(clocks.now_s() - began_s, 4),
-        )
+        self.on_return(check.answered, lost.since_s)
 
     async def _recheck(self, service: str) -> None:
-        """Ask servers, one after another, until one answers or none is listed."""
+        """Ask servers, one after another, until one answers or none is listed.
+
+        Links to one service's servers are seldom lost alone: the others' are checked.
+        """
         try:
+            await self._check_others(service)
             while self.is_lost(service):
                 await asyncio.sleep(_RECHECK_S)
-                servers = list(self._listed(service))
+                servers = self._listed(service)
                 if not servers:
                     self.links.forget(service)
                     return
                 began_s = clocks.now_s()
                 check = await self._ask([self._rng.choice(servers)])
+                if check.answered:
+                    # Links to single servers may still be lost: the first calls
+                    # after the return should not be the ones to find out.
+                    asked = self._rng.sample(servers, min(len(servers), _MAX_ASKED))
+                    check = await self._ask(asked, is_one_enough=False)
                 self._take(service, check, began_s=began_s)
         finally:
             self._rechecks.pop(service, None)
--- a/src/violethatch/forwarding/_links.py
+++ b/src/violethatch/forwarding/_links.py
@@ -24,9 +24,6 @@
 #: How long a check that was answered stands, in seconds: trouble met meanwhile is the
 #: servers' own.
 SOUND_LIFE_S = 0.5
-#: Within what time answers that broke off at different servers raise a suspicion, in
-#: seconds.  One alone is common while links are sound.
-_BREAK_LIFE_S = 1.0
 
 
 class LinkCheck(NamedTuple):
@@ -35,10 +32,13 @@
     Attributes:
         answered: The ids of the servers that gave an answer.
         silent: The ids of those that gave none.
+        unclear: The ids of those that took a connection and gave none: they may be
+            busy.
     """
 
-    answered: tuple[str, ...]
-    silent: tuple[str, ...]
+    answered: tuple[str, ...] = ()
+    silent: tuple[str, ...] = ()
+    unclear: tuple[str, ...] = ()
 
 
 class LostLinks(NamedTuple):
@@ -60,8 +60,8 @@
     def __init__(self) -> None:
         self._lost: dict[str, LostLinks] = {}
         self._sound_s: dict[str, float] = {}
-        #: By service and server, when an answer last broke off there.
-        self._breaks_s: dict[str, dict[str, float]] = {}
+        #: By service, when one of its servers last answered a call.
+        self._answered_s: dict[str, float] = {}
 
     def is_lost(self, service: str) -> bool:
         """Tell whether no server of a service can be reached."""
@@ -77,14 +77,13 @@
             return False
         return now_s - self._sound_s.get(service, -SOUND_LIFE_S) >= SOUND_LIFE_S
 
-    def note_break(self, server: BackendServer, *, now_s: float) -> bool:
-        """Note an answer that broke off; tell whether it raises a suspicion."""
-        breaks_s = self._breaks_s.setdefault(server.service, {})
-        breaks_s[server.id] = now_s
-        for server_id, at_s in list(breaks_s.items()):
-            if now_s - at_s > _BREAK_LIFE_S:
-                del breaks_s[server_id]
-        return len(breaks_s) > 1
+    def note_answer(self, service: str, *, now_s: float) -> None:
+        """Note that a server of a service has answered a call."""
+        self._answered_s[service] = now_s
+
+    def has_answered(self, service: str, *, since_s: float) -> bool:
+        """Tell whether a server of a service has answered a call since a moment."""
+        return self._answered_s.get(service, -1.0) >= since_s
 
     def note_check(self, service: str, check: LinkCheck, *, began_s: float) -> bool:
         """Take a check in; tell whether it has changed the belief.
@@ -96,17 +95,21 @@
         """
         if check.answered:
             self._sound_s[service] = began_s
-            self._breaks_s.pop(service, None)
             return self._lost.pop(service, None) is not None
-        if not check.silent or self.is_lost(service):
+        silent = check.silent
+        if self._lost:
+            silent += check.unclear  # busy servers don't explain the other losses
+        if self.is_lost(service):
+            return False
+        if not silent:
+            self._sound_s[service] = began_s
             return False
-        self._lost[service] = LostLinks(began_s, check.silent)
+        self._lost[service] = LostLinks(began_s, silent)
         return True
 
     def forget(self, service: str) -> None:
         """Forget a service that has no servers any more."""
         self._lost.pop(service, None)
-        self._breaks_s.pop(service, None)
 
 
 def servers_to_check(
--- a/src/violethatch/platform/_runners.py
+++ b/src/violethatch/platform/_runners.py
@@ -33,6 +33,7 @@
     OpenGate,
     OrderAnswer,
     OrderOutcome,
+    Reached,
     Refusal,
     RunnerReport,
     Send,
@@ -258,16 +259,12 @@
         writer.transport.abort()
         return False
 
-    async def is_answering(
-        self, server: BackendServer, *, health_path: str
-    ) -> bool | None:
-        """Tell whether a server answers over a new connection, whatever it answers.
-
-        None if it wants nothing now, so that it was not asked.
-        """
+    async def reach(self, server: BackendServer, *, health_path: str) -> Reached:
+        """Ask a server over a new connection; any answer will do."""
         path = _REPORT_PATH if server.kind else health_path
         if not path:
-            return await self._connects(server)
+            is_connected = await self._connects(server)
+            return Reached.ANSWERED if is_connected else Reached.SILENT
         url = yarl.URL(f"http://{server.address}{path}", encoded=True)
         try:
             async with (
@@ -277,10 +274,13 @@
             ):
                 self._hear(server, answer, sent)
         except KeptBackError:
-            return None
-        except (TimeoutError, *CALL_ERRORS):
-            return False
-        return True
+            return Reached.UNASKED
+        except TimeoutError:
+            is_busy = not server.kind and sent.was_written
+            return Reached.CONNECTED if is_busy else Reached.SILENT
+        except CALL_ERRORS:
+            return Reached.SILENT
+        return Reached.ANSWERED
 
     async def _connects(self, server: BackendServer) -> bool:
         """Tell whether a server takes a connection."""
--- a/src/violethatch/upstream.py
+++ b/src/violethatch/upstream.py
@@ -37,6 +37,7 @@
         deadline_s: Until when the caller waits, in monotonic seconds.
         last_event_id: The event after which a resumed stream goes on.
         prompt_tokens: The prompt's size, where the caller tells it.
+        forwarded_by: The instance that took it from its caller, if another one did.
     """
 
     id: str
@@ -50,6 +51,7 @@
     deadline_s: float
     last_event_id: int | None
     prompt_tokens: int | None
+    forwarded_by: str = ""
 
     def work_id(self, workspace: str | None) -> str:
         """Return the id of the call's work, the same when its caller comes back."""
@@ -81,6 +83,17 @@
     is_connection_fresh: bool
 
 
+class Reached(enum.Enum):
+    """What asking a server over a new connection came to."""
+
+    ANSWERED = "answered"
+    #: It took the connection and gave no answer in time: it may be busy.
+    CONNECTED = "connected"
+    SILENT = "silent"
+    #: It wants nothing now, so that it was not asked.
+    UNASKED = "unasked"
+
+
 class NotSentError(Exception):
     """The server could not be connected to: nothing has run."""
 
@@ -386,18 +399,13 @@
     async def is_refusing(self, server: BackendServer) -> bool:
         """Tell whether a server refuses connections: nobody listens there."""
 
-    async def is_answering(
-        self, server: BackendServer, *, health_path: str
-    ) -> bool | None:
-        """Tell whether a server answers over a new connection, whatever it answers.
+    async def reach(self, server: BackendServer, *, health_path: str) -> Reached:
+        """Ask a server over a new connection; any answer will do.
 
         Args:
             server: Whom to ask.
             health_path: Where a plain service's servers are asked; where it is empty,
                 a connection is enough.
-
-        Returns:
-            None if the server wants nothing now, so that it was not asked.
         """
 
     async def report(self, server: BackendServer) -> RunnerReport | None:
--- a/tests/mortal_fleet.py
+++ b/tests/mortal_fleet.py
@@ -33,6 +33,7 @@
     NotSentError,
     OrderAnswer,
     OrderOutcome,
+    Reached,
     TableView,
 )
 
@@ -149,6 +150,10 @@
         await asyncio.sleep(0.002)
         return server.id not in self.by_id
 
+    async def reach(self, server, *, health_path):
+        await asyncio.sleep(0.002)
+        return Reached.ANSWERED if server.id in self.by_id else Reached.SILENT
+
     async def report(self, server):
         return report() if server.id in self.by_id else None
 
@@ -168,17 +173,17 @@
             return FakeAnswer(0.01, events(1))
         over = asyncio.Event()
         self.waiting[send.call.id] = over
-        self.reach(send.path)
+        self.run(send.path)
         await over.wait()
         return FakeAnswer(events(1))
 
     async def repath(self, server, call_id, path):
         if path.stages[-1].server.id not in self.by_id:
             return OrderAnswer(OrderOutcome.REFUSED)
-        self.reach(path)
+        self.run(path)
         return OrderAnswer(OrderOutcome.DONE)
 
-    def reach(self, path):
+    def run(self, path):
         """Let a deadly request reach the last runner of a path."""
         server = self.by_id.get(path.stages[-1].server.id)
         if server is None:
--- a/tests/router_fakes.py
+++ b/tests/router_fakes.py
@@ -16,6 +16,7 @@
     ConnectionBrokenError,
     OrderAnswer,
     OrderOutcome,
+    Reached,
     Refusal,
     RunnerReport,
 )
@@ -116,8 +117,8 @@
         self.looked.append(server.id)
         return server.id in self.refusing
 
-    async def is_answering(self, server, *, health_path):
-        return server.id not in self.refusing
+    async def reach(self, server, *, health_path):
+        return Reached.SILENT if server.id in self.refusing else Reached.ANSWERED
 
     async def report(self, server):
         return self.reports.get(server.id)
--- a/tests/test_admission_failures.py
+++ b/tests/test_admission_failures.py
@@ -29,7 +29,7 @@
 from violethatch.paths import LayerMap
 from violethatch.room import Targets, room
 from violethatch.router_settings import AdmissionMode, AdmissionSection
-from violethatch.upstream import TableView
+from violethatch.upstream import Reached, TableView
 
 
 INSTANCES = 4
@@ -112,6 +112,9 @@
     async def is_refusing(self, _server):
         return False
 
+    async def reach(self, _server, *, health_path):
+        return Reached.ANSWERED
+
     async def report(self, _server):
         return report()
 
--- /dev/null
+++ b/tests/test_server_links.py
@@ -0,0 +1,208 @@
+# SPDX-License-Identifier: MIT
+"""What an instance believes of its links, and how it finds out."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+
+import pytest
+
+from violethatch import clocks
+from violethatch.backends import BackendServer
+from violethatch.forwarding import LinkCheck, LinkWatch, ServerLinks, servers_to_check
+from violethatch.forwarding._links import SOUND_LIFE_S
+from violethatch.upstream import Reached
+
+
+RNG = random.Random(1)
+
+
+def server(server_id, *, service="model", zone="z1"):
+    """Return a listed server."""
+    return BackendServer(server_id, service, "10.1.0.1:1", zone, 8, False)
+
+
+class TestBelief:
+    def test_links_are_lost_where_no_server_answers(self):
+        """One check without an answer is enough; an answer ends the belief."""
+        links = ServerLinks()
+        assert links.note_check("model", LinkCheck(silent=("a", "b")), began_s=5.0)
+        assert links.is_lost("model")
+        assert links.lost()["model"].since_s == 5.0
+        assert not links.note_check("model", LinkCheck(silent=("c",)), began_s=6.0)
+        assert links.note_check("model", LinkCheck(answered=("c",)), began_s=7.0)
+        assert not links.is_lost("model")
+
+    def test_one_answer_shows_sound_links(self):
+        """Where another server answers, the silent one is at fault."""
+        links = ServerLinks()
+        found = LinkCheck(answered=("a",), silent=("b",))
+        assert not links.note_check("model", found, began_s=5.0)
+        assert not links.is_lost("model")
+
+    def test_check_that_asked_nobody_says_nothing(self):
+        """Servers that want nothing now are no evidence."""
+        links = ServerLinks()
+        assert not links.note_check("model", LinkCheck(), began_s=5.0)
+        assert not links.is_lost("model")
+
+    def test_sound_links_are_not_checked_again_at_once(self):
+        """Trouble that follows a check which was answered is the servers' own."""
+        links = ServerLinks()
+        assert links.needs_check("model", now_s=5.0)
+        links.note_check("model", LinkCheck(answered=("a",)), began_s=5.0)
+        assert not links.needs_check("model", now_s=5.0 + SOUND_LIFE_S / 2)
+        assert links.needs_check("model", now_s=5.0 + SOUND_LIFE_S)
+
+    def test_busy_servers_are_not_taken_for_lost_links(self):
+        """Servers that take connections and answer late count with other losses."""
+        links = ServerLinks()
+        busy = LinkCheck(unclear=("a", "b"))
+        assert not links.note_check("labels", busy, began_s=5.0)
+        links.note_check("model", LinkCheck(silent=("m",)), began_s=6.0)
+        assert links.note_check("labels", busy, began_s=6.1)
+        assert links.is_lost("labels")
+
+
+class TestChoiceOfServers:
+    def test_own_zone_and_another_one(self):
+        """A zone whose servers fail together is not all that is asked."""
+        near = [server(f"n{n}", zone="z1") for n in range(5)]
+        far = [server(f"f{n}", zone="z2") for n in range(5)]
+        for _ in range(20):
+            asked = servers_to_check(near + far, suspect=near[0], zone="z1", rng=RNG)
+            assert [one.availability_zone for one in asked] == ["z1", "z2"]
+            assert near[0] not in asked
+
+    def test_only_server_of_a_service(self):
+        """It is asked itself once more."""
+        alone = server("a")
+        assert servers_to_check([alone], suspect=alone, zone="z1", rng=RNG) == [alone]
+
+
+class Network:
+    """Servers that can be reached or not."""
+
+    def __init__(self):
+        self.servers = {
+            "model": [server(f"m{n}", zone=f"z{n % 3}") for n in range(6)],
+            "labels": [
+                server(f"l{n}", service="labels", zone=f"z{n % 3}") for n in range(3)
+            ],
+        }
+        self.dead = set()
+        self.is_cut = False
+        self.is_busy = False
+        self.asked = []
+
+    async def reach(self, asked):
+        self.asked.append(asked.id)
+        await asyncio.sleep(0.001)
+        if self.is_cut or asked.id in self.dead:
+            return Reached.SILENT
+        if self.is_busy and asked.service == "labels":
+            return Reached.CONNECTED
+        return Reached.ANSWERED
+
+    def watch(self):
+        """Return a watch over these servers that is active."""
+        made = LinkWatch(
+            self,
+            listed=self.servers.__getitem__,
+            services=lambda: self.servers,
+            zone="z0",
+            rng=random.Random(2),
+        )
+        made.is_active = True
+        return made
+
+
+@pytest.fixture
+def network():
+    """Provide servers that can all be reached."""
+    return Network()
+
+
+class TestWatch:
+    async def test_loss_is_found_for_all_services(self, network):
+        """Trouble with one server leads to a check of all services' links."""
+        watch = network.watch()
+        network.is_cut = True
+        assert await watch.suspect(network.servers["model"][0])
+        async with asyncio.timeout(1):
+            while not watch.is_lost("labels"):
+                await asyncio.sleep(0.001)
+
+    async def test_links_come_back_by_themselves(self, network):
+        """Nobody has to send a request for that; who wants to know is told."""
+        watch = network.watch()
+        back = []
+        watch.on_return = lambda ids, since_s: back.append((ids, since_s))
+        network.is_cut = True
+        began_s = clocks.now_s()
+        await watch.suspect(network.servers["model"][0])
+        network.is_cut = False
+        async with asyncio.timeout(1):
+            while watch.is_lost("model"):
+                await asyncio.sleep(0.01)
+        assert set(back[0][0]) == {one.id for one in network.servers["model"]}
+        assert began_s <= back[0][1] <= clocks.now_s()
+
+    async def test_single_dead_server_costs_one_check(self, network):
+        """Many requests that meet it share what was found."""
+        watch = network.watch()
+        dead = network.servers["model"][0]
+        network.dead.add(dead.id)
+        for _ in range(50):
+            watch.suspect(dead)
+        assert not await watch.settled("model")
+        for _ in range(50):
+            watch.suspect(dead)
+        assert len(network.asked) <= 2
+
+    async def test_busy_plain_servers(self, network):
+        """They are not taken for lost links while other services answer."""
+        watch = network.watch()
+        network.is_busy = True
+        watch.suspect(network.servers["labels"][0])
+        assert not await watch.settled("labels")
+
+    async def test_late_answer_beside_others_in_time(self, network):
+        """Nothing is checked where a server of the service has answered meanwhile."""
+        watch = network.watch()
+        sent_s = clocks.now_s()
+        watch.note_answer("labels")
+        watch.note_late(network.servers["labels"][0], sent_s=sent_s)
+        await asyncio.sleep(0.01)
+        assert network.asked == []
+        watch.note_late(network.servers["labels"][0], sent_s=clocks.now_s())
+        await watch.settled("labels")
+        assert network.asked
+
+    async def test_others_are_told_of_a_silent_server_only_with_sound_links(
+        self, network
+    ):
+        """An instance that reaches nobody doesn't report servers as silent."""
+        watch = network.watch()
+        told = []
+        network.is_cut = True
+        watch.when_sound(network.servers["model"][0], lambda: told.append("cut"))
+        await watch.settled("model")
+        watch.when_sound(network.servers["model"][1], lambda: told.append("cut"))
+        assert told == []
+        network.is_cut = False
+        async with asyncio.timeout(1):
+            while watch.is_lost("model"):
+                await asyncio.sleep(0.01)
+        watch.when_sound(network.servers["model"][1], lambda: told.append("sound"))
+        await asyncio.sleep(0.01)
+        assert told == ["sound"]
+
+    async def test_instance_that_knows_no_other_checks_nothing(self, network):
+        """Nobody could help it."""
+        watch = network.watch()
+        watch.is_active = False
+        network.is_cut = True
+        assert watch.suspect(network.servers["model"][0]) is None
+        assert network.asked == []
