--- a/src/violethatch/_routing.py
+++ b/src/violethatch/_routing.py
@@ -3,6 +3,7 @@
 
 from __future__ import annotations
 
+import functools
 import random
 
 from collections.abc import Callable, Collection, Iterable, Sequence
@@ -74,7 +75,9 @@
         client.gate = self.gate
         #: Told of each refusal: its trouble, and whether the server rested already.
         self.on_refusal: Callable[[Trouble, bool], None] = lambda _trouble, _rests: None
-        self.ends = ServerEnds(client, listed=self.backends.get)
+        self.ends = ServerEnds(
+            client, listed=self.backends.get, is_own_loss=self.link_watch.is_own_loss
+        )
         #: The streams under way, which have to leave servers that start again.
         self.runs: set[RestartListener] = set()
         self.suspects = CrashSuspects()
@@ -393,8 +396,14 @@
             For how long, in seconds, or None if it was left alone already.
         """
         rest_s = self.health.note(server_id, trouble, now_s=clocks.now_s())
-        if rest_s is not None and is_worth_telling(trouble):
-            self.tell(Sighting(server_id, trouble, rest_s, self.born_ms(server_id)))
+        if rest_s is None or not is_worth_telling(trouble):
+            return rest_s
+        sighting = Sighting(server_id, trouble, rest_s, self.born_ms(server_id))
+        server = self.backends.get(server_id)
+        if trouble is Trouble.SILENT and server is not None:
+            self.link_watch.when_sound(server, functools.partial(self.tell, sighting))
+        else:
+            self.tell(sighting)
         return rest_s
 
 
--- a/src/violethatch/_server_ends.py
+++ b/src/violethatch/_server_ends.py
@@ -10,10 +10,10 @@
 
 import asyncio
 
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from typing import NamedTuple
 
-from . import clocks
+from . import clocks, events
 from .backends import BackendServer
 from .crash_suspects import End
 from .upstream import RunnerClient
@@ -45,12 +45,18 @@
         return clocks.now_s() - self.noted_s < _DOUBT_LIFE_S
 
 
+async def _never(_server: BackendServer) -> bool:
+    """Stand in for a check of links where there is none."""
+    return False
+
+
 class ServerEnds:
     """What one instance has found out of servers that have ended.
 
     Args:
         client: Asks whether servers refuse connections.
         listed: Returns a server as the list has it now.
+        is_own_loss: Tells whether a server's refusal is due to this instance's links.
     """
 
     def __init__(
@@ -58,8 +64,10 @@
         client: RunnerClient,
         *,
         listed: Callable[[str], BackendServer | None],
+        is_own_loss: Callable[[BackendServer], Awaitable[bool]] | None = None,
     ) -> None:
         self._client = client
+        self._is_own_loss = is_own_loss or _never
         #: Told of each server that is found to have ended.
         self.on_end: Callable[[], None] = lambda: None
         self._listed = listed
@@ -139,6 +147,11 @@
         """Ask whether a server refuses connections, and remember it."""
         try:
             is_refusing = await self._client.is_refusing(server)
+            if is_refusing and await self._is_own_loss(server):
+                events.log(
+                    events.SERVER_UNKNOWN, server_id=server.id, reason="links lost"
+                )
+                return False
         finally:
             self._looks.pop(server.lifetime, None)
         if is_refusing:
