--- a/src/violethatch/_plain_calls.py
+++ b/src/violethatch/_plain_calls.py
@@ -4,21 +4,25 @@
 from __future__ import annotations
 
 import asyncio
+import functools
 
 from typing import NamedTuple
 
 from . import clocks, events
 from ._routing import Routing
+from ._stream_output import StreamOutput
 from ._work_in_hand import WorkInHand
 from .backends import BackendServer
 from .desired import Admitted
 from .errors import (
     DeadlineError,
+    LinksLostError,
     OverloadedError,
     ServiceLostError,
     ServiceUnreachableError,
     VioletHatchError,
 )
+from .forwarding import MustForwardError
 from .runner_health import Trouble
 from .store_era import UNREAD
 from .upstream import (
@@ -74,7 +78,9 @@
     that it has not run, or if no connection came about.
     """
 
-    def __init__(self, routing: Routing, call: Call, admitted: Admitted) -> None:
+    def __init__(
+        self, routing: Routing, call: Call, admitted: Admitted, *, runs: int = 0
+    ) -> None:
         self._routing = routing
         self._call = call
         self._admitted = admitted
@@ -84,20 +90,31 @@
         self._tried: set[str] = set()
         self._refused_by: set[str] = set()
         self._kept_back = 0
-        #: Sends that may have run.
-        self.runs = 0
-        self.sends = 0
+        self.output = StreamOutput(call, admitted.route)
+        #: Sends that may have run, those of an instance that forwarded it included.
+        self.runs = runs
+        self.sends = runs
         #: When the latest send began, the server it went to, and what the list of
         #: servers rested on.
         self._sent_s = 0.0
         self.server_id: str | None = None
         self.list_state = UNREAD
 
+    @property
+    def moves(self) -> int:
+        """Moves between servers: a plain call stays where it is."""
+        return 0
+
+    def log_fields(self) -> dict[str, object]:
+        """Return what the line of its end tells beside what all calls' lines do."""
+        return {"server_id": self.server_id}
+
     async def serve(self, responder: Responder) -> int:
         """Answer the caller; return the status.
 
         Raises:
             VioletHatchError: No backend server gave an answer to pass on.
+            MustForwardError: Another instance has to serve the call.
         """
         failed: _Whole | None = None
         while self.sends + self._kept_back < _MOST_SENDS:
@@ -105,6 +122,10 @@
                 break
             if self._work.is_held:
                 break  # each send of a request that ends servers costs one more
+            if await self._routing.must_forward(
+                self._call, self._admitted.service.name
+            ):
+                raise MustForwardError
             server = self._choose(clocks.now_s())
             if server is None:
                 break
@@ -156,13 +177,18 @@
         self.sends += 1
         limit_s = self._limit_s(now_s)
         routing.choice.started(server.id)
-        late = asyncio.get_running_loop().call_later(
-            _LATE_TARGETS * self._route.target_latency_s, self._note_late, server.id
+        loop = asyncio.get_running_loop()
+        target_s = self._route.target_latency_s
+        watch = self._routing.link_watch
+        doubted = loop.call_later(
+            target_s, functools.partial(watch.note_late, server, sent_s=now_s)
         )
+        late = loop.call_later(_LATE_TARGETS * target_s, self._note_late, server.id)
         load: ServerLoad | None = None
         try:
             async with asyncio.timeout(limit_s):
                 answer = await routing.client.send(self._send_to(server))
+                watch.note_answer(server.service)
                 load = answer.load
                 whole = await self._read(answer, server.id)
             self.runs += whole is not None
@@ -181,6 +207,7 @@
             self.runs += 1
             self._note_late(server.id)
         finally:
+            doubted.cancel()
             late.cancel()
             routing.choice.ended(server.id, load, now_s=clocks.now_s())
         return None
@@ -276,6 +303,8 @@
             return held
         routing = self._routing
         routing.gate.explain(self._call.id, self._admitted.service.name)
+        if routing.link_watch.is_lost(self._admitted.service.name):
+            return LinksLostError(retry_after_s=routing.come_back_s(_NONE_RETRY_S))
         servers = routing.usable(self._admitted.service.name)
         if not servers:
             msg = "no backend server is listed"
--- a/src/violethatch/_relay_http.py
+++ b/src/violethatch/_relay_http.py
@@ -11,12 +11,12 @@
 import hmac
 import zlib
 
-from collections.abc import Mapping
+from collections.abc import Awaitable, Callable, Mapping
 
 import msgspec
 
 from aiohttp.web_request import BaseRequest
-from aiohttp.web_response import Response
+from aiohttp.web_response import Response, StreamResponse
 from aiohttp.web_server import Server
 
 from ._call_errors import CALL_ERRORS, NOT_CONNECTED
@@ -52,6 +52,10 @@
 _COMPRESSION_LEVEL = 1
 
 
+#: Answers one request of another instance, which has shown the token.
+Handler = Callable[[BaseRequest], Awaitable[StreamResponse]]
+
+
 class _Answer(msgspec.Struct, array_like=True):
     """A table's updates."""
 
@@ -69,12 +73,20 @@
     Args:
         caches: By table, what this instance knows of it.
         token: What others have to show.
+        handlers: By path, who answers what is not about tables.
     """
 
-    def __init__(self, caches: Mapping[str, TableCache], *, token: str) -> None:
+    def __init__(
+        self,
+        caches: Mapping[str, TableCache],
+        *,
+        token: str,
+        handlers: Mapping[str, Handler] | None = None,
+    ) -> None:
         self._caches = caches
         self._token = token
-        self._server = Server(self._handle, access_log=None)
+        self._handlers = handlers or {}
+        self._server = Server(self._handle, handler_cancellation=True, access_log=None)
 
     async def start(self, endpoint: str) -> None:
         """Listen on an address.
@@ -84,12 +96,13 @@
         """
         await listen(self._server, endpoint)
 
-    async def _handle(self, request: BaseRequest) -> Response:
+    async def _handle(self, request: BaseRequest) -> StreamResponse:
         """Answer one request, if it shows the token."""
         shown = request.headers.get(_TOKEN_HEADER, "")
         if not hmac.compare_digest(shown.encode(), self._token.encode()):
             return Response(status=_FORBIDDEN)
-        return await self._answer(request)
+        handle = self._handlers.get(request.path, self._answer)
+        return await handle(request)
 
     async def _answer(self, request: BaseRequest) -> Response:
         """Answer with the updates of the table that a request names."""
--- a/src/violethatch/_router.py
+++ b/src/violethatch/_router.py
@@ -5,7 +5,7 @@
 
 import random
 
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Mapping, Sequence
 from typing import Any
 
 from . import clocks, events
@@ -18,6 +18,7 @@
 from .draining import StopPlan
 from .errors import (
     DrainingError,
+    LinksLostError,
     NotConfiguredError,
     OverloadedError,
     UnauthorizedError,
@@ -25,7 +26,15 @@
     UnprovenStateError,
     VioletHatchError,
 )
+from .forwarding import (
+    ForwardedCall,
+    Forwarding,
+    MustForwardError,
+    PeerChoice,
+    PeerClient,
+)
 from .freshness import Freshness
+from .instances import InstanceEntry
 from .router_settings import RouterSettings
 from .store_era import UNREAD, TableState
 from .upstream import Call, Decoder, Responder, RunnerClient, TableView
@@ -37,6 +46,8 @@
 _STARTING_RETRY_S = 0.4
 #: How long the store's being cut off is thought to last on, in seconds.
 _UNPROVEN_S = 1.0
+#: How long links that are lost everywhere are thought to stay so, in seconds.
+_NO_LINKS_S = 0.5
 #: The most rows that can't be understood that one line names.
 _MOST_ROWS_LOGGED = 10
 #: When to come back to a busy instance, in seconds: some requests' time.
@@ -84,6 +95,11 @@
         self.desired_table: Callable[[], TableState] = lambda: UNREAD
         self._decoder = decoder
 
+    @property
+    def max_body_bytes(self) -> int:
+        """The largest body that a caller may send, in bytes."""
+        return self.desired.limits.body_bytes if self.desired else 0
+
     @property
     def is_ready(self) -> bool:
         """Whether callers should be sent here."""
@@ -92,6 +108,32 @@
         age_s = self.freshness.age_s(now_s=clocks.now_s())
         return age_s < min(self.settings.ready_limit_s, self.freshness.limit_s)
 
+    def use_forwarding(
+        self,
+        client: PeerClient,
+        *,
+        peers: Callable[[], Sequence[InstanceEntry]],
+        rng: random.Random,
+    ) -> None:
+        """Hand calls to other instances where no server can be reached from here.
+
+        Args:
+            client: Hands requests over.
+            peers: Returns the other instances.
+            rng: Chooses among them.
+        """
+        instance = self.settings.instance
+        forwarding = Forwarding(
+            client,
+            own_id=instance.id,
+            peers=peers,
+            choice=PeerChoice(instance.availability_zone, rng=rng),
+            state_version=lambda: self.desired.version if self.desired else 0,
+            retry_after_s=lambda: self.routing.come_back_s(_NO_LINKS_S),
+        )
+        forwarding.on_outcome = self.metrics.forwarded
+        self.routing.forwarding = forwarding
+
     async def serve(self, call: Call, responder: Responder) -> None:
         """Serve a call to its end.
 
@@ -107,12 +149,45 @@
         finally:
             self.in_flight -= 1
 
+    async def serve_forwarded(
+        self, call: Call, responder: Responder, *, state_version: int, runs: int
+    ) -> None:
+        """Serve a call that another instance hands over; see `ForwardServer`.
+
+        Raises:
+            VioletHatchError: Nothing of an answer was given.
+        """
+        try:
+            if self.desired is None or self.desired.version < state_version:
+                msg = "an older configuration is in force here"
+                raise NotConfiguredError(msg, retry_after_s=_ELSEWHERE_RETRY_S)
+            admitted = self._admit(call)
+            if await self.routing.link_watch.settled(admitted.service.name):
+                raise LinksLostError(retry_after_s=_ELSEWHERE_RETRY_S)
+            self.in_flight += 1
+            try:
+                await self._serve_admitted(call, admitted, responder, runs=runs)
+            finally:
+                self.in_flight -= 1
+        except VioletHatchError as error:
+            age_s = clocks.now_s() - call.received_s
+            self._log_refused(
+                call.id, error, age_s=age_s, forwarded_by=call.forwarded_by
+            )
+            raise
+
     def refused(self, call_id: str, error: VioletHatchError, *, age_s: float) -> None:
         """Log and count a request that ended with one of our own errors."""
         self.metrics.requests.inc({"outcome": str(error.code)})
         if isinstance(error, (UnknownTargetError, UnauthorizedError)):
             proof_age_s = self.freshness.age_s(now_s=clocks.now_s())
             self.metrics.refusal_proof_age_s.observe({}, proof_age_s)
+        self._log_refused(call_id, error, age_s=age_s)
+
+    def _log_refused(
+        self, call_id: str, error: VioletHatchError, *, age_s: float, **fields: object
+    ) -> None:
+        """Log a request that ended with one of our own errors."""
         events.log(
             events.REQUEST_REFUSED if error.ran == "no" else events.REQUEST_FAILED,
             request_id=call_id,
@@ -125,6 +200,7 @@
             desired_table=self.desired_table()._asdict(),
             proof_age_s=self._proof_age_s(),
             refusal_limit_s=self.settings.refusal_limit_s,
+            **fields,
         )
 
     def caller_left(self, call: Call) -> None:
@@ -318,26 +394,21 @@
         return UnprovenStateError(msg, retry_after_s=retry_after_s)
 
     async def _serve_admitted(
-        self, call: Call, admitted: Admitted, responder: Responder
+        self, call: Call, admitted: Admitted, responder: Responder, *, runs: int = 0
     ) -> None:
         """Serve a call by its route's kind, and log how it went."""
-        fields: dict[str, object] = {}
-        first_event_s = None
-        if admitted.route.kind is CallKind.STREAM and admitted.service.engine:
-            stream = StreamCall(self.routing, call, admitted)
-            status = await stream.serve(responder)
-            first_event_s = stream.output.first_event_s
-            sends, moves = stream.sends, stream.repaths
-            fields = stream.log_fields()
-            list_state = stream.list_state
-        else:
-            plain = PlainCall(self.routing, call, admitted)
-            status = await plain.serve(responder)
-            sends, moves = plain.sends, 0
-            fields = {"server_id": plain.server_id}
-            list_state = plain.list_state
+        local = self._local_call(call, admitted, runs=runs)
+        served_by = None
+        try:
+            status = await local.serve(responder)
+        except MustForwardError:
+            forwarded = self._forwarded_call(call, admitted, local)
+            status = await forwarded.serve(responder)
+            served_by = forwarded.served_by
         took_s = clocks.now_s() - call.received_s
-        self.metrics.served(admitted, status, took_s, first_event_s)
+        first_event_s = local.output.first_event_s
+        if not call.forwarded_by:
+            self.metrics.served(admitted, status, took_s, first_event_s)
         events.log(
             events.REQUEST_SERVED,
             request_id=call.id,
@@ -345,12 +416,46 @@
             service=admitted.service.name,
             workspace=admitted.workspace_name,
             status=status,
-            sends=sends,
-            moves=moves,
+            sends=local.sends,
+            moves=local.moves,
             first_event_s=round(first_event_s, 4) if first_event_s else None,
             took_s=round(took_s, 4),
-            **fields,
-            list_state=list_state._asdict(),
+            **local.log_fields(),
+            **({"served_by": served_by} if served_by else {}),
+            **({"forwarded_by": call.forwarded_by} if call.forwarded_by else {}),
+            list_state=local.list_state._asdict(),
             state_version=self.desired.version if self.desired else None,
             proof_age_s=self._proof_age_s(),
         )
+
+    def _local_call(
+        self, call: Call, admitted: Admitted, *, runs: int
+    ) -> StreamCall | PlainCall:
+        """Return a call as this instance serves it itself."""
+        is_stream = admitted.route.kind is CallKind.STREAM
+        if is_stream and admitted.service.engine:
+            return StreamCall(self.routing, call, admitted, runs=runs)
+        return PlainCall(self.routing, call, admitted, runs=runs)
+
+    def _forwarded_call(
+        self, call: Call, admitted: Admitted, local: StreamCall | PlainCall
+    ) -> ForwardedCall:
+        """Return a call, or what is left of it, to be served by other instances."""
+        assert self.routing.forwarding is not None
+        lost = self.routing.link_watch.links.lost().get(admitted.service.name)
+        events.log(
+            events.REQUEST_FORWARDED,
+            request_id=call.id,
+            service=admitted.service.name,
+            runs=local.runs,
+            last_event_id=local.output.progress.last_id,
+            lost_s=round(clocks.now_s() - lost.since_s, 3) if lost else None,
+            silent=list(lost.silent) if lost else [],
+        )
+        return ForwardedCall(
+            self.routing.forwarding,
+            call,
+            admitted,
+            runs=local.runs,
+            output=local.output,
+        )
--- a/src/violethatch/_router_metrics.py
+++ b/src/violethatch/_router_metrics.py
@@ -97,6 +97,11 @@
             "Servers that have asked this instance for rest.",
             registry=self.registry,
         )
+        self.forwards = Counter(
+            "violethatch_router_forwards_total",
+            "Requests handed to other instances, by what came of it.",
+            registry=self.registry,
+        )
         self.link_checks = Counter(
             "violethatch_router_link_checks_total",
             "Checks of the links to a service's servers, by outcome.",
@@ -248,6 +253,10 @@
         """Count what was not written to a server."""
         self.sends_kept_back.inc({"sending": sending, "reason": reason})
 
+    def forwarded(self, outcome: str) -> None:
+        """Count a request that was handed to another instance."""
+        self.forwards.inc({"outcome": outcome})
+
     def checked_links(self, outcome: str) -> None:
         """Count a check of links."""
         self.link_checks.inc({"outcome": outcome})
--- a/src/violethatch/_routing.py
+++ b/src/violethatch/_routing.py
@@ -20,7 +20,7 @@
 from .backends import BackendServer, BackendTable
 from .crash_suspects import CrashSuspects, End
 from .desired import ServiceSpec
-from .forwarding import LinkWatch
+from .forwarding import Forwarding, LinkWatch
 from .path_shares import Place
 from .paths import Path
 from .pipe_share import PipeShare
@@ -33,7 +33,11 @@
 from .store_era import UNREAD, TableState
 from .stream_loads import StreamLoads
 from .turning_away import come_back_s
-from .upstream import Reached, Refusal, RunnerClient, RunnerReport
+from .upstream import Call, Reached, Refusal, RunnerClient, RunnerReport
+
+
+#: How long before links are found lost trouble with servers is due to that, in seconds.
+_BEFORE_LOSS_S = 1.0
 
 
 class RestartListener(Protocol):
@@ -69,6 +73,9 @@
             zone=settings.instance.availability_zone,
             rng=rng,
         )
+        self.link_watch.on_return = self._note_links_back
+        #: Hands calls to other instances, where there are any.
+        self.forwarding: Forwarding | None = None
         self.gate = WordGate(self.backends, rng=rng)
         self.gate.on_wish = self._note_wish
         self.gate.on_leaving = self._note_leaving
@@ -283,6 +290,21 @@
         server = self.backends.get(server_id)
         return server.born_ms if server is not None else 0
 
+    async def must_forward(self, call: Call, service: str) -> bool:
+        """Tell whether another instance has to serve a call.
+
+        The links to the service's servers are lost; a check of them that is under way
+        is waited for.
+        """
+        if self.forwarding is None or call.forwarded_by:
+            return False
+        return await self.link_watch.settled(service)
+
+    def _note_links_back(self, server_ids: Collection[str], since_s: float) -> None:
+        """Use servers again whose silence was due to this instance's own links."""
+        for server_id in server_ids:
+            self.health.forget_since(server_id, since_s - _BEFORE_LOSS_S)
+
     async def reach(self, server: BackendServer) -> Reached:
         """Ask a server over a new connection; any answer will do."""
         service = self.service_of(server.service)
--- a/src/violethatch/_streams.py
+++ b/src/violethatch/_streams.py
@@ -22,12 +22,14 @@
 from .desired import Admitted, ServiceSpec
 from .errors import (
     DeadlineError,
+    LinksLostError,
     NoRouteError,
     OverloadedError,
     PipelineFailedError,
     VioletHatchError,
 )
 from .event_stream import SpoiltStreamError
+from .forwarding import MustForwardError
 from .paths import Path
 from .runner_health import Trouble, tells_of_server
 from .store_era import UNREAD
@@ -72,7 +74,9 @@
 class StreamCall:
     """Serves one streamed call."""
 
-    def __init__(self, routing: Routing, call: Call, admitted: Admitted) -> None:
+    def __init__(
+        self, routing: Routing, call: Call, admitted: Admitted, *, runs: int = 0
+    ) -> None:
         self._routing = routing
         self._call = call
         self._admitted = admitted
@@ -94,7 +98,8 @@
         self._is_reserved = False
         self._refusals = 0
         self._kept_back = 0
-        self.runs = 0
+        #: Sends that may have run, those of an instance that forwarded it included.
+        self.runs = runs
         self.repaths = 0
         #: The path that it was sent along last.
         self.path: Path | None = None
@@ -106,6 +111,11 @@
         """Sends to runners, refused ones included."""
         return self.runs + self._refusals
 
+    @property
+    def moves(self) -> int:
+        """Moves onto other paths."""
+        return self.repaths
+
     def log_fields(self) -> dict[str, object]:
         """Return what the line of its end tells beside what all calls' lines do."""
         path = self.path
@@ -123,7 +133,9 @@
 
         Raises:
             VioletHatchError: Nothing of an answer was given to the caller.
+            MustForwardError: Another instance has to serve the call, or its rest.
         """
+        await self._check_links()
         admission = self._routing.admission
         if not self._work.is_held and self._call.last_event_id is None:
             self._is_reserved = await admission.admit(self._service.name, self._request)
@@ -149,6 +161,7 @@
         while not self._work.is_held:
             if (self.sends or self._kept_back) and not self._may_send_again():
                 break
+            await self._check_links()
             path = await self._next_path()
             if path is None:
                 break
@@ -181,6 +194,15 @@
         )
         return 0
 
+    async def _check_links(self) -> None:
+        """Check that the service's servers can be reached, or nobody else could help.
+
+        Raises:
+            MustForwardError: Another instance has to serve the call.
+        """
+        if await self._routing.must_forward(self._call, self._service.name):
+            raise MustForwardError
+
     async def _next_path(self) -> Path | None:
         """Return the path to send along, or None if there is none.
 
@@ -372,7 +394,9 @@
         self._routing.note_trouble(server, trouble, self._call.id, reason)
 
     def _note_given_up(self, run: StreamRun) -> None:
-        """Log that a silent run was given up on."""
+        """Log that a silent run was given up on, and doubt its first runner's link."""
+        if run.path.first.id in run.suspects:
+            self._routing.link_watch.suspect(run.path.first)
         self._avoided |= run.suspects
         events.log(
             events.RUN_GIVEN_UP,
@@ -400,6 +424,8 @@
         if retry_after_s is None:
             asked_s = 0.0 if blocked is None else blocked.asked_s
             retry_after_s = self._routing.come_back_s(blocked_s, asked_s=asked_s)
+        if self._routing.link_watch.is_lost(self._service.name):
+            return LinksLostError(retry_after_s=retry_after_s)
         if blocked is None:
             return NoRouteError(
                 "some layers have no holder", retry_after_s=retry_after_s
--- a/src/violethatch/errors.py
+++ b/src/violethatch/errors.py
@@ -224,6 +224,15 @@
     default_ran = Ran.NO
 
 
+class LinksLostError(VioletHatchError):
+    """The instance reaches no server of the service, and no other that does."""
+
+    code = 1208
+    title = "No link to the service's servers"
+    status = 503
+    default_ran = Ran.NO
+
+
 # 13xx: execution.
 
 
--- a/src/violethatch/events.py
+++ b/src/violethatch/events.py
@@ -98,6 +98,16 @@
 )
 START_CLAIMED = Event(2224, "start_claimed", "A refused call came back.")
 
+REQUEST_FORWARDED = Event(
+    2225, "request_forwarded", "A request goes on through another instance."
+)
+FORWARD_REFUSED = Event(
+    2226, "forward_refused", "An instance did not serve a forwarded request."
+)
+FORWARD_LOST = Event(
+    2227, "forward_lost", "The answer to a forwarded request was lost."
+)
+
 REVISION_APPLIED = Event(2401, "revision_applied", "A configuration is in force.")
 REVISION_ACCEPTED = Event(2402, "revision_accepted", "A confirmed plan was stored.")
 TABLE_REPAIRED = Event(2403, "table_repaired", "An older table got the revision back.")
--- a/src/violethatch/forwarding/__init__.py
+++ b/src/violethatch/forwarding/__init__.py
@@ -6,14 +6,29 @@
 
 from __future__ import annotations
 
+from ._call import ForwardedCall, MustForwardError
+from ._choice import PeerChoice
+from ._client import ForwardClient
+from ._forwarding import Forwarding, PeerClient
 from ._link_watch import LinkWatch, ServerProbe
 from ._links import LinkCheck, LostLinks, ServerLinks, servers_to_check
+from ._listener import ForwardListener, ForwardServer
+from ._wire import PATH as FORWARD_PATH
 
 
 __all__ = (
+    "FORWARD_PATH",
+    "ForwardClient",
+    "ForwardListener",
+    "ForwardServer",
+    "ForwardedCall",
+    "Forwarding",
     "LinkCheck",
     "LinkWatch",
     "LostLinks",
+    "MustForwardError",
+    "PeerChoice",
+    "PeerClient",
     "ServerLinks",
     "ServerProbe",
     "servers_to_check",
--- /dev/null
+++ b/src/violethatch/forwarding/_call.py
@@ -0,0 +1,151 @@
+# SPDX-License-Identifier: MIT
+"""One call that is served through other instances, one of them at a time."""
+
+from __future__ import annotations
+
+import asyncio
+
+from .. import clocks, events
+from .._stream_output import StreamOutput
+from ..desired import Admitted, CallKind
+from ..errors import (
+    DeadlineError,
+    PipelineFailedError,
+    Ran,
+    ServiceLostError,
+    VioletHatchError,
+)
+from ..event_stream import SpoiltStreamError
+from ..upstream import Answer, AnswerLostError, Call, Responder
+from ._forwarding import Forwarding
+
+
+_OK = 200
+_MULTIPLE_CHOICES = 300
+
+
+class MustForwardError(Exception):
+    """No server can be reached for a call: another instance has to serve it."""
+
+
+class ForwardedCall:
+    """Serves one call through other instances.
+
+    Args:
+        forwarding: Hands it over.
+        call: The call.
+        admitted: What the desired state says of it here.
+        runs: Sends that may have run already.
+        output: What its caller has got of it, where it is a stream.
+    """
+
+    def __init__(
+        self,
+        forwarding: Forwarding,
+        call: Call,
+        admitted: Admitted,
+        *,
+        runs: int,
+        output: StreamOutput,
+    ) -> None:
+        self._forwarding = forwarding
+        self._call = call
+        self._admitted = admitted
+        self._route = admitted.route
+        self._deadline_s = call.deadline_within_s(admitted.route.timeout_s)
+        self._output = output
+        #: Sends that may have run, here and elsewhere.
+        self.runs = runs
+        #: The instance that served it last.
+        self.served_by: str | None = None
+
+    async def serve(self, responder: Responder) -> int:
+        """Answer the caller; return the status, or 0 where a stream was cut.
+
+        Raises:
+            VioletHatchError: Nothing of an answer was given to the caller.
+        """
+        while True:
+            try:
+                return await self._serve_once(responder)
+            except (AnswerLostError, SpoiltStreamError, TimeoutError):
+                self.runs += 1
+                if self._may_send_again():
+                    continue
+                error = self._failure()
+            except VioletHatchError as refusal:
+                error = refusal
+                if self.runs and refusal.ran is Ran.NO:
+                    error = self._failure()
+            if not self._output.is_started:
+                raise error
+            responder.abort()
+            events.log(
+                events.STREAM_CUT,
+                request_id=self._call.id,
+                last_event_id=self._output.progress.last_id,
+                runs=self.runs,
+            )
+            return 0
+
+    async def _serve_once(self, responder: Responder) -> int:
+        """Hand the call over once, and pass its answer on.
+
+        Raises:
+            VioletHatchError: No instance serves it.
+            AnswerLostError: Its answer was lost.
+            SpoiltStreamError: Its answer is not the stream's next events.
+        """
+        peer_id, answer = await self._forwarding.send(
+            self._call,
+            self._admitted.service.name,
+            deadline_s=self._deadline_s,
+            is_repeatable=self._route.is_repeatable,
+            runs=self.runs,
+            last_event_id=self._output.progress.last_id,
+        )
+        self.served_by = peer_id
+        self._forwarding.began(peer_id)
+        is_whole = False
+        try:
+            status = await self._pass_on(answer, responder)
+            is_whole = True
+        except AnswerLostError as error:
+            self._forwarding.note_lost(peer_id, self._call.id, str(error))
+            raise
+        finally:
+            self._forwarding.ended(peer_id)
+            answer.close(is_whole=is_whole)
+        return status
+
+    async def _pass_on(self, answer: Answer, responder: Responder) -> int:
+        """Give an answer to the caller; return its status."""
+        is_success = _OK <= answer.status < _MULTIPLE_CHOICES
+        if self._route.kind is CallKind.STREAM and is_success:
+            self._output.progress.run_again()
+            await self._output.pass_on(answer.parts(), answer, responder)
+            await responder.finish()
+            return answer.status
+        async with asyncio.timeout(clocks.left_s(self._deadline_s)):
+            body = b"".join([part async for part in answer.parts()])
+        if self._output.is_started:
+            msg = f"status {answer.status} for the rest of a stream"
+            raise AnswerLostError(msg)
+        await responder.answer(
+            answer.status, answer.headers, body, is_framed=answer.is_framed
+        )
+        return answer.status
+
+    def _may_send_again(self) -> bool:
+        """Tell whether the call may be handed over once more."""
+        is_left = self.runs < self._route.max_attempts
+        in_time = clocks.now_s() < self._deadline_s
+        return self._route.is_repeatable and is_left and in_time
+
+    def _failure(self) -> VioletHatchError:
+        """Return the error of a call that may have run."""
+        if clocks.now_s() >= self._deadline_s:
+            return DeadlineError("no answer before the deadline")
+        if self._route.kind is CallKind.STREAM:
+            return PipelineFailedError("the answer of another instance was lost")
+        return ServiceLostError("the answer of another instance was lost")
--- /dev/null
+++ b/src/violethatch/forwarding/_client.py
@@ -0,0 +1,213 @@
+# SPDX-License-Identifier: MIT
+"""Hands requests to other instances and reads their answers as they come."""
+
+from __future__ import annotations
+
+import asyncio
+
+from collections.abc import AsyncIterator, Callable
+from typing import TypeVar
+
+import aiohttp
+
+from .._call_errors import CALL_ERRORS, NOT_CONNECTED
+from ..errors import Ran, VioletHatchError
+from ..instances import InstanceEntry
+from ..upstream import AnswerLostError, Headers, ServerLoad
+from ..upstream import Refusal as ServerRefusal
+from ._wire import (
+    PATH,
+    AnswerHead,
+    ForwardedRequest,
+    Frame,
+    FrameKind,
+    FrameSplitter,
+    Refusal,
+    decoded_head,
+    decoded_refusal,
+    encoded,
+)
+
+
+_Message = TypeVar("_Message", AnswerHead, Refusal)
+TOKEN_HEADER = "Violethatch-Peer"
+#: How long a connection to an instance may take, in seconds.
+_CONNECT_S = 0.25
+#: How long an instance that is at work says nothing, in seconds: some of its pings.
+_SILENCE_S = 1.0
+_OK = 200
+
+
+class NotTakenError(Exception):
+    """The instance could not be reached: it has not got the request."""
+
+
+class PeerRefusalError(Exception):
+    """The instance gives no answer of a server's.
+
+    Attributes:
+        error: Its own error.
+        in_flight: Requests in progress there.
+    """
+
+    def __init__(self, error: VioletHatchError, in_flight: int) -> None:
+        super().__init__(str(error))
+        self.error = error
+        self.in_flight = in_flight
+
+
+class ForwardedAnswer:
+    """A server's answer that another instance passes on, its body still to come."""
+
+    def __init__(self, answer: aiohttp.ClientResponse) -> None:
+        self._answer = answer
+        self._splitter = FrameSplitter()
+        self._frames: list[Frame] = []
+        self.status = 0
+        self.is_framed = True
+        self.headers: Headers = ()
+        self.refusal: ServerRefusal | None = None
+        self.load: ServerLoad | None = None
+        self.in_flight = 0
+
+    async def open(self) -> None:
+        """Wait for the answer's head.
+
+        Raises:
+            PeerRefusalError: The instance gives none.
+            AnswerLostError: It broke off or fell silent.
+        """
+        frame = await self._next()
+        if frame.kind is FrameKind.REFUSAL:
+            refusal = _understood(decoded_refusal, frame)
+            raise PeerRefusalError(_error_of(refusal), refusal.in_flight)
+        head = _understood(decoded_head, frame)
+        self.status = head.status
+        self.headers = head.headers
+        self.is_framed = head.is_framed
+        self.in_flight = head.in_flight
+
+    async def parts(self) -> AsyncIterator[bytes]:
+        """Return the body as it comes.
+
+        Raises:
+            AnswerLostError: The body broke off.
+        """
+        while True:
+            frame = await self._next()
+            if frame.kind is FrameKind.END:
+                return
+            if frame.kind is not FrameKind.PART:
+                msg = f"a frame that doesn't belong there: {frame.kind.name}"
+                raise AnswerLostError(msg)
+            yield frame.content
+
+    def close(self, *, is_whole: bool) -> None:
+        """Let go of the answer; unless it is whole, break it off."""
+        if is_whole:
+            self._answer.release()
+        else:
+            self._answer.close()
+
+    async def _next(self) -> Frame:
+        """Return the next frame that says something.
+
+        Raises:
+            AnswerLostError: None came.
+        """
+        while True:
+            while self._frames:
+                frame = self._frames.pop(0)
+                if frame.kind is not FrameKind.ALIVE:
+                    return frame
+            try:
+                async with asyncio.timeout(_SILENCE_S):
+                    data = await self._answer.content.readany()
+                if not data:
+                    msg = "the instance ended the answer"
+                    raise AnswerLostError(msg)
+                self._frames.extend(self._splitter.feed(data))
+            except TimeoutError as error:
+                msg = f"the instance was silent for {_SILENCE_S:g} s"
+                raise AnswerLostError(msg) from error
+            except CALL_ERRORS as error:
+                msg = f"the answer broke off: {error!r}"
+                raise AnswerLostError(msg) from error
+
+
+class ForwardClient:
+    """Hands requests to other instances.
+
+    Args:
+        kept: The session whose connections are used again.
+        fresh: The session that opens one for each request.
+    """
+
+    def __init__(
+        self, kept: aiohttp.ClientSession, fresh: aiohttp.ClientSession
+    ) -> None:
+        self._kept = kept
+        self._fresh = fresh
+
+    async def send(
+        self, peer: InstanceEntry, request: ForwardedRequest, *, is_repeatable: bool
+    ) -> ForwardedAnswer:
+        """Hand a request to an instance; return its answer once the head is there.
+
+        Args:
+            peer: The instance.
+            request: The request.
+            is_repeatable: Whether it may run twice; else it goes out on a new
+                connection, whose loss before the write leaves nothing open.
+
+        Raises:
+            NotTakenError: The instance has not got it.
+            PeerRefusalError: It gives no answer of a server's.
+            AnswerLostError: The request may have run.
+        """
+        session = self._kept if is_repeatable else self._fresh
+        try:
+            async with asyncio.timeout(_SILENCE_S):
+                response = await session.post(
+                    f"http://{peer.address}{PATH}",
+                    data=encoded(request),
+                    headers={TOKEN_HEADER: peer.token},
+                    timeout=aiohttp.ClientTimeout(total=None, sock_connect=_CONNECT_S),
+                )
+        except NOT_CONNECTED as error:
+            raise NotTakenError(repr(error)) from error
+        except (TimeoutError, *CALL_ERRORS) as error:
+            raise AnswerLostError(repr(error)) from error
+        if response.status != _OK:
+            response.close()
+            msg = f"status {response.status}"
+            raise NotTakenError(msg)
+        answer = ForwardedAnswer(response)
+        try:
+            await answer.open()
+        except PeerRefusalError:
+            answer.close(is_whole=True)
+            raise
+        except BaseException:
+            answer.close(is_whole=False)
+            raise
+        return answer
+
+
+def _understood(decode: Callable[[bytes], _Message], frame: Frame) -> _Message:
+    """Return a frame's message.
+
+    Raises:
+        AnswerLostError: It can't be understood.
+    """
+    try:
+        return decode(frame.content)
+    except ValueError as error:
+        raise AnswerLostError(str(error)) from error
+
+
+def _error_of(refusal: Refusal) -> VioletHatchError:
+    """Return the error that an instance told of."""
+    kind = VioletHatchError.registry.get(refusal.code, VioletHatchError)
+    ran = Ran(refusal.ran) if refusal.ran in {*Ran} else Ran.MAYBE
+    return kind(refusal.detail, ran=ran, retry_after_s=refusal.retry_after_s)
--- /dev/null
+++ b/src/violethatch/forwarding/_forwarding.py
@@ -0,0 +1,214 @@
+# SPDX-License-Identifier: MIT
+"""Hands calls that this instance can't bring to a server to others that can."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Sequence
+from typing import Protocol
+
+from .. import clocks, events
+from ..errors import (
+    DrainingError,
+    LinksLostError,
+    NotConfiguredError,
+    Ran,
+    UnprovenStateError,
+    VioletHatchError,
+)
+from ..instances import InstanceEntry
+from ..upstream import AnswerLostError, Call
+from ._choice import PeerChoice
+from ._client import ForwardedAnswer, NotTakenError, PeerRefusalError
+from ._wire import ForwardedRequest
+
+
+_MS_PER_S = 1000.0
+#: Errors of one instance that say nothing of what another one can do.
+_OF_THAT_INSTANCE = (
+    DrainingError,
+    LinksLostError,
+    NotConfiguredError,
+    UnprovenStateError,
+)
+#: Instances that are asked for one call at the most.
+_MAX_ASKED = 8
+
+
+class PeerClient(Protocol):
+    """Hands requests to other instances."""
+
+    async def send(
+        self, peer: InstanceEntry, request: ForwardedRequest, *, is_repeatable: bool
+    ) -> ForwardedAnswer:
+        """Hand a request over; see `ForwardClient.send`."""
+
+
+class Forwarding:
+    """Hands one instance's calls to others.
+
+    Args:
+        client: Hands requests over.
+        own_id: The instance.
+        peers: Returns all other instances.
+        choice: Chooses among them.
+        state_version: Returns the version of the desired state in force here.
+        retry_after_s: Returns when a call that nobody can serve should come back, in
+            seconds.
+    """
+
+    def __init__(
+        self,
+        client: PeerClient,
+        *,
+        own_id: str,
+        peers: Callable[[], Sequence[InstanceEntry]],
+        choice: PeerChoice,
+        state_version: Callable[[], int],
+        retry_after_s: Callable[[], float],
+    ) -> None:
+        self._client = client
+        self._own_id = own_id
+        self._peers = peers
+        self._choice = choice
+        self._state_version = state_version
+        self._retry_after_s = retry_after_s
+        #: Told of each request that was handed over, and what came of it.
+        self.on_outcome: Callable[[str], None] = lambda _outcome: None
+
+    async def send(
+        self,
+        call: Call,
+        service: str,
+        *,
+        deadline_s: float,
+        is_repeatable: bool,
+        runs: int,
+        last_event_id: int | None,
+    ) -> tuple[str, ForwardedAnswer]:
+        """Hand a call over; return the instance that serves it, and its answer's head.
+
+        Args:
+            call: The call.
+            service: Its service.
+            deadline_s: Until when it may take, in monotonic seconds.
+            is_repeatable: Whether it may run twice.
+            runs: Sends that may have run already.
+            last_event_id: The event after which its stream goes on.
+
+        Raises:
+            VioletHatchError: No instance serves it, for this reason.
+            AnswerLostError: It was handed over, and its answer was lost.
+        """
+        asked: set[str] = set()
+        while len(asked) < _MAX_ASKED:
+            now_s = clocks.now_s()
+            peer = self._choice.choose(
+                self._peers(), service, avoided=asked, now_s=now_s
+            )
+            if peer is None or now_s >= deadline_s:
+                break
+            asked.add(peer.id)
+            request = self._request(
+                call, deadline_s=deadline_s, runs=runs, last_event_id=last_event_id
+            )
+            answer = await self._ask(peer, service, request, is_repeatable)
+            if answer is not None:
+                return peer.id, answer
+        self.on_outcome("none")
+        msg = (
+            f"no server can be reached, nor an instance that could ({len(asked)} asked)"
+        )
+        raise LinksLostError(msg, retry_after_s=self._retry_after_s())
+
+    def began(self, peer_id: str) -> None:
+        """Count a call that an instance serves."""
+        self._choice.began(peer_id)
+
+    def ended(self, peer_id: str) -> None:
+        """Count the end of such a call."""
+        self._choice.ended(peer_id)
+        self._choice.forget_old(now_s=clocks.now_s())
+
+    def note_lost(self, peer_id: str, call_id: str, reason: str) -> None:
+        """Note that an answer was lost on its way from an instance."""
+        self._choice.note_silent(peer_id, now_s=clocks.now_s())
+        self.on_outcome("lost")
+        events.log(
+            events.FORWARD_LOST,
+            request_id=call_id,
+            instance_id=peer_id,
+            reason=reason,
+        )
+
+    async def _ask(
+        self,
+        peer: InstanceEntry,
+        service: str,
+        request: ForwardedRequest,
+        is_repeatable: bool,
+    ) -> ForwardedAnswer | None:
+        """Hand a request to an instance; None if another one is to be asked.
+
+        Raises:
+            VioletHatchError: No other instance would serve it either.
+            AnswerLostError: Its answer was lost.
+        """
+        try:
+            answer = await self._client.send(peer, request, is_repeatable=is_repeatable)
+        except NotTakenError as reason:
+            self._choice.note_silent(peer.id, now_s=clocks.now_s())
+            self._log_refused(peer, request, None, str(reason))
+            return None
+        except PeerRefusalError as refusal:
+            error = refusal.error
+            self._choice.note_load(peer.id, refusal.in_flight, now_s=clocks.now_s())
+            self._log_refused(peer, request, error, error.detail)
+            if not isinstance(error, _OF_THAT_INSTANCE) or error.ran is not Ran.NO:
+                raise error from None
+            self._choice.note_refused(peer.id, service, now_s=clocks.now_s())
+            return None
+        except AnswerLostError as lost:
+            self.note_lost(peer.id, request.call_id, str(lost))
+            raise
+        self._choice.note_load(peer.id, answer.in_flight, now_s=clocks.now_s())
+        self.on_outcome("answered")
+        return answer
+
+    def _log_refused(
+        self,
+        peer: InstanceEntry,
+        request: ForwardedRequest,
+        error: VioletHatchError | None,
+        reason: str,
+    ) -> None:
+        """Log and count that an instance did not serve a request."""
+        self.on_outcome("refused" if error is not None else "not_taken")
+        events.log(
+            events.FORWARD_REFUSED,
+            request_id=request.call_id,
+            instance_id=peer.id,
+            code=error.code if error is not None else None,
+            reason=reason,
+        )
+
+    def _request(
+        self, call: Call, *, deadline_s: float, runs: int, last_event_id: int | None
+    ) -> ForwardedRequest:
+        """Return a call as it is handed over now."""
+        now_s = clocks.now_s()
+        return ForwardedRequest(
+            call_id=call.id,
+            method=call.method,
+            host=call.host,
+            target=call.target,
+            headers=[(name, value) for name, value in call.headers],
+            body=call.body,
+            key=call.key,
+            age_ms=max(0.0, (now_s - call.received_s) * _MS_PER_S),
+            left_ms=max(0.0, (deadline_s - now_s) * _MS_PER_S),
+            last_event_id=last_event_id,
+            prompt_tokens=call.prompt_tokens,
+            state_version=self._state_version(),
+            runs=runs,
+            sender=self._own_id,
+        )
--- /dev/null
+++ b/src/violethatch/forwarding/_listener.py
@@ -0,0 +1,212 @@
+# SPDX-License-Identifier: MIT
+"""Takes requests that other instances hand over, and sends their answers back."""
+
+from __future__ import annotations
+
+import asyncio
+
+from typing import Protocol
+
+from aiohttp.web_request import BaseRequest
+from aiohttp.web_response import Response, StreamResponse
+
+from .. import clocks, events
+from ..errors import VioletHatchError
+from ..upstream import Call, Headers, Responder
+from ._wire import (
+    AnswerHead,
+    ForwardedRequest,
+    FrameKind,
+    Refusal,
+    decoded_request,
+    frame,
+    message_frame,
+)
+
+
+#: How often an instance that has nothing to pass on tells that it is at work, in
+#: seconds.
+_ALIVE_S = 0.25
+#: What a request takes beside the body that its caller sent, in bytes.
+_ENVELOPE_BYTES = 131_072
+_BAD_REQUEST = 400
+_TOO_LARGE = 413
+_INTERNAL_ERROR_DETAIL = "internal error"
+
+
+class ForwardServer(Protocol):
+    """Serves what other instances hand over.
+
+    Attributes:
+        in_flight: Requests in progress.
+    """
+
+    in_flight: int
+
+    @property
+    def max_body_bytes(self) -> int:
+        """The largest body that a caller may send, in bytes."""
+
+    async def serve_forwarded(
+        self, call: Call, responder: Responder, *, state_version: int, runs: int
+    ) -> None:
+        """Serve a call to its end.
+
+        Args:
+            call: The call.
+            responder: Answers the instance that handed it over.
+            state_version: That instance's desired state: no older one may decide.
+            runs: Its sends that may have run.
+
+        Raises:
+            VioletHatchError: Nothing of an answer was given.
+        """
+
+
+class ForwardListener:
+    """Answers the requests that other instances hand over.
+
+    Args:
+        server: Serves them.
+    """
+
+    def __init__(self, server: ForwardServer) -> None:
+        self._server = server
+
+    async def handle(self, request: BaseRequest) -> StreamResponse:
+        """Serve one request; its sender has shown the token."""
+        try:
+            body = await _read(request, self._server.max_body_bytes + _ENVELOPE_BYTES)
+            message = decoded_request(body)
+        except _TooLargeError:
+            return Response(status=_TOO_LARGE)
+        except ValueError:
+            return Response(status=_BAD_REQUEST)
+        response = StreamResponse()
+        await response.prepare(request)
+        responder = _FrameResponder(request, response, self._server)
+        call = _call(message, now_s=clocks.now_s())
+        alive = asyncio.create_task(responder.stay_alive())
+        try:
+            await self._server.serve_forwarded(
+                call,
+                responder,
+                state_version=message.state_version,
+                runs=message.runs,
+            )
+        except VioletHatchError as error:
+            await responder.refuse(error)
+        except (ConnectionError, asyncio.CancelledError):
+            raise  # the sender went away, as its caller did
+        except Exception as error:
+            events.log(
+                events.REQUEST_FAILED, request_id=call.id, code=1000, error=repr(error)
+            )
+            await responder.refuse(VioletHatchError(_INTERNAL_ERROR_DETAIL))
+        finally:
+            alive.cancel()
+        return response
+
+
+class _FrameResponder:
+    """Passes an answer on to the instance that handed the request over."""
+
+    def __init__(
+        self, request: BaseRequest, response: StreamResponse, server: ForwardServer
+    ) -> None:
+        self._request = request
+        self._response = response
+        self._server = server
+        self._is_started = False
+        self._written_s = clocks.now_s()
+
+    async def answer(
+        self, status: int, headers: Headers, body: bytes, *, is_framed: bool = True
+    ) -> None:
+        """Give an answer."""
+        await self.start(status, headers, is_framed=is_framed)
+        await self.write(body)
+        await self.finish()
+
+    async def start(
+        self, status: int, headers: Headers, *, is_framed: bool = True
+    ) -> None:
+        """Begin an answer that comes in parts."""
+        self._is_started = True
+        head = AnswerHead(status, list(headers), is_framed, self._server.in_flight)
+        await self._write(message_frame(FrameKind.HEAD, head))
+
+    async def write(self, data: bytes) -> None:
+        """Give a part of the answer."""
+        await self._write(frame(FrameKind.PART, data))
+
+    async def finish(self) -> None:
+        """End the answer as whole."""
+        await self._response.write_eof(frame(FrameKind.END))
+
+    def abort(self) -> None:
+        """Break the answer off, so that it can't be taken for whole."""
+        if self._request.transport is not None:
+            self._request.transport.abort()
+
+    async def refuse(self, error: VioletHatchError) -> None:
+        """Tell why there is no answer of a server's; break off what has begun."""
+        if self._is_started:
+            self.abort()
+            return
+        refusal = Refusal(
+            error.code,
+            error.detail,
+            error.ran.value,
+            error.retry_after_s,
+            self._server.in_flight,
+        )
+        await self._response.write_eof(message_frame(FrameKind.REFUSAL, refusal))
+
+    async def stay_alive(self) -> None:
+        """Tell from time to time that the request is at work, until cancelled."""
+        while True:
+            await asyncio.sleep(_ALIVE_S)
+            if clocks.now_s() - self._written_s >= _ALIVE_S:
+                await self._write(frame(FrameKind.ALIVE))
+
+    async def _write(self, data: bytes) -> None:
+        """Write a frame."""
+        self._written_s = clocks.now_s()
+        await self._response.write(data)
+
+
+class _TooLargeError(Exception):
+    """A request's body is larger than any that its caller may send."""
+
+
+async def _read(request: BaseRequest, limit_bytes: int) -> bytes:
+    """Return a request's body.
+
+    Raises:
+        _TooLargeError: It is larger than the limit.
+    """
+    body = bytearray()
+    async for part in request.content.iter_any():
+        body += part
+        if len(body) > limit_bytes:
+            raise _TooLargeError
+    return bytes(body)
+
+
+def _call(message: ForwardedRequest, *, now_s: float) -> Call:
+    """Return the caller's request as if it had come here."""
+    return Call(
+        id=message.call_id,
+        method=message.method,
+        host=message.host,
+        target=message.target,
+        headers=message.headers,
+        body=message.body,
+        key=message.key,
+        received_s=now_s - message.age_s,
+        deadline_s=now_s + message.left_s,
+        last_event_id=message.last_event_id,
+        prompt_tokens=message.prompt_tokens,
+        forwarded_by=message.sender,
+    )
--- a/src/violethatch/platform/_following.py
+++ b/src/violethatch/platform/_following.py
@@ -17,6 +17,7 @@
 from .._registration import INSTANCES_TABLE, Registration
 from .._relay_http import RelayClient, RelayListener
 from .._router import Router
+from ..forwarding import FORWARD_PATH, ForwardListener
 from ..freshness import Freshness, StoreClock
 from ..instances import InstanceDirectory
 from ..relayed_tables import RelayedTables
@@ -81,7 +82,11 @@
             table: TableCache()
             for table in (_DESIRED_TABLE, _SERVERS_TABLE, INSTANCES_TABLE)
         }
-        self._relay = RelayListener(self._caches, token=directory.own.token)
+        self._relay = RelayListener(
+            self._caches,
+            token=directory.own.token,
+            handlers={FORWARD_PATH: ForwardListener(router).handle},
+        )
         self._tables = RelayedTables(
             store,
             RelayClient(connections),
--- a/src/violethatch/platform/_parts.py
+++ b/src/violethatch/platform/_parts.py
@@ -16,6 +16,7 @@
 from .._placing import PlacementDuty
 from .._rest_watch import RestWatch
 from .._router import Router
+from ..forwarding import ForwardClient
 from ..instances import InstanceDirectory, InstanceEntry
 from ..router_settings import RouterSettings
 from ..store_era import StoreEra
@@ -67,6 +68,10 @@
     connections = functools.partial(ConnectionChoice, kept, fresh, max_idle_s=KEEP_S)
     store = Store(settings.store, connections(), router.metrics, era=era)
     directory = InstanceDirectory(_own_entry(settings))
+    if settings.listen.peers is not None:
+        router.use_forwarding(
+            ForwardClient(kept, fresh), peers=directory.others, rng=rng
+        )
     duty = PlacementDuty(
         router.routing,
         store=store,
--- a/src/violethatch/runner_health.py
+++ b/src/violethatch/runner_health.py
@@ -35,6 +35,8 @@
 #: The troubles that say little of how long they last: such a server is still used
 #: where there is no other.
 _MILD = frozenset((Trouble.FULL, Trouble.ABSENT))
+#: The troubles that lost links show as.
+_OF_LINKS = frozenset((Trouble.SILENT, Trouble.FAILED))
 _SERVER_ERROR = 500
 #: A server's own word that the call's time was over, which says nothing of itself.
 _TIME_OVER = 504
@@ -56,6 +58,7 @@
     trouble: Trouble
     until_s: float
     length_s: float
+    noted_s: float
 
 
 class RunnerHealth:
@@ -91,7 +94,7 @@
             )
         if known is not None and known.until_s > now_s + length_s:
             return None
-        self._rests[server_id] = _Rest(trouble, now_s + length_s, length_s)
+        self._rests[server_id] = _Rest(trouble, now_s + length_s, length_s, now_s)
         return length_s
 
     def rest(
@@ -105,7 +108,7 @@
             return False
         first_s = self._first_rest_s(trouble)
         known_s = known.length_s if known is not None else first_s
-        self._rests[server_id] = _Rest(trouble, now_s + length_s, known_s)
+        self._rests[server_id] = _Rest(trouble, now_s + length_s, known_s, now_s)
         return True
 
     def rests_s(self, *, now_s: float) -> dict[str, float]:
@@ -152,6 +155,18 @@
             if now_s < rest.until_s and rest.trouble not in _MILD
         )
 
+    def forget_since(self, server_id: str, since_s: float) -> None:
+        """Forget what this instance's own links may be the reason for.
+
+        Args:
+            server_id: The server.
+            since_s: What was noted earlier stands, in monotonic seconds.
+        """
+        rest = self._rests.get(server_id)
+        is_due = rest is not None and rest.noted_s >= since_s
+        if is_due and rest is not None and rest.trouble in _OF_LINKS:
+            del self._rests[server_id]
+
     def forget(self, server_id: str) -> None:
         """Forget a server that is no longer listed."""
         self._rests.pop(server_id, None)
--- a/tests/linked_fleet.py
+++ b/tests/linked_fleet.py
@@ -34,6 +34,7 @@
 
 STREAM_PATH = "/draft/1"
 PLAIN_PATH = "/labels/1"
+ONCE_PATH = "/print/1"
 ROUTES = [
     dict(CONFIG["Routes"][0], TrafficSplit=[], Service="model"),
     {
@@ -46,6 +47,7 @@
         "MaxAttempts": 2,
         "Service": "labels",
     },
+    dict(CONFIG["Routes"][1], TimeoutMs=4000),
 ]
 SERVICES = [
     {"Name": "model", "Engine": ENGINE},
--- /dev/null
+++ b/tests/test_forwarding_choice.py
@@ -0,0 +1,130 @@
+# SPDX-License-Identifier: MIT
+"""Which instance serves for one without links, replayed at planned sizes."""
+
+from __future__ import annotations
+
+import heapq
+import random
+import statistics
+
+from collections import Counter
+
+import pytest
+
+from violethatch.forwarding import PeerChoice
+from violethatch.instances import InstanceEntry
+
+
+def entry(number, zone):
+    """Return an instance's entry."""
+    return InstanceEntry(f"i{number}", zone, f"10.0.0.{number}:1", "t", 1000.0, 0.0)
+
+
+NEAR, FAR = entry(1, "z1"), entry(2, "z2")
+
+
+def choice(seed=1):
+    """Return what an instance of the zone z1 knows at first."""
+    return PeerChoice("z1", rng=random.Random(seed))
+
+
+class TestChoice:
+    def test_own_zone_comes_first(self):
+        """The way between zones is taken only where it saves waiting."""
+        made = choice()
+        assert made.choose([FAR, NEAR], "model", now_s=1.0) == NEAR
+        made.note_load(NEAR.id, 30, now_s=1.0)
+        assert made.choose([FAR, NEAR], "model", now_s=1.0) == FAR
+
+    def test_instance_that_refused_is_left_out_for_its_service(self):
+        """It may serve others, and is asked again after a while."""
+        made = choice()
+        made.note_refused(NEAR.id, "model", now_s=1.0)
+        assert made.choose([NEAR], "model", now_s=1.5) is None
+        assert made.choose([NEAR], "labels", now_s=1.5) == NEAR
+        assert made.choose([NEAR], "model", now_s=2.1) == NEAR
+
+    def test_silent_instance_is_left_out_for_all_services(self):
+        """What gives no answer serves nothing."""
+        made = choice()
+        made.note_silent(NEAR.id, now_s=1.0)
+        assert made.choose([NEAR, FAR], "labels", now_s=1.5) == FAR
+
+    def test_instance_that_was_asked_is_not_asked_again(self):
+        """A call is never handed to the same instance twice in one round."""
+        assert choice().choose([NEAR], "model", avoided={NEAR.id}, now_s=1.0) is None
+
+    def test_what_is_old_is_forgotten(self):
+        """Neither refusals nor loads stay for good."""
+        made = choice()
+        made.note_refused(NEAR.id, "model", now_s=1.0)
+        made.note_load(NEAR.id, 30, now_s=1.0)
+        made.forget_old(now_s=9.0)
+        assert made._until_s == {}
+        assert made._loads == {}
+
+
+def replay(instances, cut_part, *, rate_per_s, lasts_s, for_s, seed):
+    """Return instances asked a call, and calls by serving instance.
+
+    A part of the instances loses its links at 0; each is asked for *rate_per_s* calls,
+    which last for *lasts_s* at whoever serves them.
+    """
+    rng = random.Random(seed)
+    entries = [entry(number, f"z{number % 3}") for number in range(instances)]
+    cut = set(rng.sample([one.id for one in entries], round(instances * cut_part)))
+    views = {
+        one.id: PeerChoice(one.availability_zone, rng=random.Random(f"{seed}{one.id}"))
+        for one in entries
+        if one.id in cut
+    }
+    in_flight = Counter()
+    ends = []
+    asked, served = [], Counter()
+    for own in entries:
+        if own.id not in cut:
+            in_flight[own.id] = round(rate_per_s * lasts_s)
+    arrivals = sorted(
+        (rng.uniform(0, for_s), own)
+        for own in cut
+        for _ in range(round(rate_per_s * for_s))
+    )
+    for now_s, own in arrivals:
+        while ends and ends[0][0] <= now_s:
+            _, peer_id, owner = heapq.heappop(ends)
+            in_flight[peer_id] -= 1
+            views[owner].ended(peer_id)
+        view, tried = views[own], set()
+        while True:
+            others = [one for one in entries if one.id != own]
+            peer = view.choose(others, "model", avoided=tried, now_s=now_s)
+            if peer is None:
+                break
+            tried.add(peer.id)
+            view.note_load(peer.id, in_flight[peer.id], now_s=now_s)
+            if peer.id in cut:
+                view.note_refused(peer.id, "model", now_s=now_s)
+                continue
+            in_flight[peer.id] += 1
+            served[peer.id] += 1
+            view.began(peer.id)
+            heapq.heappush(ends, (now_s + lasts_s, peer.id, own))
+            break
+        asked.append(len(tried))
+    sound = [one.id for one in entries if one.id not in cut]
+    return asked, [served[one] for one in sound]
+
+
+@pytest.mark.parametrize(
+    ("instances", "cut_part"),
+    [(8, 1 / 8), (8, 5 / 8), (8, 7 / 8), (72, 1 / 3), (350, 1 / 3)],
+)
+def test_calls_are_shared_by_those_that_serve(instances, cut_part):
+    """The busiest has at most twice the mean; few are asked in vain."""
+    asked, served = replay(
+        instances, cut_part, rate_per_s=5.5, lasts_s=2.0, for_s=6.0, seed=3
+    )
+    assert sum(served) == len(asked)
+    assert max(served) <= 2.0 * statistics.mean(served)
+    assert statistics.mean(asked) <= 2.5
+    assert max(asked) <= instances - 1
--- a/tests/test_lost_links.py
+++ b/tests/test_lost_links.py
@@ -4,11 +4,21 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
+import signal
 import statistics
 
 import pytest
 
-from linked_fleet import PLAIN_PATH, STREAM_PATH, WAYS, LinkedFleet
+from linked_fleet import (
+    ONCE_PATH,
+    PLAIN_PATH,
+    RESET,
+    STREAM_PATH,
+    WAYS,
+    LinkedFleet,
+)
+from test_platform_process import HEADERS, ID, event_ids
 from violethatch import clocks
 
 
@@ -77,3 +87,155 @@
     """All but one instance have lost their links: that one serves for all."""
     there, elsewhere = await play(fleet, 2, WAYS[0], path=STREAM_PATH)
     assert served(there) >= LEAST_SHARE * served(elsewhere)
+
+
+def arrivals(fleet, call_id):
+    """Return how often a request has reached a server."""
+    seen = [one for runner in fleet.runners.values() for one in runner.seen]
+    return sum(one.call_id == call_id for one in seen)
+
+
+async def find_lost(fleet, instance, way=RESET):
+    """Cut an instance, and wait until it knows that its links are lost."""
+    instance.cut(way)
+    async with asyncio.timeout(5):
+        while True:
+            await fleet.try_once(instance, f"found-{clocks.now_s():.3f}")
+            if (await fleet.state_of(instance))["lost_links"]:
+                return
+            await asyncio.sleep(0.05)
+
+
+@contextlib.asynccontextmanager
+async def stream(fleet, instance, call_id):
+    """Send a stream's request; provide the answer when two events have come."""
+    async with fleet.http.post(
+        f"http://127.0.0.1:{instance.front}{STREAM_PATH}",
+        data=b"a menu",
+        headers=HEADERS | {ID: call_id},
+    ) as answer:
+        await answer.content.readuntil(b"data: 2\n\n")
+        yield answer
+
+
+def slow(fleet, *, pause_s=0.15):
+    """Let servers take their time."""
+    for runner in fleet.runners.values():
+        runner.pause_s = pause_s
+
+
+async def test_instance_goes_around_links_that_are_back(fleet):
+    """Callers are served over the own links within a second of their return."""
+    cut = fleet.instances[0]
+    await find_lost(fleet, cut)
+    await fleet.call_steadily(cut, for_s=1.0)
+    cut.heal()
+    await asyncio.sleep(BACK_S)
+    forwarded = len(cut.lines(2225))
+    tries = await fleet.call_steadily(cut, for_s=1.0)
+    assert served(tries) == 1.0
+    assert len(cut.lines(2225)) == forwarded > 0
+
+
+async def test_instance_without_links_counts_as_ready(fleet):
+    """Its callers are served, so that the balancer may go on sending them."""
+    cut = fleet.instances[0]
+    await find_lost(fleet, cut)
+    async with fleet.http.get(f"http://127.0.0.1:{cut.ready}/") as answer:
+        assert answer.status == 200
+
+
+async def test_lost_links_are_reported_as_silent_servers(fleet):
+    """Others neither leave servers alone nor blame requests for their end."""
+    cut, *others = fleet.instances
+    calls = [fleet.call_steadily(one, for_s=2.0) for one in fleet.instances]
+    calls.append(fleet.call_steadily(cut, path=PLAIN_PATH, for_s=2.0))
+    playing = asyncio.gather(*calls)
+    await asyncio.sleep(0.5)
+    cut.cut(RESET)
+    await playing
+    assert cut.lines(2125)
+    for one in others:
+        assert one.lines(2109) == []
+        assert one.lines(2116) == []
+        assert (await fleet.state_of(one))["resting"] == []
+
+
+@pytest.mark.parametrize("way", WAYS[:2])
+async def test_stream_under_way_ends_with_the_links(fleet, way):
+    """It goes on through another instance after the last event that was given."""
+    slow(fleet)
+    cut = fleet.instances[0]
+    async with stream(fleet, cut, "under-way") as answer:
+        cut.cut(way)
+        rest = await answer.content.read()
+    assert event_ids(rest) == list(range(3, 9))
+
+
+async def test_caller_of_a_forwarded_stream_leaves(fleet):
+    """The run at the server ends within half a second."""
+    slow(fleet)
+    cut = fleet.instances[0]
+    await find_lost(fleet, cut)
+    async with stream(fleet, cut, "left") as answer:
+        answer.close()
+        left_s = clocks.now_s()
+    async with asyncio.timeout(5):
+        while not any("left" in one.dropped for one in fleet.runners.values()):
+            await asyncio.sleep(0.01)
+    assert clocks.now_s() - left_s < 0.5
+
+
+@pytest.mark.parametrize("number", [signal.SIGKILL, signal.SIGSTOP])
+async def test_instance_dies_under_a_forwarded_stream(fleet, number):
+    """Its stream goes on through the next one."""
+    slow(fleet)
+    cut, *others = fleet.instances
+    await find_lost(fleet, cut)
+    async with stream(fleet, cut, "taken-over") as answer:
+        serving = [one for one in others if (await fleet.state_of(one))["in_flight"]]
+        serving[0].signal(number)
+        rest = await answer.content.read()
+    assert event_ids(rest) == list(range(3, 9))
+
+
+async def test_request_that_may_not_be_repeated_is_lost_between_instances(fleet):
+    """It isn't sent again, and its caller isn't told that it has not run."""
+    slow(fleet)
+    cut, *others = fleet.instances
+    await find_lost(fleet, cut)
+    call = asyncio.create_task(fleet.try_once(cut, "once", path=ONCE_PATH))
+    async with asyncio.timeout(5):
+        while not arrivals(fleet, "once"):
+            await asyncio.sleep(0.01)
+    for one in others:
+        one.signal(signal.SIGKILL)
+    assert (await call).status == 502
+    assert arrivals(fleet, "once") == 1
+
+
+async def test_nobody_reaches_a_server(fleet):
+    """Callers are told at once that nothing ran, and when to come back."""
+    for one in fleet.instances:
+        await find_lost(fleet, one)
+    first = fleet.instances[0]
+    tries = await fleet.call_steadily(first, for_s=1.0)
+    assert {one.status for one in tries} == {503}
+    assert statistics.median(one.took_s for one in tries) < 0.05
+    refused = [one for one in first.lines(2206) if one["code"] == 1208]
+    assert refused
+    assert all(one["retry_after_s"] > 0 for one in refused)
+
+
+async def test_forwarded_request_carries_an_old_key(fleet):
+    """The instance that takes it over checks the key itself."""
+    cut = fleet.instances[0]
+    await find_lost(fleet, cut)
+    key = {"Authorization": "Token k2"}
+    assert (await fleet.try_once(cut, "unknown", **key)).status == 401
+    fleet.put_state(2, keys=("k2",))
+    async with asyncio.timeout(2):
+        while (await fleet.try_once(cut, f"{clocks.now_s()}", **key)).status != 200:
+            await asyncio.sleep(0.02)
+    await asyncio.sleep(0.2)
+    assert (await fleet.try_once(cut, "old")).status == 401
