--- a/src/violethatch/_placing.py
+++ b/src/violethatch/_placing.py
@@ -162,7 +162,7 @@
 
     def _planned_orders(self, service: ServiceSpec, now_s: float) -> list[_Order]:
         """Return the orders that a service's plan asks for now."""
-        if service.engine is None:
+        if service.engine is None or self._routing.link_watch.is_lost(service.name):
             return []
         servers = {one.id: one for one in self._routing.usable(service.name)}
         watch = self._watches[service.name]
--- a/src/violethatch/_rest_watch.py
+++ b/src/violethatch/_rest_watch.py
@@ -91,7 +91,12 @@
     def _known(self, ids: Iterable[str]) -> list[BackendServer]:
         """Return the runners with some ids that are listed."""
         known = [self._routing.backends.get(one) for one in ids]
-        return [one for one in known if one is not None and one.kind]
+        lost = self._routing.link_watch.links.lost()
+        return [
+            one
+            for one in known
+            if one is not None and one.kind and one.service not in lost
+        ]
 
     def _is_due(self, server_id: str, left_s: float, now_s: float) -> bool:
         """Tell whether a resting runner is to be asked now."""
