--- a/src/violethatch/forwarding/_listener.py
+++ b/src/violethatch/forwarding/_listener.py
@@ -4,6 +4,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 
 from typing import Protocol
 
@@ -83,7 +84,10 @@
         except ValueError:
             return Response(status=_BAD_REQUEST)
         response = StreamResponse()
-        await response.prepare(request)
+        try:
+            await response.prepare(request)
+        except ConnectionError:
+            return response  # the sender went away, as its caller did
         responder = _FrameResponder(request, response, self._server)
         call = _call(message, now_s=clocks.now_s())
         alive = asyncio.create_task(responder.stay_alive())
@@ -96,8 +100,8 @@
             )
         except VioletHatchError as error:
             await responder.refuse(error)
-        except (ConnectionError, asyncio.CancelledError):
-            raise  # the sender went away, as its caller did
+        except ConnectionError:
+            responder.abort()  # the sender went away, as its caller did
         except Exception as error:
             events.log(
                 events.REQUEST_FAILED, request_id=call.id, code=1000, error=repr(error)
@@ -161,14 +165,18 @@
             error.retry_after_s,
             self._server.in_flight,
         )
-        await self._response.write_eof(message_frame(FrameKind.REFUSAL, refusal))
+        with contextlib.suppress(ConnectionError):  # the sender went away
+            await self._response.write_eof(message_frame(FrameKind.REFUSAL, refusal))
 
     async def stay_alive(self) -> None:
         """Tell from time to time that the request is at work, until cancelled."""
         while True:
             await asyncio.sleep(_ALIVE_S)
             if clocks.now_s() - self._written_s >= _ALIVE_S:
-                await self._write(frame(FrameKind.ALIVE))
+                try:
+                    await self._write(frame(FrameKind.ALIVE))
+                except ConnectionError:
+                    return  # the sender went away; the request's task is told
 
     async def _write(self, data: bytes) -> None:
         """Write a frame."""
--- a/tests/test_lost_links_soak.py
+++ b/tests/test_lost_links_soak.py
@@ -22,6 +22,7 @@
 
 from linked_fleet import ONCE_PATH, PLAIN_PATH, STREAM_PATH, WAYS, LinkedFleet
 from test_platform_process import HEADERS, ID, event_ids
+from violethatch import clocks
 
 
 SEEDS = int(os.environ.get("LOST_LINKS_SOAK_SEEDS", "2"))
@@ -42,6 +43,8 @@
         self.faults = []
         self.statuses = Counter()
         self.version = 1
+        #: What was done to whom, for a failure's message.
+        self.disturbances = []
         self._calls = set()
         self._is_over = False
 
@@ -79,6 +82,7 @@
     async def _cut(self):
         """Take one instance's links for a while."""
         one = self.rng.choice(self.fleet.instances)
+        self._note("cut", one)
         one.cut(self.rng.choice(WAYS))
         await asyncio.sleep(self.rng.uniform(0.3, 3.0))
         one.heal()
@@ -95,6 +99,7 @@
     async def _freeze(self):
         """Let one process stand still for a while."""
         one = self.rng.choice(self.fleet.instances)
+        self._note("freeze", one)
         one.signal(signal.SIGSTOP)
         await asyncio.sleep(self.rng.uniform(0.1, 2.0))
         one.signal(signal.SIGCONT)
@@ -103,13 +108,22 @@
         """End one process, and start it again."""
         one = self.rng.choice(self.fleet.instances)
         process = one.process
+        self._note("kill", one)
         one.signal(signal.SIGCONT)
         one.signal(signal.SIGKILL)
         await process.wait()
         await asyncio.sleep(self.rng.uniform(0.1, 0.6))
         if one.process is process:
+            self._note("start", one)
             await one.start()
 
+    def _note(self, what, instance):
+        """Note what is done to an instance's process."""
+        process = instance.process
+        self.disturbances.append(
+            (round(clocks.now_s(), 2), what, instance.name, process.pid)
+        )
+
     def _change(self):
         """Write the next desired state."""
         self.version += 1
@@ -176,7 +190,8 @@
     try:
         await fleet.start()
         soak = Soak(fleet, seed)
-        assert await soak.play() == []
+        faults = await soak.play()
+        assert faults == [], soak.disturbances
         assert soak.statuses[200] > 0
     finally:
         await fleet.stop()
