--- a/src/violethatch/cli.py
+++ b/src/violethatch/cli.py
@@ -42,10 +42,11 @@
     import uvloop
 
     from ._entry import serve as serve_entry
+    from .event_loop import EventLoop
 
     loaded = load_settings(settings)
     eliot.to_file(sys.stderr)
-    uvloop.run(serve_entry(loaded))
+    uvloop.run(serve_entry(loaded), loop_factory=EventLoop)
 
 
 def route(*, settings: str) -> None:
--- a/src/violethatch/platform/_process.py
+++ b/src/violethatch/platform/_process.py
@@ -15,6 +15,7 @@
 from .. import clocks, events
 from .._router import Router
 from ..errors import SettingsError
+from ..event_loop import EventLoop
 from ..log_output import LogOutput
 from ..router_settings import RouterSettings, load_router_settings
 from ._listener import CallersListener, ReadinessListener
@@ -53,7 +54,7 @@
         SettingsError: The settings file is not valid.
     """
     settings = load_router_settings(path)
-    uvloop.run(_Process(settings, path).run())
+    uvloop.run(_Process(settings, path).run(), loop_factory=EventLoop)
 
 
 class _Process:
