--- a/src/violethatch/forwarding/_choice.py
+++ b/src/violethatch/forwarding/_choice.py
@@ -69,13 +69,13 @@
             avoided: The ids of instances that were asked already.
             now_s: The current monotonic time, in seconds.
         """
-        able = [
-            one
-            for one in peers
-            if one.id not in avoided and self._may_serve(one.id, service, now_s)
-        ]
-        near = [one for one in able if one.availability_zone == self._zone]
-        far = [one for one in able if one.availability_zone != self._zone]
+        barred = self._unable(service, now_s=now_s).union(avoided)
+        near: list[InstanceEntry] = []
+        far: list[InstanceEntry] = []
+        for one in peers:
+            if one.id not in barred:
+                is_near = one.availability_zone == self._zone
+                (near if is_near else far).append(one)
         compared = [*self._sample(near), *self._sample(far)]
         if not compared:
             return None
@@ -114,13 +114,13 @@
             if now_s - load.told_s < _LOAD_LIFE_S
         }
 
-    def _may_serve(self, peer_id: str, service: str, now_s: float) -> bool:
-        """Tell whether an instance is not known to be unable to serve a service."""
-        until_s = max(
-            self._until_s.get((peer_id, ""), 0.0),
-            self._until_s.get((peer_id, service), 0.0),
-        )
-        return now_s >= until_s
+    def _unable(self, service: str, *, now_s: float) -> set[str]:
+        """Return the instances that are known to be unable to serve a service."""
+        return {
+            peer_id
+            for (peer_id, known), until_s in self._until_s.items()
+            if now_s < until_s and known in ("", service)
+        }
 
     def _sample(self, peers: list[InstanceEntry]) -> list[InstanceEntry]:
         """Return some instances by chance."""
