--- a/src/violethatch/_routing.py
+++ b/src/violethatch/_routing.py
@@ -71,7 +71,8 @@
             listed=self.backends.entries,
             services=self.backends.services,
             zone=settings.instance.availability_zone,
-            rng=rng,
+            # Checks leave the draws of everything else as they are.
+            rng=random.Random(settings.instance.id),
         )
         self.link_watch.on_return = self._note_links_back
         #: Hands calls to other instances, where there are any.
