--- a/src/violethatch/_relay_http.py
+++ b/src/violethatch/_relay_http.py
@@ -35,7 +35,8 @@
 from .upstream import TableView
 
 
-_TOKEN_HEADER = "Violethatch-Peer"
+#: Shows the asked instance its own token.
+TOKEN_HEADER = "Violethatch-Peer"
 _PATH = "/changes"
 _OK = 200
 _NO_UPDATE = 204
@@ -98,7 +99,7 @@
 
     async def _handle(self, request: BaseRequest) -> StreamResponse:
         """Answer one request, if it shows the token."""
-        shown = request.headers.get(_TOKEN_HEADER, "")
+        shown = request.headers.get(TOKEN_HEADER, "")
         if not hmac.compare_digest(shown.encode(), self._token.encode()):
             return Response(status=_FORBIDDEN)
         handle = self._handlers.get(request.path, self._answer)
@@ -186,7 +187,7 @@
         async with self._connections.session.get(
             f"http://{peer.address}{_PATH}",
             params=query,
-            headers={_TOKEN_HEADER: peer.token},
+            headers={TOKEN_HEADER: peer.token},
         ) as answer:
             return answer.status, await answer.read()
 
--- a/src/violethatch/_streams.py
+++ b/src/violethatch/_streams.py
@@ -195,7 +195,7 @@
         return 0
 
     async def _check_links(self) -> None:
-        """Check that the service's servers can be reached, or nobody else could help.
+        """Check that the links to the service's servers are not lost.
 
         Raises:
             MustForwardError: Another instance has to serve the call.
--- a/src/violethatch/forwarding/_client.py
+++ b/src/violethatch/forwarding/_client.py
@@ -11,6 +11,7 @@
 import aiohttp
 
 from .._call_errors import CALL_ERRORS, NOT_CONNECTED
+from .._relay_http import TOKEN_HEADER
 from ..errors import Ran, VioletHatchError
 from ..instances import InstanceEntry
 from ..upstream import AnswerLostError, Headers, ServerLoad
@@ -30,7 +31,6 @@
 
 
 _Message = TypeVar("_Message", AnswerHead, Refusal)
-TOKEN_HEADER = "Violethatch-Peer"
 #: How long a connection to an instance may take, in seconds.
 _CONNECT_S = 0.25
 #: How long an instance that is at work says nothing, in seconds: some of its pings.
