Move streams into a package of their own

Change: _streams.py and _stream_run.py become streams/_call.py and streams/_run.py; no line of logic. Measured: lint, types and test_streams.py.

--- a/src/violethatch/_router.py
+++ b/src/violethatch/_router.py
@@ -12,7 +12,6 @@
 from ._plain_calls import PlainCall
 from ._router_metrics import RouterMetrics
 from ._routing import Routing
-from ._streams import StreamCall
 from .backends import BackendServer
 from .desired import Admitted, CallKind, DesiredState, ServiceSpec
 from .draining import StopPlan
@@ -37,6 +36,7 @@
 from .instances import InstanceEntry
 from .router_settings import RouterSettings
 from .store_era import UNREAD, TableState
+from .streams import StreamCall
 from .upstream import Call, Decoder, Responder, RunnerClient, TableView
 
 
--- a/src/violethatch/_streams.py
+++ b/src/violethatch/streams/_call.py
@@ -12,15 +12,14 @@
 import enum
 import functools
 
-from . import clocks, events
-from ._admission import StartRequest
-from ._routing import Routing
-from ._stream_output import StreamOutput
-from ._stream_run import StreamRun
-from ._work_in_hand import WorkInHand
-from .backends import BackendServer
-from .desired import Admitted, ServiceSpec
-from .errors import (
+from .. import clocks, events
+from .._admission import StartRequest
+from .._routing import Routing
+from .._stream_output import StreamOutput
+from .._work_in_hand import WorkInHand
+from ..backends import BackendServer
+from ..desired import Admitted, ServiceSpec
+from ..errors import (
     DeadlineError,
     LinksLostError,
     NoRouteError,
@@ -28,12 +27,12 @@
     PipelineFailedError,
     VioletHatchError,
 )
-from .event_stream import SpoiltStreamError
-from .forwarding import MustForwardError
-from .paths import Path
-from .runner_health import Trouble, tells_of_server
-from .store_era import UNREAD
-from .upstream import (
+from ..event_stream import SpoiltStreamError
+from ..forwarding import MustForwardError
+from ..paths import Path
+from ..runner_health import Trouble, tells_of_server
+from ..store_era import UNREAD
+from ..upstream import (
     Answer,
     AnswerLostError,
     Call,
@@ -42,6 +41,7 @@
     Responder,
     Send,
 )
+from ._run import StreamRun
 
 
 _OK = 200
--- a/src/violethatch/_stream_run.py
+++ b/src/violethatch/streams/_run.py
@@ -13,14 +13,14 @@
 from collections.abc import AsyncIterator, Iterable, Mapping
 from typing import Any
 
-from . import clocks, events
-from ._routing import Routing
-from ._work_in_hand import WorkInHand
-from .backends import BackendServer
-from .desired import ServiceSpec
-from .paths import Path
-from .runner_health import Trouble
-from .upstream import Answer, OrderOutcome, RunnerReport, Send
+from .. import clocks, events
+from .._routing import Routing
+from .._work_in_hand import WorkInHand
+from ..backends import BackendServer
+from ..desired import ServiceSpec
+from ..paths import Path
+from ..runner_health import Trouble
+from ..upstream import Answer, OrderOutcome, RunnerReport, Send
 
 
 #: Orders onto another path that are tried in one silence.
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -22,7 +22,6 @@
 from routing_samples import call_route, desired_state, runner
 from violethatch import _governed_service, clocks
 from violethatch._admission import Admission, StartRequest
-from violethatch._streams import StreamCall
 from violethatch.admission_preview import active_section, parse_state, preview
 from violethatch.demand import NO_DEMAND, RUNNING, Demand, DemandKey
 from violethatch.errors import NotAdmittedError
@@ -31,6 +30,7 @@
 from violethatch.return_slots import Claim, ClaimOutcome, Slot
 from violethatch.room import Room
 from violethatch.router_settings import AdmissionMode, AdmissionSection
+from violethatch.streams import StreamCall
 
 
 URGENT = call_route(priority=0, path_prefix="/urgent/")
--- a/tests/test_clocks.py
+++ b/tests/test_clocks.py
@@ -24,9 +24,9 @@
 from test_placing import FLEET, FakeStore, make_duty, quick
 from violethatch import clocks
 from violethatch._router import Router
-from violethatch._streams import StreamCall
 from violethatch.errors import DeadlineError, UnprovenStateError
 from violethatch.runner_health import Trouble
+from violethatch.streams import StreamCall
 
 
 A = runner("a", 0, 80)
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -23,13 +23,13 @@
 from routing_samples import call_route, runner
 from routing_samples import engine as routing_engine
 from violethatch import clocks
-from violethatch._streams import StreamCall
 from violethatch.errors import (
     NoRouteError,
     OverloadedError,
     PipelineFailedError,
 )
 from violethatch.runner_health import Trouble
+from violethatch.streams import StreamCall
 from violethatch.upstream import (
     NotSentError,
     OrderAnswer,
--- a/tests/test_word_gate.py
+++ b/tests/test_word_gate.py
@@ -31,12 +31,12 @@
 from routing_samples import runner
 from violethatch import clocks
 from violethatch import events as log_events
-from violethatch._streams import StreamCall
 from violethatch.errors import OverloadedError
 from violethatch.layers import LayerRange
 from violethatch.limit_permits import Permit
 from violethatch.paths import Path, Stage
 from violethatch.runner_health import Trouble
+from violethatch.streams import StreamCall
 from violethatch.upstream import (
     KeptBackError,
     OrderAnswer,
