Add time limits that count only while the event loop runs

Cause: an instance that stood still takes its own standstill for a runner's silence: its timers are due before the bytes that have arrived are read. Change: running_time.py, not used yet.

--- /dev/null
+++ b/src/violethatch/running_time.py
@@ -0,0 +1,148 @@
+# SPDX-License-Identifier: MIT
+"""Time limits that count only while the event loop runs.
+
+A process that is stopped, throttled or busy with one long step reads nothing
+meanwhile.  Afterwards its timers are due before the bytes that have arrived are
+read, so that a plain timeout takes its own standstill for the other side's silence.
+
+Limits on what was promised to others, such as leases and deadlines, go by
+`clocks` instead: they run out whether this process runs or not.
+
+.. versionadded:: 26.7.0
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+
+from collections.abc import AsyncIterator, Callable, Collection
+from typing import Any
+
+from . import clocks
+
+
+#: A timer that fires later than this shows that the loop stood still, in seconds.
+LATE_S = 0.02
+#: A limit is counted in steps: a standstill costs one step at most, in seconds.
+_MAX_STEP_S = 0.05
+_MIN_STEP_S = 0.01
+_STEPS = 4
+#: Further steps after a standstill at the limit's end: what has arrived meanwhile is
+#: read first.  Bounded, as a loop that is overloaded is always late.
+_MAX_EXTRA_STEPS = 3
+
+
+class Allowance:
+    """Counts a limit down by steps of running time.
+
+    Args:
+        limit_s: The limit, in seconds.
+
+    .. versionadded:: 26.7.0
+    """
+
+    def __init__(self, limit_s: float) -> None:
+        self._left_s = limit_s
+        self._usual_step_s = min(max(limit_s / _STEPS, _MIN_STEP_S), _MAX_STEP_S)
+        self._extra_steps = _MAX_EXTRA_STEPS
+        self._began_s = 0.0
+        self._step_s = 0.0
+
+    def begin_step(self) -> float:
+        """Begin a step; return how long to wait for, in seconds."""
+        is_extra = self._left_s <= 0.0
+        self._step_s = self._usual_step_s
+        if not is_extra:
+            self._step_s = min(self._step_s, self._left_s)
+        self._began_s = clocks.now_s()
+        return self._step_s
+
+    def end_step(self) -> bool:
+        """End a step whose time is over; tell whether the limit is."""
+        late_s = clocks.now_s() - self._began_s - self._step_s
+        self._left_s -= self._step_s
+        if self._left_s > 0.0:
+            return False
+        if late_s <= LATE_S or self._extra_steps == 0:
+            return True
+        self._extra_steps -= 1
+        return False
+
+
+async def wait(
+    futures: Collection[asyncio.Future[Any]],
+    *,
+    limit_s: float,
+    return_when: str = asyncio.FIRST_COMPLETED,
+) -> bool:
+    """Wait for futures; tell whether that came before the limit.
+
+    Args:
+        futures: What to wait for.  They go on if the limit is over first.
+        limit_s: The limit in running time, in seconds.
+        return_when: As for `asyncio.wait`.
+
+    .. versionadded:: 26.7.0
+    """
+    allowance = Allowance(limit_s)
+    while True:
+        _, pending = await asyncio.wait(
+            futures, timeout=allowance.begin_step(), return_when=return_when
+        )
+        is_enough = return_when == asyncio.FIRST_COMPLETED
+        if not pending or (is_enough and len(pending) < len(futures)):
+            return True
+        if allowance.end_step():
+            return False
+
+
+@contextlib.asynccontextmanager
+async def timeout(limit_s: float) -> AsyncIterator[None]:
+    """Limit the time that a block takes.
+
+    Args:
+        limit_s: The limit in running time, in seconds.
+
+    Raises:
+        TimeoutError: The limit is over.
+
+    .. versionadded:: 26.7.0
+    """
+    loop = asyncio.get_running_loop()
+    async with asyncio.timeout(None) as scope:
+        ticker = _Ticker(loop, limit_s, lambda: scope.reschedule(loop.time()))
+        try:
+            yield
+        finally:
+            ticker.cancel()
+
+
+class _Ticker:
+    """Calls back once an allowance is used up."""
+
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        limit_s: float,
+        on_over: Callable[[], None],
+    ) -> None:
+        self._loop = loop
+        self._allowance = Allowance(limit_s)
+        self._on_over = on_over
+        self._handle = self._schedule()
+
+    def cancel(self) -> None:
+        """Stop counting."""
+        self._handle.cancel()
+
+    def _schedule(self) -> asyncio.TimerHandle:
+        """Schedule the end of the next step."""
+        return self._loop.call_later(self._allowance.begin_step(), self._end_step)
+
+    def _end_step(self) -> None:
+        """End a step, and begin the next one unless the limit is over."""
+        if self._allowance.end_step():
+            self._on_over()
+        else:
+            self._handle = self._schedule()
