Keep a silent run until another one gives an event

Callers saw streams that ended within their answer although the runner would have gone on. Cause: after 0.06 to 0.4 s without an event a run whose first runner gave no report within 0.04 s was given up on, with all that it had made; the next run counted against the route's attempts, so that the second such pause, a route that may not be resumed, an empty retry budget or no other path cut the stream. Change: a silence ends nothing. silent_runs.py decides what follows it: the run is moved, or another one begins beside it, and whichever gives the next event goes on alone. It ends only with its connection, its deadline, or where a runner that it needs has ended (refuses connections, is a new start).

--- a/src/violethatch/_router.py
+++ b/src/violethatch/_router.py
@@ -79,6 +79,8 @@
         self.routing.service_of = self._declared
         self.routing.link_watch.on_check = self.metrics.checked_links
         self.routing.on_refusal = self.metrics.refused
+        self.routing.on_silent_run = self.metrics.silent_run
+        self.routing.on_stream_cut = self.metrics.stream_cut
         self.routing.gate.on_word = self.metrics.heard
         self.routing.gate.on_kept_back = self.metrics.kept_back
         self.routing.gate.limits.on_permit = self.metrics.permit
--- a/src/violethatch/_router_metrics.py
+++ b/src/violethatch/_router_metrics.py
@@ -82,6 +82,16 @@
             "Sends that servers refused, by trouble and whether they were left alone.",
             registry=self.registry,
         )
+        self.silent_runs = Counter(
+            "violethatch_router_silent_runs_total",
+            "Runs of streams that counted as silent, by finding and what came then.",
+            registry=self.registry,
+        )
+        self.streams_cut = Counter(
+            "violethatch_router_streams_cut_total",
+            "Streams that had begun and could not be finished, by reason.",
+            registry=self.registry,
+        )
         self.server_words = Counter(
             "violethatch_router_server_words_total",
             "What servers said of themselves; unknown is what nothing reads.",
@@ -245,6 +255,14 @@
         rests = "yes" if was_left_alone else "no"
         self.refusals.inc({"trouble": trouble, "left_alone": rests})
 
+    def silent_run(self, finding: str, outcome: str) -> None:
+        """Count a run of a stream that counted as silent."""
+        self.silent_runs.inc({"finding": finding, "outcome": outcome})
+
+    def stream_cut(self, reason: str) -> None:
+        """Count a stream that had begun and could not be finished."""
+        self.streams_cut.inc({"reason": reason})
+
     def heard(self, kind: str) -> None:
         """Count what a server said of itself."""
         self.server_words.inc({"word": kind})
--- a/src/violethatch/_routing.py
+++ b/src/violethatch/_routing.py
@@ -83,6 +83,10 @@
         client.gate = self.gate
         #: Told of each refusal: its trouble, and whether the server rested already.
         self.on_refusal: Callable[[Trouble, bool], None] = lambda _trouble, _rests: None
+        #: Told of each run that counted as silent: by what finding, and what came then.
+        self.on_silent_run: Callable[[str, str], None] = lambda _finding, _outcome: None
+        #: Told why a stream that had begun could not be finished.
+        self.on_stream_cut: Callable[[str], None] = lambda _reason: None
         self.ends = ServerEnds(
             client, listed=self.backends.get, is_own_loss=self.link_watch.is_own_loss
         )
--- a/src/violethatch/_stream_output.py
+++ b/src/violethatch/_stream_output.py
@@ -5,7 +5,7 @@
 
 import math
 
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 
 from . import clocks
 from .desired import CallRoute
@@ -43,7 +43,12 @@
         return is_first_timely and self.longest_gap_s <= gap_target_s
 
     async def pass_on(
-        self, parts: AsyncIterator[bytes], answer: Answer, responder: Responder
+        self,
+        parts: AsyncIterator[bytes],
+        answer: Answer,
+        responder: Responder,
+        *,
+        on_event: Callable[[], None] = lambda: None,
     ) -> None:
         """Give whole events to the caller as they come.
 
@@ -51,6 +56,7 @@
             parts: The answer's body.
             answer: Its head.
             responder: Answers the caller.
+            on_event: Told before an event is given that the caller lacks.
 
         Raises:
             AnswerLostError: The stream broke off.
@@ -63,7 +69,8 @@
             try:
                 for event in splitter.feed(part):
                     if self.progress.take(event):
-                        wanted.append(event.data)  # noqa: PERF401 (kept on errors)
+                        on_event()
+                        wanted.append(event.data)
             finally:
                 # What was counted as taken has to reach the caller, also when
                 # a later event of the same bytes spoils the stream.
--- a/src/violethatch/paths.py
+++ b/src/violethatch/paths.py
@@ -80,6 +80,11 @@
         """The ids of all runners on the path."""
         return frozenset(stage.server.id for stage in self.stages)
 
+    def server_at(self, address: str | None) -> BackendServer | None:
+        """Return the runner on the path at an address, if there is one."""
+        servers = (stage.server for stage in self.stages)
+        return next((one for one in servers if one.address == address), None)
+
 
 class _Visit(NamedTuple):
     """A runner that a way has come to, at its first layer there."""
--- a/src/violethatch/streams/_call.py
+++ b/src/violethatch/streams/_call.py
@@ -1,15 +1,14 @@
 # SPDX-License-Identifier: MIT
-"""Streams of model runners: kept going over lost runs.
+"""One streamed call, kept going over lost and silent runs.
 
-A run that stalls is mended by itself (`_stream_run`).  Where it is lost, a
-stream that may be resumed goes on along another path after the last event
-that the caller has.
+Where a run is lost, or is silent and can't be moved, a stream that may be resumed goes
+on along another path after the last event that the caller has.  A silent run is kept
+until another one gives an event.
 """
 
 from __future__ import annotations
 
 import asyncio
-import enum
 import functools
 
 from .. import clocks, events
@@ -38,18 +37,19 @@
     Call,
     KeptBackError,
     NotSentError,
+    Refusal,
     Responder,
     Send,
 )
-from ._run import StreamRun
+from ._live_runs import LiveRuns, RunEnd, RunOutcome
+from ._run import RunnerEndedError, StreamRun
+from .silent_runs import Obstacle, RetryPauses, Sends, obstacle
 
 
 _OK = 200
 _MULTIPLE_CHOICES = 300
 #: How long layers without a holder are thought to last, in seconds: a short load.
 _NO_HOLDER_S = 1.0
-#: The most sends of one call that were refused, kept back or not connected.
-_MOST_REFUSALS = 4
 #: How often and how long a stream that was sent once waits for a path, in seconds;
 #: callers give a stream up after a gap of two.  Its answer could not say that it has
 #: not run, so that a caller who comes back would be served no sooner.
@@ -57,20 +57,6 @@
 _ROOM_PAUSE_S = 0.2
 
 
-class _End(enum.Enum):
-    """How one run of a stream ended."""
-
-    WHOLE = "whole"
-    #: Nothing has run.
-    REFUSED = "refused"
-    #: Nothing was sent: the first runner has come to want nothing meanwhile.
-    KEPT_BACK = "kept_back"
-    #: It broke off, or was given up on.
-    LOST = "lost"
-    #: The runner's own failure was passed on.
-    PASSED_ON = "passed_on"
-
-
 class StreamCall:
     """Serves one streamed call."""
 
@@ -94,6 +80,7 @@
             target_s=admitted.route.target_latency_s,
         )
         self._avoided: frozenset[str] = frozenset()
+        self._live = LiveRuns()
         #: Whether its first send uses a start that was reserved for it.
         self._is_reserved = False
         self._refusals = 0
@@ -155,40 +142,95 @@
 
         Raises:
             VioletHatchError: Nothing of an answer was given to the caller.
+            MustForwardError: Another instance has to serve the call, or its rest.
         """
-        # A request that ended three servers was sent to six and seven more: each send
-        # was judged for itself.
-        while not self._work.is_held:
-            if (self.sends or self._kept_back) and not self._may_send_again():
-                break
-            await self._check_links()
-            path = await self._next_path()
-            if path is None:
-                break
-            is_again = self.sends > 0
-            if is_again and not await self._routing.retries.may_retry(
-                self._service.name
-            ):
-                break
-            if self._work.is_held:
-                break  # other tries of it have ended servers while this one waited
-            end, status = await self._run(path, responder)
-            if end is _End.WHOLE:
-                self._work.answered()
-                lasted_s = clocks.now_s() - self._call.received_s
-                self._routing.loads.lasted(lasted_s)
-                await responder.finish()
-                return _OK
-            if end is _End.PASSED_ON:
-                return status
-            if end is _End.KEPT_BACK and is_again:
+        try:
+            return await self._serve_runs(responder)
+        finally:
+            await self._live.close()
+
+    async def _serve_runs(self, responder: Responder) -> int:
+        """Begin runs until one answers the caller; return the status.
+
+        A silent run goes on beside the next one.  Where there may be no next one, it is
+        waited for.
+
+        Raises:
+            VioletHatchError: Nothing of an answer was given to the caller.
+            MustForwardError: Another instance has to serve the call, or its rest.
+        """
+        pauses = RetryPauses()
+        while True:
+            pause_s = None
+            if self._live.are_silent:
+                found = await self._begin_run(responder)
+                if found is not None and not self._live:
+                    return self._cut(found, responder)
+                if found is not None and found.may_pass:
+                    pause_s = pauses.next_s()
+            outcome = await self._live.next_outcome(within_s=pause_s)
+            if outcome is None:
+                continue
+            if outcome.end in (RunEnd.WHOLE, RunEnd.PASSED_ON):
+                return outcome.status
+            if outcome.end is RunEnd.KEPT_BACK and outcome.run.is_again:
                 self._routing.retries.return_retry(self._service.name)
+
+    async def _begin_run(self, responder: Responder) -> Obstacle | None:
+        """Begin a run, beside those that are silent; return what is in the way.
+
+        Raises:
+            MustForwardError: Another instance has to serve the call, or its rest.
+        """
+        found = self._obstacle()
+        if found is not None:
+            return found
+        await self._check_links()
+        self._avoided |= self._live.suspects
+        path = await self._next_path()
+        if path is None:
+            return Obstacle.NO_PATH
+        is_again = self.sends > 0 or bool(self._live)
+        retries = self._routing.retries
+        if is_again and not await retries.may_retry(self._service.name):
+            return Obstacle.NO_RETRY
+        found = Obstacle.HELD if self._work.is_held else None
+        if self._live and not self._live.are_silent:
+            found = Obstacle.GOES_ON
+        if found is not None:
+            # Nothing is sent; a retry that is not used would be missing to others.
+            if is_again:
+                retries.return_retry(self._service.name)
+            return found
+        run = self._make_run(path, is_again=is_again)
+        self._live.begin(run, self._serve_run(run, responder))
+        return None
+
+    def _obstacle(self) -> Obstacle | None:
+        """Return why the stream may not be sent again, or None if it may."""
+        runs = self.runs + self._live.uncounted
+        return obstacle(
+            Sends(runs=runs, unrun=self._refusals + self._kept_back),
+            max_attempts=self._route.max_attempts,
+            is_repeatable=self._route.is_resumable,
+            is_late=clocks.now_s() >= self._deadline_s,
+            is_held=self._work.is_held,
+        )
+
+    def _cut(self, found: Obstacle, responder: Responder) -> int:
+        """End a stream that can't be finished; return the status.
+
+        Raises:
+            VioletHatchError: Nothing of an answer was given to the caller.
+        """
         if not self.output.is_started:
             raise self._failure()
         responder.abort()
+        self._routing.on_stream_cut(found.value)
         events.log(
             events.STREAM_CUT,
             request_id=self._call.id,
+            reason=found.value,
             last_event_id=self.output.progress.last_id,
             runs=self.runs,
         )
@@ -207,7 +249,7 @@
         """Return the path to send along, or None if there is none.
 
         A stream that has run waits a little: its caller waits longer for the next
-        event than room takes to come back.
+        event than room takes to come back.  Beside a silent run nothing waits here.
         """
         if self._work.is_suspect:
             apart = self._routing.path_apart(
@@ -219,9 +261,11 @@
             self._routing.path,
             self._service,
             avoided=self._avoided,
-            may_doubt=not self.sends,
+            may_doubt=not self.sends and not self._live,
             priority=self._admitted.priority,
         )
+        if self._live:
+            return find()
         if not self.runs:
             return await self._routing.admission.path(
                 self._service.name,
@@ -248,17 +292,8 @@
         blocked = self._routing.blocked(self._service, priority=self._admitted.priority)
         return blocked is None or blocked.left_s > wait_s
 
-    def _may_send_again(self) -> bool:
-        """Tell whether another send is allowed."""
-        unrun = self._refusals + self._kept_back
-        if unrun >= _MOST_REFUSALS or clocks.now_s() >= self._deadline_s:
-            return False
-        if self.runs and not self._route.is_resumable:
-            return False
-        return self.runs < self._route.max_attempts
-
-    async def _run(self, path: Path, responder: Responder) -> tuple[_End, int]:
-        """Send the call along a path and pass its events on."""
+    def _make_run(self, path: Path, *, is_again: bool) -> StreamRun:
+        """Return a run along a path, to be sent."""
         self.path = path
         self.list_state = self._routing.list_state()
         self.output.progress.run_again()
@@ -271,73 +306,94 @@
             workspace=self._admitted.workspace_name,
             last_event_id=self.output.progress.last_id,
             # The first run may have been lost with a connection that had rested.
-            is_connection_fresh=not self._route.is_resumable or self.runs > 0,
+            is_connection_fresh=not self._route.is_resumable
+            or self.runs > 0
+            or bool(self._live),
         )
-        run = StreamRun(
+        runs = self.runs + self._live.uncounted + 1
+        return StreamRun(
             self._routing,
             self._service,
             send,
-            path,
             work=self._work,
             tokens=self._tokens,
-            may_be_repeated=self._route.is_resumable
-            and self.runs + 1 < self._route.max_attempts,
+            is_again=is_again,
+            may_repeat=self._route.is_resumable and runs < self._route.max_attempts,
         )
+
+    async def _serve_run(self, run: StreamRun, responder: Responder) -> RunOutcome:
+        """Send a run, and pass its events on; return how it ended."""
         run.count_in()
         try:
-            return await self._run_counted(run, responder)
+            return await self._serve_counted(run, responder)
+        except asyncio.CancelledError:
+            self._count(run)
+            raise
+        except RunnerEndedError:
+            self._note_ended(run)
+            return RunOutcome(run, RunEnd.LOST)
+        except TimeoutError:
+            self._count(run)
+            return RunOutcome(run, RunEnd.LOST)
         finally:
             run.count_out()
 
-    async def _run_counted(
-        self, run: StreamRun, responder: Responder
-    ) -> tuple[_End, int]:
-        """Send the call and pass its events on."""
-        path = run.path
+    async def _serve_counted(self, run: StreamRun, responder: Responder) -> RunOutcome:
+        """Send a run, and pass its events on; return how it ended.
+
+        Raises:
+            RunnerEndedError: A runner that it needs has ended.
+            TimeoutError: The deadline is over.
+        """
+        first = run.path.first
         try:
             answer = await run.open()
         except KeptBackError:
             self._kept_back += 1
-            return _End.KEPT_BACK, 0
+            return RunOutcome(run, RunEnd.KEPT_BACK)
         except NotSentError as error:
             self._refusals += 1
-            self._leave_first(path.first, str(error))
-            return _End.REFUSED, 0
+            self._leave_first(first, str(error))
+            return RunOutcome(run, RunEnd.REFUSED)
         except AnswerLostError as error:
             # It was reached, and others' requests may well get their answers.
-            self.runs += 1
-            trouble = await self._work.trouble_of(
-                error, run.path.first, has_begun=run.has_begun
-            )
-            self._leave_first(path.first, str(error), trouble=trouble)
-            return _End.LOST, 0
-        except TimeoutError:
-            self.runs += 1
-            self._note_given_up(run)
-            return _End.LOST, 0
+            self._count(run)
+            trouble = await self._work.trouble_of(error, first, has_begun=run.has_begun)
+            self._leave_first(first, str(error), trouble=trouble)
+            return RunOutcome(run, RunEnd.LOST)
         if answer.load is not None:
             now_s = clocks.now_s()
-            self._routing.loads.record_report(path.first.id, answer.load, now_s=now_s)
+            self._routing.loads.record_report(first.id, answer.load, now_s=now_s)
         try:
             return await self._take(answer, run, responder)
         finally:
-            self.repaths += run.repaths
+            self.repaths += run.moves
             answer.close(is_whole=run.is_whole)
 
     async def _take(
         self, answer: Answer, run: StreamRun, responder: Responder
-    ) -> tuple[_End, int]:
-        """Pass an answer on, whatever it is."""
+    ) -> RunOutcome:
+        """Pass an answer on, whatever it is.
+
+        Raises:
+            RunnerEndedError: A runner that the run needs has ended.
+            TimeoutError: The deadline is over.
+        """
         if answer.refusal is not None:
             self._refusals += 1
-            run.note_refusal(answer)
+            self._note_refusal(run, answer.refusal)
             run.is_whole = True
-            return _End.REFUSED, 0
-        self.runs += 1
+            return RunOutcome(run, RunEnd.REFUSED)
+        self._count(run)
         if not _OK <= answer.status < _MULTIPLE_CHOICES:
             return await self._take_failure(answer, run, responder)
         try:
-            await self.output.pass_on(run.parts(answer), answer, responder)
+            await self.output.pass_on(
+                run.parts(answer),
+                answer,
+                responder,
+                on_event=functools.partial(self._live.keep_only, run),
+            )
         except (AnswerLostError, SpoiltStreamError) as error:
             trouble = await self._work.trouble_of(
                 error, run.path.first, has_begun=run.has_begun
@@ -345,19 +401,21 @@
             self._routing.note_trouble(
                 run.path.first, trouble, self._call.id, str(error)
             )
-            return _End.LOST, 0
-        except TimeoutError:
-            self._note_given_up(run)
-            return _End.LOST, 0
+            return RunOutcome(run, RunEnd.LOST)
         run.is_whole = True
+        self._live.keep_only(run)
         for server_id in run.path.server_ids:
             self._routing.health.worked(server_id)
-        return _End.WHOLE, _OK
+        self._work.answered()
+        self._routing.loads.lasted(clocks.now_s() - self._call.received_s)
+        await responder.finish()
+        return RunOutcome(run, RunEnd.WHOLE, _OK)
 
     async def _take_failure(
         self, answer: Answer, run: StreamRun, responder: Responder
-    ) -> tuple[_End, int]:
+    ) -> RunOutcome:
         """Pass a runner's own failure on, or have the call sent elsewhere."""
+        lost = RunOutcome(run, RunEnd.LOST)
         events.log(
             events.ANSWER_FAILED,
             request_id=self._call.id,
@@ -373,18 +431,24 @@
                 f"answered {answer.status}",
             )
         is_last = not self._route.is_resumable or self.runs >= self._route.max_attempts
-        if self.output.is_started or not is_last:
-            return _End.LOST, 0
+        if self.output.is_started or len(self._live) > 1 or not is_last:
+            return lost
         try:
             async with asyncio.timeout(clocks.left_s(self._deadline_s)):
                 body = b"".join([part async for part in answer.parts()])
         except (AnswerLostError, TimeoutError):
-            return _End.LOST, 0
+            return lost
         run.is_whole = True
         await responder.answer(
             answer.status, answer.headers, body, is_framed=answer.is_framed
         )
-        return _End.PASSED_ON, answer.status
+        return RunOutcome(run, RunEnd.PASSED_ON, answer.status)
+
+    def _count(self, run: StreamRun) -> None:
+        """Count a run that may have run, once."""
+        if not run.is_counted:
+            run.is_counted = True
+            self.runs += 1
 
     def _leave_first(
         self, server: BackendServer, reason: str, *, trouble: Trouble = Trouble.SILENT
@@ -393,19 +457,31 @@
         self._avoided |= {server.id}
         self._routing.note_trouble(server, trouble, self._call.id, reason)
 
-    def _note_given_up(self, run: StreamRun) -> None:
-        """Log that a silent run was given up on, and doubt its first runner's link."""
-        if run.path.first.id in run.suspects:
-            self._routing.link_watch.suspect(run.path.first)
+    def _note_ended(self, run: StreamRun) -> None:
+        """Log that a run can't go on, and avoid the runners at fault."""
+        self._count(run)
         self._avoided |= run.suspects
+        self._routing.link_watch.suspect(run.path.first)
         events.log(
             events.RUN_GIVEN_UP,
             request_id=self._call.id,
             path=[stage.server.id for stage in run.path.stages],
+            reason="a runner has ended",
             suspects=sorted(run.suspects),
             last_event_id=self.output.progress.last_id,
         )
 
+    def _note_refusal(self, run: StreamRun, refusal: Refusal) -> None:
+        """Leave the runner alone that a refusal names, or the first one."""
+        first = run.path.first
+        culprit = run.path.server_at(refusal.address) or first
+        self._routing.note_refusal(
+            culprit.id,
+            refusal,
+            self._call.id,
+            is_told_by_other=culprit.id != first.id,
+        )
+
     def _failure(self) -> VioletHatchError:
         """Return the error that says what is known."""
         if self.runs:
--- a/src/violethatch/streams/_run.py
+++ b/src/violethatch/streams/_run.py
@@ -1,61 +1,65 @@
 # SPDX-License-Identifier: MIT
-"""One run of a stream along a path, looked into when it goes silent.
+"""One run of a stream along a path, checked when it goes silent.
 
-The first runner of a path tells which runner the request waits for; the
-request is then moved onto a path around that one.
+A silent run is moved around runners that are at fault, or keeps waiting; it ends by
+itself only with its connection, its first runner or its time.
 """
 
 from __future__ import annotations
 
 import asyncio
-import collections
 
-from collections.abc import AsyncIterator, Iterable, Mapping
+from collections.abc import AsyncIterator, Callable
 from typing import Any
 
-from .. import clocks, events
+from .. import clocks, events, running_time
 from .._routing import Routing
 from .._work_in_hand import WorkInHand
-from ..backends import BackendServer
 from ..desired import ServiceSpec
 from ..paths import Path
 from ..runner_health import Trouble
-from ..upstream import Answer, OrderOutcome, RunnerReport, Send
+from ..upstream import Answer, OrderOutcome, Send
+from ._check import Silence, SilenceCheck, Verdict
+from .silent_runs import Action, CheckTimes, Finding, action_on
 
 
 #: Orders onto another path that are tried in one silence.
-_MOST_REPATHS = 2
-#: A wait that ended so much later than it should, in seconds, says that the instance
-#: itself was held up: what it has not seen tells nothing.
-_HELD_UP_S = 0.05
-#: How much slower than usual a runner may be, and how full, for the silence of a
-#: request that has not begun to mean that its answer was lost.
-_USUAL_SLOWNESS = 1.5
-_USUAL_KV_PART = 0.9
-#: How long it takes at the most until a runner whose process has ended has refused a
-#: connection, in seconds: a way there and back between zones, and a busy instance.
-_REFUSED_S = 0.02
-#: How many runners of a zone have to be silent at once for all of it to be avoided.
-_SILENT_IN_ZONE = 2
+_MAX_MOVES = 2
+
+
+class RunnerEndedError(Exception):
+    """A run can't go on: a runner that it needs has ended."""
 
 
 class StreamRun:
-    """One run of a stream along a path, which may change under way."""
+    """One run of a stream along a path, which may change under way.
+
+    Args:
+        routing: Shared by all calls.
+        service: The stream's.
+        send: What is sent; it has a path.
+        work: The stream's work.
+        tokens: The KV cache that it is expected to need on average, in tokens.
+        is_again: Whether the stream was sent before.
+        may_repeat: Whether the stream may have another run after this one.
+    """
 
     def __init__(
         self,
         routing: Routing,
         service: ServiceSpec,
         send: Send,
-        path: Path,
         *,
         work: WorkInHand,
         tokens: float,
-        may_be_repeated: bool = False,
+        is_again: bool = False,
+        may_repeat: bool = False,
     ) -> None:
+        assert send.path is not None
         self._routing = routing
         self._work = work
-        self._may_be_repeated = may_be_repeated
+        self._may_repeat = may_repeat
+        self.is_again = is_again
         self._tokens = tokens
         self._service = service
         self._call = send.call
@@ -63,21 +67,33 @@
         self._policy = routing.settings.policy
         self._deadline_s = send.deadline_s
         self._progress = routing.progress
+        self._check = SilenceCheck(routing, service, send.call.id, work)
         #: When its latest event came, if one has.
         self._event_s: float | None = None
-        self.path = path
-        self.repaths = 0
+        self.path: Path = send.path
+        self.moves = 0
         self.is_whole = False
+        #: Whether it counts as a run that its stream has had.
+        self.is_counted = False
         #: Whether an event has come from the runners that it is on, and since when
         #: it is on them.
         self.has_begun = False
         self._on_path_s = clocks.now_s()
+        #: What the check found that has made it count as silent, until it goes on.
+        self.silence: Finding | None = None
+        #: Told when it begins to count as silent.
+        self.on_silent: Callable[[], None] = lambda: None
         #: Runners of its path that have started again, and what wakes it then.
         self._restarted: frozenset[str] = frozenset()
         self._restart: asyncio.Future[None] = asyncio.get_running_loop().create_future()
         #: Runners to leave out when the call is sent again.
         self.suspects: frozenset[str] = frozenset()
 
+    @property
+    def is_silent(self) -> bool:
+        """Whether another run may begin beside it."""
+        return self.silence is not None
+
     def count_in(self) -> None:
         """Count the run in on its path's runners."""
         engine = self._service.engine
@@ -100,29 +116,31 @@
         Raises:
             NotSentError: Nothing has run.
             AnswerLostError: It may have run.
-            TimeoutError: No head came in time, and no repair helped.
+            RunnerEndedError: A runner that it needs has ended.
+            TimeoutError: No head came before the deadline.
         """
         opening = asyncio.ensure_future(self._routing.client.send(self._send))
         try:
-            await self._await_progress(opening, self._policy.first_event_limit_s)
+            await self._wait(opening, self._policy.first_event_limit_s)
         except BaseException:
             _abandon(opening)
             raise
         return opening.result()
 
     async def parts(self, answer: Answer) -> AsyncIterator[bytes]:
-        """Return the answer's parts; look into each silence.
+        """Return the answer's parts; check each silence.
 
         Raises:
             AnswerLostError: The answer broke off.
-            TimeoutError: It was silent for too long.
+            RunnerEndedError: A runner that it needs has ended.
+            TimeoutError: The deadline is over.
         """
         parts = answer.parts()
         try:
             while True:
                 coming = asyncio.ensure_future(anext(parts, None))
                 try:
-                    await self._await_progress(coming, self._limit_s())
+                    await self._wait(coming, self._limit_s())
                 finally:
                     _let_go(coming)
                 part = coming.result()
@@ -133,8 +151,16 @@
         finally:
             self._note_end()
 
+    def note_restarted(self, server_ids: frozenset[str]) -> None:
+        """Note that servers have started again; those on the path lack the request."""
+        on_path = server_ids & self.path.server_ids
+        if on_path:
+            self._restarted |= on_path
+            if not self._restart.done():
+                self._restart.set_result(None)
+
     def _limit_s(self) -> float:
-        """Return after what silence to look for its cause, in seconds."""
+        """Return the silence before a check, in seconds."""
         if self._event_s is None:
             return self._policy.first_event_limit_s
         return self._progress.least_silence_s
@@ -143,6 +169,7 @@
         """Note that the path's runners work."""
         now_s = clocks.now_s()
         self.has_begun = True
+        self._end_silence("goes_on")
         ids = self.path.server_ids
         if self._event_s is None:
             self._progress.began(ids, now_s=now_s)
@@ -156,253 +183,143 @@
             self._progress.ended(self.path.server_ids)
         self._event_s = None
 
-    def note_refusal(self, answer: Answer) -> None:
-        """Leave the runner alone that a refusal names, or the first one."""
-        assert answer.refusal is not None
-        culprit = self._stage_at(answer.refusal.address) or self.path.first
-        self._routing.note_refusal(
-            culprit.id,
-            answer.refusal,
-            self._call.id,
-            is_told_by_other=culprit.id != self.path.first.id,
-        )
-
-    async def _await_progress(
-        self, coming: asyncio.Future[Any], limit_s: float
-    ) -> None:
-        """Wait for the next bytes; after a silence look for the cause.
+    async def _wait(self, coming: asyncio.Future[Any], limit_s: float) -> None:
+        """Wait for the next bytes; check the run after each further silence.
 
         Raises:
-            TimeoutError: The silence has lasted too long.
+            RunnerEndedError: A runner that it needs has ended.
+            TimeoutError: The deadline is over.
         """
-        started_s = clocks.now_s()
-        give_up_s = min(
-            self._deadline_s, started_s + limit_s + self._policy.silence_limit_s
-        )
+        since_s = clocks.now_s()
+        overdue_s = limit_s + self._policy.silence_limit_s
+        times = CheckTimes(limit_s, overdue_s=overdue_s)
         while not coming.done():
-            asked_s = clocks.now_s()
-            left_s = min(limit_s, give_up_s - asked_s)
+            now_s = clocks.now_s()
+            left_s = self._deadline_s - now_s
             if left_s <= 0:
-                self.suspects |= {self.path.first.id}
                 raise TimeoutError
-            await asyncio.wait(
+            is_awake = await running_time.wait(
                 (coming, self._restart),
-                timeout=left_s,
-                return_when=asyncio.FIRST_COMPLETED,
+                limit_s=min(left_s, times.next_s(now_s - since_s)),
             )
             if coming.done():
                 return
-            if self._restart.done():
-                await self._leave_restarted()
+            if is_awake:
+                await self._leave_restarted(since_s)
                 continue
-            if clocks.now_s() - asked_s - left_s < _HELD_UP_S:
-                await self._look_into_silence(started_s)
-
-    def note_restarted(self, server_ids: frozenset[str]) -> None:
-        """Note that servers have started again; those on the path lack the request."""
-        on_path = server_ids & self.path.server_ids
-        if on_path:
-            self._restarted |= on_path
-            if not self._restart.done():
-                self._restart.set_result(None)
+            if clocks.now_s() < self._deadline_s:
+                await self._look_into_silence(since_s, overdue_s=overdue_s)
 
-    async def _leave_restarted(self) -> None:
+    async def _leave_restarted(self, since_s: float) -> None:
         """Go around runners that have started again, without waiting for a silence.
 
         Raises:
-            TimeoutError: The first runner is one of them, or the repair failed.
+            RunnerEndedError: The first runner is one of them.
         """
         ids, self._restarted = self._restarted, frozenset()
         self._restart = asyncio.get_running_loop().create_future()
         stages = [stage.server for stage in self.path.stages]
-        await self._go_around([one for one in stages if one.id in ids])
+        culprits = [one for one in stages if one.id in ids]
+        verdict = await self._check.blame(self._silence(since_s), culprits)
+        if self.path.first.id in ids:
+            verdict = verdict._replace(finding=Finding.FIRST_ENDED)
+        await self._act_on(verdict)
 
-    async def _go_around(self, culprits: list[BackendServer]) -> None:
-        """Move the request onto a path around some runners.
+    async def _look_into_silence(self, since_s: float, *, overdue_s: float) -> None:
+        """Find out whom a silence is due to, and act on that.
 
         Raises:
-            TimeoutError: The first runner is one of them, or the repair failed.
+            RunnerEndedError: A runner that it needs has ended.
         """
-        await self._note_ends(culprits)
-        self.suspects |= {one.id for one in culprits}
-        self.suspects |= self._silent_zones(culprits)
-        if self._work.is_held or not await self._repath():
-            raise TimeoutError
-
-    async def _look_into_silence(self, since_s: float) -> None:
-        """Find out which runner a silence is due to, and go around it.
-
-        Args:
-            since_s: When the silence began, in monotonic seconds.
-
-        Raises:
-            TimeoutError: The first runner is silent itself, or the repair failed.
-        """
-        culprits = self._resting_stages()
-        if not culprits:
-            suspected = self._suspected(since_s)
-            has_begun = self._event_s is not None
-            if not suspected and has_begun:
+        verdict = await self._check.verdict(self._silence(since_s))
+        if verdict.finding is Finding.NOTHING:
+            if await self._leave_slow():
                 return
-            culprits = await self._probe(suspected)
-        if not culprits:
-            await self._leave_slow()
-            return
-        await self._go_around(culprits)
-
-    async def _note_ends(self, culprits: list[BackendServer]) -> None:
-        """Note which runners have ended under the request, as far as is told soon.
-
-        The first runner of a path goes on; without this a request that ends a later
-        one was moved to the next (52 times in a series of 14 tries).
-        """
-        order = [stage.server.id for stage in self.path.stages]
-        noting = self._work.lost_on_path(
-            sorted(culprits, key=lambda one: order.index(one.id)),
-            since_s=self._on_path_s,
-            has_begun=self.has_begun,
-        )
-        # It goes on if a runner that is cut off doesn't answer soon.
-        await asyncio.wait((asyncio.create_task(noting),), timeout=_REFUSED_S)
-
-    async def _leave_slow(self) -> None:
-        """Go around slow runners, if that can be done."""
-        slow = self._routing.paces.slow(now_s=clocks.now_s())
-        ids = {
-            stage.server.id for stage in self.path.stages[1:] if stage.server.id in slow
-        }
-        if not ids or self.repaths >= _MOST_REPATHS:
-            return
-        suspects = self.suspects
-        self.suspects |= ids
-        if not await self._repath():
-            self.suspects = suspects
-
-    def _suspected(self, since_s: float) -> list[BackendServer]:
-        """Return the path's runners that other streams don't show to work."""
-        stages = {stage.server.id: stage.server for stage in self.path.stages}
-        if self._event_s is None:
-            ids = self._progress.unseen(stages, since_s=since_s)
-        else:
-            ids = self._progress.silent(stages, now_s=clocks.now_s())
-        return [stages[one] for one in ids]
+            if clocks.now_s() - since_s >= overdue_s:
+                first_id = self.path.first.id
+                verdict = Verdict(Finding.OVERDUE, avoided=frozenset({first_id}))
+        await self._act_on(verdict)
 
-    async def _probe(self, suspected: list[BackendServer]) -> list[BackendServer]:
-        """Ask runners whether they are there; return who is at fault.
+    async def _act_on(self, verdict: Verdict) -> None:
+        """Do what a check's verdict leads to.
 
         Raises:
-            TimeoutError: The first runner is silent itself.
+            RunnerEndedError: A runner that it needs has ended.
         """
-        first = self.path.first
-        asked = [first, *(one for one in suspected if one.id != first.id)]
-        found = await self._routing.probes.look(
-            asked, within_s=self._policy.probe_limit_s
+        self.suspects |= verdict.avoided
+        action = action_on(
+            verdict.finding, has_ended=verdict.has_ended, is_held=self._work.is_held
         )
-        report = found.reports.get(first.id)
-        restarted = self._restarted_since(asked, found.reports)
-        culprits = [*found.silent, *found.pending, *restarted]
-        self._log_silence(report, asked, culprits)
-        if first in culprits:
-            await self._note_ends(culprits)
-            self.suspects |= {one.id for one in culprits}
-            raise TimeoutError
-        if culprits or report is None:
-            return culprits
-        named = self._stage_at(report.stalled.get(self._call.id))
-        if named is None:
-            self._check_lost(report, found.reports.values())
-            return []
-        self._routing.note_trouble(
-            named, Trouble.NAMED, self._call.id, "a request waits for it"
-        )
-        return [named]
-
-    def _restarted_since(
-        self, asked: Iterable[BackendServer], reports: Mapping[str, RunnerReport]
-    ) -> list[BackendServer]:
-        """Return runners that say they are a later start than the list tells yet."""
-        restarted = [
-            one
-            for one in asked
-            if one.id in reports and 0 < one.born_ms < reports[one.id].born_ms
-        ]
-        for server in restarted:
-            self._routing.ends.note_ended(server)
-        return restarted
-
-    def _check_lost(self, first: RunnerReport, reports: Iterable[RunnerReport]) -> None:
-        """Give a run up that has not begun though nothing holds it up.
-
-        Its answer was lost: every runner of the path is there and as quick as usual,
-        and at the first one nobody waits.  Another run begins within the target then.
-        The last one that is allowed is waited for, and one that has no other path.
-
-        Raises:
-            TimeoutError: The answer was lost.
-        """
-        if self._event_s is not None or not self._may_be_repeated:
-            return
-        is_slow = any(one.slowness > _USUAL_SLOWNESS for one in reports)
-        if first.waiting or is_slow or first.kv_used_part > _USUAL_KV_PART:
-            return
-        avoided = self.suspects | {self.path.first.id}
-        if self._routing.path(self._service, avoided=avoided) is None:
+        if action is Action.END:
+            self._end_silence("runner_ended")
+            msg = "a runner that it needs has ended"
+            raise RunnerEndedError(msg)
+        if action is Action.MOVE and await self._move():
             return
-        self.suspects = avoided
-        raise TimeoutError
+        if action is not Action.WAIT:
+            self._begin_silence(verdict.finding)
 
-    def _silent_zones(self, culprits: list[BackendServer]) -> frozenset[str]:
-        """Return all runners of zones that seem to be cut off.
-
-        Where several runners of a zone are silent at once and none has shown
-        anything meanwhile, the next path should not lead there either.
-        """
-        silent = collections.Counter(one.availability_zone for one in culprits)
-        zones = {zone for zone, count in silent.items() if count >= _SILENT_IN_ZONE}
-        zones.discard(self.path.first.availability_zone)
-        stages = [stage.server for stage in self.path.stages]
-        working = {
-            one.availability_zone for one in stages if one.id not in self.suspects
-        }
-        return self._routing.in_zones(self._service, zones - working)
+    def _begin_silence(self, finding: Finding) -> None:
+        """Count the run as silent: another one may begin beside it."""
+        if self.is_silent:
+            return
+        self.silence = finding
+        if self.path.first.id in self.suspects:
+            self._routing.link_watch.suspect(self.path.first)
+        events.log(
+            events.RUN_SILENT,
+            request_id=self._call.id,
+            finding=finding.value,
+            path=[stage.server.id for stage in self.path.stages],
+            suspects=sorted(self.suspects),
+            has_begun=self.has_begun,
+        )
+        self.on_silent()
 
-    def _move_to(self, path: Path) -> None:
-        """Count the run on another path's runners."""
-        had_begun = self._event_s is not None
-        self.count_out()
-        self._note_end()
-        self.path = path
-        self.has_begun = False
-        self._on_path_s = clocks.now_s()
-        self.count_in()
-        if had_begun:
-            self._event_s = clocks.now_s()
-            self._progress.began(path.server_ids, now_s=self._event_s)
+    def _end_silence(self, outcome: str) -> None:
+        """Note what has ended the run's silence, if it was silent."""
+        if self.silence is not None:
+            self._routing.on_silent_run(self.silence.value, outcome)
+            self.silence = None
 
-    def _log_silence(
-        self,
-        report: RunnerReport | None,
-        asked: list[BackendServer],
-        culprits: list[BackendServer],
-    ) -> None:
-        """Log who was asked about a silence, what the first told, and who is silent."""
+    def replaced(self) -> None:
+        """Note that another run of the stream gives its events instead."""
         events.log(
-            events.SILENCE_SEEN,
+            events.RUN_GIVEN_UP,
             request_id=self._call.id,
-            first=self.path.first.id,
-            asked=len(asked),
-            waits_for=[one.id for one in culprits],
             path=[stage.server.id for stage in self.path.stages],
-            usual_gap_s=round(self._progress.usual_gap_s, 4),
-            waiting=report.waiting if report else None,
-            running=report.running if report else None,
-            kv_used_part=round(report.kv_used_part, 3) if report else None,
-            slowness=report.slowness if report else None,
+            finding=self.silence.value if self.silence else None,
+            reason="another run goes on",
         )
+        self._end_silence("replaced")
 
-    async def _repath(self) -> bool:
-        """Move the request onto a path around the suspects."""
-        for _ in range(_MOST_REPATHS):
+    def _silence(self, since_s: float) -> Silence:
+        """Return what a check has to know of the run."""
+        return Silence(
+            path=self.path,
+            had_event=self._event_s is not None,
+            has_begun=self.has_begun,
+            since_s=since_s,
+            on_path_s=self._on_path_s,
+            may_repeat=self._may_repeat,
+            suspects=self.suspects,
+        )
+
+    async def _leave_slow(self) -> bool:
+        """Go around slow runners, if that can be done; tell whether it is."""
+        ids = self._check.slow_stages(self.path)
+        if not ids or self.moves >= _MAX_MOVES:
+            return False
+        suspects = self.suspects
+        self.suspects |= ids
+        has_moved = await self._move()
+        if not has_moved:
+            self.suspects = suspects
+        return has_moved
+
+    async def _move(self) -> bool:
+        """Move the run onto a path around the suspects; tell whether that is done."""
+        for _ in range(_MAX_MOVES):
             path = self._routing.path(
                 self._service,
                 avoided=self.suspects,
@@ -422,9 +339,9 @@
             )
             if order.is_taken:
                 self._move_to(path)
-                self.repaths += 1
+                self.moves += 1
                 return True
-            obstacle = _stage_of(path, order.address)
+            obstacle = path.server_at(order.address)
             if order.outcome is not OrderOutcome.CONFLICT or obstacle is None:
                 return False
             # Others' streams would ask for the same path in the same moment.
@@ -434,18 +351,18 @@
             self.suspects |= {obstacle.id}
         return False
 
-    def _resting_stages(self) -> list[BackendServer]:
-        """Return the path's later runners that other requests had trouble with.
-
-        A request that has not begun is not told as one that waits.
-        """
-        shunned = self._routing.health.shunned(now_s=clocks.now_s())
-        later = [stage.server for stage in self.path.stages[1:]]
-        return [one for one in later if one.id in shunned]
-
-    def _stage_at(self, address: str | None) -> BackendServer | None:
-        """Return the runner of the path at an address."""
-        return _stage_of(self.path, address)
+    def _move_to(self, path: Path) -> None:
+        """Count the run on another path's runners."""
+        had_begun = self._event_s is not None
+        self.count_out()
+        self._note_end()
+        self.path = path
+        self.has_begun = False
+        self._on_path_s = clocks.now_s()
+        self.count_in()
+        if had_begun:
+            self._event_s = clocks.now_s()
+            self._progress.began(path.server_ids, now_s=self._event_s)
 
 
 def _let_go(coming: asyncio.Future[Any]) -> None:
@@ -462,11 +379,3 @@
         opening.cancel()
     elif not opening.cancelled() and opening.exception() is None:
         opening.result().close(is_whole=False)
-
-
-def _stage_of(path: Path, address: str | None) -> BackendServer | None:
-    """Return a path's runner at an address."""
-    for stage in path.stages:
-        if stage.server.address == address:
-            return stage.server
-    return None
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -66,10 +66,11 @@
     def test_promises_name_what_exists(self):
         """Modules and tests that the promises' page names are there."""
         text = (DOCS / "design" / "promises.md").read_text()
-        modules = set(re.findall(r"`(_?\w+)\.py`", text))
+        modules = set(re.findall(r"`((?:\w+/)?\w+)\.py`", text))
         assert modules
         for module in modules:
-            assert (ROOT / "src" / "violethatch" / f"{module}.py").exists()
+            folder = ROOT if module.startswith("tests/") else ROOT / "src/violethatch"
+            assert (folder / f"{module}.py").exists(), module
         proofs = (ROOT / "tests" / "test_promises.py").read_text()
         named = set(re.findall(r"proof `(\w+)`", text))
         assert named == set(re.findall(r"^    \((\w+), \"", proofs, re.MULTILINE))
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -5,6 +5,8 @@
 
 import asyncio
 import random
+import socket
+import time
 
 import pytest
 
@@ -385,7 +387,7 @@
         assert got.end == "whole"
 
     async def test_head_that_comes_too_late_is_closed(self):
-        """An answer whose run was given up on meanwhile is broken off."""
+        """An answer that comes after another run's first event is broken off."""
         late = FakeAnswer(events(1))
         head = asyncio.Event()
 
@@ -395,17 +397,115 @@
                 if len(self.sends) == 1:
                     await head.wait()
                     return late
-                return FakeAnswer(events(1))
-
-            async def report(self, server):
                 head.set()
-                await asyncio.sleep(0.01)
+                return FakeAnswer(events(1), 0.05, events(2))
 
         got, _ = await serve(LateClient(), A, B)
-        assert got.end == "whole"
+        assert (got.end, got.body) == ("whole", events(1, 2))
         assert late.closed is False
 
 
+class TestSilentRunIsKept:
+    """Load pattern: runners stand still for a while and then go on."""
+
+    @pytest.mark.parametrize("is_resumable", [True, False])
+    @pytest.mark.parametrize("told", [None, report()])
+    async def test_stall_cuts_the_only_run(self, is_resumable, told):
+        """Whether the stalled runner gives reports, and whether others could run it."""
+        client = FakeClient(FakeAnswer(events(1), 0.6, events(2)))
+        client.reports["a"] = told
+        route = call_route(is_resumable=is_resumable)
+        got, _ = await serve(client, A, route=route)
+        assert (got.end, got.body) == ("whole", events(1, 2))
+
+    async def test_second_stall_cuts_the_last_run(self):
+        """As many runs as the route allows have begun, and each of them stalls."""
+        client = FakeClient(
+            FakeAnswer(events(1), asyncio.Event()),
+            FakeAnswer(0.3, events(2), 0.3, events(3)),
+        )
+        got, _ = await serve(client, A, B)
+        assert (got.end, got.body) == ("whole", events(1, 2, 3))
+        assert len(client.sends) == 2
+
+    async def test_first_run_goes_on_before_the_second_begins_to(self):
+        """The caller gets the first one's events, and the second one is broken off."""
+        second = FakeAnswer(asyncio.Event())
+        client = FakeClient(FakeAnswer(events(1), 0.3, events(2)), second)
+        got, _ = await serve(client, A, B)
+        assert (got.end, got.body, len(client.sends)) == ("whole", events(1, 2), 2)
+        assert second.closed is False
+
+    async def test_first_run_goes_on_after_the_second_has(self):
+        """Nothing of the first one reaches the caller any more."""
+        first = FakeAnswer(events(1), 0.3, events(2), events(3))
+        client = FakeClient(first, FakeAnswer(events(2), 0.4, events(3)))
+        got, _ = await serve(client, A, B)
+        assert (got.end, got.body) == ("whole", events(1, 2, 3))
+        assert first.closed is False
+
+    @pytest.mark.parametrize(
+        "second", [refused(), LOST, NotSentError("refused"), FakeAnswer(status=500)]
+    )
+    async def test_failed_second_run_cuts_the_first(self, second):
+        """The first one is there all the time."""
+        client = FakeClient(FakeAnswer(events(1), 0.6, events(2)), second)
+        client.answers += [refused()] * 4
+        got, _ = await serve(client, A, B)
+        assert (got.end, got.body) == ("whole", events(1, 2))
+
+    async def test_stall_without_a_retry_cuts_the_stream(self):
+        """The retry budget is used up."""
+        client = FakeClient(FakeAnswer(events(1), 0.6, events(2)))
+        routing = make_routing(client, A, B, rng=random.Random(1), retry_part=0)
+        while await routing.retries.may_retry("model"):
+            pass
+        responder = FakeResponder()
+        await StreamCall(routing, make_call(), admitted()).serve(responder)
+        assert (responder.end, len(client.sends)) == ("whole", 1)
+
+    async def test_ended_runner_is_waited_for(self):
+        """Who refuses connections can't go on: the stream is taken up elsewhere."""
+        client = FakeClient(
+            FakeAnswer(events(1), asyncio.Event()),
+            FakeAnswer(events(2), asyncio.Event()),
+        )
+        client.refusing = {"a", "b"}
+        started_s = clocks.now_s()
+        got, _ = await serve(client, A, B, call=make_call(wait_s=8.0))
+        assert (got.end, got.body) == ("cut", events(1, 2))
+        assert clocks.now_s() - started_s < 2.0
+
+    async def test_deadline_is_over(self):
+        """A silent run is not waited for beyond the caller's time."""
+        client = FakeClient(FakeAnswer(events(1), asyncio.Event()))
+        got, _ = await serve(client, A, call=make_call(wait_s=0.5))
+        assert got.end == "cut"
+
+    async def test_own_standstill_is_taken_for_the_runners(self):
+        """What has arrived while the loop stood still is read before anything else."""
+        loop = asyncio.get_running_loop()
+
+        class ArrivedAnswer(FakeAnswer):
+            async def parts(self):
+                yield events(1)
+                ours, theirs = socket.socketpair()
+                reader, writer = await asyncio.open_connection(sock=ours)
+                loop.call_later(0.01, self.stand_still, theirs)
+                yield await reader.readuntil(b"\n\n")
+                writer.close()
+
+            def stand_still(self, theirs):
+                theirs.sendall(events(2))
+                time.sleep(1.0)
+                theirs.close()
+
+        client = FakeClient(ArrivedAnswer())
+        got, routing = await serve(client, A, B)
+        assert (got.end, got.body, len(client.sends)) == ("whole", events(1, 2), 1)
+        assert not routing.health.resting(now_s=clocks.now_s())
+
+
 class TestFailingRunner:
     @pytest.mark.parametrize("status", [500, 502])
     async def test_next_streams_go_elsewhere(self, status):
