--- a/tests/virtual_time.py
+++ b/tests/virtual_time.py
@@ -33,6 +33,10 @@
     def time(self):
         return self._jumping.now_s
 
+    def stand_still(self, for_s):
+        """Let time go on while nothing runs, as in one long step."""
+        self._jumping.now_s += for_s
+
 
 def run(work, monkeypatch):
     """Run a coroutine function to its end in virtual time; return its result."""
