Grant running time after short standstills too

A limit's last step was over if its timer was up to 0.02 s late, so that an answer that had arrived in a standstill of 0.008 s at the limit's end was called late. Steps also added up what timers are late anyway, and a rest of 1e-17 s made another step.

A timer that is over 0.003 s late now shows a standstill; a step in time is charged with the time it took. After a late step at least 0.01 s are left, three times at most.

tests/test_running_time.py, on uvloop's and asyncio's loop, with bytes that another thread writes while a callback sleeps.

--- a/src/violethatch/running_time.py
+++ b/src/violethatch/running_time.py
@@ -22,15 +22,18 @@
 from . import clocks
 
 
-#: A timer that fires later than this shows that the loop stood still, in seconds.
-LATE_S = 0.02
+#: A timer that fires later than this shows that the loop stood still, in seconds:
+#: loops round their timers to 0.001 s.
+LATE_S = 0.003
 #: A limit is counted in steps: a standstill costs one step at most, in seconds.
 _MAX_STEP_S = 0.05
 _MIN_STEP_S = 0.01
 _STEPS = 4
-#: Further steps after a standstill at the limit's end: what has arrived meanwhile is
-#: read first.  Bounded, as a loop that is overloaded is always late.
+#: Steps that are granted after standstills at the limit's end: what has arrived
+#: meanwhile is read first.  Bounded, as a loop that is overloaded is always late.
 _MAX_EXTRA_STEPS = 3
+#: What is left of a limit that is over, in seconds: less than timers can wait for.
+_NOTHING_S = 0.0005
 
 
 class Allowance:
@@ -44,30 +47,26 @@
 
     def __init__(self, limit_s: float) -> None:
         self._left_s = limit_s
-        self._usual_step_s = min(max(limit_s / _STEPS, _MIN_STEP_S), _MAX_STEP_S)
+        self._max_step_s = min(max(limit_s / _STEPS, _MIN_STEP_S), _MAX_STEP_S)
         self._extra_steps = _MAX_EXTRA_STEPS
         self._began_s = 0.0
         self._step_s = 0.0
 
     def begin_step(self) -> float:
         """Begin a step; return how long to wait for, in seconds."""
-        is_extra = self._left_s <= 0.0
-        self._step_s = self._usual_step_s
-        if not is_extra:
-            self._step_s = min(self._step_s, self._left_s)
+        self._step_s = max(0.0, min(self._max_step_s, self._left_s))
         self._began_s = clocks.now_s()
         return self._step_s
 
     def end_step(self) -> bool:
         """End a step whose time is over; tell whether the limit is."""
-        late_s = clocks.now_s() - self._began_s - self._step_s
-        self._left_s -= self._step_s
-        if self._left_s > 0.0:
-            return False
-        if late_s <= LATE_S or self._extra_steps == 0:
-            return True
-        self._extra_steps -= 1
-        return False
+        took_s = clocks.now_s() - self._began_s
+        is_late = took_s > self._step_s + LATE_S
+        self._left_s -= self._step_s if is_late else took_s
+        if is_late and self._left_s < _MIN_STEP_S and self._extra_steps:
+            self._extra_steps -= 1
+            self._left_s = _MIN_STEP_S
+        return self._left_s < _NOTHING_S
 
 
 async def wait(
