Count a report's time only while the loop runs

A runner's report that had come while this instance stood still was given up on: timers that are due are run before what has arrived is read. After 0.02 s it was asked for on a second connection (two probes, and two headers heard, where one was meant), after 0.25 s the runner was taken for silent and left alone.

Both limits count running time now.

tests/test_own_standstills.py::TestReports (a server in its own thread, the loop held up after 1, 2, 3 or 5 turns, uvloop and asyncio) and test_word_is_heard_twice_where_the_loop_stood_still.

--- a/src/violethatch/platform/_runners.py
+++ b/src/violethatch/platform/_runners.py
@@ -16,7 +16,7 @@
 
 from multidict import CIMultiDict
 
-from .. import clocks, events
+from .. import clocks, events, running_time
 from .._call_errors import CALL_ERRORS
 from .._decoding import decoded
 from .._send_checks import send_check
@@ -300,8 +300,7 @@
             KeptBackError: It was not asked.
         """
         kept = asyncio.create_task(self._ask_report(self._kept, server))
-        await asyncio.wait((kept,), timeout=_DOUBT_S)
-        if kept.done():
+        if await running_time.wait((kept,), limit_s=_DOUBT_S):
             report = kept.result()
         else:
             # Neither is cancelled: what a probe leaves behind ends by its own limit.
@@ -321,7 +320,7 @@
         try:
             async with (
                 self._gated(server, Sending.REPORT) as sent,
-                asyncio.timeout(_REPORT_S),
+                running_time.timeout(_REPORT_S),
                 session.get(url) as answer,
             ):
                 self._hear(server, answer, sent)
--- /dev/null
+++ b/tests/test_own_standstills.py
@@ -0,0 +1,80 @@
+# SPDX-License-Identifier: MIT
+"""Standstills of this instance that are taken for silences of servers."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+
+import pytest
+
+from routing_samples import runner
+from thread_server import ThreadServer
+from violethatch.event_loop import EventLoop
+from violethatch.platform._runners import Runners
+from violethatch.platform._sessions import make_session
+
+
+#: After how many turns of the loop it is held up: as a connection opens, as the
+#: request is written, as the answer is waited for.
+TURNS = [1, 2, 3, 5]
+
+
+@pytest.fixture(params=[EventLoop, asyncio.SelectorEventLoop])
+def run(request):
+    """Provide what runs a coroutine on one of the loops."""
+    with asyncio.Runner(loop_factory=request.param) as loop_runner:
+        yield loop_runner.run
+
+
+@pytest.fixture
+def server():
+    """Provide a server that answers while the test's loop stands still."""
+    with ThreadServer() as made:
+        yield made
+
+
+async def held_up(work, *, turns, for_s):
+    """Return what work gives that is held up for a while after some turns."""
+    task = asyncio.ensure_future(work)
+    for _ in range(turns):
+        await asyncio.sleep(0)
+    time.sleep(for_s)
+    return await task
+
+
+async def with_runners(work):
+    """Return what a coroutine function makes of a client of servers."""
+    kept, fresh = make_session(is_kept=True), make_session(is_kept=False)
+    try:
+        return await work(Runners(kept, fresh))
+    finally:
+        await kept.close()
+        await fresh.close()
+
+
+@pytest.mark.parametrize("turns", TURNS)
+class TestReports:
+    def test_report_that_came_in_a_standstill_is_none(self, run, server, turns):
+        """The standstill is longer than a report may take."""
+        one = runner("a", 0, 80, address=server.address)
+
+        async def work(runners):
+            return await held_up(runners.report(one), turns=turns, for_s=0.4)
+
+        assert run(with_runners(work)) is not None
+
+    @pytest.mark.parametrize("for_s", [0.03, 0.1, 0.4])
+    def test_report_is_asked_for_again_after_a_standstill(
+        self, run, server, turns, for_s
+    ):
+        """The first connection is doubted, though its answer is there."""
+        server.after_s = 0.002
+        one = runner("a", 0, 80, address=server.address)
+
+        async def work(runners):
+            await runners.report(one)  # opens the connection that is kept
+            return await held_up(runners.report(one), turns=turns, for_s=for_s)
+
+        assert run(with_runners(work)) is not None
+        assert len(server.asked) == 2
--- a/tests/test_platform_words.py
+++ b/tests/test_platform_words.py
@@ -3,7 +3,9 @@
 
 from __future__ import annotations
 
+import asyncio
 import math
+import time
 
 import pytest
 
@@ -126,6 +128,22 @@
     assert request_id == ("" if how in ("report", "order") else "c1")
 
 
+@pytest.mark.parametrize("turns", [1, 4, 8])
+@pytest.mark.parametrize("hold_s", [0.03, 0.1])
+async def test_word_is_heard_twice_where_the_loop_stood_still(
+    runners, server, turns, hold_s
+):
+    """A report is not asked for on another connection for that."""
+    server.status = 503
+    server.headers = [("Retry-After", "2.5")]
+    asking = asyncio.ensure_future(ask(runners, server, "report"))
+    for _ in range(turns):
+        await asyncio.sleep(0)
+    time.sleep(hold_s)
+    await asking
+    assert len(runners.gate.words) == 1
+
+
 async def test_refusal_carries_the_word(runners, server):
     """What is done about a refusal knows what the server asks for."""
     server.status = 503
