--- a/src/violethatch/_plain_calls.py
+++ b/src/violethatch/_plain_calls.py
@@ -8,7 +8,7 @@
 
 from typing import NamedTuple
 
-from . import clocks, events
+from . import clocks, deadlines, events
 from ._routing import Routing
 from ._stream_output import StreamOutput
 from ._work_in_hand import WorkInHand
@@ -156,7 +156,7 @@
             return False
         if self.runs >= self._route.max_attempts:
             return False
-        return clocks.now_s() < self._deadline_s
+        return not deadlines.is_over(self._deadline_s)
 
     async def _is_paid(self) -> bool:
         """Tell whether another send is paid for."""
@@ -295,7 +295,7 @@
     def _failure(self) -> VioletHatchError:
         """Return the error that says what is known."""
         if self.runs:
-            if clocks.now_s() >= self._deadline_s:
+            if deadlines.is_over(self._deadline_s):
                 return DeadlineError("no answer before the deadline")
             return ServiceLostError("the backend server's answer was lost")
         held = self._work.held_back()
--- a/src/violethatch/forwarding/_call.py
+++ b/src/violethatch/forwarding/_call.py
@@ -5,7 +5,7 @@
 
 import asyncio
 
-from .. import clocks, events
+from .. import clocks, deadlines, events
 from .._stream_output import StreamOutput
 from ..desired import Admitted, CallKind
 from ..errors import (
@@ -139,12 +139,12 @@
     def _may_send_again(self) -> bool:
         """Tell whether the call may be handed over once more."""
         is_left = self.runs < self._route.max_attempts
-        in_time = clocks.now_s() < self._deadline_s
+        in_time = not deadlines.is_over(self._deadline_s)
         return self._route.is_repeatable and is_left and in_time
 
     def _failure(self) -> VioletHatchError:
         """Return the error of a call that may have run."""
-        if clocks.now_s() >= self._deadline_s:
+        if deadlines.is_over(self._deadline_s):
             return DeadlineError("no answer before the deadline")
         if self._route.kind is CallKind.STREAM:
             return PipelineFailedError("the answer of another instance was lost")
--- a/tests/test_plain_calls.py
+++ b/tests/test_plain_calls.py
@@ -8,6 +8,8 @@
 
 import pytest
 
+import virtual_time
+
 from router_fakes import (
     LOST,
     FakeAnswer,
@@ -34,13 +36,21 @@
 SERVERS = (plain_server("a"), plain_server("b"), plain_server("c"))
 
 
-async def serve(client, *, kind=CallKind.SAFE, servers=SERVERS, wait_s=5.0, **changes):
+async def serve(
+    client,
+    *,
+    kind=CallKind.SAFE,
+    servers=SERVERS,
+    wait_s=5.0,
+    target_s=0.05,
+    **changes,
+):
     """Serve a call; return what the caller got."""
     route = call_route(
         kind=kind,
         is_resumable=False,
         splits=(Split("labels", 1.0),),
-        target_latency_s=0.05,
+        target_latency_s=target_s,
         **changes,
     )
     routing = make_routing(client, *servers, rng=random.Random(1))
@@ -168,6 +178,42 @@
         assert caught.value.ran == "maybe"
 
 
+class TestDeadline:
+    @pytest.fixture
+    def late_clock(self, monkeypatch):
+        """Return a function that runs a test's work on a clock 0.4 ms behind timers."""
+
+        async def with_late_clock(work):
+            loop = asyncio.get_running_loop()
+            began_s = loop.time()
+            monkeypatch.setattr(
+                clocks, "now_s", lambda: began_s + (loop.time() - began_s) * 0.999
+            )
+            await work()
+
+        return lambda work: virtual_time.run(lambda: with_late_clock(work), monkeypatch)
+
+    def test_time_limit_is_reported_as_lost_answer(self, late_clock):
+        """A timer that ends within the clock's last millisecond is the deadline's."""
+
+        async def work():
+            with pytest.raises(DeadlineError):
+                await serve(FakeClient(asyncio.Event()), kind=CallKind.ONCE, wait_s=0.4)
+
+        late_clock(work)
+
+    def test_call_is_sent_again_at_its_deadline(self, late_clock):
+        """No server gets a call that has no time left."""
+        client = FakeClient(asyncio.Event(), asyncio.Event())
+
+        async def work():
+            with pytest.raises(DeadlineError):
+                await serve(client, wait_s=0.4, target_s=0.5)
+
+        late_clock(work)
+        assert len(client.sends) == 1
+
+
 class TestRefused:
     async def test_all_full(self):
         """The caller hears that nothing ran, and when to come back."""
