Keep a plain call's first send until an answer is there

Callers of routes that may run twice got 502, code 1304, "the backend server's answer was lost", although their server went on: a send that was silent for the route's target, or a third of the time left, was broken off before it was known whether a second one may be made. Without budget, another server, or an answer of the second one nothing was left.

A send that is silent is now followed by another as before, and goes on beside it. The first answer of the two is given, the other send is broken off then; the last failure is given only when no answer can come any more. Runs and retries are as many as before.

--- a/src/violethatch/_plain_calls.py
+++ b/src/violethatch/_plain_calls.py
@@ -44,8 +44,8 @@
 _NONE_RETRY_S = 0.5
 #: The most sends of one call, refusals and failed connections included.
 _MOST_SENDS = 4
-#: Into how many parts what is left of a call's time goes, of which a send that
-#: can be followed by another gets one.
+#: Into how many parts what is left of a call's time goes: after one of them, a send
+#: that is silent is followed by another.
 _TIME_PARTS = 3
 #: After how many times the route's target a server that has not answered is left
 #: alone by further calls, also while this one still waits.
@@ -71,11 +71,45 @@
         return self.status
 
 
+class _Attempt:
+    """One send that is under way.
+
+    Args:
+        server: Where it goes.
+        is_paid: Whether it took a retry from the budget.
+
+    Attributes:
+        task: Returns what came of it.
+    """
+
+    task: asyncio.Task[_Outcome]
+
+    def __init__(self, server: BackendServer, *, is_paid: bool) -> None:
+        self.server = server
+        self.is_paid = is_paid
+        self.sent_s = clocks.now_s()
+
+
+class _Outcome(NamedTuple):
+    """What came of a send.
+
+    Attributes:
+        may_have_run: Whether its server may have run the call.
+        whole: The server's answer, if there is one to pass on.
+        is_kept_back: Whether nothing was sent.
+    """
+
+    may_have_run: bool
+    whole: _Whole | None = None
+    is_kept_back: bool = False
+
+
 class PlainCall:
     """Serves one call of a plain service.
 
     A call that may not be repeated is sent again only after a server's word
-    that it has not run, or if no connection came about.
+    that it has not run, or if no connection came about.  One that may be repeated is
+    sent once more when its server is silent; the first answer of the two counts.
     """
 
     def __init__(
@@ -90,13 +124,16 @@
         self._tried: set[str] = set()
         self._refused_by: set[str] = set()
         self._kept_back = 0
+        self._under_way: list[_Attempt] = []
+        #: The last failure that a server gave as its answer.
+        self._failed: _Whole | None = None
         self.output = StreamOutput(call, admitted.route)
-        #: Sends that may have run, those of an instance that forwarded it included.
+        #: Ended sends that may have run, those of an instance that forwarded it
+        #: included.
         self.runs = runs
         self.sends = runs
-        #: When the latest send began, the server it went to, and what the list of
-        #: servers rested on.
-        self._sent_s = 0.0
+        #: The server that answered, or got the latest send, and what the list of
+        #: servers rested on then.
         self.server_id: str | None = None
         self.list_state = UNREAD
 
@@ -116,101 +153,181 @@
             VioletHatchError: No backend server gave an answer to pass on.
             MustForwardError: Another instance has to serve the call.
         """
-        failed: _Whole | None = None
-        while self.sends + self._kept_back < _MOST_SENDS:
-            if self.sends and not self._may_send_again():
-                break
-            if self._work.is_held:
-                break  # each send of a request that ends servers costs one more
-            if await self._routing.must_forward(
-                self._call, self._admitted.service.name
-            ):
-                raise MustForwardError
-            server = self._choose(clocks.now_s())
-            if server is None:
-                break
-            is_again = self.sends > 0
-            if is_again and not await self._is_paid():
-                break
-            try:
-                answer = await self._send_once(server)
-            except KeptBackError:
-                self._kept_back += 1
-                if is_again:
-                    self._routing.retries.return_retry(self._admitted.service.name)
-                continue
-            if answer is None:
-                continue
-            if not self._route.is_repeatable and answer.status in _SAYS_NOT_RUN:
-                break  # it has run, so that these would say what is not true
-            if answer.status < _SERVER_ERROR or not self._route.is_repeatable:
-                return await answer.give(responder)
-            failed = answer
-        if failed is None:
+        answer: _Whole | None = None
+        try:
+            async with asyncio.timeout(clocks.left_s(self._deadline_s)):
+                answer = await self._find_answer()
+        except TimeoutError:
+            answer = self._take_ended()
+            for attempt in self._under_way:
+                self._note_late(attempt)
+        finally:
+            self._break_off()
+        answer = answer or self._failed
+        if answer is None:
             raise self._failure()
-        return await failed.give(responder)
+        return await answer.give(responder)
+
+    async def _find_answer(self) -> _Whole | None:
+        """Return an answer to pass on, or None if none can come any more.
+
+        Raises:
+            VioletHatchError: The call has run, and its answer can't be passed on.
+            MustForwardError: Another instance has to serve the call.
+        """
+        while True:
+            latest = await self._begin_attempt()
+            if not self._under_way:
+                return None
+            await self._wait_for_end(latest)
+            answer = self._take_ended()
+            if answer is not None:
+                return answer
+
+    async def _begin_attempt(self) -> _Attempt | None:
+        """Send the call once more; return None where that may not or need not be.
+
+        Raises:
+            MustForwardError: Another instance has to serve the call.
+        """
+        service = self._admitted.service.name
+        if self.sends + self._kept_back >= _MOST_SENDS:
+            return None
+        if self.sends and not self._may_send_again():
+            return None
+        if self._work.is_held:
+            return None  # each send of a request that ends servers costs one more
+        if await self._routing.must_forward(self._call, service):
+            raise MustForwardError
+        server = self._choose(clocks.now_s())
+        if server is None:
+            return None
+        is_again = self.sends > 0
+        if is_again and not await self._routing.retries.may_retry(service):
+            return None
+        if self._has_ended():
+            if is_again:
+                self._routing.retries.return_retry(service)
+            return None
+        attempt = _Attempt(server, is_paid=is_again)
+        self._count_in(attempt)
+        attempt.task = asyncio.create_task(self._send_once(attempt))
+        return attempt
+
+    def _count_in(self, attempt: _Attempt) -> None:
+        """Count a send that begins."""
+        self.server_id = attempt.server.id
+        self.list_state = self._routing.list_state()
+        self._tried.add(attempt.server.id)
+        self.sends += 1
+        self._under_way.append(attempt)
+
+    async def _wait_for_end(self, latest: _Attempt | None) -> None:
+        """Wait until a send ends, or until the latest one calls for another."""
+        tasks = [one.task for one in self._under_way]
+        limit_s = None
+        if latest is not None and self._may_send_again():
+            limit_s = self._silence_limit_s(clocks.now_s())
+        await asyncio.wait(tasks, timeout=limit_s, return_when=asyncio.FIRST_COMPLETED)
+        if latest is not None and not self._has_ended():
+            self._note_late(latest)
+
+    def _has_ended(self) -> bool:
+        """Tell whether a send under way has ended."""
+        return any(one.task.done() for one in self._under_way)
+
+    def _take_ended(self) -> _Whole | None:
+        """Take in the sends that have ended; return an answer to pass on.
+
+        Raises:
+            VioletHatchError: The call has run, and its answer can't be passed on.
+        """
+        found: _Whole | None = None
+        for attempt in [one for one in self._under_way if one.task.done()]:
+            self._under_way.remove(attempt)
+            found = self._take(attempt, attempt.task.result()) or found
+        return found
+
+    def _take(self, attempt: _Attempt, outcome: _Outcome) -> _Whole | None:
+        """Take in what came of a send; return an answer to pass on.
+
+        Raises:
+            VioletHatchError: The call has run, and its answer can't be passed on.
+        """
+        if outcome.is_kept_back:
+            self._kept_back += 1
+            self._tried.discard(attempt.server.id)
+            self.sends -= 1
+            if attempt.is_paid:
+                self._routing.retries.return_retry(self._admitted.service.name)
+            return None
+        self.runs += outcome.may_have_run
+        answer = outcome.whole
+        if answer is None:
+            return None
+        self.server_id = attempt.server.id
+        if not self._route.is_repeatable:
+            if answer.status in _SAYS_NOT_RUN:
+                raise self._failure()  # it has run: these would say what is not true
+            return answer
+        if answer.status < _SERVER_ERROR:
+            return answer
+        self._failed = answer
+        return None
+
+    def _break_off(self) -> None:
+        """Break off the sends that are under way."""
+        for attempt in self._under_way:
+            attempt.task.cancel()
+            self.runs += 1
+        self._under_way.clear()
+
+    @property
+    def _begun_runs(self) -> int:
+        """Sends that may have run, those under way included."""
+        return self.runs + len(self._under_way)
 
     def _may_send_again(self) -> bool:
         """Tell whether another send is allowed."""
-        if self.runs and not self._route.is_repeatable:
+        runs = self._begun_runs
+        if runs and not self._route.is_repeatable:
             return False
-        if self.runs >= self._route.max_attempts:
+        if runs >= self._route.max_attempts:
             return False
         return not deadlines.is_over(self._deadline_s)
 
-    async def _is_paid(self) -> bool:
-        """Tell whether another send is paid for."""
-        return await self._routing.retries.may_retry(self._admitted.service.name)
-
-    async def _send_once(self, server: BackendServer) -> _Whole | None:
-        """Send the call once; return an answer that could be passed on.
-
-        Raises:
-            KeptBackError: Nothing was sent.
-        """
+    async def _send_once(self, attempt: _Attempt) -> _Outcome:
+        """Send the call once; return what came of it."""
         routing = self._routing
-        now_s = clocks.now_s()
-        self._sent_s = now_s
-        self.server_id = server.id
-        self.list_state = routing.list_state()
-        self._tried.add(server.id)
-        self.sends += 1
-        limit_s = self._limit_s(now_s)
+        server = attempt.server
         routing.choice.started(server.id)
         loop = asyncio.get_running_loop()
         target_s = self._route.target_latency_s
-        watch = self._routing.link_watch
+        watch = routing.link_watch
         doubted = loop.call_later(
-            target_s, functools.partial(watch.note_late, server, sent_s=now_s)
+            target_s, functools.partial(watch.note_late, server, sent_s=attempt.sent_s)
         )
-        late = loop.call_later(_LATE_TARGETS * target_s, self._note_late, server.id)
+        late = loop.call_later(_LATE_TARGETS * target_s, self._note_late, attempt)
         load: ServerLoad | None = None
         try:
-            async with asyncio.timeout(limit_s):
-                answer = await routing.client.send(self._send_to(server))
-                watch.note_answer(server.service)
-                load = answer.load
-                whole = await self._read(answer, server.id)
-            self.runs += whole is not None
-            return whole
+            answer = await routing.client.send(self._send_to(server))
+            watch.note_answer(server.service)
+            load = answer.load
+            whole = await self._read(answer, server.id)
+            return _Outcome(may_have_run=whole is not None, whole=whole)
         except KeptBackError:
-            self._tried.discard(server.id)
-            self.sends -= 1
-            raise
+            return _Outcome(may_have_run=False, is_kept_back=True)
         except NotSentError as error:
             routing.note_trouble(server, Trouble.SILENT, self._call.id, str(error))
+            return _Outcome(may_have_run=False)
         except AnswerLostError as error:
-            self.runs += 1
             trouble = await self._work.trouble_of(error, server, has_begun=False)
             routing.note_trouble(server, trouble, self._call.id, str(error))
-        except TimeoutError:
-            self.runs += 1
-            self._note_late(server.id)
+            return _Outcome(may_have_run=True)
         finally:
             doubted.cancel()
             late.cancel()
             routing.choice.ended(server.id, load, now_s=clocks.now_s())
-        return None
 
     def _choose(self, now_s: float) -> BackendServer | None:
         """Return the server to send to, or None if none wants the call.
@@ -241,7 +358,7 @@
             workspace=self._admitted.workspace_name,
             last_event_id=None,
             # The first send may have been lost with a connection that had rested.
-            is_connection_fresh=not self._route.is_repeatable or self.runs > 0,
+            is_connection_fresh=not self._route.is_repeatable or self._begun_runs > 1,
         )
 
     async def _read(self, answer: Answer, server_id: str) -> _Whole | None:
@@ -268,25 +385,21 @@
             self._work.answered()
         return _Whole(answer.status, answer.headers, body, answer.is_framed)
 
-    def _limit_s(self, now_s: float) -> float:
-        """Return how long this send may take, in seconds.
+    def _silence_limit_s(self, now_s: float) -> float:
+        """Return how long the latest send may be silent before another one, in seconds.
 
-        A repeatable call is given up on once its answer would be late
-        anyway, while there is another attempt to be had.
+        Its answer would then be late for the route's target anyway.
         """
         left_s = max(0.0, self._deadline_s - now_s)
-        is_last = self.runs + 1 >= self._route.max_attempts
-        if not self._route.is_repeatable or is_last:
-            return left_s
-        return min(left_s, max(self._route.target_latency_s, left_s / _TIME_PARTS))
+        return max(self._route.target_latency_s, left_s / _TIME_PARTS)
 
-    def _note_late(self, server_id: str) -> None:
+    def _note_late(self, attempt: _Attempt) -> None:
         """Log that a server has not answered in time, and leave it alone.
 
         A caller's own time may be so short that it says nothing of the server.
         """
-        server = self._routing.backends.get(server_id)
-        waited_s = clocks.now_s() - self._sent_s
+        server = self._routing.backends.get(attempt.server.id)
+        waited_s = clocks.now_s() - attempt.sent_s
         if server is not None and waited_s >= self._route.target_latency_s:
             self._routing.note_trouble(
                 server, Trouble.SILENT, self._call.id, f"no answer in {waited_s:.2f} s"
--- a/tests/router_fakes.py
+++ b/tests/router_fakes.py
@@ -111,7 +111,7 @@
             raise answer
         if isinstance(answer, asyncio.Event):
             await answer.wait()
-        return answer
+        return await answer() if callable(answer) else answer
 
     async def is_refusing(self, server):
         self.looked.append(server.id)
--- a/tests/test_plain_calls.py
+++ b/tests/test_plain_calls.py
@@ -5,6 +5,7 @@
 
 import asyncio
 import random
+import time
 
 import pytest
 
@@ -36,6 +37,21 @@
 SERVERS = (plain_server("a"), plain_server("b"), plain_server("c"))
 
 
+def ready_after(answer, wait_s):
+    """Return an answer that comes over a socket, also while the loop stands still."""
+
+    async def come():
+        await asyncio.to_thread(time.sleep, wait_s)
+        return answer
+
+    return come
+
+
+async def no_retry(_service):
+    """Stand in for a retry budget that is spent."""
+    return False
+
+
 async def serve(
     client,
     *,
@@ -43,6 +59,7 @@
     servers=SERVERS,
     wait_s=5.0,
     target_s=0.05,
+    may_retry=None,
     **changes,
 ):
     """Serve a call; return what the caller got."""
@@ -54,6 +71,7 @@
         **changes,
     )
     routing = make_routing(client, *servers, rng=random.Random(1))
+    routing.retries.may_retry = may_retry or routing.retries.may_retry
     call = PlainCall(routing, make_call(wait_s=wait_s), admitted(route))
     responder = FakeResponder()
     async with asyncio.timeout(10):
@@ -61,11 +79,11 @@
     return responder
 
 
-def unanswered_call(*, target_s, wait_s):
-    """Return a call that may run once and gets no answer, and its routing."""
+def unanswered_call(*, target_s, wait_s, kind=CallKind.ONCE):
+    """Return a call that gets no answer, and its routing."""
     routing = make_routing(FakeClient(asyncio.Event()), *SERVERS, rng=random.Random(1))
     route = call_route(
-        kind=CallKind.ONCE,
+        kind=kind,
         is_resumable=False,
         splits=(Split("labels", 1.0),),
         target_latency_s=target_s,
@@ -110,6 +128,13 @@
             await serving
         assert len(routing.health.resting(now_s=clocks.now_s())) == 1
 
+    async def test_server_that_is_silent_past_its_target_is_sent_to(self):
+        """The caller's time ends between the target and twice as much."""
+        call, routing = unanswered_call(target_s=0.1, wait_s=0.15)
+        with pytest.raises(DeadlineError):
+            await call.serve(FakeResponder())
+        assert len(routing.health.resting(now_s=clocks.now_s())) == 1
+
     async def test_caller_s_short_time_says_nothing(self):
         """A server that had less time than its target is not left alone."""
         call, routing = unanswered_call(target_s=0.5, wait_s=0.05)
@@ -178,6 +203,68 @@
         assert caught.value.ran == "maybe"
 
 
+class TestSilence:
+    """The first send is silent past the route's target; its server goes on."""
+
+    async def test_answer_is_dropped_without_budget_for_another(self):
+        """Without a second send there is only the first to wait for."""
+        client = FakeClient(ready_after(FakeAnswer(b"abc"), 0.4))
+        got = await serve(client, wait_s=1.0, may_retry=no_retry)
+        assert (got.body, len(client.sends)) == (b"abc", 1)
+
+    async def test_answer_is_dropped_without_another_server(self):
+        """The only server that is listed refuses the second send."""
+        client = FakeClient(ready_after(FakeAnswer(b"abc"), 0.4), refused())
+        got = await serve(client, wait_s=1.0, servers=SERVERS[:1])
+        assert got.body == b"abc"
+
+    @pytest.mark.parametrize(
+        "second",
+        [asyncio.Event(), LOST, FakeAnswer(b"no", status=500), NotSentError("no")],
+    )
+    async def test_answer_is_dropped_for_one_that_does_not_come(self, second):
+        """A second send that fails or is silent leaves the first one's answer."""
+        client = FakeClient(ready_after(FakeAnswer(b"abc"), 0.6), second, LOST, LOST)
+        got = await serve(client, wait_s=1.0)
+        assert (got.status, got.body) == (200, b"abc")
+
+    async def test_slower_send_goes_on_after_the_answer(self):
+        """Once one server has answered, the other one's work is broken off."""
+        slow = FakeAnswer(b"a", asyncio.Event())
+        await serve(FakeClient(slow, FakeAnswer(b"abc")), wait_s=0.5)
+        await asyncio.sleep(0)
+        assert slow.closed is False
+
+    async def test_sends_go_on_after_the_caller_left(self):
+        """Both servers' work is broken off."""
+        answers = [FakeAnswer(b"a", asyncio.Event()) for _ in range(2)]
+        client = FakeClient(*answers)
+        serving = asyncio.create_task(serve(client, wait_s=0.5))
+        while len(client.sends) < 2:
+            await asyncio.sleep(0.01)
+        await asyncio.sleep(0.01)
+        serving.cancel()
+        await asyncio.wait([serving])
+        await asyncio.sleep(0)
+        assert [one.closed for one in answers] == [False, False]
+
+    async def test_answer_that_came_in_the_last_moment_is_dropped(self):
+        """Two sends end at once: the answer counts, not the failure."""
+        come = asyncio.Event()
+
+        async def answered():
+            await come.wait()
+            return FakeAnswer(b"abc")
+
+        async def failed():
+            await come.wait()
+            return FakeAnswer(b"no", status=500)
+
+        asyncio.get_running_loop().call_later(0.4, come.set)
+        got = await serve(FakeClient(answered, failed), wait_s=1.0)
+        assert got.body == b"abc"
+
+
 class TestDeadline:
     @pytest.fixture
     def late_clock(self, monkeypatch):
