Read what has arrived before a plain call's limits are over

Callers whose instance stood still for 2.5 s got 504 although the server's answer lay in its socket, where their time limit passed meanwhile (8 of 8, both kinds of routes); a call that may run twice was sent once more, and servers were reported to other instances as silent. Timers are due before the bytes are read that arrived during a standstill.

The limits after which a server counts as silent, and another send follows, count only while the event loop runs.

--- a/src/violethatch/_plain_calls.py
+++ b/src/violethatch/_plain_calls.py
@@ -8,7 +8,7 @@
 
 from typing import NamedTuple
 
-from . import clocks, deadlines, events
+from . import clocks, deadlines, events, running_time
 from ._routing import Routing
 from ._stream_output import StreamOutput
 from ._work_in_hand import WorkInHand
@@ -80,14 +80,20 @@
 
     Attributes:
         task: Returns what came of it.
+        timer: Counts the time in which the server gives no answer.
+        sent_s: When it began, in monotonic seconds.
+        is_past_target: Whether the route's target is over, this instance's own
+            standstills not counted.
     """
 
     task: asyncio.Task[_Outcome]
+    timer: running_time.Ticker
 
     def __init__(self, server: BackendServer, *, is_paid: bool) -> None:
         self.server = server
         self.is_paid = is_paid
         self.sent_s = clocks.now_s()
+        self.is_past_target = False
 
 
 class _Outcome(NamedTuple):
@@ -155,7 +161,7 @@
         """
         answer: _Whole | None = None
         try:
-            async with asyncio.timeout(clocks.left_s(self._deadline_s)):
+            async with deadlines.until(self._deadline_s):
                 answer = await self._find_answer()
         except TimeoutError:
             answer = self._take_ended()
@@ -225,11 +231,11 @@
     async def _wait_for_end(self, latest: _Attempt | None) -> None:
         """Wait until a send ends, or until the latest one calls for another."""
         tasks = [one.task for one in self._under_way]
-        limit_s = None
-        if latest is not None and self._may_send_again():
-            limit_s = self._silence_limit_s(clocks.now_s())
-        await asyncio.wait(tasks, timeout=limit_s, return_when=asyncio.FIRST_COMPLETED)
-        if latest is not None and not self._has_ended():
+        if latest is None or not self._may_send_again():
+            await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
+            return
+        limit_s = self._silence_limit_s(clocks.now_s())
+        if not await running_time.wait(tasks, limit_s=limit_s):
             self._note_late(latest)
 
     def _has_ended(self) -> bool:
@@ -301,17 +307,13 @@
         routing = self._routing
         server = attempt.server
         routing.choice.started(server.id)
-        loop = asyncio.get_running_loop()
-        target_s = self._route.target_latency_s
-        watch = routing.link_watch
-        doubted = loop.call_later(
-            target_s, functools.partial(watch.note_late, server, sent_s=attempt.sent_s)
+        attempt.timer = running_time.call_later(
+            self._route.target_latency_s, functools.partial(self._doubt, attempt)
         )
-        late = loop.call_later(_LATE_TARGETS * target_s, self._note_late, attempt)
         load: ServerLoad | None = None
         try:
             answer = await routing.client.send(self._send_to(server))
-            watch.note_answer(server.service)
+            routing.link_watch.note_answer(server.service)
             load = answer.load
             whole = await self._read(answer, server.id)
             return _Outcome(may_have_run=whole is not None, whole=whole)
@@ -325,8 +327,7 @@
             routing.note_trouble(server, trouble, self._call.id, str(error))
             return _Outcome(may_have_run=True)
         finally:
-            doubted.cancel()
-            late.cancel()
+            attempt.timer.cancel()
             routing.choice.ended(server.id, load, now_s=clocks.now_s())
 
     def _choose(self, now_s: float) -> BackendServer | None:
@@ -393,14 +394,23 @@
         left_s = max(0.0, self._deadline_s - now_s)
         return max(self._route.target_latency_s, left_s / _TIME_PARTS)
 
+    def _doubt(self, attempt: _Attempt) -> None:
+        """Note that a server has not answered within the route's target."""
+        attempt.is_past_target = True
+        self._routing.link_watch.note_late(attempt.server, sent_s=attempt.sent_s)
+        attempt.timer = running_time.call_later(
+            (_LATE_TARGETS - 1.0) * self._route.target_latency_s,
+            functools.partial(self._note_late, attempt),
+        )
+
     def _note_late(self, attempt: _Attempt) -> None:
         """Log that a server has not answered in time, and leave it alone.
 
         A caller's own time may be so short that it says nothing of the server.
         """
         server = self._routing.backends.get(attempt.server.id)
-        waited_s = clocks.now_s() - attempt.sent_s
-        if server is not None and waited_s >= self._route.target_latency_s:
+        if server is not None and attempt.is_past_target:
+            waited_s = clocks.now_s() - attempt.sent_s
             self._routing.note_trouble(
                 server, Trouble.SILENT, self._call.id, f"no answer in {waited_s:.2f} s"
             )
--- a/src/violethatch/running_time.py
+++ b/src/violethatch/running_time.py
@@ -111,15 +111,30 @@
     """
     loop = asyncio.get_running_loop()
     async with asyncio.timeout(None) as scope:
-        ticker = _Ticker(loop, limit_s, lambda: scope.reschedule(loop.time()))
+        ticker = Ticker(loop, limit_s, lambda: scope.reschedule(loop.time()))
         try:
             yield
         finally:
             ticker.cancel()
 
 
-class _Ticker:
-    """Calls back once an allowance is used up."""
+def call_later(limit_s: float, callback: Callable[[], None]) -> Ticker:
+    """Call back after a time that counts only while the event loop runs.
+
+    Args:
+        limit_s: The time, in seconds.
+        callback: What to call.
+
+    .. versionadded:: 26.7.0
+    """
+    return Ticker(asyncio.get_running_loop(), limit_s, callback)
+
+
+class Ticker:
+    """Calls back once an allowance is used up.
+
+    .. versionadded:: 26.7.0
+    """
 
     def __init__(
         self,
--- a/tests/test_plain_calls.py
+++ b/tests/test_plain_calls.py
@@ -47,6 +47,11 @@
     return come
 
 
+def stand_still(*, after_s, for_s):
+    """Let the event loop stand still."""
+    asyncio.get_running_loop().call_later(after_s, time.sleep, for_s)
+
+
 async def no_retry(_service):
     """Stand in for a retry budget that is spent."""
     return False
@@ -265,6 +270,39 @@
         assert got.body == b"abc"
 
 
+class TestStandstill:
+    """The instance stands still while an answer comes."""
+
+    @pytest.mark.parametrize("for_s", [0.6, 2.5])
+    async def test_own_standstill_is_taken_for_silence(self, for_s):
+        """Nothing is sent again, and no server is reported as silent."""
+        call, routing = unanswered_call(target_s=0.3, wait_s=4.0, kind=CallKind.SAFE)
+        routing.client.answers = [ready_after(FakeAnswer(b"abc"), 0.2), LOST]
+        told = []
+        routing.tell = told.append
+        responder = FakeResponder()
+        stand_still(after_s=0.1, for_s=for_s)
+        await call.serve(responder)
+        assert (responder.body, len(routing.client.sends)) == (b"abc", 1)
+        assert not told
+
+    @pytest.mark.parametrize("kind", [CallKind.ONCE, CallKind.SAFE])
+    async def test_answer_is_dropped_at_a_deadline_in_a_standstill(self, kind):
+        """What came before the deadline is read and given."""
+        client = FakeClient(ready_after(FakeAnswer(b"abc"), 0.1))
+        stand_still(after_s=0.05, for_s=0.6)
+        got = await serve(client, kind=kind, wait_s=0.3, target_s=0.2)
+        assert (got.body, len(client.sends)) == (b"abc", 1)
+
+    async def test_standstill_prolongs_the_deadline(self):
+        """Without an answer the call ends soon after the instance goes on."""
+        began_s = clocks.now_s()
+        stand_still(after_s=0.05, for_s=0.6)
+        with pytest.raises(DeadlineError):
+            await serve(FakeClient(asyncio.Event()), kind=CallKind.ONCE, wait_s=0.3)
+        assert clocks.now_s() - began_s < 0.8
+
+
 class TestDeadline:
     @pytest.fixture
     def late_clock(self, monkeypatch):
--- /dev/null
+++ b/tests/test_standstill.py
@@ -0,0 +1,63 @@
+# SPDX-License-Identifier: MIT
+"""Calls under way at an instance, or at its peer, while that stands still."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+
+import pytest
+
+from linked_fleet import ONCE_PATH, PLAIN_PATH, LinkedFleet
+
+
+CALLERS = 8
+#: Eight parts of an answer take a third of a second.
+PART_S = 0.04
+AFTER_S = 0.15
+
+
+@pytest.fixture
+async def fleet(tmp_path):
+    """Provide a fleet that is started, whose servers take their time."""
+    made = LinkedFleet(tmp_path)
+    await made.start()
+    for runner in made.runners.values():
+        runner.pause_s = PART_S
+    yield made
+    await made.stop()
+
+
+async def stand_still(instance, for_s):
+    """Stop an instance's process for a time."""
+    await asyncio.sleep(AFTER_S)
+    instance.signal(signal.SIGSTOP)
+    await asyncio.sleep(for_s)
+    instance.signal(signal.SIGCONT)
+
+
+def arrivals(fleet):
+    """Return how many requests have reached servers."""
+    return sum(len(runner.seen) for runner in fleet.runners.values())
+
+
+@pytest.mark.parametrize(
+    ("for_s", "deadline_ms"), [(0.6, 8000), (2.5, 8000), (2.5, 1500)]
+)
+@pytest.mark.parametrize("path", [PLAIN_PATH, ONCE_PATH])
+async def test_answers_are_dropped_after_a_standstill(fleet, path, for_s, deadline_ms):
+    """What lies in its sockets is read before any limit is over."""
+    instance = fleet.instances[0]
+    calls = [
+        fleet.try_once(
+            instance,
+            f"c{number}",
+            path=path,
+            **{"Violethatch-Deadline-Ms": str(deadline_ms)},
+        )
+        for number in range(CALLERS)
+    ]
+    *tries, _ = await asyncio.gather(*calls, stand_still(instance, for_s))
+    assert [one.status for one in tries] == [200] * CALLERS
+    assert arrivals(fleet) == CALLERS
+    assert not instance.lines(2107)
