Wait for an instance that is silent where no other may be asked

Callers whose calls go on through another instance got 502, or a cut stream, when either of the two instances stood still for 2 s: an answer without a frame for a second was dropped, with no other handover left or allowed (8 of 8 once-only calls, 8 of 8 calls and streams whose second instance stood still too). A standstill of the reading instance counted as the other one's silence, and all calls were run twice (16 runs for 8 calls).

The second counts only while the reading instance's loop runs. A silent instance is still asked last by further calls (2240 forward_silent), but it is waited for until the call's deadline where no other handover may follow. The deadline now bounds a forwarded stream as well.

--- a/src/violethatch/events.py
+++ b/src/violethatch/events.py
@@ -107,6 +107,9 @@
 FORWARD_LOST = Event(
     2227, "forward_lost", "The answer to a forwarded request was lost."
 )
+FORWARD_SILENT = Event(
+    2240, "forward_silent", "An instance says nothing of a forwarded request."
+)
 
 REVISION_APPLIED = Event(2401, "revision_applied", "A configuration is in force.")
 REVISION_ACCEPTED = Event(2402, "revision_accepted", "A confirmed plan was stored.")
--- a/src/violethatch/forwarding/_call.py
+++ b/src/violethatch/forwarding/_call.py
@@ -3,9 +3,7 @@
 
 from __future__ import annotations
 
-import asyncio
-
-from .. import clocks, deadlines, events
+from .. import deadlines, events
 from .._stream_output import StreamOutput
 from ..desired import Admitted, CallKind
 from ..errors import (
@@ -67,7 +65,8 @@
         """
         while True:
             try:
-                return await self._serve_once(responder)
+                async with deadlines.until(self._deadline_s):
+                    return await self._serve_once(responder)
             except (AnswerLostError, SpoiltStreamError, TimeoutError):
                 self.runs += 1
                 if self._may_send_again():
@@ -101,6 +100,7 @@
             self._admitted.service.name,
             deadline_s=self._deadline_s,
             is_repeatable=self._route.is_repeatable,
+            waits_out_silence=not self._may_follow(),
             runs=self.runs,
             last_event_id=self._output.progress.last_id,
         )
@@ -126,8 +126,7 @@
             await self._output.pass_on(answer.parts(), answer, responder)
             await responder.finish()
             return answer.status
-        async with asyncio.timeout(clocks.left_s(self._deadline_s)):
-            body = b"".join([part async for part in answer.parts()])
+        body = b"".join([part async for part in answer.parts()])
         if self._output.is_started:
             msg = f"status {answer.status} for the rest of a stream"
             raise AnswerLostError(msg)
@@ -136,6 +135,14 @@
         )
         return answer.status
 
+    def _may_follow(self) -> bool:
+        """Tell whether another handover may follow the next one.
+
+        An instance that is silent may go on: else it is waited for.
+        """
+        is_left = self.runs + 1 < self._route.max_attempts
+        return self._route.is_repeatable and is_left
+
     def _may_send_again(self) -> bool:
         """Tell whether the call may be handed over once more."""
         is_left = self.runs < self._route.max_attempts
--- a/src/violethatch/forwarding/_client.py
+++ b/src/violethatch/forwarding/_client.py
@@ -5,11 +5,12 @@
 
 import asyncio
 
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable
 from typing import TypeVar
 
 import aiohttp
 
+from .. import running_time
 from .._call_errors import CALL_ERRORS, NOT_CONNECTED
 from .._relay_http import TOKEN_HEADER
 from ..errors import Ran, VioletHatchError
@@ -30,6 +31,7 @@
 )
 
 
+_Result = TypeVar("_Result")
 _Message = TypeVar("_Message", AnswerHead, Refusal)
 #: How long a connection to an instance may take, in seconds.
 _CONNECT_S = 0.25
@@ -57,10 +59,18 @@
 
 
 class ForwardedAnswer:
-    """A server's answer that another instance passes on, its body still to come."""
+    """A server's answer that another instance passes on, its body still to come.
 
-    def __init__(self, answer: aiohttp.ClientResponse) -> None:
+    Args:
+        answer: Carries the frames.
+        on_silent: Called when the instance says nothing; tells whether to wait on.
+    """
+
+    def __init__(
+        self, answer: aiohttp.ClientResponse, *, on_silent: Callable[[], bool]
+    ) -> None:
         self._answer = answer
+        self._on_silent = on_silent
         self._splitter = FrameSplitter()
         self._frames: list[Frame] = []
         self.status = 0
@@ -121,8 +131,7 @@
                 if frame.kind is not FrameKind.ALIVE:
                     return frame
             try:
-                async with asyncio.timeout(_SILENCE_S):
-                    data = await self._answer.content.readany()
+                data = await _result(self._answer.content.readany(), self._on_silent)
                 if not data:
                     msg = "the instance ended the answer"
                     raise AnswerLostError(msg)
@@ -150,7 +159,12 @@
         self._fresh = fresh
 
     async def send(
-        self, peer: InstanceEntry, request: ForwardedRequest, *, is_repeatable: bool
+        self,
+        peer: InstanceEntry,
+        request: ForwardedRequest,
+        *,
+        is_repeatable: bool,
+        on_silent: Callable[[], bool],
     ) -> ForwardedAnswer:
         """Hand a request to an instance; return its answer once the head is there.
 
@@ -159,6 +173,7 @@
             request: The request.
             is_repeatable: Whether it may run twice; else it goes out on a new
                 connection, whose loss before the write leaves nothing open.
+            on_silent: Called when the instance says nothing; tells whether to wait on.
 
         Raises:
             NotTakenError: The instance has not got it.
@@ -167,13 +182,15 @@
         """
         session = self._kept if is_repeatable else self._fresh
         try:
-            async with asyncio.timeout(_SILENCE_S):
-                response = await session.post(
+            response = await _result(
+                session.post(
                     f"http://{peer.address}{PATH}",
                     data=encoded(request),
                     headers={TOKEN_HEADER: peer.token},
                     timeout=aiohttp.ClientTimeout(total=None, sock_connect=_CONNECT_S),
-                )
+                ),
+                on_silent,
+            )
         except NOT_CONNECTED as error:
             raise NotTakenError(repr(error)) from error
         except (TimeoutError, *CALL_ERRORS) as error:
@@ -182,7 +199,7 @@
             response.close()
             msg = f"status {response.status}"
             raise NotTakenError(msg)
-        answer = ForwardedAnswer(response)
+        answer = ForwardedAnswer(response, on_silent=on_silent)
         try:
             await answer.open()
         except PeerRefusalError:
@@ -194,6 +211,22 @@
         return answer
 
 
+async def _result(work: Awaitable[_Result], on_silent: Callable[[], bool]) -> _Result:
+    """Return what an instance's next bytes come to.
+
+    Raises:
+        TimeoutError: It says nothing, and is not waited for.
+    """
+    task = asyncio.ensure_future(work)
+    try:
+        while not await running_time.wait([task], limit_s=_SILENCE_S):
+            if not on_silent():
+                raise TimeoutError
+        return await task
+    finally:
+        task.cancel()
+
+
 def _understood(decode: Callable[[bytes], _Message], frame: Frame) -> _Message:
     """Return a frame's message.
 
--- a/src/violethatch/forwarding/_forwarding.py
+++ b/src/violethatch/forwarding/_forwarding.py
@@ -38,7 +38,12 @@
     """Hands requests to other instances."""
 
     async def send(
-        self, peer: InstanceEntry, request: ForwardedRequest, *, is_repeatable: bool
+        self,
+        peer: InstanceEntry,
+        request: ForwardedRequest,
+        *,
+        is_repeatable: bool,
+        on_silent: Callable[[], bool],
     ) -> ForwardedAnswer:
         """Hand a request over; see `ForwardClient.send`."""
 
@@ -82,6 +87,7 @@
         *,
         deadline_s: float,
         is_repeatable: bool,
+        waits_out_silence: bool,
         runs: int,
         last_event_id: int | None,
     ) -> tuple[str, ForwardedAnswer]:
@@ -92,6 +98,7 @@
             service: Its service.
             deadline_s: Until when it may take, in monotonic seconds.
             is_repeatable: Whether it may run twice.
+            waits_out_silence: Whether an instance that says nothing is waited for.
             runs: Sends that may have run already.
             last_event_id: The event after which its stream goes on.
 
@@ -111,7 +118,13 @@
             request = self._request(
                 call, deadline_s=deadline_s, runs=runs, last_event_id=last_event_id
             )
-            answer = await self._ask(peer, service, request, is_repeatable)
+            answer = await self._ask(
+                peer,
+                service,
+                request,
+                is_repeatable=is_repeatable,
+                waits_out_silence=waits_out_silence,
+            )
             if answer is not None:
                 return peer.id, answer
         self.on_outcome("none")
@@ -145,7 +158,9 @@
         peer: InstanceEntry,
         service: str,
         request: ForwardedRequest,
+        *,
         is_repeatable: bool,
+        waits_out_silence: bool,
     ) -> ForwardedAnswer | None:
         """Hand a request to an instance; None if another one is to be asked.
 
@@ -153,8 +168,15 @@
             VioletHatchError: No other instance would serve it either.
             AnswerLostError: Its answer was lost.
         """
+
+        def on_silent() -> bool:
+            self._note_silent(peer.id, request.call_id, is_waited_for=waits_out_silence)
+            return waits_out_silence
+
         try:
-            answer = await self._client.send(peer, request, is_repeatable=is_repeatable)
+            answer = await self._client.send(
+                peer, request, is_repeatable=is_repeatable, on_silent=on_silent
+            )
         except NotTakenError as reason:
             self._choice.note_silent(peer.id, now_s=clocks.now_s())
             self._log_refused(peer, request, None, str(reason))
@@ -174,6 +196,16 @@
         self.on_outcome("answered")
         return answer
 
+    def _note_silent(self, peer_id: str, call_id: str, *, is_waited_for: bool) -> None:
+        """Ask other instances first for a while, and log why."""
+        self._choice.note_silent(peer_id, now_s=clocks.now_s())
+        events.log(
+            events.FORWARD_SILENT,
+            request_id=call_id,
+            instance_id=peer_id,
+            is_waited_for=is_waited_for,
+        )
+
     def _log_refused(
         self,
         peer: InstanceEntry,
--- a/tests/test_standstill.py
+++ b/tests/test_standstill.py
@@ -8,7 +8,8 @@
 
 import pytest
 
-from linked_fleet import ONCE_PATH, PLAIN_PATH, LinkedFleet
+from linked_fleet import ONCE_PATH, PLAIN_PATH, RESET, STREAM_PATH, LinkedFleet
+from violethatch import clocks
 
 
 CALLERS = 8
@@ -61,3 +62,40 @@
     assert [one.status for one in tries] == [200] * CALLERS
     assert arrivals(fleet) == CALLERS
     assert not instance.lines(2107)
+
+
+async def forwarded_calls(fleet, standing, path, for_s):
+    """Send calls to an instance without links while others stand still."""
+    cut = fleet.instances[0]
+    cut.cut(RESET)
+    async with asyncio.timeout(5):
+        while len((await fleet.state_of(cut))["lost_links"]) < 2:
+            await fleet.try_once(cut, f"found-{clocks.now_s():.3f}", path=path)
+            await asyncio.sleep(0.05)
+    before = arrivals(fleet)
+    calls = [fleet.try_once(cut, f"c{number}", path=path) for number in range(CALLERS)]
+    stops = [stand_still(one, for_s) for one in standing]
+    done = await asyncio.gather(*calls, *stops)
+    return [one.status for one in done[:CALLERS]], arrivals(fleet) - before
+
+
+@pytest.mark.parametrize("path", [PLAIN_PATH, ONCE_PATH, STREAM_PATH])
+async def test_forwarded_answers_are_dropped_after_a_standstill(fleet, path):
+    """The instance that reads them is the one that stood still."""
+    got, runs = await forwarded_calls(fleet, fleet.instances[:1], path, 2.0)
+    assert (got, runs) == ([200] * CALLERS, CALLERS)
+    assert not fleet.instances[0].lines(2227)
+
+
+async def test_answers_are_dropped_when_their_instance_stands_still(fleet):
+    """It goes on, and nobody else may run them."""
+    got, runs = await forwarded_calls(fleet, fleet.instances[1:], ONCE_PATH, 2.0)
+    assert (got, runs) == ([200] * CALLERS, CALLERS)
+
+
+@pytest.mark.parametrize("path", [PLAIN_PATH, STREAM_PATH])
+async def test_answers_are_dropped_when_all_other_instances_stand_still(fleet, path):
+    """After a silence they are handed over once more; that is the last run."""
+    got, runs = await forwarded_calls(fleet, fleet.instances[1:], path, 2.5)
+    assert got == [200] * CALLERS
+    assert runs <= 2 * CALLERS
