--- a/src/violethatch/events.py
+++ b/src/violethatch/events.py
@@ -76,7 +76,7 @@
 REQUEST_MOVED = Event(2207, "request_moved", "A request was put on another path.")
 SILENCE_SEEN = Event(2208, "silence_seen", "A silent stream was looked into.")
 RUN_GIVEN_UP = Event(2209, "run_given_up", "A silent run was given up on.")
-RUN_SILENT = Event(2229, "run_silent", "A silent run is kept; another may begin.")
+RUN_SILENT = Event(2230, "run_silent", "A silent run is kept; another may begin.")
 STREAM_CUT = Event(2210, "stream_cut", "A stream could not be finished.")
 ANSWER_FAILED = Event(2211, "answer_failed", "A server answered with a failure.")
 RETRIES_SPENT = Event(2212, "retries_spent", "The retry budget is used up.")
@@ -108,6 +108,9 @@
 FORWARD_LOST = Event(
     2227, "forward_lost", "The answer to a forwarded request was lost."
 )
+FORWARD_SILENT = Event(
+    2240, "forward_silent", "An instance says nothing of a forwarded request."
+)
 
 REVISION_APPLIED = Event(2401, "revision_applied", "A configuration is in force.")
 REVISION_ACCEPTED = Event(2402, "revision_accepted", "A confirmed plan was stored.")
