Reset the connection of an answer without a length that is cut

Seen by callers: an answer that ends with its connection, cut after some events, ended like a whole one. Cause: a transport's abort() drops what is unsent and closes as usual; only a socket that does not linger is reset. Change: CallerResponder.abort() sets that for answers without a length, whose end nothing else tells. Measured: test_unframed_answer_of_a_lost_run_does_not_look_whole fails before (the bytes end without an error) and passes after.

--- a/src/violethatch/platform/_responder.py
+++ b/src/violethatch/platform/_responder.py
@@ -3,12 +3,19 @@
 
 from __future__ import annotations
 
+import socket
+import struct
+
 from aiohttp.web_request import BaseRequest
 from aiohttp.web_response import Response, StreamResponse
 
 from ..upstream import Headers
 
 
+#: What makes a socket's close reset its connection: to linger, for no time.
+_RESET = struct.pack("ii", 1, 0)
+
+
 class _Unframed(StreamResponse):
     """An answer that ends with its connection, and doesn't claim to be whole."""
 
@@ -60,8 +67,15 @@
 
     def abort(self) -> None:
         """Break the answer off, so that it can't be taken for whole."""
-        if self._request.transport is not None:
-            self._request.transport.abort()
+        transport = self._request.transport
+        if transport is None:
+            return
+        if isinstance(self.response, _Unframed):
+            # Closed in the usual way, the connection would end as it does after a whole
+            # answer.
+            connection = transport.get_extra_info("socket")
+            connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET)
+        transport.abort()
 
     def _fill(self, response: StreamResponse, headers: Headers) -> None:
         """Put a server's headers in, and none of our own."""
--- a/tests/test_callers_listener.py
+++ b/tests/test_callers_listener.py
@@ -11,14 +11,19 @@
 
 from asking_servers import PLAIN
 from own_ports import free_ports
-from router_fakes import FakeAnswer, FakeClient, settings
-from routing_samples import desired_state, plain_server
+from router_fakes import LOST, FakeAnswer, FakeClient, settings
+from router_fakes import events as stream_events
+from routing_samples import call_route, desired_state, plain_server, runner
 from test_platform_process import HEADERS, ID
 from violethatch import clocks
 from violethatch._router import Router
 from violethatch.platform._listener import CallersListener
 
 
+#: A stream that may be silent for longer than any test takes.
+STREAM = call_route(timeout_s=60.0, gap_target_s=30.0, target_latency_s=30.0)
+
+
 class SlowClient(FakeClient):
     """Runs each call for a while; notes those that are broken off."""
 
@@ -37,17 +42,41 @@
         return FakeAnswer(b"done")
 
 
+class StreamingClient(SlowClient):
+    """Gives the first events of a stream at once, and the rest after a while.
+
+    Args:
+        is_framed: Whether the end of an answer is told from a cut.
+        error: What a run ends with.
+    """
+
+    def __init__(self, run_s, *, is_framed=True, error=None):
+        super().__init__(run_s)
+        self.end = error or stream_events(3)
+        self.is_framed = is_framed
+
+    async def send(self, send):
+        self.sends.append(send)
+        return FakeAnswer(
+            stream_events(1, 2),
+            self.run_s,
+            self.end,
+            is_framed=self.is_framed,
+        )
+
+
 class Site:
-    """A listener in front of one server."""
+    """A listener in front of one plain server and one model runner."""
 
-    def __init__(self, run_s):
-        self.client = SlowClient(run_s)
+    def __init__(self, run_s, *, client=None):
+        self.client = client or SlowClient(run_s)
         made = settings()
         self.router = Router(
             made, client=self.client, decoder=None, rng=random.Random(1)
         )
-        self.router.desired = desired_state(PLAIN)
-        self.router.routing.backends.change([plain_server("s1")], [], now_s=0.0)
+        self.router.desired = desired_state(PLAIN, STREAM)
+        servers = [plain_server("s1"), runner("r1", 0, 80)]
+        self.router.routing.backends.change(servers, [], now_s=0.0)
         self.router.freshness.proven(clocks.now_s())
         self.listener = CallersListener(self.router)
         (self.port,) = free_ports(1)
@@ -66,6 +95,23 @@
         except aiohttp.ClientConnectorError:
             return None
 
+    async def ask_for_bytes(self, call_id, *, path="/draft/1"):
+        """Send a call on a connection of its own; return all bytes of its answer."""
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
+        writer.write(request_bytes(call_id, path=path))
+        try:
+            return await reader.read()
+        finally:
+            writer.close()
+
+
+def request_bytes(call_id, *, path):
+    """Return a request as it is sent."""
+    headers = HEADERS | {ID: call_id, "Authorization": "Token key-1"}
+    lines = [f"{name}: {value}" for name, value in headers.items()]
+    head = "\r\n".join([f"POST {path} HTTP/1.1", *lines, "Content-Length: 6"])
+    return f"{head}\r\n\r\na menu".encode()
+
 
 @pytest.fixture
 async def session():
@@ -134,3 +180,12 @@
         await site.listener.close()
         with pytest.raises(aiohttp.ClientError):
             await asking
+
+
+async def test_unframed_answer_of_a_lost_run_does_not_look_whole():
+    """Its connection ended as after a whole answer: the caller took a part for all."""
+    client = StreamingClient(0.05, is_framed=False, error=LOST)
+    site = Site(0, client=client)
+    await site.start()
+    with pytest.raises(ConnectionResetError):
+        await site.ask_for_bytes("c1")
