Name what a stopping instance cuts, and answer what has no answer yet

Seen by callers and readers: a stream under way 7.3 s after SIGTERM was closed by the instance, logged as 2213 caller_left and counted so; a request whose answer had not begun got a bare close, and its caller could not tell whether it ran. Cause: aiohttp cancels a handler in the same way when a caller leaves and when the server shuts down. Change: OpenAnswers ends all answers under way by a time limit of its own, before the connections are closed: 2228 answer_cut (reason, age, whether it has begun, ran), outcome "cut", and code 1307 (502, may have run) where nothing was given.

--- a/bench/lost_worth.py
+++ b/bench/lost_worth.py
@@ -50,7 +50,7 @@
     name = _name(line)
     if name in ("request_refused", "request_failed"):
         return f"{name} {line.get('code')}"
-    if name in ("caller_left", "stream_cut"):
+    if name in ("caller_left", "stream_cut", "answer_cut"):
         return name
     if name != "request_served":
         return None
--- a/src/violethatch/_router.py
+++ b/src/violethatch/_router.py
@@ -9,6 +9,7 @@
 from typing import Any
 
 from . import clocks, events
+from ._open_answers import OpenAnswers
 from ._plain_calls import PlainCall
 from ._router_metrics import RouterMetrics
 from ._routing import Routing
@@ -20,6 +21,7 @@
     LinksLostError,
     NotConfiguredError,
     OverloadedError,
+    Ran,
     UnauthorizedError,
     UnknownTargetError,
     UnprovenStateError,
@@ -41,7 +43,7 @@
 
 
 #: When to come back to another instance, in seconds.
-_ELSEWHERE_RETRY_S = 0.1
+ELSEWHERE_RETRY_S = 0.1
 #: When to come back to an instance that has just started, in seconds.
 _STARTING_RETRY_S = 0.4
 #: How long the store's being cut off is thought to last on, in seconds.
@@ -87,6 +89,7 @@
         self.stop_plan = StopPlan(grace_s=settings.bounds.grace_s)
         self.desired: DesiredState | None = None
         self.in_flight = 0
+        self.open_answers = OpenAnswers()
         #: Tells, by table, from whom this instance has it.
         self.sources: Callable[[], Mapping[str, str]] = dict
         #: Returns, by table, what this instance's view of it rests on.
@@ -160,10 +163,10 @@
         try:
             if self.desired is None or self.desired.version < state_version:
                 msg = "an older configuration is in force here"
-                raise NotConfiguredError(msg, retry_after_s=_ELSEWHERE_RETRY_S)
+                raise NotConfiguredError(msg, retry_after_s=ELSEWHERE_RETRY_S)
             admitted = self._admit(call)
             if await self.routing.link_watch.settled(admitted.service.name):
-                raise LinksLostError(retry_after_s=_ELSEWHERE_RETRY_S)
+                raise LinksLostError(retry_after_s=ELSEWHERE_RETRY_S)
             self.in_flight += 1
             try:
                 await self._serve_admitted(call, admitted, responder, runs=runs)
@@ -209,6 +212,27 @@
         age_s = clocks.now_s() - call.received_s
         events.log(events.CALLER_LEFT, request_id=call.id, after_s=round(age_s, 4))
 
+    def answer_cut(
+        self, call_id: str, *, age_s: float, is_begun: bool, ran: Ran
+    ) -> None:
+        """Log and count an answer that this instance ended because it stops.
+
+        Args:
+            call_id: The caller's request.
+            age_s: How long ago the request came, in seconds.
+            is_begun: Whether the caller has a part of the answer.
+            ran: What is known of its execution.
+        """
+        self.metrics.requests.inc({"outcome": "cut"})
+        events.log(
+            events.ANSWER_CUT,
+            request_id=call_id,
+            reason="stopping",
+            age_s=round(age_s, 4),
+            is_begun=is_begun,
+            ran=ran.value,
+        )
+
     def take_desired(self, view: TableView, _is_whole: bool) -> None:
         """Take the desired state in, if it is newer."""
         value = view.values.get("config")
@@ -381,7 +405,7 @@
             raise self._unproven()
         is_stream = admitted.route.kind is CallKind.STREAM
         if not self.stop_plan.takes_calls(is_stream=is_stream, now_s=now_s):
-            raise DrainingError(retry_after_s=_ELSEWHERE_RETRY_S)
+            raise DrainingError(retry_after_s=ELSEWHERE_RETRY_S)
         if self.in_flight >= self.settings.limits.most_requests:
             msg = f"{self.in_flight} requests in progress here"
             raise OverloadedError(msg, retry_after_s=_BUSY_RETRY_S)
--- a/src/violethatch/_router_metrics.py
+++ b/src/violethatch/_router_metrics.py
@@ -26,7 +26,7 @@
         self.registry = Registry()
         self.requests = Counter(
             "violethatch_router_requests_total",
-            "Requests by outcome: a status, an error's code, or caller_left.",
+            "Requests by outcome: a status, an error's code, caller_left or cut.",
             registry=self.registry,
         )
         self.first_event_s = Histogram(
--- a/src/violethatch/errors.py
+++ b/src/violethatch/errors.py
@@ -286,6 +286,14 @@
     default_ran = Ran.NO
 
 
+class AnswerCutError(VioletHatchError):
+    """The instance had to stop before the request's answer was whole."""
+
+    code = 1307
+    title = "Instance stopped before the answer's end"
+    status = 502
+
+
 # 14xx: the platform.
 
 
--- a/src/violethatch/platform/_listener.py
+++ b/src/violethatch/platform/_listener.py
@@ -17,10 +17,10 @@
 
 from .. import clocks, events
 from .._problems import problem_response
-from .._router import Router
+from .._router import ELSEWHERE_RETRY_S, Router
 from .._serving import listen
 from ..desired import CallLimits
-from ..errors import VioletHatchError
+from ..errors import AnswerCutError, DrainingError, Ran, VioletHatchError
 from ..upstream import Call
 from . import _headers
 from ._connections import CallerServer
@@ -73,7 +73,7 @@
     async def close(self) -> None:
         """Take nothing more, let what is under way end, then close all connections.
 
-        A request that came between the last look and the close was passed on and cut.
+        What does not end in time is cut, with a line that says so.
         """
         plan = self._router.stop_plan
         plan.close()
@@ -83,6 +83,7 @@
             if not self._is_serving:
                 break
             await asyncio.sleep(_CLOSE_LOOK_S)
+        self._router.open_answers.cut()
         await self._server.shutdown(timeout=_CLOSE_S)
 
     @property
@@ -98,8 +99,14 @@
         call_id = request.headers.get(_headers.CALL_ID, "")
         call: Call | None = None
         try:
-            call = await read_call(request, received_s=started_s, limits=self._limits())
-            await self._router.serve(call, responder)
+            async with self._router.open_answers.open():
+                call = await read_call(
+                    request, received_s=started_s, limits=self._limits()
+                )
+                await self._router.serve(call, responder)
+        except AnswerCutError as error:
+            age_s = clocks.now_s() - started_s
+            return self._cut(call_id, error, responder, age_s=age_s, is_read=bool(call))
         except VioletHatchError as error:
             age_s = clocks.now_s() - started_s
             self._router.refused(call_id, error, age_s=age_s)
@@ -118,6 +125,33 @@
             responder.abort()
         return responder.response or Response(status=_UNAVAILABLE)
 
+    def _cut(
+        self,
+        call_id: str,
+        error: AnswerCutError,
+        responder: CallerResponder,
+        *,
+        age_s: float,
+        is_read: bool,
+    ) -> StreamResponse:
+        """End an answer because the process stops; return what is left to give.
+
+        A request that was not read whole has not run.
+        """
+        response = responder.response
+        self._router.answer_cut(
+            call_id,
+            age_s=age_s,
+            is_begun=response is not None,
+            ran=error.ran if is_read else Ran.NO,
+        )
+        if response is not None:
+            responder.cut()
+            return response
+        if is_read:
+            return self._problem(error)
+        return self._problem(DrainingError(retry_after_s=ELSEWHERE_RETRY_S))
+
     def _limits(self) -> CallLimits:
         """Return the limits in force on what callers send."""
         desired = self._router.desired
--- a/src/violethatch/platform/_responder.py
+++ b/src/violethatch/platform/_responder.py
@@ -77,6 +77,13 @@
             connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET)
         transport.abort()
 
+    def cut(self) -> None:
+        """End the answer after what was given, so that it can't be taken for whole."""
+        if isinstance(self.response, _Unframed):
+            self.abort()
+        elif self._request.transport is not None:
+            self._request.transport.close()
+
     def _fill(self, response: StreamResponse, headers: Headers) -> None:
         """Put a server's headers in, and none of our own."""
         response.headers.popall("Content-Type", None)
