Name the ends of forwarded answers at the instance that serves them

Seen by readers: a forwarded answer that ended with the serving instance's process, or because its sender left, had no line there. Cause: the listener of forwarded requests is not shut down, so that the process's end closed its connections; a cancelled handler logged nothing; the close looked at callers' connections alone. Change: forwarded answers are among the open answers that a stop cuts (2228 with forwarded_by), without a refusal, so that the sender may have them served elsewhere; 2229 sender_left; the close waits for all requests in flight.

--- a/src/violethatch/_router.py
+++ b/src/violethatch/_router.py
@@ -213,7 +213,13 @@
         events.log(events.CALLER_LEFT, request_id=call.id, after_s=round(age_s, 4))
 
     def answer_cut(
-        self, call_id: str, *, age_s: float, is_begun: bool, ran: Ran
+        self,
+        call_id: str,
+        *,
+        age_s: float,
+        is_begun: bool,
+        ran: Ran,
+        forwarded_by: str | None = None,
     ) -> None:
         """Log and count an answer that this instance ended because it stops.
 
@@ -222,8 +228,11 @@
             age_s: How long ago the request came, in seconds.
             is_begun: Whether the caller has a part of the answer.
             ran: What is known of its execution.
+            forwarded_by: The instance that took it from its caller and counts it, if
+                another one did.
         """
-        self.metrics.requests.inc({"outcome": "cut"})
+        if not forwarded_by:
+            self.metrics.requests.inc({"outcome": "cut"})
         events.log(
             events.ANSWER_CUT,
             request_id=call_id,
@@ -231,6 +240,7 @@
             age_s=round(age_s, 4),
             is_begun=is_begun,
             ran=ran.value,
+            **({"forwarded_by": forwarded_by} if forwarded_by else {}),
         )
 
     def take_desired(self, view: TableView, _is_whole: bool) -> None:
--- a/src/violethatch/events.py
+++ b/src/violethatch/events.py
@@ -82,6 +82,9 @@
 RETRIES_GIVEN = Event(2215, "retries_given", "Another instance gave retries.")
 CALLER_LEFT = Event(2213, "caller_left", "The caller went away before the end.")
 ANSWER_CUT = Event(2228, "answer_cut", "This instance ended an answer before its end.")
+SENDER_LEFT = Event(
+    2229, "sender_left", "The instance that forwarded a request ended its connection."
+)
 HEAD_LATE = Event(2214, "head_late", "A caller's request head did not come in time.")
 
 WORK_HELD = Event(2216, "work_held", "A request is held back: servers end under it.")
--- a/src/violethatch/forwarding/_listener.py
+++ b/src/violethatch/forwarding/_listener.py
@@ -12,7 +12,8 @@
 from aiohttp.web_response import Response, StreamResponse
 
 from .. import clocks, events
-from ..errors import VioletHatchError
+from .._open_answers import OpenAnswers
+from ..errors import AnswerCutError, Ran, VioletHatchError
 from ..upstream import Call, Headers, Responder
 from ._wire import (
     AnswerHead,
@@ -40,9 +41,11 @@
 
     Attributes:
         in_flight: Requests in progress.
+        open_answers: The answers that are under way.
     """
 
     in_flight: int
+    open_answers: OpenAnswers
 
     @property
     def max_body_bytes(self) -> int:
@@ -63,6 +66,17 @@
             VioletHatchError: Nothing of an answer was given.
         """
 
+    def answer_cut(
+        self,
+        call_id: str,
+        *,
+        age_s: float,
+        is_begun: bool,
+        ran: Ran,
+        forwarded_by: str | None = None,
+    ) -> None:
+        """Log an answer that this instance ended because it stops."""
+
 
 class ForwardListener:
     """Answers the requests that other instances hand over.
@@ -92,16 +106,25 @@
         call = _call(message, now_s=clocks.now_s())
         alive = asyncio.create_task(responder.stay_alive())
         try:
-            await self._server.serve_forwarded(
-                call,
-                responder,
-                state_version=message.state_version,
-                runs=message.runs,
-            )
+            async with self._server.open_answers.open():
+                await self._server.serve_forwarded(
+                    call,
+                    responder,
+                    state_version=message.state_version,
+                    runs=message.runs,
+                )
+        except AnswerCutError as error:
+            self._note_cut(call, error, responder)
+            # Without a refusal the sender may have it served elsewhere.
+            responder.cut()
         except VioletHatchError as error:
             await responder.refuse(error)
         except ConnectionError:
-            responder.abort()  # the sender went away, as its caller did
+            _note_left(call)
+            responder.abort()
+        except asyncio.CancelledError:
+            _note_left(call)
+            raise
         except Exception as error:
             events.log(
                 events.REQUEST_FAILED, request_id=call.id, code=1000, error=repr(error)
@@ -111,6 +134,18 @@
             alive.cancel()
         return response
 
+    def _note_cut(
+        self, call: Call, error: AnswerCutError, responder: _FrameResponder
+    ) -> None:
+        """Log an answer that ends because this instance stops."""
+        self._server.answer_cut(
+            call.id,
+            age_s=clocks.now_s() - call.received_s,
+            is_begun=responder.is_started,
+            ran=error.ran,
+            forwarded_by=call.forwarded_by,
+        )
+
 
 class _FrameResponder:
     """Passes an answer on to the instance that handed the request over."""
@@ -121,7 +156,7 @@
         self._request = request
         self._response = response
         self._server = server
-        self._is_started = False
+        self.is_started = False
         self._written_s = clocks.now_s()
 
     async def answer(
@@ -136,7 +171,7 @@
         self, status: int, headers: Headers, *, is_framed: bool = True
     ) -> None:
         """Begin an answer that comes in parts."""
-        self._is_started = True
+        self.is_started = True
         head = AnswerHead(status, list(headers), is_framed, self._server.in_flight)
         await self._write(message_frame(FrameKind.HEAD, head))
 
@@ -153,9 +188,14 @@
         if self._request.transport is not None:
             self._request.transport.abort()
 
+    def cut(self) -> None:
+        """End the answer after what was given, without its last frame."""
+        if self._request.transport is not None:
+            self._request.transport.close()
+
     async def refuse(self, error: VioletHatchError) -> None:
         """Tell why there is no answer of a server's; break off what has begun."""
-        if self._is_started:
+        if self.is_started:
             self.abort()
             return
         refusal = Refusal(
@@ -184,6 +224,16 @@
         await self._response.write(data)
 
 
+def _note_left(call: Call) -> None:
+    """Log that the sender ended its connection, as it does when its caller leaves."""
+    events.log(
+        events.SENDER_LEFT,
+        request_id=call.id,
+        forwarded_by=call.forwarded_by,
+        age_s=round(clocks.now_s() - call.received_s, 4),
+    )
+
+
 class _TooLargeError(Exception):
     """A request's body is larger than any that its caller may send."""
 
--- a/src/violethatch/platform/_listener.py
+++ b/src/violethatch/platform/_listener.py
@@ -93,7 +93,9 @@
 
     @property
     def _is_serving(self) -> bool:
-        """Whether a request is under way on some connection."""
+        """Whether a request is under way, a caller's or a forwarded one."""
+        if self._router.in_flight:
+            return True
         return any(one.is_serving for one in self._server.callers)
 
     async def _handle(self, request: BaseRequest) -> StreamResponse:
