Refuse at once what likely can't end before a stopping instance leaves

Seen by callers: a stream taken up to 2.5 s after SIGTERM was cut 7.3 s after it, 5 to 7 s old. Refused at once, its caller is served elsewhere in a moment. Cause: streams were taken for a fixed time, however long they last. Change: the router remembers how long a route's last 40 answers took (AnswerTimes); the stop plan refuses a call if a quarter of them took longer than what is left, from 3 s after SIGTERM on if one did, unless the call's own limit ends it in time. Streams of unknown length and those after 2.5 s are treated as before.

--- a/src/violethatch/_router.py
+++ b/src/violethatch/_router.py
@@ -13,6 +13,7 @@
 from ._plain_calls import PlainCall
 from ._router_metrics import RouterMetrics
 from ._routing import Routing
+from .answer_times import AnswerTimes
 from .backends import BackendServer
 from .desired import Admitted, CallKind, DesiredState, ServiceSpec
 from .draining import StopPlan
@@ -42,6 +43,8 @@
 from .upstream import Call, Decoder, Responder, RunnerClient, TableView
 
 
+_OK = 200
+_MULTIPLE_CHOICES = 300
 #: When to come back to another instance, in seconds.
 ELSEWHERE_RETRY_S = 0.1
 #: When to come back to an instance that has just started, in seconds.
@@ -90,6 +93,7 @@
         self.desired: DesiredState | None = None
         self.in_flight = 0
         self.open_answers = OpenAnswers()
+        self._answer_times = AnswerTimes()
         #: Tells, by table, from whom this instance has it.
         self.sources: Callable[[], Mapping[str, str]] = dict
         #: Returns, by table, what this instance's view of it rests on.
@@ -414,8 +418,14 @@
         if not is_fresh and admitted.workspace is not None:
             raise self._unproven()
         is_stream = admitted.route.kind is CallKind.STREAM
-        if not self.stop_plan.takes_calls(is_stream=is_stream, now_s=now_s):
-            raise DrainingError(retry_after_s=ELSEWHERE_RETRY_S)
+        refusal = self.stop_plan.refusal(
+            is_stream=is_stream,
+            now_s=now_s,
+            recent_s=self._answer_times.recent_s(admitted.route.name),
+            limit_s=call.deadline_within_s(admitted.route.timeout_s) - now_s,
+        )
+        if refusal is not None:
+            raise DrainingError(refusal, retry_after_s=ELSEWHERE_RETRY_S)
         if self.in_flight >= self.settings.limits.most_requests:
             msg = f"{self.in_flight} requests in progress here"
             raise OverloadedError(msg, retry_after_s=_BUSY_RETRY_S)
@@ -440,6 +450,8 @@
             status = await forwarded.serve(responder)
             served_by = forwarded.served_by
         took_s = clocks.now_s() - call.received_s
+        if _OK <= status < _MULTIPLE_CHOICES:
+            self._answer_times.record(admitted.route.name, took_s)
         first_event_s = local.output.first_event_s
         if not call.forwarded_by:
             self.metrics.served(admitted, status, took_s, first_event_s)
--- a/src/violethatch/draining.py
+++ b/src/violethatch/draining.py
@@ -9,6 +9,10 @@
 
 from __future__ import annotations
 
+import math
+
+from collections.abc import Sequence
+
 
 #: How long streams are taken after the stop was asked for, in seconds: the
 #: balancer asks each second and needs two misses.
@@ -19,6 +23,12 @@
 #: machine with half a core its last line came 0.16 s after that, and closing what is
 #: left and the interpreter's end took up to 0.24 s more.
 _LEAVE_MARGIN_S = 0.7
+#: The part of a route's recent answers that would have to end in time for another
+#: request to be taken: a caller who is refused loses a moment, one who is cut all.
+_USUAL_PART = 0.75
+#: From how long after the stop was asked for the longest recent answer would have to,
+#: in seconds: by then the balancer sends nothing more, and nothing excuses a cut.
+_ALL_END_S = 3.0
 
 
 class StopPlan:
@@ -49,18 +59,50 @@
         """Whether the stop was asked for."""
         return self.asked_s is not None
 
-    def takes_calls(self, *, is_stream: bool, now_s: float) -> bool:
-        """Tell whether a new call is still taken."""
+    def refusal(
+        self,
+        *,
+        is_stream: bool,
+        now_s: float,
+        recent_s: Sequence[float] = (),
+        limit_s: float = math.inf,
+    ) -> str | None:
+        """Return why a new call is refused, or None if it is taken.
+
+        Args:
+            is_stream: Whether its answer is a stream.
+            now_s: The current monotonic time, in seconds.
+            recent_s: How long recent answers of its route took, in seconds.
+            limit_s: How long it may take, in seconds.
+
+        .. versionadded:: 26.6.0
+        """
         if self._is_closing:
-            return False
+            return "the instance closes its connections"
         if self.asked_s is None:
-            return True
-        calls_s = self.grace_s - _CALLS_MARGIN_S
-        limit_s = min(_STREAMS_TAKEN_S, calls_s) if is_stream else calls_s
-        return now_s - self.asked_s < limit_s
+            return None
+        since_s = now_s - self.asked_s
+        taken_s = self.grace_s - _CALLS_MARGIN_S
+        if is_stream:
+            taken_s = min(_STREAMS_TAKEN_S, taken_s)
+        if since_s >= taken_s:
+            return f"the instance stops since {since_s:.1f} s"
+        part = 1.0 if since_s >= _ALL_END_S else _USUAL_PART
+        left_s = self.left_s(now_s=now_s)
+        expected_s = min(limit_s, _longest_of_part(recent_s, part))
+        if expected_s > left_s:
+            return f"it may take {expected_s:.1f} s, and {left_s:.1f} s are left"
+        return None
 
     def left_s(self, *, now_s: float) -> float:
         """Return how long the process may still run, in seconds."""
         if self.asked_s is None:
             return float("inf")
         return max(0.0, self.asked_s + self.grace_s - _LEAVE_MARGIN_S - now_s)
+
+
+def _longest_of_part(times_s: Sequence[float], part: float) -> float:
+    """Return the time that no more than a part of some times exceeds, or 0 for none."""
+    if not times_s:
+        return 0.0
+    return sorted(times_s)[math.ceil(part * len(times_s)) - 1]
--- a/tests/test_callers_listener.py
+++ b/tests/test_callers_listener.py
@@ -25,6 +25,10 @@
 STREAM = call_route(timeout_s=60.0, gap_target_s=30.0, target_latency_s=30.0)
 
 
+#: Between the events of a stream, in seconds.
+EVENT_GAP_S = 0.02
+
+
 class SlowClient(FakeClient):
     """Runs each call for a while; notes those that are broken off."""
 
@@ -44,26 +48,27 @@
 
 
 class StreamingClient(SlowClient):
-    """Gives the first events of a stream at once, and the rest after a while.
+    """Gives the first events of a stream at once, and others for a while.
 
     Args:
         is_framed: Whether the end of an answer is told from a cut.
-        error: What a run ends with.
+        error: What a run ends with, if it isn't whole.
     """
 
     def __init__(self, run_s, *, is_framed=True, error=None):
         super().__init__(run_s)
-        self.end = error or stream_events(3)
+        self.error = error
         self.is_framed = is_framed
 
     async def send(self, send):
         self.sends.append(send)
-        return FakeAnswer(
-            stream_events(1, 2),
-            self.run_s,
-            self.end,
-            is_framed=self.is_framed,
-        )
+        count = round(self.run_s / EVENT_GAP_S)
+        script = [stream_events(1, 2)]
+        for number in range(3, 3 + count):
+            script += [EVENT_GAP_S, stream_events(number)]
+        if self.error is not None:
+            script.append(self.error)
+        return FakeAnswer(*script, is_framed=self.is_framed)
 
 
 class Site:
@@ -99,7 +104,7 @@
     async def ask_for_bytes(self, call_id, *, path="/draft/1"):
         """Send a call on a connection of its own; return all bytes of its answer."""
         reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
-        writer.write(request_bytes(call_id, path=path))
+        writer.write(request_bytes(call_id, path=path, Connection="close"))
         try:
             return await reader.read()
         finally:
@@ -116,9 +121,9 @@
         return self.router.metrics.requests.values.get({"outcome": outcome}, 0)
 
 
-def request_bytes(call_id, *, path):
+def request_bytes(call_id, *, path, **headers):
     """Return a request as it is sent."""
-    headers = HEADERS | {ID: call_id, "Authorization": "Token key-1"}
+    headers |= HEADERS | {ID: call_id, "Authorization": "Token key-1"}
     lines = [f"{name}: {value}" for name, value in headers.items()]
     head = "\r\n".join([f"POST {path} HTTP/1.1", *lines, "Content-Length: 6"])
     return f"{head}\r\n\r\na menu".encode()
@@ -325,3 +330,24 @@
             caller.sendall(request_bytes("c2", path="/label/1"))
             await site.listener.close()
             assert b" 503 " in await loop.run_in_executor(None, caller.recv, 4096)
+
+
+class TestStreamsThatCannotEnd:
+    """Streams that are asked for while the process stops."""
+
+    @pytest.mark.parametrize(("left_s", "status"), [(1.5, b" 503 "), (4.0, b" 200 ")])
+    async def test_stream_that_likely_cannot_end(self, left_s, status):
+        """It was begun and cut; refused at once, its caller is served elsewhere."""
+        site = Site(0, client=StreamingClient(1.8))
+        await site.start()
+        earlier = [site.ask_for_bytes(f"c{number}") for number in range(3)]
+        assert all(b" 200 " in one for one in await asyncio.gather(*earlier))
+        site.router.freshness.proven(clocks.now_s())
+        site.stop_in(left_s)
+        answer = await site.ask_for_bytes("late")
+        assert status in answer.splitlines()[0] + b" "
+        sent = [send.call.id for send in site.client.sends]
+        assert ("late" in sent) == (status == b" 200 ")
+        if status == b" 503 ":
+            assert b"Retry-After: 0.1" in answer
+            assert b"are left" in answer
