--- a/src/violethatch_emulator/cli.py
+++ b/src/violethatch_emulator/cli.py
@@ -20,6 +20,7 @@
 from aiohttp import web
 
 from .engine import Engine, decode_options
+from .path_runner import PathRunner
 from .platform import Platform
 from .service import PlainService
 
@@ -75,9 +76,33 @@
     )
 
 
-async def _serve(make_application, port: int) -> None:  # type: ignore[no-untyped-def]
+def path_runner(
+    server_id: str, *, port: int = 0, event_count: int = 8, pause_s: float = 0.01
+) -> None:
+    """Run a stand-in runner that holds all layers.
+
+    Args:
+        server_id: Names the runner's lifetime.
+        port: Where to listen on loopback; 0 takes a free port.
+        event_count: How many events a whole stream has.
+        pause_s: The time between events, in seconds.
+    """
+
+    def application() -> web.Application:
+        runner = PathRunner(server_id, event_count=event_count, pause_s=pause_s)
+        runner.layers = (0, 80)
+        return runner.application()
+
+    uvloop.run(_serve(application, port, handler_cancellation=True))
+
+
+async def _serve(  # type: ignore[no-untyped-def]
+    make_application, port: int, *, handler_cancellation: bool = False
+) -> None:
     """Serve until SIGTERM, and say on standard output where."""
-    runner = web.AppRunner(make_application(), access_log=None)
+    runner = web.AppRunner(
+        make_application(), access_log=None, handler_cancellation=handler_cancellation
+    )
     await runner.setup()
     site = web.TCPSite(runner, "127.0.0.1", port)
     await site.start()
@@ -93,4 +118,4 @@
 
 def main() -> None:
     """Run the command line."""
-    defopt.run([engine, platform, service], argv=sys.argv[1:])
+    defopt.run([engine, platform, service, path_runner], argv=sys.argv[1:])
--- a/src/violethatch_emulator/path_runner.py
+++ b/src/violethatch_emulator/path_runner.py
@@ -7,8 +7,12 @@
 
 from typing import Any, NamedTuple
 
+import msgspec
+
 from aiohttp import web
 
+from violethatch import clocks
+
 
 _ID = "Violethatch-Attempt-Id"
 _NOT_RUN = "Violethatch-Not-Executed"
@@ -24,8 +28,18 @@
     target: str
 
 
+class Run(msgspec.Struct):
+    """What a runner has done of a request."""
+
+    call_id: str
+    started_s: float
+    ended_s: float | None = None
+    #: Whether the last event and the answer's end were sent.
+    is_whole: bool = False
+
+
 class PathRunner:
-    """Answers with events; follows orders; can hang, cut, refuse and leave.
+    """Answers with events; follows orders; can pause, hang, cut, refuse and leave.
 
     Args:
         server_id: Names the runner's lifetime.
@@ -43,6 +57,7 @@
         self.sequence = 0
         self.fence = 0
         self.seen: list[Seen] = []
+        self.runs: list[Run] = []
         self.orders: list[dict[str, Any]] = []
         #: Requests that were broken off by their caller.
         self.dropped: list[str] = []
@@ -59,6 +74,8 @@
         self.stalled_at = ""
         self.repath_status = 200
         self._waiting: dict[str, asyncio.Event] = {}
+        self._may_write = asyncio.Event()
+        self._may_write.set()
 
     def application(self) -> web.Application:
         """Return the runner's HTTP application."""
@@ -66,6 +83,8 @@
         app.on_response_prepare.append(self._say)
         app.router.add_get("/api/report", self._report)
         app.router.add_post("/api/order", self._order)
+        app.router.add_get("/stand-in/runs", self._tell_runs)
+        app.router.add_post("/stand-in/pause", self._pause)
         app.router.add_route("*", "/{path:.*}", self._serve)
         return app
 
@@ -116,6 +135,17 @@
         self.layers = (order["From"], order["TargetVersion"])
         return web.json_response({}, status=202)
 
+    async def _tell_runs(self, _request: web.Request) -> web.Response:
+        """Tell what has been run, to tests in another process."""
+        return web.json_response(msgspec.to_builtins(self.runs))
+
+    async def _pause(self, request: web.Request) -> web.Response:
+        """Write nothing of any answer for a while; reports and orders go on."""
+        self._may_write.clear()
+        await asyncio.sleep(float(request.query["for_s"]))
+        self._may_write.set()
+        return web.json_response({})
+
     async def _serve(self, request: web.Request) -> web.StreamResponse:
         """Run a request, or refuse it."""
         call_id = request.headers.get(_ID, "")
@@ -134,6 +164,8 @@
 
     async def _stream(self, request: web.Request, call_id: str) -> web.StreamResponse:
         """Give the events after the one that the caller has."""
+        run = Run(call_id, started_s=clocks.now_s())
+        self.runs.append(run)
         answer = web.StreamResponse(
             headers={
                 _ID: call_id,
@@ -141,11 +173,13 @@
                 "Content-Type": "text/event-stream",
             }
         )
-        await answer.prepare(request)
         first = int(request.headers.get("Last-Event-Id", 0)) + 1
         try:
+            await self._may_write.wait()
+            await answer.prepare(request)
             for number in range(first, self.event_count + 1):
                 await self._hang(call_id, number)
+                await self._may_write.wait()
                 if self.cut_after is not None and number > self.cut_after:
                     await answer.write(b"id: %d\nda" % number)
                     assert request.transport is not None
@@ -153,10 +187,13 @@
                     return answer
                 await answer.write(b"id: %d\ndata: %d\n\n" % (number, number))
                 await asyncio.sleep(self.pause_s)
+            await answer.write_eof()
+            run.is_whole = True
         except (ConnectionError, asyncio.CancelledError):
             self.dropped.append(call_id)
             raise
-        await answer.write_eof()
+        finally:
+            run.ended_s = clocks.now_s()
         return answer
 
     async def _hang(self, call_id: str, number: int) -> None:
--- /dev/null
+++ b/tests/process_fleet.py
@@ -0,0 +1,181 @@
+# SPDX-License-Identifier: MIT
+"""Router processes with the deployed settings before runners in processes of their own.
+
+The test's event loop serves the store and reads as the callers, and nothing else.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import signal
+import sys
+
+import aiohttp
+
+from linked_fleet import Instance
+from own_ports import free_ports
+from test_platform_process import Site
+from test_platform_wire import CONFIG
+from test_router_settings import filled
+
+
+STREAM_PATH = "/draft/1"
+#: Streams that no second run may go on with.
+FINAL_PATH = "/final/1"
+STREAM_ROUTE = dict(CONFIG["Routes"][0], TrafficSplit=[], Service="model")
+FINAL_ROUTE = dict(STREAM_ROUTE, Name="final", PathPrefix="/final/", StreamResume=False)
+ROUTES = [STREAM_ROUTE, FINAL_ROUTE]
+
+
+def many_routes(count):
+    """Return the usual routes and *count* that nobody asks for."""
+    more = [
+        dict(STREAM_ROUTE, Name=f"n{n}", PathPrefix=f"/n{n}/") for n in range(count)
+    ]
+    return [*ROUTES, *more]
+
+
+class RunnerProcess:
+    """A stand-in runner as a process.
+
+    Args:
+        name: Names the process and its lifetime.
+        event_count: How many events a whole stream has.
+        pause_s: The time between events, in seconds.
+    """
+
+    def __init__(self, name, *, event_count=80, pause_s=0.05):
+        self.name = name
+        self.event_count = event_count
+        self.pause_s = pause_s
+        self.port = 0
+        self.process = None
+
+    async def start(self, *, port=0):
+        """Start the process and wait until it listens."""
+        options = {
+            "--port": port,
+            "--event-count": self.event_count,
+            "--pause-s": self.pause_s,
+        }
+        self.process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            *("-m", "violethatch_emulator", "path-runner", self.name),
+            *(str(part) for option in options.items() for part in option),
+            stdout=asyncio.subprocess.PIPE,
+        )
+        self.port = json.loads(await self.process.stdout.readline())["port"]
+
+    async def stop(self):
+        """End the process."""
+        self.signal(signal.SIGKILL)
+        if self.process is not None:
+            await self.process.wait()
+
+    def signal(self, number):
+        """Send a signal to the process, if it is there."""
+        if self.process is not None and self.process.returncode is None:
+            self.process.send_signal(number)
+
+    async def stand_still(self, for_s):
+        """Let the whole process stand still for a while."""
+        self.signal(signal.SIGSTOP)
+        await asyncio.sleep(for_s)
+        self.signal(signal.SIGCONT)
+
+    async def pause(self, http, for_s):
+        """Have the runner write nothing for a while; it answers reports."""
+        url = f"http://127.0.0.1:{self.port}/stand-in/pause?for_s={for_s}"
+        async with http.post(url) as answer:
+            await answer.read()
+
+    async def runs(self, http):
+        """Return what the runner has run."""
+        url = f"http://127.0.0.1:{self.port}/stand-in/runs"
+        async with http.get(url) as answer:
+            return await answer.json()
+
+
+class ProcessFleet(Site):
+    """Router processes, and the runner processes behind them.
+
+    Args:
+        path: Where settings and logs are kept.
+        runners: The runners, not started yet.
+        router_count: How many routers there are.
+    """
+
+    def __init__(self, path, runners, *, router_count=1):
+        super().__init__(path)
+        self.path.mkdir(exist_ok=True)
+        self.runners = {one.name: one for one in runners}
+        self.router_count = router_count
+        self.instances = []
+
+    async def start(self):
+        """Start everything and wait until each router is ready."""
+        self.http = aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=0))
+        self.store_port = await self._serve(self.store.application())
+        await asyncio.gather(*(one.start() for one in self.runners.values()))
+        for name, runner in self.runners.items():
+            self.addresses[name] = f"127.0.0.1:{runner.port}"
+            self.list_server(name)
+        self.configure(version=1, routes=ROUTES)
+        for number in range(self.router_count):
+            await self._start_instance(f"edge-{number}")
+        for one in self.instances:
+            await self._wait_ready(one)
+
+    async def stop(self):
+        """End what was started."""
+        for one in self.instances:
+            one.signal(signal.SIGKILL)
+            if one.process is not None:
+                await one.process.wait()
+        for one in self.runners.values():
+            await one.stop()
+        await super().stop()
+
+    async def _start_instance(self, name):
+        """Start a router with the deployed settings."""
+        front, ready, metrics, peers = free_ports(4)
+        text = filled(
+            **{
+                "Node": name,
+                "Listen.Front": f"127.0.0.1:{front}",
+                "Listen.Ready": f"127.0.0.1:{ready}",
+                "Ip": "127.0.0.1",
+                "InternalPorts.0": str(metrics),
+                "InternalPorts.1": str(peers),
+                "Platform.Address": f"127.0.0.1:{self.store_port}",
+            }
+        )
+        settings = self.path / f"{name}.ini"
+        settings.write_text(text)
+        instance = Instance(
+            name, [], settings, front=front, ready=ready, metrics=metrics
+        )
+        self.instances.append(instance)
+        await instance.start()
+
+    async def _wait_ready(self, instance):
+        """Wait until a router says that it is ready."""
+        self.ready = instance.ready
+        await self.wait_ready(200)
+
+    async def wait_version(self, instance, version):
+        """Wait until a router has a desired state in force."""
+        url = f"http://127.0.0.1:{instance.metrics}/state"
+        async with asyncio.timeout(15):
+            while True:
+                async with self.http.get(url) as answer:
+                    state = await answer.json(content_type=None)
+                if state["state_version"] == version:
+                    return
+                await asyncio.sleep(0.1)
+
+    async def runs(self):
+        """Return what all runners have run."""
+        told = [one.runs(self.http) for one in self.runners.values()]
+        return [run for runs in await asyncio.gather(*told) for run in runs]
