Start a stall only when every stream has begun

On a machine with a load of 30 streams were not under way after 0.8 s, so that a shorter timeout ruled them from their start, and none was whole. A play now waits for the first event of each stream.

--- a/tests/test_whole_answers.py
+++ b/tests/test_whole_answers.py
@@ -32,8 +32,8 @@
 STREAMS = 8
 EVENTS = list(range(1, 81))
 CALLER_WAITS_S = 20.0
-#: Streams have been under way for this long when something happens.
-UNDER_WAY_S = 0.8
+#: Streams go on for this long before something happens.
+UNDER_WAY_S = 0.5
 MAX_RUNS = 2
 RETRY_RATIO = float(FIELDS["Bounds.RetryBudgetRatio"])
 RETRY_SLACK = float(FIELDS["Bounds.RetrySlack"])
@@ -50,6 +50,8 @@
         #: By path, how many streams were whole.
         self.whole = Counter()
         self.runs = []
+        #: Streams whose first event has come.
+        self.started = 0
         #: Whether streams were still under way when it was over.
         self.outlasted = False
 
@@ -62,6 +64,8 @@
                 for path in ALL_WHOLE
                 for number in range(STREAMS)
             ]
+            while self.started < len(streams):
+                await asyncio.sleep(0.02)
             await asyncio.sleep(UNDER_WAY_S)
             await happens(self)
             self.outlasted = not all(one.done() for one in streams)
@@ -83,6 +87,8 @@
                 asyncio.timeout(CALLER_WAITS_S),
                 self.fleet.http.post(url, data=b"a menu", headers=headers) as answer,
             ):
+                body = await answer.content.readuntil(b"\n\n")
+                self.started += 1
                 while part := await answer.content.readany():
                     body += part
         except (aiohttp.ClientError, TimeoutError):
