Keep a service's paths when a desired state is taken in

Each desired state has engine objects of its own, and maps were compared by identity: each new state had all layer maps built and all shares laid anew, and streams admitted under the older state undid that for those of the newer one, in turn.

--- a/src/violethatch/_path_choice.py
+++ b/src/violethatch/_path_choice.py
@@ -485,13 +485,16 @@
         )
 
     def _maps_of(self, service: ServiceSpec, engine: EngineSpec) -> _Maps:
-        """Return who holds which layers, made anew when the list has changed."""
+        """Return who holds which layers, made anew when the list has changed.
+
+        Engines are compared by value: each desired state has its own objects.
+        """
         known = self._maps.get(service.name)
         revision = self._backends.revision
         if (
             known is not None
             and known.revision == revision
-            and known.whole.engine is engine
+            and known.whole.engine == engine
         ):
             return known
         servers = self._backends.usable(service.name)
--- a/tests/test_path_choice.py
+++ b/tests/test_path_choice.py
@@ -10,7 +10,7 @@
 
 from router_fakes import FakeClient, admitted, make_routing
 from routing_samples import engine, runner
-from violethatch import clocks
+from violethatch import _path_choice, clocks
 from violethatch.load_sums import LoadTotals, ServerTotals, server_number
 from violethatch.path_shares import Place
 from violethatch.runner_health import Trouble
@@ -230,3 +230,23 @@
         (one,) = routings(1, *NEAR)
         firsts = frozenset(f"n{chain}-0" for chain in range(3))
         assert one.path_apart(SERVICE, avoided=firsts, work="w") is None
+
+
+class TestNewDesiredStates:
+    def test_maps_made_anew_although_nothing_of_the_engine_changed(self, monkeypatch):
+        """Streams of the older state and of the newer one ask in turn."""
+        (one,) = routings(1, *NEAR, *FAR)
+        newer = SERVICE._replace(engine=engine(kv_token_bytes=200_000.0))
+        assert newer.engine is not SERVICE.engine
+        first = one.path(SERVICE)
+        made = []
+        whole_map = _path_choice.LayerMap
+        monkeypatch.setattr(
+            _path_choice,
+            "LayerMap",
+            lambda *args: made.append(args) or whole_map(*args),
+        )
+        assert [one.path(newer), one.path(SERVICE)] == [first, first]
+        assert made == []
+        one.path(newer._replace(engine=engine(kv_token_bytes=100_000.0)))
+        assert made
