Leave a desired state alone that is read again

The whole table is read again when the store returns or has lost its history, and the row was decoded anew each time before its version was compared. A row with the bytes of the state in force is recognized.

--- a/src/violethatch/_router.py
+++ b/src/violethatch/_router.py
@@ -86,6 +86,8 @@
         self.freshness = Freshness(limit_s=settings.proof_limit_s)
         self.stop_plan = StopPlan(grace_s=settings.bounds.grace_s)
         self.desired: DesiredState | None = None
+        #: The row of the desired state in force.
+        self._desired_value: bytes | None = None
         self.in_flight = 0
         #: Tells, by table, from whom this instance has it.
         self.sources: Callable[[], Mapping[str, str]] = dict
@@ -214,6 +216,9 @@
         value = view.values.get("config")
         if value is None:
             return
+        if value == self._desired_value:
+            self.freshness.trust()
+            return
         try:
             state = self._decoder.desired_state(value)
         except ValueError as error:
@@ -225,6 +230,7 @@
         if self.desired is not None and state.version <= self.desired.version:
             return
         self.desired = state
+        self._desired_value = value
         self.routing.admission.take_desired(state)
         events.log(
             events.REVISION_APPLIED,
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -19,7 +19,9 @@
     UnknownTargetError,
     UnprovenStateError,
 )
+from violethatch.platform._wire import WireDecoder
 from violethatch.router_settings import AdmissionMode, AdmissionSection
+from violethatch.upstream import TableView
 
 
 def router(*, proof_age_s):
@@ -112,3 +114,68 @@
 
     def kept(self):
         return 5
+
+
+class CountingDecoder(WireDecoder):
+    """Counts the desired states that it reads."""
+
+    def __init__(self):
+        super().__init__()
+        self.reads = 0
+
+    def desired_state(self, value):
+        self.reads += 1
+        return super().desired_state(value)
+
+
+def config(version, *, routes=1, keys=("key-1",), **changes):
+    """Return the row of a desired state; *changes* are of all its routes."""
+    route = {
+        "Host": "menu.example",
+        "Kind": "streaming",
+        "TimeoutMs": 20000,
+        "TargetLatencyMs": 500,
+        "Service": "labels",
+    }
+    state = {
+        "Version": version,
+        "Routes": [
+            route | {"Name": f"r{n}", "PathPrefix": f"/{n}/"} | changes
+            for n in range(routes)
+        ],
+        "Services": [{"Name": "labels"}],
+        "Tenants": [{"Name": "clinic", "ApiKeys": list(keys)}],
+    }
+    return json.dumps(state).encode()
+
+
+def view_of(value, version=1):
+    """Return the table of the desired state."""
+    return TableView({"config": value}, version, 0.0)
+
+
+class TestDesiredStates:
+    def test_state_in_force_decoded_anew_when_it_is_read_again(self):
+        """A store that is back, or has lost its history, has the whole table read."""
+        decoder = CountingDecoder()
+        made = Router(
+            settings(), client=FakeClient(), decoder=decoder, rng=random.Random(1)
+        )
+        made.take_desired(view_of(config(3)), True)
+        in_force = made.desired
+        made.take_desired(view_of(config(3)), True)
+        assert made.desired is in_force
+        assert decoder.reads == 1
+
+    def test_state_in_force_is_proven_again_after_one_that_is_refused(self):
+        """Guards against doubt that lasts once the row is as it was."""
+        made = Router(
+            settings(), client=FakeClient(), decoder=WireDecoder(), rng=random.Random(1)
+        )
+        made.take_desired(view_of(config(3)), True)
+        made.take_desired(view_of(b"{"), False)
+        made.freshness.proven(clocks.now_s())
+        assert not made.freshness.is_fresh(now_s=clocks.now_s())
+        made.take_desired(view_of(config(3)), False)
+        made.freshness.proven(clocks.now_s())
+        assert made.freshness.is_fresh(now_s=clocks.now_s())
