Run a forwarded stream beside the runs that are kept

Callers saw streams cut although their runners went on: where all runners of a service stood still for 0.25 s, the links counted as lost, and what was left of each stream was handed to another instance, for which its silent run here was dropped; no instance served it, since the runners stood still for all. Change: a forwarded run is one run beside the silent ones; it gives the answer from its first event on, and ends none where it comes to nothing. Where no run is kept, a call goes to another instance as before. A check right before a run is overdue waits at least 0.01 s; in virtual time such checks never ended. Test: the replay of stalls of runners, paths and the instance (tests/test_silent_runs_replay.py).

--- a/src/violethatch/_router.py
+++ b/src/violethatch/_router.py
@@ -3,6 +3,7 @@
 
 from __future__ import annotations
 
+import functools
 import random
 
 from collections.abc import Callable, Mapping, Sequence
@@ -488,7 +489,13 @@
         """Return a call as this instance serves it itself."""
         is_stream = admitted.route.kind is CallKind.STREAM
         if is_stream and admitted.service.engine:
-            return StreamCall(self.routing, call, admitted, runs=runs)
+            return StreamCall(
+                self.routing,
+                call,
+                admitted,
+                runs=runs,
+                forward=functools.partial(self._forwarded_call, call, admitted),
+            )
         return PlainCall(self.routing, call, admitted, runs=runs)
 
     def _forwarded_call(
--- a/src/violethatch/forwarding/_call.py
+++ b/src/violethatch/forwarding/_call.py
@@ -3,6 +3,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 from .. import deadlines, events
 from .._stream_output import StreamOutput
 from ..desired import Admitted, CallKind
@@ -63,31 +65,50 @@
         Raises:
             VioletHatchError: Nothing of an answer was given to the caller.
         """
+        try:
+            return await self.serve_beside(responder)
+        except VioletHatchError:
+            if not self._output.is_started:
+                raise
+        responder.abort()
+        events.log(
+            events.STREAM_CUT,
+            request_id=self._call.id,
+            reason="forwarding",
+            last_event_id=self._output.progress.last_id,
+            runs=self.runs,
+        )
+        return 0
+
+    async def serve_beside(
+        self, responder: Responder, *, on_event: Callable[[], None] = lambda: None
+    ) -> int:
+        """Answer the caller; return the status.
+
+        Args:
+            responder: Answers the caller.  An answer that has begun is left as it is
+                where the rest is lost.
+            on_event: Told before an event of a stream is given that the caller lacks.
+
+        Raises:
+            VioletHatchError: No other instance gives the answer, or its rest.
+        """
         while True:
             try:
                 async with deadlines.until(self._deadline_s):
-                    return await self._serve_once(responder)
+                    return await self._serve_once(responder, on_event)
             except (AnswerLostError, SpoiltStreamError, TimeoutError):
                 self.runs += 1
-                if self._may_send_again():
-                    continue
-                error = self._failure()
+                if not self._may_send_again():
+                    raise self._failure() from None
             except VioletHatchError as refusal:
-                error = refusal
                 if self.runs and refusal.ran is Ran.NO:
-                    error = self._failure()
-            if not self._output.is_started:
-                raise error
-            responder.abort()
-            events.log(
-                events.STREAM_CUT,
-                request_id=self._call.id,
-                last_event_id=self._output.progress.last_id,
-                runs=self.runs,
-            )
-            return 0
+                    raise self._failure() from refusal
+                raise
 
-    async def _serve_once(self, responder: Responder) -> int:
+    async def _serve_once(
+        self, responder: Responder, on_event: Callable[[], None]
+    ) -> int:
         """Hand the call over once, and pass its answer on.
 
         Raises:
@@ -108,7 +129,7 @@
         self._forwarding.began(peer_id)
         is_whole = False
         try:
-            status = await self._pass_on(answer, responder)
+            status = await self._pass_on(answer, responder, on_event)
             is_whole = True
         except AnswerLostError as error:
             self._forwarding.note_lost(peer_id, self._call.id, str(error))
@@ -118,12 +139,16 @@
             answer.close(is_whole=is_whole)
         return status
 
-    async def _pass_on(self, answer: Answer, responder: Responder) -> int:
+    async def _pass_on(
+        self, answer: Answer, responder: Responder, on_event: Callable[[], None]
+    ) -> int:
         """Give an answer to the caller; return its status."""
         is_success = _OK <= answer.status < _MULTIPLE_CHOICES
         if self._route.kind is CallKind.STREAM and is_success:
             self._output.progress.run_again()
-            await self._output.pass_on(answer.parts(), answer, responder)
+            await self._output.pass_on(
+                answer.parts(), answer, responder, on_event=on_event
+            )
             await responder.finish()
             return answer.status
         body = b"".join([part async for part in answer.parts()])
--- a/src/violethatch/running_time.py
+++ b/src/violethatch/running_time.py
@@ -96,6 +96,31 @@
             return False
 
 
+async def wait_unasked(
+    futures: Collection[asyncio.Future[Any]], *, limit_s: float
+) -> bool:
+    """Wait for what others send unasked; tell whether one future is done.
+
+    What arrives during a standstill is there after it, so that only a standstill at
+    the limit's end counts: what has arrived meanwhile is read first.
+
+    Args:
+        futures: What to wait for.  They go on if the limit is over first.
+        limit_s: The limit, in seconds.
+
+    .. versionadded:: 26.7.0
+    """
+    began_s = clocks.now_s()
+    done, _ = await asyncio.wait(
+        futures, timeout=limit_s, return_when=asyncio.FIRST_COMPLETED
+    )
+    if done:
+        return True
+    if clocks.now_s() - began_s - limit_s <= LATE_S:
+        return False
+    return await wait(futures, limit_s=_MIN_STEP_S)
+
+
 @contextlib.asynccontextmanager
 async def timeout(limit_s: float) -> AsyncIterator[None]:
     """Limit the time that a block takes.
--- a/src/violethatch/streams/_call.py
+++ b/src/violethatch/streams/_call.py
@@ -11,6 +11,8 @@
 import asyncio
 import functools
 
+from collections.abc import Callable
+
 from .. import clocks, events
 from .._admission import StartRequest
 from .._routing import Routing
@@ -27,7 +29,7 @@
     VioletHatchError,
 )
 from ..event_stream import SpoiltStreamError
-from ..forwarding import MustForwardError
+from ..forwarding import ForwardedCall, MustForwardError
 from ..paths import Path
 from ..runner_health import Trouble, tells_of_server
 from ..store_era import UNREAD
@@ -41,7 +43,8 @@
     Responder,
     Send,
 )
-from ._live_runs import LiveRuns, RunEnd, RunOutcome
+from ._forwarded_run import ForwardedRun
+from ._live_runs import LiveRun, LiveRuns, RunEnd, RunOutcome
 from ._run import RunnerEndedError, StreamRun
 from .silent_runs import Obstacle, RetryPauses, Sends, obstacle
 
@@ -55,14 +58,24 @@
 #: not run, so that a caller who comes back would be served no sooner.
 _ROOM_PAUSES = 5
 _ROOM_PAUSE_S = 0.2
+#: How long a stream is not handed to other instances once they have not served it, in
+#: seconds.
+_FORWARD_PAUSE_S = 0.2
 
 
 class StreamCall:
     """Serves one streamed call."""
 
     def __init__(
-        self, routing: Routing, call: Call, admitted: Admitted, *, runs: int = 0
+        self,
+        routing: Routing,
+        call: Call,
+        admitted: Admitted,
+        *,
+        runs: int = 0,
+        forward: Callable[[StreamCall], ForwardedCall] | None = None,
     ) -> None:
+        self._forward = forward or _forward_to_nobody
         self._routing = routing
         self._call = call
         self._admitted = admitted
@@ -92,6 +105,9 @@
         self.path: Path | None = None
         #: What the list of servers rested on then.
         self.list_state = UNREAD
+        self._forward_again_s = 0.0
+        #: The instance that has served the rest of it, if one has.
+        self.served_by: str | None = None
 
     @property
     def sends(self) -> int:
@@ -113,6 +129,7 @@
             "longest_gap_s": round(self.output.longest_gap_s, 4),
             "is_in_target": self.output.is_in_target,
             "urgency": self._request.priority,
+            **({"served_by": self.served_by} if self.served_by else {}),
         }
 
     async def serve(self, responder: Responder) -> int:
@@ -185,7 +202,8 @@
         found = self._obstacle()
         if found is not None:
             return found
-        await self._check_links()
+        if await self._routing.must_forward(self._call, self._service.name):
+            return self._begin_forwarding(responder)
         self._avoided |= self._live.suspects
         path = await self._next_path()
         if path is None:
@@ -206,6 +224,39 @@
         self._live.begin(run, self._serve_run(run, responder))
         return None
 
+    def _begin_forwarding(self, responder: Responder) -> Obstacle | None:
+        """Begin a run through another instance; return what is in the way.
+
+        Raises:
+            MustForwardError: No run is kept here that it could go on beside.
+        """
+        if not self._live:
+            raise MustForwardError
+        if not self._live.are_silent:
+            return Obstacle.GOES_ON
+        if clocks.now_s() < self._forward_again_s:
+            return Obstacle.NO_INSTANCE
+        for silent in self._live:
+            self._count(silent)
+        run = ForwardedRun(self._forward(self))
+        self._live.begin(run, self._serve_forwarded(run, responder))
+        return None
+
+    async def _serve_forwarded(
+        self, run: ForwardedRun, responder: Responder
+    ) -> RunOutcome:
+        """Serve a run through another instance; return how it ended."""
+        try:
+            outcome = await run.serve(responder, self._live)
+        finally:
+            run.is_counted = True
+            self.runs += run.runs
+        if outcome.end is RunEnd.WHOLE:
+            self.served_by = run.call.served_by
+        else:
+            self._forward_again_s = clocks.now_s() + _FORWARD_PAUSE_S
+        return outcome
+
     def _obstacle(self) -> Obstacle | None:
         """Return why the stream may not be sent again, or None if it may."""
         runs = self.runs + self._live.uncounted
@@ -444,7 +495,7 @@
         )
         return RunOutcome(run, RunEnd.PASSED_ON, answer.status)
 
-    def _count(self, run: StreamRun) -> None:
+    def _count(self, run: LiveRun) -> None:
         """Count a run that may have run, once."""
         if not run.is_counted:
             run.is_counted = True
@@ -509,6 +560,11 @@
         return OverloadedError("no path has room", retry_after_s=retry_after_s)
 
 
+def _forward_to_nobody(_stream: StreamCall) -> ForwardedCall:
+    """Stand in for other instances where there are none."""
+    raise MustForwardError
+
+
 def _expected_tokens(call: Call, service: ServiceSpec) -> float:
     """Return the tokens whose KV cache a call is expected to need on average."""
     assert service.engine is not None
--- a/src/violethatch/streams/_live_runs.py
+++ b/src/violethatch/streams/_live_runs.py
@@ -10,10 +10,8 @@
 import asyncio
 import enum
 
-from collections.abc import Coroutine
-from typing import NamedTuple
-
-from ._run import StreamRun
+from collections.abc import Callable, Coroutine, Iterator
+from typing import NamedTuple, Protocol
 
 
 class RunEnd(enum.Enum):
@@ -30,10 +28,33 @@
     PASSED_ON = "passed_on"
 
 
+class LiveRun(Protocol):
+    """A run that is under way.
+
+    Attributes:
+        is_again: Whether a retry was paid for it.
+        is_counted: Whether it counts as a run that its stream has had.
+        suspects: The ids of runners that another run should avoid.
+        on_silent: Told when it begins to be silent.
+    """
+
+    is_again: bool
+    is_counted: bool
+    suspects: frozenset[str]
+    on_silent: Callable[[], None]
+
+    @property
+    def is_silent(self) -> bool:
+        """Whether another run may begin beside it."""
+
+    def replaced(self) -> None:
+        """Note that another run of the stream gives its events instead."""
+
+
 class RunOutcome(NamedTuple):
     """How a run ended, and the status that its caller was given, if any."""
 
-    run: StreamRun
+    run: LiveRun
     end: RunEnd
     status: int = 0
 
@@ -42,13 +63,16 @@
     """Keeps the runs of one stream that are under way."""
 
     def __init__(self) -> None:
-        self._runs: dict[asyncio.Task[RunOutcome], StreamRun] = {}
+        self._runs: dict[asyncio.Task[RunOutcome], LiveRun] = {}
         self._replaced: list[asyncio.Task[RunOutcome]] = []
         self._has_changed = asyncio.Event()
 
     def __len__(self) -> int:
         return len(self._runs)
 
+    def __iter__(self) -> Iterator[LiveRun]:
+        return iter(self._runs.values())
+
     @property
     def are_silent(self) -> bool:
         """Whether no run gives events."""
@@ -65,7 +89,7 @@
         found = (run.suspects for run in self._runs.values() if run.is_silent)
         return frozenset().union(*found)
 
-    def begin(self, run: StreamRun, serving: Coroutine[None, None, RunOutcome]) -> None:
+    def begin(self, run: LiveRun, serving: Coroutine[None, None, RunOutcome]) -> None:
         """Begin a run beside those under way.
 
         Args:
@@ -75,7 +99,7 @@
         run.on_silent = self._has_changed.set
         self._runs[asyncio.create_task(serving)] = run
 
-    def keep_only(self, run: StreamRun) -> None:
+    def keep_only(self, run: LiveRun) -> None:
         """End the other runs, since this one gives an event."""
         if len(self._runs) == 1:
             return
--- a/src/violethatch/streams/_run.py
+++ b/src/violethatch/streams/_run.py
@@ -198,7 +198,7 @@
             left_s = self._deadline_s - now_s
             if left_s <= 0:
                 raise TimeoutError
-            is_awake = await running_time.wait(
+            is_awake = await running_time.wait_unasked(
                 (coming, self._restart),
                 limit_s=min(left_s, times.next_s(now_s - since_s)),
             )
--- a/src/violethatch/streams/silent_runs.py
+++ b/src/violethatch/streams/silent_runs.py
@@ -23,6 +23,7 @@
 #: How much longer each further check of a silent run waits, and at most, in seconds.
 _CHECK_GROWTH = 1.5
 _MAX_CHECK_S = 2.0
+_MIN_CHECK_S = 0.01
 #: When another run is tried for again where there was no retry or no path, in
 #: seconds; each further try waits twice as long.
 _FIRST_PAUSE_S = 0.2
@@ -93,13 +94,20 @@
     #: The retry budget is used up.
     NO_RETRY = "no_retry"
     NO_PATH = "no_path"
+    #: The links are lost, and no other instance serves it.
+    NO_INSTANCE = "no_instance"
     #: A run gives events.
     GOES_ON = "goes_on"
 
     @property
     def may_pass(self) -> bool:
         """Whether another try a little later may succeed."""
-        return self in (Obstacle.NO_RETRY, Obstacle.NO_PATH, Obstacle.GOES_ON)
+        return self in _PASSING
+
+
+_PASSING = frozenset(
+    (Obstacle.NO_RETRY, Obstacle.NO_PATH, Obstacle.NO_INSTANCE, Obstacle.GOES_ON)
+)
 
 
 class Sends(NamedTuple):
@@ -171,7 +179,7 @@
         if silent_s >= self._overdue_s:
             self._step_s = min(_CHECK_GROWTH * self._step_s, _MAX_CHECK_S)
             return self._step_s
-        return min(self._step_s, self._overdue_s - silent_s)
+        return max(_MIN_CHECK_S, min(self._step_s, self._overdue_s - silent_s))
 
 
 class RetryPauses:
--- a/tests/test_silent_runs.py
+++ b/tests/test_silent_runs.py
@@ -67,8 +67,14 @@
         assert obstacle(sends, **FREE | changes) is expected
 
     def test_only_what_may_pass_is_tried_again(self):
-        passing = {one for one in Obstacle if one.may_pass}
-        assert passing == {Obstacle.NO_RETRY, Obstacle.NO_PATH, Obstacle.GOES_ON}
+        lasting = {one for one in Obstacle if not one.may_pass}
+        assert lasting == {
+            Obstacle.NOT_REPEATABLE,
+            Obstacle.ATTEMPTS,
+            Obstacle.REFUSALS,
+            Obstacle.DEADLINE,
+            Obstacle.HELD,
+        }
 
 
 class TestTimes:
@@ -87,6 +93,10 @@
         """The check is not put off by a step."""
         assert CheckTimes(0.4, overdue_s=1.0).next_s(0.9) == pytest.approx(0.1)
 
+    def test_check_right_before_a_run_is_overdue_takes_no_time(self):
+        """Checks that follow each other without a pause stop everything else."""
+        assert CheckTimes(0.4, overdue_s=1.0).next_s(1.0 - 1e-16) >= 0.01
+
     def test_pauses_grow(self):
         pauses = RetryPauses()
         assert [pauses.next_s() for _ in range(5)] == [0.2, 0.4, 0.8, 1.6, 1.6]
--- a/tests/test_silent_runs_replay.py
+++ b/tests/test_silent_runs_replay.py
@@ -55,6 +55,7 @@
         self.stalled_until_s = dict.fromkeys(RUNNERS, 0.0)
         self.ended = set()
         self.paths = {}
+        self.first_paths = {}
         self.runs = collections.Counter()
 
     def stall(self, names, for_s):
@@ -69,6 +70,7 @@
         await asyncio.sleep(self.left_s([send.server.id]))
         self.runs[send.call.id] += 1
         self.paths[send.call.id] = send.path
+        self.first_paths.setdefault(send.call.id, send.path)
         return StallingAnswer(self, send)
 
     async def report(self, server):
@@ -194,6 +196,9 @@
 
     fleet, got, took_s = virtual_time.run(replay, monkeypatch)
     assert {one.end for one in got} <= {"whole", "cut"}
-    assert sum(one.end == "whole" for one in got) >= STREAMS // 2
+    on_ended = sum(path.server_ids >= FIRST for path in fleet.first_paths.values())
+    retries = _deployed_policy().retry_reserve
+    whole = sum(one.end == "whole" for one in got)
+    assert whole >= STREAMS - on_ended + min(retries, on_ended)
     assert max(fleet.runs.values()) <= 2
     assert took_s < 6.0
