Reach servers in running time

A server that had answered, taken a connection or refused one while this instance stood still was silent, or not known to refuse. On silent servers links are called lost, and requests go to other instances; a refusal that is missed hides a server's end.

tests/test_own_standstills.py::TestReach, standstills of 0.3 and 0.4 s. Before: 23 failed, 9 passed. After: 80 passed in the whole file.

--- a/src/violethatch/platform/_runners.py
+++ b/src/violethatch/platform/_runners.py
@@ -249,7 +249,7 @@
         """Tell whether a server refuses connections: nobody listens there."""
         try:
             host, port = host_and_port(server.address)
-            async with asyncio.timeout(_CONNECT_S):
+            async with running_time.timeout(_CONNECT_S):
                 _, writer = await asyncio.open_connection(host, port)
         except ConnectionRefusedError:
             return True
@@ -269,7 +269,7 @@
         try:
             async with (
                 self._gated(server, Sending.REPORT) as sent,
-                asyncio.timeout(_REPORT_S),
+                running_time.timeout(_REPORT_S),
                 self._fresh.get(url, allow_redirects=False) as answer,
             ):
                 self._hear(server, answer, sent)
@@ -286,7 +286,7 @@
         """Tell whether a server takes a connection."""
         try:
             host, port = host_and_port(server.address)
-            async with asyncio.timeout(_REPORT_S):
+            async with running_time.timeout(_REPORT_S):
                 _, writer = await asyncio.open_connection(host, port)
         except (TimeoutError, *CALL_ERRORS):
             return False
--- a/tests/test_own_standstills.py
+++ b/tests/test_own_standstills.py
@@ -4,6 +4,7 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 import time
 
 import pytest
@@ -14,6 +15,7 @@
 from violethatch.event_loop import EventLoop
 from violethatch.platform._runners import Runners
 from violethatch.platform._sessions import make_session
+from violethatch.upstream import Reached
 
 
 #: After how many turns of the loop it is held up: as a connection opens, as the
@@ -99,3 +101,42 @@
         found = run(with_runners(work))
         assert (found.silent, found.pending) == ((), ())
         assert found.reports.keys() == {"a"}
+
+
+@pytest.mark.parametrize("turns", TURNS)
+class TestReach:
+    @pytest.mark.parametrize("kind", ["medium", ""])
+    def test_server_that_answered_in_a_standstill_is_silent(
+        self, run, server, turns, kind
+    ):
+        """Whether it is a runner, or a plain server with a health path."""
+        one = runner("a", address=server.address)._replace(kind=kind)
+
+        async def work(runners):
+            reaching = runners.reach(one, health_path="/health")
+            return await held_up(reaching, turns=turns, for_s=0.4)
+
+        assert run(with_runners(work)) is Reached.ANSWERED
+
+    def test_server_that_took_a_connection_in_a_standstill_is_silent(
+        self, run, server, turns
+    ):
+        """It has no path that tells of its health."""
+        one = runner("a", address=server.address)._replace(kind="")
+
+        async def work(runners):
+            reaching = runners.reach(one, health_path="")
+            return await held_up(reaching, turns=turns, for_s=0.4)
+
+        assert run(with_runners(work)) is Reached.ANSWERED
+
+    def test_refusal_that_came_in_a_standstill_is_not_known(self, run, turns):
+        """Nobody listens, which the loop has not read yet."""
+        with socket.create_server(("127.0.0.1", 0)) as closed:
+            address = f"127.0.0.1:{closed.getsockname()[1]}"
+        one = runner("a", address=address)
+
+        async def work(runners):
+            return await held_up(runners.is_refusing(one), turns=turns, for_s=0.3)
+
+        assert run(with_runners(work))
