Open connections in running time

A connection that a server had taken while this instance stood still was given up on as one that could not be made: the server was left alone, and a request was not forwarded to an instance that was there. aiohttp ends a connect by a plain timer (0.6 s, 0.25 s to instances); the connector of both sessions now counts running time.

tests/test_own_standstills.py::TestCalls (0.8 s) and TestForwarding (0.4 s). Before: 21 failed, 3 passed. After: 24 passed.

--- a/src/violethatch/platform/_sessions.py
+++ b/src/violethatch/platform/_sessions.py
@@ -13,6 +13,7 @@
 
 from aiohttp.client_proto import ResponseHandler
 
+from .. import running_time
 from .._send_checks import CheckedRequest
 
 
@@ -47,6 +48,29 @@
         super().connection_lost(exc)
 
 
+class _Connector(aiohttp.TCPConnector):
+    """Gives up on a connection by the time that this process ran."""
+
+    async def _wrap_create_connection(
+        self, *args: Any, timeout: aiohttp.ClientTimeout, **options: Any
+    ) -> tuple[asyncio.Transport, ResponseHandler]:
+        """Open a connection.
+
+        Raises:
+            TimeoutError: It did not come about in time.
+        """
+        open_connection = functools.partial(
+            super()._wrap_create_connection,
+            *args,
+            timeout=aiohttp.ClientTimeout(total=None),
+            **options,
+        )
+        if timeout.sock_connect is None:
+            return await open_connection()
+        async with running_time.timeout(timeout.sock_connect):
+            return await open_connection()
+
+
 def _make_socket(address: Any) -> socket.socket:
     """Return a socket that gives a dead peer up."""
     family, kind, protocol, *_ = address
@@ -69,7 +93,7 @@
     options: dict[str, Any] = (
         {"keepalive_timeout": KEEP_S} if is_kept else {"force_close": True}
     )
-    connector = aiohttp.TCPConnector(
+    connector = _Connector(
         limit=0, use_dns_cache=False, socket_factory=_make_socket, **options
     )
     loop = asyncio.get_running_loop()
--- a/tests/test_own_standstills.py
+++ b/tests/test_own_standstills.py
@@ -9,13 +9,25 @@
 
 import pytest
 
+from router_fakes import make_call
 from routing_samples import runner
 from thread_server import ThreadServer
 from violethatch._probes import Probes
 from violethatch.event_loop import EventLoop
+from violethatch.forwarding import ForwardClient
+from violethatch.forwarding._wire import (
+    AnswerHead,
+    ForwardedRequest,
+    FrameKind,
+    frame,
+    message_frame,
+)
+from violethatch.instances import InstanceEntry
+from violethatch.layers import LayerRange
+from violethatch.paths import Path, Stage
 from violethatch.platform._runners import Runners
 from violethatch.platform._sessions import make_session
-from violethatch.upstream import Reached
+from violethatch.upstream import Reached, Send
 
 
 #: After how many turns of the loop it is held up: as a connection opens, as the
@@ -140,3 +152,57 @@
             return await held_up(runners.is_refusing(one), turns=turns, for_s=0.3)
 
         assert run(with_runners(work))
+
+
+@pytest.mark.parametrize("turns", TURNS)
+class TestCalls:
+    def test_server_that_took_a_connection_in_a_standstill_has_not_got_a_call(
+        self, run, server, turns
+    ):
+        """It is left alone for that, as one that can't be connected to."""
+        one = runner("a", 0, 80, address=server.address)
+        path = Path((Stage(one, LayerRange(0, 80)),), 1.0)
+        call = make_call()
+        server.headers = {"Violethatch-Attempt-Id": call.id}
+        send = Send(call, one, path, call.deadline_s, 1, None, None, True)
+
+        async def work(runners):
+            answer = await held_up(runners.send(send), turns=turns, for_s=0.8)
+            answer.close(is_whole=False)
+            return answer
+
+        assert run(with_runners(work)).status == 200
+
+
+@pytest.mark.parametrize("turns", TURNS)
+class TestForwarding:
+    """Another instance answers while this one stands still."""
+
+    @pytest.fixture
+    def peer(self, server):
+        head = AnswerHead(200, [], True, 1)
+        server.body = message_frame(FrameKind.HEAD, head) + frame(FrameKind.END)
+        return InstanceEntry("i2", "z2", server.address, "token", 1000.0, 0.0)
+
+    @pytest.mark.parametrize("for_s", [0.4])
+    @pytest.mark.parametrize("is_repeatable", [True, False])
+    def test_forwarded_request_is_lost_in_a_standstill(
+        self, run, peer, turns, for_s, is_repeatable
+    ):
+        """As one that could not be connected to, or fell silent."""
+        request = ForwardedRequest(
+            "c1", "GET", "h", "/", [], b"", None, 0, 5000, None, None, 1, 0, "i1"
+        )
+
+        async def work():
+            kept, fresh = make_session(is_kept=True), make_session(is_kept=False)
+            client = ForwardClient(kept, fresh)
+            sending = client.send(peer, request, is_repeatable=is_repeatable)
+            answer = await held_up(sending, turns=turns, for_s=for_s)
+            parts = [part async for part in answer.parts()]
+            answer.close(is_whole=True)
+            await kept.close()
+            await fresh.close()
+            return answer.status, parts
+
+        assert run(work()) == (200, [])
