Wait for the other services' checks in running time

Where this instance stood still for 0.3 s while the other services' links were checked, busy servers counted as sound beside lost links: the others' outcome was there, and not read yet.

test_busy_servers_beside_lost_links_are_sound_after_a_standstill.

--- a/src/violethatch/forwarding/_link_watch.py
+++ b/src/violethatch/forwarding/_link_watch.py
@@ -13,7 +13,7 @@
 from collections.abc import Callable, Iterable, Sequence
 from typing import Protocol
 
-from .. import clocks, events
+from .. import clocks, events, running_time
 from .._listed import BackendServer
 from ..upstream import Reached
 from ._links import LinkCheck, LostLinks, ServerLinks, servers_to_check
@@ -163,7 +163,9 @@
         running = [check for check in checks if check is not None]
         if running:
             # They may wait for this one in turn.
-            await asyncio.wait(running, timeout=_OTHERS_S)
+            await running_time.wait(
+                running, limit_s=_OTHERS_S, return_when=asyncio.ALL_COMPLETED
+            )
 
     async def _ask(
         self, servers: Sequence[BackendServer], *, is_one_enough: bool = True
--- a/tests/test_server_links.py
+++ b/tests/test_server_links.py
@@ -5,11 +5,13 @@
 
 import asyncio
 import random
+import time
 
 import pytest
 
 from violethatch import clocks
 from violethatch.backends import BackendServer
+from violethatch.event_loop import EventLoop
 from violethatch.forwarding import LinkCheck, LinkWatch, ServerLinks, servers_to_check
 from violethatch.forwarding._links import SOUND_LIFE_S
 from violethatch.upstream import Reached
@@ -95,9 +97,12 @@
         self.is_cut = False
         self.is_busy = False
         self.asked = []
+        self.on_model_asked = lambda: None
 
     async def reach(self, asked):
         self.asked.append(asked.id)
+        if asked.service == "model":
+            self.on_model_asked()
         await asyncio.sleep(0.001)
         if self.is_cut or asked.id in self.dead:
             return Reached.SILENT
@@ -168,6 +173,24 @@
         watch.suspect(network.servers["labels"][0])
         assert not await watch.settled("labels")
 
+    @pytest.mark.parametrize("loop_class", [EventLoop, asyncio.SelectorEventLoop])
+    def test_busy_servers_beside_lost_links_are_sound_after_a_standstill(
+        self, network, loop_class
+    ):
+        """The other services' checks were over before the loop read so."""
+        network.is_busy = True
+        network.dead.update(one.id for one in network.servers["model"])
+
+        async def work():
+            watch = network.watch()
+            loop = asyncio.get_running_loop()
+            network.on_model_asked = lambda: loop.call_soon(time.sleep, 0.4)
+            watch.suspect(network.servers["labels"][0])
+            return await watch.settled("labels")
+
+        with asyncio.Runner(loop_factory=loop_class) as runner:
+            assert runner.run(work())
+
     async def test_late_answer_beside_others_in_time(self, network):
         """Nothing is checked where a server of the service has answered meanwhile."""
         watch = network.watch()
