Wait for orders' answers in running time

A move of a stream, or a placement, that a runner had carried out while this instance stood still for a second was taken for unknown.

--- a/src/violethatch/platform/_runners.py
+++ b/src/violethatch/platform/_runners.py
@@ -367,7 +367,7 @@
         try:
             async with (
                 self._gated(server, sending, request_id) as sent,
-                asyncio.timeout(_ORDER_S),
+                running_time.timeout(_ORDER_S),
                 self._kept.post(
                     url,
                     data=msgspec.json.encode(order),
--- a/tests/thread_server.py
+++ b/tests/thread_server.py
@@ -8,6 +8,8 @@
 
 from aiohttp import web
 
+from violethatch import clocks
+
 
 class ThreadServer:
     """Gives each request the same answer, a moment after it came."""
@@ -18,6 +20,7 @@
         self.body = b"{}"
         self.headers = {}
         self.asked = []
+        self.answered_s = 0.0
         self._loop = asyncio.new_event_loop()
         self._is_ready = threading.Event()
         self._thread = threading.Thread(target=self._work, daemon=True)
@@ -50,4 +53,5 @@
     async def _answer(self, request):
         self.asked.append(request.path)
         await asyncio.sleep(self.after_s)
+        self.answered_s = clocks.now_s()
         return web.Response(status=self.status, headers=self.headers, body=self.body)
