Wait for forwarded answers in running time

What another instance had answered while this one stood still for a second was lost as a silence.

test_forwarded_request_is_lost_in_a_standstill with 1.2 s.

--- a/src/violethatch/forwarding/_client.py
+++ b/src/violethatch/forwarding/_client.py
@@ -3,13 +3,12 @@
 
 from __future__ import annotations
 
-import asyncio
-
 from collections.abc import AsyncIterator, Callable
 from typing import TypeVar
 
 import aiohttp
 
+from .. import running_time
 from .._call_errors import CALL_ERRORS, NOT_CONNECTED
 from .._relay_http import TOKEN_HEADER
 from ..errors import Ran, VioletHatchError
@@ -121,7 +120,7 @@
                 if frame.kind is not FrameKind.ALIVE:
                     return frame
             try:
-                async with asyncio.timeout(_SILENCE_S):
+                async with running_time.timeout(_SILENCE_S):
                     data = await self._answer.content.readany()
                 if not data:
                     msg = "the instance ended the answer"
@@ -167,7 +166,7 @@
         """
         session = self._kept if is_repeatable else self._fresh
         try:
-            async with asyncio.timeout(_SILENCE_S):
+            async with running_time.timeout(_SILENCE_S):
                 response = await session.post(
                     f"http://{peer.address}{PATH}",
                     data=encoded(request),
--- a/tests/test_own_standstills.py
+++ b/tests/test_own_standstills.py
@@ -201,7 +201,7 @@
         server.body = message_frame(FrameKind.HEAD, head) + frame(FrameKind.END)
         return InstanceEntry("i2", "z2", server.address, "token", 1000.0, 0.0)
 
-    @pytest.mark.parametrize("for_s", [0.4])
+    @pytest.mark.parametrize("for_s", [0.4, 1.2])
     @pytest.mark.parametrize("is_repeatable", [True, False])
     def test_forwarded_request_is_lost_in_a_standstill(
         self, run, peer, turns, for_s, is_repeatable
