Tell how long the event loop stood still

Nothing told an instance's own standstill from the silence of all that it talks to. A check each 0.1 s now logs pauses from 0.1 s on (2010 loop_paused, with the processor time used meanwhile: own work, or no processor) and counts those from 0.01 s on in violethatch_router_loop_pause_seconds.

--- a/src/violethatch/_router_metrics.py
+++ b/src/violethatch/_router_metrics.py
@@ -16,6 +16,7 @@
 
 _WAIT_BUCKETS_S = [0.01, 0.03, 0.06, 0.12, 0.25]
 _PROOF_AGE_BUCKETS_S = [0.5, 1.0, 1.5, 2.0, 3.0, 4.0]
+_PAUSE_BUCKETS_S = [0.02, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5]
 _LATENCY_BUCKETS_S = [0.03, 0.1, 0.2, 0.5, 1.0, 3.0, 10.0]
 
 
@@ -47,6 +48,12 @@
             buckets=_PROOF_AGE_BUCKETS_S,
             registry=self.registry,
         )
+        self.loop_pause_s = Histogram(
+            "violethatch_router_loop_pause_seconds",
+            "How long the event loop stood still, from 0.01 s on.",
+            buckets=_PAUSE_BUCKETS_S,
+            registry=self.registry,
+        )
         self.store_calls = Counter(
             "violethatch_router_store_calls_total",
             "Calls of the platform's store, by outcome.",
@@ -213,6 +220,10 @@
             for priority, part in state.plan.parts.items():
                 self.admission_parts.set(labels | {"priority": str(priority)}, part)
 
+    def paused(self, pause_s: float) -> None:
+        """Count a pause of the event loop."""
+        self.loop_pause_s.observe({}, pause_s)
+
     def refused_start(self, priority: int, reason: str) -> None:
         """Count a stream that was not admitted."""
         self.admission_refusals.inc({"priority": str(priority), "reason": reason})
--- a/src/violethatch/events.py
+++ b/src/violethatch/events.py
@@ -31,6 +31,7 @@
 RELOAD_REFUSED = Event(2007, "reload_refused", "Changed settings are not valid.")
 CALLERS_FULL = Event(2008, "callers_full", "No more callers' connections are taken.")
 CALLERS_TAKEN = Event(2009, "callers_taken", "Callers' connections are taken again.")
+LOOP_PAUSED = Event(2010, "loop_paused", "The event loop stood still.")
 
 RUNNER_FOUND = Event(2101, "runner_found", "A runner's connection is up.")
 RUNNER_LOST = Event(2102, "runner_lost", "A runner's connection broke.")
--- a/src/violethatch/platform/_process.py
+++ b/src/violethatch/platform/_process.py
@@ -13,6 +13,7 @@
 import uvloop
 
 from .. import clocks, events
+from .._loop_pauses import watch_pauses
 from .._router import Router
 from ..errors import SettingsError
 from ..event_loop import EventLoop
@@ -102,6 +103,7 @@
             parts.duty.run(),
             parts.watch.run(),
             self._watch_file(),
+            watch_pauses(parts.router.metrics.paused),
         ):
             self._tasks.append(asyncio.create_task(_keep_running(work)))
 
