Wait for other instances' retries in running time

Retries that another instance had given while this one stood still for 0.05 s were lost to the stream that waited for them: it was cut for the want of a retry, with the gift in the socket.

test_gift_that_came_in_a_standstill_is_lost.

--- a/src/violethatch/_retry_link.py
+++ b/src/violethatch/_retry_link.py
@@ -4,12 +4,13 @@
 from __future__ import annotations
 
 import asyncio
+import functools
 import itertools
 import random
 
 from typing import NamedTuple, Protocol
 
-from . import events
+from . import events, running_time
 from ._peer_datagrams import PeerDatagrams, RetryAskDatagram, RetryGiftDatagram
 from .instances import InstanceEntry
 
@@ -71,12 +72,8 @@
             return False
         given = asyncio.get_running_loop().create_future()
         question.waiting.append(given)
-        try:
-            async with asyncio.timeout(_ANSWER_S):
-                await given
-        except TimeoutError:
-            return False  # who asked logs that nothing was left
-        return True
+        # Who asked logs it if nothing was left.
+        return await running_time.wait((given,), limit_s=_ANSWER_S)
 
     def _send(self, service: str) -> _Asked | None:
         """Ask some others; None where there is nobody."""
@@ -87,7 +84,7 @@
         question = _Asked(service, {one.id for one in peers}, [])
         self._asked[number] = question
         self._open[service] = question
-        asyncio.get_running_loop().call_later(_ANSWER_S, self._forget, number)
+        running_time.call_later(_ANSWER_S, functools.partial(self._forget, number))
         own_id = self._datagrams.directory.own.id
         for peer in peers:
             message = RetryAskDatagram(peer.token, own_id, number, service, _WANTED)
--- a/src/violethatch/running_time.py
+++ b/src/violethatch/running_time.py
@@ -125,6 +125,18 @@
             ticker.cancel()
 
 
+def call_later(limit_s: float, callback: Callable[[], None]) -> None:
+    """Call back when a limit is over.
+
+    Args:
+        limit_s: The limit in running time, in seconds.
+        callback: What to call.
+
+    .. versionadded:: 26.7.0
+    """
+    _Ticker(asyncio.get_running_loop(), limit_s, callback)
+
+
 class _Ticker:
     """Calls back once an allowance is used up."""
 
--- a/tests/test_retry_shares.py
+++ b/tests/test_retry_shares.py
@@ -5,6 +5,8 @@
 
 import asyncio
 import random
+import socket
+import time
 
 import pytest
 
@@ -14,6 +16,7 @@
 from test_instances import entry
 from violethatch._peer_datagrams import RetryAskDatagram, RetryGiftDatagram
 from violethatch._retry_link import RetryLink
+from violethatch.event_loop import EventLoop
 from violethatch.instances import InstanceDirectory
 from violethatch.retries import RetryBudget
 from violethatch.retry_shares import GIFT_LIFE_S, RetryShare
@@ -255,6 +258,37 @@
             assert await asking
         assert accounts["i0"].taken > 12.0
 
+    @pytest.mark.parametrize("loop_class", [EventLoop, asyncio.SelectorEventLoop])
+    @pytest.mark.parametrize("hold_s", [0.06, 0.3])
+    def test_gift_that_came_in_a_standstill_is_lost(self, loop_class, hold_s):
+        """It waits in the socket, and a stream is cut for the want of a retry."""
+
+        async def work():
+            wire = Wire(3)
+            account = Account()
+            link = RetryLink(wire.end("i0"), account, rng=random.Random(7))
+            asking = asyncio.create_task(link.ask("model"))
+            await asyncio.sleep(0.001)
+            number = wire.sent[0][1].number
+            gift = RetryGiftDatagram("t0", "i1", number, 3.0)
+            own, other = socket.socketpair()
+
+            def take():
+                own.recv(1)
+                wire.takers["i0", RetryGiftDatagram](gift)
+
+            asyncio.get_running_loop().add_reader(own, take)
+            other.send(b"x")
+            time.sleep(hold_s)
+            is_given = await asking
+            asyncio.get_running_loop().remove_reader(own)
+            own.close()
+            other.close()
+            return is_given, account.taken
+
+        with asyncio.Runner(loop_factory=loop_class) as runner:
+            assert runner.run(work()) == (True, 3.0)
+
     async def test_late_gift_is_lost(self):
         """What comes after the wait was taken off and counts no more."""
         wire = Wire(3)
