Guard the sums of loads against an instance's own standstill

After 1.7 s without a turn of its loop an instance passes over no neighbour and keeps the others' sums: what arrived meanwhile is read before timers. Nothing had to change.

--- a/tests/test_load_link.py
+++ b/tests/test_load_link.py
@@ -5,6 +5,8 @@
 
 import asyncio
 import itertools
+import threading
+import time
 
 import msgspec
 import pytest
@@ -28,8 +30,9 @@
     packed,
     unpacked,
 )
+from violethatch.event_loop import EventLoop
 from violethatch.instances import InstanceDirectory
-from violethatch.load_sums import ServerTotals
+from violethatch.load_sums import TOLD_LIFE_S, ServerTotals
 from violethatch.paths import find_path
 from violethatch.stream_loads import StreamLoads
 
@@ -113,6 +116,50 @@
         link._tick(now_s=1.25)
         assert len(seen) == 2
 
+    def test_own_standstill_is_taken_for_the_others_silence(self):
+        """Datagrams are read before timers: nobody is passed over or forgotten."""
+        loop = EventLoop()
+        before, after, seen = loop.run_until_complete(self._standing_still())
+        loop.close()
+        assert after == before
+        assert set(seen) == {2}
+
+    async def _standing_still(self):
+        """Return an instance's neighbours before and after, and its sums' sizes."""
+        entries = [
+            entry(f"i{n}")._replace(address=f"127.0.0.1:{port}", token=f"t{n}")
+            for n, port in enumerate(free_ports(3))
+        ]
+        ended = threading.Event()
+
+        async def begin(own):
+            directory = InstanceDirectory(own)
+            directory.take({one.id: one for one in entries}, is_whole=True)
+            datagrams = PeerDatagrams(directory)
+            await datagrams.start(own.address)
+            link = LoadLink(datagrams, StreamLoads())
+            return link, asyncio.create_task(link.run())
+
+        async def others():
+            begun = [await begin(one) for one in entries[1:]]
+            while not ended.is_set():
+                await asyncio.sleep(0.01)
+            for _, task in begun:
+                task.cancel()
+
+        telling = asyncio.create_task(asyncio.to_thread(asyncio.run, others()))
+        link, task = await begin(entries[0])
+        await asyncio.sleep(6 * _load_link.TICK_S)
+        before = dict(link._neighbours)
+        seen = []
+        link.on_tick = lambda: seen.append(link._sums.others.instances)
+        time.sleep(TOLD_LIFE_S + 0.5)
+        await asyncio.sleep(2 * _load_link.TICK_S)
+        task.cancel()
+        ended.set()
+        await telling
+        return before, link._neighbours, seen
+
     def test_noise_is_no_load(self):
         """A datagram whose servers are not whole is refused."""
         datagrams = PeerDatagrams(InstanceDirectory(entry("i0")._replace(token="t")))
