Count an instance's own standstill as nobody's silence

After a standstill of 2.5 s an instance dropped the peers that it did not happen to reach in its next round: it told callers of keyed calls that the instance which runs theirs is gone (409), and took over jobs of its zone. Silence went by the clock.

The time by which the round's pause was late is now added to when each peer was heard; one that is gone is dropped after its limit all the same. The new test failed before.

--- a/src/violethatch/_peers.py
+++ b/src/violethatch/_peers.py
@@ -28,6 +28,7 @@
 from .errors import PeerRefusedError
 from .gossip import Beat, Gossip, choose_targets
 from .ports import ListedInstance, Put
+from .running_time import LATE_S
 
 
 _FANOUT = 2
@@ -119,7 +120,13 @@
             await self._round()
             for peer_id in self.gossip.expire(now_s=clocks.now_s()):
                 events.log(events.PEER_LOST, peer=peer_id)
-            await asyncio.sleep(self._interval_s * self._rng.uniform(0.8, 1.2))
+            pause_s = self._interval_s * self._rng.uniform(0.8, 1.2)
+            began_s = clocks.now_s()
+            await asyncio.sleep(pause_s)
+            now_s = clocks.now_s()
+            stood_s = now_s - began_s - pause_s
+            if stood_s > LATE_S:
+                self.gossip.peers.note_standstill(stood_s, now_s=now_s)
 
     async def announce_leaving(self) -> None:
         """Tell some peers at once that this instance leaves."""
--- a/src/violethatch/membership.py
+++ b/src/violethatch/membership.py
@@ -39,6 +39,16 @@
         """Note that a peer is gone; tell whether it was known."""
         return self._heard_s.pop(peer_id, None) is not None
 
+    def note_standstill(self, stood_s: float, *, now_s: float) -> None:
+        """Count this process's own standstill as nobody's silence.
+
+        Args:
+            stood_s: How long it lasted, in seconds.
+            now_s: The current monotonic time, in seconds.
+        """
+        for peer_id, heard_s in self._heard_s.items():
+            self._heard_s[peer_id] = min(now_s, heard_s + stood_s)
+
     def expire(self, *, now_s: float) -> list[str]:
         """Drop the peers that have been silent too long; return them."""
         silent = [
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -3,7 +3,9 @@
 
 from __future__ import annotations
 
+import asyncio
 import random
+import time
 
 import pytest
 import simpy
@@ -21,10 +23,12 @@
     StallLimit,
     WorkspaceLimiter,
     WorkspaceLimits,
+    clocks,
     demand_shares,
     rendezvous,
     watched_runners,
 )
+from violethatch._peers import Peers
 from violethatch.errors import RateLimitedError
 from violethatch.gossip import choose_targets
 
@@ -188,6 +192,10 @@
         assert len(seen) >= 78
 
 
+async def no_answer(_message):
+    """Stand in for what takes messages."""
+
+
 class TestGossip:
     @staticmethod
     def make(name, zone="z1"):
@@ -245,6 +253,30 @@
         a.merge([b.own], now_s=0.1)
         assert a.zone_members() == ["a"]
 
+    async def test_own_standstill_is_taken_for_the_others_silence(self):
+        """Whoever was there before is there until it is silent by itself."""
+        a, b = self.make("a"), self.make("b")
+        b.tick(revision=1, leaving=False)
+        a.merge([b.own], now_s=clocks.now_s())
+        peers = Peers(
+            a,
+            key="key",
+            interval_s=0.2,
+            rng=random.Random(1),
+            encoded_revision=bytes,
+            take_revision=no_answer,
+            write=no_answer,
+            connections=1,
+        )
+        running = asyncio.create_task(peers.run(lambda: 1))
+        await asyncio.sleep(0.05)
+        time.sleep(2.5)
+        await asyncio.sleep(0.3)
+        assert a.zone_members() == ["a", "b"]
+        await asyncio.sleep(2.3)
+        assert a.zone_members() == ["a"]
+        running.cancel()
+
     def test_fifty_peers_notice_a_death_and_nothing_else(self):
         """With bounded messages nobody live is dropped; the dead one is by all."""
         rng = random.Random(4)
