Read answers of the store before a read counts as lost

An instance that stood still for 2.5 s took the store's answers, which lay in its sockets, for lost: it repeated the reads over new connections, and used no kept ones for a while. A task that waits under a timeout is cancelled before it can take what arrived.

Reads and writes of the store, and reads of other instances, now end as requests do: what has arrived by then is read first.

--- a/src/violethatch/_relay_http.py
+++ b/src/violethatch/_relay_http.py
@@ -7,7 +7,6 @@
 
 from __future__ import annotations
 
-import asyncio
 import hmac
 import zlib
 
@@ -19,6 +18,7 @@
 from aiohttp.web_response import Response, StreamResponse
 from aiohttp.web_server import Server
 
+from . import clocks, deadlines
 from ._call_errors import CALL_ERRORS, NOT_CONNECTED
 from ._connection_choice import ConnectionChoice
 from ._decoding import decoded
@@ -170,7 +170,7 @@
             "era": str(era),
         }
         try:
-            async with asyncio.timeout(wait_s + margin_s):
+            async with deadlines.until(clocks.now_s() + wait_s + margin_s):
                 status, body = await self._get(peer, query)
             _require_update(status)
             return _decoded(body, self._decoder)
--- a/src/violethatch/platform/_store.py
+++ b/src/violethatch/platform/_store.py
@@ -3,8 +3,8 @@
 
 from __future__ import annotations
 
-import asyncio
 import base64
+import contextlib
 import json
 
 from collections.abc import Mapping, Sequence
@@ -12,7 +12,7 @@
 
 import msgspec
 
-from .. import events
+from .. import clocks, deadlines, events
 from .._call_errors import CALL_ERRORS, NOT_CONNECTED
 from .._connection_choice import ConnectionChoice
 from .._placement_lease import LeaseWrite
@@ -244,11 +244,13 @@
                 the answer has the usual limit of a call.
             options: What else aiohttp takes.
         """
-        async with asyncio.timeout(timeout_s) as limit:
-            async with self._connections.session.request(
-                method, f"{self._base}/{call}", **options
-            ) as answer:
-                limit.reschedule(asyncio.get_running_loop().time() + self._timeout_s)
+        request = self._connections.session.request(
+            method, f"{self._base}/{call}", **options
+        )
+        async with contextlib.AsyncExitStack() as open_answer:
+            async with deadlines.until(clocks.now_s() + timeout_s):
+                answer = await open_answer.enter_async_context(request)
+            async with deadlines.until(clocks.now_s() + self._timeout_s):
                 body = await answer.read()
         is_read = answer.status in (_OK, _CONDITION_FAILED)
         if is_read or answer.status == _HISTORY_GONE:
--- a/tests/test_silent_connections.py
+++ b/tests/test_silent_connections.py
@@ -4,6 +4,7 @@
 from __future__ import annotations
 
 import asyncio
+import signal
 import socket
 
 import pytest
@@ -92,6 +93,20 @@
         await site.wait_status(200, Authorization="Token k2")
         assert clocks.now_s() - written_s < CHANGE_BOUND_S
 
+    @pytest.mark.parametrize("for_s", [0.6, 2.5])
+    async def test_own_standstill_is_taken_for_a_lost_read(self, deployed_site, for_s):
+        """The answer of the store, which lies in the socket, is read first."""
+        site = deployed_site
+        for _ in range(3):
+            await site.wait_for_read()
+            site.process.send_signal(signal.SIGSTOP)
+            await asyncio.sleep(for_s)
+            site.process.send_signal(signal.SIGCONT)
+        await asyncio.sleep(0.5)
+        counters = (await site.fetch("/metrics")).decode()
+        assert 'outcome="answered"' in counters
+        assert 'outcome="lost"' not in counters
+
 
 class TestSilentConnections:
     async def test_changes_still_come(self, site):
