Keep a silent instance's answer where no other one can be asked

With two instances, callers of calls that may run twice got 502, and streams were cut, when the one that served them for the other stood still for 2.5 s (8 of 8 each): the silent answer was dropped for a handover for which there was nobody. Now it is dropped only where another instance can be asked; 8 of 8 answers are given.

--- a/src/violethatch/forwarding/_forwarding.py
+++ b/src/violethatch/forwarding/_forwarding.py
@@ -170,8 +170,7 @@
         """
 
         def on_silent() -> bool:
-            self._note_silent(peer.id, request.call_id, is_waited_for=waits_out_silence)
-            return waits_out_silence
+            return self._note_silent(peer, service, request, waits_out_silence)
 
         try:
             answer = await self._client.send(
@@ -196,15 +195,28 @@
         self.on_outcome("answered")
         return answer
 
-    def _note_silent(self, peer_id: str, call_id: str, *, is_waited_for: bool) -> None:
-        """Ask other instances first for a while, and log why."""
-        self._choice.note_silent(peer_id, now_s=clocks.now_s())
+    def _note_silent(
+        self,
+        peer: InstanceEntry,
+        service: str,
+        request: ForwardedRequest,
+        waits_out_silence: bool,
+    ) -> bool:
+        """Ask other instances first for a while; tell whether to wait for this one.
+
+        It is waited for where no other one would take the request either.
+        """
+        now_s = clocks.now_s()
+        self._choice.note_silent(peer.id, now_s=now_s)
+        other = self._choice.choose(self._peers(), service, now_s=now_s)
+        is_waited_for = waits_out_silence or other is None
         events.log(
             events.FORWARD_SILENT,
-            request_id=call_id,
-            instance_id=peer_id,
+            request_id=request.call_id,
+            instance_id=peer.id,
             is_waited_for=is_waited_for,
         )
+        return is_waited_for
 
     def _log_refused(
         self,
--- a/tests/test_standstill.py
+++ b/tests/test_standstill.py
@@ -99,3 +99,21 @@
     got, runs = await forwarded_calls(fleet, fleet.instances[1:], path, 2.5)
     assert got == [200] * CALLERS
     assert runs <= 2 * CALLERS
+
+
+@pytest.mark.parametrize("path", [PLAIN_PATH, STREAM_PATH])
+async def test_answers_are_dropped_when_the_only_other_instance_stands_still(
+    tmp_path, path
+):
+    """They might be handed over once more, and there is nobody to take them."""
+    fleet = LinkedFleet(tmp_path, zones=("heredia", "heredia"))
+    try:
+        await fleet.start()
+        for runner in fleet.runners.values():
+            runner.pause_s = PART_S
+        got, runs = await forwarded_calls(fleet, fleet.instances[1:], path, 2.5)
+    finally:
+        await fleet.stop()
+    assert got == [200] * CALLERS
+    # The instance that stood still may itself repeat a stream's run.
+    assert runs <= CALLERS * (2 if path == STREAM_PATH else 1)
