Keep a plain call's send where no instance can take the call

Callers got 502 where the links to a service were believed lost while a send was under way over an open connection, and no other instance could be asked, or the answer came during the check of the links: the send was broken off before either was known.

--- a/src/violethatch/_plain_calls.py
+++ b/src/violethatch/_plain_calls.py
@@ -204,6 +204,8 @@
         if self._work.is_held:
             return None  # each send of a request that ends servers costs one more
         if await self._routing.must_forward(self._call, service):
+            if self._under_way and not self._may_be_forwarded():
+                return None
             raise MustForwardError
         server = self._choose(clocks.now_s())
         if server is None:
@@ -220,6 +222,12 @@
         attempt.task = asyncio.create_task(self._send_once(attempt))
         return attempt
 
+    def _may_be_forwarded(self) -> bool:
+        """Tell whether the sends under way are worth less than another instance."""
+        forwarding = self._routing.forwarding
+        has_peer = forwarding and forwarding.has_peer(self._admitted.service.name)
+        return bool(has_peer) and not self._has_ended()
+
     def _count_in(self, attempt: _Attempt) -> None:
         """Count a send that begins."""
         self.server_id = attempt.server.id
--- a/src/violethatch/forwarding/_forwarding.py
+++ b/src/violethatch/forwarding/_forwarding.py
@@ -133,6 +133,11 @@
         )
         raise LinksLostError(msg, retry_after_s=self._retry_after_s())
 
+    def has_peer(self, service: str) -> bool:
+        """Tell whether an instance can be asked that may serve a service."""
+        peer = self._choice.choose(self._peers(), service, now_s=clocks.now_s())
+        return peer is not None
+
     def began(self, peer_id: str) -> None:
         """Count a call that an instance serves."""
         self._choice.began(peer_id)
@@ -206,10 +211,8 @@
 
         It is waited for where no other one would take the request either.
         """
-        now_s = clocks.now_s()
-        self._choice.note_silent(peer.id, now_s=now_s)
-        other = self._choice.choose(self._peers(), service, now_s=now_s)
-        is_waited_for = waits_out_silence or other is None
+        self._choice.note_silent(peer.id, now_s=clocks.now_s())
+        is_waited_for = waits_out_silence or not self.has_peer(service)
         events.log(
             events.FORWARD_SILENT,
             request_id=request.call_id,
--- a/tests/test_plain_calls.py
+++ b/tests/test_plain_calls.py
@@ -31,6 +31,7 @@
     ServiceLostError,
     ServiceUnreachableError,
 )
+from violethatch.forwarding import MustForwardError
 from violethatch.upstream import NotSentError
 
 
@@ -52,6 +53,28 @@
     asyncio.get_running_loop().call_later(after_s, time.sleep, for_s)
 
 
+class NoForwarding:
+    """Stands in for handing calls to other instances."""
+
+    def __init__(self, *, has_peer):
+        self._has_peer = has_peer
+
+    def has_peer(self, _service):
+        return self._has_peer
+
+
+def iter_answers(*answers, wait_s=0.0):
+    """Return a check of links with these answers, the last one time after time."""
+    left = list(answers)
+
+    async def settled(_service):
+        if len(left) == 1:
+            await asyncio.sleep(wait_s)
+        return left.pop(0) if len(left) > 1 else left[0]
+
+    return settled
+
+
 async def no_retry(_service):
     """Stand in for a retry budget that is spent."""
     return False
@@ -233,6 +256,32 @@
         got = await serve(client, wait_s=1.0)
         assert (got.status, got.body) == (200, b"abc")
 
+    @pytest.mark.parametrize("has_peer", [True, False])
+    async def test_answer_is_dropped_without_an_instance_to_forward_to(self, has_peer):
+        """The links are believed lost while the first server still works."""
+        call, routing = unanswered_call(target_s=0.05, wait_s=1.0, kind=CallKind.SAFE)
+        routing.client.answers = [ready_after(FakeAnswer(b"abc"), 0.6)]
+        routing.forwarding = NoForwarding(has_peer=has_peer)
+        routing.link_watch.settled = iter_answers(False, True)
+        responder = FakeResponder()
+        if has_peer:
+            with pytest.raises(MustForwardError):
+                await call.serve(responder)
+            assert call.runs == 1
+        else:
+            await call.serve(responder)
+            assert responder.body == b"abc"
+
+    async def test_answer_is_dropped_that_comes_during_a_check_of_the_links(self):
+        """It is there when the links are found lost."""
+        call, routing = unanswered_call(target_s=0.05, wait_s=0.6, kind=CallKind.SAFE)
+        routing.client.answers = [ready_after(FakeAnswer(b"abc"), 0.3)]
+        routing.forwarding = NoForwarding(has_peer=True)
+        routing.link_watch.settled = iter_answers(False, True, wait_s=0.2)
+        responder = FakeResponder()
+        await call.serve(responder)
+        assert responder.body == b"abc"
+
     async def test_slower_send_goes_on_after_the_answer(self):
         """Once one server has answered, the other one's work is broken off."""
         slow = FakeAnswer(b"a", asyncio.Event())
