--- a/src/violethatch/_plain_calls.py
+++ b/src/violethatch/_plain_calls.py
@@ -282,7 +282,9 @@
         self.server_id = attempt.server.id
         if not self._route.is_repeatable:
             if answer.status in _SAYS_NOT_RUN:
-                raise self._failure()  # it has run: these would say what is not true
+                # It has run: these would say what is not true.
+                msg = f"the backend server answered {answer.status}; it may have run"
+                raise ServiceLostError(msg)
             return answer
         if answer.status < _SERVER_ERROR:
             return answer
@@ -427,7 +429,8 @@
         """Return the error that says what is known."""
         if self.runs:
             if deadlines.is_over(self._deadline_s):
-                return DeadlineError("no answer before the deadline")
+                limit = self._call.limit_name(self._route.timeout_s)
+                return DeadlineError(f"no answer before the deadline: {limit}")
             return ServiceLostError("the backend server's answer was lost")
         held = self._work.held_back()
         if held is not None:
--- a/src/violethatch/upstream.py
+++ b/src/violethatch/upstream.py
@@ -25,6 +25,9 @@
 
 
 Headers = Sequence[tuple[str, str]]
+#: By how much a route's timeout may look like a shorter limit of the caller's to the
+#: instance that a call was forwarded to, in seconds.
+_WAY_S = 0.05
 
 
 class Call(NamedTuple):
@@ -67,6 +70,12 @@
         """Return until when the call may take, in monotonic seconds."""
         return min(self.deadline_s, self.received_s + timeout_s)
 
+    def limit_name(self, timeout_s: float) -> str:
+        """Return what ends the call's time: the route's timeout, or its caller."""
+        if self.deadline_s < self.received_s + timeout_s - _WAY_S:
+            return "the caller's time limit"
+        return f"the route's timeout of {timeout_s:g} s"
+
 
 class Send(NamedTuple):
     """One send of a call to a backend server."""
--- a/tests/test_plain_calls.py
+++ b/tests/test_plain_calls.py
@@ -223,6 +223,7 @@
         with pytest.raises(ServiceLostError) as caught:
             await serve(client, kind=CallKind.ONCE)
         assert caught.value.ran == "maybe"
+        assert str(status) in caught.value.detail
 
     async def test_deadline_says_maybe(self):
         """Out of time, it is not said that nothing ran."""
@@ -376,6 +377,21 @@
 
         late_clock(work)
 
+    @pytest.mark.parametrize(
+        ("wait_s", "limit"),
+        [(0.1, "the caller's time limit"), (5.0, "the route's timeout of 0.2 s")],
+    )
+    async def test_line_does_not_tell_whose_limit_it_was(self, wait_s, limit):
+        """A short timeout of the route and an impatient caller look alike."""
+        with pytest.raises(DeadlineError) as caught:
+            await serve(
+                FakeClient(asyncio.Event()),
+                kind=CallKind.ONCE,
+                wait_s=wait_s,
+                timeout_s=0.2,
+            )
+        assert limit in caught.value.detail
+
     def test_call_is_sent_again_at_its_deadline(self, late_clock):
         """No server gets a call that has no time left."""
         client = FakeClient(asyncio.Event(), asyncio.Event())
