Say of a forwarded request that is refused whether it ran before

Seen by readers: a request whose answer was cut at one instance, and whose rest another had refused, read there as 2206, refused unrun. Its caller was told right: the first instance takes such a refusal for 502, or ends what it has begun. Cause: the line went by the error alone. Change: 2203 with ran=maybe and runs_before where the sender counts runs that may have begun; lines of errors have ran. The sender is still told that nothing ran here, so that it may ask another instance. Measured: test_refusal_of_what_has_run_elsewhere red before, green after; TestAnswerThatEndedEarly.

--- a/src/violethatch/_router.py
+++ b/src/violethatch/_router.py
@@ -179,7 +179,11 @@
         except VioletHatchError as error:
             age_s = clocks.now_s() - call.received_s
             self._log_refused(
-                call.id, error, age_s=age_s, forwarded_by=call.forwarded_by
+                call.id,
+                error,
+                age_s=age_s,
+                runs_before=runs,
+                forwarded_by=call.forwarded_by,
             )
             raise
 
@@ -192,13 +196,30 @@
         self._log_refused(call_id, error, age_s=age_s)
 
     def _log_refused(
-        self, call_id: str, error: VioletHatchError, *, age_s: float, **fields: object
+        self,
+        call_id: str,
+        error: VioletHatchError,
+        *,
+        age_s: float,
+        runs_before: int = 0,
+        forwarded_by: str | None = None,
     ) -> None:
-        """Log a request that ended with one of our own errors."""
+        """Log a request that ended with one of our own errors.
+
+        Args:
+            call_id: The request.
+            error: The error.
+            age_s: How long ago the request came, in seconds.
+            runs_before: Sends that may have run before it was forwarded.
+            forwarded_by: The instance that took it from its caller, if another one did.
+        """
+        ran = Ran.MAYBE if runs_before else error.ran
+        forwarded = {"forwarded_by": forwarded_by, "runs_before": runs_before}
         events.log(
-            events.REQUEST_REFUSED if error.ran == "no" else events.REQUEST_FAILED,
+            events.REQUEST_REFUSED if ran is Ran.NO else events.REQUEST_FAILED,
             request_id=call_id,
             code=error.code,
+            ran=ran.value,
             reason=error.detail,
             retry_after_s=error.retry_after_s,
             after_s=round(age_s, 4),
@@ -207,7 +228,7 @@
             desired_table=self.desired_table()._asdict(),
             proof_age_s=self._proof_age_s(),
             refusal_limit_s=self.settings.refusal_limit_s,
-            **fields,
+            **(forwarded if forwarded_by else {}),
         )
 
     def caller_left(self, call: Call) -> None:
--- a/tests/test_explaining.py
+++ b/tests/test_explaining.py
@@ -114,3 +114,55 @@
         assert "reason=early" in shown[3]
         assert "retry_after_s=0.75" in shown[4]
         assert "outcome=due" in shown[5]
+
+
+class TestAnswerThatEndedEarly:
+    """A stream that one instance cut, and another had refused to go on with."""
+
+    def test_refusal_elsewhere_does_not_hide_the_run(self, tmp_path):
+        """Guards against a request that reads as not run where one run was cut."""
+        first, second = tmp_path / "edge-1", tmp_path / "edge-2"
+        known = {"request_id": "r"}
+        first.write_text(
+            "\n".join(
+                [
+                    line(2208, "silence_seen", 1.0, **known, asked=3),
+                    line(2209, "run_given_up", 1.1, **known, last_event_id=68),
+                    line(2225, "request_forwarded", 1.2, **known, runs=1),
+                    line(2226, "forward_refused", 1.4, **known, instance_id="edge-2"),
+                    line(2210, "stream_cut", 1.5, **known, runs=1),
+                    line(2205, "request_served", 1.6, **known, status=0),
+                    line(2205, "request_served", 1.7, request_id="other", status=200),
+                ]
+            )
+        )
+        fields = {
+            "code": 1202,
+            "ran": "maybe",
+            "forwarded_by": "edge-1",
+            "runs_before": 1,
+        }
+        second.write_text(line(2203, "request_failed", 1.3, **known, **fields))
+        shown = explain_request([str(second), str(first)], request_id="r")
+        assert [one.split()[:2] for one in shown] == [
+            ["edge-1", "2208"],
+            ["edge-1", "2209"],
+            ["edge-1", "2225"],
+            ["edge-2", "2203"],
+            ["edge-1", "2226"],
+            ["edge-1", "2210"],
+            ["edge-1", "2205"],
+        ]
+        assert shown[3].endswith("ran=maybe forwarded_by=edge-1 runs_before=1")
+
+    def test_cut_by_a_stop_and_refused_elsewhere(self, tmp_path):
+        """Guards against a cut whose reason is lost among another instance's lines."""
+        first, second = tmp_path / "edge-1", tmp_path / "edge-2"
+        cut = {"reason": "stopping", "age_s": 6.1, "is_begun": True, "ran": "maybe"}
+        first.write_text(line(2228, "answer_cut", 7.3, request_id="r", **cut))
+        second.write_text(error_line(7.6, code=1202))
+        shown = explain_request([str(second), str(first)], request_id="r")
+        assert shown == [
+            "edge-1 2228 answer_cut reason=stopping age_s=6.1 is_begun=True ran=maybe",
+            "edge-2 2206 request_refused code=1202 retry_after_s=1.25",
+        ]
--- a/tests/test_forward_listener.py
+++ b/tests/test_forward_listener.py
@@ -12,7 +12,9 @@
 from test_callers_listener import Site, SlowClient, StreamingClient, lines_of
 from violethatch import clocks, events
 from violethatch._relay_http import RelayListener
+from violethatch.errors import Ran
 from violethatch.forwarding import FORWARD_PATH, ForwardClient, ForwardListener
+from violethatch.forwarding._client import PeerRefusalError
 from violethatch.forwarding._wire import ForwardedRequest
 from violethatch.instances import InstanceEntry
 from violethatch.upstream import AnswerLostError
@@ -32,7 +34,7 @@
         relay = RelayListener({}, token=TOKEN, handlers=handlers)
         await relay.start(self.address)
 
-    async def forward(self, session, call_id, *, path):
+    async def forward(self, session, call_id, *, path, runs=0):
         """Hand a request over; return the answer once its head is there."""
         entry = InstanceEntry("i2", "z1", self.address, TOKEN, 1000.0, 0.0)
         request = ForwardedRequest(
@@ -48,7 +50,7 @@
             last_event_id=None,
             prompt_tokens=None,
             state_version=1,
-            runs=0,
+            runs=runs,
             sender="i1",
         )
         client = ForwardClient(session, session)
@@ -126,6 +128,27 @@
     assert [part async for part in answer.parts()] == [b"done"]
 
 
+@pytest.mark.parametrize(
+    ("runs", "event", "ran"),
+    [(0, events.REQUEST_REFUSED, "no"), (1, events.REQUEST_FAILED, "maybe")],
+)
+async def test_refusal_of_what_has_run_elsewhere(lines, session, runs, event, ran):
+    """Its line said that the request was refused unrun, after its answer was cut.
+
+    The sender is told that nothing ran here, so that it may ask another instance.
+    """
+    site = await serving(StreamingClient(0.1))
+    site.stop_in(0.0)
+    with pytest.raises(PeerRefusalError) as refusal:
+        await site.forward(session, "c1", path="/draft/1", runs=runs)
+    assert refusal.value.error.ran is Ran.NO
+    (refused,) = lines_of(lines, events.REQUEST_REFUSED, events.REQUEST_FAILED)
+    assert lines_of(lines, event) == [refused]
+    assert (refused["code"], refused["ran"]) == (1203, ran)
+    assert refused["forwarded_by"] == "i1"
+    assert refused["runs_before"] == runs
+
+
 async def test_sender_that_leaves_has_a_line(lines, session):
     """The end of its connection broke the run off, and no line told why."""
     site = await serving(StreamingClient(30.0))
