Don't close a connection as idle while a request's head comes in

Seen by callers: a request whose first bytes came before the idle limit, and the rest after it, got a bare close. Cause: aiohttp's idle timer looks only at whole heads. Change: once a head has begun, its own limit counts. Measured: test_head_that_began_late_on_an_idle_connection red before, green after.

--- a/src/violethatch/platform/_connections.py
+++ b/src/violethatch/platform/_connections.py
@@ -58,6 +58,13 @@
             return True  # its task may not wait yet
         return self._waiter is not None and not self._waiter.done()
 
+    def _process_keepalive(self) -> None:
+        """Close the connection as idle, unless a request's head has begun to come."""
+        if self._head_handle is not None:
+            self._keepalive_handle = None
+            return
+        super()._process_keepalive()
+
     def _stop_head_time(self) -> None:
         """Stop waiting for a head."""
         if self._head_handle is not None:
--- a/tests/test_callers_listener.py
+++ b/tests/test_callers_listener.py
@@ -351,3 +351,23 @@
         if status == b" 503 ":
             assert b"Retry-After: 0.1" in answer
             assert b"are left" in answer
+
+
+async def test_head_that_began_late_on_an_idle_connection(session):
+    """The idle limit closed the connection, although a request was on its way."""
+    site = Site(0.0)
+    limits = site.router.desired.limits._replace(idle_timeout_s=-0.8)
+    site.router.desired = site.router.desired._replace(limits=limits)
+    await site.start()
+    reader, writer = await asyncio.open_connection("127.0.0.1", site.port)
+    writer.write(request_bytes("c1", path="/label/1"))
+    assert b" 200 " in await reader.readline()
+    await asyncio.sleep(0.1)
+    second = request_bytes("c2", path="/label/1")
+    writer.write(second[:40])
+    await asyncio.sleep(0.3)
+    writer.write(second[40:])
+    async with asyncio.timeout(1):
+        rest = await reader.readuntil(b" 200 ")
+    assert rest
+    writer.close()
