Give each end of a caller's request a line and a count

Seen by readers: a caller who left within its request's body, a head that got 400 and an unforeseen error had no line or no count; a request that was slow to end at a stop was blamed on its caller. Cause: the lines went by what had been read, aiohttp answers bad heads by itself, and a second cancellation hid the first. Change: 2213 by the id in the head; 2206 with code 1101 and the kind of the parser's error for bad heads; outcome 1000 is counted, with ran=maybe; 2228 once the stop has cut.

--- a/src/violethatch/_open_answers.py
+++ b/src/violethatch/_open_answers.py
@@ -20,6 +20,8 @@
 
     def __init__(self) -> None:
         self._ends: set[asyncio.Timeout] = set()
+        #: Whether all have been ended.
+        self.is_cut = False
 
     @contextlib.asynccontextmanager
     async def open(self) -> AsyncIterator[None]:
@@ -44,6 +46,7 @@
 
     def cut(self) -> None:
         """End all that are under way."""
+        self.is_cut = True
         now_s = asyncio.get_running_loop().time()
         for end in self._ends:
             end.reschedule(now_s)
--- a/src/violethatch/_router.py
+++ b/src/violethatch/_router.py
@@ -231,11 +231,22 @@
             **(forwarded if forwarded_by else {}),
         )
 
-    def caller_left(self, call: Call) -> None:
+    def failed(self, call_id: str, error: Exception) -> None:
+        """Log and count a request that met an unforeseen error."""
+        code = VioletHatchError.code
+        self.metrics.requests.inc({"outcome": str(code)})
+        events.log(
+            events.REQUEST_FAILED,
+            request_id=call_id,
+            code=code,
+            ran=Ran.MAYBE.value,
+            error=repr(error),
+        )
+
+    def caller_left(self, call_id: str, *, age_s: float) -> None:
         """Log and count a caller who went away."""
         self.metrics.requests.inc({"outcome": "caller_left"})
-        age_s = clocks.now_s() - call.received_s
-        events.log(events.CALLER_LEFT, request_id=call.id, after_s=round(age_s, 4))
+        events.log(events.CALLER_LEFT, request_id=call_id, after_s=round(age_s, 4))
 
     def answer_cut(
         self,
--- a/src/violethatch/forwarding/_listener.py
+++ b/src/violethatch/forwarding/_listener.py
@@ -127,7 +127,12 @@
             raise
         except Exception as error:
             events.log(
-                events.REQUEST_FAILED, request_id=call.id, code=1000, error=repr(error)
+                events.REQUEST_FAILED,
+                request_id=call.id,
+                code=VioletHatchError.code,
+                ran=Ran.MAYBE.value,
+                error=repr(error),
+                forwarded_by=call.forwarded_by,
             )
             await responder.refuse(VioletHatchError(_INTERNAL_ERROR_DETAIL))
         finally:
--- a/src/violethatch/platform/_connections.py
+++ b/src/violethatch/platform/_connections.py
@@ -9,6 +9,8 @@
 from typing import Any
 
 from aiohttp.web_protocol import RequestHandler
+from aiohttp.web_request import BaseRequest
+from aiohttp.web_response import StreamResponse
 from aiohttp.web_server import Server
 
 from .. import events
@@ -18,16 +20,24 @@
 #: How much longer than callers may rest a connection is kept, in seconds: a
 #: request that was sent in the last moment is still on its way.
 _REST_MARGIN_S = 1.0
+_INTERNAL_ERROR = 500
 
 
 class CallerConnection(RequestHandler):
     """One caller's connection; a request's head has to come in time."""
 
-    __slots__ = ("_head_handle", "_head_limit_s")
+    __slots__ = ("_head_handle", "_head_limit_s", "_on_bad_head")
 
-    def __init__(self, *args: Any, head_limit_s: float, **options: Any) -> None:
+    def __init__(
+        self,
+        *args: Any,
+        head_limit_s: float,
+        on_bad_head: Callable[[str], None],
+        **options: Any,
+    ) -> None:
         super().__init__(*args, **options)
         self._head_limit_s = head_limit_s
+        self._on_bad_head = on_bad_head
         self._head_handle: asyncio.TimerHandle | None = None
 
     def data_received(self, data: bytes) -> None:
@@ -47,6 +57,19 @@
         self._stop_head_time()
         super().connection_lost(exc)
 
+    def handle_error(
+        self,
+        request: BaseRequest,
+        status: int = _INTERNAL_ERROR,
+        exc: BaseException | None = None,
+        message: str | None = None,
+    ) -> StreamResponse:
+        """Answer an error of HTTP itself; note one that is the caller's."""
+        if status < _INTERNAL_ERROR:
+            # The message may quote a key.
+            self._on_bad_head(type(exc).__name__)
+        return super().handle_error(request, status, exc, message)
+
     @property
     def is_serving(self) -> bool:
         """Whether a request is under way, or read and not begun."""
@@ -85,14 +108,21 @@
     Args:
         handle: Serves one request.
         limits: Returns the limits in force.
+        on_bad_head: Is told why a request could not be understood.
         options: What else aiohttp's server takes.
     """
 
     def __init__(
-        self, handle: Any, *, limits: Callable[[], CallLimits], **options: Any
+        self,
+        handle: Any,
+        *,
+        limits: Callable[[], CallLimits],
+        on_bad_head: Callable[[str], None],
+        **options: Any,
     ) -> None:
         super().__init__(handle, handler_cancellation=True)
         self._limits = limits
+        self._on_bad_head = on_bad_head
         self._options = options
 
     @property
@@ -117,6 +147,7 @@
             loop=self._loop,
             access_log=None,
             head_limit_s=limits.header_timeout_s,
+            on_bad_head=self._on_bad_head,
             keepalive_timeout=limits.idle_timeout_s + _REST_MARGIN_S,
             max_line_size=limits.header_bytes,
             max_field_size=limits.header_bytes,
--- a/src/violethatch/platform/_listener.py
+++ b/src/violethatch/platform/_listener.py
@@ -20,7 +20,13 @@
 from .._router import ELSEWHERE_RETRY_S, Router
 from .._serving import listen
 from ..desired import CallLimits
-from ..errors import AnswerCutError, DrainingError, Ran, VioletHatchError
+from ..errors import (
+    AnswerCutError,
+    BadRequestError,
+    DrainingError,
+    Ran,
+    VioletHatchError,
+)
 from ..upstream import Call
 from . import _headers
 from ._connections import CallerServer
@@ -51,7 +57,10 @@
     def __init__(self, router: Router) -> None:
         self._router = router
         self._server = CallerServer(
-            self._handle, limits=self._limits, auto_decompress=False
+            self._handle,
+            limits=self._limits,
+            on_bad_head=self._note_bad_head,
+            auto_decompress=False,
         )
         self._had_room = True
         self._listening: asyncio.Server | None = None
@@ -119,14 +128,16 @@
             self._router.refused(call_id, error, age_s=age_s)
             return self._problem(error)
         except (ConnectionError, aiohttp.ClientConnectionResetError):
-            self._note_left(call)
+            self._router.caller_left(call_id, age_s=clocks.now_s() - started_s)
         except asyncio.CancelledError:
-            self._note_left(call)
+            age_s = clocks.now_s() - started_s
+            if self._router.open_answers.is_cut:
+                self._note_cut(call_id, responder, age_s=age_s, is_read=bool(call))
+            else:
+                self._router.caller_left(call_id, age_s=age_s)
             raise
         except Exception as error:
-            events.log(
-                events.REQUEST_FAILED, request_id=call_id, code=1000, error=repr(error)
-            )
+            self._router.failed(call_id, error)
             if responder.response is None:
                 return self._problem(VioletHatchError("internal error"))
             responder.abort()
@@ -141,23 +152,28 @@
         age_s: float,
         is_read: bool,
     ) -> StreamResponse:
-        """End an answer because the process stops; return what is left to give.
+        """End an answer because the process stops; return what is left to give."""
+        self._note_cut(call_id, responder, age_s=age_s, is_read=is_read)
+        if responder.response is not None:
+            responder.cut()
+            return responder.response
+        if is_read:
+            return self._problem(error)
+        return self._problem(DrainingError(retry_after_s=ELSEWHERE_RETRY_S))
+
+    def _note_cut(
+        self, call_id: str, responder: CallerResponder, *, age_s: float, is_read: bool
+    ) -> None:
+        """Note an answer that ends because the process stops.
 
         A request that was not read whole has not run.
         """
-        response = responder.response
         self._router.answer_cut(
             call_id,
             age_s=age_s,
-            is_begun=response is not None,
-            ran=error.ran if is_read else Ran.NO,
+            is_begun=responder.response is not None,
+            ran=Ran.MAYBE if is_read else Ran.NO,
         )
-        if response is not None:
-            responder.cut()
-            return response
-        if is_read:
-            return self._problem(error)
-        return self._problem(DrainingError(retry_after_s=ELSEWHERE_RETRY_S))
 
     def _limits(self) -> CallLimits:
         """Return the limits in force on what callers send."""
@@ -174,10 +190,9 @@
             response.force_close()
         return response
 
-    def _note_left(self, call: Call | None) -> None:
-        """Note that the caller went away."""
-        if call is not None:
-            self._router.caller_left(call)
+    def _note_bad_head(self, reason: str) -> None:
+        """Note a request that could not be understood, and got 400."""
+        self._router.refused("", BadRequestError(reason), age_s=0.0)
 
 
 async def _read_what_came() -> None:
--- a/tests/test_callers_listener.py
+++ b/tests/test_callers_listener.py
@@ -287,6 +287,28 @@
         with pytest.raises(ConnectionResetError):
             await asking
 
+    async def test_request_that_is_slow_to_end(self, lines, session):
+        """Cancelled a second time, it was blamed on its caller after all."""
+
+        class Lingering(SlowClient):
+            async def send(self, send):
+                try:
+                    await super().send(send)
+                finally:
+                    await asyncio.sleep(30.0)
+
+        site = Site(0, client=Lingering(30.0))
+        await site.start()
+        asking = asyncio.create_task(site.ask("c1", session))
+        await asyncio.sleep(0.1)
+        site.stop_in(0.1)
+        await site.listener.close()
+        with pytest.raises(aiohttp.ClientError):
+            await asking
+        assert lines_of(lines, events.CALLER_LEFT) == []
+        (cut,) = lines_of(lines, events.ANSWER_CUT)
+        assert (cut["request_id"], cut["ran"]) == ("c1", "maybe")
+
 
 class TestIdleConnectionAtTheClose:
     """Kept connections on which no request is under way."""
@@ -353,6 +375,72 @@
             assert b"are left" in answer
 
 
+class TestEndsWithoutARequest:
+    """Ends of connections on which no request has come whole."""
+
+    async def test_caller_who_leaves_within_its_body(self, lines):
+        """It left no line, as if it had never come."""
+        site = Site(0.0)
+        await site.start()
+        _, writer = await asyncio.open_connection("127.0.0.1", site.port)
+        writer.write(request_bytes("c1", path="/label/1")[:-3])
+        await asyncio.sleep(0.05)
+        writer.close()
+        await asyncio.sleep(0.05)
+        (left,) = lines_of(lines, events.CALLER_LEFT)
+        assert left["request_id"] == "c1"
+        assert site.count("caller_left") == 1
+
+    @pytest.mark.parametrize(
+        "head",
+        [b"POST /label/1 HTTP/9\r\n\r\n", b"GET / HTTP/1.1\r\nBig: %s\r\n\r\n"],
+    )
+    async def test_head_that_is_refused_has_a_line(self, lines, head):
+        """It got 400 without a line or a count."""
+        site = Site(0.0)
+        await site.start()
+        reader, writer = await asyncio.open_connection("127.0.0.1", site.port)
+        writer.write(head % (b"x" * 20_000) if b"%s" in head else head)
+        assert b" 400 " in await reader.readline()
+        writer.close()
+        (refused,) = lines_of(lines, events.REQUEST_REFUSED)
+        assert (refused["code"], refused["ran"]) == (1101, "no")
+        assert refused["reason"]
+        assert site.count("1101") == 1
+
+    async def test_head_that_is_late_has_a_line(self, lines):
+        """It names the limit; nothing was taken."""
+        site = Site(0.0)
+        limits = site.router.desired.limits._replace(header_timeout_s=0.1)
+        site.router.desired = site.router.desired._replace(limits=limits)
+        await site.start()
+        reader, writer = await asyncio.open_connection("127.0.0.1", site.port)
+        writer.write(b"POST /label/1 HTTP/1.1\r\n")
+        assert await reader.read() == b""
+        writer.close()
+        assert lines_of(lines, events.HEAD_LATE) == [{"limit_s": 0.1}]
+
+
+class TestUnforeseenError:
+    """An error in this program while a request is served."""
+
+    @pytest.mark.parametrize("is_begun", [False, True])
+    async def test_it_is_counted(self, lines, is_begun):
+        """It had a line, and was missing in the requests' outcomes."""
+        client = StreamingClient(0.05, error=RuntimeError("unforeseen"))
+        site = Site(0, client=client)
+        if not is_begun:
+            client.send = None
+        await site.start()
+        answer = await site.ask_for_bytes("c1")
+        assert (b" 200 " if is_begun else b" 500 ") in answer
+        assert not answer.endswith(b"0\r\n\r\n")
+        (failed,) = lines_of(lines, events.REQUEST_FAILED)
+        assert (failed["request_id"], failed["code"]) == ("c1", 1000)
+        assert failed["ran"] == "maybe"
+        assert site.count("1000") == 1
+
+
 async def test_head_that_began_late_on_an_idle_connection(session):
     """The idle limit closed the connection, although a request was on its way."""
     site = Site(0.0)
