Name a forwarded answer that is slow to end at a stop as cut

Seen by readers: a forwarded request that a stop had cut, and that took its time to end, was cancelled once more and logged as 2229, as if its sender had left. Cause: a second cancellation hides the first. Change: 2228 once the stop has cut. Measured: test_forwarded_call_that_is_slow_to_end red before, green after.

--- a/src/violethatch/forwarding/_listener.py
+++ b/src/violethatch/forwarding/_listener.py
@@ -113,8 +113,8 @@
                     state_version=message.state_version,
                     runs=message.runs,
                 )
-        except AnswerCutError as error:
-            self._note_cut(call, error, responder)
+        except AnswerCutError:
+            self._note_cut(call, responder)
             # Without a refusal the sender may have it served elsewhere.
             responder.cut()
         except VioletHatchError as error:
@@ -123,7 +123,10 @@
             _note_left(call)
             responder.abort()
         except asyncio.CancelledError:
-            _note_left(call)
+            if self._server.open_answers.is_cut:
+                self._note_cut(call, responder)
+            else:
+                _note_left(call)
             raise
         except Exception as error:
             events.log(
@@ -139,15 +142,13 @@
             alive.cancel()
         return response
 
-    def _note_cut(
-        self, call: Call, error: AnswerCutError, responder: _FrameResponder
-    ) -> None:
+    def _note_cut(self, call: Call, responder: _FrameResponder) -> None:
         """Log an answer that ends because this instance stops."""
         self._server.answer_cut(
             call.id,
             age_s=clocks.now_s() - call.received_s,
             is_begun=responder.is_started,
-            ran=error.ran,
+            ran=AnswerCutError.default_ran,
             forwarded_by=call.forwarded_by,
         )
 
--- a/tests/test_callers_listener.py
+++ b/tests/test_callers_listener.py
@@ -47,6 +47,16 @@
         return FakeAnswer(b"done")
 
 
+class LingeringClient(SlowClient):
+    """Takes as long again to end a call that is broken off."""
+
+    async def send(self, send):
+        try:
+            return await super().send(send)
+        finally:
+            await asyncio.sleep(self.run_s)
+
+
 class StreamingClient(SlowClient):
     """Gives the first events of a stream at once, and others for a while.
 
@@ -289,15 +299,7 @@
 
     async def test_request_that_is_slow_to_end(self, lines, session):
         """Cancelled a second time, it was blamed on its caller after all."""
-
-        class Lingering(SlowClient):
-            async def send(self, send):
-                try:
-                    await super().send(send)
-                finally:
-                    await asyncio.sleep(30.0)
-
-        site = Site(0, client=Lingering(30.0))
+        site = Site(0, client=LingeringClient(30.0))
         await site.start()
         asking = asyncio.create_task(site.ask("c1", session))
         await asyncio.sleep(0.1)
--- a/tests/test_forward_listener.py
+++ b/tests/test_forward_listener.py
@@ -9,7 +9,13 @@
 import pytest
 
 from own_ports import free_ports
-from test_callers_listener import Site, SlowClient, StreamingClient, lines_of
+from test_callers_listener import (
+    LingeringClient,
+    Site,
+    SlowClient,
+    StreamingClient,
+    lines_of,
+)
 from violethatch import clocks, events
 from violethatch._relay_http import RelayListener
 from violethatch.errors import Ran
@@ -114,6 +120,22 @@
     assert (cut["is_begun"], cut["ran"]) == (False, "maybe")
 
 
+async def test_forwarded_call_that_is_slow_to_end(lines, session):
+    """Cancelled a second time, it was blamed on its sender after all."""
+    site = await serving(LingeringClient(30.0))
+    asking = asyncio.create_task(site.forward(session, "c1", path="/label/1"))
+    await asyncio.sleep(0.1)
+    site.stop_in(0.1)
+    await site.listener.close()
+    asking.cancel()
+    async with asyncio.timeout(1):
+        while not lines_of(lines, events.ANSWER_CUT, events.SENDER_LEFT):
+            await asyncio.sleep(0.01)
+    assert lines_of(lines, events.SENDER_LEFT) == []
+    (cut,) = lines_of(lines, events.ANSWER_CUT)
+    assert (cut["request_id"], cut["forwarded_by"]) == ("c1", "i1")
+
+
 async def test_forwarded_call_ends_before_the_process_closes(session):
     """The close looked at callers' connections alone."""
     site = await serving(SlowClient(0.3))
