--- a/tests/test_platform_process.py
+++ b/tests/test_platform_process.py
@@ -551,6 +551,25 @@
         assert cut == set()
         assert 200 in answered.values()
 
+    async def test_stream_that_does_not_end(self, site):
+        """It is cut before the process is killed, and its line says by whom."""
+        await site.start()
+        for runner in site.runners.values():
+            runner.event_count = 10_000
+        async with site.post(call_id="long") as answer:
+            await answer.content.readuntil(b"data: 1\n\n")
+            site.process.send_signal(signal.SIGTERM)
+            with pytest.raises(aiohttp.ClientPayloadError):
+                await answer.read()
+        async with asyncio.timeout(10):
+            output, _ = await site.process.communicate()
+        assert site.process.returncode == 0
+        lines = [json.loads(one) for one in output.splitlines()]
+        ends = [one for one in lines if one["number"] in (2205, 2210, 2213, 2228)]
+        (cut,) = [one for one in ends if one["request_id"] == "long"]
+        assert (cut["number"], cut["reason"], cut["ran"]) == (2228, "stopping", "maybe")
+        assert 3.0 < cut["age_s"] < 4.0
+
     async def test_stopping_process_closes_kept_connections(self, site):
         """Callers are told to go elsewhere with the next answer."""
         await site.start()
