Take a desired state in by slices

A state of 10,000 routes was decoded at one go, and nothing else ran for some 100 ms. Routes are decoded in short steps, 2 ms at a time; the older state is in force until the newer one is whole. The table's follower waits for that before the row counts as proven, and reads no further change meanwhile: what has changed by then is read at one go, so that the newest state gets in force however quickly states follow each other. A version that is not newer is recognized before its routes are decoded.

--- a/bench/intake_costs.py
+++ b/bench/intake_costs.py
@@ -236,12 +236,13 @@
     yield "admission", lambda: admission.take_desired(desired)
     service = desired.services["model"]
     yield "the state taken in once more", lambda: made.take_desired(view, True)
-    versions = itertools.count(2)
-    views = [
-        TableView({"config": row(routes, next(versions))}, 2, 0.0)
-        for _ in range(_REPEATS)
-    ]
-    yield "a newer one, a route changed", lambda: made.take_desired(views.pop(), True)
+    views = iter(
+        [
+            TableView({"config": row(routes, version)}, 2, 0.0)
+            for version in range(2, 2 + _REPEATS)
+        ]
+    )
+    yield "a newer one, a route changed", lambda: made.take_desired(next(views), True)
     assert made.routing.path(service) is not None
 
     def path_of_the_new_state() -> None:
@@ -322,8 +323,8 @@
     in_force_s = []
     taken: asyncio.Queue[float] = asyncio.Queue()
 
-    def take(view: TableView, is_whole: bool) -> None:
-        made.take_desired(view, is_whole)
+    async def take(view: TableView, is_whole: bool) -> None:
+        await made.take_desired_in_slices(view, is_whole)
         taken.put_nowait(clocks.now_s())
 
     async with aiohttp.ClientSession() as session:
--- a/src/violethatch/_followers.py
+++ b/src/violethatch/_followers.py
@@ -6,7 +6,7 @@
 import asyncio
 import random
 
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 from . import clocks, events
 from .errors import TableUnavailableError
@@ -39,7 +39,8 @@
         settings: How often it is asked.
         clock: Maps the store's clock; shared by all followers.
         freshness: Told of each proof.
-        take: Takes rows in; its flag says that they are the whole table.
+        take: Takes rows in; its flag says that they are the whole table.  What it
+            returns is awaited before the rows count as proven.
         returned: Called when the store answers again after it had not.
         cache: Keeps the table for other instances.
         first_pause_s: How long to wait after the first read of the whole table, in
@@ -55,7 +56,7 @@
         settings: StoreSection,
         clock: StoreClock,
         freshness: Freshness,
-        take: Callable[[TableView, bool], None],
+        take: Callable[[TableView, bool], Awaitable[None] | None],
         returned: Callable[[], None],
         rng: random.Random,
         cache: TableCache | None = None,
@@ -141,7 +142,7 @@
             self._clock.observe(view.store_s, sent_s=sent_s, era=view.era)
         self._pause_s = 0.0
         self._note_back(view)
-        self._take_in(view, is_whole=is_whole)
+        await self._take_in(view, is_whole=is_whole)
         if is_whole and self._first_pause_s:
             pause_s, self._first_pause_s = self._first_pause_s, 0.0
             await asyncio.sleep(pause_s)
@@ -199,16 +200,18 @@
             return False
         return view.era > self._era or view.version < self._cache.version
 
-    def _take_in(self, view: TableView, *, is_whole: bool) -> None:
+    async def _take_in(self, view: TableView, *, is_whole: bool) -> None:
         """Take in what was read, for this instance and for others."""
         if is_whole:
             self._log_read(view)
         self._cache.take(view, is_whole=is_whole)
+        if view.values or is_whole:
+            taking = self._take(view, is_whole)
+            if taking is not None:
+                await taking
         self._version = view.version
         self._era = view.era
         self._proof_source = view.source
-        if view.values or is_whole:
-            self._take(view, is_whole)
         if self._clock.is_known:
             proven_s = self._clock.earliest_local_s(view.store_s)
             # A time to come shows that a restored store's clock is not mapped yet.
--- a/src/violethatch/_router.py
+++ b/src/violethatch/_router.py
@@ -35,6 +35,7 @@
 from .freshness import Freshness
 from .instances import InstanceEntry
 from .router_settings import RouterSettings
+from .slices import Slices, Steps, run_whole
 from .store_era import UNREAD, TableState
 from .streams import StreamCall
 from .upstream import Call, Decoder, Responder, RunnerClient, TableView
@@ -212,22 +213,31 @@
         events.log(events.CALLER_LEFT, request_id=call.id, after_s=round(age_s, 4))
 
     def take_desired(self, view: TableView, _is_whole: bool) -> None:
-        """Take the desired state in, if it is newer."""
+        """Take the desired state in at one go, if it is newer."""
+        run_whole(self._desired_steps(view))
+
+    async def take_desired_in_slices(self, view: TableView, _is_whole: bool) -> None:
+        """Take the desired state in, if it is newer; the older one rules meanwhile."""
+        await Slices().run(self._desired_steps(view))
+
+    def _desired_steps(self, view: TableView) -> Steps[None]:
+        """Take the desired state in by short steps, if it is newer."""
         value = view.values.get("config")
         if value is None:
             return
         if value == self._desired_value:
             self.freshness.trust()
             return
+        above = self.desired.version if self.desired is not None else None
         try:
-            state = self._decoder.desired_state(value)
+            state = yield from self._decoder.desired_steps(value, above=above)
         except ValueError as error:
             # Keys may have been removed by it: the older state proves nothing.
             self.freshness.doubt()
             self._note_refused_rows("desired state", {"config": str(error)})
             return
         self.freshness.trust()
-        if self.desired is not None and state.version <= self.desired.version:
+        if state is None:
             return
         self.desired = state
         self._desired_value = value
--- a/src/violethatch/platform/_desired_row.py
+++ b/src/violethatch/platform/_desired_row.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from .._decoding import decoded
 from ..desired import (
     CallKind,
     CallLimits,
@@ -18,8 +19,11 @@
     WorkspaceEntry,
 )
 from ..engine_model import AcceleratorKind, EngineSpec
+from ..slices import Steps
 
 
+#: How many routes are read in one step: a fraction of a millisecond.
+_ROUTES_A_STEP = 32
 _MS_PER_S = 1000.0
 _KINDS = {
     "safe": CallKind.SAFE,
@@ -73,6 +77,22 @@
         )
 
 
+_ROUTE = msgspec.json.Decoder(_Route)
+
+
+def _route(number: int, row: msgspec.Raw) -> CallRoute:
+    """Return a route in the product's words.
+
+    Raises:
+        ValueError: It can't be understood.
+    """
+    try:
+        return decoded(_ROUTE, row).decoded()
+    except ValueError as error:
+        msg = f"route {number}: {error}"
+        raise ValueError(msg) from error
+
+
 class _Kind(msgspec.Struct):
     name: str = msgspec.field(name="Name")
     mb: float
@@ -182,19 +202,30 @@
 
 
 class Config(PascalBody):
-    """The whole row; `decoded` gives it in the product's words."""
+    """The whole row; `decoded` gives it in the product's words.
+
+    Routes may be thousands: they are left to its steps.
+    """
 
     version: int
-    routes: list[_Route] = []
+    routes: list[msgspec.Raw] = []
     services: list[_Service] = []
     limits: _Limits = msgspec.field(default_factory=_Limits)
     tenants: list[_Tenant] = []
 
-    def decoded(self) -> DesiredState:
-        """Return the desired state in the product's words."""
+    def decoded(self) -> Steps[DesiredState]:
+        """Return the desired state in the product's words.
+
+        Raises:
+            ValueError: It can't be understood.
+        """
         routes: defaultdict[str, dict[str, CallRoute]] = defaultdict(dict)
-        for route in map(_Route.decoded, self.routes):
+        for number, row in enumerate(self.routes):
+            if number % _ROUTES_A_STEP == 0:
+                yield
+            route = _route(number, row)
             routes[route.host][route.path_prefix] = route
+        yield
         return DesiredState(
             version=self.version,
             routes=routes,
--- a/src/violethatch/platform/_following.py
+++ b/src/violethatch/platform/_following.py
@@ -5,7 +5,7 @@
 
 import random
 
-from collections.abc import Callable, Coroutine
+from collections.abc import Awaitable, Callable, Coroutine
 from typing import Any
 
 from .._connection_choice import ConnectionChoice
@@ -196,7 +196,7 @@
         table: str,
         *,
         freshness: Freshness,
-        take: Callable[[TableView, bool], None],
+        take: Callable[[TableView, bool], Awaitable[None] | None],
         returned: Callable[[], None] = lambda: None,
         first_pause_s: float = 0.0,
     ) -> TableFollower:
@@ -214,9 +214,9 @@
             first_pause_s=first_pause_s,
         )
 
-    def _take_desired(self, view: TableView, is_whole: bool) -> None:
+    async def _take_desired(self, view: TableView, is_whole: bool) -> None:
         """Take the desired state in, for calls and for placement."""
-        self._router.take_desired(view, is_whole)
+        await self._router.take_desired_in_slices(view, is_whole)
         self._duty.desired = self._router.desired
 
 
--- a/src/violethatch/platform/_wire.py
+++ b/src/violethatch/platform/_wire.py
@@ -15,6 +15,7 @@
 from ..backends import BackendServer
 from ..desired import DesiredState
 from ..layers import LayerRange
+from ..slices import Steps, run_whole
 from ._desired_row import Config, PascalBody
 
 
@@ -118,7 +119,20 @@
         Raises:
             ValueError: It can't be understood.
         """
-        return decoded(self._config, value).decoded()
+        return run_whole(decoded(self._config, value).decoded())
+
+    def desired_steps(
+        self, value: bytes, *, above: int | None
+    ) -> Steps[DesiredState | None]:
+        """Read a desired state; see `Decoder.desired_steps`.
+
+        Raises:
+            ValueError: It can't be understood.
+        """
+        config = decoded(self._config, value)
+        if above is not None and config.version <= above:
+            return None
+        return (yield from config.decoded())
 
     def backend_server(self, server_id: str, value: bytes) -> BackendServer:
         """Read a listed server.
--- a/src/violethatch/upstream.py
+++ b/src/violethatch/upstream.py
@@ -20,6 +20,7 @@
 from .layers import LayerRange
 from .limit_permits import Permit
 from .paths import Path
+from .slices import Steps
 from .store_era import NO_ERA, Position, ProofTime
 from .work_ids import work_id
 
@@ -566,8 +567,14 @@
 class Decoder(Protocol):
     """Reads the store's rows into the project's types."""
 
-    def desired_state(self, value: bytes) -> DesiredState:
-        """Read a desired state.
+    def desired_steps(
+        self, value: bytes, *, above: int | None
+    ) -> Steps[DesiredState | None]:
+        """Read a desired state in short steps; None if its version is not newer.
+
+        Args:
+            value: The row.
+            above: The version in force; any version is newer if omitted.
 
         Raises:
             ValueError: It can't be understood.
--- a/tests/test_admission_failures.py
+++ b/tests/test_admission_failures.py
@@ -125,8 +125,9 @@
     def backend_server(self, _server_id, value):
         return value
 
-    def desired_state(self, value):
-        return value
+    def desired_steps(self, value, *, above):
+        yield
+        return value if above is None or value.version > above else None
 
 
 class Instance:
--- a/tests/test_followers.py
+++ b/tests/test_followers.py
@@ -182,3 +182,60 @@
         """Without an answer nothing is proven."""
         _, _, freshness = await follow(ScriptedSource(*steps))
         assert freshness.age_s(now_s=clocks.now_s()) == float("inf")
+
+
+class SlowTaker:
+    """Takes rows in only when it may."""
+
+    def __init__(self):
+        self.begun = []
+        self.done = []
+        self.may_end = asyncio.Event()
+
+    async def take(self, view, _is_whole):
+        self.begun.append(view.version)
+        await self.may_end.wait()
+        self.done.append(view.version)
+
+
+async def slow_follower(source):
+    """Return a taker, its table's freshness, and the task that follows."""
+    taker, freshness = SlowTaker(), Freshness(limit_s=5.0)
+    follower = TableFollower(
+        "op",
+        source=source,
+        settings=StoreSection("127.0.0.1:1", change_pause_s=0.0),
+        clock=StoreClock(),
+        freshness=freshness,
+        take=taker.take,
+        returned=lambda: None,
+        rng=random.Random(1),
+    )
+    task = asyncio.create_task(follower.run())
+    async with asyncio.timeout(5):
+        while not taker.begun:
+            await asyncio.sleep(0)
+    return taker, freshness, task
+
+
+class TestSlowTaking:
+    async def test_rows_proven_before_they_are_in_force(self):
+        """A key that they remove would count as proven meanwhile."""
+        taker, freshness, task = await slow_follower(ScriptedSource(view(1, a=b"1")))
+        await asyncio.sleep(0.01)
+        assert not freshness.is_fresh(now_s=clocks.now_s())
+        taker.may_end.set()
+        await asyncio.sleep(0.01)
+        assert freshness.is_fresh(now_s=clocks.now_s())
+        task.cancel()
+
+    async def test_newest_rows_starve(self):
+        """Changes come quicker than they are taken in; none ends what is under way."""
+        source = ScriptedSource(view(1, a=b"1"))
+        taker, _, task = await slow_follower(source)
+        # What has changed meanwhile is read at one go.
+        source.steps += [view(40, a=b"40"), view(80, a=b"80")]
+        taker.may_end.set()
+        await asyncio.sleep(0.02)
+        assert taker.done == [1, 40, 80]
+        task.cancel()
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -3,6 +3,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import json
 import random
 
@@ -11,7 +12,7 @@
 
 from router_fakes import FakeClient, FakeResponder, make_call, settings
 from routing_samples import desired_state
-from violethatch import clocks
+from violethatch import clocks, slices
 from violethatch._router import Router
 from violethatch.admission_preview import active_section, parse_state
 from violethatch.errors import (
@@ -123,9 +124,9 @@
         super().__init__()
         self.reads = 0
 
-    def desired_state(self, value):
+    def desired_steps(self, value, *, above):
         self.reads += 1
-        return super().desired_state(value)
+        return super().desired_steps(value, above=above)
 
 
 def config(version, *, routes=1, keys=("key-1",), **changes):
@@ -149,6 +150,13 @@
     return json.dumps(state).encode()
 
 
+def empty_router(decoder):
+    """Return a router without a desired state."""
+    return Router(
+        settings(), client=FakeClient(), decoder=decoder, rng=random.Random(1)
+    )
+
+
 def view_of(value, version=1):
     """Return the table of the desired state."""
     return TableView({"config": value}, version, 0.0)
@@ -158,9 +166,7 @@
     def test_state_in_force_decoded_anew_when_it_is_read_again(self):
         """A store that is back, or has lost its history, has the whole table read."""
         decoder = CountingDecoder()
-        made = Router(
-            settings(), client=FakeClient(), decoder=decoder, rng=random.Random(1)
-        )
+        made = empty_router(decoder)
         made.take_desired(view_of(config(3)), True)
         in_force = made.desired
         made.take_desired(view_of(config(3)), True)
@@ -169,9 +175,7 @@
 
     def test_state_in_force_is_proven_again_after_one_that_is_refused(self):
         """Guards against doubt that lasts once the row is as it was."""
-        made = Router(
-            settings(), client=FakeClient(), decoder=WireDecoder(), rng=random.Random(1)
-        )
+        made = empty_router(WireDecoder())
         made.take_desired(view_of(config(3)), True)
         made.take_desired(view_of(b"{"), False)
         made.freshness.proven(clocks.now_s())
@@ -179,3 +183,40 @@
         made.take_desired(view_of(config(3)), False)
         made.freshness.proven(clocks.now_s())
         assert made.freshness.is_fresh(now_s=clocks.now_s())
+
+    async def test_loop_held_while_a_large_state_is_taken_in(self, monkeypatch):
+        """Others run meanwhile, and see the older state whole."""
+        monkeypatch.setattr(slices, "SLICE_S", 0.0)
+        made = empty_router(WireDecoder())
+        made.take_desired(view_of(config(1)), True)
+        older = made.desired
+        view = view_of(config(2, routes=1_000))
+        taking = asyncio.create_task(made.take_desired_in_slices(view, False))
+        turns = 0
+        while not taking.done():
+            assert made.desired is older
+            turns += 1
+            await asyncio.sleep(0)
+        assert turns >= 30
+        assert made.desired.version == 2
+        assert len(made.desired.routes["menu.example"]) == 1_000
+
+    async def test_route_that_cannot_be_read_late_in_a_state(self):
+        """Guards against a state of which the first part is in force."""
+        made = empty_router(WireDecoder())
+        made.take_desired(view_of(config(1)), True)
+        older = made.desired
+        state = json.loads(config(2, routes=500))
+        state["Routes"][-1]["TimeoutMs"] = "soon"
+        value = json.dumps(state).encode()
+        await made.take_desired_in_slices(view_of(value), False)
+        assert made.desired is older
+        assert made.metrics.rows_refused.get({"table": "desired state"}) == 1
+
+    async def test_older_state_replaces_a_newer_one(self):
+        """A removed key stays removed, whatever is read later."""
+        made = empty_router(WireDecoder())
+        made.take_desired(view_of(config(2)), True)
+        await made.take_desired_in_slices(view_of(config(1, keys=("old",))), True)
+        assert made.desired.version == 2
+        assert set(made.desired.workspaces_by_key) == {"key-1"}
