--- a/bench/intake_costs.py
+++ b/bench/intake_costs.py
@@ -373,7 +373,8 @@
     longest_ms = holds.longest_s * _MILLISECONDS
     in_force_ms = max(in_force_s) * _MILLISECONDS
     busy_ms = holds.longest_busy_s * _MILLISECONDS
-    return f"held {longest_ms:.1f} ms (busy {busy_ms:.1f}), in force after {in_force_ms:.0f} ms"
+    held = f"held {longest_ms:.1f} ms (busy {busy_ms:.1f})"
+    return f"{held}, in force after {in_force_ms:.0f} ms"
 
 
 def _traced() -> int:
--- a/src/violethatch/platform/_store.py
+++ b/src/violethatch/platform/_store.py
@@ -21,9 +21,10 @@
 from ..ports import ABSENT, AnswerLostError, Put
 from ..ports import Row as TableRow
 from ..router_settings import StoreSection
+from ..slices import Slices
 from ..store_era import NO_ERA, StoreEra
 from ..upstream import HistoryGoneError, TableView
-from ._wire import Row, Rows
+from ._wire import Row, Rows, contents
 
 
 _OK = 200
@@ -101,7 +102,7 @@
             if reply.era != first.era:
                 raise self._unavailable("rows-get", "restored between two pages")
             page = reply.rows
-            values.update((row.key, row.content) for row in page.rows)
+            values |= await Slices().run(contents(page.rows))
             if not page.more or not page.rows:
                 return _view(values, first)
             start = page.rows[-1].key + "\0"
@@ -132,7 +133,7 @@
         # A restored store may have given the version out again already.
         if reply.status == _HISTORY_GONE or reply.era != era:
             raise HistoryGoneError
-        values = {row.key: row.content for row in reply.rows.rows}
+        values = await Slices().run(contents(reply.rows.rows))
         view = _view(values, reply)
         return view._replace(version=max(after, view.version))
 
--- a/src/violethatch/platform/_wire.py
+++ b/src/violethatch/platform/_wire.py
@@ -7,6 +7,7 @@
 import functools
 import re
 
+from collections.abc import Iterable
 from typing import Annotated, Literal
 
 import msgspec
@@ -20,6 +21,12 @@
 
 
 _LEAVING = "draining"
+#: The value of a row that is no base64: no row's decoder takes it, and each tells so.
+_NO_CONTENT = b""
+#: Base64 is decoded by four characters.
+_QUANTUM = 4
+#: How many characters are decoded in one step: half a millisecond.
+_BASE64_A_STEP = _QUANTUM * 2**15
 #: An IP number and a port.
 _ADDRESS = re.compile(r"(\d{1,3})\.(\d{1,3})\.(\d{1,3})\.(\d{1,3}):(\d{1,5})")
 _LAST_BYTE = 255
@@ -66,12 +73,31 @@
     @property
     def content(self) -> bytes | None:
         """The row's value, or None if it is gone."""
+        return run_whole(self.content_steps())
+
+    def content_steps(self) -> Steps[bytes | None]:
+        """Return the row's value, or None if it is gone; decode it in short steps."""
         if self.gone or self.value is None:
             return None
+        parts = []
         try:
-            return base64.b64decode(self.value, validate=True)
+            if "=" in self.value[:-_QUANTUM]:
+                return _NO_CONTENT
+            for start in range(0, len(self.value), _BASE64_A_STEP):
+                part = self.value[start : start + _BASE64_A_STEP]
+                parts.append(base64.b64decode(part, validate=True))
+                yield
         except ValueError:
-            return b""  # no row's decoder takes it, and each tells so
+            return _NO_CONTENT
+        return parts[0] if len(parts) == 1 else b"".join(parts)
+
+
+def contents(rows: Iterable[Row]) -> Steps[dict[str, bytes | None]]:
+    """Return rows' values by their keys; decode them in short steps."""
+    values = {}
+    for row in rows:
+        values[row.key] = yield from row.content_steps()
+    return values
 
 
 class Rows(msgspec.Struct):
--- a/tests/test_platform_wire.py
+++ b/tests/test_platform_wire.py
@@ -3,6 +3,7 @@
 
 from __future__ import annotations
 
+import base64
 import json
 
 import pytest
@@ -12,7 +13,7 @@
 from violethatch.layers import LayerRange
 from violethatch.paths import Path, Stage
 from violethatch.platform import _headers
-from violethatch.platform._wire import Row, WireDecoder
+from violethatch.platform._wire import Row, WireDecoder, contents
 
 
 ENGINE = {
@@ -91,6 +92,27 @@
 }
 
 
+class TestRowContent:
+    @pytest.mark.parametrize("size", [0, 1, 2, 98_303, 98_304, 98_305, 300_000])
+    def test_rows_of_all_sizes(self, size):
+        value = bytes(n % 251 for n in range(size))
+        row = Row("config", base64.b64encode(value).decode())
+        assert row.content == value
+
+    @pytest.mark.parametrize("at", [0, 4, 131_068, 131_072, 262_140])
+    def test_row_that_is_no_base64(self, at):
+        """Also where it would be, part by part."""
+        value = base64.b64encode(bytes(300_000)).decode()
+        for wrong in ("AA==", "AA.A", "AAA"):
+            row = Row("config", value[:at] + wrong + value[at + 4 :])
+            assert row.content == b""
+
+    def test_loop_held_while_a_large_row_is_decoded(self):
+        rows = [Row(f"r{n}", base64.b64encode(bytes(300_000)).decode()) for n in (1, 2)]
+        steps = contents(rows)
+        assert len(list(steps)) >= 6
+
+
 def decode(config):
     """Decode a desired state."""
     return WireDecoder().desired_state(json.dumps(config).encode())
