Keep routes out of the garbage collector's way

Each full collection went through two objects a route: with 10,000 routes it held the event loop for 25 to 74 ms, and a state that was taken in brought some about. Routes are structs that the collector does not track, and share the split of their service and their host's name.

--- a/src/violethatch/desired.py
+++ b/src/violethatch/desired.py
@@ -16,6 +16,8 @@
 from collections.abc import Mapping
 from typing import NamedTuple
 
+import msgspec
+
 from .engine_model import EngineSpec
 from .errors import UnauthorizedError, UnknownTargetError
 
@@ -45,9 +47,11 @@
     weight: float
 
 
-class CallRoute(NamedTuple):
+class CallRoute(msgspec.Struct, frozen=True, gc=False):
     """What is declared for the calls of one host and path prefix.
 
+    There may be thousands, which the garbage collector need not go through.
+
     .. versionadded:: 26.1.0
     """
 
--- a/src/violethatch/platform/_desired_row.py
+++ b/src/violethatch/platform/_desired_row.py
@@ -3,6 +3,9 @@
 
 from __future__ import annotations
 
+import functools
+import sys
+
 from collections import defaultdict
 from typing import Any
 
@@ -24,6 +27,8 @@
 
 #: How many routes are read in one step: a fraction of a millisecond.
 _ROUTES_A_STEP = 32
+#: How many services' splits are kept to be shared.
+_MOST_SPLITS = 1_024
 _MS_PER_S = 1000.0
 _KINDS = {
     "safe": CallKind.SAFE,
@@ -41,7 +46,13 @@
     weight: float
 
 
-class _Route(PascalBody):
+@functools.lru_cache(maxsize=_MOST_SPLITS)
+def _whole(service: str) -> tuple[Split, ...]:
+    """Return the split that leads to one service, shared by its routes."""
+    return (Split(service, 1.0),)
+
+
+class _Route(PascalBody, gc=False):
     name: str
     host: str
     path_prefix: str
@@ -60,10 +71,10 @@
         """Return the route in the product's words."""
         splits = tuple(Split(one.service, one.weight) for one in self.traffic_split)
         if not splits and self.service is not None:
-            splits = (Split(self.service, 1.0),)
+            splits = _whole(self.service)
         return CallRoute(
             name=self.name,
-            host=self.host.lower(),
+            host=sys.intern(self.host.lower()),
             path_prefix=self.path_prefix,
             kind=_KINDS.get(self.kind, CallKind.ONCE),
             timeout_s=self.timeout_ms / _MS_PER_S,
--- a/tests/routing_samples.py
+++ b/tests/routing_samples.py
@@ -3,6 +3,8 @@
 
 from __future__ import annotations
 
+from msgspec import structs
+
 from violethatch.backends import BackendServer
 from violethatch.desired import (
     CallKind,
@@ -93,7 +95,7 @@
         is_resumable=True,
         gap_target_s=0.2,
     )
-    return route._replace(**changes)
+    return structs.replace(route, **changes)
 
 
 def plain_route(**changes):
@@ -105,7 +107,7 @@
         is_resumable=False,
         splits=(Split("labels", 1.0),),
     )
-    return route._replace(**changes)
+    return structs.replace(route, **changes)
 
 
 def desired_state(*routes, version=1, keys=("key-1",), workspace="clinic"):
--- a/tests/test_platform_wire.py
+++ b/tests/test_platform_wire.py
@@ -4,6 +4,7 @@
 from __future__ import annotations
 
 import base64
+import gc
 import json
 
 import pytest
@@ -119,6 +120,16 @@
 
 
 class TestDesiredState:
+    def test_garbage_collector_goes_through_all_routes(self):
+        """It took 50 ms with two states of 10,000 routes."""
+        routes = [CONFIG["Routes"][1] | {"PathPrefix": f"/{n}/"} for n in range(500)]
+        gc.collect()
+        before = len(gc.get_objects())
+        state = decode(CONFIG | {"Routes": routes})
+        gc.collect()
+        assert len(state.routes["menu.example"]) == 500
+        assert len(gc.get_objects()) - before < 100
+
     def test_routes(self):
         """Kinds, splits and times come in the product's words and units."""
         state = decode(CONFIG)
