Tell what taking in a desired state cost

No line told how long a desired state took to be taken in, nor how long that held the event loop. 2401 has both and the number of slices, and a histogram has them for all states.

--- a/src/violethatch/_router.py
+++ b/src/violethatch/_router.py
@@ -35,7 +35,7 @@
 from .freshness import Freshness
 from .instances import InstanceEntry
 from .router_settings import RouterSettings
-from .slices import Slices, Steps, run_whole
+from .slices import Slices, Steps
 from .store_era import UNREAD, TableState
 from .streams import StreamCall
 from .upstream import Call, Decoder, Responder, RunnerClient, TableView
@@ -214,20 +214,23 @@
 
     def take_desired(self, view: TableView, _is_whole: bool) -> None:
         """Take the desired state in at one go, if it is newer."""
-        run_whole(self._desired_steps(view))
+        slices = Slices()
+        self._put_in_force(view, slices.run_whole(self._desired_steps(view)), slices)
 
     async def take_desired_in_slices(self, view: TableView, _is_whole: bool) -> None:
         """Take the desired state in, if it is newer; the older one rules meanwhile."""
-        await Slices().run(self._desired_steps(view))
+        slices = Slices()
+        state = await slices.run(self._desired_steps(view))
+        self._put_in_force(view, state, slices)
 
-    def _desired_steps(self, view: TableView) -> Steps[None]:
-        """Take the desired state in by short steps, if it is newer."""
+    def _desired_steps(self, view: TableView) -> Steps[DesiredState | None]:
+        """Read the desired state by short steps; None if it is not newer."""
         value = view.values.get("config")
         if value is None:
-            return
+            return None
         if value == self._desired_value:
             self.freshness.trust()
-            return
+            return None
         above = self.desired.version if self.desired is not None else None
         try:
             state = yield from self._decoder.desired_steps(value, above=above)
@@ -235,13 +238,21 @@
             # Keys may have been removed by it: the older state proves nothing.
             self.freshness.doubt()
             self._note_refused_rows("desired state", {"config": str(error)})
-            return
+            return None
         self.freshness.trust()
+        return state
+
+    def _put_in_force(
+        self, view: TableView, state: DesiredState | None, slices: Slices
+    ) -> None:
+        """Put a desired state in force that is whole, if there is one."""
         if state is None:
             return
-        self.desired = state
-        self._desired_value = value
-        self.routing.admission.take_desired(state)
+        with slices.at_one_go():
+            self.desired = state
+            self._desired_value = view.values["config"]
+            self.routing.admission.take_desired(state)
+        self.metrics.state_taken(slices.took_s, slices.longest_s)
         events.log(
             events.REVISION_APPLIED,
             revision=state.version,
@@ -249,6 +260,9 @@
             row_version=view.version,
             era=view.era,
             source=view.source,
+            took_s=round(slices.took_s, 4),
+            slices=slices.count,
+            longest_hold_s=round(slices.longest_s, 4),
         )
 
     def take_servers(self, view: TableView, is_whole: bool) -> None:
--- a/src/violethatch/_router_metrics.py
+++ b/src/violethatch/_router_metrics.py
@@ -15,6 +15,7 @@
 
 
 _WAIT_BUCKETS_S = [0.01, 0.03, 0.06, 0.12, 0.25]
+_TAKING_BUCKETS_S = [0.001, 0.003, 0.01, 0.03, 0.1, 0.3, 1.0]
 _PROOF_AGE_BUCKETS_S = [0.5, 1.0, 1.5, 2.0, 3.0, 4.0]
 _LATENCY_BUCKETS_S = [0.03, 0.1, 0.2, 0.5, 1.0, 3.0, 10.0]
 
@@ -127,6 +128,12 @@
             "Of a limited server's last four seconds: sent here, given here to all.",
             registry=self.registry,
         )
+        self.state_taken_s = Histogram(
+            "violethatch_router_state_taken_seconds",
+            "How long a desired state took to be taken in, by part: all, longest_hold.",
+            buckets=_TAKING_BUCKETS_S,
+            registry=self.registry,
+        )
         self.rows_refused = Counter(
             "violethatch_router_rows_refused_total",
             "Rows of the store that could not be understood, by table.",
@@ -280,6 +287,11 @@
             for what, count in (("sent", one.sent), ("given", one.given)):
                 self.limits_used.set({"server": server_id, "what": what}, count)
 
+    def state_taken(self, took_s: float, longest_hold_s: float) -> None:
+        """Note a desired state that was taken in, and how it held the event loop."""
+        self.state_taken_s.observe({"part": "all"}, took_s)
+        self.state_taken_s.observe({"part": "longest_hold"}, longest_hold_s)
+
     def works(self, suspected: int, held: int) -> None:
         """Show how many works are suspected, and how many are held back."""
         self.suspected_works.set({"state": "suspected"}, suspected)
--- a/src/violethatch/slices.py
+++ b/src/violethatch/slices.py
@@ -9,8 +9,9 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 
-from collections.abc import Generator
+from collections.abc import Generator, Iterator
 from typing import TypeVar
 
 from . import clocks
@@ -50,6 +51,26 @@
     def __init__(self) -> None:
         self.count = 0
         self.longest_s = 0.0
+        self._began_s = clocks.now_s()
+
+    @property
+    def took_s(self) -> float:
+        """The time since the work was begun, in seconds."""
+        return clocks.now_s() - self._began_s
+
+    def run_whole(self, steps: Steps[T]) -> T:
+        """Run work at one go; return its result."""
+        with self.at_one_go():
+            return run_whole(steps)
+
+    @contextlib.contextmanager
+    def at_one_go(self) -> Iterator[None]:
+        """Count what is done at one go as a slice."""
+        began_s = clocks.now_s()
+        try:
+            yield
+        finally:
+            self._note(clocks.now_s() - began_s)
 
     async def run(self, steps: Steps[T]) -> T:
         """Run work; return its result."""
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -220,3 +220,20 @@
         await made.take_desired_in_slices(view_of(config(1, keys=("old",))), True)
         assert made.desired.version == 2
         assert set(made.desired.workspaces_by_key) == {"key-1"}
+
+    async def test_line_does_not_tell_what_taking_in_cost(self, monkeypatch):
+        """The loop's holds were seen in what they did to streams alone."""
+        logged = []
+        monkeypatch.setattr(
+            "violethatch.events.eliot.log_message", lambda **line: logged.append(line)
+        )
+        monkeypatch.setattr(slices, "SLICE_S", 0.0)
+        made = empty_router(WireDecoder())
+        await made.take_desired_in_slices(view_of(config(1, routes=320)), True)
+        (line,) = [one for one in logged if one["number"] == 2401]
+        # The row, its routes by 32, the end, and admission.
+        assert line["slices"] == 13
+        assert 0.0 < line["longest_hold_s"] <= line["took_s"]
+        shown = made.metrics.state_taken_s
+        assert shown.get({"part": "all"})["count"] == 1
+        assert shown.get({"part": "longest_hold"})["count"] == 1
