--- a/src/violethatch/_router.py
+++ b/src/violethatch/_router.py
@@ -3,6 +3,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import random
 
 from collections.abc import Callable, Mapping, Sequence
@@ -221,7 +222,11 @@
         """Take the desired state in, if it is newer; the older one rules meanwhile."""
         slices = Slices()
         state = await slices.run(self._desired_steps(view))
+        older = self.desired
         self._put_in_force(view, state, slices)
+        # Freeing a large state takes some ms: in a turn of the loop of its own.
+        await asyncio.sleep(0)
+        del older
 
     def _desired_steps(self, view: TableView) -> Steps[DesiredState | None]:
         """Read the desired state by short steps; None if it is not newer."""
