Keep the keys of changes, not older values of their rows

A table's last 64 changes were kept for instances that follow, each with the values of its rows: of a desired state of 10,000 routes up to 64 rows of 2.9 MB. A row's newest value is all that a follower needs.

--- a/src/violethatch/table_cache.py
+++ b/src/violethatch/table_cache.py
@@ -21,15 +21,16 @@
 
 #: A version and a time that are older than any.
 NEVER = -1
-#: How many changes are kept for others, each some KB.
+#: How many changes are kept for others, each the keys of its rows.
 _MOST_CHANGES = 64
 
 
 class _Change(NamedTuple):
-    """Rows that have changed between two versions of one era."""
+    """The keys of rows that have changed between two versions of one era."""
 
     after: int
-    view: TableView
+    version: int
+    keys: tuple[str, ...]
 
 
 class TableCache:
@@ -68,7 +69,9 @@
             self._values.clear()
             self._changes.clear()
         elif view.version > self._position.version:
-            self._changes.append(_Change(self._position.version, view))
+            self._changes.append(
+                _Change(self._position.version, view.version, tuple(view.values))
+            )
         for key, value in view.values.items():
             if value is None:
                 self._values.pop(key, None)
@@ -152,10 +155,8 @@
         # A later proof at a lower version is that of a store that went back.
         if after.era != self._position.era or after.version > self._position.version:
             return None
-        later = [one for one in self._changes if one.view.version > after.version]
+        later = [one for one in self._changes if one.version > after.version]
         if not later or later[0].after > after.version:
             return None
-        values: dict[str, bytes | None] = {}
-        for change in later:
-            values.update(change.view.values)
-        return values
+        # Of a row that has changed several times only its newest value counts.
+        return {key: self._values.get(key) for one in later for key in one.keys}
--- a/tests/test_relayed_tables.py
+++ b/tests/test_relayed_tables.py
@@ -4,6 +4,7 @@
 from __future__ import annotations
 
 import asyncio
+import tracemalloc
 
 import aiohttp
 import pytest
@@ -299,6 +300,37 @@
         assert (found.values, found.version) == ({}, 5)
 
 
+class TestKeptChanges:
+    def test_older_values_of_a_large_row_kept(self):
+        """64 desired states of 10,000 routes would have been 185 MB."""
+        cache = TableCache()
+        cache.take(view(1, a=bytes(1_000_000)), is_whole=True)
+        tracemalloc.start()
+        try:
+            for version in range(2, 40):
+                cache.take(view(version, a=bytes(1_000_000)), is_whole=False)
+            kept, _ = tracemalloc.get_traced_memory()
+        finally:
+            tracemalloc.stop()
+        assert kept < 2_000_000
+
+    async def test_changes_of_several_rows(self):
+        """All that changed after a version comes, each row as it is now."""
+        cache = TableCache()
+        cache.take(view(1, a=b"1", b=b"1", c=b"1"), is_whole=True)
+        cache.take(view(2, a=b"2", b=b"2"), is_whole=False)
+        cache.take(view(3, a=None), is_whole=False)
+        cache.take(view(4, d=b"4"), is_whole=False)
+        expected = {
+            1: {"a": None, "b": b"2", "d": b"4"},
+            2: {"a": None, "d": b"4"},
+            3: {"d": b"4"},
+        }
+        for after, values in expected.items():
+            found = await cache.updates(after=after, known_s=0.0, wait_s=0.1)
+            assert (found.values, found.is_whole) == (values, False)
+
+
 class TestRelayOverHttp:
     async def ask(self, cache, *, token="secret", **options):
         """Ask an instance that listens."""
