--- a/src/violethatch/_relay_http.py
+++ b/src/violethatch/_relay_http.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import hmac
 import zlib
 
