--- a/tests/process_fleet.py
+++ b/tests/process_fleet.py
@@ -43,28 +43,32 @@
         name: Names the process and its lifetime.
         event_count: How many events a whole stream has.
         pause_s: The time between events, in seconds.
+        entry: Fields of its entry that differ from a model runner's.
     """
 
-    def __init__(self, name, *, event_count=80, pause_s=0.05):
+    def __init__(self, name, *, event_count=80, pause_s=0.05, entry=None):
         self.name = name
+        self.entry = entry or {}
         self.event_count = event_count
         self.pause_s = pause_s
         self.port = 0
         self.process = None
 
-    async def start(self, *, port=0):
-        """Start the process and wait until it listens."""
-        options = {
-            "--port": port,
-            "--event-count": self.event_count,
-            "--pause-s": self.pause_s,
-        }
-        self.process = await asyncio.create_subprocess_exec(
-            sys.executable,
-            *("-m", "violethatch_emulator", "path-runner", self.name),
-            *(str(part) for option in options.items() for part in option),
-            stdout=asyncio.subprocess.PIPE,
-        )
+    async def start(self, log):
+        """Start the process and wait until it listens.
+
+        Args:
+            log: The file that its messages go to.
+        """
+        with log.open("ab") as messages:
+            self.process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                *("-m", "violethatch_emulator", "path-runner", self.name),
+                *("--event-count", str(self.event_count)),
+                *("--pause-s", str(self.pause_s)),
+                stdout=asyncio.subprocess.PIPE,
+                stderr=messages,
+            )
         self.port = json.loads(await self.process.stdout.readline())["port"]
 
     async def stop(self):
@@ -109,19 +113,19 @@
     def __init__(self, path, runners, *, router_count=1):
         super().__init__(path)
         self.path.mkdir(exist_ok=True)
-        self.runners = {one.name: one for one in runners}
+        #: By name, the runners that are listed.
+        self.runners = {}
+        self.all_runners = list(runners)
         self.router_count = router_count
+        self.routes = ROUTES
         self.instances = []
 
     async def start(self):
         """Start everything and wait until each router is ready."""
         self.http = aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=0))
         self.store_port = await self._serve(self.store.application())
-        await asyncio.gather(*(one.start() for one in self.runners.values()))
-        for name, runner in self.runners.items():
-            self.addresses[name] = f"127.0.0.1:{runner.port}"
-            self.list_server(name)
-        self.configure(version=1, routes=ROUTES)
+        await asyncio.gather(*(self.start_runner(one) for one in self.all_runners))
+        self.configure(version=1, routes=self.routes)
         for number in range(self.router_count):
             await self._start_instance(f"edge-{number}")
         for one in self.instances:
@@ -133,10 +137,22 @@
             one.signal(signal.SIGKILL)
             if one.process is not None:
                 await one.process.wait()
-        for one in self.runners.values():
+        for one in self.all_runners:
             await one.stop()
         await super().stop()
 
+    async def start_runner(self, runner):
+        """Start a runner and list it."""
+        await runner.start(self.path / f"{runner.name}.log")
+        self.runners[runner.name] = runner
+        self.addresses[runner.name] = f"127.0.0.1:{runner.port}"
+        self.list_server(runner.name, **runner.entry)
+
+    def unlist(self, runner):
+        """Take a runner's entry away."""
+        del self.runners[runner.name]
+        self.store.remove("servers", runner.name)
+
     async def _start_instance(self, name):
         """Start a router with the deployed settings."""
         front, ready, metrics, peers = free_ports(4)
