Check in the soak that requests that were read get an answer

A request on an open connection that ends without an answer after more than 200 ms is a fault, whether or not a runner has seen it.

--- a/tests/test_whole_answers_soak.py
+++ b/tests/test_whole_answers_soak.py
@@ -46,6 +46,8 @@
 LAST_SIXTH_S = GRACE_S * 5 / 6
 #: Requests that were sent later after SIGTERM have no such excuse.
 LATE_S = 3.0
+#: Requests that end sooner without an answer may have crossed the close.
+LOSS_SLACK_S = 0.2
 RETRY_RATIO = float(FIELDS["Bounds.RetryBudgetRatio"])
 RETRY_SLACK = float(FIELDS["Bounds.RetrySlack"])
 MAX_RUNNERS = 2
@@ -74,6 +76,8 @@
     events: list[int]
     #: Whether the answer was read to its end.
     is_complete: bool
+    #: Whether there was a connection to send the request on.
+    is_connected: bool
 
     @property
     def is_whole(self):
@@ -98,7 +102,7 @@
         self.ended_runs = defaultdict(list)
         #: Requests that were under way at a runner that was killed.
         self.broken_off = set()
-        #: How many requests that were begun were not answered whole, by excuse.
+        #: How many requests got no whole answer, by excuse.
         self.excused = Counter()
         self._started = 0
         self._stopping = set()
@@ -293,6 +297,7 @@
         status = 0
         body = b""
         is_complete = False
+        is_connected = True
         headers = HEADERS | {
             ID: call_id,
             "Violethatch-Deadline-Ms": str(int(PATIENCE_S * 1000)),
@@ -307,12 +312,20 @@
                 while part := await answer.content.readany():
                     body += part
                 is_complete = True
+        except aiohttp.ClientConnectorError:
+            is_connected = False
         except (aiohttp.ClientError, OSError, TimeoutError):
             pass  # what was begun by then is checked below
-        now_s = clocks.now_s()
-        events = event_ids(body.rpartition(b"\n\n")[0])
         return Call(
-            call_id, path, instance.name, sent_s, now_s, status, events, is_complete
+            call_id,
+            path,
+            instance.name,
+            sent_s=sent_s,
+            ended_s=clocks.now_s(),
+            status=status,
+            events=event_ids(body.rpartition(b"\n\n")[0]),
+            is_complete=is_complete,
+            is_connected=is_connected,
         )
 
     # What is checked
@@ -343,7 +356,8 @@
             yield "too many runners"
         sent_whole = any(run["is_whole"] for run in runs)
         is_lost = not call.is_whole if sent_whole else not call.is_complete
-        if runs and is_lost:
+        was_read = call.is_connected and call.ended_s - call.sent_s > LOSS_SLACK_S
+        if is_lost and (runs or was_read):
             excuse = self._excuse(call)
             self.excused[excuse] += 1
             if not excuse:
