Ask the only other instance again soon after one silence

Cause: one silence took an instance out for 3 s. Change: 0.6 s at first, doubled by each further silence up to 3 s; an answer ends that.

--- a/src/violethatch/forwarding/_call.py
+++ b/src/violethatch/forwarding/_call.py
@@ -102,7 +102,9 @@
                 if not self._may_send_again():
                     raise self._failure() from None
             except VioletHatchError as refusal:
-                if self.runs and refusal.ran is Ran.NO:
+                if refusal.ran is not Ran.NO:
+                    self.runs += 1
+                elif self.runs:
                     raise self._failure() from refusal
                 raise
 
--- a/src/violethatch/forwarding/_choice.py
+++ b/src/violethatch/forwarding/_choice.py
@@ -18,8 +18,10 @@
 
 #: How long an instance that could not serve a service is not asked again, in seconds.
 REFUSED_LIFE_S = 1.0
-#: The same for one that gives no answer at all, in seconds.
-SILENT_LIFE_S = 3.0
+#: The same for one that gives no answer at all, at first and at most, in seconds.
+#: Each further silence doubles it.
+SILENT_LIFE_S = 0.6
+MAX_SILENT_LIFE_S = 3.0
 #: How long what an instance told of its load counts, in seconds.
 _LOAD_LIFE_S = 1.0
 #: By how many requests in progress an instance of another zone has to be emptier than
@@ -50,6 +52,8 @@
         #: By instance and service, until when it is not asked; all services where the
         #: service is an empty text.
         self._until_s: dict[tuple[str, str], float] = {}
+        #: By instance, the silences since its last answer.
+        self._silences: Counter[str] = Counter()
         self._loads: dict[str, _Load] = {}
         self._own: Counter[str] = Counter()
 
@@ -87,7 +91,12 @@
 
     def note_silent(self, peer_id: str, *, now_s: float) -> None:
         """Note that an instance gives no answer."""
-        self._until_s[peer_id, ""] = now_s + SILENT_LIFE_S
+        if now_s < self._until_s.get((peer_id, ""), 0.0):
+            return  # the same silence, seen by another call
+        life_s = SILENT_LIFE_S * 2 ** self._silences[peer_id]
+        if life_s < MAX_SILENT_LIFE_S:
+            self._silences[peer_id] += 1
+        self._until_s[peer_id, ""] = now_s + min(life_s, MAX_SILENT_LIFE_S)
 
     def note_load(self, peer_id: str, in_flight: int, *, now_s: float) -> None:
         """Note how many requests an instance has in progress."""
@@ -95,6 +104,7 @@
 
     def began(self, peer_id: str) -> None:
         """Count a call that an instance serves for this one."""
+        self._silences.pop(peer_id, None)
         self._own[peer_id] += 1
 
     def ended(self, peer_id: str) -> None:
--- a/tests/test_forwarding_choice.py
+++ b/tests/test_forwarding_choice.py
@@ -50,6 +50,22 @@
         made.note_silent(NEAR.id, now_s=1.0)
         assert made.choose([NEAR, FAR], "labels", now_s=1.5) == FAR
 
+    def test_only_other_instance_is_left_out_for_one_silence(self):
+        """The rest doubles with each silence, and an answer ends that."""
+        made = choice()
+        rests_s, now_s = [], 1.0
+        for _ in range(4):
+            made.note_silent(NEAR.id, now_s=now_s)
+            made.note_silent(NEAR.id, now_s=now_s + 0.01)
+            began_s = now_s
+            while made.choose([NEAR], "model", now_s=now_s) is None:
+                now_s += 0.05
+            rests_s.append(now_s - began_s)
+        assert rests_s == pytest.approx([0.6, 1.2, 2.4, 3.0], abs=0.06)
+        made.began(NEAR.id)
+        made.note_silent(NEAR.id, now_s=now_s)
+        assert made.choose([NEAR], "model", now_s=now_s + 0.61) == NEAR
+
     def test_instance_that_was_asked_is_not_asked_again(self):
         """A call is never handed to the same instance twice in one round."""
         assert choice().choose([NEAR], "model", avoided={NEAR.id}, now_s=1.0) is None
