Wait for permits in running time

A permit that the keeper had given while this instance stood still for 0.06 s was lost: used up of the limit for all, and the request kept back.

test_permit_that_came_in_a_standstill_is_lost.

--- a/src/violethatch/_limit_link.py
+++ b/src/violethatch/_limit_link.py
@@ -19,7 +19,7 @@
 from collections.abc import Callable, Coroutine, Iterable, Mapping, Sequence
 from typing import Any, NamedTuple
 
-from . import clocks, events
+from . import clocks, events, running_time
 from ._limit_gate import LimitGate
 from ._listed import lifetime_name, server_and_start
 from ._peer_datagrams import (
@@ -282,7 +282,7 @@
         self._datagrams.send(keeper, message)
         limit_s = _PASSED_ON_S if is_passed_on else _ANSWER_S
         try:
-            async with asyncio.timeout(limit_s):
+            async with running_time.timeout(limit_s):
                 reply = await answer
         except TimeoutError:
             if clocks.now_s() - now_s < limit_s + _HELD_UP_S:
--- a/tests/test_limit_link.py
+++ b/tests/test_limit_link.py
@@ -12,10 +12,13 @@
 from asking_servers import most_within
 from mortal_fleet import Network, instance_entries
 from routing_samples import runner
+from standstill import bytes_that_come
 from violethatch import _limit_link, clocks
 from violethatch._limit_link import LimitLink
+from violethatch._peer_datagrams import PermitDatagram
 from violethatch._word_gate import WordGate
 from violethatch.backends import BackendTable
+from violethatch.event_loop import EventLoop
 from violethatch.limit_permits import SPAN_S
 from violethatch.server_limits import Limit
 from violethatch.upstream import ServerWord
@@ -334,6 +337,30 @@
         assert holders == [keeper]
 
 
+class TestStandstill:
+    @pytest.mark.parametrize("loop_class", [EventLoop, asyncio.SelectorEventLoop])
+    @pytest.mark.parametrize("hold_s", [0.07, 0.3])
+    def test_permit_that_came_in_a_standstill_is_lost(self, loop_class, hold_s):
+        """It waits in the socket, and the request is kept back."""
+
+        async def ask():
+            members = Members(6)
+            for one in members.all:
+                one.hear(5.0)
+            keeper = members.keeper()
+            asker = next(one for one in members.all if one is not keeper)
+            members.cut(keeper)
+            asking = asyncio.create_task(asker.ask())
+            await asyncio.sleep(0.001)
+            (number,) = asker.link._asked
+            permit = PermitDatagram("t", keeper.own.id, number, True, 0, False)
+            with bytes_that_come(lambda: asker.link._take_permit(permit), for_s=hold_s):
+                return (await asking).is_given
+
+        with asyncio.Runner(loop_factory=loop_class) as runner:
+            assert runner.run(ask())
+
+
 class TestPermits:
     @pytest.mark.parametrize("lost_part", [0.0, 0.1])
     @pytest.mark.parametrize("count", [8, 64])
--- a/tests/test_retry_shares.py
+++ b/tests/test_retry_shares.py
@@ -4,15 +4,15 @@
 from __future__ import annotations
 
 import asyncio
+import functools
 import random
-import socket
-import time
 
 import pytest
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from standstill import bytes_that_come
 from test_instances import entry
 from violethatch._peer_datagrams import RetryAskDatagram, RetryGiftDatagram
 from violethatch._retry_link import RetryLink
@@ -271,20 +271,9 @@
             await asyncio.sleep(0.001)
             number = wire.sent[0][1].number
             gift = RetryGiftDatagram("t0", "i1", number, 3.0)
-            own, other = socket.socketpair()
-
-            def take():
-                own.recv(1)
-                wire.takers["i0", RetryGiftDatagram](gift)
-
-            asyncio.get_running_loop().add_reader(own, take)
-            other.send(b"x")
-            time.sleep(hold_s)
-            is_given = await asking
-            asyncio.get_running_loop().remove_reader(own)
-            own.close()
-            other.close()
-            return is_given, account.taken
+            take = functools.partial(wire.takers["i0", RetryGiftDatagram], gift)
+            with bytes_that_come(take, for_s=hold_s):
+                return await asking, account.taken
 
         with asyncio.Runner(loop_factory=loop_class) as runner:
             assert runner.run(work()) == (True, 3.0)
