Don't set the socket of a connection that is closing already

Seen on reading: where a caller's connection ended in the same turn as its answer without a length, the reset would have met a closed socket, and the error would have been logged as what ended the request. Change: a connection that is closing is not set. Measured: test_unframed_answer_whose_connection_is_gone red before, green after.

--- a/src/violethatch/platform/_responder.py
+++ b/src/violethatch/platform/_responder.py
@@ -70,7 +70,7 @@
         transport = self._request.transport
         if transport is None:
             return
-        if isinstance(self.response, _Unframed):
+        if isinstance(self.response, _Unframed) and not transport.is_closing():
             # Closed in the usual way, the connection would end as it does after a whole
             # answer.
             connection = transport.get_extra_info("socket")
--- a/tests/test_callers_listener.py
+++ b/tests/test_callers_listener.py
@@ -7,6 +7,8 @@
 import random
 import socket
 
+from types import SimpleNamespace
+
 import aiohttp
 import pytest
 
@@ -19,6 +21,7 @@
 from violethatch import clocks, events
 from violethatch._router import Router
 from violethatch.platform._listener import CallersListener
+from violethatch.platform._responder import CallerResponder, _Unframed
 
 
 #: A stream that may be silent for longer than any test takes.
@@ -231,6 +234,20 @@
         await site.ask_for_bytes("c1")
 
 
+async def test_unframed_answer_whose_connection_is_gone():
+    """Its socket was closed and could not be set: the error hid what had ended it."""
+    site = Site(0.0)
+    await site.start()
+    _, writer = await asyncio.open_connection("127.0.0.1", site.port)
+    responder = CallerResponder(
+        SimpleNamespace(transport=writer.transport), is_last=False
+    )
+    responder.response = _Unframed()
+    responder.abort()
+    await asyncio.sleep(0.02)
+    responder.abort()
+
+
 class TestAnswerCutByStop:
     """What is still under way when the process has to leave."""
 
