--- a/tests/test_lost_worth.py
+++ b/tests/test_lost_worth.py
@@ -33,6 +33,11 @@
 
 
 class TestOutcome:
+    @pytest.mark.parametrize("name", ["caller_left", "stream_cut", "answer_cut"])
+    def test_early_end(self, outcome_of, name):
+        """Guards against ends that count as requests without one."""
+        assert outcome_of([line(name)]) == (name, "nothing told")
+
     def test_stream_in_target(self, outcome_of):
         """Nothing was lost."""
         served = line("request_served", status=200, is_in_target=True)
