Count the usual lateness of timers as running time

Only a step that is over 0.02 s late shows a standstill; below that, all of the time that passed now counts.

--- a/src/violethatch/running_time.py
+++ b/src/violethatch/running_time.py
@@ -61,7 +61,8 @@
     def end_step(self) -> bool:
         """End a step whose time is over; tell whether the limit is."""
         late_s = clocks.now_s() - self._began_s - self._step_s
-        self._left_s -= self._step_s
+        # Timers of a loop with work are always some ms late: that time counts.
+        self._left_s -= self._step_s + (max(0.0, late_s) if late_s <= LATE_S else 0.0)
         if self._left_s > 0.0:
             return False
         if late_s <= LATE_S or self._extra_steps == 0:
