Count only looks whose server has answered in the tests of standstills

A try whose server had not answered at all counted as one that went as meant: one of 287 tests failed for that beside busy processes, a look whose runner was pending since its thread was late.

--- a/tests/test_own_standstills.py
+++ b/tests/test_own_standstills.py
@@ -4,6 +4,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import socket
 import time
 
@@ -106,6 +107,7 @@
         one = runner("a", 0, 80, address=server.address)
 
         async def work(runners):
+            server.answered_s = math.inf
             began_s = clocks.now_s()
             found = await held_up(
                 Probes(runners).look([one], within_s=0.04), turns=turns, for_s=for_s
--- a/tests/thread_server.py
+++ b/tests/thread_server.py
@@ -4,6 +4,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import threading
 
 from aiohttp import web
@@ -20,7 +21,7 @@
         self.body = b"{}"
         self.headers = {}
         self.asked = []
-        self.answered_s = 0.0
+        self.answered_s = math.inf
         self._loop = asyncio.new_event_loop()
         self._is_ready = threading.Event()
         self._thread = threading.Thread(target=self._work, daemon=True)
