Read the neighbours' datagrams after a standstill, before the next tick

An instance that stood still for 1.7 s while it read forgot the others' load for a tick: due timers come before further reads then.

--- a/src/violethatch/_load_link.py
+++ b/src/violethatch/_load_link.py
@@ -13,11 +13,14 @@
 from .demand import DemandFeed, unpacked
 from .load_changes import ChangeFeed
 from .load_sums import Direction, LoadSums, LoadTotals, ServerTotals
+from .running_time import LATE_S
 from .stream_loads import StreamLoads
 
 
 #: How often neighbours are told, in seconds.  Streams last a second or more.
 TICK_S = 0.25
+#: How long to read, after a standstill, what the others told meanwhile, in seconds.
+_READ_S = 0.01
 #: The most bytes that an instance sends for this in a second, of the 4 KB that
 #: all of control may take.
 _MOST_BYTES_A_SECOND = 3000
@@ -66,7 +69,12 @@
     async def run(self) -> None:
         """Tell neighbours, until cancelled."""
         while True:
+            began_s = clocks.now_s()
             await asyncio.sleep(TICK_S)
+            stood_s = clocks.now_s() - began_s - TICK_S
+            if stood_s > LATE_S:
+                await asyncio.sleep(_READ_S)
+                self._sums.note_standstill(stood_s, now_s=clocks.now_s())
             self._tick(now_s=clocks.now_s())
 
     def _tick(self, *, now_s: float) -> None:
--- a/src/violethatch/load_sums.py
+++ b/src/violethatch/load_sums.py
@@ -278,6 +278,16 @@
                 del self._told[sender]
         self._others = total(told.totals(now_s=now_s) for told in self._told.values())
 
+    def note_standstill(self, stood_s: float, *, now_s: float) -> None:
+        """Count this instance's own standstill as nobody's silence.
+
+        Args:
+            stood_s: How long it lasted, in seconds.
+            now_s: The current monotonic time, in seconds.
+        """
+        for one, since_s in self._unanswered_since_s.items():
+            self._unanswered_since_s[one] = min(now_s, since_s + stood_s)
+
     def neighbours(self, *, now_s: float) -> dict[str, Direction]:
         """Return whom to tell, and in which direction.
 
--- a/tests/test_load_link.py
+++ b/tests/test_load_link.py
@@ -5,6 +5,7 @@
 
 import asyncio
 import itertools
+import socket
 import threading
 import time
 
@@ -59,6 +60,24 @@
     servers: bytes
 
 
+async def stand_still_while_reading(for_s):
+    """Let the event loop stand still where due timers come before further reads."""
+    own, other = socket.socketpair()
+    loop = asyncio.get_running_loop()
+    stood = asyncio.Event()
+
+    def read():
+        loop.remove_reader(own)
+        time.sleep(for_s)
+        stood.set()
+
+    loop.add_reader(own, read)
+    other.send(b"1")
+    await stood.wait()
+    own.close()
+    other.close()
+
+
 class TestLoadLink:
     async def test_streams_of_others_fill_servers(self):
         """What one instance sends to a runner, the others know of soon."""
@@ -117,7 +136,7 @@
         assert len(seen) == 2
 
     def test_own_standstill_is_taken_for_the_others_silence(self):
-        """Datagrams are read before timers: nobody is passed over or forgotten."""
+        """Nobody is passed over, and the others' load is not forgotten."""
         loop = EventLoop()
         before, after, seen = loop.run_until_complete(self._standing_still())
         loop.close()
@@ -153,7 +172,7 @@
         before = dict(link._neighbours)
         seen = []
         link.on_tick = lambda: seen.append(link._sums.others.instances)
-        time.sleep(TOLD_LIFE_S + 0.5)
+        await stand_still_while_reading(TOLD_LIFE_S + 0.5)
         await asyncio.sleep(2 * _load_link.TICK_S)
         task.cancel()
         ended.set()
