--- a/tests/test_whole_answers_soak.py
+++ b/tests/test_whole_answers_soak.py
@@ -79,6 +79,8 @@
     events: list[int]
     #: Whether the answer was read to its end.
     is_complete: bool
+    #: The runner that the answer's head names.
+    runner: str
     #: Whether there was a connection to send the request on.
     is_connected: bool
 
@@ -299,6 +301,7 @@
         sent_s = clocks.now_s()
         status = 0
         body = b""
+        runner = ""
         is_complete = False
         is_connected = True
         headers = HEADERS | {
@@ -312,6 +315,8 @@
                 http.post(url, data=b"a menu", headers=headers) as answer,
             ):
                 status = answer.status
+                signature = answer.headers.get("Violethatch-Response-Signature", "")
+                runner = signature.removeprefix("by-")
                 while part := await answer.content.readany():
                     body += part
                 is_complete = True
@@ -328,6 +333,7 @@
             status=status,
             events=event_ids(body.rpartition(b"\n\n")[0]),
             is_complete=is_complete,
+            runner=runner,
             is_connected=is_connected,
         )
 
@@ -370,18 +376,26 @@
         """Return why an answer may have ended early, or an empty text."""
         if call.ended_s - call.sent_s >= PATIENCE_S - 2 * NOTED_S:
             return "time limit"
-        if any(
-            call.sent_s - NOTED_S <= at_s <= call.ended_s + NOTED_S
-            for name in (call.instance, *self._forwarded_to(call))
-            for at_s in self._times("kill", name)
-        ):
+        if self._was_killed(call, call.instance, *self._forwarded_to(call)):
             return "instance killed"
         for at_s in self._times("stop", call.instance):
             since_stop_s = call.ended_s + NOTED_S - at_s
             is_last = LAST_SIXTH_S <= since_stop_s <= 2 * GRACE_S
             if is_last and call.sent_s <= at_s + LATE_S:
                 return "end of the grace time"
-        return "runner killed" if call.call_id in self.broken_off else ""
+        # A run that began right before the kill is known by its answer's head alone.
+        is_broken_off = call.call_id in self.broken_off
+        if is_broken_off or self._was_killed(call, call.runner):
+            return "runner killed"
+        return ""
+
+    def _was_killed(self, call, *names):
+        """Return whether a process was killed while a request was under way."""
+        return any(
+            call.sent_s - NOTED_S <= at_s <= call.ended_s + NOTED_S
+            for name in names
+            for at_s in self._times("kill", name)
+        )
 
     def _forwarded_to(self, call):
         """Return the instances that broke off a request of another one."""
