Count a forwarded run that is replaced

Cause: a forwarded run that ends because the kept run goes on was not counted, so that the next silence handed the stream over once more. Test: test_forwarded_run_counts_for_no_further_one fails before (two handovers).

--- a/src/violethatch/streams/_call.py
+++ b/src/violethatch/streams/_call.py
@@ -248,9 +248,11 @@
         """Serve a run through another instance; return how it ended."""
         try:
             outcome = await run.serve(responder, self._live)
-        finally:
-            run.is_counted = True
-            self.runs += run.runs
+        except asyncio.CancelledError:
+            self._count(run)
+            raise
+        run.is_counted = True
+        self.runs += run.runs
         if outcome.end is RunEnd.WHOLE:
             self.served_by = run.call.served_by
         else:
--- a/src/violethatch/streams/_run.py
+++ b/src/violethatch/streams/_run.py
@@ -198,9 +198,10 @@
             left_s = self._deadline_s - now_s
             if left_s <= 0:
                 raise TimeoutError
+            next_s = times.next_s(now_s - since_s, is_kept=self.is_silent)
             is_awake = await running_time.wait_unasked(
                 (coming, self._restart),
-                limit_s=min(left_s, times.next_s(now_s - since_s)),
+                limit_s=min(left_s, next_s),
             )
             if coming.done():
                 return
--- a/src/violethatch/streams/silent_runs.py
+++ b/src/violethatch/streams/silent_runs.py
@@ -157,7 +157,9 @@
 
 
 class CheckTimes:
-    """When a silent run is checked: steadily, and ever more seldom once it is overdue.
+    """When a silent run is checked: steadily, and ever more seldom later.
+
+    Later is once another run may begin beside it, or once it is overdue.
 
     Args:
         step_s: The silence before each check, in seconds.
@@ -170,16 +172,18 @@
         self._step_s = step_s
         self._overdue_s = overdue_s
 
-    def next_s(self, silent_s: float) -> float:
+    def next_s(self, silent_s: float, *, is_kept: bool = False) -> float:
         """Return how long to wait for the next check, in seconds.
 
         Args:
             silent_s: How long the run has been silent, in seconds.
+            is_kept: Whether another run may begin beside it.
         """
-        if silent_s >= self._overdue_s:
+        is_overdue = silent_s >= self._overdue_s
+        if is_overdue or is_kept:
             self._step_s = min(_CHECK_GROWTH * self._step_s, _MAX_CHECK_S)
-            return self._step_s
-        return max(_MIN_CHECK_S, min(self._step_s, self._overdue_s - silent_s))
+        left_s = self._step_s if is_overdue else self._overdue_s - silent_s
+        return max(_MIN_CHECK_S, min(self._step_s, left_s))
 
 
 class RetryPauses:
--- a/tests/test_silent_runs.py
+++ b/tests/test_silent_runs.py
@@ -89,6 +89,15 @@
         assert len(checks_s) < 30
         assert checks_s[-1] - checks_s[-2] == pytest.approx(2.0)
 
+    def test_kept_run_is_checked_as_often_as_before(self):
+        """Another run may begin: nothing hangs on the next check."""
+        times = CheckTimes(0.07, overdue_s=1.57)
+        silent_s, checks = 0.0, 0
+        while silent_s < 1.57:
+            silent_s += times.next_s(silent_s, is_kept=True)
+            checks += 1
+        assert checks <= 7
+
     def test_overdue_run_is_checked_at_once(self):
         """The check is not put off by a step."""
         assert CheckTimes(0.4, overdue_s=1.0).next_s(0.9) == pytest.approx(0.1)
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -482,6 +482,33 @@
         got, _ = await serve(client, A, call=make_call(wait_s=0.5))
         assert got.end == "cut"
 
+    async def test_forwarded_run_counts_for_no_further_one(self, monkeypatch):
+        """The kept run goes on and stalls again while another instance has run it."""
+        handed_over = []
+
+        class Forwarded:
+            runs = 1
+            served_by = "i2"
+
+            async def serve_beside(self, responder, *, on_event):
+                await asyncio.Event().wait()
+
+        def forward(_stream):
+            handed_over.append(Forwarded())
+            return handed_over[-1]
+
+        async def must_forward(_call, _service):
+            return bool(client.sends)
+
+        client = FakeClient(FakeAnswer(events(1), 0.5, events(2), 0.5, events(3)))
+        routing = make_routing(client, A, B, rng=random.Random(1))
+        monkeypatch.setattr(routing, "must_forward", must_forward)
+        stream = StreamCall(routing, make_call(), admitted(), forward=forward)
+        responder = FakeResponder()
+        await stream.serve(responder)
+        assert (responder.end, responder.body) == ("whole", events(1, 2, 3))
+        assert (len(handed_over), stream.runs) == (1, 2)
+
     async def test_own_standstill_is_taken_for_the_runners(self):
         """What has arrived while the loop stood still is read before anything else."""
         loop = asyncio.get_running_loop()
