Mend what streams with two runs got wrong

A run that was moved no longer counts as silent. Besides: a refusal beside a kept run is followed by a pause, so that one stall doesn't use up all sends.

--- a/src/violethatch/_stream_output.py
+++ b/src/violethatch/_stream_output.py
@@ -64,11 +64,12 @@
             TimeoutError: It was silent for too long.
         """
         splitter = EventSplitter()
+        run = self.progress.begin_run()
         async for part in parts:
             wanted: list[bytes] = []
             try:
                 for event in splitter.feed(part):
-                    if self.progress.take(event):
+                    if run.take(event):
                         on_event()
                         wanted.append(event.data)
             finally:
--- a/src/violethatch/event_stream.py
+++ b/src/violethatch/event_stream.py
@@ -80,11 +80,27 @@
 
     def __init__(self, *, last_id: int | None = None) -> None:
         self.last_id = last_id
-        self._is_repeating = False
 
-    def run_again(self) -> None:
-        """Note that another run begins, which may repeat what the caller has."""
-        self._is_repeating = self.last_id is not None
+    def begin_run(self) -> RunProgress:
+        """Return what one run's events go through.
+
+        .. versionadded:: 26.7.0
+        """
+        return RunProgress(self)
+
+
+class RunProgress:
+    """The events of one run, which may repeat what the caller has.
+
+    Args:
+        stream: How far the stream has come.
+
+    .. versionadded:: 26.7.0
+    """
+
+    def __init__(self, stream: StreamProgress) -> None:
+        self._stream = stream
+        self._is_repeating = stream.last_id is not None
 
     def take(self, event: StreamEvent) -> bool:
         """Tell whether the caller gets an event; events it has are left out.
@@ -96,12 +112,13 @@
             # It can't be told whether the caller has it: runs begin anew with
             # such events, and they carry nothing of the answer.
             return not self._is_repeating
-        if self.last_id is not None:
-            if event.id <= self.last_id:
+        last_id = self._stream.last_id
+        if last_id is not None:
+            if event.id <= last_id:
                 return False
-            if event.id != self.last_id + 1:
-                msg = f"event {event.id} follows event {self.last_id}"
+            if event.id != last_id + 1:
+                msg = f"event {event.id} follows event {last_id}"
                 raise SpoiltStreamError(msg)
-        self.last_id = event.id
+        self._stream.last_id = event.id
         self._is_repeating = False
         return True
--- a/src/violethatch/forwarding/_call.py
+++ b/src/violethatch/forwarding/_call.py
@@ -66,7 +66,7 @@
             VioletHatchError: Nothing of an answer was given to the caller.
         """
         try:
-            return await self.serve_beside(responder)
+            return await self._serve(responder, on_event=_ignore)
         except VioletHatchError:
             if not self._output.is_started:
                 raise
@@ -81,14 +81,30 @@
         return 0
 
     async def serve_beside(
-        self, responder: Responder, *, on_event: Callable[[], None] = lambda: None
+        self, responder: Responder, *, on_event: Callable[[], None]
     ) -> int:
-        """Answer the caller; return the status.
+        """Give the caller of a stream its events; return the status.
+
+        What is not the stream's events is not passed on, and an answer that has begun
+        is left as it is where the rest is lost.
 
         Args:
-            responder: Answers the caller.  An answer that has begun is left as it is
-                where the rest is lost.
-            on_event: Told before an event of a stream is given that the caller lacks.
+            responder: Answers the caller.
+            on_event: Told before an event is given that the caller lacks.
+
+        Raises:
+            VioletHatchError: No other instance gives the stream, or its rest.
+        """
+        return await self._serve(responder, on_event=on_event, is_beside=True)
+
+    async def _serve(
+        self,
+        responder: Responder,
+        *,
+        on_event: Callable[[], None],
+        is_beside: bool = False,
+    ) -> int:
+        """Answer the caller; return the status.
 
         Raises:
             VioletHatchError: No other instance gives the answer, or its rest.
@@ -96,7 +112,7 @@
         while True:
             try:
                 async with deadlines.until(self._deadline_s):
-                    return await self._serve_once(responder, on_event)
+                    return await self._serve_once(responder, on_event, is_beside)
             except (AnswerLostError, SpoiltStreamError, TimeoutError):
                 self.runs += 1
                 if not self._may_send_again():
@@ -109,7 +125,7 @@
                 raise
 
     async def _serve_once(
-        self, responder: Responder, on_event: Callable[[], None]
+        self, responder: Responder, on_event: Callable[[], None], is_beside: bool
     ) -> int:
         """Hand the call over once, and pass its answer on.
 
@@ -131,7 +147,7 @@
         self._forwarding.began(peer_id)
         is_whole = False
         try:
-            status = await self._pass_on(answer, responder, on_event)
+            status = await self._pass_on(answer, responder, on_event, is_beside)
             is_whole = True
         except AnswerLostError as error:
             self._forwarding.note_lost(peer_id, self._call.id, str(error))
@@ -142,19 +158,22 @@
         return status
 
     async def _pass_on(
-        self, answer: Answer, responder: Responder, on_event: Callable[[], None]
+        self,
+        answer: Answer,
+        responder: Responder,
+        on_event: Callable[[], None],
+        is_beside: bool,
     ) -> int:
         """Give an answer to the caller; return its status."""
         is_success = _OK <= answer.status < _MULTIPLE_CHOICES
         if self._route.kind is CallKind.STREAM and is_success:
-            self._output.progress.run_again()
             await self._output.pass_on(
                 answer.parts(), answer, responder, on_event=on_event
             )
             await responder.finish()
             return answer.status
         body = b"".join([part async for part in answer.parts()])
-        if self._output.is_started:
+        if self._output.is_started or is_beside:
             msg = f"status {answer.status} for the rest of a stream"
             raise AnswerLostError(msg)
         await responder.answer(
@@ -184,3 +203,7 @@
         if self._route.kind is CallKind.STREAM:
             return PipelineFailedError("the answer of another instance was lost")
         return ServiceLostError("the answer of another instance was lost")
+
+
+def _ignore() -> None:
+    """Stand in for whoever wants to know of events."""
--- a/src/violethatch/streams/_call.py
+++ b/src/violethatch/streams/_call.py
@@ -177,9 +177,12 @@
             MustForwardError: Another instance has to serve the call, or its rest.
         """
         pauses = RetryPauses()
+        again_s = 0.0
         while True:
             pause_s = None
-            if self._live.are_silent:
+            if self._live and clocks.now_s() < again_s:
+                pause_s = clocks.left_s(again_s)
+            elif self._live.are_silent:
                 found = await self._begin_run(responder)
                 if found is not None and not self._live:
                     return self._cut(found, responder)
@@ -192,6 +195,8 @@
                 return outcome.status
             if outcome.end is RunEnd.KEPT_BACK and outcome.run.is_again:
                 self._routing.retries.return_retry(self._service.name)
+            if self._live:
+                again_s = clocks.now_s() + pauses.next_s()
 
     async def _begin_run(self, responder: Responder) -> Obstacle | None:
         """Begin a run, beside those that are silent; return what is in the way.
@@ -349,7 +354,6 @@
         """Return a run along a path, to be sent."""
         self.path = path
         self.list_state = self._routing.list_state()
-        self.output.progress.run_again()
         send = Send(
             call=self._call,
             server=path.first,
--- a/src/violethatch/streams/_run.py
+++ b/src/violethatch/streams/_run.py
@@ -9,7 +9,7 @@
 
 import asyncio
 
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Callable, Coroutine
 from typing import Any
 
 from .. import clocks, events, running_time
@@ -81,6 +81,8 @@
         self._on_path_s = clocks.now_s()
         #: What the check found that has made it count as silent, until it goes on.
         self.silence: Finding | None = None
+        #: The check that is under way, if one is.
+        self._checking: asyncio.Task[None] | None = None
         #: Told when it begins to count as silent.
         self.on_silent: Callable[[], None] = lambda: None
         #: Runners of its path that have started again, and what wakes it then.
@@ -106,7 +108,13 @@
         )
 
     def count_out(self) -> None:
-        """Count the run out again."""
+        """Count the run out again, and end a check that is under way."""
+        if self._checking is not None:
+            self._checking.cancel()
+        self._uncount()
+
+    def _uncount(self) -> None:
+        """Count the run out on its path's runners."""
         self._routing.runs.discard(self)
         self._routing.loads.ended(self.path, self._tokens)
 
@@ -145,6 +153,7 @@
                     _let_go(coming)
                 part = coming.result()
                 if part is None:
+                    self._end_silence("whole")
                     return
                 self._note_event()
                 yield part
@@ -206,10 +215,37 @@
             if coming.done():
                 return
             if is_awake:
-                await self._leave_restarted(since_s)
+                check = self._leave_restarted(since_s)
+            elif clocks.now_s() < self._deadline_s:
+                check = self._look_into_silence(since_s, overdue_s=overdue_s)
+            else:
                 continue
-            if clocks.now_s() < self._deadline_s:
-                await self._look_into_silence(since_s, overdue_s=overdue_s)
+            await self._check_beside(coming, check)
+
+    async def _check_beside(
+        self, coming: asyncio.Future[Any], check: Coroutine[Any, Any, None]
+    ) -> None:
+        """Run a check until it is over, the next bytes come or time is up.
+
+        A check that has begun goes on beside the bytes: it may have moved the run.
+
+        Raises:
+            RunnerEndedError: A runner that the run needs has ended.
+        """
+        checking = self._checking
+        if checking is None:
+            checking = self._checking = asyncio.create_task(check)
+            checking.add_done_callback(_see)
+        else:
+            check.close()
+        left_s = clocks.left_s(self._deadline_s)
+        await asyncio.wait(
+            (coming, checking), timeout=left_s, return_when=asyncio.FIRST_COMPLETED
+        )
+        if checking.done():
+            self._checking = None
+            if not coming.done():
+                checking.result()
 
     async def _leave_restarted(self, since_s: float) -> None:
         """Go around runners that have started again, without waiting for a silence.
@@ -224,7 +260,7 @@
         verdict = await self._check.blame(self._silence(since_s), culprits)
         if self.path.first.id in ids:
             verdict = verdict._replace(finding=Finding.FIRST_ENDED)
-        await self._act_on(verdict)
+        await self._act_on(verdict, since_s)
 
     async def _look_into_silence(self, since_s: float, *, overdue_s: float) -> None:
         """Find out whom a silence is due to, and act on that.
@@ -239,10 +275,10 @@
             if clocks.now_s() - since_s >= overdue_s:
                 first_id = self.path.first.id
                 verdict = Verdict(Finding.OVERDUE, avoided=frozenset({first_id}))
-        await self._act_on(verdict)
+        await self._act_on(verdict, since_s)
 
-    async def _act_on(self, verdict: Verdict) -> None:
-        """Do what a check's verdict leads to.
+    async def _act_on(self, verdict: Verdict, since_s: float) -> None:
+        """Do what a check's verdict on a silence leads to.
 
         Raises:
             RunnerEndedError: A runner that it needs has ended.
@@ -256,8 +292,10 @@
             msg = "a runner that it needs has ended"
             raise RunnerEndedError(msg)
         if action is Action.MOVE and await self._move():
+            self._end_silence("moved")
             return
-        if action is not Action.WAIT:
+        goes_on = self._event_s is not None and self._event_s > since_s
+        if action is not Action.WAIT and not goes_on:
             self._begin_silence(verdict.finding)
 
     def _begin_silence(self, finding: Finding) -> None:
@@ -355,7 +393,7 @@
     def _move_to(self, path: Path) -> None:
         """Count the run on another path's runners."""
         had_begun = self._event_s is not None
-        self.count_out()
+        self._uncount()
         self._note_end()
         self.path = path
         self.has_begun = False
@@ -366,6 +404,12 @@
             self._progress.began(path.server_ids, now_s=self._event_s)
 
 
+def _see(checking: asyncio.Task[None]) -> None:
+    """Take note of a check's failure that nobody waits for any more."""
+    if not checking.cancelled():
+        checking.exception()
+
+
 def _let_go(coming: asyncio.Future[Any]) -> None:
     """Let go of what is no longer waited for, also if it has failed meanwhile."""
     if not coming.done():
--- a/tests/test_event_stream.py
+++ b/tests/test_event_stream.py
@@ -56,10 +56,11 @@
 
 
 def take(progress, *numbers):
-    """Return which of the events the caller gets."""
+    """Return which of one run's events the caller gets."""
     splitter = EventSplitter()
     events = splitter.feed(b"".join(event(n) for n in numbers))
-    return [one.id for one in events if progress.take(one)]
+    run = progress.begin_run()
+    return [one.id for one in events if run.take(one)]
 
 
 class TestStreamProgress:
@@ -83,5 +84,4 @@
         """A further run begins with events that the caller may have already."""
         progress = StreamProgress()
         assert take(progress, None, 1, None, 2) == [None, 1, None, 2]
-        progress.run_again()
         assert take(progress, None, 2, None, 3, None) == [3, None]
--- a/tests/test_runs_beside.py
+++ b/tests/test_runs_beside.py
@@ -178,7 +178,7 @@
 
 
 class TestSlowMove:
-    """Load pattern: a later runner is silent, and the first one is slow to take orders."""
+    """Load pattern: a later runner is silent, and the first is slow to take orders."""
 
     def slow_client(self, *script):
         """Return a client whose first runner takes a second for each order."""
