--- a/src/violethatch/running_time.py
+++ b/src/violethatch/running_time.py
@@ -71,7 +71,8 @@
         took_s = clocks.now_s() - self._began_s
         is_late = took_s > self._step_s + LATE_S
         # Timers may come early; half of a step is charged at least, so that all ends.
-        is_usual = took_s <= self._step_s * (1 + _USUAL_LATENESS)
+        usual_s = max(LATE_S, self._step_s * _USUAL_LATENESS)
+        is_usual = took_s <= self._step_s + usual_s
         self._left_s -= max(took_s, self._step_s / 2) if is_usual else self._step_s
         if is_late and self._left_s < _MIN_STEP_S and self._extra_steps:
             self._extra_steps -= 1
