--- a/src/violethatch/streams/_check.py
+++ b/src/violethatch/streams/_check.py
@@ -59,7 +59,6 @@
 
     Attributes:
         finding: Whom the silence is due to.
-        culprits: The runners at fault.
         avoided: The ids of runners that another path or run should avoid.
         has_ended: Whether some of those at fault are known to have ended.
     """
@@ -168,8 +167,8 @@
     async def _note_ends(self, silence: Silence, culprits: list[BackendServer]) -> None:
         """Note which runners have ended under the request, as far as is told soon.
 
-        The first runner of a path goes on; without this a request that ends a later
-        one was moved to the next (52 times in a series of 14 tries).
+        The first runner of a path survives: without this a request that ends a later
+        one would be moved to the next.
         """
         order = [stage.server.id for stage in silence.path.stages]
         noting = self._work.lost_on_path(
--- a/src/violethatch/streams/_live_runs.py
+++ b/src/violethatch/streams/_live_runs.py
@@ -1,8 +1,8 @@
 # SPDX-License-Identifier: MIT
 """The runs of one stream that are under way.
 
-There is one, and another one beside it while it is silent.  Whichever gives the next
-event goes on alone.
+There is one, and another one beside it while it is silent.  The one that gives the next
+event is kept, and the others are broken off.
 """
 
 from __future__ import annotations
