Excuse in the soak what stands still while it stops

Traces: a stream cut 7.3 s after its instance woke, whose SIGTERM had come while it was frozen; and seven plain calls without an answer at an instance that was frozen for 2.66 s until 0.007 s before it stopped (its 2010 and 2003). The rule counts a freeze as a disturbance, from 3 s before the request until its end.

--- a/tests/test_whole_answers_soak.py
+++ b/tests/test_whole_answers_soak.py
@@ -46,6 +46,8 @@
 LAST_SIXTH_S = GRACE_S * 5 / 6
 #: Requests that were sent later after SIGTERM have no such excuse.
 LATE_S = 3.0
+#: Until how long after a disturbance an instance is not held to the rules.
+CONTACT_S = 3.0
 #: Requests that end sooner without an answer may have crossed the close.
 LOSS_SLACK_S = 0.2
 RETRY_RATIO = float(FIELDS["Bounds.RetryBudgetRatio"])
@@ -383,12 +385,30 @@
             is_last = LAST_SIXTH_S <= since_stop_s <= 2 * GRACE_S
             if is_last and call.sent_s <= at_s + LATE_S:
                 return "end of the grace time"
+            if self._was_frozen_at_stop(call, at_s):
+                return "frozen at its stop"
         # A run that began right before the kill is known by its answer's head alone.
         is_broken_off = call.call_id in self.broken_off
         if is_broken_off or self._was_killed(call, call.runner):
             return "runner killed"
         return ""
 
+    def _was_frozen_at_stop(self, call, stop_s):
+        """Return whether a stopping instance stood still, which excuses it.
+
+        What counts is from `CONTACT_S` before the request until its end.
+        """
+        if not stop_s - CONTACT_S <= call.sent_s <= stop_s + 2 * GRACE_S:
+            return False
+        freezes_s = self._times("freeze", call.instance)
+        wakes_s = self._times("wake", call.instance)
+        return any(
+            freeze_s <= call.ended_s
+            and min((at_s for at_s in wakes_s if at_s >= freeze_s), default=freeze_s)
+            >= call.sent_s - CONTACT_S
+            for freeze_s in freezes_s
+        )
+
     def _was_killed(self, call, *names):
         """Return whether a process was killed while a request was under way."""
         return any(
