Move what holds back requests that end servers into one package

No logic changes: the modules that find servers' ends, weigh them, tell other instances, store holds and judge one request become the package suspicion.

--- a/bench/suspect_costs.py
+++ b/bench/suspect_costs.py
@@ -18,9 +18,8 @@
 
 from violethatch import clocks
 from violethatch._peer_datagrams import PeerDatagrams
-from violethatch._suspect_link import SuspectLink
-from violethatch.crash_suspects import CrashSuspects, End
 from violethatch.instances import InstanceDirectory, InstanceEntry
+from violethatch.suspicion import CrashSuspects, End, SuspectLink
 from violethatch.work_ids import work_id
 
 
--- a/src/violethatch/_peer_links.py
+++ b/src/violethatch/_peer_links.py
@@ -13,7 +13,7 @@
 from ._return_link import ReturnLink
 from ._router import Router
 from ._sighting_link import SightingLink
-from ._suspect_link import SuspectLink
+from .suspicion import SuspectLink
 
 
 class PeerLinks:
--- a/src/violethatch/_plain_calls.py
+++ b/src/violethatch/_plain_calls.py
@@ -11,7 +11,6 @@
 from . import clocks, deadlines, events, running_time
 from ._routing import Routing
 from ._stream_output import StreamOutput
-from ._work_in_hand import WorkInHand
 from .backends import BackendServer
 from .desired import Admitted
 from .errors import (
@@ -25,6 +24,7 @@
 from .forwarding import MustForwardError
 from .runner_health import Trouble
 from .store_era import UNREAD
+from .suspicion import WorkInHand
 from .upstream import (
     Answer,
     AnswerLostError,
--- a/src/violethatch/_registration.py
+++ b/src/violethatch/_registration.py
@@ -13,11 +13,11 @@
 
 from . import clocks, events
 from ._decoding import decoded
-from ._held_rows import HELD_PREFIX, HeldRows, RowStore
 from .errors import TableUnavailableError
 from .freshness import StoreClock
 from .instances import ENTRY_LIFE_S, InstanceDirectory, InstanceEntry
 from .ports import AnswerLostError
+from .suspicion import HELD_PREFIX, HeldRows, RowStore
 from .upstream import TableView
 
 
--- a/src/violethatch/_routing.py
+++ b/src/violethatch/_routing.py
@@ -15,10 +15,8 @@
 from ._path_choice import Blocked, PathChoice
 from ._probes import Probes
 from ._retry_budgets import RetryBudgets
-from ._server_ends import ServerEnds
 from ._word_gate import WordGate
 from .backends import BackendServer, BackendTable
-from .crash_suspects import CrashSuspects, End
 from .desired import ServiceSpec
 from .forwarding import Forwarding, LinkWatch
 from .path_shares import Place
@@ -32,6 +30,7 @@
 from .sightings import Hearsay, Sighting, is_worth_telling
 from .store_era import UNREAD, TableState
 from .stream_loads import StreamLoads
+from .suspicion import CrashSuspects, End, ServerEnds
 from .turning_away import come_back_s
 from .upstream import Call, Reached, Refusal, RunnerClient, RunnerReport
 
--- a/src/violethatch/platform/_following.py
+++ b/src/violethatch/platform/_following.py
@@ -10,7 +10,6 @@
 
 from .._connection_choice import ConnectionChoice
 from .._followers import TableFollower
-from .._held_rows import HeldRows
 from .._peer_datagrams import PeerDatagrams
 from .._peer_links import PeerLinks
 from .._placing import PlacementDuty
@@ -23,6 +22,7 @@
 from ..relayed_tables import RelayedTables
 from ..router_settings import RouterSettings, StoreSection
 from ..store_era import TableState
+from ..suspicion import HeldRows
 from ..table_cache import TableCache
 from ..upstream import TableView
 from ._store import Store
--- a/src/violethatch/streams/_call.py
+++ b/src/violethatch/streams/_call.py
@@ -17,7 +17,6 @@
 from .._admission import StartRequest
 from .._routing import Routing
 from .._stream_output import StreamOutput
-from .._work_in_hand import WorkInHand
 from ..backends import BackendServer
 from ..desired import Admitted, ServiceSpec
 from ..errors import (
@@ -33,6 +32,7 @@
 from ..paths import Path
 from ..runner_health import Trouble, tells_of_server
 from ..store_era import UNREAD
+from ..suspicion import WorkInHand
 from ..upstream import (
     Answer,
     AnswerLostError,
--- a/src/violethatch/streams/_check.py
+++ b/src/violethatch/streams/_check.py
@@ -12,11 +12,11 @@
 from .. import clocks, events
 from .._probes import Findings
 from .._routing import Routing
-from .._work_in_hand import WorkInHand
 from ..backends import BackendServer
 from ..desired import ServiceSpec
 from ..paths import Path
 from ..runner_health import Trouble
+from ..suspicion import WorkInHand
 from ..upstream import RunnerReport
 from .silent_runs import Finding
 
--- a/src/violethatch/streams/_run.py
+++ b/src/violethatch/streams/_run.py
@@ -14,10 +14,10 @@
 
 from .. import clocks, events, running_time
 from .._routing import Routing
-from .._work_in_hand import WorkInHand
 from ..desired import ServiceSpec
 from ..paths import Path
 from ..runner_health import Trouble
+from ..suspicion import WorkInHand
 from ..upstream import Answer, OrderOutcome, Send
 from ._check import Silence, SilenceCheck, Verdict
 from .silent_runs import Action, CheckTimes, Finding, action_on
--- a/src/violethatch/_held_rows.py
+++ b/src/violethatch/suspicion/_held_rows.py
@@ -15,13 +15,13 @@
 
 import msgspec
 
-from . import clocks, events
-from ._decoding import decoded
+from .. import clocks, events
+from .._decoding import decoded
+from ..errors import TableUnavailableError
+from ..freshness import StoreClock
+from ..ports import AnswerLostError
+from ..work_ids import check_work_id
 from .crash_suspects import HELD_LIFE_S, CrashSuspects, End, Hold
-from .errors import TableUnavailableError
-from .freshness import StoreClock
-from .ports import AnswerLostError
-from .work_ids import check_work_id
 
 
 #: What begins the key of a held work's row; no instance's id does.
--- a/src/violethatch/_suspect_link.py
+++ b/src/violethatch/suspicion/_link.py
@@ -14,17 +14,17 @@
 
 from collections.abc import Iterable, Sequence
 
-from . import clocks, events
-from ._peer_datagrams import (
+from .. import clocks, events
+from .._peer_datagrams import (
     ClearedDatagram,
     EndsDatagram,
     PeerDatagrams,
     SendAllowance,
 )
+from ..instances import InstanceEntry
+from ..membership import rendezvous
+from ..work_ids import check_work_id
 from .crash_suspects import CrashSuspects, End
-from .instances import InstanceEntry
-from .membership import rendezvous
-from .work_ids import check_work_id
 
 
 #: How many instances remember a work's first end: two of them may be gone.
--- a/src/violethatch/_server_ends.py
+++ b/src/violethatch/suspicion/_server_ends.py
@@ -13,10 +13,10 @@
 from collections.abc import Awaitable, Callable
 from typing import NamedTuple
 
-from . import clocks, events
-from .backends import BackendServer
+from .. import clocks, events
+from ..backends import BackendServer
+from ..upstream import RunnerClient
 from .crash_suspects import End
-from .upstream import RunnerClient
 
 
 #: How long a server that took a connection counts as there, in seconds: requests that
--- a/src/violethatch/_work_in_hand.py
+++ b/src/violethatch/suspicion/_work.py
@@ -7,14 +7,18 @@
 import functools
 
 from collections.abc import Sequence
+from typing import TYPE_CHECKING
 
-from . import clocks, events
-from ._routing import Routing
-from .backends import BackendServer
+from .. import clocks, events
+from ..backends import BackendServer
+from ..errors import HeldBackError
+from ..runner_health import Trouble
+from ..upstream import Call, ConnectionBrokenError
 from .crash_suspects import End, Hold
-from .errors import HeldBackError
-from .runner_health import Trouble
-from .upstream import Call, ConnectionBrokenError
+
+
+if TYPE_CHECKING:
+    from .._routing import Routing
 
 
 #: The longest time after which a caller is told to come back, in seconds: what is held
--- a/src/violethatch/crash_suspects.py
+++ b/src/violethatch/suspicion/crash_suspects.py
@@ -25,7 +25,7 @@
 
 from typing import NamedTuple
 
-from .work_ids import caller_of
+from ..work_ids import caller_of
 
 
 #: What an end counts for a work that had no part of its answer from there yet, and for
--- a/tests/test_crash_suspects.py
+++ b/tests/test_crash_suspects.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from violethatch.crash_suspects import CrashSuspects, End, Hold
+from violethatch.suspicion import CrashSuspects, End, Hold
 from violethatch.work_ids import work_id
 
 
--- a/tests/test_held_rows.py
+++ b/tests/test_held_rows.py
@@ -9,10 +9,15 @@
 
 from test_crash_suspects import WORK, end, noted
 from test_registration import FakeStore
-from violethatch import _held_rows, clocks
-from violethatch._held_rows import HELD_PREFIX, HeldRows
-from violethatch.crash_suspects import HELD_LIFE_S, CrashSuspects
+from violethatch import clocks
 from violethatch.freshness import StoreClock
+from violethatch.suspicion import (
+    HELD_LIFE_S,
+    HELD_PREFIX,
+    CrashSuspects,
+    HeldRows,
+    _held_rows,
+)
 
 
 KEY = HELD_PREFIX + WORK
--- a/tests/test_registration.py
+++ b/tests/test_registration.py
@@ -10,12 +10,11 @@
 
 from test_instances import directories, entry
 from violethatch import clocks
-from violethatch._held_rows import HELD_PREFIX, HeldRows
 from violethatch._registration import INSTANCES_TABLE, Registration
-from violethatch.crash_suspects import CrashSuspects
 from violethatch.errors import TableUnavailableError
 from violethatch.freshness import StoreClock
 from violethatch.instances import ENTRY_LIFE_S, InstanceDirectory
+from violethatch.suspicion import HELD_PREFIX, CrashSuspects, HeldRows
 from violethatch.upstream import TableView
 
 
--- a/tests/test_server_ends.py
+++ b/tests/test_server_ends.py
@@ -7,7 +7,7 @@
 
 from router_fakes import FakeClient
 from routing_samples import runner
-from violethatch._server_ends import ServerEnds
+from violethatch.suspicion import ServerEnds
 
 
 A = runner("a", 0, 80)
--- a/tests/test_suspect_link.py
+++ b/tests/test_suspect_link.py
@@ -10,10 +10,9 @@
 
 from mortal_fleet import Network, instance_entries
 from test_crash_suspects import WORK, work
-from violethatch import _suspect_link, clocks
+from violethatch import clocks
 from violethatch._peer_datagrams import EndsDatagram
-from violethatch._suspect_link import SuspectLink
-from violethatch.crash_suspects import CrashSuspects, End
+from violethatch.suspicion import CrashSuspects, End, SuspectLink, _link
 
 
 class Told:
@@ -107,7 +106,7 @@
 class TestBounds:
     async def test_what_waits_is_bounded(self, monkeypatch):
         """Ends without number neither fill memory nor the link."""
-        monkeypatch.setattr(_suspect_link, "_MOST_WAITING", 50)
+        monkeypatch.setattr(_link, "_MOST_WAITING", 50)
         told = Told(2)
         for number in range(200):
             told.see(0, "s1", of=work(number))
--- a/tests/test_work_in_hand.py
+++ b/tests/test_work_in_hand.py
@@ -8,8 +8,7 @@
 from router_fakes import FakeClient, make_call, make_routing
 from routing_samples import runner
 from violethatch import clocks, upstream
-from violethatch._work_in_hand import WorkInHand
-from violethatch.crash_suspects import End
+from violethatch.suspicion import End, WorkInHand
 
 
 A = runner("a", 0, 80)
