Read the shared parts of prompts, and log them with a server's end

Two requests that share a part of their prompt and nothing else had nothing in common in any line, so a part that ends servers could not be found in them. 2114 names up to eight parts; forwarded requests carry them along.

--- a/src/violethatch/forwarding/_forwarding.py
+++ b/src/violethatch/forwarding/_forwarding.py
@@ -258,4 +258,5 @@
             state_version=self._state_version(),
             runs=runs,
             sender=self._own_id,
+            prompt_parts=call.prompt_parts,
         )
--- a/src/violethatch/forwarding/_listener.py
+++ b/src/violethatch/forwarding/_listener.py
@@ -273,4 +273,5 @@
         last_event_id=message.last_event_id,
         prompt_tokens=message.prompt_tokens,
         forwarded_by=message.sender,
+        prompt_parts=message.prompt_parts,
     )
--- a/src/violethatch/forwarding/_wire.py
+++ b/src/violethatch/forwarding/_wire.py
@@ -52,6 +52,7 @@
         state_version: The sender's desired state: an older one may not decide.
         runs: Sends that may have run.
         sender: The instance that hands it over.
+        prompt_parts: Instances before 26.7.0 don't send them.
     """
 
     call_id: str
@@ -68,6 +69,7 @@
     state_version: int
     runs: int
     sender: str
+    prompt_parts: tuple[str, ...] = ()
 
     @property
     def age_s(self) -> float:
--- a/src/violethatch/platform/_headers.py
+++ b/src/violethatch/platform/_headers.py
@@ -19,6 +19,8 @@
 LOAD = "Violethatch-Server-Load"
 #: The prompt's tokens and the most to come out, with a comma between.
 TOKEN_COUNT = "Violethatch-Token-Count"
+#: The parts of the prompt in order, as ID:TOKENS with commas between, IDs in hex.
+PROMPT_PARTS = "Violethatch-Prompt-Prefix"
 LAST_EVENT_ID = "Last-Event-Id"
 PRIORITY = "Priority"
 PATH = "Path"
@@ -66,7 +68,7 @@
         "Violethatch-Response-Signature",
         "Violethatch-Instance-Id",
         "Violethatch-Model",
-        "Violethatch-Prompt-Prefix",
+        PROMPT_PARTS,
         # What measures a server's time, and is no word of the platform's.
         "Server-Timing",
     )
--- a/src/violethatch/platform/_requests.py
+++ b/src/violethatch/platform/_requests.py
@@ -6,6 +6,8 @@
 import asyncio
 import math
 
+from collections.abc import Iterable
+
 from aiohttp.web_request import BaseRequest
 
 from .. import clocks
@@ -16,6 +18,10 @@
 
 
 _MS_PER_S = 1000.0
+#: The most parts of a prompt that are read, and the longest id of one.
+_MAX_PARTS = 64
+_MAX_PART_ID_CHARS = 64
+_HEX_DIGITS = frozenset("0123456789abcdef")
 #: How long a call without a deadline may take, in seconds.
 _NO_DEADLINE_S = 60.0
 
@@ -51,6 +57,7 @@
         deadline_s=deadline_s,
         last_event_id=_last_event_id(request),
         prompt_tokens=_prompt_tokens(request),
+        prompt_parts=_shared_parts(request.headers.getall(_headers.PROMPT_PARTS, ())),
     )
 
 
@@ -107,6 +114,21 @@
     return int(prompt) if prompt.isdecimal() else None
 
 
+def _shared_parts(lines: Iterable[str]) -> tuple[str, ...]:
+    """Return the ids of a prompt's parts but for the last one, each once.
+
+    The last part belongs to the request or its session.  What is no id is left out.
+    """
+    named = ",".join(lines).split(",")[:-1][:_MAX_PARTS]
+    ids = (one.partition(":")[0].strip().lower() for one in named)
+    return tuple(dict.fromkeys(one for one in ids if _is_part_id(one)))
+
+
+def _is_part_id(text: str) -> bool:
+    """Tell whether a text is the id of a prompt's part."""
+    return 0 < len(text) <= _MAX_PART_ID_CHARS and set(text) <= _HEX_DIGITS
+
+
 def _last_event_id(request: BaseRequest) -> int | None:
     """Return the event after which the caller resumes a stream, if it does.
 
--- a/src/violethatch/suspicion/_work.py
+++ b/src/violethatch/suspicion/_work.py
@@ -24,6 +24,8 @@
 #: The longest time after which a caller is told to come back, in seconds: what is held
 #: back for longer may still be cleared by then.
 _LONGEST_RETRY_S = 3_600.0
+#: The most parts of a prompt in one line of the log.
+_MAX_LOGGED_PARTS = 8
 
 
 class WorkInHand:
@@ -150,6 +152,7 @@
             server_id=server.id,
             lifetime=server.lifetime,
             has_begun=has_begun,
+            parts=self._call.prompt_parts[:_MAX_LOGGED_PARTS],
             ended_together=together,
             is_held=self.is_held,
         )
--- a/src/violethatch/upstream.py
+++ b/src/violethatch/upstream.py
@@ -42,6 +42,8 @@
         last_event_id: The event after which a resumed stream goes on.
         prompt_tokens: The prompt's size, where the caller tells it.
         forwarded_by: The instance that took it from its caller, if another one did.
+        prompt_parts: The parts of the prompt that other requests may share, where
+            the caller names them.
     """
 
     id: str
@@ -56,6 +58,7 @@
     last_event_id: int | None
     prompt_tokens: int | None
     forwarded_by: str = ""
+    prompt_parts: tuple[str, ...] = ()
 
     def work_id(self, workspace: str | None) -> str:
         """Return the id of the call's work, the same when its caller comes back."""
--- a/tests/mortal_fleet.py
+++ b/tests/mortal_fleet.py
@@ -40,6 +40,8 @@
 
 #: The body of a request that ends each server which begins to run it.
 DEADLY = b"the last straw"
+#: A part of prompts that does the same, whatever else a request holds.
+DEADLY_PART = "dead"
 #: How long a server runs that request, in seconds.
 DEADLY_S = 0.01
 #: How long servers of the plain service take, in seconds.
@@ -50,6 +52,11 @@
 PLAIN = plain_route(max_attempts=2)
 
 
+def is_deadly_call(call):
+    """Tell whether a request ends each server that begins to run it."""
+    return call.body == DEADLY or DEADLY_PART in call.prompt_parts
+
+
 class Server:
     """One lifetime of a server."""
 
@@ -87,10 +94,12 @@
     Args:
         make: Returns a server's entry for an id.
         count: How many there are at a time.
+        back_s: After how long a server is back under a new id, in seconds.
     """
 
-    def __init__(self, make, *, count=4):
+    def __init__(self, make, *, count=4, back_s=BACK_S):
         self.make = make
+        self.back_s = back_s
         self.by_id = {}
         self.routers = []
         self.made = 0
@@ -119,7 +128,7 @@
             return
         server.has_ended.set()
         del self.by_id[server.listed.id]
-        asyncio.get_running_loop().call_later(BACK_S, self.replace, server)
+        asyncio.get_running_loop().call_later(self.back_s, self.replace, server)
 
     def replace(self, server):
         """Take an ended server's entry off, and start another one."""
@@ -128,7 +137,7 @@
 
     async def send(self, send):
         server = self.by_id.get(send.server.id)
-        is_deadly = send.call.body == DEADLY
+        is_deadly = is_deadly_call(send.call)
         if is_deadly:
             self.arrived_s.append(clocks.now_s())
         if server is None:
@@ -169,7 +178,7 @@
         self.waiting = {}
 
     async def send(self, send):
-        if send.call.body != DEADLY:
+        if not is_deadly_call(send.call):
             return FakeAnswer(0.01, events(1))
         over = asyncio.Event()
         self.waiting[send.call.id] = over
