Count ends of servers where no first runner is left

The links now count as lost for an end only if no other server answers either, such as a later runner of a path. Such an end is not remembered of the server, as a link to it alone may be lost.

--- a/src/violethatch/_routing.py
+++ b/src/violethatch/_routing.py
@@ -68,6 +68,7 @@
         self.link_watch = LinkWatch(
             self,
             listed=self.backends.entries,
+            usable=self.backends.usable,
             services=self.backends.services,
             zone=settings.instance.availability_zone,
             # Checks leave the draws of everything else as they are.
@@ -87,7 +88,7 @@
         #: Told why a stream that had begun could not be finished.
         self.on_stream_cut: Callable[[str], None] = lambda _reason: None
         self.ends = ServerEnds(
-            client, listed=self.backends.get, is_own_loss=self.link_watch.is_own_loss
+            client, listed=self.backends.get, link_state=self.link_watch.state_for
         )
         #: The streams under way, which have to leave servers that start again.
         self.runs: set[RestartListener] = set()
--- a/src/violethatch/forwarding/__init__.py
+++ b/src/violethatch/forwarding/__init__.py
@@ -11,7 +11,7 @@
 from ._client import ForwardClient
 from ._forwarding import Forwarding, PeerClient
 from ._link_watch import LinkWatch, ServerProbe
-from ._links import LinkCheck, LostLinks, ServerLinks, servers_to_check
+from ._links import LinkCheck, LinkState, LostLinks, ServerLinks, servers_to_check
 from ._listener import ForwardListener, ForwardServer
 from ._wire import PATH as FORWARD_PATH
 
@@ -24,6 +24,7 @@
     "ForwardedCall",
     "Forwarding",
     "LinkCheck",
+    "LinkState",
     "LinkWatch",
     "LostLinks",
     "MustForwardError",
--- a/src/violethatch/forwarding/_link_watch.py
+++ b/src/violethatch/forwarding/_link_watch.py
@@ -16,7 +16,14 @@
 from .. import clocks, events, running_time
 from .._listed import BackendServer
 from ..upstream import Reached
-from ._links import LinkCheck, LostLinks, ServerLinks, servers_to_check
+from ._links import (
+    CHECKED_SERVERS,
+    LinkCheck,
+    LinkState,
+    LostLinks,
+    ServerLinks,
+    servers_to_check,
+)
 
 
 #: How often servers are asked again while links are lost, in seconds.
@@ -40,6 +47,8 @@
     Args:
         probe: Asks servers.
         listed: Returns the servers that calls of a service may be sent to.
+        usable: Returns all servers of a service that are in use, also those that only
+            other servers send calls to.
         services: Returns the services that have listed servers.
         zone: The instance's availability zone.
         rng: Chooses whom to ask.
@@ -50,6 +59,7 @@
         probe: ServerProbe,
         *,
         listed: Callable[[str], Sequence[BackendServer]],
+        usable: Callable[[str], Sequence[BackendServer]],
         services: Callable[[], Iterable[str]],
         zone: str,
         rng: random.Random,
@@ -65,6 +75,7 @@
         self.on_check: Callable[[str], None] = lambda _outcome: None
         self._probe = probe
         self._listed = listed
+        self._usable = usable
         self._services = services
         self._zone = zone
         self._rng = rng
@@ -106,10 +117,26 @@
             await asyncio.shield(running)
         return self.is_lost(service)
 
-    async def is_own_loss(self, server: BackendServer) -> bool:
-        """Tell whether a server's silence is due to this instance's own links."""
+    async def state_for(self, server: BackendServer) -> LinkState:
+        """Return what the links say of a server that refuses connections."""
         self.suspect(server)
-        return await self.settled(server.service)
+        if not await self.settled(server.service):
+            return LinkState.SOUND
+        if await self._reaches_others(server.service):
+            return LinkState.OTHERS_ANSWER
+        return LinkState.LOST
+
+    async def _reaches_others(self, service: str) -> bool:
+        """Tell whether servers answer that calls of a service are not sent to."""
+        silent = {one.id for one in self._listed(service)}
+        others = [
+            one
+            for name in self._services()
+            for one in self._usable(name)
+            if one.id not in silent
+        ]
+        asked = self._rng.sample(others, min(len(others), CHECKED_SERVERS))
+        return bool((await self._ask(asked)).answered)
 
     def when_sound(self, server: BackendServer, then: Callable[[], None]) -> None:
         """Do something about a server's silence unless it is due to own links."""
--- a/src/violethatch/forwarding/_links.py
+++ b/src/violethatch/forwarding/_links.py
@@ -11,6 +11,7 @@
 
 from __future__ import annotations
 
+import enum
 import random
 
 from collections.abc import Iterable, Sequence
@@ -26,6 +27,16 @@
 SOUND_LIFE_S = 0.5
 
 
+class LinkState(enum.Enum):
+    """What an instance's links say of a server that refuses connections."""
+
+    SOUND = "sound"
+    #: None of the servers that calls of its service are sent to can be reached, but
+    #: others can.
+    OTHERS_ANSWER = "others_answer"
+    LOST = "lost"
+
+
 class LinkCheck(NamedTuple):
     """What a check of a service's servers has found.
 
--- a/src/violethatch/suspicion/_server_ends.py
+++ b/src/violethatch/suspicion/_server_ends.py
@@ -15,6 +15,7 @@
 
 from .. import clocks, events
 from ..backends import BackendServer
+from ..forwarding import LinkState
 from ..upstream import RunnerClient
 from .crash_suspects import End
 
@@ -45,9 +46,9 @@
         return clocks.now_s() - self.noted_s < _DOUBT_LIFE_S
 
 
-async def _never(_server: BackendServer) -> bool:
+async def _sound(_server: BackendServer) -> LinkState:
     """Stand in for a check of links where there is none."""
-    return False
+    return LinkState.SOUND
 
 
 class ServerEnds:
@@ -56,7 +57,7 @@
     Args:
         client: Asks whether servers refuse connections.
         listed: Returns a server as the list has it now.
-        is_own_loss: Tells whether a server's refusal is due to this instance's links.
+        link_state: Returns what this instance's links say of a server's refusal.
     """
 
     def __init__(
@@ -64,10 +65,10 @@
         client: RunnerClient,
         *,
         listed: Callable[[str], BackendServer | None],
-        is_own_loss: Callable[[BackendServer], Awaitable[bool]] | None = None,
+        link_state: Callable[[BackendServer], Awaitable[LinkState]] = _sound,
     ) -> None:
         self._client = client
-        self._is_own_loss = is_own_loss or _never
+        self._link_state = link_state
         #: Told of each server that is found to have ended.
         self.on_end: Callable[[], None] = lambda: None
         self._listed = listed
@@ -146,19 +147,19 @@
     async def _look(self, server: BackendServer) -> bool:
         """Ask whether a server refuses connections, and remember it."""
         try:
-            is_refusing = await self._client.is_refusing(server)
-            if is_refusing and await self._is_own_loss(server):
-                events.log(
-                    events.SERVER_UNKNOWN, server_id=server.id, reason="links lost"
-                )
+            if not await self._client.is_refusing(server):
+                self._remember(self._there_s, server.lifetime)
                 return False
+            links = await self._link_state(server)
         finally:
             self._looks.pop(server.lifetime, None)
-        if is_refusing:
+        if links is LinkState.LOST:
+            events.log(events.SERVER_UNKNOWN, server_id=server.id, reason="links lost")
+            return False
+        if links is LinkState.SOUND:
+            # Otherwise the refusal may still be due to links to this server alone.
             self.note_ended(server)
-        else:
-            self._remember(self._there_s, server.lifetime)
-        return is_refusing
+        return True
 
     def _remember(self, known: dict[str, float], lifetime: str) -> None:
         """Remember what is known of a lifetime now; forget what is too old."""
--- a/tests/mortal_fleet.py
+++ b/tests/mortal_fleet.py
@@ -117,6 +117,11 @@
         self.by_id[server.listed.id] = server
         self.tell({server.listed.id: server.listed})
 
+    def add(self, listed):
+        """List a server that nothing ends."""
+        self.by_id[listed.id] = Server(listed)
+        self.tell({listed.id: listed})
+
     def tell(self, values):
         """Tell all routers of the list's changes."""
         for router in self.routers:
--- a/tests/test_repeats_that_end_servers.py
+++ b/tests/test_repeats_that_end_servers.py
@@ -97,6 +97,16 @@
     assert arrivals_after(servers) <= MOST_AFTER
 
 
+@pytest.mark.parametrize("instances", [1, 6])
+async def test_request_that_ends_the_only_server_is_held_back(instances):
+    """Servers of another service show that the instances' links are sound."""
+    servers = Servers(model_runner, count=1)
+    servers.add(label_server("p1"))
+    fleet = Fleet(instances, servers)
+    await come_again(fleet, path="/draft/1")
+    assert arrivals_after(servers) <= MOST_AFTER
+
+
 async def keep_asking(fleet, *, path, outcomes, stop):
     """Send other requests to all routers, a new one each few milliseconds."""
     tasks = []
--- a/tests/test_server_links.py
+++ b/tests/test_server_links.py
@@ -12,7 +12,13 @@
 from violethatch import clocks
 from violethatch.backends import BackendServer
 from violethatch.event_loop import EventLoop
-from violethatch.forwarding import LinkCheck, LinkWatch, ServerLinks, servers_to_check
+from violethatch.forwarding import (
+    LinkCheck,
+    LinkState,
+    LinkWatch,
+    ServerLinks,
+    servers_to_check,
+)
 from violethatch.forwarding._links import SOUND_LIFE_S
 from violethatch.upstream import Reached
 
@@ -115,6 +121,7 @@
         made = LinkWatch(
             self,
             listed=self.servers.__getitem__,
+            usable=self.servers.__getitem__,
             services=lambda: self.servers,
             zone="z0",
             rng=random.Random(2),
@@ -229,3 +236,20 @@
         network.is_cut = True
         assert watch.suspect(network.servers["model"][0]) is None
         assert network.asked == []
+
+    async def test_dead_first_runners_are_no_lost_links(self, network):
+        """Runners that only other runners send to show that the links are sound."""
+        first, *later = network.servers["model"]
+        network.dead = {first.id}
+        watch = LinkWatch(
+            network,
+            listed=lambda service: [first] if service == "model" else [],
+            usable=network.servers.__getitem__,
+            services=lambda: ["model"],
+            zone="z0",
+            rng=random.Random(2),
+        )
+        watch.is_active = True
+        assert await watch.state_for(first) is LinkState.OTHERS_ANSWER
+        network.dead = {one.id for one in (first, *later)}
+        assert await watch.state_for(first) is LinkState.LOST
