Hold requests back for a prompt part that servers end under

An end was put down to the whole work, a digest of the body, and requests with one deadly part are never the same work.

What is suspected is now a trait: a work, or a part of a prompt (for all callers and for one). An end counts under a part only if the request's answer had not gone on for 0.25 s; any answer with the part that does clears it at all instances. Of parts under the same ends a request is held back only if it has all of them, so popular parts and other callers are not. Once its time is over, one request is let through by one instance. Requests with a part under two ends go apart.

--- a/src/violethatch/_peer_datagrams.py
+++ b/src/violethatch/_peer_datagrams.py
@@ -87,11 +87,11 @@
 
 
 class EndsDatagram(msgspec.Struct, array_like=True, tag="e"):
-    """Ends of servers under works; the token is the receiver's own."""
+    """Ends of servers under traits; the token is the receiver's own."""
 
     token: str
     sender: str
-    #: A work, a server's lifetime, whether the answer had begun, and who saw it.
+    #: A trait, a server's lifetime, whether the answer had begun, and who saw it.
     ends: list[tuple[str, str, bool, str]]
 
 
@@ -140,11 +140,11 @@
 
 
 class ClearedDatagram(msgspec.Struct, array_like=True, tag="c"):
-    """A work that was answered whole; the token is the receiver's own."""
+    """A trait that an answer has cleared; the token is the receiver's own."""
 
     token: str
     sender: str
-    work: str
+    trait: str
 
 
 class ReservedDatagram(msgspec.Struct, array_like=True, tag="v"):
--- a/src/violethatch/_peer_links.py
+++ b/src/violethatch/_peer_links.py
@@ -52,6 +52,7 @@
         routing.tell = self._sightings.tell
         routing.tell_end = self._suspects.tell
         routing.tell_cleared = self._suspects.tell_cleared
+        routing.may_try = self._suspects.may_try
         routing.tell_pace = self._paces.tell
         routing.retries.ask_for_retries = self._retries.ask
         routing.gate.limits.ask_permit = self.limits.ask
--- a/src/violethatch/_router.py
+++ b/src/violethatch/_router.py
@@ -419,8 +419,8 @@
             "in_flight": self.in_flight,
             "is_stopping": self.stop_plan.is_stopping,
             "servers": len(self.routing.backends),
-            "held_works": self.routing.suspects.held(now_s=now_s),
-            "suspected_works": len(self.routing.suspects),
+            "held_traits": self.routing.suspects.held(now_s=now_s),
+            "suspected_traits": len(self.routing.suspects),
             "resting": sorted(self.routing.health.resting(now_s=now_s)),
             "lost_links": {
                 service: lost._asdict()
@@ -455,7 +455,7 @@
         self.metrics.lost_links(self.routing.link_watch.links.lost())
         self.metrics.servers_resting.set({}, len(self.routing.gate.state()))
         self.metrics.limits(self.routing.gate.limits.state())
-        self.metrics.works(len(suspects), len(suspects.held(now_s=now_s)))
+        self.metrics.suspects(len(suspects), len(suspects.held(now_s=now_s)))
 
     def _declared(self, service: str) -> ServiceSpec | None:
         """Return what the desired state declares for a service, if it does."""
--- a/src/violethatch/_router_metrics.py
+++ b/src/violethatch/_router_metrics.py
@@ -158,7 +158,7 @@
         )
         self.suspected_works = Gauge(
             "violethatch_router_suspected_works",
-            "Works under which servers have ended, and those that are held back.",
+            "Works and prompt parts that servers end under, and those held back.",
             registry=self.registry,
         )
         self.instances_summed = Gauge(
@@ -321,8 +321,8 @@
         self.state_taken_s.observe({"part": "all"}, took_s)
         self.state_taken_s.observe({"part": "longest_hold"}, longest_hold_s)
 
-    def works(self, suspected: int, held: int) -> None:
-        """Show how many works are suspected, and how many are held back."""
+    def suspects(self, suspected: int, held: int) -> None:
+        """Show how many traits are suspected, and how many are held back."""
         self.suspected_works.set({"state": "suspected"}, suspected)
         self.suspected_works.set({"state": "held"}, held)
 
--- a/src/violethatch/_routing.py
+++ b/src/violethatch/_routing.py
@@ -93,11 +93,15 @@
         #: The streams under way, which have to leave servers that start again.
         self.runs: set[RestartListener] = set()
         self.suspects = CrashSuspects()
-        #: Tells other instances of an end, and of a work that was answered, if any.
+        #: Tells other instances of an end; and of a trait that is cleared, with how
+        #: many ends were known under it.
         self.tell_end: Callable[[End], None] = lambda _end: None
-        self.tell_cleared: Callable[[str], None] = lambda _work: None
-        #: Stores whether a work is held back, where that lasts.
-        self.keep_hold: Callable[[str], None] = lambda _work: None
+        self.tell_cleared: Callable[[str, int], None] = lambda _trait, _ends: None
+        #: Tells whether this instance is the one that lets a request with a held part
+        #: through when its time is over.
+        self.may_try: Callable[[str], bool] = lambda _trait: True
+        #: Stores whether a trait is held back, where that lasts.
+        self.keep_hold: Callable[[str], None] = lambda _trait: None
         self.paces = RunnerPaces()
         #: Tells other instances what a slow runner has said, where there are any.
         self.tell_pace: Callable[[str, float], None] = lambda _id, _slowness: None
@@ -171,14 +175,16 @@
         )
 
     def path_apart(
-        self, service: ServiceSpec, *, avoided: frozenset[str], work: str
+        self, service: ServiceSpec, *, avoided: frozenset[str], trait: str
     ) -> Path | None:
-        """Return a path for a work that may end servers, away from the others' paths.
+        """Return a path for requests that may end servers, away from others' paths.
+
+        Requests with the same trait get the same path, as far as is possible.
 
         None where there is no path that begins elsewhere.
         """
         self.expire()
-        return self._paths.path_apart(service, avoided=avoided, key=work)
+        return self._paths.path_apart(service, avoided=avoided, key=trait)
 
     def blocked(self, service: ServiceSpec, *, priority: int = 0) -> Blocked | None:
         """Return how long rests and limits block all paths for a priority.
@@ -247,7 +253,7 @@
             for end in self.ends.proven(server):
                 events.log(
                     events.SERVER_ENDED,
-                    work=end.work,
+                    trait=end.trait,
                     server_id=server.id,
                     lifetime=end.lifetime,
                     has_begun=end.has_begun,
@@ -275,20 +281,24 @@
         if not self.suspects.note(end, now_s=now_s):
             return
         self.tell_end(end)
-        if self.suspects.hold(end.work, now_s=now_s) is not None:
-            self.keep_hold(end.work)
-
-    def note_answered(self, work: str) -> None:
-        """Note that a work was answered whole: it is suspected no more."""
-        ends = self.suspects.ends(work)
-        was_held = self.suspects.was_held(work)
-        if not self.suspects.clear(work):
+        if self.suspects.hold(end.trait, now_s=now_s) is not None:
+            self.keep_hold(end.trait)
+
+    def note_cleared(self, traits: Iterable[str]) -> None:
+        """Note that an answer shows traits to end no server."""
+        for trait in traits:
+            self._note_cleared(trait)
+
+    def _note_cleared(self, trait: str) -> None:
+        """Note that a trait is suspected no more, and tell who suspects it."""
+        ends = self.suspects.ends(trait)
+        was_held = self.suspects.was_held(trait)
+        if not self.suspects.clear(trait):
             return
-        events.log(events.WORK_CLEARED, work=work, ends=len(ends), was_held=was_held)
-        if len(ends) > 1:
-            self.tell_cleared(work)
+        events.log(events.TRAIT_CLEARED, trait=trait, ends=len(ends), was_held=was_held)
+        self.tell_cleared(trait, len(ends))
         if was_held:
-            self.keep_hold(work)
+            self.keep_hold(trait)
 
     def born_ms(self, server_id: str) -> int:
         """Return when a server's known start was; 0 where that is not known."""
--- a/src/violethatch/events.py
+++ b/src/violethatch/events.py
@@ -90,9 +90,12 @@
 HEAD_LATE = Event(2214, "head_late", "A caller's request head did not come in time.")
 
 WORK_HELD = Event(2216, "work_held", "A request is held back: servers end under it.")
-WORK_CLEARED = Event(2217, "work_cleared", "A suspected work was answered whole.")
-HOLD_UNWRITTEN = Event(2218, "hold_unwritten", "A held work could not be stored yet.")
-HOLD_READ = Event(2219, "hold_read", "A held work was read from the store.")
+TRAIT_CLEARED = Event(2217, "trait_cleared", "An answer shows that a suspect is sound.")
+HOLD_UNWRITTEN = Event(2218, "hold_unwritten", "A hold could not be stored yet.")
+HOLD_READ = Event(2219, "hold_read", "A hold was read from the store.")
+TRIAL_BEGUN = Event(
+    2231, "trial_begun", "A request with a held part is let through to try it."
+)
 
 ADMISSION_CHANGED = Event(
     2220, "admission_changed", "What is admitted of each priority has changed."
--- a/src/violethatch/streams/_call.py
+++ b/src/violethatch/streams/_call.py
@@ -309,9 +309,10 @@
         A stream that has run waits a little: its caller waits longer for the next
         event than room takes to come back.  Beside a silent run nothing waits here.
         """
-        if self._work.is_suspect:
+        suspected = self._work.suspected_trait
+        if suspected is not None:
             apart = self._routing.path_apart(
-                self._service, avoided=self._avoided, work=self._work.id
+                self._service, avoided=self._avoided, trait=suspected
             )
             if apart is not None:
                 return apart
@@ -449,7 +450,7 @@
                 run.parts(answer),
                 answer,
                 responder,
-                on_event=functools.partial(self._live.keep_only, run),
+                on_event=functools.partial(self._note_event, run),
             )
         except (AnswerLostError, SpoiltStreamError) as error:
             trouble = await self._work.trouble_of(
@@ -468,6 +469,11 @@
         await responder.finish()
         return RunOutcome(run, RunEnd.WHOLE, _OK)
 
+    def _note_event(self, run: StreamRun) -> None:
+        """Note a run's event that the caller is to get: no other run goes on."""
+        self._live.keep_only(run)
+        run.note_given()
+
     async def _take_failure(
         self, answer: Answer, run: StreamRun, responder: Responder
     ) -> RunOutcome:
--- a/src/violethatch/streams/_run.py
+++ b/src/violethatch/streams/_run.py
@@ -23,6 +23,9 @@
 from .silent_runs import Action, CheckTimes, Finding, action_on
 
 
+#: For how long events have to come until the prompt counts as one that ends no server,
+#: in seconds: what does so ends it when its answer begins.
+_SOUND_AFTER_S = 0.25
 #: Orders onto another path that are tried in one silence.
 _MAX_MOVES = 2
 
@@ -79,6 +82,8 @@
         #: it is on them.
         self.has_begun = False
         self._on_path_s = clocks.now_s()
+        #: When the first whole event came that the caller lacked, if one has.
+        self._given_s: float | None = None
         #: What the check found that has made it count as silent, until it goes on.
         self.silence: Finding | None = None
         #: The check that is under way, if one is.
@@ -160,6 +165,14 @@
         finally:
             self._note_end()
 
+    def note_given(self) -> None:
+        """Note a whole event that the caller is to get."""
+        now_s = clocks.now_s()
+        if self._given_s is None:
+            self._given_s = now_s
+        elif now_s - self._given_s >= _SOUND_AFTER_S:
+            self._work.went_on()
+
     def note_restarted(self, server_ids: frozenset[str]) -> None:
         """Note that servers have started again; those on the path lack the request."""
         on_path = server_ids & self.path.server_ids
@@ -397,6 +410,7 @@
         self._note_end()
         self.path = path
         self.has_begun = False
+        self._given_s = None
         self._on_path_s = clocks.now_s()
         self.count_in()
         if had_begun:
--- a/src/violethatch/suspicion/_held_rows.py
+++ b/src/violethatch/suspicion/_held_rows.py
@@ -1,8 +1,8 @@
 # SPDX-License-Identifier: MIT
-"""Works that are held back, kept in the store.
+"""Traits that are held back, kept in the store.
 
 Datagrams reach who is there.  An instance that starts, or that all datagrams missed,
-learns of held works from the table of instances, which every instance follows anyhow.
+learns of held traits from the table of instances, which every instance follows anyhow.
 Who has seen the end that decided it writes the row; there are few.
 """
 
@@ -24,7 +24,7 @@
 from .crash_suspects import HELD_LIFE_S, CrashSuspects, End, Hold
 
 
-#: What begins the key of a held work's row; no instance's id does.
+#: What begins the key of a held trait's row; no instance's id does.
 HELD_PREFIX = "held/"
 #: How long to wait after a write that came to nothing, in seconds, each time twice as
 #: long: the others have been told by datagrams already.
@@ -36,7 +36,7 @@
 
 
 class _HeldRow(NamedTuple):
-    """A held work as its row tells it; times are the store's steady clock."""
+    """A held trait as its row tells it; times are the store's steady clock."""
 
     number: int
     until_store_s: float
@@ -61,7 +61,7 @@
 
 
 class HeldRows:
-    """Writes held works to the store, and takes others' in.
+    """Writes held traits to the store, and takes others' in.
 
     Args:
         store: Keeps the rows.
@@ -82,21 +82,21 @@
         self._table = table
         self._suspects = suspects
         self._clock = clock
-        #: Works whose rows have to be written, or removed.
+        #: Traits whose rows have to be written, or removed.
         self._waiting: dict[str, None] = {}
         self._has_work = asyncio.Event()
-        #: Works whose rows were written here, the latest ones, and whether they were
+        #: Traits whose rows were written here, the latest ones, and whether they were
         #: held back then.
         self._written: dict[str, bool] = {}
         #: By key, until when each known row counts, by the store's clock.
         self._until_store_s: dict[str, float] = {}
 
-    def keep(self, work: str) -> None:
-        """Have a work's row written, or removed if it is no longer held."""
+    def keep(self, trait: str) -> None:
+        """Have a trait's row written, or removed if it is no longer held."""
         if len(self._waiting) >= _MOST_WAITING:
-            events.log(events.HOLD_UNWRITTEN, work=work, reason="too many wait")
+            events.log(events.HOLD_UNWRITTEN, trait=trait, reason="too many wait")
             return
-        self._waiting[work] = None
+        self._waiting[trait] = None
         self._has_work.set()
 
     async def run(self) -> None:
@@ -139,7 +139,9 @@
 
     def _lost(self, values: Mapping[str, bytes | None]) -> set[str]:
         """Return the keys whose rows are not as they were written here."""
-        keys = {HELD_PREFIX + work: is_held for work, is_held in self._written.items()}
+        keys = {
+            HELD_PREFIX + trait: is_held for trait, is_held in self._written.items()
+        }
         return {key for key, is_held in keys.items() if (key in values) != is_held}
 
     def expired(self, *, store_s: float) -> list[str]:
@@ -150,51 +152,51 @@
 
     def _take_row(self, key: str, value: bytes, now_s: float) -> None:
         """Take one row in."""
-        work = key.removeprefix(HELD_PREFIX)
+        trait = key.removeprefix(HELD_PREFIX)
         store_now_s = self._clock.now_s()
         try:
-            check_work_id(work)
+            check_work_id(trait)
             row = decoded(_ROW, value)
         except ValueError as error:
             events.log(events.STATE_REFUSED, row=key, reason=str(error))
             return
         self._until_store_s[key] = row.until_store_s + HELD_LIFE_S
         left_s = row.until_store_s - store_now_s if store_now_s is not None else 0.0
-        hold = Hold(work, min(left_s, HELD_LIFE_S), row.number, tuple(row.ends))
+        hold = Hold(trait, min(left_s, HELD_LIFE_S), row.number, tuple(row.ends))
         if self._suspects.take(hold, now_s=now_s):
-            events.log(events.HOLD_READ, work=work, left_s=round(left_s, 1))
+            events.log(events.HOLD_READ, trait=trait, left_s=round(left_s, 1))
 
     async def _write(self) -> bool:
         """Write some of what waits; tell whether that surely was done."""
         store_s = self._clock.now_s()
         if store_s is None:
             return False  # the store was not read yet
-        works = list(self._waiting)[:_MOST_IN_A_WRITE]
-        rows = {HELD_PREFIX + work: self._row(work, store_s) for work in works}
+        traits = list(self._waiting)[:_MOST_IN_A_WRITE]
+        rows = {HELD_PREFIX + trait: self._row(trait, store_s) for trait in traits}
         put = {key: row for key, row in rows.items() if row is not None}
         remove = [key for key, row in rows.items() if row is None]
         try:
             await self._store.write_entries(self._table, put, remove)
         except (TableUnavailableError, AnswerLostError) as error:
-            events.log(events.HOLD_UNWRITTEN, works=works, reason=str(error))
+            events.log(events.HOLD_UNWRITTEN, traits=traits, reason=str(error))
             return False
-        for work in works:
-            self._waiting.pop(work, None)
-            self._note_written(work, is_held=rows[HELD_PREFIX + work] is not None)
+        for trait in traits:
+            self._waiting.pop(trait, None)
+            self._note_written(trait, is_held=rows[HELD_PREFIX + trait] is not None)
         if not self._waiting:
             self._has_work.clear()
         return True
 
-    def _note_written(self, work: str, *, is_held: bool) -> None:
-        """Remember what was written of a work."""
-        self._written.pop(work, None)
-        self._written[work] = is_held
+    def _note_written(self, trait: str, *, is_held: bool) -> None:
+        """Remember what was written of a trait."""
+        self._written.pop(trait, None)
+        self._written[trait] = is_held
         while len(self._written) > _MOST_WAITING:
             del self._written[next(iter(self._written))]
 
-    def _row(self, work: str, store_s: float) -> bytes | None:
-        """Return a work's row, or None if it is not held back."""
-        hold = self._suspects.hold(work, now_s=clocks.now_s())
+    def _row(self, trait: str, store_s: float) -> bytes | None:
+        """Return a trait's row, or None if it is not held back."""
+        hold = self._suspects.hold(trait, now_s=clocks.now_s())
         if hold is None:
             return None
         row = _HeldRow(hold.number, store_s + hold.left_s, list(hold.ends))
--- a/src/violethatch/suspicion/_link.py
+++ b/src/violethatch/suspicion/_link.py
@@ -1,10 +1,10 @@
 # SPDX-License-Identifier: MIT
-"""Ends of servers under works, told from instance to instance.
+"""Ends of servers under requests' traits, told from instance to instance.
 
 A server's end leaves up to 96 works at as many instances, and next to all of them are
-never seen again.  So the first end under a work is told to three instances only, which
-the work's id chooses: wherever it comes again, they hear of that too.  From the second
-end on all are told.  Each word goes out twice, as datagrams may be lost.
+never seen again.  So the first end under a trait is told to three instances only, which
+its id chooses: wherever it comes again, they are told of that too.  From the second end
+on all are told.  Each datagram goes out twice, as some may be lost.
 """
 
 from __future__ import annotations
@@ -23,11 +23,11 @@
 )
 from ..instances import InstanceEntry
 from ..membership import rendezvous
-from ..work_ids import check_work_id
+from ..work_ids import check_work_id, is_part, part_of
 from .crash_suspects import CrashSuspects, End
 
 
-#: How many instances remember a work's first end: two of them may be gone.
+#: How many instances remember a trait's first end: two of them may be gone.
 _HOMES = 3
 #: How long words are gathered for one datagram, in seconds.
 _GATHER_S = 0.02
@@ -62,28 +62,46 @@
 
     def tell(self, end: End) -> None:
         """Tell of an end that this instance has seen, soon and once more."""
-        known = self._suspects.ends(end.work)
+        known = self._suspects.ends(end.trait)
         if len(known) > 1:
             self._tell(known, self._others())
         else:
-            self._tell((end,), self._homes(end.work))
+            self._tell((end,), self._homes(end.trait))
 
-    def tell_cleared(self, work: str) -> None:
-        """Tell all that a work was answered whole."""
+    def tell_cleared(self, trait: str, ends: int) -> None:
+        """Tell those that a trait is cleared who may know of its ends.
+
+        A work that is answered is hardly ever seen again, so its only end may stay
+        known; a part of prompts is.
+
+        Args:
+            trait: What was answered.
+            ends: How many ends were known under it.
+        """
         own_id = self._datagrams.directory.own.id
-        for peer in self._others():
+        if ends > 1:
+            peers = self._others()
+        else:
+            peers = self._homes(trait) if is_part(trait) else []
+        for peer in peers:
             if self._allowance.take():
-                self._datagrams.send(peer, ClearedDatagram(peer.token, own_id, work))
+                self._datagrams.send(peer, ClearedDatagram(peer.token, own_id, trait))
+
+    def may_try(self, trait: str) -> bool:
+        """Tell whether this instance is the one that tries a held part again."""
+        own_id = self._datagrams.directory.own.id
+        ids = {own_id, *(one.id for one in self._others())}
+        return rendezvous(part_of(trait), ids, count=1) == [own_id]
 
     def _others(self) -> list[InstanceEntry]:
         """Return all other instances."""
         return self._datagrams.directory.others() if self._datagrams.is_open else []
 
-    def _homes(self, work: str) -> list[InstanceEntry]:
-        """Return those of the others that remember a work's first end."""
+    def _homes(self, trait: str) -> list[InstanceEntry]:
+        """Return those of the others that remember a trait's first end."""
         others = {one.id: one for one in self._others()}
         ids = {*others, self._datagrams.directory.own.id}
-        homes = rendezvous(work, ids, count=_HOMES)
+        homes = rendezvous(trait, ids, count=_HOMES)
         return [others[one] for one in homes if one in others]
 
     def _tell(self, ends: Iterable[End], peers: Sequence[InstanceEntry]) -> None:
@@ -97,12 +115,12 @@
         """Have ends told that are still believed."""
         for peer_id, end in told:
             waiting = self._waiting.setdefault(peer_id, [])
-            if end not in self._suspects.ends(end.work):
-                continue  # answered whole meanwhile
+            if end not in self._suspects.ends(end.trait):
+                continue  # cleared meanwhile
             if len(waiting) < _MOST_WAITING:
                 waiting.append(end)
             else:
-                events.log(events.END_UNTOLD, instance_id=peer_id, work=end.work)
+                events.log(events.END_UNTOLD, instance_id=peer_id, trait=end.trait)
         self._schedule()
 
     def _schedule(self) -> None:
@@ -125,7 +143,7 @@
                 self._waiting[peer_id] = ends
                 continue
             told = [
-                (one.work, one.lifetime, one.has_begun, one.witness)
+                (one.trait, one.lifetime, one.has_begun, one.witness)
                 for one in ends[:_DATAGRAM_ENDS]
             ]
             self._datagrams.send(peer, EndsDatagram(peer.token, directory.own.id, told))
@@ -135,31 +153,31 @@
             self._schedule()
 
     def _take(self, message: EndsDatagram) -> None:
-        """Take others' ends in; tell all of works that they show to come again.
+        """Take others' ends in; tell all of traits that they show to come again.
 
         Raises:
-            ValueError: One of them names no work.
+            ValueError: One of them names no trait.
         """
         now_s = clocks.now_s()
         told = [End(*one) for one in message.ends]
         for end in told:
-            check_work_id(end.work)
-        counts = collections.Counter(end.work for end in told)
-        news = {end.work for end in told if self._suspects.note(end, now_s=now_s)}
-        for work in news:
-            known = self._suspects.ends(work)
+            check_work_id(end.trait)
+        counts = collections.Counter(end.trait for end in told)
+        new = {end.trait for end in told if self._suspects.note(end, now_s=now_s)}
+        for trait in new:
+            known = self._suspects.ends(trait)
             events.log(
                 events.END_HEARD,
-                work=work,
+                trait=trait,
                 teller=message.sender,
                 lifetimes=[end.lifetime for end in known],
-                is_held=self._suspects.hold(work, now_s=now_s) is not None,
+                is_held=self._suspects.hold(trait, now_s=now_s) is not None,
             )
             # Who has told of one end knows of no other, nor do the rest.
-            if counts[work] == 1 and len(known) > 1:
+            if counts[trait] == 1 and len(known) > 1:
                 self._tell(known, self._others())
 
     def _take_cleared(self, message: ClearedDatagram) -> None:
-        """Forget a work that another instance has answered whole."""
-        if self._suspects.clear(message.work):
-            events.log(events.WORK_CLEARED, work=message.work, teller=message.sender)
+        """Forget a trait that another instance has cleared."""
+        if self._suspects.clear(message.trait):
+            events.log(events.TRAIT_CLEARED, trait=message.trait, teller=message.sender)
--- a/src/violethatch/suspicion/_server_ends.py
+++ b/src/violethatch/suspicion/_server_ends.py
@@ -10,7 +10,7 @@
 
 import asyncio
 
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Sequence
 from typing import NamedTuple
 
 from .. import clocks, events
@@ -37,7 +37,8 @@
 class _Doubt(NamedTuple):
     """An answer that broke off at a server that takes connections."""
 
-    end: End
+    lifetime: str
+    ends: Sequence[End]
     noted_s: float
 
     @property
@@ -89,14 +90,14 @@
         """Note that a lifetime has ended as planned."""
         self._remember(self._planned_s, lifetime)
 
-    def doubt(self, end: End) -> None:
-        """Keep an end that only a later start of the server would prove.
+    def doubt(self, lifetime: str, ends: Sequence[End]) -> None:
+        """Keep a server's end under a request that only its later start would prove.
 
         A server that is back before it is asked takes connections again.
         """
         self._doubted = [one for one in self._doubted if one.is_recent]
         if len(self._doubted) < _MOST_DOUBTED:
-            self._doubted.append(_Doubt(end, clocks.now_s()))
+            self._doubted.append(_Doubt(lifetime, ends, clocks.now_s()))
 
     def proven(self, before: BackendServer) -> list[End]:
         """Return the ends that a server's new start proves.
@@ -105,11 +106,11 @@
             before: The server as it was before.
         """
         lifetime = before.lifetime
-        doubted = [one for one in self._doubted if one.end.lifetime == lifetime]
+        doubted = [one for one in self._doubted if one.lifetime == lifetime]
         self._doubted = [one for one in self._doubted if one not in doubted]
         if before.is_leaving:
             return []
-        return [one.end for one in doubted if one.is_recent]
+        return [end for one in doubted if one.is_recent for end in one.ends]
 
     async def has_ended(self, server: BackendServer) -> bool:
         """Tell whether a server, of which a request was broken off, has ended.
--- a/src/violethatch/suspicion/_work.py
+++ b/src/violethatch/suspicion/_work.py
@@ -1,5 +1,5 @@
 # SPDX-License-Identifier: MIT
-"""One call's work, and the servers that end while they have it."""
+"""One call's work and prompt parts, and the servers that end while they have it."""
 
 from __future__ import annotations
 
@@ -14,7 +14,8 @@
 from ..errors import HeldBackError
 from ..runner_health import Trouble
 from ..upstream import Call, ConnectionBrokenError
-from .crash_suspects import End, Hold
+from ..work_ids import is_part, part_id, part_of
+from .crash_suspects import TRIAL_PAUSE_S, End, Hold
 
 
 if TYPE_CHECKING:
@@ -24,6 +25,9 @@
 #: The longest time after which a caller is told to come back, in seconds: what is held
 #: back for longer may still be cleared by then.
 _LONGEST_RETRY_S = 3_600.0
+#: Ends under a part of a prompt from which on requests with it go apart from others:
+#: popular parts are under a single end all the time.
+_APART_ENDS = 2
 #: The most parts of a prompt in one line of the log.
 _MAX_LOGGED_PARTS = 8
 
@@ -41,24 +45,46 @@
         self._routing = routing
         self._call = call
         self._workspace = workspace
+        #: Whether an answer has gone on for a while, so that no part is at fault.
+        self._is_cleared = False
+        #: The hold that this call may pass, as the one that tries whether it is right.
+        self._trial: tuple[str, int] | None = None
 
     @functools.cached_property
     def id(self) -> str:
         """The work's id; a digest, made when it is first asked for."""
         return self._call.work_id(self._workspace)
 
+    @functools.cached_property
+    def _parts(self) -> tuple[str, ...]:
+        """The ids of the prompt's parts, for all callers and for this one."""
+        parts = self._call.prompt_parts
+        shared = [part_id(one) for one in parts]
+        if self._workspace is not None:
+            shared += [part_id(one, caller=self._workspace) for one in parts]
+        return tuple(shared)
+
+    @property
+    def _traits(self) -> tuple[str, ...]:
+        """All that other requests may have in common with this one."""
+        return (self.id, *self._parts)
+
     @property
     def is_held(self) -> bool:
         """Whether it must not be sent to any server now."""
         return self._hold() is not None
 
     @property
-    def is_suspect(self) -> bool:
-        """Whether a server has ended under it before it had begun there."""
+    def suspected_trait(self) -> str | None:
+        """What other requests under which servers ended have in common with it."""
         suspects = self._routing.suspects
         if not suspects:
-            return False
-        return any(not end.has_begun for end in suspects.ends(self.id))
+            return None
+        for part in self._parts if suspects.has_parts else ():
+            if len(suspects.ends(part)) >= _APART_ENDS:
+                return part
+        is_suspect = any(not end.has_begun for end in suspects.ends(self.id))
+        return self.id if is_suspect else None
 
     def held_back(self) -> HeldBackError | None:
         """Return the refusal of a work that is held back, and log what decided it."""
@@ -68,20 +94,39 @@
         events.log(
             events.WORK_HELD,
             request_id=self._call.id,
-            work=hold.work,
+            trait=hold.trait,
             lifetimes=[end.lifetime for end in hold.ends],
             witnesses=sorted({end.witness for end in hold.ends}),
             holds=hold.number,
             left_s=round(hold.left_s, 1),
         )
-        msg = f"{len(hold.ends)} servers have ended under it"
-        retry_after_s = min(hold.left_s, _LONGEST_RETRY_S)
+        what = "a part of its prompt" if is_part(hold.trait) else "it"
+        msg = f"{len(hold.ends)} servers have ended under {what}"
+        left_s = hold.left_s or TRIAL_PAUSE_S
+        retry_after_s = min(left_s, _LONGEST_RETRY_S)
         return HeldBackError(msg, retry_after_s=round(retry_after_s, 1))
 
     def _hold(self) -> Hold | None:
         """Return how it is held back; nothing is digested if nothing is suspected."""
         suspects = self._routing.suspects
-        return suspects.hold(self.id, now_s=clocks.now_s()) if suspects else None
+        if not suspects:
+            return None
+        traits = self._traits if suspects.has_parts else (self.id,)
+        hold = suspects.hold_for(traits, now_s=clocks.now_s())
+        return None if hold is None or self._may_try(hold) else hold
+
+    def _may_try(self, hold: Hold) -> bool:
+        """Tell whether this call may show that a held part is not at fault."""
+        trial = (part_of(hold.trait), hold.number)
+        if self._trial == trial:
+            return True
+        if hold.left_s > 0.0 or not self._routing.may_try(hold.trait):
+            return False
+        if not self._routing.suspects.begin_trial(hold.trait, now_s=clocks.now_s()):
+            return False
+        self._trial = trial
+        events.log(events.TRIAL_BEGUN, request_id=self._call.id, trait=hold.trait)
+        return True
 
     async def trouble_of(
         self, error: Exception, server: BackendServer, *, has_begun: bool
@@ -108,7 +153,7 @@
         if not await ends.has_ended(server):
             if server.born_ms:
                 # A later start would prove it; the others don't tell theirs apart.
-                ends.doubt(self._end(server, has_begun=has_begun))
+                ends.doubt(server.lifetime, self._ends(server, has_begun=has_begun))
             return False
         self._note(server, has_begun=has_begun)
         return True
@@ -135,16 +180,20 @@
             self._note(new[0], has_begun=has_begun, together=len(new))
         return bool(ended)
 
-    def _end(self, server: BackendServer, *, has_begun: bool) -> End:
-        """Return a server's end under the work, as this instance has seen it."""
+    def _ends(self, server: BackendServer, *, has_begun: bool) -> list[End]:
+        """Return a server's end under each trait, as this instance has seen it."""
         witness = self._routing.settings.instance.id
-        return End(self.id, server.lifetime, has_begun, witness)
+        ends = [End(self.id, server.lifetime, has_begun, witness)]
+        if not self._is_cleared:
+            ends += [End(one, server.lifetime, False, witness) for one in self._parts]
+        return ends
 
     def _note(
         self, server: BackendServer, *, has_begun: bool, together: int = 1
     ) -> None:
-        """Note a server's end under the work, tell others, and log it."""
-        self._routing.note_end(self._end(server, has_begun=has_begun))
+        """Note a server's end under the call, tell others, and log it."""
+        for end in self._ends(server, has_begun=has_begun):
+            self._routing.note_end(end)
         events.log(
             events.SERVER_ENDED,
             request_id=self._call.id,
@@ -152,12 +201,19 @@
             server_id=server.id,
             lifetime=server.lifetime,
             has_begun=has_begun,
+            has_gone_on=self._is_cleared,
             parts=self._call.prompt_parts[:_MAX_LOGGED_PARTS],
             ended_together=together,
             is_held=self.is_held,
         )
 
+    def went_on(self) -> None:
+        """Note that its answer has gone on for a while: its parts end no server."""
+        self._is_cleared = True
+        if self._routing.suspects.has_parts:
+            self._routing.note_cleared(self._parts)
+
     def answered(self) -> None:
         """Note that it was answered whole."""
         if self._routing.suspects:
-            self._routing.note_answered(self.id)
+            self._routing.note_cleared((self.id, *self._parts))
--- a/src/violethatch/work_ids.py
+++ b/src/violethatch/work_ids.py
@@ -1,8 +1,10 @@
 # SPDX-License-Identifier: MIT
-"""What makes two requests the same piece of work.
+"""What requests may have in common: their work, and parts of their prompts.
 
 A caller who comes back sends a new request with an id of its own.  The work is the
-same where the caller, the method, the place and the body are.
+same where the caller, the method, the place and the body are.  Requests of different
+works may share parts of their prompts, within one caller or among all.  Ids of works
+and of parts have the same form, and tell nothing of what they stand for.
 
 .. versionadded:: 26.4.0
 """
@@ -17,7 +19,13 @@
 CALLER_BYTES = 4
 #: How many bytes name the work itself: no two of them are ever alike.
 _WORK_BYTES = 12
+#: How many bytes name a prompt's part, and how many the caller who sent it.
+_PART_BYTES = 6
 _HEX_DIGITS = frozenset("0123456789abcdef")
+#: What the ids of parts begin with, where works' ids name their caller.  No workspace's
+#: name has a zero byte.
+_PART_PREFIX = hashlib.blake2b(b"\0part", digest_size=CALLER_BYTES).hexdigest()
+_ALL_CALLERS = "0" * (2 * _PART_BYTES)
 
 
 def work_id(
@@ -44,8 +52,43 @@
     return whose.hexdigest() + what.hexdigest()
 
 
+def part_id(part: str, *, caller: str | None = None) -> str:
+    """Return the id of a prompt's part.
+
+    Args:
+        part: What the caller names it.
+        caller: The workspace whose requests are meant, or None for all requests with
+            that part.
+
+    .. versionadded:: 26.7.0
+    """
+    named = hashlib.blake2b(part.encode(), digest_size=_PART_BYTES).hexdigest()
+    if caller is None:
+        return _PART_PREFIX + named + _ALL_CALLERS
+    whose = hashlib.blake2b(caller.encode(), digest_size=_PART_BYTES).hexdigest()
+    return _PART_PREFIX + named + whose
+
+
+def is_part(trait: str) -> bool:
+    """Tell whether an id is that of a prompt's part.
+
+    .. versionadded:: 26.7.0
+    """
+    return trait.startswith(_PART_PREFIX)
+
+
+def part_of(trait: str) -> str:
+    """Return what the ids of one part have in common for all callers.
+
+    .. versionadded:: 26.7.0
+    """
+    return trait[: 2 * (CALLER_BYTES + _PART_BYTES)]
+
+
 def caller_of(work: str) -> str:
-    """Return the part of a work's id that names its caller.
+    """Return the start of a work's id, which names its caller.
+
+    The ids of prompts' parts all begin alike.
 
     .. versionadded:: 26.4.0
     """
@@ -53,7 +96,7 @@
 
 
 def check_work_id(text: str) -> None:
-    """Check that a text that came from elsewhere is a work's id.
+    """Check that a text that came from elsewhere is the id of a work or a part.
 
     Raises:
         ValueError: It is none.
--- a/tests/test_crash_suspects.py
+++ b/tests/test_crash_suspects.py
@@ -122,7 +122,7 @@
 class TestBounds:
     def test_callers_new_bodies_take_only_its_own_places(self):
         """Nobody else's held work is forgotten for them."""
-        suspects = CrashSuspects(most_works=50)
+        suspects = CrashSuspects(max_traits=50)
         for name in "abc":
             suspects.note(end(name, of=work(caller="depot")), now_s=0.0)
         for number in range(1_000):
@@ -132,7 +132,7 @@
 
     def test_least_suspected_goes_first(self):
         """Of one caller's works those that are held back stay longest."""
-        suspects = CrashSuspects(most_works=3)
+        suspects = CrashSuspects(max_traits=3)
         for name in "abc":
             suspects.note(end(name, of=work(1)), now_s=0.0)
         for name in "ab":
--- a/tests/test_repeats_that_end_servers.py
+++ b/tests/test_repeats_that_end_servers.py
@@ -143,7 +143,7 @@
     """Return how many works some router knows to have been under so many ends."""
     most = collections.Counter()
     for router in fleet.routers:
-        for work in router.routing.suspects.works():
+        for work in router.routing.suspects.traits():
             most[work] = max(most[work], len(router.routing.suspects.ends(work)))
     return collections.Counter(most.values())
 
--- a/tests/test_suspect_link.py
+++ b/tests/test_suspect_link.py
@@ -98,7 +98,7 @@
         told.see(1, "s2")
         await asyncio.sleep(0.1)
         told.suspects[2].clear(WORK)
-        told.links[2].tell_cleared(WORK)
+        told.links[2].tell_cleared(WORK, 2)
         await asyncio.sleep(1.0)
         assert not any(one.ends(WORK) for one in told.suspects)
 
--- a/tests/test_work_in_hand.py
+++ b/tests/test_work_in_hand.py
@@ -37,7 +37,7 @@
         routing = make_routing(FakeClient(), A, rng=random.Random(1))
         work = work_in_hand(routing)
         assert not work.is_held
-        assert not work.is_suspect
+        assert work.suspected_trait is None
         assert work.held_back() is None
         work.answered()
         assert made == []
@@ -73,7 +73,7 @@
         client.refusing = {"a"}
         routing.ends._there_s.clear()
         assert await work_in_hand(routing).lost(A, has_begun=False)
-        assert work_in_hand(routing).is_suspect
+        assert work_in_hand(routing).suspected_trait is not None
         work_in_hand(routing).answered()
         assert not routing.suspects
 
@@ -146,4 +146,4 @@
         """What was well on its way goes on like the rest."""
         routing = make_routing(FakeClient(), A, rng=random.Random(1))
         noted(routing, "a", has_begun=True)
-        assert not work_in_hand(routing).is_suspect
+        assert work_in_hand(routing).suspected_trait is None
