--- a/src/violethatch/suspicion/_work.py
+++ b/src/violethatch/suspicion/_work.py
@@ -25,6 +25,9 @@
 #: The longest time after which a caller is told to come back, in seconds: what is held
 #: back for longer may still be cleared by then.
 _LONGEST_RETRY_S = 3_600.0
+#: For how long a hold on a part of prompts is young, in seconds: if the part is sound,
+#: other requests' answers clear it within that time.
+_YOUNG_S = 1.0
 #: Ends under a part of a prompt from which on requests with it go apart from others:
 #: popular parts are under a single end all the time.
 _APART_ENDS = 2
@@ -32,6 +35,13 @@
 _MAX_LOGGED_PARTS = 8
 
 
+def _retry_after_s(hold: Hold) -> float:
+    """Return when a caller who is held back should come back, in seconds."""
+    if is_part(hold.trait) and hold.age_s < _YOUNG_S:
+        return _YOUNG_S
+    return min(hold.left_s or TRIAL_PAUSE_S, _LONGEST_RETRY_S)
+
+
 class WorkInHand:
     """The work of one call.
 
@@ -102,9 +112,7 @@
         )
         what = "a part of its prompt" if is_part(hold.trait) else "it"
         msg = f"{len(hold.ends)} servers have ended under {what}"
-        left_s = hold.left_s or TRIAL_PAUSE_S
-        retry_after_s = min(left_s, _LONGEST_RETRY_S)
-        return HeldBackError(msg, retry_after_s=round(retry_after_s, 1))
+        return HeldBackError(msg, retry_after_s=round(_retry_after_s(hold), 1))
 
     def _hold(self) -> Hold | None:
         """Return how it is held back; nothing is digested if nothing is suspected."""
--- a/src/violethatch/suspicion/crash_suspects.py
+++ b/src/violethatch/suspicion/crash_suspects.py
@@ -101,6 +101,16 @@
     number: int
     ends: tuple[End, ...]
 
+    @property
+    def age_s(self) -> float:
+        """For how long it has been held back this time, in seconds."""
+        return _hold_s(self.number) - self.left_s
+
+
+def _hold_s(number: int) -> float:
+    """Return how long a trait is held back for the nth time, in seconds."""
+    return (*_HOLDS_S, HELD_LIFE_S)[min(number - 1, len(_HOLDS_S))]
+
 
 class _Suspect:
     """What is known of one trait."""
@@ -306,9 +316,8 @@
 
     def _hold(self, suspect: _Suspect, now_s: float) -> None:
         """Hold a trait back, longer each time."""
-        length_s = (*_HOLDS_S, HELD_LIFE_S)[min(suspect.holds, len(_HOLDS_S))]
         suspect.holds += 1
-        suspect.until_s = now_s + length_s
+        suspect.until_s = now_s + _hold_s(suspect.holds)
 
     def _add(self, trait: str, now_s: float) -> _Suspect:
         """Remember one more trait, and forget others for it if there are too many."""
--- a/tests/test_crash_suspects.py
+++ b/tests/test_crash_suspects.py
@@ -8,7 +8,7 @@
 import pytest
 
 from violethatch.suspicion import CrashSuspects, End, Hold
-from violethatch.work_ids import work_id
+from violethatch.work_ids import part_id, work_id
 
 
 def work(number=1, *, caller="clinic"):
@@ -95,6 +95,90 @@
         assert len(suspects.ends(WORK)) == 1
 
 
+PART, OTHER_PART = part_id("5c1e07a2"), part_id("91bd3f06")
+OWN_PART = part_id("5c1e07a2", caller="clinic")
+
+
+class TestParts:
+    def test_part_of_different_works_is_held_back(self):
+        """No two requests with it are alike."""
+        suspects = CrashSuspects()
+        for number, name in enumerate("abc"):
+            suspects.note(end(name, of=work(number)), now_s=0.0)
+            suspects.note(end(name, of=PART), now_s=0.0)
+        assert suspects.hold_for((work(9), PART), now_s=1.0).trait == PART
+        assert suspects.hold_for((work(9), OTHER_PART), now_s=1.0) is None
+
+    def test_end_after_the_answer_had_begun_counts_for_no_part(self):
+        """What ends servers does so when its answer begins."""
+        assert not noted(end("a", of=PART, has_begun=True))
+
+    def test_repeats_of_one_work_hold_nobody_else_back(self):
+        """Its body may be at fault, and not what it shares with others."""
+        ends = [end(name, of=of) for name in "abc" for of in (WORK, PART)]
+        suspects = noted(*ends)
+        assert suspects.hold_for((WORK, PART), now_s=1.0) is not None
+        assert suspects.hold_for((work(2), PART), now_s=1.0) is None
+        suspects.note(end("d", of=PART), now_s=1.0)
+        assert suspects.hold_for((work(2), PART), now_s=1.0) is not None
+
+    def test_request_without_one_of_the_suspected_parts_passes(self):
+        """What it lacks may be at fault; one more end tells them apart."""
+        parts = (PART, OTHER_PART)
+        suspects = noted(*[end(name, of=of) for name in "abc" for of in parts])
+        assert suspects.hold_for(parts, now_s=1.0) is not None
+        assert suspects.hold_for((PART,), now_s=1.0) is None
+        suspects.note(end("d", of=PART), now_s=1.0)
+        assert suspects.hold_for((PART,), now_s=1.0) is not None
+        assert suspects.hold_for((OTHER_PART,), now_s=1.0) is None
+
+    def test_part_with_fewer_ends_than_another_is_not_held(self):
+        """It was in bad company."""
+        suspects = noted(*[end(name, of=PART) for name in "abcd"])
+        for name in "abc":
+            suspects.note(end(name, of=OTHER_PART), now_s=0.0)
+        assert suspects.held(now_s=1.0) == [PART]
+
+    def test_other_callers_requests_with_a_part_pass(self):
+        """A caller that names others' parts has only its own requests held back."""
+        suspects = noted(
+            *[end(name, of=of) for name in "abc" for of in (PART, OWN_PART)]
+        )
+        others = part_id("5c1e07a2", caller="depot")
+        assert suspects.hold_for((work(1), PART, OWN_PART), now_s=1.0) is not None
+        assert suspects.hold_for((work(2), PART, others), now_s=1.0) is None
+
+    def test_part_that_several_callers_send_is_held_for_all(self):
+        """They need not end three servers each."""
+        suspects = noted(*[end(name, of=PART) for name in "abc"])
+        for name in "ab":
+            suspects.note(end(name, of=OWN_PART), now_s=0.0)
+        suspects.note(end("c", of=part_id("5c1e07a2", caller="depot")), now_s=0.0)
+        third = part_id("5c1e07a2", caller="shop")
+        assert suspects.hold_for((PART, third), now_s=1.0) is not None
+
+    def test_one_request_in_a_while_is_let_through(self):
+        """Requests with a part come by the dozen: time alone lets none through."""
+        suspects = noted(
+            *[end(name, of=of) for name in "abc" for of in (PART, OWN_PART)]
+        )
+        assert suspects.hold(PART, now_s=29.0).left_s == 1.0
+        assert suspects.hold(PART, now_s=31.0).left_s == 0.0
+        assert suspects.begin_trial(PART, now_s=31.0)
+        assert not suspects.begin_trial(OWN_PART, now_s=32.0)
+        assert suspects.begin_trial(OWN_PART, now_s=42.0)
+        suspects.note(end("d", of=PART), now_s=43.0)
+        assert suspects.hold(PART, now_s=43.0).left_s == 120.0
+
+    def test_cleared_part_leaves_nothing_behind(self):
+        """Nothing is looked up any more while nothing is suspected."""
+        suspects = noted(end("a", of=PART))
+        assert suspects.has_parts
+        assert suspects.clear(PART)
+        assert not suspects.has_parts
+        assert not suspects
+
+
 class TestTaken:
     def test_hold_from_elsewhere_counts(self):
         """An instance that starts takes in what the others know."""
@@ -130,6 +214,17 @@
         assert 45 < len(suspects) <= 50
         assert suspects.held(now_s=1.0) == [work(caller="depot")]
 
+    def test_ever_new_parts_take_no_works_places(self):
+        """A part that is held back stays, too."""
+        suspects = CrashSuspects(max_traits=50)
+        for name in "abc":
+            suspects.note(end(name, of=WORK), now_s=0.0)
+            suspects.note(end(name + "2", of=PART), now_s=0.0)
+        for number in range(1_000):
+            suspects.note(end("x", of=part_id(f"{number:x}")), now_s=float(number))
+        assert len(suspects) <= 50
+        assert suspects.held(now_s=1.0) == [WORK, PART]
+
     def test_least_suspected_goes_first(self):
         """Of one caller's works those that are held back stay longest."""
         suspects = CrashSuspects(max_traits=3)
--- a/tests/test_suspect_link.py
+++ b/tests/test_suspect_link.py
@@ -9,10 +9,11 @@
 import pytest
 
 from mortal_fleet import Network, instance_entries
-from test_crash_suspects import WORK, work
+from test_crash_suspects import OWN_PART, PART, WORK, work
 from violethatch import clocks
 from violethatch._peer_datagrams import EndsDatagram
 from violethatch.suspicion import CrashSuspects, End, SuspectLink, _link
+from violethatch.work_ids import part_id
 
 
 class Told:
@@ -39,18 +40,18 @@
         self.suspects[instance].note(end, now_s=clocks.now_s())
         self.links[instance].tell(end)
 
-    def who_holds(self):
-        """Return how many instances hold the work back."""
+    def who_holds(self, trait=WORK):
+        """Return how many instances hold the trait back."""
         now_s = clocks.now_s()
-        return sum(one.hold(WORK, now_s=now_s) is not None for one in self.suspects)
+        return sum(one.hold(trait, now_s=now_s) is not None for one in self.suspects)
 
 
-async def told_of_three(count, *, lost_part, seed):
+async def told_of_three(count, *, lost_part, seed, of=WORK):
     """Let three instances see an end each; return all, a second later."""
     told = Told(count, lost_part=lost_part, seed=seed)
     rng = random.Random(seed)
     for number, instance in enumerate(rng.sample(range(count), 3)):
-        told.see(instance, f"s{number}")
+        told.see(instance, f"s{number}", of=of)
         await asyncio.sleep(0.1)
     await asyncio.sleep(1.0)
     return told
@@ -103,6 +104,51 @@
         assert not any(one.ends(WORK) for one in told.suspects)
 
 
+class TestParts:
+    @pytest.mark.parametrize("count", [8, 72, 350])
+    async def test_all_hold_a_part_back_and_one_tries_it(self, count):
+        """Whoever saw the ends."""
+        told = await told_of_three(count, lost_part=0.1, seed=count, of=PART)
+        assert told.who_holds(PART) >= 0.95 * count
+        assert sum(link.may_try(PART) for link in told.links) == 1
+        assert [link.may_try(OWN_PART) for link in told.links] == [
+            link.may_try(PART) for link in told.links
+        ]
+
+    async def test_cut_off_instance_is_told_with_the_next_end(self):
+        """And one that stood still reads what waits in its socket."""
+        told = Told(8)
+        cut = told.network.receivers.pop(("10.0.0.1", 8))
+        for number in range(3):
+            told.see(number, f"s{number}", of=PART)
+        await asyncio.sleep(1.0)
+        assert told.who_holds(PART) == 7
+        told.network.receivers["10.0.0.1", 8] = cut
+        told.see(0, "s9", of=PART)
+        await asyncio.sleep(0.2)
+        assert told.who_holds(PART) == 8
+
+    async def test_cleared_part_is_cleared_where_its_first_end_was_told(self):
+        """Else its ends of a whole hour would add up."""
+        told = Told(8)
+        told.see(0, "s1", of=PART)
+        await asyncio.sleep(1.0)
+        assert sum(bool(one) for one in told.suspects) > 1
+        told.suspects[0].clear(PART)
+        told.links[0].tell_cleared(PART, 1)
+        await asyncio.sleep(0.1)
+        assert not any(told.suspects)
+
+    async def test_popular_parts_of_an_end_are_told_to_few(self):
+        """All instances have requests with them, which ended together."""
+        told = Told(350)
+        for number in range(96):
+            for part in range(3):
+                told.see(number, "s1", of=part_id(f"{part}"))
+        await asyncio.sleep(1.0)
+        assert told.network.sent <= 96 * 3 * 3 * 2
+
+
 class TestBounds:
     async def test_what_waits_is_bounded(self, monkeypatch):
         """Ends without number neither fill memory nor the link."""
--- a/tests/test_work_in_hand.py
+++ b/tests/test_work_in_hand.py
@@ -9,6 +9,7 @@
 from routing_samples import runner
 from violethatch import clocks, upstream
 from violethatch.suspicion import End, WorkInHand
+from violethatch.work_ids import part_id
 
 
 A = runner("a", 0, 80)
@@ -64,6 +65,40 @@
         assert error.code == 1206
         assert "a menu" not in error.detail
 
+    def test_caller_with_a_young_suspected_part_comes_back_soon(self):
+        """Answers to others clear a part that was in bad company within a second."""
+        routing = make_routing(FakeClient(), A, rng=random.Random(1))
+        now_s = clocks.now_s()
+        for name in "abc":
+            end = End(part_id("5c1e07a2"), name, False, "i")
+            routing.suspects.note(end, now_s=now_s)
+        work = work_in_hand(routing, prompt_parts=("5c1e07a2",))
+        assert work.held_back().retry_after_s == 1.0
+        work_in_hand(routing, prompt_parts=("5c1e07a2",)).went_on()
+        assert work.held_back() is None
+
+    def test_part_is_tried_by_one_request(self, monkeypatch):
+        """Once its time is over, and at one instance only."""
+        routing = make_routing(FakeClient(), A, rng=random.Random(1))
+        then_s = clocks.now_s() - 40.0
+        for name in "abc":
+            end = End(part_id("5c1e07a2"), name, False, "i")
+            routing.suspects.note(end, now_s=then_s)
+        first, second = (
+            work_in_hand(routing, body=body, prompt_parts=("5c1e07a2",))
+            for body in (b"1", b"2")
+        )
+        routing.may_try = lambda _trait: False
+        assert first.held_back().retry_after_s == 10.0
+        routing.may_try = lambda _trait: True
+        assert not first.is_held
+        assert not first.is_held
+        assert second.is_held
+        routing.suspects.note(
+            End(part_id("5c1e07a2"), "d", False, "i"), now_s=clocks.now_s()
+        )
+        assert first.is_held
+
     async def test_ended_server_is_put_down_to_the_work(self):
         """Only if it refuses connections."""
         client = FakeClient()
