Take an unframed stream that ends too soon for a lost connection

A server's end closes the connections of its answers. Where an answer has neither a length nor chunks, that looks like its end: without a whole event it was passed on as a whole, empty stream, and within an event it counted as a spoilt answer, so that nothing asked whether the server had ended. Both are now broken connections: the call goes on elsewhere and the end counts.

--- a/src/violethatch/_stream_output.py
+++ b/src/violethatch/_stream_output.py
@@ -10,7 +10,13 @@
 from . import clocks
 from .desired import CallRoute
 from .event_stream import EventSplitter, SpoiltStreamError, StreamProgress
-from .upstream import Answer, AnswerLostError, Call, Responder
+from .upstream import (
+    Answer,
+    AnswerLostError,
+    Call,
+    ConnectionBrokenError,
+    Responder,
+)
 
 
 class StreamOutput:
@@ -59,16 +65,19 @@
             on_event: Told before an event is given that the caller lacks.
 
         Raises:
-            AnswerLostError: The stream broke off.
+            AnswerLostError: The stream broke off, or is empty and its end can't be told
+                from a cut.
             SpoiltStreamError: Its bytes are not the next events.
             TimeoutError: It was silent for too long.
         """
         splitter = EventSplitter()
         run = self.progress.begin_run()
+        has_event = False
         async for part in parts:
             wanted: list[bytes] = []
             try:
                 for event in splitter.feed(part):
+                    has_event = True
                     if run.take(event):
                         on_event()
                         wanted.append(event.data)
@@ -77,6 +86,9 @@
                 # a later event of the same bytes spoils the stream.
                 if wanted:
                     await self._give(b"".join(wanted), answer, responder)
+        if not answer.is_framed and (splitter.has_rest or not has_event):
+            msg = "the connection ended before a whole event"
+            raise ConnectionBrokenError(msg)
         if splitter.has_rest:
             msg = "the stream ended within an event"
             raise SpoiltStreamError(msg)
--- a/tests/mortal_fleet.py
+++ b/tests/mortal_fleet.py
@@ -107,6 +107,9 @@
         #: When deadly requests reached servers.
         self.arrived_s = []
         self.script = [0.01, events(1), 0.02, events(2)]
+        #: What comes of a deadly request's answer that ends with its connection, or
+        #: None where answers tell their own end.
+        self.unframed_rest = None
         for _ in range(count):
             self.start()
 
@@ -152,6 +155,8 @@
             if not server.has_ended.is_set():
                 self.ended_s.append(clocks.now_s())
             self.end(server)
+            if self.unframed_rest is not None:
+                return FakeAnswer(self.unframed_rest, is_framed=False)
             raise broken()
         if send.path is None:
             await asyncio.sleep(PLAIN_S)
--- a/tests/test_parts_that_end_servers.py
+++ b/tests/test_parts_that_end_servers.py
@@ -97,9 +97,10 @@
     )
 
 
-async def play_day(instances, sound_parts, deadly_parts, *, seed=1):
+async def play_day(instances, sound_parts, deadly_parts, *, seed=1, rest=None):
     """Play some seconds; return the servers, the traffic and the loop's lag."""
     servers = Servers(model_runner, count=12, back_s=BACK_S)
+    servers.unframed_rest = rest
     servers.script = [
         0.02,
         *(step for n in range(1, 10) for step in (events(n), 0.05)),
@@ -132,6 +133,13 @@
     check(*played)
 
 
+@pytest.mark.parametrize("rest", [b"", b"id: 1\nda"], ids=["empty", "within_event"])
+async def test_part_that_ends_answers_without_a_length_is_held_back(rest):
+    """Such an answer ends with its connection, and a server's end closes it."""
+    played = await play_day(1, lambda: ("a", "b"), ("a", DEADLY_PART), rest=rest)
+    check(*played)
+
+
 @pytest.mark.parametrize("instances", [1, 6])
 async def test_deadly_part_among_many_is_held_back(instances):
     """Each sound request has one of 60 shared parts."""
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -130,6 +130,15 @@
         got, _ = await serve(client, A, B)
         assert (got.end, len(client.sends)) == ("cut", 2)
 
+    @pytest.mark.parametrize("rest", [b"", b"id: 1\nda"])
+    async def test_unframed_stream_that_ends_too_soon_is_broken_off(self, rest):
+        """Without a whole event, or within one: its connection was lost."""
+        client = FakeClient(
+            FakeAnswer(rest, is_framed=False), FakeAnswer(events(1), is_framed=False)
+        )
+        got, _ = await serve(client, A, B)
+        assert (got.body, got.end) == (events(1), "whole")
+
     async def test_unframed_end_of_a_resumed_run_is_no_end(self):
         """A framed answer is not called whole by a run whose end is unsure."""
         client = FakeClient(
