--- a/tests/mortal_fleet.py
+++ b/tests/mortal_fleet.py
@@ -180,8 +180,8 @@
 class ChainServers(Servers):
     """Runners of two layer ranges; deadly requests end the one of the second."""
 
-    def __init__(self, *, count=4):
-        super().__init__(tail_runner, count=count)
+    def __init__(self, *, count=4, back_s=BACK_S):
+        super().__init__(tail_runner, count=count, back_s=back_s)
         head = runner("head", 0, 40, kind="large")
         self.by_id["head"] = Server(head)
         #: Requests that wait for a later runner, by id.
--- a/tests/test_parts_that_end_servers.py
+++ b/tests/test_parts_that_end_servers.py
@@ -13,9 +13,13 @@
 import pytest
 
 from asking_servers import watched_lag
-from mortal_fleet import DEADLY_PART, Fleet, Servers, model_runner
+from mortal_fleet import DEADLY_PART, ChainServers, Fleet, Servers, model_runner
 from router_fakes import events
+from test_crash_suspects import PART, end, noted
+from test_held_rows import held_rows, written
+from test_registration import FakeStore
 from violethatch import clocks
+from violethatch.suspicion import CrashSuspects
 
 
 #: Requests a second, and for how long they come, in seconds.
@@ -140,6 +144,55 @@
     check(*played)
 
 
+@pytest.mark.parametrize("instances", [1, 6])
+async def test_part_that_ends_later_runners_is_held_back(instances):
+    """The first runner of a path goes on; it only passes the requests on."""
+    servers = ChainServers(count=6, back_s=BACK_S)
+    fleet = Fleet(instances, servers)
+    for number in range(12):
+        router = fleet.routers[number % instances]
+        await fleet.ask(
+            router,
+            body=b"a menu %d" % number,
+            id=f"c{number}",
+            prompt_parts=("a", DEADLY_PART),
+        )
+        await asyncio.sleep(0.2)
+    assert len(servers.ended_s) <= ENDS
+    assert (await fleet.ask(fleet.routers[0], prompt_parts=("a",))).end == "whole"
+
+
+async def test_held_request_gets_a_true_answer_at_every_instance():
+    """It has not run, and no instance sends it to a server first."""
+    servers = Servers(model_runner, count=6, back_s=BACK_S)
+    fleet = Fleet(6, servers)
+    parts = ("a", DEADLY_PART)
+    for number in range(3):
+        await fleet.ask(
+            fleet.routers[0], body=b"%d" % number, id=f"c{number}", prompt_parts=parts
+        )
+    await asyncio.sleep(0.1)
+    arrived = len(servers.arrived_s)
+    for number, router in enumerate(fleet.routers):
+        error = await fleet.ask(router, body=b"m%d" % number, prompt_parts=parts)
+        assert (error.code, error.ran, error.status) == (1206, "no", 503)
+    assert len(servers.arrived_s) == arrived
+
+
+async def test_starting_instance_reads_held_parts():
+    """All datagrams went out before it was there."""
+    held = noted(*[end(name, of=PART) for name in "abc"], now_s=clocks.now_s())
+    store = FakeStore()
+    rows = held_rows(held, store=store)
+    rows.keep(PART)
+    ((_, put, _),) = await written(rows, store)
+    started = CrashSuspects()
+    now_s = clocks.now_s()
+    held_rows(started, store_s=1100.0).take(put, now_s=now_s)
+    # Its time is over, and it is still tried by one request alone.
+    assert started.hold_for((PART,), now_s=now_s).left_s == 0.0
+
+
 @pytest.mark.parametrize("instances", [1, 6])
 async def test_deadly_part_among_many_is_held_back(instances):
     """Each sound request has one of 60 shared parts."""
