--- a/src/violethatch_emulator/cli.py
+++ b/src/violethatch_emulator/cli.py
@@ -77,7 +77,12 @@
 
 
 def path_runner(
-    server_id: str, *, port: int = 0, event_count: int = 8, pause_s: float = 0.01
+    server_id: str,
+    *,
+    port: int = 0,
+    event_count: int = 8,
+    pause_s: float = 0.01,
+    deadly_prefix: str = "",
 ) -> None:
     """Run a stand-in runner that holds all layers.
 
@@ -86,10 +91,16 @@
         port: Where to listen on loopback; 0 takes a free port.
         event_count: How many events a whole stream has.
         pause_s: The time between events, in seconds.
+        deadly_prefix: Parts of prompts whose ids begin so end the process.
     """
 
     def application() -> web.Application:
-        runner = PathRunner(server_id, event_count=event_count, pause_s=pause_s)
+        runner = PathRunner(
+            server_id,
+            event_count=event_count,
+            pause_s=pause_s,
+            deadly_prefix=deadly_prefix,
+        )
         runner.layers = (0, 80)
         return runner.application()
 
--- a/src/violethatch_emulator/path_runner.py
+++ b/src/violethatch_emulator/path_runner.py
@@ -4,6 +4,7 @@
 from __future__ import annotations
 
 import asyncio
+import os
 
 from typing import Any, NamedTuple
 
@@ -17,6 +18,11 @@
 _ID = "Violethatch-Attempt-Id"
 _NOT_RUN = "Violethatch-Not-Executed"
 _UNAVAILABLE = 503
+_PROMPT_PARTS = "Violethatch-Prompt-Prefix"
+#: How long a request with a deadly part runs before it ends the process, in seconds.
+_DEADLY_S = 0.05
+#: The exit status of a process that a request has ended.
+CRASHED = 70
 
 
 class Seen(NamedTuple):
@@ -45,11 +51,19 @@
         server_id: Names the runner's lifetime.
         event_count: How many events a whole stream has.
         pause_s: The time between events, in seconds.
+        deadly_prefix: Parts of prompts whose ids begin so end the process; each request
+            with one is told on standard output.
     """
 
     def __init__(
-        self, server_id: str, *, event_count: int = 8, pause_s: float = 0.01
+        self,
+        server_id: str,
+        *,
+        event_count: int = 8,
+        pause_s: float = 0.01,
+        deadly_prefix: str = "",
     ) -> None:
+        self._deadly_prefix = deadly_prefix
         self.server_id = server_id
         self.event_count = event_count
         self.pause_s = pause_s
@@ -177,6 +191,7 @@
         try:
             await self._may_write.wait()
             await answer.prepare(request)
+            await self._end_process_if_deadly(request, call_id)
             for number in range(first, self.event_count + 1):
                 await self._hang(call_id, number)
                 await self._may_write.wait()
@@ -196,6 +211,18 @@
             run.ended_s = clocks.now_s()
         return answer
 
+    async def _end_process_if_deadly(self, request: web.Request, call_id: str) -> None:
+        """End the process if the prompt has a deadly part, and tell of it first."""
+        shared = request.headers.get(_PROMPT_PARTS, "").split(",")[:-1]
+        parts = [one.partition(":")[0] for one in shared]
+        deadly = [one for one in parts if one.startswith(self._deadly_prefix)]
+        if not self._deadly_prefix or not deadly:
+            return
+        told = {"part": deadly[0], "call_id": call_id, "at_s": clocks.now_s()}
+        print(msgspec.json.encode(told).decode(), flush=True)
+        await asyncio.sleep(_DEADLY_S)
+        os._exit(CRASHED)
+
     async def _hang(self, call_id: str, number: int) -> None:
         """Stand still where streams are to stand still."""
         if self.hang_after is None or number != self.hang_after + 1:
--- a/tests/process_fleet.py
+++ b/tests/process_fleet.py
@@ -44,10 +44,14 @@
         event_count: How many events a whole stream has.
         pause_s: The time between events, in seconds.
         entry: Fields of its entry that differ from a model runner's.
+        deadly_prefix: Parts of prompts whose ids begin so end the process.
     """
 
-    def __init__(self, name, *, event_count=80, pause_s=0.05, entry=None):
+    def __init__(
+        self, name, *, event_count=80, pause_s=0.05, entry=None, deadly_prefix=""
+    ):
         self.name = name
+        self.deadly_prefix = deadly_prefix
         self.entry = entry or {}
         self.event_count = event_count
         self.pause_s = pause_s
@@ -66,11 +70,20 @@
                 *("-m", "violethatch_emulator", "path-runner", self.name),
                 *("--event-count", str(self.event_count)),
                 *("--pause-s", str(self.pause_s)),
+                *(
+                    ("--deadly-prefix", self.deadly_prefix)
+                    if self.deadly_prefix
+                    else ()
+                ),
                 stdout=asyncio.subprocess.PIPE,
                 stderr=messages,
             )
         self.port = json.loads(await self.process.stdout.readline())["port"]
 
+    def _deadly_options(self):
+        """Return the options that make parts of prompts end the process."""
+        return ("--deadly-prefix", self.deadly_prefix) if self.deadly_prefix else ()
+
     async def stop(self):
         """End the process."""
         self.signal(signal.SIGKILL)
