Take no new connections where others have room and this instance has none

For some seconds a balancer may hand most new connections to one instance. From three quarters of its requests on an instance now is not ready, and at the limit it closes new connections unread, as long as it has twice the mean of the others: where all are full each refuses as before.

--- a/src/violethatch/_router.py
+++ b/src/violethatch/_router.py
@@ -39,6 +39,7 @@
 )
 from .freshness import Freshness
 from .instances import InstanceEntry
+from .request_room import RequestRoom, may_connect
 from .router_settings import RouterSettings
 from .slices import Slices, Steps
 from .store_era import UNREAD, TableState
@@ -95,6 +96,7 @@
         self.routing.admission.observer = self.metrics
         self.freshness = Freshness(limit_s=settings.proof_limit_s)
         self.stop_plan = StopPlan(grace_s=settings.bounds.grace_s)
+        self._request_room = RequestRoom()
         self.desired: DesiredState | None = None
         #: The row of the desired state in force.
         self._desired_value: bytes | None = None
@@ -122,6 +124,22 @@
         age_s = self.freshness.age_s(now_s=clocks.now_s())
         return age_s < min(self.settings.ready_limit_s, self.freshness.limit_s)
 
+    def has_request_room(self) -> bool:
+        """Tell whether callers that connect next will be served here."""
+        return self._request_room.check(
+            self.in_flight,
+            max_requests=self.settings.limits.most_requests,
+            mean_of_others=self.routing.loads.mean_of_others(),
+        )
+
+    def may_connect(self) -> bool:
+        """Tell whether a caller's new connection is taken."""
+        return may_connect(
+            self.in_flight,
+            max_requests=self.settings.limits.most_requests,
+            mean_of_others=self.routing.loads.mean_of_others(),
+        )
+
     def use_forwarding(
         self,
         client: PeerClient,
--- a/src/violethatch/platform/_connections.py
+++ b/src/violethatch/platform/_connections.py
@@ -26,20 +26,28 @@
 class CallerConnection(RequestHandler):
     """One caller's connection; a request's head has to come in time."""
 
-    __slots__ = ("_head_handle", "_head_limit_s", "_on_bad_head")
+    __slots__ = ("_head_handle", "_head_limit_s", "_may_connect", "_on_bad_head")
 
     def __init__(
         self,
         *args: Any,
         head_limit_s: float,
         on_bad_head: Callable[[str], None],
+        may_connect: Callable[[], bool],
         **options: Any,
     ) -> None:
         super().__init__(*args, **options)
+        self._may_connect = may_connect
         self._head_limit_s = head_limit_s
         self._on_bad_head = on_bad_head
         self._head_handle: asyncio.TimerHandle | None = None
 
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Take the connection, or close it with nothing read."""
+        super().connection_made(transport)
+        if not self._may_connect():
+            self.force_close()
+
     def data_received(self, data: bytes) -> None:
         """Take bytes in; those of a head that is not whole start its time."""
         super().data_received(data)
@@ -109,6 +117,7 @@
         handle: Serves one request.
         limits: Returns the limits in force.
         on_bad_head: Is told why a request could not be understood.
+        may_connect: Tells whether a new connection is taken.
         options: What else aiohttp's server takes.
     """
 
@@ -118,9 +127,11 @@
         *,
         limits: Callable[[], CallLimits],
         on_bad_head: Callable[[str], None],
+        may_connect: Callable[[], bool],
         **options: Any,
     ) -> None:
         super().__init__(handle, handler_cancellation=True)
+        self._may_connect = may_connect
         self._limits = limits
         self._on_bad_head = on_bad_head
         self._options = options
@@ -148,6 +159,7 @@
             access_log=None,
             head_limit_s=limits.header_timeout_s,
             on_bad_head=self._on_bad_head,
+            may_connect=self._may_connect,
             keepalive_timeout=limits.idle_timeout_s + _REST_MARGIN_S,
             max_line_size=limits.header_bytes,
             max_field_size=limits.header_bytes,
--- a/src/violethatch/platform/_listener.py
+++ b/src/violethatch/platform/_listener.py
@@ -60,6 +60,7 @@
             self._handle,
             limits=self._limits,
             on_bad_head=self._note_bad_head,
+            may_connect=router.may_connect,
             auto_decompress=False,
         )
         self._had_room = True
@@ -73,11 +74,13 @@
         """Tell whether further connections can be taken; log when that changes."""
         open_count = len(self._server.connections)
         has_room = open_count < self._router.settings.limits.most_connections
+        has_room = self._router.has_request_room() and has_room
         if has_room != self._had_room:
             self._had_room = has_room
             events.log(
                 events.CALLERS_TAKEN if has_room else events.CALLERS_FULL,
                 connections=open_count,
+                in_flight=self._router.in_flight,
             )
         return has_room
 
--- a/src/violethatch/stream_loads.py
+++ b/src/violethatch/stream_loads.py
@@ -91,6 +91,13 @@
             return None
         return self._others.age_s + now_s - self._others_taken_s
 
+    def mean_of_others(self) -> float | None:
+        """Return the streams of each other instance on average, if they are known."""
+        if not self._others.instances:
+            return None
+        streams = sum(one.streams for one in self._others.servers.values())
+        return streams / self._others.instances
+
     def lasted(self, stream_s: float) -> None:
         """Take in how long a stream of this instance has lasted, in seconds."""
         if self._stream_s is None:
--- a/tests/mortal_fleet.py
+++ b/tests/mortal_fleet.py
@@ -277,9 +277,11 @@
         count: How many routers there are.
         servers: What they send to.
         seed: Of all random choices.
+        retry_reserve: The retries that each router has at the start.
     """
 
-    def __init__(self, count, servers, *, seed=1, lost_part=0.0):
+    def __init__(self, count, servers, *, seed=1, lost_part=0.0, retry_reserve=50):
+        self.retry_reserve = retry_reserve
         self.rng = random.Random(seed)
         self.servers = servers
         self.network = Network(self.rng, lost_part=lost_part)
@@ -288,7 +290,7 @@
 
     def join(self, own):
         """Make one router, and join it to the others."""
-        made = settings(retry_reserve=50)
+        made = settings(retry_reserve=self.retry_reserve)
         router = Router(
             made._replace(instance=made.instance._replace(id=own.id)),
             client=self.servers,
--- a/tests/test_callers_listener.py
+++ b/tests/test_callers_listener.py
@@ -4,6 +4,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import random
 import socket
 
@@ -20,6 +21,7 @@
 from test_platform_process import HEADERS, ID
 from violethatch import clocks, events
 from violethatch._router import Router
+from violethatch.load_sums import NOTHING
 from violethatch.platform._listener import CallersListener
 from violethatch.platform._responder import CallerResponder, _Unframed
 
@@ -234,6 +236,21 @@
         await site.ask_for_bytes("c1")
 
 
+async def test_connection_is_closed_unread_where_others_have_room():
+    """The caller's next try meets another instance; nothing is logged as refused."""
+    site = Site(0.05)
+    await site.start()
+    site.router.in_flight = site.router.settings.limits.most_requests
+    loads = site.router.routing.loads
+    loads.take_others(NOTHING._replace(instances=7), now_s=clocks.now_s())
+    with contextlib.suppress(ConnectionError):
+        assert await site.ask_for_bytes("c1", path="/label/1") == b""
+    assert not site.listener.has_room()
+    loads.take_others(NOTHING, now_s=clocks.now_s())
+    assert b"503" in await site.ask_for_bytes("c2", path="/label/1")
+    assert site.listener.has_room()
+
+
 async def test_unframed_answer_whose_connection_is_gone():
     """Its socket was closed and could not be set: the error hid what had ended it."""
     site = Site(0.0)
