--- a/bench/suspect_costs.py
+++ b/bench/suspect_costs.py
@@ -20,7 +20,7 @@
 from violethatch._peer_datagrams import PeerDatagrams
 from violethatch.instances import InstanceDirectory, InstanceEntry
 from violethatch.suspicion import CrashSuspects, End, SuspectLink
-from violethatch.work_ids import work_id
+from violethatch.work_ids import part_id, work_id
 
 
 #: Requests that a server runs at once.
@@ -28,6 +28,9 @@
 #: How long words take to go round, both times, in seconds.
 _SETTLE_S = 1.0
 _MANY = 1_000
+#: Parts that many requests share, and how many of them each has.
+_POPULAR_PARTS = 6
+_PARTS = 3
 _BODY_BYTES = 1_000_000
 _US_PER_S = 1e6
 
@@ -118,6 +121,16 @@
         await instances.cost(
             f"{nth} end under one of them", [(number, _work(0), f"s{number + 1}")]
         )
+    parts = [part_id(f"{number:x}") for number in range(_POPULAR_PARTS)]
+    for nth in ("first", "second", "third"):
+        await instances.cost(
+            f"{nth} end under 96 requests with three of six parts",
+            [
+                (n % count, parts[(n + k) % _POPULAR_PARTS], nth)
+                for n in range(_COMPANY)
+                for k in range(_PARTS)
+            ],
+        )
     herd = [(n % count, _work(_MANY + n), f"h{n}") for n in range(4 * count)]
     await instances.cost("four ends at each instance at once", herd)
 
@@ -139,10 +152,16 @@
     for work in works:
         suspects.hold(work, now_s=0.0)
     look_us = (time.process_time() - started_s) / len(works) * _US_PER_S
+    part = part_id("a")
+    for lifetime in ("a", "b", "c"):
+        suspects.note(End(part, lifetime, False, "i1"), now_s=0.0)
+    started_s = time.process_time()
+    for number in range(_MANY):
+        suspects.hold_for((works[number], part), now_s=0.0)
+    held_us = (time.process_time() - started_s) / _MANY * _US_PER_S
     print(f"full table: {len(suspects)} works, {held_kb:,.0f} KB")
-    print(
-        f"an end noted, most with a full table: {note_us:.1f} us; a look: {look_us:.2f}"
-    )
+    print(f"an end noted, most with a full table: {note_us:.1f} us")
+    print(f"a look: {look_us:.2f} us; a request with a held part: {held_us:.1f} us")
 
 
 def _digest() -> None:
