Don't end a limit on a step that hides a standstill

A limit in running time could be over although what it waited for lay in the socket: a step that was to leave 2 ms took up to 3 ms more, which passes for a late timer, and used up the limit; the loop had stood still for 8 ms within it. A limit now always ends with a short step of its own, 1 ms if nothing else is left.

--- a/src/violethatch/running_time.py
+++ b/src/violethatch/running_time.py
@@ -34,6 +34,9 @@
 #: The last step is short, in seconds: a standstill longer than that is seen in it, or
 #: ends before it.
 _LAST_STEP_S = 0.002
+#: The last step of a limit that a longer one has used up, in seconds: a standstill in
+#: that one may have ended just before its timer was due.
+_CLOSING_STEP_S = 0.001
 #: Steps that are granted after standstills at the limit's end: what has arrived
 #: meanwhile is read first.  Bounded, as a loop that is overloaded is always late.
 _MAX_EXTRA_STEPS = 3
@@ -56,12 +59,15 @@
         self._extra_steps = _MAX_EXTRA_STEPS
         self._began_s = 0.0
         self._step_s = 0.0
+        self._is_last = False
 
     def begin_step(self) -> float:
         """Begin a step; return how long to wait for, in seconds."""
         before_last_s = self._left_s - _LAST_STEP_S
-        is_last = before_last_s < _NOTHING_S
-        step_s = self._left_s if is_last else min(self._max_step_s, before_last_s)
+        self._is_last = before_last_s < _NOTHING_S
+        step_s = min(self._max_step_s, before_last_s)
+        if self._is_last:
+            step_s = self._left_s
         self._step_s = max(0.0, step_s)
         self._began_s = clocks.now_s()
         return self._step_s
@@ -77,6 +83,8 @@
         if is_late and self._left_s < _MIN_STEP_S and self._extra_steps:
             self._extra_steps -= 1
             self._left_s = _MIN_STEP_S
+        if not self._is_last:
+            self._left_s = max(self._left_s, _CLOSING_STEP_S)
         return self._left_s < _NOTHING_S
 
 
