Survive a reload that is asked for while the process starts

SIGHUP ended a router that had not come as far as listening for it, half a second after its start. The signals of reloads and state dumps are now ignored from the first line of the program on, and the file's state from before it was read is what changes are held against. test_signal_while_the_process_starts_ends_it failed before, for both signals.

--- a/src/violethatch/platform/__main__.py
+++ b/src/violethatch/platform/__main__.py
@@ -9,9 +9,14 @@
 
 import gc
 import os
+import signal
 import sys
 
 
+# Before the imports, which take half a second: until the process listens for them,
+# these signals would end it.  Settings are read afterwards, and watched for changes.
+for _number in (signal.SIGHUP, signal.SIGUSR1):
+    signal.signal(_number, signal.SIG_IGN)
 # Before uvloop is imported: it would open an io_uring otherwise.
 os.environ["UV_USE_IO_URING"] = "0"
 # Before aiohttp is imported: it reads all certificates of the system then.  Nobody is
--- a/src/violethatch/platform/_process.py
+++ b/src/violethatch/platform/_process.py
@@ -24,6 +24,8 @@
 from ._sessions import make_session
 
 
+#: What changes when a file does: its time of change, its size and its number.
+_FileState = tuple[int, int, int]
 #: Where the platform says the path of the settings file.
 _SETTINGS_VARIABLE = "VIOLETHATCH_BOOT"
 #: How often to look whether the settings file has changed, in seconds; half of
@@ -54,8 +56,10 @@
     Raises:
         SettingsError: The settings file is not valid.
     """
+    file_state = _file_state(path)
     settings = load_router_settings(path)
-    uvloop.run(_Process(settings, path).run(), loop_factory=EventLoop)
+    process = _Process(settings, path, file_state=file_state)
+    uvloop.run(process.run(), loop_factory=EventLoop)
 
 
 class _Process:
@@ -64,10 +68,14 @@
     Args:
         settings: Validated settings.
         path: Where they were read, for reloads.
+        file_state: The file's state before that.
     """
 
-    def __init__(self, settings: RouterSettings, path: str) -> None:
+    def __init__(
+        self, settings: RouterSettings, path: str, *, file_state: _FileState | None
+    ) -> None:
         self._settings = settings
+        self._file_state = file_state
         self._path = path
         self._output = LogOutput()
         self._tasks: list[asyncio.Task[None]] = []
@@ -118,13 +126,12 @@
 
     async def _watch_file(self) -> None:
         """Take a changed settings file in, which may change without a signal."""
-        known = _file_state(self._path)
         while True:
-            await asyncio.sleep(_FILE_LOOK_S)
             state = _file_state(self._path)
-            if state is not None and state != known:
-                known = state
+            if state is not None and state != self._file_state:
+                self._file_state = state
                 self._reload()
+            await asyncio.sleep(_FILE_LOOK_S)
 
     def _watch_signals(self, router: Router) -> asyncio.Event:
         """Take signals in; return the event of a stop."""
@@ -164,7 +171,7 @@
             await asyncio.sleep(_STOP_LOOK_S)
 
 
-def _file_state(path: str) -> tuple[int, int, int] | None:
+def _file_state(path: str) -> _FileState | None:
     """Return what changes when a file does, or None while it can't be seen."""
     try:
         stat = os.stat(path)
--- a/tests/test_start_imports.py
+++ b/tests/test_start_imports.py
@@ -109,3 +109,23 @@
         """Guards against an import error of another kind than other modules give."""
         with pytest.raises(AttributeError, match="no attribute 'unknown'"):
             _ = violethatch.unknown
+
+
+@pytest.mark.parametrize("name", ["SIGHUP", "SIGUSR1"])
+def test_signal_while_the_process_starts_ends_it(name):
+    """Before it listens for the signal, its disposition must not be the usual one."""
+    code = f"""
+import builtins, os, signal, sys
+real = builtins.__import__
+def send_once(name, *rest):
+    if "aiohttp" in name:
+        builtins.__import__ = real
+        os.kill(os.getpid(), signal.{name})
+        print("alive")
+        sys.exit()
+    return real(name, *rest)
+builtins.__import__ = send_once
+import violethatch.platform.__main__ as program
+program.main()
+"""
+    assert python(code) == ["alive"]
