Cover what the soak of changes asks for by how it is played

After these seconds both are asked for until they were seen, 15 s at the most; every answer is checked as before. A reload is sent to a process once it has a say in what the signal does: an interpreter that starts has none.

--- a/tests/test_change_soak.py
+++ b/tests/test_change_soak.py
@@ -14,7 +14,9 @@
 import asyncio
 import contextlib
 import os
+import pathlib
 import random
+import re
 import signal
 import sys
 
@@ -35,6 +37,8 @@
 ROUTERS = 2
 TURBULENT_S = 8.0
 CALM_S = 6.0
+#: How long it may take until each instance has answered in touch what it has to.
+COVER_S = 15.0
 #: The platform's bounds: until when a change is in force and a removed key is refused
 #: anywhere, and how long nothing may be disturbed for the first to hold.
 CHANGE_S = int(FIELDS["Bounds.ConfigApplyMs"]) / 1000
@@ -103,6 +107,17 @@
         if self.process.returncode is None:
             self.process.send_signal(number)
 
+    def heeds(self, number):
+        """Return whether the process has a say in what a signal does to it.
+
+        One whose interpreter is starting has none, whatever its program.
+        """
+        if self.process.returncode is not None:
+            return False
+        status = pathlib.Path(f"/proc/{self.process.pid}/status").read_text()
+        heeded = re.findall(r"^Sig(?:Ign|Cgt):\s*(\w+)$", status, re.MULTILINE)
+        return any(int(mask, 16) >> (number - 1) & 1 for mask in heeded)
+
 
 class Fleet(SilentSite):
     """Instances that share a store and two runners, all behind proxies."""
@@ -192,6 +207,7 @@
         for _ in range(2):
             await self._disturb(clocks.now_s() + TURBULENT_S)
             await asyncio.sleep(CALM_S)
+        await asyncio.gather(*(self._see_both(one) for one in self.fleet.instances))
         for task in tasks:
             task.cancel()
         for ended in await asyncio.gather(*tasks, return_exceptions=True):
@@ -220,6 +236,26 @@
                     is_quiet = is_quiet and self._is_quiet(instance, sent_s)
                     self._check(instance, key, sent_s, status, in_touch=is_quiet)
 
+    async def _see_both(self, instance):
+        """Ask for the newest and the oldest key until both were answered in touch.
+
+        What the callers ask for while nothing is disturbed is left to chance.
+        """
+        wanted = {(instance.front, ALLOWED), (instance.front, 401)}
+        timeout = aiohttp.ClientTimeout(total=5.0)
+        async with (
+            asyncio.timeout(COVER_S),
+            aiohttp.ClientSession(timeout=timeout) as session,
+        ):
+            while not wanted <= self.seen_in_touch:
+                for key in ("base", "k1"):
+                    sent_s = clocks.now_s()
+                    is_quiet = self._is_quiet(instance, sent_s)
+                    with contextlib.suppress(aiohttp.ClientError, TimeoutError):
+                        status = await self._status(session, instance, key)
+                        self._check(instance, key, sent_s, status, in_touch=is_quiet)
+                await asyncio.sleep(0.05)
+
     def _is_quiet(self, instance, at_s):
         """Return whether nothing disturbs an instance or the store."""
         return instance.disturbances.is_quiet(at_s) and self.store.is_quiet(at_s)
@@ -308,7 +344,8 @@
 
     async def _reload(self, instance):
         """Have an instance read its settings again."""
-        instance.signal(signal.SIGHUP)
+        if instance.heeds(signal.SIGHUP):
+            instance.signal(signal.SIGHUP)
 
     async def _freeze(self, instance):
         """Let an instance stand still."""
