--- a/tests/test_change_soak.py
+++ b/tests/test_change_soak.py
@@ -89,6 +89,7 @@
         self.front = front
         self.log = settings.with_suffix(".log")
         self.process = None
+        self.restarting = asyncio.Lock()
         self.disturbances = Disturbances()
 
     async def start(self):
@@ -356,14 +357,13 @@
 
     async def _restart(self, instance):
         """Stop or kill an instance, and start it again."""
-        process = instance.process
-        if process.returncode is not None:
-            return
-        with instance.disturbances.one():
-            instance.signal(signal.SIGCONT)
-            instance.signal(self.rng.choice((signal.SIGTERM, signal.SIGKILL)))
-            await process.wait()
-            if instance.process is process:
+        if instance.restarting.locked():
+            return  # a second start would find the address in use
+        async with instance.restarting:
+            with instance.disturbances.one():
+                instance.signal(signal.SIGCONT)
+                instance.signal(self.rng.choice((signal.SIGTERM, signal.SIGKILL)))
+                await instance.process.wait()
                 await instance.start()
                 await asyncio.sleep(START_S)
 
