--- a/src/violethatch/suspicion/_work.py
+++ b/src/violethatch/suspicion/_work.py
@@ -43,7 +43,7 @@
 
 
 class WorkInHand:
-    """The work of one call.
+    """What one call has in common with others, and what follows of their ends.
 
     Args:
         routing: Shared by all calls.
@@ -81,7 +81,11 @@
 
     @property
     def is_held(self) -> bool:
-        """Whether it must not be sent to any server now."""
+        """Whether it must not be sent to any server now.
+
+        Where a hold on a part of its prompt has run out, reading this may make the call
+        the one that is let through.
+        """
         return self._hold() is not None
 
     @property
@@ -97,7 +101,7 @@
         return self.id if is_suspect else None
 
     def held_back(self) -> HeldBackError | None:
-        """Return the refusal of a work that is held back, and log what decided it."""
+        """Return the refusal of a call that is held back, and log what decided it."""
         hold = self._hold()
         if hold is None:
             return None
