Keep a late timer from lengthening a limit by a step

The last regular step is 4 ms now, more than timers may be late by, so that lateness before it leaves it something, and the closing step is left to what uses more than that up.

--- a/src/violethatch/running_time.py
+++ b/src/violethatch/running_time.py
@@ -33,7 +33,7 @@
 _STEPS = 4
 #: The last step is short, in seconds: a standstill longer than that is seen in it, or
 #: ends before it.
-_LAST_STEP_S = 0.002
+_LAST_STEP_S = 0.004
 #: The last step of a limit that a longer one has used up, in seconds: a standstill in
 #: that one may have ended just before its timer was due.
 _CLOSING_STEP_S = 0.001
