Show ends that count for nothing, a hold that is not stored, and a part that turns

- The last of three ends is seen by an instance that has just started: all hold the part back, and none has its row written.

--- a/tests/mortal_fleet.py
+++ b/tests/mortal_fleet.py
@@ -106,6 +106,12 @@
         self.ended_s = []
         #: When deadly requests reached servers.
         self.arrived_s = []
+        #: Whether deadly requests end servers.
+        self.is_mortal = True
+        #: For how long an ended server still takes connections, in seconds, and the
+        #: ids of those that do.
+        self.closing_s = 0.0
+        self.closing = set()
         self.script = [0.01, events(1), 0.02, events(2)]
         #: What comes of a deadly request's answer that ends with its connection, or
         #: None where answers tell their own end.
@@ -136,7 +142,11 @@
             return
         server.has_ended.set()
         del self.by_id[server.listed.id]
-        asyncio.get_running_loop().call_later(self.back_s, self.replace, server)
+        loop = asyncio.get_running_loop()
+        if self.closing_s:
+            self.closing.add(server.listed.id)
+            loop.call_later(self.closing_s, self.closing.discard, server.listed.id)
+        loop.call_later(self.back_s, self.replace, server)
 
     def replace(self, server):
         """Take an ended server's entry off, and start another one."""
@@ -145,7 +155,7 @@
 
     async def send(self, send):
         server = self.by_id.get(send.server.id)
-        is_deadly = is_deadly_call(send.call)
+        is_deadly = self.is_mortal and is_deadly_call(send.call)
         if is_deadly:
             self.arrived_s.append(clocks.now_s())
         if server is None:
@@ -167,7 +177,7 @@
 
     async def is_refusing(self, server):
         await asyncio.sleep(0.002)
-        return server.id not in self.by_id
+        return server.id not in self.by_id and server.id not in self.closing
 
     async def reach(self, server, *, health_path):
         await asyncio.sleep(0.002)
--- a/tests/test_parts_that_end_servers.py
+++ b/tests/test_parts_that_end_servers.py
@@ -34,6 +34,19 @@
 MIN_SERVED_PART = 0.95
 #: How long an ended server is away, in seconds.
 BACK_S = 2.0
+#: An answer of a sound request.
+STREAM = [
+    0.02,
+    *(step for n in range(1, 10) for step in (events(n), 0.05)),
+    events(10),
+]
+#: When a part turns deadly, in seconds.
+TURNED_S = 1.5
+#: The rule for it: so many sends later than this after so many ends, in seconds.
+CONTACT_S = 3.0
+MAX_LATE_SENDS = 3
+#: For how long its listener may outlast its connections, in seconds.
+CLOSING_S = 0.03
 
 
 class Traffic:
@@ -92,24 +105,23 @@
     return f"{min(59, int(rng.paretovariate(0.7)) - 1):x}"
 
 
-def late_sends(servers, lag):
-    """Return how many deadly sends came after the part could be known."""
-    known_s = servers.ended_s[ENDS - 1]
+def late_sends(servers, lag, *, known_s=KNOWN_S):
+    """Return how many deadly sends came so long after the part could be known."""
+    fifth_s = servers.ended_s[ENDS - 1]
     return sum(
-        at_s > known_s + KNOWN_S + lag.held_s(known_s, at_s)
+        at_s > fifth_s + known_s + lag.held_s(fifth_s, at_s)
         for at_s in servers.arrived_s
     )
 
 
-async def play_day(instances, sound_parts, deadly_parts, *, seed=1, rest=None):
+async def play_day(
+    instances, sound_parts, deadly_parts, *, seed=1, rest=None, closing_s=0.0
+):
     """Play some seconds; return the servers, the traffic and the loop's lag."""
     servers = Servers(model_runner, count=12, back_s=BACK_S)
     servers.unframed_rest = rest
-    servers.script = [
-        0.02,
-        *(step for n in range(1, 10) for step in (events(n), 0.05)),
-        events(10),
-    ]
+    servers.closing_s = closing_s
+    servers.script = STREAM
     fleet = Fleet(instances, servers, seed=seed)
     traffic = Traffic(fleet, sound_parts=sound_parts, deadly_parts=deadly_parts)
     async with watched_lag() as lag:
@@ -162,6 +174,34 @@
     assert (await fleet.ask(fleet.routers[0], prompt_parts=("a",))).end == "whole"
 
 
+@pytest.mark.parametrize("instances", [1, 6])
+async def test_part_is_held_back_where_listeners_close_after_connections(instances):
+    """A process that ends may take a connection after the first one has broken."""
+    played = await play_day(
+        instances, lambda: ("a", "b"), ("a", DEADLY_PART), closing_s=CLOSING_S
+    )
+    check(*played)
+
+
+async def test_hold_is_stored_where_its_last_witness_knew_of_no_other_end():
+    """Instances that start later would learn of it from nobody."""
+    fleet = Fleet(6, Servers(model_runner))
+    stored = set()
+    for router in fleet.routers:
+        router.routing.keep_hold = stored.add
+    for number, router in enumerate(fleet.routers[:2]):
+        router.routing.note_end(end(f"s{number}", of=PART))
+    await asyncio.sleep(0.1)
+    started = fleet.join(fleet.entries["i5"])
+    started.routing.keep_hold = stored.add
+    started.routing.note_end(end("s2", of=PART))
+    await asyncio.sleep(1.0)
+    now_s = clocks.now_s()
+    running = [*fleet.routers[:5], started]
+    assert all(one.routing.suspects.hold(PART, now_s=now_s) for one in running)
+    assert PART in stored
+
+
 async def test_held_request_gets_a_true_answer_at_every_instance():
     """It has not run, and no instance sends it to a server first."""
     servers = Servers(model_runner, count=6, back_s=BACK_S)
@@ -201,15 +241,32 @@
     check(*played)
 
 
+@pytest.mark.parametrize("instances", [1, 6])
+async def test_part_that_turns_deadly_is_held_back(instances):
+    """It was answered until then, and sound requests have all of its other parts."""
+    servers = Servers(model_runner, count=12, back_s=BACK_S)
+    servers.script = STREAM
+    servers.is_mortal = False
+    fleet = Fleet(instances, servers)
+    traffic = Traffic(
+        fleet, sound_parts=lambda: ("a", "b"), deadly_parts=("a", DEADLY_PART)
+    )
+    async with watched_lag() as lag:
+        playing = asyncio.create_task(traffic.play(TURNED_S + CONTACT_S + 3.0))
+        await asyncio.sleep(TURNED_S)
+        servers.is_mortal = True
+        await playing
+    late = late_sends(servers, lag, known_s=CONTACT_S)
+    assert late <= MAX_LATE_SENDS
+    known_s = servers.ended_s[:ENDS][-1]
+    assert traffic.served_part(known_s + CONTACT_S) >= MIN_SERVED_PART
+
+
 @pytest.mark.parametrize("instances", [1, 6])
 async def test_popular_parts_when_all_servers_end_together(instances):
     """No request ended them, and nothing is answered that would clear the parts."""
     servers = Servers(model_runner, count=12, back_s=1.0)
-    servers.script = [
-        0.02,
-        *(step for n in range(1, 10) for step in (events(n), 0.05)),
-        events(10),
-    ]
+    servers.script = STREAM
     fleet = Fleet(instances, servers)
     traffic = Traffic(fleet, sound_parts=lambda: ("a", "b"), deadly_parts=())
     playing = asyncio.create_task(traffic.play())
