Ask a server again whose answer broke off while it took connections

What callers saw: up to eight runners ended by one part of a prompt where three are enough, and refusals (1208) meanwhile. Cause: one look within milliseconds of the first broken connection decided whether the server had ended. A process that ends closes its connections one after another and may still take one; the end then counted under no request, for good, as a runner's next start has another id. The same held for a refusal that passed for lost links.

--- a/src/violethatch/_routing.py
+++ b/src/violethatch/_routing.py
@@ -90,6 +90,7 @@
         self.ends = ServerEnds(
             client, listed=self.backends.get, link_state=self.link_watch.state_for
         )
+        self.ends.on_proven = self._note_proven
         #: The streams under way, which have to leave servers that start again.
         self.runs: set[RestartListener] = set()
         self.suspects = CrashSuspects()
@@ -250,20 +251,32 @@
         for server in before:
             if server.is_leaving:
                 self.ends.note_planned(server.lifetime)
-            for end in self.ends.proven(server):
-                events.log(
-                    events.SERVER_ENDED,
-                    trait=end.trait,
-                    server_id=server.id,
-                    lifetime=end.lifetime,
-                    has_begun=end.has_begun,
-                    is_told_by_new_start=True,
-                )
-                self.note_end(end)
+            self._note_proven(server, self.ends.proven(server), by="new start")
         self.forget(ids)
         for run in tuple(self.runs):
             run.note_restarted(ids)
 
+    def _note_proven(
+        self, server: BackendServer, ends: Iterable[End], *, by: str = "recheck"
+    ) -> None:
+        """Note a server's ends under requests that were proven later.
+
+        Args:
+            server: The server that has ended.
+            ends: Its end under each trait of the requests that it had.
+            by: What has proven them.
+        """
+        for end in ends:
+            events.log(
+                events.SERVER_ENDED,
+                trait=end.trait,
+                server_id=server.id,
+                lifetime=end.lifetime,
+                has_begun=end.has_begun,
+                proven_by=by,
+            )
+            self.note_end(end)
+
     def forget(self, server_ids: Iterable[str]) -> None:
         """Forget what was learnt of servers that are no longer listed."""
         for server_id in server_ids:
--- a/src/violethatch/suspicion/_server_ends.py
+++ b/src/violethatch/suspicion/_server_ends.py
@@ -27,6 +27,11 @@
 #: For how long an answer that broke off may turn out to be its server's end, in
 #: seconds: the list tells of a new start within a heartbeat and its own way.
 _DOUBT_LIFE_S = 3.0
+#: Pauses before a server whose answer broke off is asked again, in seconds.  A process
+#: closes its connections one after another, and may take another one meanwhile.
+_RECHECK_PAUSES_S = (0.05, 0.2, 0.75, 1.0)
+#: Rechecks at which a server that takes connections counts as going on.
+_MAX_CONNECTED = 2
 #: The most of such answers: two servers' company.
 _MOST_DOUBTED = 192
 #: For how long a server that has ended is remembered, in seconds: longer than any
@@ -72,6 +77,10 @@
         self._link_state = link_state
         #: Told of each server that is found to have ended.
         self.on_end: Callable[[], None] = lambda: None
+        #: Told of a server's ends under requests that a recheck has proven.
+        self.on_proven: Callable[[BackendServer, Sequence[End]], None] = (
+            lambda _server, _ends: None
+        )
         self._listed = listed
         #: By lifetime, when it was found to be over, or to go on.
         self._ended_s: dict[str, float] = {}
@@ -79,6 +88,7 @@
         self._planned_s: dict[str, float] = {}
         self._doubted: list[_Doubt] = []
         self._looks: dict[str, asyncio.Task[bool]] = {}
+        self._rechecks: dict[str, asyncio.Task[None]] = {}
 
     def note_ended(self, server: BackendServer) -> None:
         """Note that a server's lifetime is over."""
@@ -90,14 +100,17 @@
         """Note that a lifetime has ended as planned."""
         self._remember(self._planned_s, lifetime)
 
-    def doubt(self, lifetime: str, ends: Sequence[End]) -> None:
-        """Keep a server's end under a request that only its later start would prove.
+    def doubt(self, server: BackendServer, ends: Sequence[End]) -> None:
+        """Keep a server's end under a request until a recheck or a new start proves it.
 
         A server that is back before it is asked takes connections again.
         """
         self._doubted = [one for one in self._doubted if one.is_recent]
         if len(self._doubted) < _MOST_DOUBTED:
-            self._doubted.append(_Doubt(lifetime, ends, clocks.now_s()))
+            self._doubted.append(_Doubt(server.lifetime, ends, clocks.now_s()))
+        if server.lifetime not in self._rechecks:
+            recheck = asyncio.create_task(self._recheck(server))
+            self._rechecks[server.lifetime] = recheck
 
     def proven(self, before: BackendServer) -> list[End]:
         """Return the ends that a server's new start proves.
@@ -105,11 +118,13 @@
         Args:
             before: The server as it was before.
         """
-        lifetime = before.lifetime
+        doubted = self._take_doubted(before.lifetime)
+        return [] if before.is_leaving else doubted
+
+    def _take_doubted(self, lifetime: str) -> list[End]:
+        """Return a lifetime's doubted ends, which are doubted no more."""
         doubted = [one for one in self._doubted if one.lifetime == lifetime]
-        self._doubted = [one for one in self._doubted if one not in doubted]
-        if before.is_leaving:
-            return []
+        self._doubted = [one for one in self._doubted if one.lifetime != lifetime]
         return [end for one in doubted if one.is_recent for end in one.ends]
 
     async def has_ended(self, server: BackendServer) -> bool:
@@ -145,6 +160,22 @@
         ended_s = self._ended_s.get(server.lifetime)
         return ended_s is not None and ended_s < before_s
 
+    async def _recheck(self, server: BackendServer) -> None:
+        """Ask a server whose answer broke off until its state is known."""
+        connected = 0
+        try:
+            for pause_s in _RECHECK_PAUSES_S:
+                await asyncio.sleep(pause_s)
+                asked_s = clocks.now_s()
+                if await self.has_ended(server):
+                    self.on_proven(server, self._take_doubted(server.lifetime))
+                    return
+                connected += self._there_s.get(server.lifetime, 0.0) >= asked_s
+                if connected >= _MAX_CONNECTED:
+                    return
+        finally:
+            self._rechecks.pop(server.lifetime, None)
+
     async def _look(self, server: BackendServer) -> bool:
         """Ask whether a server refuses connections, and remember it."""
         try:
--- a/src/violethatch/suspicion/_work.py
+++ b/src/violethatch/suspicion/_work.py
@@ -163,9 +163,7 @@
         """
         ends = self._routing.ends
         if not await ends.has_ended(server):
-            if server.born_ms:
-                # A later start would prove it; the others don't tell theirs apart.
-                ends.doubt(server.lifetime, self._ends(server, has_begun=has_begun))
+            ends.doubt(server, self._ends(server, has_begun=has_begun))
             return False
         self._note(server, has_begun=has_begun)
         return True
--- a/tests/test_server_ends.py
+++ b/tests/test_server_ends.py
@@ -7,6 +7,8 @@
 
 from router_fakes import FakeClient
 from routing_samples import runner
+from test_crash_suspects import end, work
+from violethatch.forwarding import LinkState
 from violethatch.suspicion import ServerEnds
 
 
@@ -34,6 +36,47 @@
         client = FakeClient()
         assert not await ends(client, A).has_ended(A)
 
+    async def test_server_that_takes_a_connection_while_it_ends(self):
+        """Its end is noted under all requests whose answers had broken off."""
+        found, proven = ends(client := FakeClient(), A), []
+        found.on_proven = lambda server, of: proven.append((server, of))
+        for number in (1, 2):
+            assert not await found.has_ended(A)
+            found.doubt(A, [end("a", of=work(number))])
+        client.refusing = {"a"}
+        await asyncio.sleep(0.2)
+        assert proven == [(A, [end("a", of=work(1)), end("a", of=work(2))])]
+        assert await found.has_ended(A)
+
+    async def test_server_that_breaks_many_answers_off_is_asked_twice_again(self):
+        """Each recheck is a new connection."""
+        found, proven = ends(client := FakeClient(), A), []
+        found.on_proven = lambda server, of: proven.append((server, of))
+        for number in range(20):
+            assert not await found.has_ended(A)
+            found.doubt(A, [end("a", of=work(number))])
+        await asyncio.sleep(0.5)
+        assert (len(client.looked), proven) == (3, [])
+
+    async def test_end_while_links_are_lost_is_proven_at_their_return(self):
+        """Nobody answers at first, as where all servers have ended."""
+        state = LinkState.LOST
+
+        async def link_state(_server):
+            return state
+
+        client = FakeClient()
+        client.refusing = {"a"}
+        found = ServerEnds(client, listed={"a": A}.get, link_state=link_state)
+        proven = []
+        found.on_proven = lambda _server, of: proven.extend(of)
+        assert not await found.has_ended(A)
+        found.doubt(A, [end("a")])
+        await asyncio.sleep(0.1)
+        state = LinkState.SOUND
+        await asyncio.sleep(0.3)
+        assert proven == [end("a")]
+
     async def test_requests_that_break_together_share_a_look(self):
         """A server's end breaks all its requests at once."""
         client = FakeClient()
