Store a hold where the witness of its last end knew of no other

Cause: the row of a hold was written only by a witness that held the trait itself. One that had just started saw the last end, knew of no other and told it; all held the trait, and none wrote. Change: the three instances that remember a trait's first end write the row too, and remove it where they are told that the trait is cleared, as a row may be written after its removal.

--- a/src/violethatch/_peer_links.py
+++ b/src/violethatch/_peer_links.py
@@ -53,6 +53,7 @@
         routing.tell_end = self._suspects.tell
         routing.tell_cleared = self._suspects.tell_cleared
         routing.may_try = self._suspects.may_try
+        self._suspects.keep_hold = lambda trait: routing.keep_hold(trait)
         routing.tell_pace = self._paces.tell
         routing.retries.ask_for_retries = self._retries.ask
         routing.gate.limits.ask_permit = self.limits.ask
--- a/src/violethatch/suspicion/_held_rows.py
+++ b/src/violethatch/suspicion/_held_rows.py
@@ -3,7 +3,8 @@
 
 Datagrams reach who is there.  An instance that starts, or that all datagrams missed,
 learns of held traits from the table of instances, which every instance follows anyhow.
-Who has seen the end that decided it writes the row; there are few.
+The witness of the end that decided it writes the row, unless it has not heard of the
+other ends; so do the instances that remember the trait's first end.
 """
 
 from __future__ import annotations
--- a/src/violethatch/suspicion/_link.py
+++ b/src/violethatch/suspicion/_link.py
@@ -12,7 +12,7 @@
 import asyncio
 import collections
 
-from collections.abc import Iterable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 
 from .. import clocks, events
 from .._peer_datagrams import (
@@ -56,6 +56,8 @@
         self._allowance = SendAllowance(most_a_second=_MOST_A_SECOND)
         #: By receiver, what it is still to be told.
         self._waiting: dict[str, list[End]] = {}
+        #: Stores that a trait is held back; told of those that others' ends decided.
+        self.keep_hold: Callable[[str], None] = lambda _trait: None
         self._is_scheduled = False
         datagrams.on(EndsDatagram, self._take)
         datagrams.on(ClearedDatagram, self._take_cleared)
@@ -97,12 +99,19 @@
         """Return all other instances."""
         return self._datagrams.directory.others() if self._datagrams.is_open else []
 
+    def _home_ids(self, trait: str) -> Sequence[str]:
+        """Return the ids of those that remember a trait's first end and store holds."""
+        ids = {self._datagrams.directory.own.id, *(one.id for one in self._others())}
+        return rendezvous(trait, ids, count=_HOMES)
+
     def _homes(self, trait: str) -> list[InstanceEntry]:
         """Return those of the others that remember a trait's first end."""
         others = {one.id: one for one in self._others()}
-        ids = {*others, self._datagrams.directory.own.id}
-        homes = rendezvous(trait, ids, count=_HOMES)
-        return [others[one] for one in homes if one in others]
+        return [others[one] for one in self._home_ids(trait) if one in others]
+
+    def _is_home(self, trait: str) -> bool:
+        """Tell whether this instance is one of those."""
+        return self._datagrams.directory.own.id in self._home_ids(trait)
 
     def _tell(self, ends: Iterable[End], peers: Sequence[InstanceEntry]) -> None:
         """Tell some instances of some ends, now and once more."""
@@ -167,13 +176,16 @@
         new = {end.trait for end in told if self._suspects.note(end, now_s=now_s)}
         for trait in new:
             known = self._suspects.ends(trait)
+            is_held = self._suspects.hold(trait, now_s=now_s) is not None
             events.log(
                 events.END_HEARD,
                 trait=trait,
                 teller=message.sender,
                 lifetimes=[end.lifetime for end in known],
-                is_held=self._suspects.hold(trait, now_s=now_s) is not None,
+                is_held=is_held,
             )
+            if is_held and self._is_home(trait):
+                self.keep_hold(trait)
             # Who has told of one end knows of no other, nor do the rest.
             if counts[trait] == 1 and len(known) > 1:
                 self._tell(known, self._others())
@@ -195,6 +207,12 @@
         Raises:
             ValueError: It names no trait.
         """
-        check_work_id(message.trait)
-        if self._suspects.clear(message.trait, now_s=clocks.now_s()):
-            events.log(events.TRAIT_CLEARED, trait=message.trait, teller=message.sender)
+        trait = message.trait
+        check_work_id(trait)
+        was_held = self._suspects.was_held(trait)
+        if not self._suspects.clear(trait, now_s=clocks.now_s()):
+            return
+        events.log(events.TRAIT_CLEARED, trait=trait, teller=message.sender)
+        if was_held and self._is_home(trait):
+            # Its row may be written after the teller has removed it.
+            self.keep_hold(trait)
--- a/tests/test_suspect_link.py
+++ b/tests/test_suspect_link.py
@@ -104,6 +104,35 @@
         assert not any(one.ends(WORK) for one in told.suspects)
 
 
+class TestStored:
+    @pytest.mark.parametrize("count", [2, 8, 350])
+    async def test_hold_that_others_ends_decide_is_stored_by_few(self, count):
+        """An instance that saw only the last end doesn't know that it decides."""
+        told = Told(count)
+        stored = [[] for _ in told.links]
+        for link, kept in zip(told.links, stored, strict=True):
+            link.keep_hold = kept.append
+        for number in range(3):
+            told.see(number % count, f"s{number}")
+            await asyncio.sleep(0.05)
+        await asyncio.sleep(1.0)
+        assert 1 <= sum(bool(kept) for kept in stored) <= 3
+
+    async def test_cleared_trait_is_removed_by_those_that_stored_it(self):
+        """The removal may reach the store before the row does."""
+        told = Told(8)
+        for number in range(3):
+            told.see(number, f"s{number}")
+        await asyncio.sleep(0.2)
+        stored = [[] for _ in told.links]
+        for link, kept in zip(told.links, stored, strict=True):
+            link.keep_hold = kept.append
+        told.suspects[4].clear(WORK, now_s=clocks.now_s())
+        told.links[4].tell_cleared(WORK, 3)
+        await asyncio.sleep(0.2)
+        assert 2 <= sum(kept == [WORK] for kept in stored) <= 3
+
+
 class TestParts:
     @pytest.mark.parametrize("count", [8, 72, 350])
     async def test_all_hold_a_part_back_and_one_tries_it(self, count):
