Count the end of a server that refused while links counted as lost

What callers saw: with one or two servers of a service, requests with a deadly part ended six of them where three are enough: each end that left no server counted for nothing. Cause: where nobody answers, a refusal passes for the instance's own lost links, and nothing corrected that later. Change: the broken answers are kept for 6 s; when the server's entry goes, which it does three heartbeats after a crash, its end counts. A server that only leaves the list, or is cut off, has refused no connection in a check.

--- a/src/violethatch/_routing.py
+++ b/src/violethatch/_routing.py
@@ -231,9 +231,14 @@
         expired = self.backends.expire(now_s=clocks.now_s())
         if expired:
             events.log(events.SERVER_GONE, server_ids=list(expired), reason="lapsed")
-            self.forget(expired)
+            self.take_lost(expired)
         self.take_restarted(self.backends.take_waiting(now_s=clocks.now_s()).restarted)
 
+    def take_lost(self, server_ids: Collection[str]) -> None:
+        """Take in that servers are no longer listed."""
+        self.ends.take_lapsed(server_ids)
+        self.forget(server_ids)
+
     def take_restarted(self, before: Sequence[BackendServer]) -> None:
         """Take in that servers have started again under their ids.
 
@@ -251,14 +256,12 @@
         for server in before:
             if server.is_leaving:
                 self.ends.note_planned(server.lifetime)
-            self._note_proven(server, self.ends.proven(server), by="new start")
+            self._note_proven(server, self.ends.proven(server), "new start")
         self.forget(ids)
         for run in tuple(self.runs):
             run.note_restarted(ids)
 
-    def _note_proven(
-        self, server: BackendServer, ends: Iterable[End], *, by: str = "recheck"
-    ) -> None:
+    def _note_proven(self, server: BackendServer, ends: Iterable[End], by: str) -> None:
         """Note a server's ends under requests that were proven later.
 
         Args:
--- a/src/violethatch/suspicion/_server_ends.py
+++ b/src/violethatch/suspicion/_server_ends.py
@@ -10,7 +10,7 @@
 
 import asyncio
 
-from collections.abc import Awaitable, Callable, Sequence
+from collections.abc import Awaitable, Callable, Collection, Sequence
 from typing import NamedTuple
 
 from .. import clocks, events
@@ -25,8 +25,9 @@
 #: answer that only failed is not passed over.
 _THERE_S = 0.02
 #: For how long an answer that broke off may turn out to be its server's end, in
-#: seconds: the list tells of a new start within a heartbeat and its own way.
-_DOUBT_LIFE_S = 3.0
+#: seconds: the list tells of a new start within a heartbeat and its own way, and drops
+#: an entry after three.
+_DOUBT_LIFE_S = 6.0
 #: Pauses before a server whose answer broke off is asked again, in seconds.  A process
 #: closes its connections one after another, and may take another one meanwhile.
 _RECHECK_PAUSES_S = (0.05, 0.2, 0.75, 1.0)
@@ -40,9 +41,9 @@
 
 
 class _Doubt(NamedTuple):
-    """An answer that broke off at a server that takes connections."""
+    """An answer that broke off at a server that is not known to have ended."""
 
-    lifetime: str
+    server: BackendServer
     ends: Sequence[End]
     noted_s: float
 
@@ -77,15 +78,17 @@
         self._link_state = link_state
         #: Told of each server that is found to have ended.
         self.on_end: Callable[[], None] = lambda: None
-        #: Told of a server's ends under requests that a recheck has proven.
-        self.on_proven: Callable[[BackendServer, Sequence[End]], None] = (
-            lambda _server, _ends: None
+        #: Told of a server's ends under requests that were proven later, and by what.
+        self.on_proven: Callable[[BackendServer, Sequence[End], str], None] = (
+            lambda _server, _ends, _by: None
         )
         self._listed = listed
         #: By lifetime, when it was found to be over, or to go on.
         self._ended_s: dict[str, float] = {}
         self._there_s: dict[str, float] = {}
         self._planned_s: dict[str, float] = {}
+        #: By lifetime, when it refused a connection while links counted as lost.
+        self._refused_s: dict[str, float] = {}
         self._doubted: list[_Doubt] = []
         self._looks: dict[str, asyncio.Task[bool]] = {}
         self._rechecks: dict[str, asyncio.Task[None]] = {}
@@ -107,7 +110,7 @@
         """
         self._doubted = [one for one in self._doubted if one.is_recent]
         if len(self._doubted) < _MOST_DOUBTED:
-            self._doubted.append(_Doubt(server.lifetime, ends, clocks.now_s()))
+            self._doubted.append(_Doubt(server, ends, clocks.now_s()))
         if server.lifetime not in self._rechecks:
             recheck = asyncio.create_task(self._recheck(server))
             self._rechecks[server.lifetime] = recheck
@@ -121,10 +124,26 @@
         doubted = self._take_doubted(before.lifetime)
         return [] if before.is_leaving else doubted
 
+    def take_lapsed(self, server_ids: Collection[str]) -> None:
+        """Take in that servers are no longer listed.
+
+        One that refused connections while links counted as lost had ended.
+        """
+        doubted = {one.server.lifetime: one.server for one in self._doubted}
+        for server in doubted.values():
+            refused_s = self._refused_s.get(server.lifetime, -_DOUBT_LIFE_S)
+            has_refused = clocks.now_s() - refused_s < _DOUBT_LIFE_S
+            if server.id in server_ids and has_refused:
+                self.note_ended(server)
+                ends = self._take_doubted(server.lifetime)
+                self.on_proven(server, ends, "entry gone")
+
     def _take_doubted(self, lifetime: str) -> list[End]:
         """Return a lifetime's doubted ends, which are doubted no more."""
-        doubted = [one for one in self._doubted if one.lifetime == lifetime]
-        self._doubted = [one for one in self._doubted if one.lifetime != lifetime]
+        doubted = [one for one in self._doubted if one.server.lifetime == lifetime]
+        self._doubted = [
+            one for one in self._doubted if one.server.lifetime != lifetime
+        ]
         return [end for one in doubted if one.is_recent for end in one.ends]
 
     async def has_ended(self, server: BackendServer) -> bool:
@@ -168,7 +187,8 @@
                 await asyncio.sleep(pause_s)
                 asked_s = clocks.now_s()
                 if await self.has_ended(server):
-                    self.on_proven(server, self._take_doubted(server.lifetime))
+                    ends = self._take_doubted(server.lifetime)
+                    self.on_proven(server, ends, "recheck")
                     return
                 connected += self._there_s.get(server.lifetime, 0.0) >= asked_s
                 if connected >= _MAX_CONNECTED:
@@ -187,6 +207,7 @@
             self._looks.pop(server.lifetime, None)
         if links is LinkState.LOST:
             events.log(events.SERVER_UNKNOWN, server_id=server.id, reason="links lost")
+            self._remember(self._refused_s, server.lifetime)
             return False
         if links is LinkState.SOUND:
             # Otherwise the refusal may still be due to links to this server alone.
--- a/tests/test_parts_that_end_servers.py
+++ b/tests/test_parts_that_end_servers.py
@@ -203,6 +203,24 @@
     assert PART in stored
 
 
+@pytest.mark.parametrize("instances", [1, 6])
+@pytest.mark.parametrize("count", [1, 2])
+async def test_part_that_ends_all_servers_there_are_is_held_back(count, instances):
+    """None is left to show that the links are sound; the entries of ended ones go."""
+    servers = Servers(model_runner, count=count, back_s=0.5)
+    fleet = Fleet(instances, servers)
+    for number in range(50):
+        await fleet.ask(
+            fleet.routers[number % instances],
+            body=b"a menu %d" % number,
+            id=f"c{number}",
+            prompt_parts=("a", DEADLY_PART),
+        )
+        await asyncio.sleep(0.1)
+    assert len(servers.ended_s) <= ENDS
+    assert (await fleet.ask(fleet.routers[0], prompt_parts=("a",))).end == "whole"
+
+
 async def test_held_request_gets_a_true_answer_at_every_instance():
     """It has not run, and no instance sends it to a server first."""
     servers = Servers(model_runner, count=6, back_s=BACK_S)
--- a/tests/test_server_ends.py
+++ b/tests/test_server_ends.py
@@ -12,7 +12,7 @@
 from violethatch.suspicion import ServerEnds
 
 
-A = runner("a", 0, 80)
+A, B = runner("a", 0, 80), runner("b", 0, 80)
 
 
 def ends(client, *listed):
@@ -39,19 +39,20 @@
     async def test_server_that_takes_a_connection_while_it_ends(self):
         """Its end is noted under all requests whose answers had broken off."""
         found, proven = ends(client := FakeClient(), A), []
-        found.on_proven = lambda server, of: proven.append((server, of))
+        found.on_proven = lambda *told: proven.append(told)
         for number in (1, 2):
             assert not await found.has_ended(A)
             found.doubt(A, [end("a", of=work(number))])
         client.refusing = {"a"}
         await asyncio.sleep(0.2)
-        assert proven == [(A, [end("a", of=work(1)), end("a", of=work(2))])]
+        ended = [end("a", of=work(1)), end("a", of=work(2))]
+        assert proven == [(A, ended, "recheck")]
         assert await found.has_ended(A)
 
     async def test_server_that_breaks_many_answers_off_is_asked_twice_again(self):
         """Each recheck is a new connection."""
         found, proven = ends(client := FakeClient(), A), []
-        found.on_proven = lambda server, of: proven.append((server, of))
+        found.on_proven = lambda *told: proven.append(told)
         for number in range(20):
             assert not await found.has_ended(A)
             found.doubt(A, [end("a", of=work(number))])
@@ -69,13 +70,33 @@
         client.refusing = {"a"}
         found = ServerEnds(client, listed={"a": A}.get, link_state=link_state)
         proven = []
-        found.on_proven = lambda _server, of: proven.extend(of)
+        found.on_proven = lambda *told: proven.append(told)
         assert not await found.has_ended(A)
         found.doubt(A, [end("a")])
         await asyncio.sleep(0.1)
         state = LinkState.SOUND
         await asyncio.sleep(0.3)
-        assert proven == [end("a")]
+        assert proven == [(A, [end("a")], "recheck")]
+
+    async def test_end_while_links_are_lost_is_proven_by_its_entry(self):
+        """A server that only leaves the list refuses no connections."""
+
+        async def link_state(_server):
+            return LinkState.LOST
+
+        client = FakeClient()
+        listed = {"a": A, "b": B}
+        found = ServerEnds(client, listed=listed.get, link_state=link_state)
+        proven = []
+        found.on_proven = lambda *told: proven.append(told)
+        client.refusing = {"a"}
+        for one in (A, B):
+            assert not await found.has_ended(one)
+            found.doubt(one, [end(one.id)])
+        found.take_lapsed(("b",))
+        assert proven == []
+        found.take_lapsed(("a",))
+        assert proven == [(A, [end("a")], "entry gone")]
 
     async def test_requests_that_break_together_share_a_look(self):
         """A server's end breaks all its requests at once."""
