Keep a forwarded stream until another instance has taken it over

Cause: after 1 s of silence the answer was given up before any other instance had taken the stream; the only other one refused it. Change: other instances are asked beside the silent one, each second anew, within the route's attempts; its answer is broken off once another's head is there, and whoever says something first goes on. Answers that have not begun, and plain ones, are as before.

--- a/src/violethatch/forwarding/_call.py
+++ b/src/violethatch/forwarding/_call.py
@@ -18,6 +18,7 @@
 from ..event_stream import SpoiltStreamError
 from ..upstream import Answer, AnswerLostError, Call, Responder
 from ._forwarding import Forwarding
+from ._successor import Handover, Successor
 
 
 _OK = 200
@@ -58,6 +59,7 @@
         self.runs = runs
         #: The instance that served it last.
         self.served_by: str | None = None
+        self._successor = Successor(self._hand_over_beside)
 
     async def serve(self, responder: Responder) -> int:
         """Answer the caller; return the status, or 0 where a stream was cut.
@@ -109,31 +111,39 @@
         Raises:
             VioletHatchError: No other instance gives the answer, or its rest.
         """
-        while True:
-            try:
-                async with deadlines.until(self._deadline_s):
-                    return await self._serve_once(responder, on_event, is_beside)
-            except (AnswerLostError, SpoiltStreamError, TimeoutError):
-                self.runs += 1
-                if not self._may_send_again():
-                    raise self._failure() from None
-            except VioletHatchError as refusal:
-                if refusal.ran is not Ran.NO:
+        handover: Handover | None = None
+        try:
+            while True:
+                try:
+                    async with deadlines.until(self._deadline_s):
+                        handover = handover or await self._hand_over()
+                        return await self._serve_once(
+                            handover, responder, on_event, is_beside
+                        )
+                except (AnswerLostError, SpoiltStreamError, TimeoutError):
+                    handover = self._successor.take()
+                    if handover is not None:
+                        continue  # it was counted when it was asked for
                     self.runs += 1
-                elif self.runs:
-                    raise self._failure() from refusal
-                raise
+                    if not self._may_send_again():
+                        raise self._failure() from None
+                except VioletHatchError as refusal:
+                    if refusal.ran is not Ran.NO:
+                        self.runs += 1
+                    elif self.runs:
+                        raise self._failure() from refusal
+                    raise
+        finally:
+            self._successor.drop()
 
-    async def _serve_once(
-        self, responder: Responder, on_event: Callable[[], None], is_beside: bool
-    ) -> int:
-        """Hand the call over once, and pass its answer on.
+    async def _hand_over(self) -> Handover:
+        """Hand the call, or the rest of its stream, over once.
 
         Raises:
             VioletHatchError: No instance serves it.
             AnswerLostError: Its answer was lost.
-            SpoiltStreamError: Its answer is not the stream's next events.
         """
+        is_stream = self._route.kind is CallKind.STREAM
         peer_id, answer = await self._forwarding.send(
             self._call,
             self._admitted.service.name,
@@ -142,7 +152,44 @@
             waits_out_silence=not self._may_follow(),
             runs=self.runs,
             last_event_id=self._output.progress.last_id,
+            on_silent_body=self._note_silent_body if is_stream else None,
         )
+        return Handover(peer_id, answer)
+
+    async def _hand_over_beside(self) -> Handover:
+        """Hand the rest of a stream over beside an instance that is silent.
+
+        Raises:
+            VioletHatchError: No other instance serves it.
+            AnswerLostError: Its answer was lost.
+        """
+        self.runs += 1
+        try:
+            return await self._hand_over()
+        except VioletHatchError as refusal:
+            if refusal.ran is Ran.NO:
+                self.runs -= 1
+            raise
+
+    def _note_silent_body(self) -> None:
+        """Note that the instance which gives a stream says nothing for a while."""
+        if self._may_follow():
+            self._successor.find()
+
+    async def _serve_once(
+        self,
+        handover: Handover,
+        responder: Responder,
+        on_event: Callable[[], None],
+        is_beside: bool,
+    ) -> int:
+        """Pass the answer of a call that was handed over on.
+
+        Raises:
+            AnswerLostError: The answer was lost.
+            SpoiltStreamError: It is not the stream's next events.
+        """
+        peer_id, answer = handover
         self.served_by = peer_id
         self._forwarding.began(peer_id)
         is_whole = False
@@ -167,9 +214,8 @@
         """Give an answer to the caller; return its status."""
         is_success = _OK <= answer.status < _MULTIPLE_CHOICES
         if self._route.kind is CallKind.STREAM and is_success:
-            await self._output.pass_on(
-                answer.parts(), answer, responder, on_event=on_event
-            )
+            parts = self._successor.parts(answer)
+            await self._output.pass_on(parts, answer, responder, on_event=on_event)
             await responder.finish()
             return answer.status
         body = b"".join([part async for part in answer.parts()])
--- a/src/violethatch/forwarding/_forwarding.py
+++ b/src/violethatch/forwarding/_forwarding.py
@@ -90,6 +90,7 @@
         waits_out_silence: bool,
         runs: int,
         last_event_id: int | None,
+        on_silent_body: Callable[[], None] | None = None,
     ) -> tuple[str, ForwardedAnswer]:
         """Hand a call over; return the instance that serves it, and its answer's head.
 
@@ -101,6 +102,8 @@
             waits_out_silence: Whether an instance that says nothing is waited for.
             runs: Sends that may have run already.
             last_event_id: The event after which its stream goes on.
+            on_silent_body: Called for each second of silence within the answer's body,
+                which is then waited for.
 
         Raises:
             VioletHatchError: No instance serves it, for this reason.
@@ -124,6 +127,7 @@
                 request,
                 is_repeatable=is_repeatable,
                 waits_out_silence=waits_out_silence,
+                on_silent_body=on_silent_body,
             )
             if answer is not None:
                 return peer.id, answer
@@ -166,6 +170,7 @@
         *,
         is_repeatable: bool,
         waits_out_silence: bool,
+        on_silent_body: Callable[[], None] | None,
     ) -> ForwardedAnswer | None:
         """Hand a request to an instance; None if another one is to be asked.
 
@@ -173,9 +178,14 @@
             VioletHatchError: No other instance would serve it either.
             AnswerLostError: Its answer was lost.
         """
+        has_head = False
 
         def on_silent() -> bool:
-            return self._note_silent(peer, service, request, waits_out_silence)
+            if not has_head or on_silent_body is None:
+                return self._note_silent(peer, service, request, waits_out_silence)
+            self._note_silent(peer, service, request, waits_out_silence=True)
+            on_silent_body()
+            return True
 
         try:
             answer = await self._client.send(
@@ -196,6 +206,7 @@
         except AnswerLostError as lost:
             self.note_lost(peer.id, request.call_id, str(lost))
             raise
+        has_head = True
         self._choice.note_load(peer.id, answer.in_flight, now_s=clocks.now_s())
         self.on_outcome("answered")
         return answer
--- a/tests/test_silent_peers.py
+++ b/tests/test_silent_peers.py
@@ -4,9 +4,10 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import random
 
-from router_fakes import FakeResponder, admitted, events, make_call
+from router_fakes import FakeAnswer, FakeResponder, admitted, events, make_call
 from test_forwarding_choice import entry
 from violethatch._stream_output import StreamOutput
 from violethatch.forwarding import ForwardedCall, Forwarding, PeerChoice
@@ -39,6 +40,46 @@
         pass
 
 
+class SilentAnswer(FakeAnswer):
+    """A stream whose instance says nothing after some events until it is let go of.
+
+    Args:
+        on_silent: Called at its silence.
+        after_s: When it goes on, if it is not let go of, in seconds.
+    """
+
+    in_flight = 1
+
+    def __init__(self, on_silent, *, after_s):
+        super().__init__(events(1, 2))
+        self.on_silent = on_silent
+        self.after_s = after_s
+        self.is_closed = asyncio.Event()
+
+    async def parts(self):
+        yield events(1, 2)
+        assert self.on_silent()
+        with contextlib.suppress(TimeoutError):
+            await asyncio.wait_for(self.is_closed.wait(), self.after_s)
+            raise AnswerLostError("closed")
+        yield events(3)
+        await asyncio.sleep(0.05)
+        yield events(4)
+
+    def close(self, *, is_whole):
+        self.is_closed.set()
+
+
+class TakenAnswer(FakeAnswer):
+    """What another instance gives."""
+
+    in_flight = 1
+    is_closed = False
+
+    def close(self, *, is_whole):
+        self.is_closed = not is_whole
+
+
 class Client:
     """One instance takes the call, the other one has just started and knows nobody."""
 
@@ -48,12 +89,61 @@
         return FrozenAnswer(on_silent)
 
 
+class TakingClient:
+    """One instance falls silent, the other one takes what is left.
+
+    Args:
+        taken: What the other one gives.
+        taken_s: How long it takes to give its head, in seconds.
+        after_s: When the silent one goes on, in seconds.
+    """
+
+    def __init__(self, taken, *, taken_s, after_s):
+        self.taken = taken
+        self.taken_s = taken_s
+        self.after_s = after_s
+        self.requests = []
+
+    async def send(self, peer, request, *, is_repeatable, on_silent):
+        self.requests.append((peer.id, request.last_event_id, request.runs))
+        if peer.id == OTHER.id:
+            await asyncio.sleep(self.taken_s)
+            return self.taken
+        return SilentAnswer(on_silent, after_s=self.after_s)
+
+
 async def test_stream_is_cut_at_an_instances_standstill_that_no_other_takes_over():
     """The instance goes on; nobody else has taken the stream meanwhile."""
+    responder, _ = await forwarded(Client())
+    assert responder.end == "whole"
+    assert responder.body == events(1, 2, 3)
+
+
+async def test_stream_is_taken_over_from_a_silent_instance():
+    """The other instance goes on after the caller's last event."""
+    taken = TakenAnswer(events(3), 0.01, events(4))
+    client = TakingClient(taken, taken_s=0.02, after_s=5.0)
+    responder, call = await forwarded(client)
+    assert (responder.end, responder.body) == ("whole", events(1, 2, 3, 4))
+    assert client.requests == [(SERVING.id, None, 0), (OTHER.id, 2, 1)]
+    assert call.runs == 1
+
+
+async def test_silent_instance_that_goes_on_is_not_replaced():
+    """The other one has not taken the stream yet; each event comes once."""
+    taken = TakenAnswer(events(3), events(4))
+    client = TakingClient(taken, taken_s=0.1, after_s=0.03)
+    responder, call = await forwarded(client)
+    assert (responder.end, responder.body) == ("whole", events(1, 2, 3, 4))
+    assert call.served_by == SERVING.id
+
+
+async def forwarded(client):
+    """Serve a stream through other instances; return the caller's end and the call."""
     choice = PeerChoice("z1", rng=random.Random(1))
     choice.note_load(OTHER.id, 50, now_s=0.0)
     forwarding = Forwarding(
-        Client(),
+        client,
         own_id="i0",
         peers=lambda: [SERVING, OTHER],
         choice=choice,
@@ -63,8 +153,8 @@
     call = make_call()
     rights = admitted()
     output = StreamOutput(call, rights.route)
-    forwarded = ForwardedCall(forwarding, call, rights, runs=0, output=output)
+    served = ForwardedCall(forwarding, call, rights, runs=0, output=output)
     responder = FakeResponder()
-    await forwarded.serve(responder)
-    assert responder.end == "whole"
-    assert responder.body == events(1, 2, 3)
+    async with asyncio.timeout(5):
+        await served.serve(responder)
+    return responder, served
