Don't take an entry that lapsed with the store for a server's end

Entries also lapse while the store is away, as servers can't renew them, and the servers go on: an instance that was cut off from servers at the same time would have counted ends that were none. Only a removal that the store tells of counts now.

--- a/src/violethatch/_routing.py
+++ b/src/violethatch/_routing.py
@@ -231,7 +231,8 @@
         expired = self.backends.expire(now_s=clocks.now_s())
         if expired:
             events.log(events.SERVER_GONE, server_ids=list(expired), reason="lapsed")
-            self.take_lost(expired)
+            # A store that was away may have dropped them while they go on.
+            self.forget(expired)
         self.take_restarted(self.backends.take_waiting(now_s=clocks.now_s()).restarted)
 
     def take_lost(self, server_ids: Collection[str]) -> None:
--- a/tests/test_server_ends.py
+++ b/tests/test_server_ends.py
@@ -4,8 +4,9 @@
 from __future__ import annotations
 
 import asyncio
+import random
 
-from router_fakes import FakeClient
+from router_fakes import FakeClient, make_routing
 from routing_samples import runner
 from test_crash_suspects import end, work
 from violethatch.forwarding import LinkState
@@ -98,6 +99,20 @@
         found.take_lapsed(("a",))
         assert proven == [(A, [end("a")], "entry gone")]
 
+    async def test_entry_that_lapsed_while_the_store_was_away_proves_no_end(self):
+        """Servers can't renew their entries then, and go on."""
+        client = FakeClient()
+        client.refusing = {"a"}
+        routing = make_routing(client, A, rng=random.Random(1))
+        routing.link_watch.is_active = True
+        assert not await routing.ends.has_ended(A)
+        proven = []
+        routing.ends.on_proven = lambda *told: proven.append(told)
+        routing.ends.doubt(A, [end("a")])
+        routing.backends.expire = lambda now_s: ("a",)
+        routing.expire()
+        assert proven == []
+
     async def test_requests_that_break_together_share_a_look(self):
         """A server's end breaks all its requests at once."""
         client = FakeClient()
