Rename limits and checks of suspicion to the usual terms

_look is _check, _MOST_ is _MAX_, _LONGEST_ is _MAX_, _AGAIN_S is _RESEND_S. No change of behaviour.

--- a/src/violethatch/suspicion/_held_rows.py
+++ b/src/violethatch/suspicion/_held_rows.py
@@ -30,10 +30,10 @@
 #: How long to wait after a write that came to nothing, in seconds, each time twice as
 #: long: the others have been told by datagrams already.
 _RETRY_S = 1.0
-_LONGEST_RETRY_S = 30.0
+_MAX_RETRY_S = 30.0
 #: The most rows that wait to be written or removed, and the most in one write.
-_MOST_WAITING = 256
-_MOST_IN_A_WRITE = 50
+_MAX_WAITING = 256
+_MAX_ROWS_A_WRITE = 50
 
 
 class _HeldRow(NamedTuple):
@@ -94,7 +94,7 @@
 
     def keep(self, trait: str) -> None:
         """Have a trait's row written, or removed if it is no longer held."""
-        if len(self._waiting) >= _MOST_WAITING:
+        if len(self._waiting) >= _MAX_WAITING:
             events.log(events.HOLD_UNWRITTEN, trait=trait, reason="too many wait")
             return
         self._waiting[trait] = None
@@ -109,7 +109,7 @@
                 retry_s = _RETRY_S
                 continue
             await asyncio.sleep(retry_s)
-            retry_s = min(_LONGEST_RETRY_S, 2 * retry_s)
+            retry_s = min(_MAX_RETRY_S, 2 * retry_s)
 
     def take(
         self,
@@ -172,7 +172,7 @@
         store_s = self._clock.now_s()
         if store_s is None:
             return False  # the store was not read yet
-        traits = list(self._waiting)[:_MOST_IN_A_WRITE]
+        traits = list(self._waiting)[:_MAX_ROWS_A_WRITE]
         rows = {HELD_PREFIX + trait: self._row(trait, store_s) for trait in traits}
         put = {key: row for key, row in rows.items() if row is not None}
         remove = [key for key, row in rows.items() if row is None]
@@ -192,7 +192,7 @@
         """Remember what was written of a trait."""
         self._written.pop(trait, None)
         self._written[trait] = is_held
-        while len(self._written) > _MOST_WAITING:
+        while len(self._written) > _MAX_WAITING:
             del self._written[next(iter(self._written))]
 
     def _row(self, trait: str, store_s: float) -> bytes | None:
--- a/src/violethatch/suspicion/_link.py
+++ b/src/violethatch/suspicion/_link.py
@@ -32,14 +32,14 @@
 #: How long words are gathered for one datagram, in seconds.
 _GATHER_S = 0.02
 #: After how long a word goes out again, in seconds: later than a burst of losses.
-_AGAIN_S = 0.4
+_RESEND_S = 0.4
 #: The most ends in a datagram, of some 70 bytes each: it fits a packet.
 _DATAGRAM_ENDS = 16
 #: Datagrams that an instance may send in a second: two words to each of 350, or what a
 #: hundred servers that end at once leave for three each.
-_MOST_A_SECOND = 700
+_MAX_DATAGRAMS_A_S = 700
 #: The most words that wait for one receiver; the newest are dropped, and logged.
-_MOST_WAITING = 400
+_MAX_WAITING = 400
 
 
 class SuspectLink:
@@ -53,7 +53,7 @@
     def __init__(self, datagrams: PeerDatagrams, suspects: CrashSuspects) -> None:
         self._datagrams = datagrams
         self._suspects = suspects
-        self._allowance = SendAllowance(most_a_second=_MOST_A_SECOND)
+        self._allowance = SendAllowance(most_a_second=_MAX_DATAGRAMS_A_S)
         #: By receiver, what it is still to be told.
         self._waiting: dict[str, list[End]] = {}
         #: Stores that a trait is held back; told of those that others' ends decided.
@@ -118,7 +118,7 @@
         told = [(peer.id, end) for end in ends for peer in peers]
         if told:
             self._queue(told)
-            asyncio.get_running_loop().call_later(_AGAIN_S, self._queue, told)
+            asyncio.get_running_loop().call_later(_RESEND_S, self._queue, told)
 
     def _queue(self, told: Iterable[tuple[str, End]]) -> None:
         """Have ends told that are still believed."""
@@ -126,7 +126,7 @@
             waiting = self._waiting.setdefault(peer_id, [])
             if end not in self._suspects.ends(end.trait):
                 continue  # cleared meanwhile
-            if len(waiting) < _MOST_WAITING:
+            if len(waiting) < _MAX_WAITING:
                 waiting.append(end)
             else:
                 events.log(events.END_UNTOLD, instance_id=peer_id, trait=end.trait)
--- a/src/violethatch/suspicion/_server_ends.py
+++ b/src/violethatch/suspicion/_server_ends.py
@@ -21,9 +21,9 @@
 
 
 #: How long a server that took a connection counts as there, in seconds: requests that
-#: are broken off together share one look, and one that ends the server soon after an
+#: are broken off together share one check, and one that ends the server soon after an
 #: answer that only failed is not passed over.
-_THERE_S = 0.02
+_CONNECTED_LIFE_S = 0.02
 #: For how long an answer that broke off may turn out to be its server's end, in
 #: seconds: the list tells of a new start within a heartbeat and its own way, and drops
 #: an entry after three.
@@ -34,7 +34,7 @@
 #: Rechecks at which a server that takes connections counts as going on.
 _MAX_CONNECTED = 2
 #: The most of such answers: two servers' company.
-_MOST_DOUBTED = 192
+_MAX_DOUBTED = 192
 #: For how long a server that has ended is remembered, in seconds: longer than any
 #: request of before its end is under way.
 _ENDED_LIFE_S = 60.0
@@ -85,12 +85,12 @@
         self._listed = listed
         #: By lifetime, when it was found to be over, or to go on.
         self._ended_s: dict[str, float] = {}
-        self._there_s: dict[str, float] = {}
+        self._connected_s: dict[str, float] = {}
         self._planned_s: dict[str, float] = {}
         #: By lifetime, when it refused a connection while links counted as lost.
         self._refused_s: dict[str, float] = {}
         self._doubted: list[_Doubt] = []
-        self._looks: dict[str, asyncio.Task[bool]] = {}
+        self._checks: dict[str, asyncio.Task[bool]] = {}
         self._rechecks: dict[str, asyncio.Task[None]] = {}
 
     def note_ended(self, server: BackendServer) -> None:
@@ -109,7 +109,7 @@
         A server that is back before it is asked takes connections again.
         """
         self._doubted = [one for one in self._doubted if one.is_recent]
-        if len(self._doubted) < _MOST_DOUBTED:
+        if len(self._doubted) < _MAX_DOUBTED:
             self._doubted.append(_Doubt(server, ends, clocks.now_s()))
         if server.lifetime not in self._rechecks:
             recheck = asyncio.create_task(self._recheck(server))
@@ -160,14 +160,17 @@
         if server.born_ms < listed.born_ms and server.born_ms:
             self.note_ended(server)
             return True
-        if now_s - self._there_s.get(server.lifetime, -_THERE_S) < _THERE_S:
+        if (
+            now_s - self._connected_s.get(server.lifetime, -_CONNECTED_LIFE_S)
+            < _CONNECTED_LIFE_S
+        ):
             return False
-        look = self._looks.get(server.lifetime)
-        if look is None:
-            look = asyncio.create_task(self._look(server))
-            self._looks[server.lifetime] = look
-        # Who has started the look may be cancelled; the others still want it.
-        return await asyncio.shield(look)
+        check = self._checks.get(server.lifetime)
+        if check is None:
+            check = asyncio.create_task(self._check(server))
+            self._checks[server.lifetime] = check
+        # Who has started the check may be cancelled; the others still want it.
+        return await asyncio.shield(check)
 
     def is_known(self, lifetime: str, *, now_s: float) -> bool:
         """Tell whether a server's lifetime was found to be over."""
@@ -190,21 +193,21 @@
                     ends = self._take_doubted(server.lifetime)
                     self.on_proven(server, ends, "recheck")
                     return
-                connected += self._there_s.get(server.lifetime, 0.0) >= asked_s
+                connected += self._connected_s.get(server.lifetime, 0.0) >= asked_s
                 if connected >= _MAX_CONNECTED:
                     return
         finally:
             self._rechecks.pop(server.lifetime, None)
 
-    async def _look(self, server: BackendServer) -> bool:
+    async def _check(self, server: BackendServer) -> bool:
         """Ask whether a server refuses connections, and remember it."""
         try:
             if not await self._client.is_refusing(server):
-                self._remember(self._there_s, server.lifetime)
+                self._remember(self._connected_s, server.lifetime)
                 return False
             links = await self._link_state(server)
         finally:
-            self._looks.pop(server.lifetime, None)
+            self._checks.pop(server.lifetime, None)
         if links is LinkState.LOST:
             events.log(events.SERVER_UNKNOWN, server_id=server.id, reason="links lost")
             self._remember(self._refused_s, server.lifetime)
--- a/src/violethatch/suspicion/_work.py
+++ b/src/violethatch/suspicion/_work.py
@@ -24,7 +24,7 @@
 
 #: The longest time after which a caller is told to come back, in seconds: what is held
 #: back for longer may still be cleared by then.
-_LONGEST_RETRY_S = 3_600.0
+_MAX_RETRY_AFTER_S = 3_600.0
 #: For how long a hold on a part of prompts is young, in seconds: if the part is sound,
 #: other requests' answers clear it within that time.
 _YOUNG_S = 1.0
@@ -39,7 +39,7 @@
     """Return when a caller who is held back should come back, in seconds."""
     if is_part(hold.trait) and hold.age_s < _YOUNG_S:
         return _YOUNG_S
-    return min(hold.left_s or TRIAL_PAUSE_S, _LONGEST_RETRY_S)
+    return min(hold.left_s or TRIAL_PAUSE_S, _MAX_RETRY_AFTER_S)
 
 
 class WorkInHand:
--- a/tests/test_suspect_link.py
+++ b/tests/test_suspect_link.py
@@ -192,7 +192,7 @@
 class TestBounds:
     async def test_what_waits_is_bounded(self, monkeypatch):
         """Ends without number neither fill memory nor the link."""
-        monkeypatch.setattr(_link, "_MOST_WAITING", 50)
+        monkeypatch.setattr(_link, "_MAX_WAITING", 50)
         told = Told(2)
         for number in range(200):
             told.see(0, "s1", of=work(number))
