--- a/src/violethatch/_router.py
+++ b/src/violethatch/_router.py
@@ -386,7 +386,7 @@
                     era=view.era,
                     source=view.source,
                 )
-        self.routing.take_lost(change.lost)
+        self.routing.take_unlisted(change.lost)
         self.routing.take_restarted(change.restarted)
 
     def _decoded_servers(
--- a/src/violethatch/_routing.py
+++ b/src/violethatch/_routing.py
@@ -235,9 +235,9 @@
             self.forget(expired)
         self.take_restarted(self.backends.take_waiting(now_s=clocks.now_s()).restarted)
 
-    def take_lost(self, server_ids: Collection[str]) -> None:
+    def take_unlisted(self, server_ids: Collection[str]) -> None:
         """Take in that servers are no longer listed."""
-        self.ends.take_lapsed(server_ids)
+        self.ends.take_unlisted(server_ids)
         self.forget(server_ids)
 
     def take_restarted(self, before: Sequence[BackendServer]) -> None:
--- a/src/violethatch/suspicion/_link.py
+++ b/src/violethatch/suspicion/_link.py
@@ -29,16 +29,16 @@
 
 #: How many instances remember a trait's first end: two of them may be gone.
 _HOMES = 3
-#: How long words are gathered for one datagram, in seconds.
+#: How long ends are gathered for one datagram, in seconds.
 _GATHER_S = 0.02
-#: After how long a word goes out again, in seconds: later than a burst of losses.
+#: After how long an end is sent again, in seconds: later than a burst of losses.
 _RESEND_S = 0.4
 #: The most ends in a datagram, of some 70 bytes each: it fits a packet.
 _DATAGRAM_ENDS = 16
-#: Datagrams that an instance may send in a second: two words to each of 350, or what a
+#: Datagrams that an instance may send in a second: two to each of 350, or what a
 #: hundred servers that end at once leave for three each.
 _MAX_DATAGRAMS_A_S = 700
-#: The most words that wait for one receiver; the newest are dropped, and logged.
+#: The most ends that wait for one receiver; the newest are dropped, and logged.
 _MAX_WAITING = 400
 
 
@@ -56,7 +56,7 @@
         self._allowance = SendAllowance(most_a_second=_MAX_DATAGRAMS_A_S)
         #: By receiver, what it is still to be told.
         self._waiting: dict[str, list[End]] = {}
-        #: Stores that a trait is held back; told of those that others' ends decided.
+        #: Stores a hold that ends seen elsewhere have decided.
         self.keep_hold: Callable[[str], None] = lambda _trait: None
         self._is_scheduled = False
         datagrams.on(EndsDatagram, self._take)
--- a/src/violethatch/suspicion/_server_ends.py
+++ b/src/violethatch/suspicion/_server_ends.py
@@ -124,7 +124,7 @@
         doubted = self._take_doubted(before.lifetime)
         return [] if before.is_leaving else doubted
 
-    def take_lapsed(self, server_ids: Collection[str]) -> None:
+    def take_unlisted(self, server_ids: Collection[str]) -> None:
         """Take in that servers are no longer listed.
 
         One that refused connections while links counted as lost had ended.
--- a/tests/test_server_ends.py
+++ b/tests/test_server_ends.py
@@ -94,9 +94,9 @@
         for one in (A, B):
             assert not await found.has_ended(one)
             found.doubt(one, [end(one.id)])
-        found.take_lapsed(("b",))
+        found.take_unlisted(("b",))
         assert proven == []
-        found.take_lapsed(("a",))
+        found.take_unlisted(("a",))
         assert proven == [(A, [end("a")], "entry gone")]
 
     async def test_entry_that_lapsed_while_the_store_was_away_proves_no_end(self):
