--- a/src/violethatch/forwarding/_call.py
+++ b/src/violethatch/forwarding/_call.py
@@ -111,31 +111,41 @@
         Raises:
             VioletHatchError: No other instance gives the answer, or its rest.
         """
-        handover: Handover | None = None
         try:
-            while True:
-                try:
-                    async with deadlines.until(self._deadline_s):
-                        handover = handover or await self._hand_over()
-                        return await self._serve_once(
-                            handover, responder, on_event, is_beside
-                        )
-                except (AnswerLostError, SpoiltStreamError, TimeoutError):
-                    handover = self._successor.take()
-                    if handover is not None:
-                        continue  # it was counted when it was asked for
-                    self.runs += 1
-                    if not self._may_send_again():
-                        raise self._failure() from None
-                except VioletHatchError as refusal:
-                    if refusal.ran is not Ran.NO:
-                        self.runs += 1
-                    elif self.runs:
-                        raise self._failure() from refusal
-                    raise
+            return await self._serve_in_turn(responder, on_event, is_beside)
         finally:
             self._successor.drop()
 
+    async def _serve_in_turn(
+        self, responder: Responder, on_event: Callable[[], None], is_beside: bool
+    ) -> int:
+        """Hand the call over to one instance after another; return the status.
+
+        Raises:
+            VioletHatchError: No other instance gives the answer, or its rest.
+        """
+        handover: Handover | None = None
+        while True:
+            try:
+                async with deadlines.until(self._deadline_s):
+                    handover = handover or await self._hand_over()
+                    return await self._serve_once(
+                        handover, responder, on_event, is_beside
+                    )
+            except (AnswerLostError, SpoiltStreamError, TimeoutError):
+                handover = self._successor.take()
+                if handover is not None:
+                    continue  # it was counted when it was asked for
+                self.runs += 1
+                if not self._may_send_again():
+                    raise self._failure() from None
+            except VioletHatchError as refusal:
+                if refusal.ran is not Ran.NO:
+                    self.runs += 1
+                elif self.runs:
+                    raise self._failure() from refusal
+                raise
+
     async def _hand_over(self) -> Handover:
         """Hand the call, or the rest of its stream, over once.
 
