Check what taking a state in cost by figures that are not rounded

The whole suite on failed at test_line_does_not_tell_what_taking_in_cost: the longest of 13 turns took less than 0.05 ms, and the line rounds to 0.1 ms. The metric's sums are compared instead; the line's order is checked as before. The same run failed in test_ended_server_is_put_down_to_the_work, which named a field that was renamed.

--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -233,10 +233,14 @@
         (line,) = [one for one in logged if one["number"] == 2401]
         # The row, its routes by 32, the end, and admission.
         assert line["slices"] == 13
-        assert 0.0 < line["longest_hold_s"] <= line["took_s"]
-        shown = made.metrics.state_taken_s
-        assert shown.get({"part": "all"})["count"] == 1
-        assert shown.get({"part": "longest_hold"})["count"] == 1
+        assert line["longest_hold_s"] <= line["took_s"]
+        # The line rounds to 0.1 ms, which a quick machine's holds may be below.
+        taken, hold = (
+            made.metrics.state_taken_s.get({"part": part})
+            for part in ("all", "longest_hold")
+        )
+        assert (taken["count"], hold["count"]) == (1, 1)
+        assert 0.0 < hold["sum"] <= taken["sum"]
 
     async def test_older_state_freed_in_the_turn_of_the_newer_one(self, monkeypatch):
         """Both took some ms with 10,000 routes."""
--- a/tests/test_work_in_hand.py
+++ b/tests/test_work_in_hand.py
@@ -106,7 +106,7 @@
         assert not await work_in_hand(routing).lost(A, has_begun=False)
         assert not routing.suspects
         client.refusing = {"a"}
-        routing.ends._there_s.clear()
+        routing.ends._connected_s.clear()
         assert await work_in_hand(routing).lost(A, has_begun=False)
         assert work_in_hand(routing).suspected_trait is not None
         work_in_hand(routing).answered()
