Choose instances for a trait in one place

SuspectLink gathered the ids of all instances and ranked them twice: for those that remember a first end and store holds, and for the one that tries a held part. One method serves both now. No change of behaviour; the tests of these parts pass as they were.

--- a/src/violethatch/suspicion/_link.py
+++ b/src/violethatch/suspicion/_link.py
@@ -91,27 +91,30 @@
 
     def may_try(self, trait: str) -> bool:
         """Tell whether this instance is the one that tries a held part again."""
-        own_id = self._datagrams.directory.own.id
-        ids = {own_id, *(one.id for one in self._others())}
-        return rendezvous(part_of(trait), ids, count=1) == [own_id]
+        return self._is_chosen(part_of(trait), count=1)
 
     def _others(self) -> list[InstanceEntry]:
         """Return all other instances."""
         return self._datagrams.directory.others() if self._datagrams.is_open else []
 
-    def _home_ids(self, trait: str) -> Sequence[str]:
-        """Return the ids of those that remember a trait's first end and store holds."""
+    def _chosen_ids(self, key: str, *, count: int) -> Sequence[str]:
+        """Return the ids of the instances that a key chooses, this one included."""
         ids = {self._datagrams.directory.own.id, *(one.id for one in self._others())}
-        return rendezvous(trait, ids, count=_HOMES)
+        return rendezvous(key, ids, count=count)
+
+    def _is_chosen(self, key: str, *, count: int) -> bool:
+        """Tell whether this instance is one of those."""
+        return self._datagrams.directory.own.id in self._chosen_ids(key, count=count)
 
     def _homes(self, trait: str) -> list[InstanceEntry]:
         """Return those of the others that remember a trait's first end."""
         others = {one.id: one for one in self._others()}
-        return [others[one] for one in self._home_ids(trait) if one in others]
+        homes = self._chosen_ids(trait, count=_HOMES)
+        return [others[one] for one in homes if one in others]
 
     def _is_home(self, trait: str) -> bool:
-        """Tell whether this instance is one of those."""
-        return self._datagrams.directory.own.id in self._home_ids(trait)
+        """Tell whether this instance remembers a trait's first end and stores holds."""
+        return self._is_chosen(trait, count=_HOMES)
 
     def _tell(self, ends: Iterable[End], peers: Sequence[InstanceEntry]) -> None:
         """Tell some instances of some ends, now and once more."""
