Tell in one place whether a lifetime was noted lately

ServerEnds compared a remembered time with a limit in three places, two of them with a default of minus the limit for what was never noted. One function does it. No change of behaviour; lint, types and the tests of these parts pass, with their assertions as they were.

--- a/src/violethatch/suspicion/_server_ends.py
+++ b/src/violethatch/suspicion/_server_ends.py
@@ -10,7 +10,7 @@
 
 import asyncio
 
-from collections.abc import Awaitable, Callable, Collection, Sequence
+from collections.abc import Awaitable, Callable, Collection, Mapping, Sequence
 from typing import NamedTuple
 
 from .. import clocks, events
@@ -53,6 +53,14 @@
         return clocks.now_s() - self.noted_s < _DOUBT_LIFE_S
 
 
+def _is_within(
+    noted_s: Mapping[str, float], lifetime: str, limit_s: float, *, now_s: float
+) -> bool:
+    """Tell whether a lifetime was noted less than some time ago, in seconds."""
+    at_s = noted_s.get(lifetime)
+    return at_s is not None and now_s - at_s < limit_s
+
+
 async def _sound(_server: BackendServer) -> LinkState:
     """Stand in for a check of links where there is none."""
     return LinkState.SOUND
@@ -129,13 +137,15 @@
 
         One that refused connections while links counted as lost had ended.
         """
+        now_s = clocks.now_s()
         doubted = {one.server.lifetime: one.server for one in self._doubted}
-        for server in doubted.values():
-            refused_s = self._refused_s.get(server.lifetime, -_DOUBT_LIFE_S)
-            has_refused = clocks.now_s() - refused_s < _DOUBT_LIFE_S
+        for lifetime, server in doubted.items():
+            has_refused = _is_within(
+                self._refused_s, lifetime, _DOUBT_LIFE_S, now_s=now_s
+            )
             if server.id in server_ids and has_refused:
                 self.note_ended(server)
-                ends = self._take_doubted(server.lifetime)
+                ends = self._take_doubted(lifetime)
                 self.on_proven(server, ends, "entry gone")
 
     def _take_doubted(self, lifetime: str) -> list[End]:
@@ -160,9 +170,8 @@
         if server.born_ms < listed.born_ms and server.born_ms:
             self.note_ended(server)
             return True
-        if (
-            now_s - self._connected_s.get(server.lifetime, -_CONNECTED_LIFE_S)
-            < _CONNECTED_LIFE_S
+        if _is_within(
+            self._connected_s, server.lifetime, _CONNECTED_LIFE_S, now_s=now_s
         ):
             return False
         check = self._checks.get(server.lifetime)
@@ -174,8 +183,7 @@
 
     def is_known(self, lifetime: str, *, now_s: float) -> bool:
         """Tell whether a server's lifetime was found to be over."""
-        ended_s = self._ended_s.get(lifetime)
-        return ended_s is not None and now_s - ended_s < _ENDED_LIFE_S
+        return _is_within(self._ended_s, lifetime, _ENDED_LIFE_S, now_s=now_s)
 
     def had_ended(self, server: BackendServer, *, before_s: float) -> bool:
         """Tell whether a server was found to have ended before a time."""
