Count the sends of an instance that is lost with a forwarded call

Cause: the sender of a forwarded call counted a handover as one send; an instance that had sent the call to two servers and then fell silent or broke off never told so. Change: it tells of each further send before it makes it (frame ALIVE with the number; earlier instances send none, which counts as one); the sender counts what it was told.

--- a/src/violethatch/_plain_calls.py
+++ b/src/violethatch/_plain_calls.py
@@ -32,9 +32,11 @@
     Headers,
     KeptBackError,
     NotSentError,
+    OnSend,
     Responder,
     Send,
     ServerLoad,
+    tell_nobody,
 )
 
 
@@ -119,8 +121,15 @@
     """
 
     def __init__(
-        self, routing: Routing, call: Call, admitted: Admitted, *, runs: int = 0
+        self,
+        routing: Routing,
+        call: Call,
+        admitted: Admitted,
+        *,
+        runs: int = 0,
+        on_send: OnSend = tell_nobody,
     ) -> None:
+        self._on_send = on_send
         self._routing = routing
         self._call = call
         self._admitted = admitted
@@ -322,6 +331,7 @@
         )
         load: ServerLoad | None = None
         try:
+            await self._on_send(self._begun_runs)
             answer = await routing.client.send(self._send_to(server))
             routing.link_watch.note_answer(server.service)
             load = answer.load
--- a/src/violethatch/_router.py
+++ b/src/violethatch/_router.py
@@ -44,7 +44,15 @@
 from .slices import Slices, Steps
 from .store_era import UNREAD, TableState
 from .streams import StreamCall
-from .upstream import Call, Decoder, Responder, RunnerClient, TableView
+from .upstream import (
+    Call,
+    Decoder,
+    OnSend,
+    Responder,
+    RunnerClient,
+    TableView,
+    tell_nobody,
+)
 
 
 _OK = 200
@@ -182,7 +190,13 @@
             self.in_flight -= 1
 
     async def serve_forwarded(
-        self, call: Call, responder: Responder, *, state_version: int, runs: int
+        self,
+        call: Call,
+        responder: Responder,
+        *,
+        state_version: int,
+        runs: int,
+        on_send: OnSend,
     ) -> None:
         """Serve a call that another instance hands over; see `ForwardServer`.
 
@@ -198,7 +212,9 @@
                 raise LinksLostError(retry_after_s=ELSEWHERE_RETRY_S)
             self.in_flight += 1
             try:
-                await self._serve_admitted(call, admitted, responder, runs=runs)
+                await self._serve_admitted(
+                    call, admitted, responder, runs=runs, on_send=on_send
+                )
             finally:
                 self.in_flight -= 1
         except VioletHatchError as error:
@@ -526,10 +542,16 @@
         return UnprovenStateError(msg, retry_after_s=retry_after_s)
 
     async def _serve_admitted(
-        self, call: Call, admitted: Admitted, responder: Responder, *, runs: int = 0
+        self,
+        call: Call,
+        admitted: Admitted,
+        responder: Responder,
+        *,
+        runs: int = 0,
+        on_send: OnSend = tell_nobody,
     ) -> None:
         """Serve a call by its route's kind, and log how it went."""
-        local = self._local_call(call, admitted, runs=runs)
+        local = self._local_call(call, admitted, runs=runs, on_send=on_send)
         served_by = None
         try:
             status = await local.serve(responder)
@@ -563,7 +585,12 @@
         )
 
     def _local_call(
-        self, call: Call, admitted: Admitted, *, runs: int
+        self,
+        call: Call,
+        admitted: Admitted,
+        *,
+        runs: int,
+        on_send: OnSend,
     ) -> StreamCall | PlainCall:
         """Return a call as this instance serves it itself."""
         is_stream = admitted.route.kind is CallKind.STREAM
@@ -574,8 +601,9 @@
                 admitted,
                 runs=runs,
                 forward=functools.partial(self._forwarded_call, call, admitted),
+                on_send=on_send,
             )
-        return PlainCall(self.routing, call, admitted, runs=runs)
+        return PlainCall(self.routing, call, admitted, runs=runs, on_send=on_send)
 
     def _forwarded_call(
         self, call: Call, admitted: Admitted, local: StreamCall | PlainCall
--- a/src/violethatch/events.py
+++ b/src/violethatch/events.py
@@ -116,6 +116,7 @@
 FORWARD_LOST = Event(
     2227, "forward_lost", "The answer to a forwarded request was lost."
 )
+FORWARD_TAKEN = Event(2241, "forward_taken", "An instance serves a forwarded request.")
 FORWARD_SILENT = Event(
     2240, "forward_silent", "An instance says nothing of a forwarded request."
 )
--- a/src/violethatch/forwarding/_call.py
+++ b/src/violethatch/forwarding/_call.py
@@ -16,7 +16,8 @@
     VioletHatchError,
 )
 from ..event_stream import SpoiltStreamError
-from ..upstream import Answer, AnswerLostError, Call, Responder
+from ..upstream import AnswerLostError, Call, Responder
+from ._client import ForwardedAnswer
 from ._forwarding import Forwarding
 from ._successor import Handover, Successor
 
@@ -59,6 +60,8 @@
         self.runs = runs
         #: The instance that served it last.
         self.served_by: str | None = None
+        #: The answer that is being passed on.
+        self._answer: ForwardedAnswer | None = None
         self._successor = Successor(self._hand_over_beside)
 
     async def serve(self, responder: Responder) -> int:
@@ -132,11 +135,12 @@
                     return await self._serve_once(
                         handover, responder, on_event, is_beside
                     )
-            except (AnswerLostError, SpoiltStreamError, TimeoutError):
+            except (AnswerLostError, SpoiltStreamError, TimeoutError) as error:
                 handover = self._successor.take()
                 if handover is not None:
                     continue  # it was counted when it was asked for
-                self.runs += 1
+                self.runs += self._lost_sends(error)
+                self._answer = None
                 if not self._may_send_again():
                     raise self._failure() from None
             except VioletHatchError as refusal:
@@ -173,17 +177,18 @@
             VioletHatchError: No other instance serves it.
             AnswerLostError: Its answer was lost.
         """
-        self.runs += 1
+        sends = self._silent_sends
+        self.runs += sends
         try:
             return await self._hand_over()
         except VioletHatchError as refusal:
             if refusal.ran is Ran.NO:
-                self.runs -= 1
+                self.runs -= sends
             raise
 
     def _note_silent_body(self) -> None:
         """Note that the instance which gives a stream says nothing for a while."""
-        if self._may_follow():
+        if self._may_follow(sends=self._silent_sends):
             self._successor.find()
 
     async def _serve_once(
@@ -201,6 +206,7 @@
         """
         peer_id, answer = handover
         self.served_by = peer_id
+        self._answer = answer
         self._forwarding.began(peer_id)
         is_whole = False
         try:
@@ -216,7 +222,7 @@
 
     async def _pass_on(
         self,
-        answer: Answer,
+        answer: ForwardedAnswer,
         responder: Responder,
         on_event: Callable[[], None],
         is_beside: bool,
@@ -237,12 +243,24 @@
         )
         return answer.status
 
-    def _may_follow(self) -> bool:
-        """Tell whether another handover may follow the next one.
+    @property
+    def _silent_sends(self) -> int:
+        """The sends of the instance whose answer is being passed on."""
+        return self._answer.sends if self._answer is not None else 1
+
+    def _lost_sends(self, error: Exception) -> int:
+        """Return how many sends may have run of a handover that was lost."""
+        if self._answer is None and isinstance(error, AnswerLostError):
+            return error.sends
+        # What is found wrong with an answer doesn't know of its sends.
+        return self._silent_sends
+
+    def _may_follow(self, *, sends: int = 1) -> bool:
+        """Tell whether another handover may follow one that sends the call so often.
 
         An instance that is silent may go on: else it is waited for.
         """
-        is_left = self.runs + 1 < self._route.max_attempts
+        is_left = self.runs + sends < self._route.max_attempts
         return self._route.is_repeatable and is_left
 
     def _may_send_again(self) -> bool:
--- a/src/violethatch/forwarding/_client.py
+++ b/src/violethatch/forwarding/_client.py
@@ -27,6 +27,7 @@
     Refusal,
     decoded_head,
     decoded_refusal,
+    decoded_sends,
     encoded,
 )
 
@@ -79,6 +80,8 @@
         self.refusal: ServerRefusal | None = None
         self.load: ServerLoad | None = None
         self.in_flight = 0
+        #: The instance's sends to servers that may have run.
+        self.sends = 1
 
     async def open(self) -> None:
         """Wait for the answer's head.
@@ -130,18 +133,19 @@
                 frame = self._frames.pop(0)
                 if frame.kind is not FrameKind.ALIVE:
                     return frame
+                self.sends = max(1, decoded_sends(frame.content))
             try:
                 data = await _result(self._answer.content.readany(), self._on_silent)
                 if not data:
                     msg = "the instance ended the answer"
-                    raise AnswerLostError(msg)
+                    raise AnswerLostError(msg, sends=self.sends)
                 self._frames.extend(self._splitter.feed(data))
             except TimeoutError as error:
                 msg = f"the instance was silent for {_SILENCE_S:g} s"
-                raise AnswerLostError(msg) from error
+                raise AnswerLostError(msg, sends=self.sends) from error
             except CALL_ERRORS as error:
                 msg = f"the answer broke off: {error!r}"
-                raise AnswerLostError(msg) from error
+                raise AnswerLostError(msg, sends=self.sends) from error
 
 
 class ForwardClient:
--- a/src/violethatch/forwarding/_forwarding.py
+++ b/src/violethatch/forwarding/_forwarding.py
@@ -209,6 +209,12 @@
         has_head = True
         self._choice.note_load(peer.id, answer.in_flight, now_s=clocks.now_s())
         self.on_outcome("answered")
+        events.log(
+            events.FORWARD_TAKEN,
+            request_id=request.call_id,
+            instance_id=peer.id,
+            in_flight=answer.in_flight,
+        )
         return answer
 
     def _note_silent(
--- a/src/violethatch/forwarding/_listener.py
+++ b/src/violethatch/forwarding/_listener.py
@@ -14,12 +14,13 @@
 from .. import clocks, events
 from .._open_answers import OpenAnswers
 from ..errors import AnswerCutError, Ran, VioletHatchError
-from ..upstream import Call, Headers, Responder
+from ..upstream import Call, Headers, OnSend, Responder
 from ._wire import (
     AnswerHead,
     ForwardedRequest,
     FrameKind,
     Refusal,
+    alive_frame,
     decoded_request,
     frame,
     message_frame,
@@ -52,7 +53,13 @@
         """The largest body that a caller may send, in bytes."""
 
     async def serve_forwarded(
-        self, call: Call, responder: Responder, *, state_version: int, runs: int
+        self,
+        call: Call,
+        responder: Responder,
+        *,
+        state_version: int,
+        runs: int,
+        on_send: OnSend,
     ) -> None:
         """Serve a call to its end.
 
@@ -61,6 +68,7 @@
             responder: Answers the instance that handed it over.
             state_version: That instance's desired state: no older one may decide.
             runs: Its sends that may have run.
+            on_send: Told before each send how many may have run then, *runs* included.
 
         Raises:
             VioletHatchError: Nothing of an answer was given.
@@ -112,6 +120,7 @@
                     responder,
                     state_version=message.state_version,
                     runs=message.runs,
+                    on_send=lambda runs: responder.note_sends(runs - message.runs),
                 )
         except AnswerCutError:
             self._note_cut(call, responder)
@@ -164,6 +173,13 @@
         self._server = server
         self.is_started = False
         self._written_s = clocks.now_s()
+        self._sends = 1
+
+    async def note_sends(self, sends: int) -> None:
+        """Tell the sender of a further send, in case this instance is lost to it."""
+        if sends > self._sends:
+            self._sends = sends
+            await self._write(alive_frame(sends))
 
     async def answer(
         self, status: int, headers: Headers, body: bytes, *, is_framed: bool = True
@@ -220,7 +236,7 @@
             await asyncio.sleep(_ALIVE_S)
             if clocks.now_s() - self._written_s >= _ALIVE_S:
                 try:
-                    await self._write(frame(FrameKind.ALIVE))
+                    await self._write(alive_frame(self._sends))
                 except ConnectionError:
                     return  # the sender went away; the request's task is told
 
--- a/src/violethatch/forwarding/_successor.py
+++ b/src/violethatch/forwarding/_successor.py
@@ -13,7 +13,8 @@
 from typing import NamedTuple
 
 from ..errors import VioletHatchError
-from ..upstream import Answer, AnswerLostError
+from ..upstream import AnswerLostError
+from ._client import ForwardedAnswer
 
 
 class Handover(NamedTuple):
@@ -25,7 +26,7 @@
     """
 
     peer_id: str
-    answer: Answer
+    answer: ForwardedAnswer
 
 
 class Successor:
@@ -38,7 +39,7 @@
     def __init__(self, hand_over: Callable[[], Awaitable[Handover]]) -> None:
         self._hand_over = hand_over
         self._asking: asyncio.Task[Handover | None] | None = None
-        self._silent: Answer | None = None
+        self._silent: ForwardedAnswer | None = None
 
     def find(self) -> None:
         """Ask other instances, unless they are being asked."""
@@ -61,7 +62,7 @@
             self._asking.cancel()
             self._asking = None
 
-    async def parts(self, answer: Answer) -> AsyncIterator[bytes]:
+    async def parts(self, answer: ForwardedAnswer) -> AsyncIterator[bytes]:
         """Return an answer's body as it comes; while it goes on, nobody is asked.
 
         Raises:
--- a/src/violethatch/forwarding/_wire.py
+++ b/src/violethatch/forwarding/_wire.py
@@ -22,6 +22,7 @@
 PATH = "/forward"
 _MS_PER_S = 1000.0
 _PREFIX = struct.Struct(">BI")
+_SENDS = struct.Struct(">I")
 #: The largest frame that is read, in bytes: several times what a write passes on.
 _MAX_FRAME_BYTES = 64 * 1024 * 1024
 Ms = Annotated[float, msgspec.Meta(ge=0, le=3_600_000)]
@@ -38,7 +39,7 @@
     END = 3
     #: Why the instance gives no answer of a server's.
     REFUSAL = 4
-    #: Nothing: the instance is still at work.
+    #: The sends to servers so far, or nothing: the instance is still at work.
     ALIVE = 5
 
 
@@ -156,6 +157,16 @@
     return frame(kind, msgspec.msgpack.encode(message))
 
 
+def alive_frame(sends: int) -> bytes:
+    """Return the bytes of a frame that tells how often a call was sent."""
+    return frame(FrameKind.ALIVE, _SENDS.pack(sends))
+
+
+def decoded_sends(content: bytes) -> int:
+    """Return the sends that a frame tells of; earlier instances tell none."""
+    return _SENDS.unpack(content)[0] if len(content) == _SENDS.size else 1
+
+
 class FrameSplitter:
     """Cuts the bytes of an answer's body into frames."""
 
--- a/src/violethatch/streams/_call.py
+++ b/src/violethatch/streams/_call.py
@@ -39,9 +39,11 @@
     Call,
     KeptBackError,
     NotSentError,
+    OnSend,
     Refusal,
     Responder,
     Send,
+    tell_nobody,
 )
 from ._forwarded_run import ForwardedRun
 from ._live_runs import LiveRun, LiveRuns, RunEnd, RunOutcome
@@ -74,7 +76,9 @@
         *,
         runs: int = 0,
         forward: Callable[[StreamCall], ForwardedCall] | None = None,
+        on_send: OnSend = tell_nobody,
     ) -> None:
+        self._on_send = on_send
         self._forward = forward or _forward_to_nobody
         self._routing = routing
         self._call = call
@@ -383,6 +387,7 @@
         """Send a run, and pass its events on; return how it ended."""
         run.count_in()
         try:
+            await self._on_send(self.runs + self._live.uncounted)
             return await self._serve_counted(run, responder)
         except asyncio.CancelledError:
             self._count(run)
--- a/src/violethatch/upstream.py
+++ b/src/violethatch/upstream.py
@@ -12,7 +12,7 @@
 import enum
 import math
 
-from collections.abc import AsyncIterator, Mapping, Sequence
+from collections.abc import AsyncIterator, Awaitable, Callable, Mapping, Sequence
 from typing import NamedTuple, Protocol
 
 from .backends import BackendServer
@@ -137,8 +137,24 @@
         self.left_s = left_s
 
 
+#: Told before a call is sent to a server how many sends may have run then.
+OnSend = Callable[[int], Awaitable[None]]
+
+
+async def tell_nobody(_sends: int) -> None:
+    """Stand in for an `OnSend` where nobody wants to know."""
+
+
 class AnswerLostError(Exception):
-    """The call may have run; its answer did not come or is not whole."""
+    """The call may have run; its answer did not come or is not whole.
+
+    Attributes:
+        sends: The sends to servers that may have run.
+    """
+
+    def __init__(self, message: str = "", *, sends: int = 1) -> None:
+        super().__init__(message)
+        self.sends = sends
 
 
 class ConnectionBrokenError(AnswerLostError):
--- a/tests/router_fakes.py
+++ b/tests/router_fakes.py
@@ -44,6 +44,9 @@
 class FakeAnswer:
     """An answer from a script: bytes, pauses, waits, or an error at its end."""
 
+    #: What an instance tells unless it says otherwise.
+    sends = 1
+
     def __init__(
         self,
         *script,
--- a/tests/test_forward_listener.py
+++ b/tests/test_forward_listener.py
@@ -9,6 +9,7 @@
 import pytest
 
 from own_ports import free_ports
+from routing_samples import runner
 from test_callers_listener import (
     LingeringClient,
     Site,
@@ -109,6 +110,18 @@
     assert lines_of(lines, events.SENDER_LEFT) == []
 
 
+async def test_stream_that_was_sent_twice_counts_as_one_send(lines, session):
+    """The sender had it sent to a third runner, where two are allowed."""
+    site = await serving(StreamingClient(0.1, error=AnswerLostError("lost")))
+    site.router.routing.backends.change([runner("r2", 0, 80)], [], now_s=0.0)
+    answer = await site.forward(session, "c1", path="/draft/1")
+    with pytest.raises(AnswerLostError) as lost:
+        async for _ in answer.parts():
+            pass
+    assert len(site.client.sends) == 2
+    assert lost.value.sends == 2
+
+
 async def test_forwarded_call_without_an_answer_may_go_elsewhere(lines, session):
     """A refusal that it may have run would have ended it at the sender."""
     site = await serving(SlowClient(30.0))
--- a/tests/test_silent_peers.py
+++ b/tests/test_silent_peers.py
@@ -25,6 +25,7 @@
     is_framed = True
     headers = ()
     in_flight = 1
+    sends = 1
 
     def __init__(self, on_silent):
         self.on_silent = on_silent
@@ -50,7 +51,8 @@
 
     in_flight = 1
 
-    def __init__(self, on_silent, *, after_s):
+    def __init__(self, on_silent, *, after_s, sends=1):
+        self.sends = sends
         super().__init__(events(1, 2))
         self.on_silent = on_silent
         self.after_s = after_s
@@ -96,9 +98,11 @@
         taken: What the other one gives.
         taken_s: How long it takes to give its head, in seconds.
         after_s: When the silent one goes on, in seconds.
+        sends: How often the silent one has sent the call.
     """
 
-    def __init__(self, taken, *, taken_s, after_s):
+    def __init__(self, taken, *, taken_s, after_s, sends=1):
+        self.sends = sends
         self.taken = taken
         self.taken_s = taken_s
         self.after_s = after_s
@@ -109,7 +113,7 @@
         if peer.id == OTHER.id:
             await asyncio.sleep(self.taken_s)
             return self.taken
-        return SilentAnswer(on_silent, after_s=self.after_s)
+        return SilentAnswer(on_silent, after_s=self.after_s, sends=self.sends)
 
 
 async def test_stream_is_cut_at_an_instances_standstill_that_no_other_takes_over():
@@ -129,6 +133,37 @@
     assert call.runs == 1
 
 
+async def test_stream_that_a_silent_instance_has_sent_twice_is_not_taken_over():
+    """A third runner would have it, and two are allowed."""
+    taken = TakenAnswer(events(3), events(4))
+    client = TakingClient(taken, taken_s=0.0, after_s=0.03, sends=2)
+    responder, call = await forwarded(client)
+    assert (responder.end, responder.body) == ("whole", events(1, 2, 3, 4))
+    assert client.requests == [(SERVING.id, None, 0)]
+    assert call.served_by == SERVING.id
+
+
+class BrokenClient:
+    """Each instance has sent the stream twice, and its answer ends within an event."""
+
+    def __init__(self):
+        self.asked = 0
+
+    async def send(self, _peer, _request, *, is_repeatable, on_silent):
+        self.asked += 1
+        answer = TakenAnswer(events(1, 2)[:-3], is_framed=False)
+        answer.sends = 2
+        return answer
+
+
+async def test_broken_answer_of_a_stream_that_was_sent_twice_counts_as_one_send():
+    """Another instance would have sent it to a third runner."""
+    client = BrokenClient()
+    responder, call = await forwarded(client)
+    assert responder.end != "whole"
+    assert (client.asked, call.runs) == (1, 2)
+
+
 async def test_silent_instance_that_goes_on_is_not_replaced():
     """The other one has not taken the stream yet; each event comes once."""
     taken = TakenAnswer(events(3), events(4))
--- a/tests/test_whole_answers_soak.py
+++ b/tests/test_whole_answers_soak.py
@@ -61,6 +61,8 @@
 #: The line that names the instance that a forwarded request was lost at.
 SERVER_TROUBLE = 2107
 FORWARD_LOST = 2227
+#: The line that names the instance that serves it.
+FORWARD_TAKEN = 2241
 
 #: Calls that may not be repeated.
 ONCE_PATH = "/print/1"
@@ -420,10 +422,17 @@
         )
 
     def _forwarded_to(self, call):
-        """Return the instances that broke off a request of another one."""
+        """Return the instances that broke off a request of another one.
+
+        The last one that served it is among them: the line of its loss is missing where
+        the instance that would write it is killed at the same moment.
+        """
         (instance,) = (i for i in self.fleet.instances if i.name == call.instance)
-        lost = instance.lines(FORWARD_LOST)
-        return [x["instance_id"] for x in lost if x["request_id"] == call.call_id]
+        lost, taken = (
+            [x["instance_id"] for x in lines if x["request_id"] == call.call_id]
+            for lines in (instance.lines(FORWARD_LOST), instance.lines(FORWARD_TAKEN))
+        )
+        return [*lost, *taken[-1:]]
 
     def _lost_at(self, call):
         """Return the runners that broke off a request, as instances say."""
