Check lost links again before an end of a server is put down to them

An end that was met just after links had come back counted for nothing until the next look. Now the check is repeated when it is met, by one task for all that wait; first and repeated checks start in one place. tests/test_server_links.py failed before.

--- a/src/violethatch/forwarding/_link_watch.py
+++ b/src/violethatch/forwarding/_link_watch.py
@@ -80,6 +80,8 @@
         self._zone = zone
         self._rng = rng
         self._checks: dict[str, asyncio.Task[bool]] = {}
+        #: By service, the check of links that are believed lost.
+        self._repeats: dict[str, asyncio.Task[bool]] = {}
         self._rechecks: dict[str, asyncio.Task[None]] = {}
 
     def is_lost(self, service: str) -> bool:
@@ -122,10 +124,20 @@
         self.suspect(server)
         if not await self.settled(server.service):
             return LinkState.SOUND
+        if not await self._is_still_lost(server):
+            return LinkState.SOUND
         if await self._reaches_others(server.service):
             return LinkState.OTHERS_ANSWER
         return LinkState.LOST
 
+    async def _is_still_lost(self, server: BackendServer) -> bool:
+        """Check links again that are believed lost: they may just have come back."""
+        repeat = self._repeats.get(server.service)
+        if repeat is None:
+            repeat = self._start_check(self._repeats, server.service, server)
+        # Who has started the check may be cancelled; the others still want it.
+        return await asyncio.shield(repeat)
+
     async def _reaches_others(self, service: str) -> bool:
         """Tell whether servers answer that calls of a service are not sent to."""
         silent = {one.id for one in self._listed(service)}
@@ -164,22 +176,34 @@
             return None
         if not self.links.needs_check(service, now_s=clocks.now_s()):
             return None
-        check = asyncio.create_task(self._check(service, suspect))
-        self._checks[service] = check
-        return check
+        return self._start_check(self._checks, service, suspect)
+
+    def _start_check(
+        self,
+        running: dict[str, asyncio.Task[bool]],
+        service: str,
+        suspect: BackendServer | None,
+    ) -> asyncio.Task[bool]:
+        """Start a check; it is found among the running ones until it ends."""
+
+        async def run() -> bool:
+            try:
+                return await self._check(service, suspect)
+            finally:
+                del running[service]
+
+        running[service] = asyncio.create_task(run())
+        return running[service]
 
     async def _check(self, service: str, suspect: BackendServer | None) -> bool:
         """Ask servers of a service; tell whether the links to them are lost."""
         began_s = clocks.now_s()
-        try:
-            asked = servers_to_check(
-                self._listed(service), suspect=suspect, zone=self._zone, rng=self._rng
-            )
-            check = await self._ask(asked)
-            if check.unclear and not (check.answered or check.silent):
-                await self._check_others(service)
-        finally:
-            self._checks.pop(service, None)
+        asked = servers_to_check(
+            self._listed(service), suspect=suspect, zone=self._zone, rng=self._rng
+        )
+        check = await self._ask(asked)
+        if check.unclear and not (check.answered or check.silent):
+            await self._check_others(service)
         self._take(service, check, began_s=began_s)
         return self.is_lost(service)
 
--- a/tests/test_server_links.py
+++ b/tests/test_server_links.py
@@ -253,3 +253,14 @@
         assert await watch.state_for(first) is LinkState.OTHERS_ANSWER
         network.dead = {one.id for one in (first, *later)}
         assert await watch.state_for(first) is LinkState.LOST
+
+    async def test_server_that_refuses_just_after_links_came_back(self, network):
+        """Its end counts, though the next look at the lost links is still to come."""
+        watch = network.watch()
+        first, *_ = network.servers["model"]
+        network.is_cut = True
+        assert await watch.state_for(first) is LinkState.LOST
+        network.is_cut = False
+        network.dead = {first.id}
+        assert await watch.state_for(first) is LinkState.SOUND
+        assert not watch.is_lost("model")
