Hold a prompt's part that turns deadly after it was answered

Change: an answer counts as of its begin; one request with such a part at a time, others wait 0.3 s at the most (line 2232); the latest eight ends count; what is answered again excuses nothing; each caller's turned part has its own pause. crash_suspects.py is split (_suspect.py); the circle of _routing and suspicion/_work stays undone (tests/test_import_cycles.py).

--- a/src/violethatch/_routing.py
+++ b/src/violethatch/_routing.py
@@ -301,16 +301,23 @@
         if self.suspects.hold(end.trait, now_s=now_s) is not None:
             self.keep_hold(end.trait)
 
-    def note_cleared(self, traits: Iterable[str]) -> None:
-        """Note that an answer shows traits to end no server."""
+    def note_cleared(
+        self, traits: Iterable[str], *, begun_s: float | None = None
+    ) -> None:
+        """Note that an answer shows traits to end no server.
+
+        Args:
+            traits: What it had.
+            begun_s: When it began, in monotonic seconds, where that is known.
+        """
         for trait in traits:
-            self._note_cleared(trait)
+            self._note_cleared(trait, begun_s)
 
-    def _note_cleared(self, trait: str) -> None:
+    def _note_cleared(self, trait: str, begun_s: float | None) -> None:
         """Note that a trait is suspected no more, and tell who suspects it."""
         ends = self.suspects.ends(trait)
         was_held = self.suspects.was_held(trait)
-        if not self.suspects.clear(trait, now_s=clocks.now_s()):
+        if not self.suspects.clear(trait, now_s=clocks.now_s(), begun_s=begun_s):
             return
         events.log(events.TRAIT_CLEARED, trait=trait, ends=len(ends), was_held=was_held)
         self.tell_cleared(trait, len(ends))
--- a/src/violethatch/events.py
+++ b/src/violethatch/events.py
@@ -96,6 +96,9 @@
 TRIAL_BEGUN = Event(
     2231, "trial_begun", "A request with a held part is let through to try it."
 )
+PROBE_AWAITED = Event(
+    2232, "probe_awaited", "A request waited for another one with its prompt's part."
+)
 
 ADMISSION_CHANGED = Event(
     2220, "admission_changed", "What is admitted of each priority has changed."
--- a/src/violethatch/streams/_call.py
+++ b/src/violethatch/streams/_call.py
@@ -215,6 +215,8 @@
             return self._begin_forwarding(responder)
         self._avoided |= self._live.suspects
         path = await self._next_path()
+        if path is not None and await self._work.wait_for_probe():
+            path = await self._next_path()
         if path is None:
             return Obstacle.NO_PATH
         is_again = self.sends > 0 or bool(self._live)
--- a/src/violethatch/streams/_run.py
+++ b/src/violethatch/streams/_run.py
@@ -170,6 +170,7 @@
         now_s = clocks.now_s()
         if self._given_s is None:
             self._given_s = now_s
+            self._work.began()
         elif now_s - self._given_s >= _SOUND_AFTER_S:
             self._work.went_on()
 
--- a/src/violethatch/suspicion/_held_rows.py
+++ b/src/violethatch/suspicion/_held_rows.py
@@ -22,7 +22,8 @@
 from ..freshness import StoreClock
 from ..ports import AnswerLostError
 from ..work_ids import check_work_id
-from .crash_suspects import HELD_LIFE_S, CrashSuspects, End, Hold
+from ._suspect import HELD_LIFE_S, End, Hold
+from .crash_suspects import CrashSuspects
 
 
 #: What begins the key of a held trait's row; no instance's id does.
--- a/src/violethatch/suspicion/_link.py
+++ b/src/violethatch/suspicion/_link.py
@@ -24,11 +24,14 @@
 from ..instances import InstanceEntry
 from ..membership import rendezvous
 from ..work_ids import check_work_id, is_part, part_of
-from .crash_suspects import CrashSuspects, End
+from ._suspect import End
+from .crash_suspects import CrashSuspects
 
 
 #: How many instances remember a trait's first end: two of them may be gone.
 _HOMES = 3
+#: Ends under a sound part from which on its answer may have come before them.
+_MANY_ENDS = 2
 #: How long ends are gathered for one datagram, in seconds.
 _GATHER_S = 0.02
 #: After how long an end is sent again, in seconds: later than a burst of losses.
@@ -174,9 +177,9 @@
         told = [End(*one) for one in message.ends]
         for end in told:
             check_work_id(end.trait)
-        self._correct(message.sender, {end.trait for end in told}, now_s=now_s)
         counts = collections.Counter(end.trait for end in told)
         new = {end.trait for end in told if self._suspects.note(end, now_s=now_s)}
+        self._correct(message.sender, counts, now_s=now_s)
         for trait in new:
             known = self._suspects.ends(trait)
             is_held = self._suspects.hold(trait, now_s=now_s) is not None
@@ -195,7 +198,12 @@
 
     def _correct(self, sender: str, traits: Iterable[str], *, now_s: float) -> None:
         """Tell an instance that suspects parts which are sound, such as a new one."""
-        sound = [one for one in traits if self._suspects.is_sound(one, now_s)]
+        sound = [
+            one
+            for one in traits
+            if self._suspects.is_sound(one, now_s)
+            and len(self._suspects.ends(one)) < _MANY_ENDS
+        ]
         directory = self._datagrams.directory
         peers = [one for one in directory.others() if one.id == sender]
         for peer in peers if sound else ():
--- a/src/violethatch/suspicion/_server_ends.py
+++ b/src/violethatch/suspicion/_server_ends.py
@@ -17,7 +17,7 @@
 from ..backends import BackendServer
 from ..forwarding import LinkState
 from ..upstream import RunnerClient
-from .crash_suspects import End
+from ._suspect import End
 
 
 #: How long a server that took a connection counts as there, in seconds: requests that
--- a/src/violethatch/suspicion/_work.py
+++ b/src/violethatch/suspicion/_work.py
@@ -6,20 +6,19 @@
 import asyncio
 import functools
 
-from collections.abc import Sequence
-from typing import TYPE_CHECKING
+from collections.abc import Callable, Iterable, Sequence
+from typing import Protocol
 
 from .. import clocks, events
 from ..backends import BackendServer
 from ..errors import HeldBackError
+from ..router_settings import RouterSettings
 from ..runner_health import Trouble
 from ..upstream import Call, ConnectionBrokenError
 from ..work_ids import is_part, part_id, part_of
-from .crash_suspects import TRIAL_PAUSE_S, End, Hold
-
-
-if TYPE_CHECKING:
-    from .._routing import Routing
+from ._server_ends import ServerEnds
+from ._suspect import End, Hold
+from .crash_suspects import PROBE_S, TRIAL_PAUSE_S, CrashSuspects
 
 
 #: The longest time after which a caller is told to come back, in seconds: what is held
@@ -31,10 +30,47 @@
 #: Ends under a part of a prompt from which on requests with it go apart from others:
 #: popular parts are under a single end all the time.
 _APART_ENDS = 2
+#: How often a call that waits for a probe looks whether it is over, in seconds.
+_PROBE_LOOK_S = 0.02
 #: The most parts of a prompt in one line of the log.
 _MAX_LOGGED_PARTS = 8
 
 
+class ServerSuspicion(Protocol):
+    """Checks the links to servers that don't answer."""
+
+    def suspect(self, server: BackendServer) -> object:
+        """Check the links, since a server could not be reached."""
+
+
+class WorkRouting(Protocol):
+    """What a call's work needs of what all calls share.
+
+    Attributes:
+        settings: Name the instance.
+        suspects: What is known of traits.
+        ends: What is known of servers' ends.
+        may_try: Tells whether this instance tries a held part.
+    """
+
+    settings: RouterSettings
+    suspects: CrashSuspects
+    ends: ServerEnds
+    may_try: Callable[[str], bool]
+
+    @property
+    def link_watch(self) -> ServerSuspicion:
+        """Checks links."""
+
+    def note_end(self, end: End) -> None:
+        """Note an end that this instance has seen, and tell the others."""
+
+    def note_cleared(
+        self, traits: Iterable[str], *, begun_s: float | None = None
+    ) -> None:
+        """Note that an answer, begun at some time, shows traits to end no server."""
+
+
 def _retry_after_s(hold: Hold) -> float:
     """Return when a caller who is held back should come back, in seconds."""
     if is_part(hold.trait) and hold.age_s < _YOUNG_S:
@@ -51,12 +87,16 @@
         workspace: Whose it is, or None where callers are not told apart.
     """
 
-    def __init__(self, routing: Routing, call: Call, workspace: str | None) -> None:
+    def __init__(self, routing: WorkRouting, call: Call, workspace: str | None) -> None:
         self._routing = routing
         self._call = call
         self._workspace = workspace
         #: Whether an answer has gone on for a while, so that no part is at fault.
         self._is_cleared = False
+        #: When the latest answer to it began.
+        self._begun_s: float | None = None
+        #: For how much longer it waits for others that probe its parts, in seconds.
+        self._patience_s = PROBE_S
         #: The hold that this call may pass, as the one that tries whether it is right.
         self._trial: tuple[str, int] | None = None
 
@@ -94,8 +134,10 @@
         suspects = self._routing.suspects
         if not suspects:
             return None
+        now_s = clocks.now_s()
         for part in self._parts if suspects.has_parts else ():
-            if len(suspects.ends(part)) >= _APART_ENDS:
+            has_ends = len(suspects.ends(part)) >= _APART_ENDS
+            if has_ends and not suspects.is_sound(part, now_s):
                 return part
         is_suspect = any(not end.has_begun for end in suspects.ends(self.id))
         return self.id if is_suspect else None
@@ -140,6 +182,31 @@
         events.log(events.TRIAL_BEGUN, request_id=self._call.id, trait=hold.trait)
         return True
 
+    async def wait_for_probe(self) -> bool:
+        """Wait while another call probes a part of its prompt; tell whether it did so.
+
+        Where none does, this call is the one that probes.  What is held back, which may
+        change meanwhile, doesn't wait.
+        """
+        suspects = self._routing.suspects
+        waited_s = 0.0
+        while suspects.has_parts and self._patience_s > 0.0 and not self.is_held:
+            left_s = suspects.begin_probe(
+                self._parts, by=self._call.id, now_s=clocks.now_s()
+            )
+            if left_s <= 0.0:
+                break
+            wait_s = min(left_s, self._patience_s, _PROBE_LOOK_S)
+            await asyncio.sleep(wait_s)
+            self._patience_s -= wait_s
+            waited_s += wait_s
+        if not waited_s:
+            return False
+        events.log(
+            events.PROBE_AWAITED, request_id=self._call.id, waited_s=round(waited_s, 3)
+        )
+        return True
+
     async def trouble_of(
         self, error: Exception, server: BackendServer, *, has_begun: bool
     ) -> Trouble:
@@ -217,14 +284,22 @@
             is_held=self.is_held,
         )
 
+    def began(self) -> None:
+        """Note that its answer has begun."""
+        if self._parts and self._begun_s is None:
+            self._routing.suspects.note_begun(self._parts)
+        self._begun_s = clocks.now_s()
+
     def went_on(self) -> None:
         """Note that its answer has gone on for a while: its parts end no server."""
         if not self._is_cleared or self._routing.suspects.has_parts:
-            self._routing.note_cleared(self._parts)
+            self._routing.note_cleared(self._parts, begun_s=self._begun_s)
         self._is_cleared = True
 
     def answered(self) -> None:
         """Note that it was answered whole."""
-        self._routing.note_cleared(self._parts)
+        if self._begun_s is None:
+            self.began()
+        self._routing.note_cleared(self._parts, begun_s=self._begun_s)
         if self._routing.suspects:
             self._routing.note_cleared((self.id,))
--- a/src/violethatch/suspicion/crash_suspects.py
+++ b/src/violethatch/suspicion/crash_suspects.py
@@ -14,7 +14,10 @@
 answered whole is no longer suspected, nor is a part of a prompt once any request with
 it has been answered for a while.  Such a part is not suspected for some minutes: where
 all servers end together, every popular part is under each end and nothing is answered
-that would clear it.
+that would clear it.  It is suspected earlier if servers go on ending under it, for
+longer than in an outage, while answers to requests without it begin.  Until it is told
+apart from others, one request with it is sent at a time, and the next ones wait shortly
+for its answer to begin.
 
 Popular parts are under most ends, together with the one that is at fault.  Of parts
 under the same ends, a request is held back only if it has all of them: what it lacks
@@ -35,33 +38,32 @@
 import math
 
 from collections.abc import Collection, Iterable
-from typing import NamedTuple
 
 from ..work_ids import caller_of, is_part, part_of
+from ._suspect import End, Hold, Suspect, hold_s
 
 
-#: What an end counts for a trait whose request had no part of its answer yet, and for
-#: one that had.
-_UNBEGUN_WEIGHT = 2
-_BEGUN_WEIGHT = 1
 #: From which weight on a trait is held back: three ends before its answer had begun.
 #: What ends servers later is held back after six, which is as many as are allowed.
 HELD_WEIGHT = 6
 #: The ends that this takes at the least.
 LEAST_ENDS = 3
-#: How long a trait is held back the first times, in seconds, before it is let through
-#: once more; then for as long as it is remembered.
-_HOLDS_S = (30.0, 120.0)
 #: How long after a request with a held part was let through another one may be, in
 #: seconds: the first may have been refused everywhere.
 TRIAL_PAUSE_S = 10.0
-#: How long a trait is remembered after the last end under it, in seconds: what is not
-#: held back for an hour, as a work that ends a server now and then is to be found too,
-#: and what is held back for a day.
-_SUSPECT_LIFE_S = 3_600.0
-HELD_LIFE_S = 86_400.0
 #: For how long a part of prompts is not suspected after an answer with it, in seconds.
 SOUND_LIFE_S = 300.0
+#: For how long ends under such a part have to go on until it is suspected all the same,
+#: in seconds: in an outage they come together.
+TURNED_SPAN_S = 1.5
+#: How long it is held back for the first time then, in seconds: if these were outages
+#: after all, the trial that follows clears the part.
+_TURNED_HOLD_S = 2.0
+#: The ends under such a part from which on requests with it are sent one at a time.
+_PROBED_ENDS = 2
+#: For how long requests wait for the one that probes such a part, in seconds: its
+#: answer may take longer to begin.
+PROBE_S = 0.3
 #: The most parts of which that is remembered.
 _MAX_SOUND = 4_096
 #: The most traits that are remembered, of some 500 bytes each.
@@ -72,83 +74,6 @@
 _MAX_ENDS = 8
 
 
-class End(NamedTuple):
-    """A server's end under a request with a trait.
-
-    Attributes:
-        trait: The id of a work, or of a prompt's part.
-        lifetime: Which start of the server it was.
-        has_begun: Whether a part of the answer had come from there.
-        witness: The instance that has seen it.
-
-    .. versionadded:: 26.4.0
-    """
-
-    trait: str
-    lifetime: str
-    has_begun: bool
-    witness: str
-
-
-class Hold(NamedTuple):
-    """What holds requests back.
-
-    Attributes:
-        trait: What they have in common.
-        left_s: For how much longer, in seconds; 0 if one request may be let through.
-        number: How often it was held back so far, this time included.
-        ends: What decided it.
-
-    .. versionadded:: 26.4.0
-    """
-
-    trait: str
-    left_s: float
-    number: int
-    ends: tuple[End, ...]
-
-    @property
-    def age_s(self) -> float:
-        """For how long it has been held back this time, in seconds."""
-        return _hold_s(self.number) - self.left_s
-
-
-def _hold_s(number: int) -> float:
-    """Return how long a trait is held back for the nth time, in seconds."""
-    return (*_HOLDS_S, HELD_LIFE_S)[min(number - 1, len(_HOLDS_S))]
-
-
-class _Suspect:
-    """What is known of one trait."""
-
-    __slots__ = ("ends", "holds", "last_s", "until_s")
-
-    def __init__(self) -> None:
-        #: By lifetime.
-        self.ends: dict[str, End] = {}
-        #: How often it was held back.
-        self.holds = 0
-        self.until_s = 0.0
-        self.last_s = 0.0
-
-    @property
-    def weight(self) -> int:
-        """What its ends count together."""
-        return sum(
-            _BEGUN_WEIGHT if end.has_begun else _UNBEGUN_WEIGHT
-            for end in self.ends.values()
-        )
-
-    @property
-    def life_s(self) -> float:
-        """How long it is remembered, in seconds."""
-        return HELD_LIFE_S if self.holds else _SUSPECT_LIFE_S
-
-    def unbegun(self) -> set[str]:
-        """Return the lifetimes that ended before an answer had begun."""
-        return {one for one, end in self.ends.items() if not end.has_begun}
-
-
 class CrashSuspects:
     """What one instance knows of the traits under which servers have ended.
 
@@ -160,11 +85,13 @@
 
     def __init__(self, *, max_traits: int = _MAX_TRAITS) -> None:
         self._max_traits = max_traits
-        self._suspects: dict[str, _Suspect] = {}
+        self._suspects: dict[str, Suspect] = {}
         self._part_count = 0
         #: By part, when an answer last showed that it ends no server; the latest last.
         self._sound_s: dict[str, float] = {}
-        #: By part, when a request with it was let through last.
+        #: The answers to requests with parts that have begun.
+        self._begun = 0
+        #: By part or trait, when a request with it was let through last.
         self._tried_s: dict[str, float] = {}
 
     def __len__(self) -> int:
@@ -178,10 +105,9 @@
     def note(self, end: End, *, now_s: float) -> bool:
         """Take an end in; tell whether it is new.
 
-        An end after an answer had begun says nothing of a prompt's part, nor does any
-        end of one that was answered of late.
+        An end after an answer had begun says nothing of a prompt's part.
         """
-        if is_part(end.trait) and (end.has_begun or self.is_sound(end.trait, now_s)):
+        if is_part(end.trait) and end.has_begun:
             return False
         suspect = self._suspects.get(end.trait)
         if suspect is not None and now_s - suspect.last_s >= suspect.life_s:
@@ -191,13 +117,22 @@
             suspect = self._add(end.trait, now_s)
         known = suspect.ends.get(end.lifetime)
         is_new = known is None or (known.has_begun and not end.has_begun)
-        if not is_new or (known is None and len(suspect.ends) >= _MAX_ENDS):
+        if not is_new:
             return False
+        suspect.is_in_doubt = True
+        suspect.probed_s = -math.inf
+        if known is None and len(suspect.ends) >= _MAX_ENDS:
+            if not suspect.holds:
+                suspect.last_s = now_s
+            # The latest ends under a part tell it apart from others.
+            is_enough = not suspect.holds or now_s < suspect.until_s
+            if is_enough and not is_part(end.trait):
+                return False
+            del suspect.ends[next(iter(suspect.ends))]
         suspect.ends[end.lifetime] = end
         suspect.last_s = now_s
-        is_held = now_s < suspect.until_s
-        if known is None and not is_held and self._is_much(end.trait, suspect):
-            self._hold(suspect, now_s)
+        if known is None:
+            self._decide(end.trait, suspect, now_s)
         return True
 
     def hold(self, trait: str, *, now_s: float) -> Hold | None:
@@ -207,7 +142,12 @@
         no time left, until a request with it is answered.
         """
         suspect = self._suspects.get(trait)
-        if suspect is None or not suspect.holds:
+        if suspect is None:
+            return None
+        if not suspect.holds and suspect.was_answered:
+            # Answers to requests without it may have begun since its last end.
+            self._decide(trait, suspect, now_s)
+        if not suspect.holds:
             return None
         left_s = suspect.until_s - now_s
         if left_s <= 0.0 and not is_part(trait):
@@ -240,18 +180,52 @@
             trait: The part, whose hold has no time left.
             now_s: The current monotonic time, in seconds.
         """
-        part = part_of(trait)
+        suspect = self._suspects.get(trait)
+        key, pause_s = part_of(trait), TRIAL_PAUSE_S
+        if suspect is not None and suspect.was_answered and suspect.holds == 1:
+            # As likely sound as not, and then the parts of all callers are held.
+            key, pause_s = trait, _TURNED_HOLD_S
         tried_s = {
             one: at_s
             for one, at_s in self._tried_s.items()
             if now_s - at_s < TRIAL_PAUSE_S
         }
-        is_due = part not in tried_s
+        is_due = now_s - tried_s.get(key, -pause_s) >= pause_s
         if is_due:
-            tried_s[part] = now_s
+            tried_s[key] = now_s
         self._tried_s = tried_s
         return is_due
 
+    def begin_probe(self, parts: Iterable[str], *, by: str, now_s: float) -> float:
+        """Take the turn of showing whether parts end servers, if any is in doubt.
+
+        Args:
+            parts: The parts of a request.
+            by: The request's id.
+            now_s: The current monotonic time, in seconds.
+
+        Returns:
+            How long to wait for the request whose turn it is, in seconds; 0 if the
+            caller's may be sent.
+        """
+        doubted = [
+            suspect
+            for part in parts
+            if (suspect := self._suspects.get(part)) is not None
+            and suspect.was_answered
+            and suspect.is_in_doubt
+            and len(suspect.ends) >= _PROBED_ENDS
+        ]
+        left_s = max(
+            (one.probed_s + PROBE_S - now_s for one in doubted if one.prober != by),
+            default=0.0,
+        )
+        if left_s > 0.0:
+            return left_s
+        for suspect in doubted:
+            suspect.probed_s, suspect.prober = now_s, by
+        return 0.0
+
     def was_held(self, trait: str) -> bool:
         """Tell whether a trait was held back at some time, and is remembered."""
         suspect = self._suspects.get(trait)
@@ -283,19 +257,40 @@
 
     def is_sound(self, part: str, now_s: float) -> bool:
         """Tell whether an answer has shown of late that a part ends no server."""
-        return now_s - self._sound_s.get(part, -SOUND_LIFE_S) < SOUND_LIFE_S
+        suspect = self._suspects.get(part)
+        has_turned = suspect is not None and self._has_turned(suspect)
+        return self._was_answered(part, now_s) and not has_turned
+
+    def note_begun(self, parts: Collection[str]) -> None:
+        """Note that an answer to a request with some parts has begun."""
+        self._begun += 1
+        for part in parts:
+            suspect = self._suspects.get(part)
+            if suspect is not None:
+                suspect.begun += 1
+                suspect.is_in_doubt = False
+
+    def clear(self, trait: str, *, now_s: float, begun_s: float | None = None) -> bool:
+        """Forget a trait that is not at fault; tell whether it was known.
 
-    def clear(self, trait: str, *, now_s: float) -> bool:
-        """Forget a trait that is not at fault; tell whether it was known."""
+        Args:
+            trait: What an answer shows to end no server.
+            now_s: The current monotonic time, in seconds.
+            begun_s: When the answer began, where that is known.  One that began before
+                the first end under a part doesn't tell whether the part has turned.
+        """
         if is_part(trait):
             self._sound_s.pop(trait, None)
             self._sound_s[trait] = now_s
             while len(self._sound_s) > _MAX_SOUND:
                 del self._sound_s[next(iter(self._sound_s))]
-        is_known = trait in self._suspects
-        if is_known:
-            self._drop(trait)
-        return is_known
+        suspect = self._suspects.get(trait)
+        if suspect is None:
+            return False
+        if suspect.was_answered and begun_s is not None and begun_s < suspect.first_s:
+            return False
+        self._drop(trait)
+        return True
 
     def held(self, *, now_s: float) -> list[str]:
         """Return the traits that are held back now."""
@@ -305,7 +300,27 @@
             if self.hold(trait, now_s=now_s) is not None
         ]
 
-    def _is_much(self, trait: str, suspect: _Suspect) -> bool:
+    def _was_answered(self, part: str, now_s: float) -> bool:
+        """Tell whether a request with a part was answered of late."""
+        return now_s - self._sound_s.get(part, -SOUND_LIFE_S) < SOUND_LIFE_S
+
+    def _has_turned(self, suspect: Suspect) -> bool:
+        """Tell whether ends since its last answer show that a part is at fault now."""
+        return (
+            len(suspect.ends) >= LEAST_ENDS
+            and suspect.last_s - suspect.first_s >= TURNED_SPAN_S
+            and self._begun > suspect.begun
+        )
+
+    def _decide(self, trait: str, suspect: Suspect, now_s: float) -> None:
+        """Hold a trait back, if it isn't and its ends are enough."""
+        is_first_hold = suspect.was_answered and not suspect.holds
+        if now_s < suspect.until_s or (is_first_hold and not self._has_turned(suspect)):
+            return
+        if self._is_much(trait, suspect):
+            self._hold(suspect, now_s, for_s=_TURNED_HOLD_S if is_first_hold else None)
+
+    def _is_much(self, trait: str, suspect: Suspect) -> bool:
         """Tell whether a trait's ends are enough to hold it back.
 
         Not those of a part that another trait explains, with more ends beside them.
@@ -318,9 +333,17 @@
         )
 
     def _may_be_innocent(self, trait: str, traits: Collection[str]) -> bool:
-        """Tell whether what a request lacks explains all ends under its part."""
-        return is_part(trait) and any(
-            rival not in traits for rival in self._rivals(trait)
+        """Tell whether what a request lacks explains all ends under its part.
+
+        Not of a part that has turned, if answers with what it lacks begin again.
+        """
+        if not is_part(trait):
+            return False
+        has_turned = self._suspects[trait].was_answered
+        return any(
+            rival not in traits
+            and (self._suspects[rival].is_in_doubt or not has_turned)
+            for rival in self._rivals(trait)
         )
 
     def _rivals(self, trait: str) -> Iterable[str]:
@@ -334,18 +357,24 @@
             and own <= suspect.unbegun()
         )
 
-    def _hold(self, suspect: _Suspect, now_s: float) -> None:
-        """Hold a trait back, longer each time."""
+    def _hold(
+        self, suspect: Suspect, now_s: float, *, for_s: float | None = None
+    ) -> None:
+        """Hold a trait back, longer each time unless the time is given."""
         suspect.holds += 1
-        suspect.until_s = now_s + _hold_s(suspect.holds)
+        suspect.until_s = now_s + (hold_s(suspect.holds) if for_s is None else for_s)
 
-    def _add(self, trait: str, now_s: float) -> _Suspect:
+    def _add(self, trait: str, now_s: float) -> Suspect:
         """Remember one more trait, and forget others for it if there are too many."""
         if len(self._suspects) >= self._max_traits:
             self._forget_old(now_s)
         while len(self._suspects) >= self._max_traits:
             self._forget_some()
-        suspect = _Suspect()
+        suspect = Suspect(
+            begun=self._begun,
+            was_answered=is_part(trait) and self._was_answered(trait, now_s),
+            now_s=now_s,
+        )
         self._suspects[trait] = suspect
         self._part_count += is_part(trait)
         return suspect
--- a/tests/test_parts_that_end_servers.py
+++ b/tests/test_parts_that_end_servers.py
@@ -20,6 +20,7 @@
 from test_registration import FakeStore
 from violethatch import clocks
 from violethatch.suspicion import CrashSuspects
+from violethatch.work_ids import part_id
 
 
 #: Requests a second, and for how long they come, in seconds.
@@ -281,6 +282,24 @@
     assert traffic.served_part(known_s + CONTACT_S) >= MIN_SERVED_PART
 
 
+async def test_requests_with_a_part_in_doubt_are_sent_beside_each_other():
+    """The second one waits until the first one's answer begins, and all are served."""
+    servers = Servers(model_runner)
+    servers.script = [0.1, events(1), 0.02, events(2)]
+    fleet = Fleet(1, servers)
+    router = fleet.routers[0]
+    part, begin_s = part_id("a"), clocks.now_s()
+    router.routing.suspects.clear(part, now_s=begin_s)
+    for name in "ab":
+        router.routing.suspects.note(end(name, of=part), now_s=begin_s)
+    asked = (
+        fleet.ask(router, body=b"%d" % n, id=f"p{n}", prompt_parts=("a",))
+        for n in range(3)
+    )
+    assert {one.end for one in await asyncio.gather(*asked)} == {"whole"}
+    assert clocks.now_s() - begin_s >= 0.2
+
+
 @pytest.mark.parametrize("instances", [1, 6])
 async def test_popular_parts_when_all_servers_end_together(instances):
     """No request ended them, and nothing is answered that would clear the parts."""
