Wait for an address that is still held, and end with a coded error

An instance that was started while the process before still ended on its address ended with a traceback.

--- a/src/violethatch/_peer_datagrams.py
+++ b/src/violethatch/_peer_datagrams.py
@@ -13,7 +13,7 @@
 
 from . import clocks, events
 from ._decoding import decoded
-from ._serving import host_and_port
+from ._serving import host_and_port, when_free
 from .instances import InstanceDirectory, InstanceEntry
 from .return_slots import ClaimOutcome
 
@@ -257,11 +257,13 @@
         """Listen on an address.
 
         Raises:
-            OSError: The address can't be listened on.
+            AddressError: The address can't be listened on.
         """
         loop = asyncio.get_running_loop()
-        await loop.create_datagram_endpoint(
-            lambda: self, local_addr=host_and_port(endpoint)
+        address = host_and_port(endpoint)
+        await when_free(
+            endpoint,
+            lambda: loop.create_datagram_endpoint(lambda: self, local_addr=address),
         )
 
     def send(self, peer: InstanceEntry, message: Datagram) -> None:
--- a/src/violethatch/_relay_http.py
+++ b/src/violethatch/_relay_http.py
@@ -99,7 +99,7 @@
         """Listen on an address.
 
         Raises:
-            OSError: The address can't be listened on.
+            AddressError: The address can't be listened on.
         """
         await listen(self._server, endpoint)
 
--- a/src/violethatch/errors.py
+++ b/src/violethatch/errors.py
@@ -362,6 +362,14 @@
     default_ran = Ran.NO
 
 
+class AddressError(VioletHatchError):
+    """An address of the instance can't be listened on."""
+
+    code = 1602
+    title = "Address can't be listened on"
+    default_ran = Ran.NO
+
+
 # 17xx: between instances.
 
 
--- a/src/violethatch/platform/_following.py
+++ b/src/violethatch/platform/_following.py
@@ -116,7 +116,7 @@
         """Listen for other instances.
 
         Raises:
-            OSError: The address can't be listened on.
+            AddressError: The address can't be listened on.
         """
         if self._settings.listen.peers is not None:
             await self._relay.start(self._settings.listen.peers)
