--- a/tests/test_start_imports.py
+++ b/tests/test_start_imports.py
@@ -91,6 +91,14 @@
         assert python(code)[0] == "run"
 
 
+def test_copied_build_is_not_compiled_at_each_start():
+    """Guards against compiled modules that are void where files lose their dates."""
+    script = (SOURCES.parent.parent / "deploy" / "build.sh").read_text()
+    lines = [line for line in script.splitlines() if "-m compileall" in line]
+    assert len(lines) == 2
+    assert all("--invalidation-mode unchecked-hash" in line for line in lines)
+
+
 class TestExports:
     def test_import_loads_no_part(self):
         """Guards against parts that are imported with the package."""
