--- a/src/violethatch/_fleet_watch.py
+++ b/src/violethatch/_fleet_watch.py
@@ -29,9 +29,10 @@
     """Remembers when a fleet's list has changed."""
 
     def __init__(self) -> None:
-        self._seen: frozenset[str] = frozenset()
-        self._seen_changed_s = 0.0
-        self._seen_first_s: float | None = None
+        self._empty_ids: frozenset[str] = frozenset()
+        self._empty_changed_s = 0.0
+        #: Since when no runner holds layers, in monotonic seconds.
+        self._unheld_since_s: float | None = None
         self._empty_since_s: dict[str, float] = {}
         self._last_ids: frozenset[str] = frozenset()
         self._last_ids_s = 0.0
@@ -51,17 +52,20 @@
             now_s: The current monotonic time, in seconds.
         """
         if not servers:
+            self._unheld_since_s = None
             return False
-        if any(one.layers or one.id in ordered for one in servers.values()):
+        # Empty runners count while entries of others that ended are still listed.
+        empty_ids = frozenset(one.id for one in servers.values() if not one.layers)
+        if empty_ids != self._empty_ids:
+            self._empty_ids = empty_ids
+            self._empty_changed_s = now_s
+        if len(empty_ids) < len(servers) or any(one in ordered for one in servers):
+            self._unheld_since_s = None
             return True
-        ids = frozenset(servers)
-        if ids != self._seen:
-            self._seen = ids
-            self._seen_changed_s = now_s
-            self._seen_first_s = self._seen_first_s or now_s
-        first_s = self._seen_first_s or now_s
-        is_at_rest = now_s - self._seen_changed_s >= _SETTLE_S
-        return is_at_rest or now_s - first_s >= _SETTLE_LIMIT_S
+        if self._unheld_since_s is None:
+            self._unheld_since_s = now_s
+        is_at_rest = now_s - self._empty_changed_s >= _SETTLE_S
+        return is_at_rest or now_s - self._unheld_since_s >= _SETTLE_LIMIT_S
 
     def is_at_rest(self, servers: Mapping[str, BackendServer], *, now_s: float) -> bool:
         """Tell whether the list has not changed for a while."""
