Let processes that start at once take turns, and tell what a start waits for

60 real processes on two processors served nothing for 20 s after a return: they share the processors evenly and are all ready when the last one is. One a processor begins its imports at a time now; after 3 s without a turn it begins all the same. Line 2011, a metric and the dump tell each step, and refusals name the one that is awaited.

--- a/src/violethatch/_router.py
+++ b/src/violethatch/_router.py
@@ -42,6 +42,7 @@
 from .request_room import RequestRoom, may_connect
 from .router_settings import RouterSettings
 from .slices import Slices, Steps
+from .start_steps import LOGGED_STEPS, Step, StepTimes
 from .store_era import UNREAD, TableState
 from .streams import StreamCall
 from .upstream import (
@@ -108,6 +109,7 @@
         self.desired: DesiredState | None = None
         #: The row of the desired state in force.
         self._desired_value: bytes | None = None
+        self.start_times = StepTimes(began_s=clocks.now_s())
         self.in_flight = 0
         self.open_answers = OpenAnswers()
         self._answer_times = AnswerTimes()
@@ -264,6 +266,7 @@
             reason=error.detail,
             retry_after_s=error.retry_after_s,
             after_s=round(age_s, 4),
+            **self._start_fields(),
             list_state=self.routing.list_state()._asdict(),
             state_version=self.desired.version if self.desired else None,
             desired_table=self.desired_table()._asdict(),
@@ -365,6 +368,7 @@
             self._desired_value = view.values["config"]
             self.routing.admission.take_desired(state)
         self.metrics.state_taken(slices.took_s, slices.longest_s)
+        self.note_step(Step.DESIRED_STATE)
         events.log(
             events.REVISION_APPLIED,
             revision=state.version,
@@ -383,6 +387,7 @@
         present, refused = self._decoded_servers(view)
         backends = self.routing.backends
         if is_whole:
+            self.note_step(Step.SERVERS)
             change = backends.replace(
                 present, refused=refused, is_restored=view.is_restored, now_s=now_s
             )
@@ -450,6 +455,8 @@
         return {
             "state_version": self.desired.version if self.desired else None,
             "proof_age_s": self._proof_age_s(),
+            "start_after_s": self.start_times.after_s(),
+            "start_waits_for": self.start_times.waits_for,
             "in_flight": self.in_flight,
             "is_stopping": self.stop_plan.is_stopping,
             "servers": len(self.routing.backends),
@@ -491,6 +498,32 @@
         self.metrics.limits(self.routing.gate.limits.state())
         self.metrics.suspects(len(suspects), len(suspects.held(now_s=now_s)))
 
+    def begin_start(self, times: StepTimes) -> None:
+        """Go on with the steps that the process has reached so far."""
+        self.start_times = times
+        for step, after_s in times.after_s().items():
+            self.metrics.start_step_s.observe({"step": step}, after_s)
+
+    def note_step(self, step: Step) -> None:
+        """Note that the process has reached a step of its start."""
+        if not self.start_times.note(step, now_s=clocks.now_s()):
+            return
+        after_s = self.start_times.after_s()
+        self.metrics.start_step_s.observe({"step": step.value}, after_s[step.value])
+        if step not in LOGGED_STEPS:
+            return
+        events.log(
+            events.START_STEP,
+            step=step.value,
+            after_s=after_s,
+            waits_for=self.start_times.waits_for,
+        )
+
+    def _start_fields(self) -> dict[str, str]:
+        """Return what the process's start waits for, for a line, until it is over."""
+        waits_for = self.start_times.waits_for
+        return {} if waits_for is None else {"start_waits_for": waits_for}
+
     def _declared(self, service: str) -> ServiceSpec | None:
         """Return what the desired state declares for a service, if it does."""
         return self.desired.services.get(service) if self.desired else None
@@ -561,6 +594,7 @@
             served_by = forwarded.served_by
         took_s = clocks.now_s() - call.received_s
         if _OK <= status < _MULTIPLE_CHOICES:
+            self.note_step(Step.FIRST_ANSWER)
             self._answer_times.record(admitted.route.name, took_s)
         first_event_s = local.output.first_event_s
         if not call.forwarded_by:
--- a/src/violethatch/_router_metrics.py
+++ b/src/violethatch/_router_metrics.py
@@ -18,6 +18,7 @@
 _TAKING_BUCKETS_S = [0.001, 0.003, 0.01, 0.03, 0.1, 0.3, 1.0]
 _PROOF_AGE_BUCKETS_S = [0.5, 1.0, 1.5, 2.0, 3.0, 4.0]
 _PAUSE_BUCKETS_S = [0.02, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5]
+_START_BUCKETS_S = [0.3, 0.6, 1.0, 2.0, 4.0, 8.0, 15.0, 30.0, 60.0]
 _LATENCY_BUCKETS_S = [0.03, 0.1, 0.2, 0.5, 1.0, 3.0, 10.0]
 
 
@@ -55,6 +56,12 @@
             buckets=_PAUSE_BUCKETS_S,
             registry=self.registry,
         )
+        self.start_step_s = Histogram(
+            "violethatch_router_start_step_seconds",
+            "Time from the process's start to a step of it.",
+            buckets=_START_BUCKETS_S,
+            registry=self.registry,
+        )
         self.store_calls = Counter(
             "violethatch_router_store_calls_total",
             "Calls of the platform's store, by outcome.",
--- a/src/violethatch/cli.py
+++ b/src/violethatch/cli.py
@@ -55,9 +55,10 @@
     Args:
         settings: The router's settings file (INI).
     """
+    from . import clocks
     from .platform import run
 
-    run(settings)
+    run(settings, began_s=clocks.now_s())
 
 
 def check_router_settings(*, settings: str) -> None:
--- a/src/violethatch/platform/__main__.py
+++ b/src/violethatch/platform/__main__.py
@@ -29,6 +29,14 @@
 
 def main() -> int:
     """Run the router; return the process's status."""
+    # Most of a start's processor time goes into the imports below.
+    from violethatch import clocks
+    from violethatch.start_slots import StartSlot
+
+    began_s = clocks.now_s()
+    slot = StartSlot()
+    slot.acquire()
+    turn_s = clocks.now_s()
     # The imports make some 70,000 objects, nearly all for good.  Without collections
     # between them a start runs a tenth fewer instructions, for 0.5 MB of memory; later
     # collections leave these objects out.
@@ -39,7 +47,7 @@
     gc.freeze()
     gc.enable()
     try:
-        run(settings_path())
+        run(settings_path(), began_s=began_s, turn_s=turn_s, on_imported=slot.release)
     except VioletHatchError as error:
         print(f"violethatch error {error.code}: {error.detail}", file=sys.stderr)
         return _BAD_SETTINGS
--- a/src/violethatch/platform/_listener.py
+++ b/src/violethatch/platform/_listener.py
@@ -27,6 +27,7 @@
     Ran,
     VioletHatchError,
 )
+from ..start_steps import Step
 from ..upstream import Call
 from . import _headers
 from ._connections import CallerServer
@@ -229,6 +230,8 @@
         """Tell whether callers should come here: they are served, and get in."""
         has_room = self._has_room()
         is_ready = self._router.is_ready and has_room
+        if is_ready:
+            self._router.note_step(Step.READY)
         return Response(status=_OK if is_ready else _UNAVAILABLE)
 
     async def _tell(self, request: BaseRequest) -> StreamResponse:
--- a/src/violethatch/platform/_process.py
+++ b/src/violethatch/platform/_process.py
@@ -19,6 +19,7 @@
 from ..event_loop import EventLoop
 from ..log_output import LogOutput
 from ..router_settings import RouterSettings, load_router_settings
+from ..start_steps import Step, StepTimes
 from ._listener import CallersListener, ReadinessListener
 from ._parts import Parts, make_parts
 from ._sessions import make_session
@@ -50,15 +51,37 @@
     return path
 
 
-def run(path: str) -> None:
+def run(
+    path: str,
+    *,
+    began_s: float,
+    turn_s: float | None = None,
+    on_imported: Callable[[], None] = lambda: None,
+) -> None:
     """Run the router until it is asked to stop.
 
+    Args:
+        path: The settings file.
+        began_s: When the process began, in monotonic seconds.
+        turn_s: When its imports began, if they had to wait for other processes.
+        on_imported: Called when little processor time is left to do.
+
     Raises:
         SettingsError: The settings file is not valid.
+        AddressError: An address can't be listened on.
     """
     file_state = _file_state(path)
     settings = load_router_settings(path)
-    process = _Process(settings, path, file_state=file_state)
+    times = StepTimes(began_s=began_s)
+    times.note(Step.TURN, now_s=began_s if turn_s is None else turn_s)
+    times.note(Step.IMPORTED, now_s=clocks.now_s())
+    process = _Process(
+        settings,
+        path,
+        file_state=file_state,
+        start_times=times,
+        on_imported=on_imported,
+    )
     uvloop.run(process.run(), loop_factory=EventLoop)
 
 
@@ -69,11 +92,21 @@
         settings: Validated settings.
         path: Where they were read, for reloads.
         file_state: The file's state before that.
+        start_times: When it reached the steps so far; it begins now if omitted.
+        on_imported: Called when little processor time is left to do.
     """
 
     def __init__(
-        self, settings: RouterSettings, path: str, *, file_state: _FileState | None
+        self,
+        settings: RouterSettings,
+        path: str,
+        *,
+        file_state: _FileState | None,
+        start_times: StepTimes | None = None,
+        on_imported: Callable[[], None] = lambda: None,
     ) -> None:
+        self._start_times = start_times or StepTimes(began_s=clocks.now_s())
+        self._on_imported = on_imported
         self._settings = settings
         self._file_state = file_state
         self._path = path
@@ -88,11 +121,14 @@
         kept = make_session(is_kept=True)
         fresh = make_session(is_kept=False)
         parts = make_parts(self._settings, kept=kept, fresh=fresh)
+        parts.router.begin_start(self._start_times)
         self._takers = parts.takers()
+        self._on_imported()
         await parts.following.listen()
         self._start_tasks(parts)
         callers = await self._listen(parts.router)
         stop = self._watch_signals(parts.router)
+        parts.router.note_step(Step.LISTENING)
         events.log(events.STARTED, id=self._settings.instance.id)
         await stop.wait()
         await self._drain(parts)
