Load the layers of runners that return empty chain by chain

Cause: placement ordered all runners at once; the store of weights serves loads_at_once loads at full rate, so that no path was whole before nearly all loads were. Change: no more loads at once than are served at full rate, in an order that completes a chain first (load_waves.py, _waiting_orders.py); the plan is carried on; the lease of a gone holder runs out while the list rests. It takes effect only where the engine states loads_at_once.

--- a/src/violethatch/_placement_lease.py
+++ b/src/violethatch/_placement_lease.py
@@ -83,6 +83,7 @@
             margin_s=policy.lease_margin_s,
         )
         self._next_try_s = 0.0
+        self._is_observed = False
         self._era = era or StoreEra()
         self._era.on_restore(self._note_restored)
 
@@ -110,6 +111,25 @@
         self._delay_try()
         _log_unreachable(reason)
 
+    async def observe_early(self) -> None:
+        """Read the lease's row once before there is an order to give.
+
+        The time of a holder that is gone then runs out while the list settles.
+        """
+        if self._is_observed or not self.may_try(now_s=clocks.now_s()):
+            return
+        self._delay_try()
+        await self._observe()
+
+    async def _observe(self) -> float:
+        """Read the lease's row; return when that was begun, in monotonic seconds."""
+        sent_s = clocks.now_s()
+        row = await self._store.read_row(self._lease.row_key)
+        self._lease.era = self._era.current
+        self._lease.observe(row, now_s=sent_s)
+        self._is_observed = True
+        return sent_s
+
     async def hold(self, now_s: float) -> bool:
         """Hold the lease; tell whether orders may be given."""
         if self.is_held:
@@ -117,10 +137,7 @@
             return self.is_held
         # All instances see the same need at the same time: one pause each.
         await asyncio.sleep(self._rng.uniform(0.0, _SPREAD_S))
-        sent_s = clocks.now_s()
-        row = await self._store.read_row(self._lease.row_key)
-        self._lease.era = self._era.current
-        self._lease.observe(row, now_s=sent_s)
+        sent_s = await self._observe()
         self._delay_try()
         return await self._write(self._lease.wanted_write(now_s=sent_s), sent_s)
 
--- a/src/violethatch/_placement_plans.py
+++ b/src/violethatch/_placement_plans.py
@@ -83,10 +83,21 @@
 
     def _is_turn(self, since_s: float, now_s: float) -> bool:
         """Tell whether it is this instance's turn to plan."""
+        return now_s - since_s >= _turn_s(self._rank(now_s))
+
+    def is_first(self, *, now_s: float) -> bool:
+        """Tell whether this instance is one of those that plan at once.
+
+        Where no other is known yet, it may be one of many that have just started.
+        """
+        is_alone = self._directory is not None and not self._directory.others()
+        return not is_alone and self._rank(now_s) < _FIRST_PLANNERS
+
+    def _rank(self, now_s: float) -> int:
+        """Return how many instances plan before this one."""
         if self._directory is None:
-            return True
-        rank = self._directory.rank(_PLACEMENT_JOB, now_s=now_s)
-        return now_s - since_s >= _turn_s(rank)
+            return 0
+        return self._directory.rank(_PLACEMENT_JOB, now_s=now_s)
 
     def _since_s(self, service: str, situation: Situation, now_s: float) -> float:
         """Return since when a service's situation is this one, in monotonic seconds."""
--- a/src/violethatch/engine_model.py
+++ b/src/violethatch/engine_model.py
@@ -61,6 +61,12 @@
     pipe_mbps: float
     #: Tokens that one pass makes, and that come in one event.
     stride_tokens: float = 1.0
+    #: Loads that the store of weights serves at full rate; 0 where that is not stated.
+    loads_at_once: int = 0
+
+    def expected_load_s(self, layers: int) -> float:
+        """Return how long some layers take to load at full rate, in seconds."""
+        return self.load_s * layers / self.layer_count
 
     @property
     def crossing_ms(self) -> float:
--- a/src/violethatch/events.py
+++ b/src/violethatch/events.py
@@ -152,7 +152,9 @@
 LEASE_LOST = Event(2602, "lease_lost", "The instance no longer holds the lease.")
 ORDER_DONE = Event(2603, "order_done", "A runner carried out a fenced order.")
 ORDER_REFUSED = Event(2604, "order_refused", "A runner refused a fenced order.")
-ORDER_WITHHELD = Event(2606, "order_withheld", "The list is older than the runner.")
+ORDER_WITHHELD = Event(
+    2606, "order_withheld", "A runner is not as it is listed, or can't be asked."
+)
 LEASE_UNREACHABLE = Event(2605, "lease_unreachable", "A lease's row can't be told.")
 
 ALL_EVENTS = tuple(value for value in list(globals().values()) if type(value) is Event)
--- a/src/violethatch/platform/_desired_row.py
+++ b/src/violethatch/platform/_desired_row.py
@@ -146,6 +146,7 @@
     act_bytes: float = 0.0
     pipe_mbps: float = 0.0
     stride: float = 1.0
+    loads_at_once: int = 0
 
     def decoded(self) -> EngineSpec:
         """Return the engine's figures in the product's words."""
@@ -171,6 +172,7 @@
             pipe_mbps=self.pipe_mbps,
             zone_delay_ms={(one.start, one.end): one.delay_ms for one in self.delays},
             stride_tokens=self.stride,
+            loads_at_once=max(0, self.loads_at_once),
         )
 
 
--- a/src/violethatch_emulator/path_runner.py
+++ b/src/violethatch_emulator/path_runner.py
@@ -6,6 +6,7 @@
 import asyncio
 import os
 
+from collections.abc import Callable
 from typing import Any, NamedTuple
 
 import msgspec
@@ -14,6 +15,8 @@
 
 from violethatch import clocks
 
+from .weights import SharedWeights
+
 
 _ID = "Violethatch-Attempt-Id"
 _NOT_RUN = "Violethatch-Not-Executed"
@@ -53,6 +56,7 @@
         pause_s: The time between events, in seconds.
         deadly_prefix: Parts of prompts whose ids begin so end the process; each request
             with one is told on standard output.
+        weights: Where layers are loaded from; without it, orders take no time.
     """
 
     def __init__(
@@ -62,7 +66,12 @@
         event_count: int = 8,
         pause_s: float = 0.01,
         deadly_prefix: str = "",
+        weights: SharedWeights | None = None,
     ) -> None:
+        self._weights = weights
+        self._load: asyncio.Task[None] | None = None
+        #: Told when the layers that are held have changed.
+        self.on_layers: Callable[[], None] = lambda: None
         self._deadly_prefix = deadly_prefix
         self.server_id = server_id
         self.event_count = event_count
@@ -121,7 +130,7 @@
         return web.json_response(
             {
                 "Sequence": self.sequence,
-                "Busy": False,
+                "Busy": self.is_loading,
                 "layers": layers,
                 "stalled": stalled if self.stalled_at else [],
             }
@@ -145,10 +154,43 @@
         self.fence = order.get("fence", 0)
         if order.get("ExpectedRevision", self.sequence) != self.sequence:
             return web.json_response({}, status=409)
+        if self.is_loading:
+            return web.json_response({}, status=409)
         self.sequence += 1
-        self.layers = (order["From"], order["TargetVersion"])
+        self._hold(order["From"], order["TargetVersion"])
         return web.json_response({}, status=202)
 
+    @property
+    def is_loading(self) -> bool:
+        """Whether layers are being loaded."""
+        return self._load is not None and not self._load.done()
+
+    def end(self) -> None:
+        """End a load that is under way, as the process's end does."""
+        if self._load is not None:
+            self._load.cancel()
+
+    def _hold(self, first: int, end: int) -> None:
+        """Hold a range, once what is not held of it is loaded."""
+        if self._weights is None:
+            self.layers = (first, end)
+            self.on_layers()
+            return
+        old_first, old_end = self.layers or (0, 0)
+        kept = (max(first, old_first), min(end, old_end))
+        kept_count = max(0, kept[1] - kept[0])
+        self.layers = kept if kept_count else None
+        self.on_layers()
+        missing = end - first - kept_count
+        self._load = asyncio.create_task(self._load_layers(missing, (first, end)))
+
+    async def _load_layers(self, missing: int, layers: tuple[int, int]) -> None:
+        """Load the layers of a range that are missing, then hold the range."""
+        assert self._weights is not None
+        await self._weights.load(missing)
+        self.layers = layers
+        self.on_layers()
+
     async def _tell_runs(self, _request: web.Request) -> web.Response:
         """Tell what has been run, to tests in another process."""
         return web.json_response(msgspec.to_builtins(self.runs))
@@ -174,8 +216,19 @@
             return web.Response(
                 status=self.refuse_with, headers={_ID: call_id, _NOT_RUN: "1"}
             )
+        if self._weights is not None and not self._holds_part(headers.get("Path", "")):
+            return web.Response(status=421, headers={_ID: call_id, _NOT_RUN: "1"})
         return await self._stream(request, call_id)
 
+    def _holds_part(self, path: str) -> bool:
+        """Tell whether the layers of a path's first part are held."""
+        if self.layers is None:
+            return False
+        first, _, end = path.partition(",")[0].rpartition("=")[2].partition("-")
+        if not end:
+            return True
+        return self.layers[0] <= int(first) and int(end) <= self.layers[1]
+
     async def _stream(self, request: web.Request, call_id: str) -> web.StreamResponse:
         """Give the events after the one that the caller has."""
         run = Run(call_id, started_s=clocks.now_s())
--- a/tests/linked_fleet.py
+++ b/tests/linked_fleet.py
@@ -10,6 +10,7 @@
 import signal
 import sys
 
+from pathlib import Path
 from typing import NamedTuple
 
 import aiohttp
@@ -19,7 +20,7 @@
 from own_ports import free_ports
 from test_platform_process import HEADERS, ID, Site
 from test_platform_wire import CONFIG, ENGINE
-from test_router_settings import filled
+from test_router_settings import filled_here
 from violethatch import clocks
 from violethatch_emulator.faults import FaultProxy
 from violethatch_emulator.path_runner import PathRunner
@@ -110,6 +111,18 @@
         for proxy in self.links:
             proxy.heal()
 
+    def waits(self):
+        """Return for how long and how often the process waited for a processor.
+
+        The time is in seconds; both are 0 where the kernel doesn't tell.
+        """
+        try:
+            text = Path(f"/proc/{self.process.pid}/schedstat").read_text()
+        except FileNotFoundError:
+            return 0.0, 0
+        _, waited_ns, times = text.split()
+        return int(waited_ns) / 1e9, int(times)
+
     def lines(self, number):
         """Return the lines of one event."""
         lines = self.log.read_text().splitlines()
@@ -178,19 +191,12 @@
         store = self.store.application()
         store.middlewares.append(_with_own_links(links))
         store_port = await self._serve(store)
-        front, ready, metrics, peers = free_ports(4)
-        text = filled(
-            **{
-                "Node": name,
-                "Zone": zone,
-                "Listen.Front": f"127.0.0.1:{front}",
-                "Listen.Ready": f"127.0.0.1:{ready}",
-                "Ip": "127.0.0.1",
-                "InternalPorts.0": str(metrics),
-                "InternalPorts.1": str(peers),
-                "Platform.Address": f"127.0.0.1:{store_port}",
-                "Bounds.GraceS": "4",
-            }
+        ports = free_ports(4)
+        front, ready, metrics, _ = ports
+        text = filled_here(
+            ports,
+            {"Node": name, "Zone": zone, "Bounds.GraceS": "4"},
+            store=f"127.0.0.1:{store_port}",
         )
         settings = self.path / f"{name}.ini"
         settings.write_text(text)
--- a/tests/process_fleet.py
+++ b/tests/process_fleet.py
@@ -17,7 +17,7 @@
 from own_ports import free_ports
 from test_platform_process import Site
 from test_platform_wire import CONFIG
-from test_router_settings import filled
+from test_router_settings import filled_here
 
 
 STREAM_PATH = "/draft/1"
@@ -168,18 +168,10 @@
 
     async def _start_instance(self, name):
         """Start a router with the deployed settings."""
-        front, ready, metrics, peers = free_ports(4)
-        text = filled(
-            **{
-                "Node": name,
-                "Listen.Front": f"127.0.0.1:{front}",
-                "Listen.Ready": f"127.0.0.1:{ready}",
-                "Ip": "127.0.0.1",
-                "InternalPorts.0": str(metrics),
-                "InternalPorts.1": str(peers),
-                "Platform.Address": f"127.0.0.1:{self.store_port}",
-            }
-        )
+        ports = free_ports(4)
+        front, ready, metrics, _ = ports
+        store = f"127.0.0.1:{self.store_port}"
+        text = filled_here(ports, {"Node": name}, store=store)
         settings = self.path / f"{name}.ini"
         settings.write_text(text)
         instance = Instance(
--- a/tests/test_placing.py
+++ b/tests/test_placing.py
@@ -16,6 +16,7 @@
     _placement_lease,
     _placement_plans,
     _placing,
+    _waiting_orders,
     clocks,
 )
 from violethatch._placement_lease import LeaseWrite
@@ -278,3 +279,123 @@
         for _ in range(5):
             await duty._look()
         assert store.reads == 0
+
+
+LOADING = desired_state()._replace(
+    services={
+        name: service._replace(engine=service.engine._replace(loads_at_once=1))
+        if service.engine
+        else service
+        for name, service in desired_state().services.items()
+    }
+)
+
+
+def loaded(client, duty):
+    """Have all runners hold what they were ordered to."""
+    for name, layers, *_ in client.placed:
+        client.reports[name] = report(layers=layers, sequence=5)
+
+
+class TestLoads:
+    async def test_loads_beyond_the_full_rate_wait(self):
+        """Guards against loads that all slow each other down."""
+        duty, client, _ = make_duty(FakeStore(), *FLEET)
+        duty.desired = LOADING
+        for _ in range(3):
+            await duty._look()
+        assert len(client.placed) == 1
+
+    async def test_next_load_begins_once_one_has_ended(self):
+        """A runner's report frees its place before the list shows it."""
+        duty, client, _ = make_duty(FakeStore(), *FLEET)
+        duty.desired = LOADING
+        for count in (1, 2, 3):
+            await duty._look()
+            assert len(client.placed) == count
+            loaded(client, duty)
+
+    async def test_same_plan_is_carried_on(self):
+        """Guards against a fleet that is planned anew from what was loaded first."""
+        together, client, _ = make_duty(FakeStore(), *FLEET)
+        await together._look()
+        planned = {order[0]: order[1] for order in client.placed}
+        duty, client, _ = make_duty(FakeStore(), *FLEET)
+        duty.desired = LOADING
+        for _ in range(3):
+            await duty._look()
+            loaded(client, duty)
+        assert {order[0]: order[1] for order in client.placed} == planned
+
+    async def test_lost_runner_has_the_others_planned_anew(self):
+        """Guards against waiting orders that leave a gone runner's layers out."""
+        duty, client, routing = make_duty(FakeStore(), *FLEET)
+        duty.desired = LOADING
+        await duty._look()
+        waiting = next(iter(duty._waiting))
+        routing.backends.change([], [waiting], now_s=clocks.now_s())
+        loaded(client, duty)
+        await duty._look()
+        assert waiting not in duty._waiting
+        assert all(waiting not in ids for ids in duty._waiting._planned_for.values())
+
+    async def test_orders_follow_the_list_that_the_lease_was_won_under(self):
+        """Guards against orders of a plan that changed while the lease was awaited."""
+        store = FakeStore()
+        duty, client, routing = make_duty(store, *FLEET)
+        read_row = store.read_row
+
+        async def change_and_read(key):
+            routing.backends.change([], ["a"], now_s=clocks.now_s())
+            return await read_row(key)
+
+        store.read_row = change_and_read
+        await duty._look()
+        assert "a" not in {order[0] for order in client.placed}
+
+    async def test_order_that_fails_again_is_dropped(self):
+        """Guards against orders that wait for a runner for good."""
+        duty, client, _ = make_duty(FakeStore(), *FLEET)
+        duty.desired = LOADING
+        client.place_outcome = OrderAnswer(OrderOutcome.CONFLICT)
+        for _ in range(_waiting_orders._MAX_FAILURES * len(FLEET)):
+            await duty._look()
+            duty._rest_until_s.clear()
+        assert not duty._waiting
+
+
+class TestEarlyObservation:
+    async def test_gone_holders_time_runs_while_the_list_settles(self, monkeypatch):
+        """Guards against a return that waits for the list and then for the lease."""
+        monkeypatch.setattr(_fleet_watch, "_SETTLE_S", 60.0)
+        monkeypatch.setattr(_placement_lease, "_TRY_PAUSE_S", 0.0)
+        store = FakeStore()
+        policy = {"lease_duration_s": "0.2", "lease_margin_s": "0.1"}
+        gone, _, _ = make_duty(store, *FLEET, name="gone", **policy)
+        assert await gone._lease.hold(clocks.now_s())
+        directory = directories([entry("i1"), entry("i2")])["i1"]
+        duty, client, _ = make_duty(store, *FLEET, directory=directory, **policy)
+        await duty._look()
+        await asyncio.sleep(0.25)
+        monkeypatch.setattr(_fleet_watch, "_SETTLE_S", 0.0)
+        await duty._look()
+        assert len(client.placed) == len(FLEET)
+
+    async def test_row_is_read_once(self, monkeypatch):
+        """Guards against a call of the store at each look."""
+        monkeypatch.setattr(_fleet_watch, "_SETTLE_S", 60.0)
+        store = FakeStore()
+        directory = directories([entry("i1"), entry("i2")])["i1"]
+        duty, _, _ = make_duty(store, *FLEET, directory=directory)
+        for _ in range(5):
+            await duty._look()
+        assert store.reads == 1
+
+    async def test_instances_that_start_together_do_not_all_read(self, monkeypatch):
+        """While no other is known, each of them would be the first."""
+        monkeypatch.setattr(_fleet_watch, "_SETTLE_S", 60.0)
+        store = FakeStore()
+        directory = directories([entry("i1")])["i1"]
+        duty, _, _ = make_duty(store, *FLEET, directory=directory)
+        await duty._look()
+        assert store.reads == 0
--- a/tests/test_platform_process.py
+++ b/tests/test_platform_process.py
@@ -18,7 +18,7 @@
 
 from own_ports import free_ports
 from test_platform_wire import CONFIG, ENGINE
-from test_router_settings import filled
+from test_router_settings import filled_here
 from violethatch_emulator.path_runner import PathRunner
 from violethatch_emulator.store import StoreStandIn
 
@@ -53,22 +53,15 @@
             runner.layers = (0, 80)
             port = await self._serve(runner.application())
             self.addresses[name] = f"127.0.0.1:{port}"
-        self.front, self.ready, self.metrics, peers = free_ports(4)
+        ports = free_ports(4)
+        self.front, self.ready, self.metrics, _ = ports
         self.configure(version=version, routes=routes)
         for name in self.runners:
             self.list_server(name)
-        text = filled(
-            **{
-                "Listen.Front": f"127.0.0.1:{self.front}",
-                "Listen.Ready": f"127.0.0.1:{self.ready}",
-                "Ip": "127.0.0.1",
-                "InternalPorts.0": str(self.metrics),
-                "InternalPorts.1": str(peers),
-                "Platform.Address": f"127.0.0.1:{store_port}",
-                "Bounds.RevokeMs": "1500",
-                "Bounds.GraceS": "4",
-            }
-            | fields
+        text = filled_here(
+            ports,
+            {"Bounds.RevokeMs": "1500", "Bounds.GraceS": "4"} | fields,
+            store=f"127.0.0.1:{store_port}",
         )
         settings = self.path / "router.ini"
         settings.write_text(
--- a/tests/test_router_settings.py
+++ b/tests/test_router_settings.py
@@ -44,6 +44,27 @@
     return re.sub(r"\{\{(.*?)\}\}", lambda gap: fields[gap[1]], text)
 
 
+def filled_here(ports, changes, *, store, host="127.0.0.1"):
+    """Return the template filled for an instance on this machine.
+
+    Args:
+        ports: For callers, readiness, metrics and other instances.
+        changes: What else it is filled with.
+        store: The platform's address.
+        host: The instance's address.
+    """
+    front, ready, metrics, peers = ports
+    addresses = {
+        "Listen.Front": f"{host}:{front}",
+        "Listen.Ready": f"{host}:{ready}",
+        "Ip": host,
+        "InternalPorts.0": str(metrics),
+        "InternalPorts.1": str(peers),
+        "Platform.Address": store,
+    }
+    return filled(**(addresses | changes))
+
+
 class TestRouterSettings:
     def test_template_is_valid(self):
         """What the platform fills in is a valid settings file."""
