Set two proofs of failures up as their faults need it

[stage_killed_while_others_leave] found no violation without its mechanism: its runner was killed before there was anything to rebuild; it waits for streams that are under way. [link_slows_down] failed in its set-up: one of two runners was proxied, so that a busy test process moved all streams to the other one.

--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -23,6 +23,7 @@
     program,
     stream_many,
     wait_running,
+    wait_under_way,
     wait_working,
 )
 from violethatch_emulator import RunnerPlan
@@ -93,7 +94,7 @@
 
 async def link_slows_down(bench, broken):
     """A link gets some hundred times as slow; streams go on elsewhere."""
-    await bench.start(proxied=("r2a",), **program(broken))
+    await bench.start(proxied=("r2a", "r2b"), **program(broken))
     cluster = bench.cluster
     await stream_many(cluster, ["e1"], count=10, limit=20)
     streams = asyncio.create_task(stream_many(cluster, ["e1"], count=10, limit=100))
@@ -160,7 +161,8 @@
     await bench.start(runners=(*RUNNERS, spare), **grace, **program(broken))
     cluster = bench.cluster
     streams = asyncio.create_task(stream_many(cluster, ["e1"], count=15, limit=300))
-    await wait_working(cluster, streams, "r0a", "r2a")
+    await wait_working(cluster, streams, "r0a")
+    await wait_under_way(cluster, streams, "r2a")
     await cluster.control("r0a", leaving=True)
     await cluster.processes["r2a"].kill()
     stopping = asyncio.create_task(cluster.processes["e1"].terminate(timeout_s=60))
