Ask in a test of standstills only for answers that come before the limit

Cause: at the first turn nothing is written before the standstill, which costs 10 of the 20 ms after which a report is asked for again; the test counted tries whose server answered up to 15 ms after the standstill. Change: a try counts if the first answer is written within 8 ms, by a time taken after the write (it was taken before, and of the last answer).

--- a/tests/test_own_standstills.py
+++ b/tests/test_own_standstills.py
@@ -4,7 +4,6 @@
 from __future__ import annotations
 
 import asyncio
-import math
 import socket
 import time
 
@@ -35,6 +34,10 @@
 #: After how many turns of the loop it is held up: as a connection opens, as the
 #: request is written, as the answer is waited for.
 TURNS = [1, 2, 3, 5]
+#: Until when after a standstill an answer has to be there, in seconds: 10 of the 20 ms
+#: after which a report is asked for again are left, and 30 of the 40 ms of a look.
+DOUBT_LEFT_S = 0.008
+LOOK_LEFT_S = 0.015
 
 
 @pytest.fixture(params=[EventLoop, asyncio.SelectorEventLoop])
@@ -91,10 +94,17 @@
 
         async def work(runners):
             await runners.report(one)  # opens the connection that is kept
-            return await held_up(runners.report(one), turns=turns, for_s=for_s)
+            server.clear()
+            until_s = clocks.now_s() + for_s
+            found = await held_up(runners.report(one), turns=turns, for_s=for_s)
+            # On a busy machine the server's thread may be late itself.
+            is_meant = server.first_answer_s() < until_s + DOUBT_LEFT_S
+            return found, len(server.asked), is_meant
 
-        assert run(with_runners(work)) is not None
-        assert len(server.asked) == 2
+        tries = (run(with_runners(work)) for _ in range(20))
+        found, asked = next((one, n) for one, n, is_meant in tries if is_meant)
+        assert found is not None
+        assert asked == 1
 
 
 @pytest.mark.parametrize("turns", TURNS)
@@ -107,13 +117,13 @@
         one = runner("a", 0, 80, address=server.address)
 
         async def work(runners):
-            server.answered_s = math.inf
-            began_s = clocks.now_s()
+            server.clear()
+            until_s = clocks.now_s() + for_s
             found = await held_up(
                 Probes(runners).look([one], within_s=0.04), turns=turns, for_s=for_s
             )
             # On a busy machine the server's thread may be late itself.
-            return found, server.answered_s < began_s + for_s + 0.015
+            return found, server.first_answer_s() < until_s + LOOK_LEFT_S
 
         tries = (run(with_runners(work)) for _ in range(20))
         found = next(one for one, is_meant in tries if is_meant)
--- a/tests/thread_server.py
+++ b/tests/thread_server.py
@@ -21,7 +21,7 @@
         self.body = b"{}"
         self.headers = {}
         self.asked = []
-        self.answered_s = math.inf
+        self._answers_s = []
         self._loop = asyncio.new_event_loop()
         self._is_ready = threading.Event()
         self._thread = threading.Thread(target=self._work, daemon=True)
@@ -36,6 +36,22 @@
         self._loop.call_soon_threadsafe(self._loop.stop)
         self._thread.join(5)
 
+    def clear(self):
+        """Forget what was asked and answered."""
+        self.asked.clear()
+        self._answers_s.clear()
+
+    def first_answer_s(self):
+        """Return when the first answer was written; inf without one."""
+        self._finish_step()
+        return min(self._answers_s, default=math.inf)
+
+    def _finish_step(self):
+        """Wait until the thread has noted what it has written."""
+        is_done = threading.Event()
+        self._loop.call_soon_threadsafe(is_done.set)
+        assert is_done.wait(5)
+
     def _work(self):
         self._loop.run_until_complete(self._start())
         self._loop.run_forever()
@@ -54,5 +70,8 @@
     async def _answer(self, request):
         self.asked.append(request.path)
         await asyncio.sleep(self.after_s)
-        self.answered_s = clocks.now_s()
-        return web.Response(status=self.status, headers=self.headers, body=self.body)
+        answer = web.Response(status=self.status, headers=self.headers, body=self.body)
+        await answer.prepare(request)
+        await answer.write_eof()
+        self._answers_s.append(clocks.now_s())
+        return answer
