--- a/tests/virtual_time.py
+++ b/tests/virtual_time.py
@@ -4,8 +4,11 @@
 from __future__ import annotations
 
 import asyncio
+import functools
 import selectors
 
+import pytest
+
 from violethatch import clocks
 
 
@@ -46,3 +49,14 @@
         return loop.run_until_complete(work())
     finally:
         loop.close()
+
+
+def in_virtual_time(test):
+    """Let a test that is a coroutine function run in virtual time."""
+
+    @functools.wraps(test)
+    def play(*args, **kwargs):
+        with pytest.MonkeyPatch.context() as monkeypatch:
+            run(lambda: test(*args, **kwargs), monkeypatch)
+
+    return play
