Compare forwarded requests with those of the instance that serves them

Three rows of test_lost_links failed in some whole runs. Causes, each shown by a play on purpose (docs/findings.md): 95 of 100 forwarded requests go to one instance and were compared with the callers of both others, so that a busy neighbour of that instance's processor made them 11.9 to 31.8 ms later; and short standstills of the servers' process in a row (0.06 s each) make an instance lose its links, which only a hold of 0.25 s excused. Change: a forwarded request is compared with the one that the serving instance got from its own callers at that time, and two waits of that instance for a processor are taken off too; what meets standstills of 0.1 s within the 0.25 s of a check is left out, and the play goes on until 30 requests of each kind are left. Bounds as before.

--- a/tests/asking_servers.py
+++ b/tests/asking_servers.py
@@ -64,20 +64,24 @@
         parts = [min(end, until_s) - max(begin, from_s) for begin, end in self._holds]
         return sum(part for part in parts if part > 0.0)
 
-    def has_just_held(self, at_s, *, least_s, before_s):
-        """Tell whether a hold of at least *least_s* ended so shortly before a time."""
-        return any(
-            from_s <= at_s <= until_s + before_s
-            for from_s, until_s in self._long_holds(least_s)
-        )
+    def standstills(self, *, least_s, within_s):
+        """Return from when until when it stood still for so long in all within a time.
+
+        Short holds in a row delay what takes several turns of the loop.
+        """
+        found = []
+        for index, (_, until_s) in enumerate(self._holds):
+            row = [
+                one for one in self._holds[: index + 1] if one[1] > until_s - within_s
+            ]
+            if sum(end - begin for begin, end in row) >= least_s:
+                found.append((row[0][0], until_s))
+        return found
 
     def last_hold_s(self, *, least_s):
         """Return when the last hold of at least *least_s* ended; -inf without one."""
-        return max((end for _, end in self._long_holds(least_s)), default=-math.inf)
-
-    def _long_holds(self, least_s):
-        """Return from when until when it stood still for so long."""
-        return [(begin, end) for begin, end in self._holds if end - begin >= least_s]
+        ends = [end for begin, end in self._holds if end - begin >= least_s]
+        return max(ends, default=-math.inf)
 
     async def watch(self):
         """Look again and again, until cancelled."""
--- a/tests/test_lost_links.py
+++ b/tests/test_lost_links.py
@@ -28,20 +28,24 @@
 
 #: From how long after the links were lost callers are served as elsewhere, in seconds.
 LOST_S = 1.0
-#: How long all servers have to stand still for every instance to lose its links, in
-#: seconds: a check of links waits for so long.
-STANDSTILL_S = 0.25
-#: The least tries that are compared of each side.
+#: How long a check of links waits, in seconds, and for how long of that the servers
+#: have to stand still for an instance to lose its links: an answer takes several turns.
+CHECK_S = 0.25
+STANDSTILL_S = 0.1
+#: The least tries that are compared of each side, and how often it is played for them.
 MIN_TRIES = 30
+MOST_ROUNDS = 12
 #: How often, compared with elsewhere, and how much later at the median.
 LEAST_SHARE = 0.95
 MOST_LATER_S = 0.010
-#: How often a request waits for a processor on its way through one more instance: as it
-#: comes, and with the end of its answer.
+#: How often a request waits for a processor at each end of its way through one more
+#: instance: as it comes, and with the end of its answer.
 HOP_WAITS = 2
 #: Until how long after their return an instance uses its links again, in seconds.
 BACK_S = 1.0
-CUT_S = 5.0
+CUT_S = 4.0
+#: The line that names the instance that serves a forwarded request.
+FORWARD_TAKEN = 2241
 #: Between requests to each instance, in seconds: while links are lost more are under
 #: way than before, so that open connections don't do.
 PAUSE_S = 0.03
@@ -72,54 +76,96 @@
     Attributes:
         there: At these instances.
         elsewhere: At the others.
-        wait_s: How long these instances waited for a processor at a time, in seconds.
+        served_by: By call's id, the instance that it was forwarded to.
+        waits_s: By instance, how long it waited for a processor at a time, in seconds.
     """
 
     there: list[Try]
     elsewhere: list[Try]
-    wait_s: float
+    served_by: dict[str, str]
+    waits_s: dict[str, float]
 
     @property
     def later_s(self):
-        """How much later those there are served, but for waits for a processor."""
-        later_s = median_s(self.there) - median_s(self.elsewhere)
-        return later_s - HOP_WAITS * self.wait_s
+        """How much later those there are served than others at the same instance.
+
+        That is the median, but for waits for a processor.
+        """
+        later_s = []
+        for one in self.there:
+            server = self.served_by.get(one.call_id)
+            if server is None or one.status != 200:
+                continue
+            own = min(
+                (other for other in self.elsewhere if other.instance == server),
+                key=lambda other: abs(other.sent_s - one.sent_s),
+            )
+            wait_s = self.waits_s[one.instance] + self.waits_s[server]
+            later_s.append(one.took_s - own.took_s - HOP_WAITS * wait_s)
+        assert len(later_s) >= MIN_TRIES
+        return statistics.median(later_s)
 
 
 async def play(fleet, count, way, *, path):
     """Cut the first instances; return the tries there and at the others meanwhile.
 
     The servers share the test's loop: where it stands still, the others lose their
-    links too, so that what comes shortly after that is left out.
+    links too, so that what is under way then or comes shortly after is left out.
     """
     cut = fleet.instances[:count]
     warm = [fleet.call_steadily(one, path=path, for_s=0.5) for one in fleet.instances]
     await asyncio.gather(*warm)
     for one in cut:
         one.cut(way)
-    cut_s = clocks.now_s()
-    before = [one.waits() for one in cut]
+    names = {one.name for one in cut}
+    there, elsewhere = [], []
+    async with watched_lag() as lag:
+        await call_all(fleet, path=path, for_s=LOST_S)
+        before = [one.waits() for one in fleet.instances]
+        for _ in range(MOST_ROUNDS):
+            tries = await call_all(fleet, path=path, for_s=CUT_S)
+            standstills = lag.standstills(least_s=STANDSTILL_S, within_s=CHECK_S)
+            for one in tries:
+                if not is_disturbed(one, standstills):
+                    (there if one.instance in names else elsewhere).append(one)
+            if min(len(there), len(elsewhere)) >= MIN_TRIES:
+                break
+    assert min(len(there), len(elsewhere)) >= MIN_TRIES
+    after = [one.waits() for one in fleet.instances]
+    taken = [line for one in cut for line in one.lines(FORWARD_TAKEN)]
+    return Played(
+        there,
+        elsewhere,
+        {line["request_id"]: line["instance_id"] for line in taken},
+        {
+            one.name: wait_s(*waits)
+            for one, *waits in zip(fleet.instances, before, after, strict=True)
+        },
+    )
+
+
+async def call_all(fleet, *, path, for_s):
+    """Call all instances side by side; return what came of each request."""
     calls = [
-        fleet.call_steadily(one, path=path, for_s=CUT_S, pause_s=PAUSE_S)
+        fleet.call_steadily(one, path=path, for_s=for_s, pause_s=PAUSE_S)
         for one in fleet.instances
     ]
-    async with watched_lag() as lag:
-        tries = [one for part in await asyncio.gather(*calls) for one in part]
-    late = [
-        one
-        for one in tries
-        if one.sent_s - cut_s >= LOST_S
-        and not lag.has_just_held(one.sent_s, least_s=STANDSTILL_S, before_s=LOST_S)
-    ]
-    names = {one.name for one in cut}
-    there = [one for one in late if one.instance in names]
-    elsewhere = [one for one in late if one.instance not in names]
-    assert min(len(there), len(elsewhere)) >= MIN_TRIES
-    after = [one.waits() for one in cut]
-    waited_s, times = map(sum, zip(*after, strict=True))
-    waited_before_s, times_before = map(sum, zip(*before, strict=True))
-    wait_s = (waited_s - waited_before_s) / max(1, times - times_before)
-    return Played(there, elsewhere, wait_s)
+    return [one for part in await asyncio.gather(*calls) for one in part]
+
+
+def is_disturbed(one, standstills):
+    """Tell whether a try was under way at a standstill, or came shortly after one."""
+    end_s = one.sent_s + one.took_s
+    return any(
+        from_s <= end_s and one.sent_s <= until_s + LOST_S
+        for from_s, until_s in standstills
+    )
+
+
+def wait_s(before, after):
+    """Return how long an instance waited for a processor at a time, in seconds."""
+    (waited_before_s, times_before), (waited_s, times) = before, after
+    return (waited_s - waited_before_s) / max(1, times - times_before)
 
 
 @pytest.mark.parametrize("path", [STREAM_PATH, PLAIN_PATH])
