Share calls of instances without links by what their zone's instances told

Causes: an instance whose load wasn't known counted as empty, so that each one of the own zone was taken first, and again each second, however full the zone was; four requests in progress for the way between zones are more than twice the mean where one instance has no links; two that were compared by chance hardly ever had told anything. Change: all that may serve are compared; one that has told nothing counts as the mean of its zone's; the way counts as one request; calls handed over since count; equal ones are taken in turn.

--- a/src/violethatch/forwarding/_choice.py
+++ b/src/violethatch/forwarding/_choice.py
@@ -8,9 +8,10 @@
 from __future__ import annotations
 
 import random
+import statistics
 
-from collections import Counter
-from collections.abc import Collection, Iterable
+from collections import Counter, defaultdict
+from collections.abc import Collection, Iterable, Mapping
 from typing import NamedTuple
 
 from ..instances import InstanceEntry
@@ -26,15 +27,18 @@
 _LOAD_LIFE_S = 1.0
 #: By how many requests in progress an instance of another zone has to be emptier than
 #: one of the own zone: the way to it is longer.
-_FAR_REQUESTS = 4
-#: Instances that are compared, of the own zone and of others each.
-_COMPARED = 2
+_FAR_REQUESTS = 1
 
 
 class _Load(NamedTuple):
-    """The requests in progress that an instance told of, and when."""
+    """What an instance told of its load.
 
-    in_flight: int
+    Attributes:
+        others: The requests in progress that this instance hadn't handed to it.
+        told_s: When it told, in monotonic seconds.
+    """
+
+    others: int
     told_s: float
 
 
@@ -43,7 +47,7 @@
 
     Args:
         zone: The instance's availability zone.
-        rng: Chooses whom to compare.
+        rng: Chooses among equals.
     """
 
     def __init__(self, zone: str, *, rng: random.Random) -> None:
@@ -74,16 +78,13 @@
             now_s: The current monotonic time, in seconds.
         """
         barred = self._unable(service, now_s=now_s).union(avoided)
-        near: list[InstanceEntry] = []
-        far: list[InstanceEntry] = []
-        for one in peers:
-            if one.id not in barred:
-                is_near = one.availability_zone == self._zone
-                (near if is_near else far).append(one)
-        compared = [*self._sample(near), *self._sample(far)]
-        if not compared:
+        able = [one for one in peers if one.id not in barred]
+        if not able:
             return None
-        return min(compared, key=lambda one: self._cost(one, now_s))
+        known = self._known_loads(able, now_s=now_s)
+        usual = _usual_loads(able, known)
+        self._rng.shuffle(able)
+        return min(able, key=lambda one: self._cost(one, known.get(one.id), usual))
 
     def note_refused(self, peer_id: str, service: str, *, now_s: float) -> None:
         """Note that an instance can't serve a service now."""
@@ -100,7 +101,8 @@
 
     def note_load(self, peer_id: str, in_flight: int, *, now_s: float) -> None:
         """Note how many requests an instance has in progress."""
-        self._loads[peer_id] = _Load(in_flight, now_s)
+        others = max(0, in_flight - self._own[peer_id])
+        self._loads[peer_id] = _Load(others, now_s)
 
     def began(self, peer_id: str) -> None:
         """Count a call that an instance serves for this one."""
@@ -132,14 +134,42 @@
             if now_s < until_s and known in ("", service)
         }
 
-    def _sample(self, peers: list[InstanceEntry]) -> list[InstanceEntry]:
-        """Return some instances by chance."""
-        return self._rng.sample(peers, min(_COMPARED, len(peers)))
+    def _known_loads(
+        self, peers: Iterable[InstanceEntry], *, now_s: float
+    ) -> dict[str, _Load]:
+        """Return what some instances told of their loads of late, by id."""
+        return {
+            one.id: load
+            for one in peers
+            if (load := self._loads.get(one.id)) is not None
+            and now_s - load.told_s < _LOAD_LIFE_S
+        }
+
+    def _cost(
+        self, peer: InstanceEntry, load: _Load | None, usual: Mapping[str, float]
+    ) -> tuple[float, float]:
+        """Return how full an instance is, with the way to it, and when it told that.
+
+        Those that are equally full are taken in turn.
 
-    def _cost(self, peer: InstanceEntry, now_s: float) -> float:
-        """Return how full an instance is, with the way to it, in requests."""
-        load = self._loads.get(peer.id)
-        is_known = load is not None and now_s - load.told_s < _LOAD_LIFE_S
-        told = load.in_flight if load is not None and is_known else 0
+        Args:
+            peer: The instance.
+            load: What it told of late, if anything.
+            usual: By zone, what its instances told of late.
+        """
         way = 0 if peer.availability_zone == self._zone else _FAR_REQUESTS
-        return max(told, self._own[peer.id]) + way
+        own = self._own[peer.id] + way
+        if load is None:
+            return usual.get(peer.availability_zone, 0.0) + own, 0.0
+        return load.others + own, load.told_s
+
+
+def _usual_loads(
+    peers: Iterable[InstanceEntry], known: Mapping[str, _Load]
+) -> dict[str, float]:
+    """Return the mean of the known loads by zone: the others' are likely the same."""
+    by_zone: defaultdict[str, list[int]] = defaultdict(list)
+    for one in peers:
+        if one.id in known:
+            by_zone[one.availability_zone].append(known[one.id].others)
+    return {zone: statistics.fmean(loads) for zone, loads in by_zone.items()}
--- a/tests/test_forwarding_choice.py
+++ b/tests/test_forwarding_choice.py
@@ -36,6 +36,26 @@
         made.note_load(NEAR.id, 30, now_s=1.0)
         assert made.choose([FAR, NEAR], "model", now_s=1.0) == FAR
 
+    def test_unknown_instance_counts_as_empty(self):
+        """It is likely as full as those of its zone that are known."""
+        made = choice()
+        beside = entry(3, "z1")
+        made.note_load(NEAR.id, 30, now_s=1.0)
+        made.note_load(FAR.id, 10, now_s=1.0)
+        assert made.choose([NEAR, beside, FAR], "model", now_s=1.5) == FAR
+
+    def test_equal_instances_are_taken_by_chance(self):
+        """In turn, each gets as much, however few requests there are."""
+        made = choice()
+        peers = [entry(number, "z1") for number in range(5)]
+        taken = Counter()
+        for number in range(10):
+            now_s = 1.0 + number / 20
+            peer = made.choose(peers, "model", now_s=now_s)
+            made.note_load(peer.id, 3, now_s=now_s)
+            taken[peer.id] += 1
+        assert set(taken.values()) == {2}
+
     def test_instance_that_refused_is_left_out_for_its_service(self):
         """It may serve others, and is asked again after a while."""
         made = choice()
