Tell in one place which told loads of instances still count

The choice of an instance and the forgetting of old loads had the same filter each, and the choice looked all instances up for it. One method serves both; it goes over the loads that were told.

--- a/src/violethatch/forwarding/_choice.py
+++ b/src/violethatch/forwarding/_choice.py
@@ -81,7 +81,7 @@
         able = [one for one in peers if one.id not in barred]
         if not able:
             return None
-        known = self._known_loads(able, now_s=now_s)
+        known = self._fresh_loads(now_s=now_s)
         usual = _usual_loads(able, known)
         self._rng.shuffle(able)
         return min(able, key=lambda one: self._cost(one, known.get(one.id), usual))
@@ -120,11 +120,7 @@
         self._until_s = {
             key: until_s for key, until_s in self._until_s.items() if until_s > now_s
         }
-        self._loads = {
-            peer_id: load
-            for peer_id, load in self._loads.items()
-            if now_s - load.told_s < _LOAD_LIFE_S
-        }
+        self._loads = self._fresh_loads(now_s=now_s)
 
     def _unable(self, service: str, *, now_s: float) -> set[str]:
         """Return the instances that are known to be unable to serve a service."""
@@ -134,15 +130,12 @@
             if now_s < until_s and known in ("", service)
         }
 
-    def _known_loads(
-        self, peers: Iterable[InstanceEntry], *, now_s: float
-    ) -> dict[str, _Load]:
-        """Return what some instances told of their loads of late, by id."""
+    def _fresh_loads(self, *, now_s: float) -> dict[str, _Load]:
+        """Return what instances told of their loads of late, by id."""
         return {
-            one.id: load
-            for one in peers
-            if (load := self._loads.get(one.id)) is not None
-            and now_s - load.told_s < _LOAD_LIFE_S
+            peer_id: load
+            for peer_id, load in self._loads.items()
+            if now_s - load.told_s < _LOAD_LIFE_S
         }
 
     def _cost(
