Review case 3: both models have 80 layers

Cause: a runner may well refuse layers that its model doesn't have. Change: the second model has as many layers as the first, on cards of 12.

--- a/review/3/case.py
+++ b/review/3/case.py
@@ -19,7 +19,10 @@
 _RECORD = Path(__file__).with_name("record.txt")
 _HAS_TROUBLE = os.environ.get("TROUBLE") != "0"
 _REUSE_AFTER_S = 2.0
-_LAYERS = {"large": 80, "small": 24}
+_MODELS = ("large", "small")
+_LAYERS = 80
+#: What a card of the second model's holds.
+_SMALL = 12
 _CARD_MB = {kind["Name"]: kind["mb"] for kind in ENGINE["kinds"]}
 
 
@@ -42,16 +45,16 @@
                 "StreamResume": True,
                 "gap_aim_ms": 200,
             }
-            for name in _LAYERS
+            for name in _MODELS
         ],
         "Services": [
             {
                 "Name": name,
                 "HealthPath": "/health",
                 "MaxConnections": 1138,
-                "Engine": {**ENGINE, "layers": layers},
+                "Engine": {**ENGINE, "layers": _LAYERS},
             }
-            for name, layers in _LAYERS.items()
+            for name in _MODELS
         ],
         "Limits": {
             "MaxHeaderBytes": 16384,
@@ -81,13 +84,15 @@
         for name, service, kind, layers in (
             ("l-1", "large", "a100", (0, 40)),
             ("l-2", "large", "a100", (40, 80)),
-            ("s-1", "small", "l4", (0, 12)),
-            ("s-2", "small", "l4", (12, 24)),
+            *(
+                (f"s-{first}", "small", "l4", (first, min(_LAYERS, first + _SMALL)))
+                for first in range(0, _LAYERS, _SMALL)
+            ),
         ):
             await site.add_runner(_runner(site, name, service, kind, layers))
         routers = [await site.add_router(f"edge-{number}") for number in range(2)]
         await asyncio.sleep(2.0)
-        for name in _LAYERS:
+        for name in _MODELS:
             answer = await site.call(routers[0], f"first-{name}", f"/{name}/1")
             if answer.status != 200:
                 return 2
@@ -99,7 +104,7 @@
             await added.crash()
             site.note("crashed", runner=added.id)
             await asyncio.sleep(_REUSE_AFTER_S + 0.1)
-            other = _runner(site, "s-3", "small", "l4", None)
+            other = _runner(site, "s-new", "small", "l4", None)
             await site.add_runner(other, added.server.port)
             site.note("joined", runner=other.id, address=other.server.address)
             await asyncio.sleep(6.0)
