Keep impossible entries out of the plans, and tasks' errors from ending processes

Callers saw: with an entry of another writer in the list (layers 0 to 96 of a model with 80) and an empty runner that joins, every router process ended at once, six times in 70 s and again after each start; about a quarter of the requests failed.

Cause: the decoder bounds a range by 2^31 only, and the planner indexes the model's layers with it. Any exception of any background task raised SIGTERM, and all instances plan from the same list. A reversed range in a runner's own report went the same way.

Change: entry_checks.py holds an entry against its service where it becomes a server; what does not fit is not listed (2128), and checked again with each desired state. Engines with impossible figures and splits without weight make a state that can't be understood; impossible reports and loads count as none. FailureGuard runs background tasks again after a growing pause (2005, counted) and contains the plans of a service.

--- a/src/violethatch/_admission.py
+++ b/src/violethatch/_admission.py
@@ -24,6 +24,7 @@
     RetryScheduler,
     StartRequest,
 )
+from ._background import FailureGuard
 from ._service_admission import ServiceAdmission
 from .demand import NO_DEMAND, RUNNING, Demand, DemandCounter, DemandKey, total_demand
 from .desired import CallRoute, DesiredState
@@ -59,6 +60,7 @@
         phase: The initial value of the admitter's remainders, 0 to 1.  It differs
             between instances, as hundreds with the same phase would admit their first
             requests simultaneously.
+        failures: Contains errors of a service's plan.
     """
 
     def __init__(
@@ -69,7 +71,9 @@
         peers: PeerDemand,
         returns: RetryScheduler,
         phase: float,
+        failures: FailureGuard | None = None,
     ) -> None:
+        self._failures = failures or FailureGuard()
         self.section = section
         self.capacity = capacity
         self.peers = peers
@@ -121,9 +125,12 @@
             self.refresh()
 
     def refresh(self) -> None:
-        """Update the plan of each governed service."""
-        for service in self._services.values():
-            service.refresh(now_s=clocks.now_s())
+        """Update the plan of each governed service; keep those that can't be."""
+        for name, service in self._services.items():
+            work = f"admission plan of {name}"
+            if not self._failures.is_paused(work):
+                with self._failures.contain(work):
+                    service.refresh(now_s=clocks.now_s())
 
     def demand(self) -> Demand:
         """Return the demand at this instance."""
--- a/src/violethatch/_placement_controller.py
+++ b/src/violethatch/_placement_controller.py
@@ -181,7 +181,10 @@
             self._delayed.drop_outdated(
                 service.name, usable.keys(), has_ordered=service.name in services
             )
-            orders += self._ready_orders(service, usable, now_s)
+            work = f"placement of {service.name}"
+            if not self._routing.failures.is_paused(work):
+                with self._routing.failures.contain(work):
+                    orders += self._ready_orders(service, usable, now_s)
         return orders
 
     def _ready_orders(
--- a/src/violethatch/_router.py
+++ b/src/violethatch/_router.py
@@ -16,7 +16,7 @@
 from ._router_metrics import RouterMetrics
 from ._routing import Routing
 from .answer_times import AnswerTimes
-from .backends import BackendServer
+from .backends import BackendServer, ListChange
 from .desired import Admitted, CallKind, DesiredState, ServiceSpec
 from .draining import StopPlan
 from .errors import (
@@ -103,6 +103,7 @@
         self.routing.flow_control.on_send_rejected = self.metrics.count_blocked_send
         self.routing.flow_control.limits.on_permit = self.metrics.count_permit
         self.routing.admission.observer = self.metrics
+        self.routing.failures.on_failure = self.metrics.count_task_failure
         self.freshness = Freshness(limit_s=settings.proof_limit_s)
         self.stop_plan = StopPlan(grace_s=settings.bounds.grace_s)
         self._request_capacity = RequestCapacity()
@@ -375,6 +376,9 @@
         with slices.unsliced():
             self.desired = state
             self._desired_value = view.values["config"]
+            # The services decide which of the listed servers can be theirs.
+            change = self.routing.backends.recheck(now_s=clocks.now_s())
+            self._handle_list_change(change, revision=state.version)
             self.routing.admission.apply_desired_state(state)
         self.metrics.record_state_applied(slices.elapsed_s, slices.max_slice_s)
         self.record_start_step(Step.DESIRED_STATE)
@@ -405,19 +409,26 @@
             change = backends.apply_changes(
                 present, removed, refused=errors, now_s=now_s
             )
+        self._handle_list_change(
+            change, row_version=view.version, era=view.era, source=view.source
+        )
+
+    def _handle_list_change(self, change: ListChange, **cause: object) -> None:
+        """Log a change of the usable servers, and update what depends on it.
+
+        Args:
+            change: The change.
+            cause: Log fields that tell where it comes from.
+        """
         for event, ids in (
             (events.SERVER_FOUND, change.found),
             (events.SERVER_GONE, change.lost),
             (events.RUNNER_LEAVING, change.leaving),
         ):
             if ids:
-                events.log(
-                    event,
-                    server_ids=list(ids),
-                    row_version=view.version,
-                    era=view.era,
-                    source=view.source,
-                )
+                events.log(event, server_ids=list(ids), **cause)
+        if change.faults:
+            self._record_faulty_entries(change.faults, cause)
         self.routing.remove_unlisted(change.lost)
         self.routing.handle_restarts(change.restarted)
 
@@ -449,6 +460,19 @@
             reason=next(iter(errors.values())),
         )
 
+    def _record_faulty_entries(
+        self, faults: Mapping[str, str], cause: Mapping[str, object]
+    ) -> None:
+        """Count entries that their service can't have; log some of them in one line."""
+        self.metrics.faulty_entries.add({}, len(faults))
+        events.log(
+            events.ENTRY_FAULTY,
+            server_ids=list(faults)[:_MAX_LOGGED_ROWS],
+            count=len(faults),
+            reason=next(iter(faults.values())),
+            **cause,
+        )
+
     def handle_store_recovery(self) -> None:
         """Note that the server list may be incomplete after a store outage."""
         self.routing.backends.record_store_recovery(now_s=clocks.now_s())
--- a/src/violethatch/_router_metrics.py
+++ b/src/violethatch/_router_metrics.py
@@ -163,6 +163,16 @@
             "Rows of the store that could not be understood, by table.",
             registry=self.registry,
         )
+        self.faulty_entries = Counter(
+            "violethatch_router_faulty_entries_total",
+            "Listed servers that their service can't have, which are not used.",
+            registry=self.registry,
+        )
+        self.task_failures = Counter(
+            "violethatch_router_task_failures_total",
+            "Unexpected errors of background tasks, by task.",
+            registry=self.registry,
+        )
         self.suspected_traits = Gauge(
             "violethatch_router_suspected_works",
             "Works and prompt parts that servers end under, and those held back.",
@@ -298,6 +308,10 @@
         """Count a send that was rejected before it was written."""
         self.blocked_sends.inc({"sending": kind, "reason": reason})
 
+    def count_task_failure(self, task: str) -> None:
+        """Count an unexpected error of a background task."""
+        self.task_failures.inc({"task": task})
+
     def count_forward(self, outcome: str) -> None:
         """Count a request that was forwarded to another instance."""
         self.forwarded_requests.inc({"outcome": outcome})
--- a/src/violethatch/_routing.py
+++ b/src/violethatch/_routing.py
@@ -12,12 +12,14 @@
 from . import clocks, events
 from ._admission import Admission
 from ._admission_ports import AggregatedPeerDemand, JitteredRetryScheduler
+from ._background import FailureGuard
 from ._flow_control import FlowController
 from ._path_choice import BlockedTime, PathSelector
 from ._probes import Probes
 from ._retry_budgets import RetryBudgets
 from .backends import BackendServer, BackendTable
 from .desired import ServiceSpec
+from .entry_checks import entry_fault
 from .fault_reports import FaultReport, FaultReportReceiver, should_broadcast
 from .forwarding import Forwarding, LinkWatch
 from .path_shares import ZonePosition
@@ -56,7 +58,10 @@
         self.settings = settings
         self.client = client
         self._rng = rng
+        #: Contains unexpected errors of background work.
+        self.failures = FailureGuard()
         self.backends = BackendTable(leaving_s=settings.bounds.leaving_s)
+        self.backends.find_fault = self._find_entry_fault
         self.health = RunnerHealth(stall_s=settings.bounds.stall_s)
         self.peer_fault_reports = FaultReportReceiver(
             self.health, on_leaving=self._handle_leaving_report, rng=rng
@@ -152,6 +157,7 @@
             ),
             returns=JitteredRetryScheduler(rng),
             phase=rng.random(),
+            failures=self.failures,
         )
         self.loads.own_demand = self.admission.demand
 
@@ -259,9 +265,15 @@
             events.log(events.SERVER_GONE, server_ids=list(expired), reason="lapsed")
             # An unavailable store may have dropped entries of servers that still run.
             self.forget(expired)
-        self.handle_restarts(
-            self.backends.apply_deferred(now_s=clocks.now_s()).restarted
-        )
+        deferred = self.backends.apply_deferred(now_s=clocks.now_s())
+        if deferred.lost:
+            self.remove_unlisted(deferred.lost)
+        self.handle_restarts(deferred.restarted)
+
+    def _find_entry_fault(self, server: BackendServer) -> str | None:
+        """Return why a server can't belong to its service, or None if it can."""
+        service = self.find_service(server.service)
+        return entry_fault(server, service.engine) if service is not None else None
 
     def remove_unlisted(self, server_ids: Collection[str]) -> None:
         """Remove servers that are no longer listed."""
--- a/src/violethatch/backends.py
+++ b/src/violethatch/backends.py
@@ -6,7 +6,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Collection, Iterable, Sequence
+from collections.abc import Callable, Collection, Iterable, Mapping, Sequence
+from types import MappingProxyType
 from typing import NamedTuple
 
 from ._listed import BackendServer
@@ -51,6 +52,9 @@
     leaving: tuple[str, ...]
     #: Servers that restarted under the same id, in their previous state.
     restarted: tuple[BackendServer, ...] = ()
+    #: By server id, the faults of entries that are no longer used, or not from the
+    #: start, because their service can't have such a server.
+    faults: Mapping[str, str] = MappingProxyType({})
 
 
 _NO_CHANGE = ListChange((), (), ())
@@ -72,7 +76,11 @@
         self.leaving_s = leaving_s
         #: Incremented with each change, so that derived data can be cached.
         self.revision = 0
+        #: Returns why a server can't belong to its service, or None if it can.
+        self.find_fault: Callable[[BackendServer], str | None] = lambda _server: None
         self._servers: dict[str, BackendServer] = {}
+        #: Entries with such a fault, which may fit a later version of their service.
+        self._faulty: dict[str, BackendServer] = {}
         self._starts = ServerStarts()
         self._grace_until_s: dict[str, float] = {}
         #: By server id and start, the wall-clock time of the latest request whose
@@ -114,10 +122,18 @@
         found = []
         leaving = []
         restarted = []
+        faults = {}
         for entry in present:
             known = self._servers.get(entry.id)
             if not self._starts.is_current(entry, known, now_s=now_s):
                 continue  # an earlier start, possibly a delayed write
+            fault = self.find_fault(entry)
+            if fault is not None:
+                if entry.id not in self._faulty:
+                    faults[entry.id] = fault
+                self._faulty[entry.id] = entry
+                continue
+            self._faulty.pop(entry.id, None)
             self._departures.discard(entry.id)
             if known is not None and _is_new_start(known, entry):
                 restarted.append(known)
@@ -131,16 +147,30 @@
             self._update_leaving_since(server, now_s=now_s)
             self._grace_until_s.pop(server.id, None)
             self._servers[server.id] = server
-        lost = []
+        lost = [server_id for server_id in faults if self._forget(server_id)]
         for server_id in removed:
+            self._faulty.pop(server_id, None)
             known = self._servers.get(server_id)
             if known is not None:
                 self._departures.record(known, now_s=now_s)
             if self._remove(server_id, now_s=now_s):
                 lost.append(server_id)
-        lost += [server_id for server_id in refused if self._forget(server_id)]
+        for server_id in refused:
+            self._faulty.pop(server_id, None)
+            if self._forget(server_id):
+                lost.append(server_id)
         self.revision += 1
-        return ListChange(tuple(found), tuple(lost), tuple(leaving), tuple(restarted))
+        return ListChange(
+            tuple(found), tuple(lost), tuple(leaving), tuple(restarted), faults
+        )
+
+    def recheck(self, *, now_s: float) -> ListChange:
+        """Check all entries again, after a change of their services."""
+        changed = [
+            *(one for one in self._faulty.values() if self.find_fault(one) is None),
+            *filter(self.find_fault, self._servers.values()),
+        ]
+        return self.apply_changes(changed, [], now_s=now_s) if changed else _NO_CHANGE
 
     def mark_leaving(
         self, server_id: str, started_ms: int, *, sent_ms: int = 0, now_s: float
@@ -206,7 +236,10 @@
                 bring back removed servers, and servers that it lacks may write again.
             now_s: The current monotonic time, in seconds.
         """
-        removed = self._servers.keys() - {server.id for server in present} - {*refused}
+        listed = {server.id for server in present} | {*refused}
+        removed = self._servers.keys() - listed
+        for server_id in self._faulty.keys() - listed:
+            del self._faulty[server_id]
         if is_restored:
             self._departures.record_restore(now_s=now_s)
         present = [
--- a/src/violethatch/events.py
+++ b/src/violethatch/events.py
@@ -72,6 +72,9 @@
 LINKS_LOST = Event(2125, "links_lost", "No server of a service can be reached.")
 LINKS_BACK = Event(2126, "links_back", "A server of such a service answers again.")
 LINKS_SOUND = Event(2127, "links_sound", "Others answer where one server is silent.")
+ENTRY_FAULTY = Event(
+    2128, "entry_faulty", "A listed server can't be one of its service; it is not used."
+)
 LOAD_NEIGHBOURS = Event(2111, "load_neighbours", "Loads are told to other instances.")
 
 REQUEST_SERVED = Event(2205, "request_served", "A request got its answer.")
--- a/src/violethatch/platform/_desired_row.py
+++ b/src/violethatch/platform/_desired_row.py
@@ -7,7 +7,7 @@
 import sys
 
 from collections import defaultdict
-from typing import Any
+from typing import Annotated, Any
 
 import msgspec
 
@@ -37,13 +37,19 @@
 }
 
 
+#: More layers than any model has: each plan keeps a figure of each.
+_MOST_LAYERS = 65_536
+_Positive = Annotated[float, msgspec.Meta(gt=0.0)]
+_Amount = Annotated[float, msgspec.Meta(ge=0.0)]
+
+
 class PascalBody(msgspec.Struct, rename="pascal"):
     """A body of the platform; unknown fields are left out."""
 
 
 class _Split(PascalBody):
     service: str
-    weight: float
+    weight: _Amount
 
 
 @functools.lru_cache(maxsize=_MOST_SPLITS)
@@ -68,8 +74,15 @@
     gap_aim_ms: float = msgspec.field(name="gap_aim_ms", default=0.0)
 
     def decoded(self) -> CallRoute:
-        """Return the route in the product's words."""
+        """Return the route in the product's words.
+
+        Raises:
+            ValueError: It leads nowhere.
+        """
         splits = tuple(Split(one.service, one.weight) for one in self.traffic_split)
+        if splits and not any(split.weight for split in splits):
+            msg = "its split has no weight"
+            raise ValueError(msg)
         if not splits and self.service is not None:
             splits = _whole(self.service)
         return CallRoute(
@@ -106,46 +119,46 @@
 
 class _Kind(msgspec.Struct):
     name: str = msgspec.field(name="Name")
-    mb: float
+    mb: _Amount
     # Above 1 is slower, although the name says otherwise.
-    pace: float
-    read_x: float
+    pace: _Positive
+    read_x: _Positive
 
 
 class _Model(msgspec.Struct):
-    load_s: float = 0.0
+    load_s: _Amount = 0.0
 
 
 class _Delay(msgspec.Struct):
     start: str = msgspec.field(name="From")
     # The wire's word for any upper end, here the other zone.
     end: str = msgspec.field(name="TargetVersion")
-    delay_ms: float = 0.0
+    delay_ms: _Amount = 0.0
 
 
 class _Usual(msgspec.Struct):
-    prompt: float
-    answer: float
+    prompt: _Positive
+    answer: _Positive
 
 
 class _Engine(msgspec.Struct):
-    step_ms: float
-    per_seq_ms: float
-    context_per_k: float
-    read_per_s: float
-    layers: int
-    layer_mb: float
+    step_ms: _Amount
+    per_seq_ms: _Amount
+    context_per_k: _Amount
+    read_per_s: _Positive
+    layers: Annotated[int, msgspec.Meta(ge=1, le=_MOST_LAYERS)]
+    layer_mb: _Positive
     kinds: list[_Kind]
     usual: _Usual
-    slots: int = msgspec.field(name="Slots")
-    kv_token_bytes: float = msgspec.field(name="KvTokenBytes")
+    slots: Annotated[int, msgspec.Meta(ge=1)] = msgspec.field(name="Slots")
+    kv_token_bytes: _Positive = msgspec.field(name="KvTokenBytes")
     models: list[_Model] = msgspec.field(name="Models", default_factory=list)
-    pairs_per_m: float = 0.0
-    chunk: int = 512
+    pairs_per_m: _Amount = 0.0
+    chunk: Annotated[int, msgspec.Meta(ge=1)] = 512
     delays: list[_Delay] = []
-    act_bytes: float = 0.0
-    pipe_mbps: float = 0.0
-    stride: float = 1.0
+    act_bytes: _Amount = 0.0
+    pipe_mbps: _Amount = 0.0
+    stride: _Positive = 1.0
     loads_at_once: int = 0
 
     def decoded(self) -> EngineSpec:
@@ -183,9 +196,13 @@
     engine: dict[str, Any] | None = None
 
     def decoded(self) -> ServiceSpec:
-        """Return the service in the product's words."""
+        """Return the service in the product's words.
+
+        Raises:
+            ValueError: Its engine can't be understood, or has impossible figures.
+        """
         engine = None
-        if self.engine is not None and self.engine.get("layers"):
+        if self.engine is not None and "layers" in self.engine:
             engine = msgspec.convert(self.engine, _Engine).decoded()
         return ServiceSpec(
             self.name, self.max_connections, engine, health_path=self.health_path
--- a/src/violethatch/platform/_following.py
+++ b/src/violethatch/platform/_following.py
@@ -5,9 +5,9 @@
 
 import random
 
-from collections.abc import Awaitable, Callable, Coroutine
-from typing import Any
+from collections.abc import Awaitable, Callable
 
+from .._background import BackgroundTask
 from .._connection_choice import ConnectionChoice
 from .._followers import TableFollower
 from .._peer_datagrams import PeerDatagrams
@@ -124,19 +124,28 @@
             self._links.open()
             self._router.routing.store_hold = self._held.keep
 
-    def work(self) -> list[Coroutine[Any, Any, None]]:
+    def tasks(self) -> list[BackgroundTask]:
         """Return all that has to run until the process ends."""
-        work = [follower.run() for follower in self._followers]
+        followers = list(self._followers)
         if self._is_relaying:
-            work.append(self._registration.run())
-            work.append(self._held.run())
-            work.append(self._links.loads.run())
-            work.append(self._links.limits.run())
-            work.append(self._instances_follower.run())
-        else:
+            followers.append(self._instances_follower)
+        tasks = [
+            BackgroundTask(f"table {follower.table}", follower.run)
+            for follower in followers
+        ]
+        if not self._is_relaying:
             # Where instances tell each other of loads, each tick makes plans anew.
-            work.append(self._router.routing.admission.run())
-        return work
+            return [
+                *tasks,
+                BackgroundTask("admission", self._router.routing.admission.run),
+            ]
+        return [
+            *tasks,
+            BackgroundTask("registration", self._registration.run),
+            BackgroundTask("held works", self._held.run),
+            BackgroundTask("loads", self._links.loads.run),
+            BackgroundTask("limits", self._links.limits.run),
+        ]
 
     async def leave(self) -> None:
         """Let other instances know that this one goes."""
--- a/src/violethatch/platform/_process.py
+++ b/src/violethatch/platform/_process.py
@@ -7,12 +7,12 @@
 import os
 import signal
 
-from collections.abc import Callable, Coroutine
-from typing import Any
+from collections.abc import Callable
 
 import uvloop
 
 from .. import clocks, events
+from .._background import BackgroundTask
 from .._loop_pauses import watch_pauses
 from .._router import Router
 from ..errors import SettingsError
@@ -141,15 +141,23 @@
         self._output.flush()
 
     def _start_tasks(self, parts: Parts) -> None:
-        """Start all that runs until the process ends."""
-        for work in (
-            *parts.following.work(),
-            parts.duty.run(),
-            parts.health_checks.run(),
-            self._watch_file(),
-            watch_pauses(parts.router.metrics.record_loop_pause),
+        """Start all that runs until the process ends.
+
+        None of it ends the process: the input that fails here fails on all instances,
+        and after each start.
+        """
+        failures = parts.router.routing.failures
+        for task in (
+            *parts.following.tasks(),
+            BackgroundTask("placement", parts.duty.run),
+            BackgroundTask("health checks", parts.health_checks.run),
+            BackgroundTask("settings file", self._watch_file),
+            BackgroundTask(
+                "loop pauses",
+                lambda: watch_pauses(parts.router.metrics.record_loop_pause),
+            ),
         ):
-            self._tasks.append(asyncio.create_task(_keep_running(work)))
+            self._tasks.append(asyncio.create_task(failures.keep_running(task)))
 
     async def _listen(self, router: Router) -> CallersListener:
         """Listen for callers and for the balancer; return the callers' listener."""
@@ -214,15 +222,3 @@
     except OSError:
         return None  # it is being replaced; the next look sees it
     return stat.st_mtime_ns, stat.st_size, stat.st_ino
-
-
-async def _keep_running(work: Coroutine[Any, Any, None]) -> None:
-    """Run work that never ends; an error in it ends the process.
-
-    The platform starts the process again, with nothing believed.
-    """
-    try:
-        await work
-    except Exception as error:
-        events.log(events.TASK_FAILED, error=repr(error))
-        signal.raise_signal(signal.SIGTERM)
--- a/src/violethatch/platform/_runners.py
+++ b/src/violethatch/platform/_runners.py
@@ -43,7 +43,7 @@
     ServerSignals,
 )
 from . import _headers
-from ._wire import Report, held_range
+from ._wire import MOST, Report, held_range
 from ._words import server_word
 
 
@@ -306,12 +306,12 @@
             # Neither is cancelled: what a probe leaves behind ends by its own limit.
             again = asyncio.create_task(self._ask_report(self._fresh, server))
             report = await _first_result((kept, again))
-        return _runner_report(report) if report is not None else None
+        return report
 
     async def _ask_report(
         self, session: aiohttp.ClientSession, server: BackendServer
-    ) -> Report | None:
-        """Return a runner's report as it came, or None if it gives none.
+    ) -> RunnerReport | None:
+        """Return a runner's report, or None if it gives none that can be understood.
 
         Raises:
             KeptBackError: It was not asked.
@@ -325,7 +325,9 @@
             ):
                 self._hear(server, answer, sent)
                 body = await answer.read()
-            return self._report.decode(body) if answer.status == _OK else None
+            if answer.status != _OK:
+                return None
+            return _runner_report(decoded(self._report, body))
         except (TimeoutError, *CALL_ERRORS):
             return None  # the caller logs what it makes of that
 
@@ -390,8 +392,8 @@
 
 
 async def _first_result(
-    asked: Collection[asyncio.Task[Report | None]],
-) -> Report | None:
+    asked: Collection[asyncio.Task[RunnerReport | None]],
+) -> RunnerReport | None:
     """Return the first report that comes, or None if all fail.
 
     Raises:
@@ -412,7 +414,11 @@
 
 
 def _runner_report(report: Report) -> RunnerReport:
-    """Return a report in the product's words."""
+    """Return a report in the product's words.
+
+    Raises:
+        ValueError: It holds an impossible value.
+    """
     return RunnerReport(
         sequence=report.sequence,
         is_busy=report.busy,
@@ -443,13 +449,13 @@
 
 
 def _load(text: str | None) -> ServerLoad | None:
-    """Read a server's word on its load; None if there is none."""
+    """Read a server's word on its load; None if there is none, or no possible one."""
     try:
         running, waiting, slots = (int(part) for part in (text or "").split(","))
     except ValueError:
         return None
-    if min(running, waiting, slots) < 0:
-        return None  # no load is below nothing
+    if not 0 <= min(running, waiting, slots) <= max(running, waiting, slots) < MOST:
+        return None
     return ServerLoad(running, waiting, slots)
 
 
--- a/src/violethatch/platform/_wire.py
+++ b/src/violethatch/platform/_wire.py
@@ -34,9 +34,12 @@
 #: Addresses whose check is remembered, which halves the time to read a list of 790.
 _MOST_ADDRESSES = 4_096
 #: More layers, slots or versions than any runner has: another writer's number.
-_MOST = 2**31
+MOST = 2**31
+#: A pace that no runner has, however slow.
+_MOST_PACE = 1e6
 Name = Annotated[str, msgspec.Meta(min_length=1)]
-Count = Annotated[int, msgspec.Meta(ge=0, lt=_MOST)]
+Count = Annotated[int, msgspec.Meta(ge=0, lt=MOST)]
+Amount = Annotated[float, msgspec.Meta(ge=0.0)]
 
 
 class LayersHeld(msgspec.Struct):
@@ -54,7 +57,7 @@
     service: Name
     address: str
     zone: Name
-    slots: Annotated[int, msgspec.Meta(ge=1, lt=_MOST)]
+    slots: Annotated[int, msgspec.Meta(ge=1, lt=MOST)]
     state: Literal["ready", "draining"]
     kind: str = ""
     layers: LayersHeld | None = msgspec.field(name="layers", default=None)
@@ -112,14 +115,14 @@
 class Report(msgspec.Struct):
     """A runner's report, as far as it is used."""
 
-    sequence: int = msgspec.field(name="Sequence", default=0)
+    sequence: Count = msgspec.field(name="Sequence", default=0)
     busy: bool = msgspec.field(name="Busy", default=False)
-    waiting: int = msgspec.field(name="Waiting", default=0)
-    running: int = msgspec.field(name="Running", default=0)
+    waiting: Count = msgspec.field(name="Waiting", default=0)
+    running: Count = msgspec.field(name="Running", default=0)
     # Both are counted in tokens times layers.
-    kv_used: float = msgspec.field(name="KvUsed", default=0.0)
-    kv_total: float = msgspec.field(name="KvTotal", default=0.0)
-    pace: float = 1.0
+    kv_used: Amount = msgspec.field(name="KvUsed", default=0.0)
+    kv_total: Amount = msgspec.field(name="KvTotal", default=0.0)
+    pace: Annotated[float, msgspec.Meta(ge=0.0, lt=_MOST_PACE)] = 1.0
     layers: LayersHeld | None = None
     stalled: list[Stalled] = []
     born: Annotated[int, msgspec.Meta(ge=0)] = 0
