Let nobody in once the last key was taken away

Callers saw: the only tenant lost its keys, and requests with a key that was taken away, with one that never was, and without any ran for good.

Cause: a call needed a key if any key was known. The decoder read missing Tenants and Tenants without keys as the same.

Change: requires_key, decoded from whether Tenants stands in the row, decides. A route without a service, whose calls met an IndexError, makes a state that isn't understood. test_no_keys_declared gave a state whose workspaces have no keys, and asserted that it admits calls, which is the fault itself: it now gives one without workspaces, and four tests beside it assert that a state without keys refuses.

--- a/src/violethatch/desired.py
+++ b/src/violethatch/desired.py
@@ -157,6 +157,9 @@
     routes: Mapping[str, Mapping[str, CallRoute]]
     services: Mapping[str, ServiceSpec]
     limits: CallLimits
+    #: Whether calls need a key, except on exempt routes.  Workspaces that have lost all
+    #: their keys still require one.
+    requires_key: bool
     workspaces_by_key: Mapping[str, WorkspaceEntry]
 
     def route_of(self, host: str, path: str) -> CallRoute | None:
@@ -202,8 +205,7 @@
             msg = "no route for this host and path"
             raise UnknownTargetError(msg)
         workspace = self.workspaces_by_key.get(key) if key is not None else None
-        is_key_needed = bool(self.workspaces_by_key) and not route.is_key_exempt
-        if is_key_needed and workspace is None:
+        if self.requires_key and not route.is_key_exempt and workspace is None:
             msg = "key missing or unknown"
             raise UnauthorizedError(msg)
         service = self.services.get(route.service_of(call_id))
--- a/src/violethatch/platform/_desired_row.py
+++ b/src/violethatch/platform/_desired_row.py
@@ -85,6 +85,9 @@
             raise ValueError(msg)
         if not splits and self.service is not None:
             splits = _whole(self.service)
+        if not splits:
+            msg = "it names no service"
+            raise ValueError(msg)
         return CallRoute(
             name=self.name,
             host=sys.intern(self.host.lower()),
@@ -241,7 +244,8 @@
     routes: list[msgspec.Raw] = []
     services: list[_Service] = []
     limits: _Limits = msgspec.field(default_factory=_Limits)
-    tenants: list[_Tenant] = []
+    # Missing where callers aren't told apart; an empty list lets nobody in.
+    tenants: list[_Tenant] | None = None
 
     def decoded(self) -> Steps[DesiredState]:
         """Return the desired state in the product's words.
@@ -261,9 +265,10 @@
             routes=routes,
             services={one.name: one.decoded() for one in self.services},
             limits=self.limits.decoded(),
+            requires_key=self.tenants is not None,
             workspaces_by_key={
                 key: WorkspaceEntry(tenant.name, tenant.priority)
-                for tenant in self.tenants
+                for tenant in self.tenants or ()
                 for key in tenant.api_keys
             },
         )
--- a/tests/routing_samples.py
+++ b/tests/routing_samples.py
@@ -123,5 +123,6 @@
             "labels": ServiceSpec("labels", 100, None),
         },
         limits=CallLimits(16_384, 1_048_576, 3.0, 15.0),
-        workspaces_by_key={key: WorkspaceEntry(workspace, 0) for key in keys},
+        requires_key=keys is not None,
+        workspaces_by_key={key: WorkspaceEntry(workspace, 0) for key in keys or ()},
     )
--- a/tests/test_desired.py
+++ b/tests/test_desired.py
@@ -64,7 +64,17 @@
 
     def test_no_keys_declared(self):
         """Where no workspace is declared, no key is needed."""
-        assert admit(desired_state(keys=()), key=None).workspace is None
+        assert admit(desired_state(keys=None), key=None).workspace is None
+
+    @pytest.mark.parametrize("key", [None, "", "key-1", "never-given"])
+    def test_workspaces_without_keys_let_nobody_in(self, key):
+        """Once the last key was taken away, every call was admitted."""
+        with pytest.raises(UnauthorizedError):
+            admit(desired_state(keys=()), key=key)
+
+    def test_exempt_route_where_all_keys_are_gone(self):
+        state = desired_state(call_route(is_key_exempt=True), keys=())
+        assert admit(state, key="key-1").workspace is None
 
     def test_unknown_route_comes_before_the_key(self):
         """A path without a route is unknown, whatever the key."""
--- a/tests/test_lost_links.py
+++ b/tests/test_lost_links.py
@@ -334,3 +334,18 @@
             await asyncio.sleep(0.02)
     await asyncio.sleep(0.2)
     assert (await fleet.try_once(cut, "old")).status == 401
+
+
+async def test_last_key_taken_away_lets_nobody_in_anywhere(fleet):
+    """Also at instances that other instances relay the table to, or forward to."""
+    cut = fleet.instances[0]
+    await find_lost(fleet, cut)
+    fleet.put_state(2, keys=())
+    async with asyncio.timeout(3):
+        for one in fleet.instances:
+            while (await fleet.try_once(one, f"{clocks.now_s()}")).status != 401:
+                await asyncio.sleep(0.02)
+    for one in fleet.instances:
+        for key in ("Token k1", "Token never", ""):
+            given = await fleet.try_once(one, f"{clocks.now_s()}", Authorization=key)
+            assert given.status == 401
--- a/tests/test_platform_process.py
+++ b/tests/test_platform_process.py
@@ -310,6 +310,17 @@
         await site.wait_status(200, Authorization="Token k2")
         assert await site.status_of() == 401
 
+    async def test_last_key_taken_away_lets_nobody_in(self, site):
+        """Requests ran with keys taken away, never given or missing, for good."""
+        await site.start()
+        site.configure(version=2, keys=())
+        await site.wait_status(401)
+        ran = sum(len(runner.seen) for runner in site.runners.values())
+        for number, key in enumerate(("Token k1", "Token never", "Token ", "Basic x")):
+            call_id = f"after-{number}"
+            assert await site.status_of(call_id=call_id, Authorization=key) == 401
+        assert sum(len(runner.seen) for runner in site.runners.values()) == ran
+
     async def test_older_version_changes_nothing(self, site):
         """What comes with a lower version is not taken back."""
         await site.start(version=9)
--- a/tests/test_platform_wire.py
+++ b/tests/test_platform_wire.py
@@ -179,6 +179,33 @@
         }
         assert workspaces["k1"].priority == 1
 
+    @pytest.mark.parametrize(
+        ("tenants", "requires_key"),
+        [
+            (..., False),
+            (None, False),
+            ([], True),
+            ([{"Name": "clinic"}], True),
+            ([{"Name": "clinic", "ApiKeys": []}], True),
+            ([{"Name": "clinic", "ApiKeys": ["k1"]}], True),
+        ],
+    )
+    def test_missing_tenants_are_not_tenants_without_keys(self, tenants, requires_key):
+        config = CONFIG | {"Tenants": tenants}
+        if tenants is ...:
+            del config["Tenants"]
+        assert decode(config).requires_key == requires_key
+
+    def test_keys_that_are_null_are_not_understood(self):
+        with pytest.raises(ValueError, match="ApiKeys"):
+            decode(CONFIG | {"Tenants": [{"Name": "clinic", "ApiKeys": None}]})
+
+    def test_route_without_a_service_is_not_understood(self):
+        """Its calls ended as an internal error."""
+        route = dict(CONFIG["Routes"][1], Service=None)
+        with pytest.raises(ValueError, match="names no service"):
+            decode(CONFIG | {"Routes": [route]})
+
     @pytest.mark.parametrize("text", [b"", b"{}", b'{"Version": "x"}'])
     def test_spoilt_state(self, text):
         """What can't be understood is a ValueError, and nothing else."""
