Bound the memory of requests, and free finished ones at once

Callers saw: ten clients with bodies of MaxBodyBytes took each router over 300 MB; 17 to 21 requests that had reached a server were lost.

Cause: nothing bounded what requests hold; memory_mb was used nowhere. And a finished request's body stayed until a garbage collection: the timer of a send, and the tasks of cancelled sends and failed runs, held each other in cycles. One client alone took 4.2 MB more with each request. Bodies and answers were copied besides.

Change: MemoryBudget, asked before bytes are read and given back at the end of a with block; what has no room is refused unread as not run, with Retry-After, and a fifth is kept for small requests. Bodies are read into one buffer and written in pieces; answers beyond the room are passed on as they come. Cycles are broken where they arose. Settings request_memory_mb and answer_mb; gauges, a counter, the state dump, line 2242.

--- a/src/violethatch/_decoding.py
+++ b/src/violethatch/_decoding.py
@@ -12,11 +12,11 @@
 class _Decoder(Protocol[T_co]):
     """Reads bytes into a type."""
 
-    def decode(self, data: bytes, /) -> T_co:
+    def decode(self, data: bytes | bytearray, /) -> T_co:
         """Read bytes."""
 
 
-def decoded(decoder: _Decoder[T_co], data: bytes) -> T_co:
+def decoded(decoder: _Decoder[T_co], data: bytes | bytearray) -> T_co:
     """Read bytes that another writer may have written.
 
     Nesting without end is a RecursionError in msgspec, which ended the reader.
--- a/src/violethatch/_plain_calls.py
+++ b/src/violethatch/_plain_calls.py
@@ -9,6 +9,7 @@
 from typing import NamedTuple
 
 from . import clocks, deadlines, events, running_time
+from ._plain_answers import PlainAnswer
 from ._routing import Routing
 from ._stream_output import StreamOutput
 from .backends import BackendServer
@@ -29,7 +30,6 @@
     Answer,
     AnswerLostError,
     Call,
-    Headers,
     KeptBackError,
     NotSentError,
     OnSend,
@@ -57,22 +57,6 @@
 _NOT_EXECUTED_STATUSES = (408, 421, 429, 503)
 
 
-class _Response(NamedTuple):
-    """A backend server's buffered response; incomplete ones are detected if framed."""
-
-    status: int
-    headers: Headers
-    body: bytes
-    is_framed: bool
-
-    async def send(self, responder: Responder) -> int:
-        """Send the response to the caller; return its status."""
-        await responder.answer(
-            self.status, self.headers, self.body, is_framed=self.is_framed
-        )
-        return self.status
-
-
 class _Attempt:
     """One send in flight.
 
@@ -103,12 +87,12 @@
 
     Attributes:
         may_have_run: Whether its server may have run the call.
-        response: The server's complete response, if there was one.
+        response: The server's response, if there was one.
         is_rejected: Whether flow control rejected the send before it started.
     """
 
     may_have_run: bool
-    response: _Response | None = None
+    response: PlainAnswer | None = None
     is_rejected: bool = False
 
 
@@ -140,8 +124,10 @@
         self._refused_by: set[str] = set()
         self._rejected_count = 0
         self._attempts: list[_Attempt] = []
+        #: All responses, to be closed at the end.
+        self._responses: list[PlainAnswer] = []
         #: The last response with a server error.
-        self._error_response: _Response | None = None
+        self._error_response: PlainAnswer | None = None
         self.output = StreamOutput(call, admitted.route)
         #: Completed sends that may have run, including those of an instance that
         #: forwarded the call.
@@ -168,22 +154,46 @@
             VioletHatchError: No backend server sent a response to forward.
             MustForwardError: Another instance has to serve the call.
         """
-        response: _Response | None = None
+        try:
+            response = await self._find_response() or self._error_response
+            if response is None:
+                raise self._make_error()
+            return await self._send_response(response, responder)
+        finally:
+            for response in self._responses:
+                response.close()
+
+    async def _find_response(self) -> PlainAnswer | None:
+        """Return a response to forward, or None if there is none before the deadline.
+
+        Raises:
+            VioletHatchError: The call has run, and its response can't be forwarded.
+            MustForwardError: Another instance has to serve the call.
+        """
         try:
             async with deadlines.until(self._deadline_s):
-                response = await self._wait_for_response()
+                return await self._wait_for_response()
         except TimeoutError:
             response = self._process_completed()
             for attempt in self._attempts:
                 self._record_late_server(attempt)
+            return response
         finally:
             self._cancel_attempts()
-        response = response or self._error_response
-        if response is None:
-            raise self._make_error()
-        return await response.send(responder)
 
-    async def _wait_for_response(self) -> _Response | None:
+    async def _send_response(self, response: PlainAnswer, responder: Responder) -> int:
+        """Send a response to the caller; return its status, or 0 if it was aborted."""
+        status = await response.send(
+            responder, request_id=self._call.id, deadline_s=self._deadline_s
+        )
+        server = self._routing.backends.get(self.server_id or "")
+        if response.error is not None and server is not None:
+            self._routing.record_fault(
+                server, ServerFault.FAILED, self._call.id, str(response.error)
+            )
+        return status
+
+    async def _wait_for_response(self) -> PlainAnswer | None:
         """Return a response to forward, or None if no further one is possible.
 
         Raises:
@@ -259,13 +269,13 @@
         """Return whether a send in flight has completed."""
         return any(attempt.task.done() for attempt in self._attempts)
 
-    def _process_completed(self) -> _Response | None:
+    def _process_completed(self) -> PlainAnswer | None:
         """Process the completed sends; return a response to forward.
 
         Raises:
             VioletHatchError: The call has run, and its response can't be forwarded.
         """
-        response: _Response | None = None
+        response: PlainAnswer | None = None
         for attempt in [item for item in self._attempts if item.task.done()]:
             self._attempts.remove(attempt)
             response = self._process_result(attempt, attempt.task.result()) or response
@@ -273,7 +283,7 @@
 
     def _process_result(
         self, attempt: _Attempt, result: _AttemptResult
-    ) -> _Response | None:
+    ) -> PlainAnswer | None:
         """Process the result of a send; return a response to forward.
 
         Raises:
@@ -306,6 +316,8 @@
         """Cancel the sends in flight."""
         for attempt in self._attempts:
             attempt.task.cancel()
+            # The task keeps its cancellation, whose traceback holds the attempt.
+            del attempt.task
             self.runs += 1
         self._attempts.clear()
 
@@ -388,20 +400,24 @@
 
     async def _read_response(
         self, raw_response: Answer, server_id: str
-    ) -> _Response | None:
-        """Read a complete response; None if the server has not run the call."""
-        is_complete = False
+    ) -> PlainAnswer | None:
+        """Read a response; None if the server has not run the call."""
+        if raw_response.refusal is not None:
+            self._refused_by.add(server_id)
+            self._routing.record_refusal(server_id, raw_response.refusal, self._call.id)
+            raw_response.close(is_whole=True)
+            return None
+        response = PlainAnswer(
+            raw_response,
+            memory=self._routing.memory,
+            max_bytes=self._routing.settings.limits.max_answer_bytes,
+        )
+        self._responses.append(response)
         try:
-            if raw_response.refusal is not None:
-                self._refused_by.add(server_id)
-                self._routing.record_refusal(
-                    server_id, raw_response.refusal, self._call.id
-                )
-                return None
-            body = b"".join([part async for part in raw_response.parts()])
-            is_complete = True
-        finally:
-            raw_response.close(is_whole=is_complete or raw_response.refusal is not None)
+            await response.buffer()
+        except BaseException:
+            response.close()
+            raise
         if raw_response.status >= _MIN_SERVER_ERROR_STATUS:
             events.log(
                 events.ANSWER_FAILED,
@@ -412,9 +428,7 @@
         else:
             self._routing.health.record_success(server_id)
             self._work.answered()
-        return _Response(
-            raw_response.status, raw_response.headers, body, raw_response.is_framed
-        )
+        return response
 
     def _hedge_delay_s(self, now_s: float) -> float:
         """Return the delay before the latest send is hedged, in seconds.
--- a/src/violethatch/_router.py
+++ b/src/violethatch/_router.py
@@ -39,6 +39,7 @@
 )
 from .freshness import Freshness
 from .instances import InstanceEntry
+from .memory_budget import MemoryBudget
 from .request_capacity import RequestCapacity, may_connect
 from .router_settings import RouterSettings
 from .slices import Slices, Steps
@@ -104,6 +105,7 @@
         self.routing.flow_control.limits.on_permit = self.metrics.count_permit
         self.routing.admission.observer = self.metrics
         self.routing.failures.on_failure = self.metrics.count_task_failure
+        self.memory.on_rejected = lambda _size: self.metrics.memory_rejections.inc({})
         self.freshness = Freshness(limit_s=settings.proof_limit_s)
         self.stop_plan = StopPlan(grace_s=settings.bounds.grace_s)
         self._request_capacity = RequestCapacity()
@@ -127,6 +129,11 @@
         """The maximum size of a request body, in bytes."""
         return self.desired.limits.body_bytes if self.desired else 0
 
+    @property
+    def memory(self) -> MemoryBudget:
+        """The memory for the bodies of requests and answers."""
+        return self.routing.memory
+
     @property
     def is_ready(self) -> bool:
         """Whether load balancers should send callers to this instance."""
@@ -173,6 +180,8 @@
             choice=PeerChoice(instance.availability_zone, rng=rng),
             state_version=lambda: self.desired.version if self.desired else 0,
             retry_after_s=lambda: self.routing.retry_after_s(_LINK_LOSS_S),
+            memory=self.routing.memory,
+            max_answer_bytes=lambda: self.settings.limits.max_answer_bytes,
         )
         forwarding.on_outcome = self.metrics.count_forward
         self.routing.forwarding = forwarding
@@ -493,6 +502,7 @@
             "start_after_s": self.start_times.after_s(),
             "start_waits_for": self.start_times.waits_for,
             "in_flight": self.in_flight,
+            "request_memory": self._memory_state(),
             "is_stopping": self.stop_plan.is_stopping,
             "servers": len(self.routing.backends),
             "held_traits": self.routing.suspects.held(now_s=now_s),
@@ -518,6 +528,14 @@
             "load_age_s": self.routing.loads.others_age_s(now_s=now_s),
         }
 
+    def _memory_state(self) -> dict[str, int]:
+        """Return the memory that requests hold, in bytes."""
+        return {
+            "in_use_bytes": self.memory.in_use_bytes,
+            "peak_bytes": self.memory.peak_bytes,
+            "total_bytes": self.memory.total_bytes,
+        }
+
     def update_metrics(self) -> None:
         """Update the gauges from the process's state."""
         now_s = clocks.now_s()
@@ -528,6 +546,7 @@
             loads.others_age_s(now_s=now_s),
         )
         self.metrics.set_tables(self.tables())
+        self.metrics.set_request_memory(self._memory_state())
         suspects = self.routing.suspects
         self.metrics.set_admission(self.routing.admission.states())
         self.metrics.set_lost_links(self.routing.link_watch.links.lost())
--- a/src/violethatch/_router_metrics.py
+++ b/src/violethatch/_router_metrics.py
@@ -168,6 +168,16 @@
             "Listed servers that their service can't have, which are not used.",
             registry=self.registry,
         )
+        self.request_memory_bytes = Gauge(
+            "violethatch_router_request_memory_bytes",
+            "Memory for the bodies of requests and answers: in_use, peak, total.",
+            registry=self.registry,
+        )
+        self.memory_rejections = Counter(
+            "violethatch_router_request_memory_rejections_total",
+            "Bodies, or parts of them, that there was no memory for.",
+            registry=self.registry,
+        )
         self.task_failures = Counter(
             "violethatch_router_task_failures_total",
             "Unexpected errors of background tasks, by task.",
@@ -308,6 +318,12 @@
         """Count a send that was rejected before it was written."""
         self.blocked_sends.inc({"sending": kind, "reason": reason})
 
+    def set_request_memory(self, state: Mapping[str, int]) -> None:
+        """Set the gauges of the memory that requests hold."""
+        for name, size_bytes in state.items():
+            what = name.removesuffix("_bytes")
+            self.request_memory_bytes.set({"what": what}, size_bytes)
+
     def count_task_failure(self, task: str) -> None:
         """Count an unexpected error of a background task."""
         self.task_failures.inc({"task": task})
--- a/src/violethatch/_routing.py
+++ b/src/violethatch/_routing.py
@@ -22,6 +22,7 @@
 from .entry_checks import entry_fault
 from .fault_reports import FaultReport, FaultReportReceiver, should_broadcast
 from .forwarding import Forwarding, LinkWatch
+from .memory_budget import MemoryBudget
 from .path_shares import ZonePosition
 from .paths import Path
 from .pipe_share import PipeShare
@@ -40,6 +41,8 @@
 #: Server faults may be recorded this long before the loss of the links that caused them
 #: is detected, in seconds.
 _LOSS_DETECTION_DELAY_S = 1.0
+#: Assumed memory of the process without requests until it is measured, in MB.
+_RESTING_MB = 64.0
 
 
 class RestartListener(Protocol):
@@ -58,6 +61,11 @@
         self.settings = settings
         self.client = client
         self._rng = rng
+        self._resting_mb = _RESTING_MB
+        #: The memory for the bodies of requests and answers.
+        self.memory = MemoryBudget(
+            settings.limits.request_memory_bytes(resting_mb=_RESTING_MB)
+        )
         #: Contains unexpected errors of background work.
         self.failures = FailureGuard()
         self.backends = BackendTable(leaving_s=settings.bounds.leaving_s)
@@ -161,9 +169,17 @@
         )
         self.loads.own_demand = self.admission.demand
 
+    def set_resting_memory(self, resting_mb: float) -> None:
+        """Set the memory of the process without requests, in MB."""
+        self._resting_mb = resting_mb
+        self.memory.total_bytes = self.settings.limits.request_memory_bytes(
+            resting_mb=resting_mb
+        )
+
     def apply_settings(self, settings: RouterSettings) -> None:
         """Apply changed settings."""
         self.settings = settings
+        self.set_resting_memory(self._resting_mb)
         self.retries.settings = settings
         self.backends.leaving_s = settings.bounds.leaving_s
         self.health.stall_s = settings.bounds.stall_s
--- a/src/violethatch/events.py
+++ b/src/violethatch/events.py
@@ -89,6 +89,9 @@
 RETRIES_GIVEN = Event(2215, "retries_given", "Another instance gave retries.")
 CALLER_LEFT = Event(2213, "caller_left", "The caller went away before the end.")
 ANSWER_CUT = Event(2228, "answer_cut", "This instance ended an answer before its end.")
+ANSWER_ABORTED = Event(
+    2242, "answer_aborted", "An answer that was passed on as it came broke off."
+)
 SENDER_LEFT = Event(
     2229, "sender_left", "The instance that forwarded a request ended its connection."
 )
--- a/src/violethatch/forwarding/_call.py
+++ b/src/violethatch/forwarding/_call.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 
 from .. import deadlines, events
+from .._plain_answers import PlainAnswer
 from .._stream_output import StreamOutput
 from ..desired import Admitted, CallKind
 from ..errors import (
@@ -234,14 +235,21 @@
             await self._output.pass_on(parts, answer, responder, on_event=on_event)
             await responder.finish()
             return answer.status
-        body = b"".join([part async for part in answer.parts()])
         if self._output.is_started or is_beside:
             msg = f"status {answer.status} for the rest of a stream"
             raise AnswerLostError(msg)
-        await responder.answer(
-            answer.status, answer.headers, body, is_framed=answer.is_framed
+        plain = PlainAnswer(
+            answer,
+            memory=self._forwarding.memory,
+            max_bytes=self._forwarding.max_answer_bytes(),
         )
-        return answer.status
+        try:
+            await plain.buffer()
+            return await plain.send(
+                responder, request_id=self._call.id, deadline_s=self._deadline_s
+            )
+        finally:
+            plain.close()
 
     @property
     def _silent_sends(self) -> int:
--- a/src/violethatch/forwarding/_client.py
+++ b/src/violethatch/forwarding/_client.py
@@ -76,6 +76,7 @@
         self._frames: list[Frame] = []
         self.status = 0
         self.is_framed = True
+        self.length: int | None = None
         self.headers: Headers = ()
         self.refusal: ServerRefusal | None = None
         self.load: ServerLoad | None = None
--- a/src/violethatch/forwarding/_forwarding.py
+++ b/src/violethatch/forwarding/_forwarding.py
@@ -4,9 +4,10 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Sequence
-from typing import Protocol
+from typing import Protocol, cast
 
 from .. import clocks, events
+from .._bodies import reserve
 from ..errors import (
     DrainingError,
     LinksLostError,
@@ -16,6 +17,7 @@
     VioletHatchError,
 )
 from ..instances import InstanceEntry
+from ..memory_budget import MemoryBudget
 from ..upstream import AnswerLostError, Call
 from ._choice import PeerChoice
 from ._client import ForwardedAnswer, NotTakenError, PeerRefusalError
@@ -59,6 +61,8 @@
         state_version: Returns the version of the desired state in force here.
         retry_after_s: Returns when a call that nobody can serve should come back, in
             seconds.
+        memory: The memory for the bodies of requests and answers.
+        max_answer_bytes: Returns the max length of an answer's body.
     """
 
     def __init__(
@@ -70,7 +74,11 @@
         choice: PeerChoice,
         state_version: Callable[[], int],
         retry_after_s: Callable[[], float],
+        memory: MemoryBudget,
+        max_answer_bytes: Callable[[], int],
     ) -> None:
+        self.memory = memory
+        self.max_answer_bytes = max_answer_bytes
         self._client = client
         self._own_id = own_id
         self._peers = peers
@@ -121,14 +129,17 @@
             request = self._request(
                 call, deadline_s=deadline_s, runs=runs, last_event_id=last_event_id
             )
-            answer = await self._ask(
-                peer,
-                service,
-                request,
-                is_repeatable=is_repeatable,
-                waits_out_silence=waits_out_silence,
-                on_silent_body=on_silent_body,
-            )
+            with self.memory.open() as reservation:
+                # The message holds the body once more.
+                reserve(reservation, len(call.body))
+                answer = await self._ask(
+                    peer,
+                    service,
+                    request,
+                    is_repeatable=is_repeatable,
+                    waits_out_silence=waits_out_silence,
+                    on_silent_body=on_silent_body,
+                )
             if answer is not None:
                 return peer.id, answer
         self.on_outcome("none")
@@ -266,7 +277,7 @@
             host=call.host,
             target=call.target,
             headers=[(name, value) for name, value in call.headers],
-            body=call.body,
+            body=cast("bytes", call.body),
             key=call.key,
             age_ms=max(0.0, (now_s - call.received_s) * _MS_PER_S),
             left_ms=max(0.0, (deadline_s - now_s) * _MS_PER_S),
--- a/src/violethatch/forwarding/_listener.py
+++ b/src/violethatch/forwarding/_listener.py
@@ -12,8 +12,16 @@
 from aiohttp.web_response import Response, StreamResponse
 
 from .. import clocks, events
+from .._bodies import PIECE_BYTES, read_body, reserve
 from .._open_answers import OpenAnswers
-from ..errors import AnswerCutError, Ran, VioletHatchError
+from ..errors import (
+    AnswerCutError,
+    BodyTooLargeError,
+    OverloadedError,
+    Ran,
+    VioletHatchError,
+)
+from ..memory_budget import MemoryBudget, Reservation
 from ..upstream import Call, Headers, OnSend, Responder
 from ._wire import (
     AnswerHead,
@@ -48,6 +56,10 @@
     in_flight: int
     open_answers: OpenAnswers
 
+    @property
+    def memory(self) -> MemoryBudget:
+        """The memory for the bodies of requests and answers."""
+
     @property
     def max_body_bytes(self) -> int:
         """The largest body that a caller may send, in bytes."""
@@ -99,12 +111,45 @@
     async def handle(self, request: BaseRequest) -> StreamResponse:
         """Serve one request; its sender has shown the token."""
         try:
-            body = await _read(request, self._server.max_body_bytes + _ENVELOPE_BYTES)
-            message = decoded_request(body)
-        except _TooLargeError:
+            with self._server.memory.open() as reservation:
+                return await self._handle(request, reservation)
+        except BodyTooLargeError:
             return Response(status=_TOO_LARGE)
+        except OverloadedError as error:
+            return await self._refuse(request, error)
+
+    async def _refuse(
+        self, request: BaseRequest, error: VioletHatchError
+    ) -> StreamResponse:
+        """Refuse a request that was not read."""
+        response = StreamResponse()
+        with contextlib.suppress(ConnectionError):  # the sender went away
+            await response.prepare(request)
+            await _FrameResponder(request, response, self._server).refuse(error)
+        return response
+
+    async def _handle(
+        self, request: BaseRequest, reservation: Reservation
+    ) -> StreamResponse:
+        """Serve one request.
+
+        Raises:
+            BodyTooLargeError: It is longer than any that its caller may send.
+            OverloadedError: There is no memory for it.
+        """
+        body = await read_body(
+            request.content.iter_any(),
+            declared_bytes=request.content_length,
+            limit_bytes=self._server.max_body_bytes + _ENVELOPE_BYTES,
+            reservation=reservation,
+        )
+        # The message holds the caller's body once more.
+        reserve(reservation, len(body))
+        try:
+            message = decoded_request(body)
         except ValueError:
             return Response(status=_BAD_REQUEST)
+        del body
         response = StreamResponse()
         try:
             await response.prepare(request)
@@ -190,16 +235,23 @@
         await self.finish()
 
     async def start(
-        self, status: int, headers: Headers, *, is_framed: bool = True
+        self,
+        status: int,
+        headers: Headers,
+        *,
+        is_framed: bool = True,
+        length: int | None = None,
     ) -> None:
-        """Begin an answer that comes in parts."""
+        """Begin an answer that comes in parts; the sender frames it anew."""
         self.is_started = True
         head = AnswerHead(status, list(headers), is_framed, self._server.in_flight)
         await self._write(message_frame(FrameKind.HEAD, head))
 
     async def write(self, data: bytes) -> None:
         """Give a part of the answer."""
-        await self._write(frame(FrameKind.PART, data))
+        for start in range(0, len(data), PIECE_BYTES):
+            piece = data[start : start + PIECE_BYTES]
+            await self._write(frame(FrameKind.PART, piece))
 
     async def finish(self) -> None:
         """End the answer as whole."""
@@ -256,24 +308,6 @@
     )
 
 
-class _TooLargeError(Exception):
-    """A request's body is larger than any that its caller may send."""
-
-
-async def _read(request: BaseRequest, limit_bytes: int) -> bytes:
-    """Return a request's body.
-
-    Raises:
-        _TooLargeError: It is larger than the limit.
-    """
-    body = bytearray()
-    async for part in request.content.iter_any():
-        body += part
-        if len(body) > limit_bytes:
-            raise _TooLargeError
-    return bytes(body)
-
-
 def _call(message: ForwardedRequest, *, now_s: float) -> Call:
     """Return the caller's request as if it had come here."""
     return Call(
--- a/src/violethatch/forwarding/_wire.py
+++ b/src/violethatch/forwarding/_wire.py
@@ -120,7 +120,7 @@
 _REFUSAL_DECODER = msgspec.msgpack.Decoder(Refusal)
 
 
-def decoded_request(body: bytes) -> ForwardedRequest:
+def decoded_request(body: bytes | bytearray) -> ForwardedRequest:
     """Return a request from its bytes.
 
     Raises:
--- a/src/violethatch/platform/_listener.py
+++ b/src/violethatch/platform/_listener.py
@@ -42,6 +42,8 @@
     header_timeout_s=3.0,
     idle_timeout_s=15.0,
 )
+#: How much of a body is read ahead of who takes it, in bytes.
+_READ_BUFFER_BYTES = 65_536
 #: How long connections get to close at the end, in seconds.
 _CLOSE_S = 0.1
 #: How often to look whether all that is under way has ended, in seconds.
@@ -63,6 +65,7 @@
             on_bad_head=self._note_bad_head,
             may_connect=router.may_connect,
             auto_decompress=False,
+            read_bufsize=_READ_BUFFER_BYTES,
         )
         self._had_room = True
         self._listening: asyncio.Server | None = None
@@ -120,17 +123,22 @@
         call: Call | None = None
         try:
             async with self._router.open_answers.track():
-                call = await read_call(
-                    request, received_s=started_s, limits=self._limits()
-                )
-                await self._router.serve(call, responder)
+                with self._router.memory.open() as reservation:
+                    call = await read_call(
+                        request,
+                        received_s=started_s,
+                        limits=self._limits(),
+                        reservation=reservation,
+                    )
+                    await self._router.serve(call, responder)
         except AnswerCutError as error:
             age_s = clocks.now_s() - started_s
-            return self._cut(call_id, error, responder, age_s=age_s, is_read=bool(call))
+            self._note_cut(call_id, responder, age_s=age_s, is_read=bool(call))
+            return self._cut(request, error, responder, is_read=bool(call))
         except VioletHatchError as error:
             age_s = clocks.now_s() - started_s
             self._router.record_error(call_id, error, age_s=age_s)
-            return self._problem(error)
+            return self._problem(error, request)
         except (ConnectionError, aiohttp.ClientConnectionResetError):
             self._router.record_disconnect(call_id, age_s=clocks.now_s() - started_s)
         except asyncio.CancelledError:
@@ -143,27 +151,26 @@
         except Exception as error:
             self._router.record_unexpected_error(call_id, error)
             if responder.response is None:
-                return self._problem(VioletHatchError("internal error"))
+                return self._problem(VioletHatchError("internal error"), request)
             responder.abort()
         return responder.response or Response(status=_UNAVAILABLE)
 
     def _cut(
         self,
-        call_id: str,
+        request: BaseRequest,
         error: AnswerCutError,
         responder: CallerResponder,
         *,
-        age_s: float,
         is_read: bool,
     ) -> StreamResponse:
         """End an answer because the process stops; return what is left to give."""
-        self._note_cut(call_id, responder, age_s=age_s, is_read=is_read)
         if responder.response is not None:
             responder.cut()
             return responder.response
         if is_read:
-            return self._problem(error)
-        return self._problem(DrainingError(retry_after_s=OTHER_INSTANCE_RETRY_S))
+            return self._problem(error, request)
+        refusal = DrainingError(retry_after_s=OTHER_INSTANCE_RETRY_S)
+        return self._problem(refusal, request)
 
     def _note_cut(
         self, call_id: str, responder: CallerResponder, *, age_s: float, is_read: bool
@@ -184,13 +191,16 @@
         desired = self._router.desired
         return desired.limits if desired else _FIRST_LIMITS
 
-    def _problem(self, error: VioletHatchError) -> Response:
+    def _problem(self, error: VioletHatchError, request: BaseRequest) -> Response:
         """Return an error's answer."""
         response = problem_response(error)
         if error.retry_after_s is not None:
             # The platform's callers understand fractions of a second.
             response.headers["Retry-After"] = f"{error.retry_after_s:g}"
-        if self._router.stop_plan.is_stopping:
+        # What a caller sends that was not asked for its body is the next request, or is
+        # the body all the same: that can't be told.
+        is_waiting = "Expect" in request.headers and not request.content.at_eof()
+        if self._router.stop_plan.is_stopping or is_waiting:
             response.force_close()
         return response
 
--- a/src/violethatch/platform/_process.py
+++ b/src/violethatch/platform/_process.py
@@ -14,6 +14,7 @@
 from .. import clocks, events
 from .._background import BackgroundTask
 from .._loop_pauses import watch_pauses
+from .._resident_memory import resident_mb
 from .._router import Router
 from ..errors import SettingsError
 from ..event_loop import EventLoop
@@ -127,6 +128,9 @@
         await parts.following.listen()
         self._start_tasks(parts)
         callers = await self._listen(parts.router)
+        resting_mb = resident_mb()
+        if resting_mb is not None:
+            parts.router.routing.set_resting_memory(resting_mb)
         stop = self._watch_signals(parts.router)
         parts.router.record_start_step(Step.LISTENING)
         events.log(events.STARTED, id=self._settings.instance.id)
--- a/src/violethatch/platform/_requests.py
+++ b/src/violethatch/platform/_requests.py
@@ -4,6 +4,7 @@
 from __future__ import annotations
 
 import asyncio
+import functools
 import math
 
 from collections.abc import Iterable
@@ -11,9 +12,11 @@
 from aiohttp.web_request import BaseRequest
 
 from .. import clocks
+from .._bodies import read_body, reserve
 from ..desired import CallLimits
-from ..errors import BadRequestError, BodyTooLargeError, RequestLateError
-from ..upstream import Call
+from ..errors import BadRequestError, RequestLateError
+from ..memory_budget import Reservation
+from ..upstream import Body, Call
 from . import _headers
 
 
@@ -22,12 +25,18 @@
 _MAX_PARTS = 64
 _MAX_PART_ID_CHARS = 64
 _HEX_DIGITS = frozenset("0123456789abcdef")
+#: The memory for a request's head, its tasks and its connections' buffers, in bytes.
+_REQUEST_BYTES = 32_768
 #: How long a call without a deadline may take, in seconds.
 _NO_DEADLINE_S = 60.0
 
 
 async def read_call(
-    request: BaseRequest, *, received_s: float, limits: CallLimits
+    request: BaseRequest,
+    *,
+    received_s: float,
+    limits: CallLimits,
+    reservation: Reservation,
 ) -> Call:
     """Read a request whole.
 
@@ -35,16 +44,19 @@
         request: The request, its body still to come.
         received_s: When it came, in monotonic seconds.
         limits: The bounds on what callers send.
+        reservation: Grows by the memory that the request takes.
 
     Raises:
         BadRequestError: Its headers can't be understood.
         BodyTooLargeError: Its body is too large.
         RequestLateError: Its body did not come before its deadline.
+        OverloadedError: There is no memory for it.
     """
     deadline_s = received_s + _deadline_s(request)
-    body = b""
+    reserve(reservation, _REQUEST_BYTES)
+    body: Body = b""
     if request.can_read_body:
-        body = await _read_body(request, limits.body_bytes, deadline_s)
+        body = await _read_body(request, limits.body_bytes, deadline_s, reservation)
     return Call(
         id=request.headers.get(_headers.CALL_ID, ""),
         method=request.method,
@@ -61,25 +73,35 @@
     )
 
 
-async def _read_body(request: BaseRequest, limit: int, deadline_s: float) -> bytes:
-    """Read a body within the limit and the time.
+async def _read_body(
+    request: BaseRequest, limit: int, deadline_s: float, reservation: Reservation
+) -> Body:
+    """Read a body within the limit, the time and the memory for requests.
 
     Raises:
         BodyTooLargeError: It is too large.
         RequestLateError: It did not come in time.
+        OverloadedError: There is no memory for it.
     """
-    body = bytearray()
     try:
         async with asyncio.timeout(clocks.left_s(deadline_s)):
-            async for part in request.content.iter_any():
-                body += part
-                if len(body) > limit:
-                    msg = f"more than {limit} bytes"
-                    raise BodyTooLargeError(msg)
+            return await read_body(
+                request.content.iter_any(),
+                declared_bytes=request.content_length,
+                limit_bytes=limit,
+                reservation=reservation,
+                on_reserved=functools.partial(_invite_body, request),
+            )
     except TimeoutError as error:
         msg = "the body did not come before the deadline"
         raise RequestLateError(msg) from error
-    return bytes(body)
+
+
+async def _invite_body(request: BaseRequest) -> None:
+    """Ask for the body if the caller waits to be asked."""
+    if request.headers.get("Expect", "").lower() == "100-continue":
+        await request.writer.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+        request.writer.output_size = 0
 
 
 def _key(authorization: str | None) -> str | None:
--- a/src/violethatch/platform/_responder.py
+++ b/src/violethatch/platform/_responder.py
@@ -45,14 +45,21 @@
         await self.response.write_eof()
 
     async def start(
-        self, status: int, headers: Headers, *, is_framed: bool = True
+        self,
+        status: int,
+        headers: Headers,
+        *,
+        is_framed: bool = True,
+        length: int | None = None,
     ) -> None:
-        """Begin an answer that comes in parts."""
+        """Begin an answer that comes in parts; its length may be known."""
         kind = StreamResponse if is_framed else _Unframed
         self.response = kind(status=status)
         self._fill(self.response, headers)
         if not is_framed:
             self.response.force_close()
+        elif length is not None:
+            self.response.content_length = length
         await self.response.prepare(self._request)
 
     async def write(self, data: bytes) -> None:
--- a/src/violethatch/platform/_runners.py
+++ b/src/violethatch/platform/_runners.py
@@ -17,6 +17,7 @@
 from multidict import CIMultiDict
 
 from .. import clocks, events, running_time
+from .._bodies import BodyPayload
 from .._call_errors import CALL_ERRORS
 from .._decoding import decoded
 from .._send_checks import send_check
@@ -105,6 +106,7 @@
         self.is_framed = "Content-Length" in answer.headers or (
             "chunked" in answer.headers.get("Transfer-Encoding", "").lower()
         )
+        self.length = answer.content_length if self.is_framed else None
         raw = _headers.decoded(answer.raw_headers)
         self.headers: Headers = _headers.given_back(raw)
         self.refusal = self._refusal(word)
@@ -173,7 +175,7 @@
                 answer = await session.request(
                     call.method,
                     url,
-                    data=call.body or None,
+                    data=BodyPayload(call.body) if call.body else None,
                     headers=_request_headers(send),
                     allow_redirects=False,
                 )
--- a/src/violethatch/router_settings.py
+++ b/src/violethatch/router_settings.py
@@ -18,6 +18,7 @@
 import msgspec
 
 from .errors import SettingsError
+from .memory_budget import request_budget_bytes
 from .settings import (
     InstanceSection,
     Port,
@@ -36,6 +37,7 @@
 #: Descriptors that a request may need: the caller's connection, the runner's,
 #: and one for a report or an order meanwhile.
 _DESCRIPTORS_A_REQUEST = 3
+_BYTES_PER_MB = 1_000_000
 Ratio = Annotated[float, msgspec.Meta(ge=0, le=1)]
 
 
@@ -106,6 +108,26 @@
     #: The rate of the machine's link: the best ones read the store for others.
     link_mbps: Positive = 1000.0
     requests: PositiveInt = 400
+    #: Memory for the bodies of requests and answers, in MB; 0 for what *memory_mb*
+    #: leaves.
+    request_memory_mb: Annotated[int, msgspec.Meta(ge=0)] = 0
+    #: The largest body of a server's answer, in MB.
+    answer_mb: PositiveInt = 64
+
+    def request_memory_bytes(self, *, resting_mb: float) -> int:
+        """Return the memory for requests, in bytes.
+
+        Args:
+            resting_mb: The memory of the process without requests, in MB.
+        """
+        if self.request_memory_mb:
+            return self.request_memory_mb * _BYTES_PER_MB
+        return request_budget_bytes(memory_mb=self.memory_mb, resting_mb=resting_mb)
+
+    @property
+    def max_answer_bytes(self) -> int:
+        """The largest body of a server's answer, in bytes."""
+        return self.answer_mb * _BYTES_PER_MB
 
     @property
     def most_requests(self) -> int:
@@ -262,6 +284,9 @@
     if settings.store.change_wait_s >= settings.proof_limit_s:
         msg = f"{name}: [store] change_wait_s: must be below the proof's age limit"
         raise SettingsError(msg)
+    if settings.limits.request_memory_mb >= settings.limits.memory_mb:
+        msg = f"{name}: [limits] request_memory_mb: must be below memory_mb"
+        raise SettingsError(msg)
     try:
         _ = settings.admission.weights
     except ValueError as error:
--- a/src/violethatch/running_time.py
+++ b/src/violethatch/running_time.py
@@ -193,6 +193,7 @@
     def cancel(self) -> None:
         """Stop counting."""
         self._handle.cancel()
+        self._on_over = _ignore
 
     def _schedule(self) -> asyncio.TimerHandle:
         """Schedule the end of the next step."""
@@ -200,7 +201,14 @@
 
     def _end_step(self) -> None:
         """End a step, and begin the next one unless the limit is over."""
-        if self._allowance.end_step():
-            self._on_over()
-        else:
+        if not self._allowance.end_step():
             self._handle = self._schedule()
+            return
+        # What it calls back often holds the ticker: that would keep requests, with
+        # their bodies, until the next garbage collection.
+        on_over, self._on_over = self._on_over, _ignore
+        on_over()
+
+
+def _ignore() -> None:
+    """Do nothing."""
--- a/src/violethatch/streams/_run.py
+++ b/src/violethatch/streams/_run.py
@@ -138,7 +138,11 @@
         except BaseException:
             _abandon(opening)
             raise
-        return opening.result()
+        else:
+            return opening.result()
+        finally:
+            # Its error's traceback would hold this frame, and so the task and the call.
+            del opening
 
     async def parts(self, answer: Answer) -> AsyncIterator[bytes]:
         """Return the answer's parts; check each silence.
@@ -151,12 +155,7 @@
         parts = answer.parts()
         try:
             while True:
-                coming = asyncio.ensure_future(anext(parts, None))
-                try:
-                    await self._wait(coming, self._limit_s())
-                finally:
-                    _let_go(coming)
-                part = coming.result()
+                part = await self._next_part(parts)
                 if part is None:
                     self._end_silence("whole")
                     return
@@ -165,6 +164,25 @@
         finally:
             self._note_end()
 
+    async def _next_part(self, parts: AsyncIterator[bytes]) -> bytes | None:
+        """Return the next part of an answer, or None at its end.
+
+        Raises:
+            AnswerLostError: The answer broke off.
+            RunnerEndedError: A runner that it needs has ended.
+            TimeoutError: The deadline is over.
+        """
+        coming = asyncio.ensure_future(anext(parts, None))
+        try:
+            try:
+                await self._wait(coming, self._limit_s())
+            finally:
+                _let_go(coming)
+            return coming.result()
+        finally:
+            # Its error's traceback would hold this frame, and so the task and the call.
+            del coming
+
     def note_given(self) -> None:
         """Note a whole event that the caller is to get."""
         now_s = clocks.now_s()
--- a/src/violethatch/upstream.py
+++ b/src/violethatch/upstream.py
@@ -26,6 +26,8 @@
 
 
 Headers = Sequence[tuple[str, str]]
+#: A body that was read whole.
+Body = bytes | bytearray
 #: Tolerance of `Call.deadline_source`: on an instance that a call was forwarded to, the
 #: route's timeout can appear this much shorter, as if the caller had set a lower limit.
 _FORWARDING_TOLERANCE_S = 0.05
@@ -51,7 +53,7 @@
     host: str
     target: str
     headers: Headers
-    body: bytes
+    body: Body
     key: str | None
     received_s: float
     deadline_s: float
@@ -158,6 +160,10 @@
         self.sends = sends
 
 
+class AnswerTooLongError(AnswerLostError):
+    """The server sends more bytes than any answer has."""
+
+
 class ConnectionBrokenError(AnswerLostError):
     """The connection was closed before the response was complete.
 
@@ -336,10 +342,12 @@
     Attributes:
         is_framed: Whether the response delimits its own body. A body that is delimited
             by the close of the connection may have been truncated.
+        length: The declared length of its body, in bytes; None if it declares none.
     """
 
     status: int
     is_framed: bool
+    length: int | None
     headers: Headers
     refusal: Refusal | None
     load: ServerLoad | None
@@ -474,9 +482,14 @@
         """Write a response; one that isn't framed ends with the connection."""
 
     async def start(
-        self, status: int, headers: Headers, *, is_framed: bool = True
+        self,
+        status: int,
+        headers: Headers,
+        *,
+        is_framed: bool = True,
+        length: int | None = None,
     ) -> None:
-        """Start a response whose body is streamed."""
+        """Start a response whose body is streamed; its length may be known."""
 
     async def write(self, data: bytes) -> None:
         """Write a chunk of the body."""
--- a/src/violethatch/work_ids.py
+++ b/src/violethatch/work_ids.py
@@ -29,7 +29,7 @@
 
 
 def work_id(
-    *, caller: str | None, method: str, host: str, target: str, body: bytes
+    *, caller: str | None, method: str, host: str, target: str, body: bytes | bytearray
 ) -> str:
     """Return the id of a request's work, which reveals nothing of the body.
 
--- a/tests/router_fakes.py
+++ b/tests/router_fakes.py
@@ -46,6 +46,8 @@
 
     #: The number of sends that an instance reports by default.
     sends = 1
+    #: The declared length of the body.
+    length = None
 
     def __init__(
         self,
@@ -156,7 +158,7 @@
         await self.write(body)
         await self.finish()
 
-    async def start(self, status, headers, *, is_framed=True):
+    async def start(self, status, headers, *, is_framed=True, length=None):
         self.status = status
         self.headers = headers
         self.is_framed = is_framed
--- a/tests/test_runs_beside.py
+++ b/tests/test_runs_beside.py
@@ -69,7 +69,7 @@
         await self.write(body)
         await self.finish()
 
-    async def start(self, status, headers, *, is_framed=True):
+    async def start(self, status, headers, *, is_framed=True, length=None):
         self.heads.append(status)
         await super().start(status, headers, is_framed=is_framed)
 
--- a/tests/test_silent_peers.py
+++ b/tests/test_silent_peers.py
@@ -13,6 +13,7 @@
 from violethatch._stream_output import StreamOutput
 from violethatch.forwarding import ForwardedCall, Forwarding, PeerChoice
 from violethatch.forwarding._client import NotTakenError
+from violethatch.memory_budget import MemoryBudget
 from violethatch.upstream import AnswerLostError
 
 
@@ -186,6 +187,8 @@
         choice=choice,
         state_version=lambda: 1,
         retry_after_s=lambda: 1.0,
+        memory=MemoryBudget(1_000_000),
+        max_answer_bytes=lambda: 1_000_000,
     )
     call = make_call()
     rights = admitted()
