Pass Last-Event-Id on to servers of services without an engine

Callers saw: clients that went on with a broken stream at another router got it from its first event on where the new attempt fell to a service without an engine.

Cause: the adapter takes the header out as one that the system sets itself, and only streams of models put it back; any value that is no whole number got 400.

Change: the header is passed on like any other, and replaced once the system itself resumes a stream. KnownEventFilter leaves out what the caller has where such a server begins anew.

--- a/src/violethatch/_plain_answers.py
+++ b/src/violethatch/_plain_answers.py
@@ -7,6 +7,7 @@
 
 from . import deadlines, events
 from ._bodies import PIECE_BYTES
+from .event_stream import without_known_events
 from .memory_budget import MemoryBudget
 from .upstream import Answer, AnswerLostError, AnswerTooLongError, Responder
 
@@ -25,18 +26,30 @@
         answer: The server's answer, its body still to come.
         memory: The memory for requests.
         max_bytes: The max length of a body.
+        known_event_id: The last event of a stream that the caller has already.
 
     Attributes:
         error: Why an answer that was passed on broke off, if the server is at fault.
     """
 
-    def __init__(self, answer: Answer, *, memory: MemoryBudget, max_bytes: int) -> None:
+    def __init__(
+        self,
+        answer: Answer,
+        *,
+        memory: MemoryBudget,
+        max_bytes: int,
+        known_event_id: int | None = None,
+    ) -> None:
         self.status = answer.status
         self.error: AnswerLostError | None = None
         self._answer = answer
         self._max_bytes = max_bytes
         self._reservation = memory.open()
+        self._length = answer.length
         self._parts: AsyncIterator[bytes] = answer.parts()
+        if known_event_id is not None:
+            self._length = None
+            self._parts = without_known_events(self._parts, last_id=known_event_id)
         self._buffered: list[bytes] = []
         self._received_bytes = 0
         self._is_whole = False
@@ -47,8 +60,8 @@
         Raises:
             AnswerLostError: The body broke off, or is too long.
         """
-        if self._answer.length is not None:
-            self._check_length(self._answer.length)
+        if self._length is not None:
+            self._check_length(self._length)
         async for part in self._parts:
             self._count(part)
             self._buffered.append(part)
@@ -73,7 +86,7 @@
             body = b"".join(self._buffered)
             await responder.answer(self.status, headers, body, is_framed=is_framed)
             return self.status
-        length = self._received_bytes if self._is_whole else self._answer.length
+        length = self._received_bytes if self._is_whole else self._length
         await responder.start(self.status, headers, is_framed=is_framed, length=length)
         while self._buffered:
             await responder.write(self._buffered.pop(0))
--- a/src/violethatch/_plain_calls.py
+++ b/src/violethatch/_plain_calls.py
@@ -13,7 +13,7 @@
 from ._routing import Routing
 from ._stream_output import StreamOutput
 from .backends import BackendServer
-from .desired import Admitted
+from .desired import Admitted, CallKind
 from .errors import (
     DeadlineError,
     LinksLostError,
@@ -52,6 +52,7 @@
 #: A server that has not responded within this multiple of the route's target latency
 #: is put into cooldown, also while the call still waits for it.
 _COOLDOWN_TARGETS = 2.0
+_MULTIPLE_CHOICES = 300
 _MIN_SERVER_ERROR_STATUS = 500
 #: Statuses from which callers conclude that the call was not executed.
 _NOT_EXECUTED_STATUSES = (408, 421, 429, 503)
@@ -392,7 +393,7 @@
             deadline_s=self._deadline_s,
             priority=self._admitted.priority,
             workspace=self._admitted.workspace_name,
-            last_event_id=None,
+            last_event_id=self._call.last_event_id,
             # The first send may have been lost with a stale idle connection.
             needs_new_connection=not self._route.is_repeatable
             or self._started_runs > 1,
@@ -409,6 +410,7 @@
             return None
         response = PlainAnswer(
             raw_response,
+            known_event_id=self._known_event_id(raw_response.status),
             memory=self._routing.memory,
             max_bytes=self._routing.settings.limits.max_answer_bytes,
         )
@@ -430,6 +432,11 @@
             self._work.answered()
         return response
 
+    def _known_event_id(self, status: int) -> int | None:
+        """Return the last event of a stream that the caller has, if it has any."""
+        is_stream = self._route.kind is CallKind.STREAM and status < _MULTIPLE_CHOICES
+        return self._call.last_event_id if is_stream else None
+
     def _hedge_delay_s(self, now_s: float) -> float:
         """Return the delay before the latest send is hedged, in seconds.
 
--- a/src/violethatch/event_stream.py
+++ b/src/violethatch/event_stream.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from collections.abc import AsyncIterator
 from typing import NamedTuple
 
 
@@ -122,3 +123,77 @@
         self._stream.last_id = event.id
         self._is_repeating = False
         return True
+
+
+class KnownEventFilter:
+    """Leaves out events that a caller has, where a server begins its stream anew.
+
+    What is no stream of numbered events is passed on as it is.
+
+    Args:
+        last_id: The id of the last event that the caller has.
+
+    .. versionadded:: 26.8.0
+    """
+
+    def __init__(self, *, last_id: int) -> None:
+        self._last_id = last_id
+        #: What was not passed on yet: events without an id, then a part of an event.
+        self._pending = b""
+        #: The end of the whole events in it.
+        self._checked = 0
+        self._is_passed = False
+
+    def feed(self, data: bytes) -> bytes:
+        """Take bytes in; return those to be passed on."""
+        if self._is_passed:
+            return data
+        self._pending += data
+        while not self._is_passed:
+            end = self._pending.find(_END, self._checked)
+            if end < 0:
+                self._is_passed = len(self._pending) > MAX_EVENT_BYTES
+                break
+            self._take(end + len(_END))
+        return self.finish() if self._is_passed else b""
+
+    def finish(self) -> bytes:
+        """Return what was not passed on yet."""
+        pending, self._pending = self._pending, b""
+        return pending
+
+    def _take(self, end: int) -> None:
+        """Take the next whole event in, up to a position."""
+        try:
+            event_id = _event_id(self._pending[self._checked : end])
+        except SpoiltStreamError:
+            self._is_passed = True
+            return
+        if event_id is None:
+            self._checked = end
+        elif event_id <= self._last_id:
+            self._pending = self._pending[end:]
+            self._checked = 0
+        else:
+            self._is_passed = True
+
+
+async def without_known_events(
+    parts: AsyncIterator[bytes], *, last_id: int
+) -> AsyncIterator[bytes]:
+    """Return the parts of a stream without the events that a caller has.
+
+    Args:
+        parts: The stream as it comes.
+        last_id: The id of the last event that the caller has.
+
+    .. versionadded:: 26.8.0
+    """
+    known = KnownEventFilter(last_id=last_id)
+    async for part in parts:
+        wanted = known.feed(part)
+        if wanted:
+            yield wanted
+    rest = known.finish()
+    if rest:
+        yield rest
--- a/src/violethatch/platform/_headers.py
+++ b/src/violethatch/platform/_headers.py
@@ -73,7 +73,9 @@
         "Server-Timing",
     )
 )
-#: Headers of requests that the system sets itself, in lower case.
+#: Headers of requests that a caller can't set for a server, in lower case: the system
+#: sets them itself where they apply.  `Last-Event-Id` is passed on like any other, and
+#: replaced once the system itself resumes a stream.
 _SET_BY_US = frozenset(
     name.lower()
     for name in (
@@ -81,7 +83,6 @@
         DEADLINE_MS,
         TARGET,
         WORKSPACE,
-        LAST_EVENT_ID,
         PRIORITY,
         PATH,
         "Expect-Version",
--- a/src/violethatch/platform/_requests.py
+++ b/src/violethatch/platform/_requests.py
@@ -24,6 +24,8 @@
 #: The most parts of a prompt that are read, and the longest id of one.
 _MAX_PARTS = 64
 _MAX_PART_ID_CHARS = 64
+#: Longer numbers are no event's id.
+_MAX_ID_DIGITS = 15
 _HEX_DIGITS = frozenset("0123456789abcdef")
 #: The memory for a request's head, its tasks and its connections' buffers, in bytes.
 _REQUEST_BYTES = 32_768
@@ -152,16 +154,10 @@
 
 
 def _last_event_id(request: BaseRequest) -> int | None:
-    """Return the event after which the caller resumes a stream, if it does.
+    """Return the event after which the caller resumes a stream, if it names one.
 
-    Raises:
-        BadRequestError: The header is no number.
+    Other texts mean nothing here, and may mean something to the server.
     """
-    text = request.headers.get(_headers.LAST_EVENT_ID)
-    if text is None:
-        return None
-    try:
-        return int(text)
-    except ValueError:
-        msg = f"{_headers.LAST_EVENT_ID} is no number"
-        raise BadRequestError(msg) from None
+    text = request.headers.get(_headers.LAST_EVENT_ID, "").strip()
+    is_number = text.isascii() and text.isdecimal() and len(text) <= _MAX_ID_DIGITS
+    return int(text) if is_number else None
--- a/tests/test_event_stream.py
+++ b/tests/test_event_stream.py
@@ -3,6 +3,8 @@
 
 from __future__ import annotations
 
+import itertools
+
 import pytest
 
 from hypothesis import given
@@ -11,6 +13,7 @@
 from violethatch.event_stream import (
     MAX_EVENT_BYTES,
     EventSplitter,
+    KnownEventFilter,
     SpoiltStreamError,
     StreamProgress,
 )
@@ -85,3 +88,35 @@
         progress = StreamProgress()
         assert take(progress, None, 1, None, 2) == [None, 1, None, 2]
         assert take(progress, None, 2, None, 3, None) == [3, None]
+
+
+class TestKnownEventFilter:
+    def passed(self, data, *, last_id, cuts=()):
+        """Return what is passed on of a stream that comes in parts."""
+        known = KnownEventFilter(last_id=last_id)
+        bounds = [0, *sorted(min(cut, len(data)) for cut in cuts), len(data)]
+        parts = [data[a:b] for a, b in itertools.pairwise(bounds)]
+        return b"".join(known.feed(part) for part in parts) + known.finish()
+
+    @given(st.integers(0, 7), st.lists(st.integers(0, 140), max_size=9))
+    def test_stream_that_begins_anew(self, last_id, cuts):
+        """The caller gets each event once, however the bytes were cut."""
+        data = b"".join(event(n) for n in (None, 1, 2, 3, 4, 5))
+        wanted = b"".join(event(n) for n in range(last_id + 1, 6))
+        if not last_id:
+            wanted = data
+        assert self.passed(data, last_id=last_id, cuts=cuts) == wanted
+
+    @pytest.mark.parametrize(
+        "data",
+        [
+            b"".join(event(n) for n in (None, 4, None, 5)),
+            b"id: four\n\n" + event(1),
+            b"no events at all",
+            b"x" * (MAX_EVENT_BYTES + 1) + event(1),
+            b"",
+        ],
+        ids=["resumed", "texts", "no events", "too long", "empty"],
+    )
+    def test_stream_that_is_passed_on_as_it_is(self, data):
+        assert self.passed(data, last_id=3, cuts=(5, 20)) == data
