Reproduce the late return on shared processors without a shared folder

Cause, of what was reproduced: turns of processes that start are locks in the temporary folder, and the platform gives each machine one of its own. Then processes on shared processors are ready together, at processes x start / processors.

Change: none to the product. The return soak takes processors and own folders by its environment, and counts from the start of the processes, or from the store's return after it; before, from when all had been started, which is later.

--- a/src/violethatch/failure_pauses.py
+++ b/src/violethatch/failure_pauses.py
@@ -19,6 +19,8 @@
 FIRST_PAUSE_S = 0.5
 #: The longest pause, in seconds: what the work depends on may have been mended.
 MAX_PAUSE_S = 10.0
+#: Doublings after which the pause is at its limit for sure.
+_MAX_DOUBLINGS = 10
 #: For how long after a pause work has to go well to count as mended, in seconds.
 _RECOVERED_AFTER_S = 30.0
 
@@ -50,7 +52,8 @@
         in_a_row = 1
         if before is not None and now_s - before.until_s < _RECOVERED_AFTER_S:
             in_a_row = before.in_a_row + 1
-        pause_s = min(MAX_PAUSE_S, FIRST_PAUSE_S * 2.0 ** min(in_a_row - 1, 10))
+        doublings = min(in_a_row - 1, _MAX_DOUBLINGS)
+        pause_s = min(MAX_PAUSE_S, FIRST_PAUSE_S * 2.0**doublings)
         self._failures[work] = _Failure(in_a_row, now_s + pause_s)
         return pause_s
 
--- a/tests/linked_fleet.py
+++ b/tests/linked_fleet.py
@@ -79,6 +79,8 @@
         self.metrics = metrics
         self.log = settings.with_suffix(".log")
         self.process = None
+        #: Variables beside those of the test.
+        self.environment = {}
 
     async def start(self):
         """Start the process; its lines go on in its log."""
@@ -87,7 +89,9 @@
                 sys.executable,
                 "-m",
                 "violethatch.platform",
-                env=os.environ | {"VIOLETHATCH_BOOT": str(self.settings)},
+                env=os.environ
+                | {"VIOLETHATCH_BOOT": str(self.settings)}
+                | self.environment,
                 stdout=log,
             )
 
--- a/tests/return_fleet.py
+++ b/tests/return_fleet.py
@@ -69,15 +69,25 @@
         max_concurrent_loads: The number of loads that run at full rate.
         seed: The seed of all random choices.
         processors: The number of processors shared by the instances; all if omitted.
+        has_own_folders: Whether each instance has a temporary folder of its own.
     """
 
     def __init__(
-        self, path, *, instances, runners, max_concurrent_loads, seed, processors=None
+        self,
+        path,
+        *,
+        instances,
+        runners,
+        max_concurrent_loads,
+        seed,
+        processors=None,
+        has_own_folders=False,
     ):
         super().__init__(path)
         self.path.mkdir(exist_ok=True)
         self.rng = random.Random(seed)
         self.processors = processors
+        self.has_own_folders = has_own_folders
         self.instance_count = instances
         self.instances = []
         self.runners = {}
@@ -243,6 +253,10 @@
                 name, [], settings, front=front, ready=ready, metrics=metrics
             )
             instance.host = host
+            if self.has_own_folders:
+                folder = self.path / f"{name}-tmp"
+                folder.mkdir(exist_ok=True)
+                instance.environment["TMPDIR"] = str(folder)
             instance.zone = ZONES[number % len(ZONES)]
             self.instances.append(instance)
 
--- a/tests/test_return_soak.py
+++ b/tests/test_return_soak.py
@@ -4,7 +4,9 @@
 Real router processes run with the deployed settings in front of runners that start
 empty and load layers on order from a weight store that serves few loads at full rate.
 `RETURN_SOAK_SEEDS`, `RETURN_SOAK_FIRST` and `RETURN_SOAK_INSTANCES` set the number of
-seeds, the first seed and the number of router processes.
+seeds, the first seed and the number of router processes; `RETURN_SOAK_PROCESSORS` the
+processors that they share, and `RETURN_SOAK_OWN_FOLDERS` gives each of them a temporary
+folder of its own.
 """
 
 from __future__ import annotations
@@ -24,6 +26,8 @@
 SEEDS = int(os.environ.get("RETURN_SOAK_SEEDS", "2"))
 FIRST = int(os.environ.get("RETURN_SOAK_FIRST", "0"))
 INSTANCES = int(os.environ.get("RETURN_SOAK_INSTANCES", "6"))
+PROCESSORS = int(os.environ.get("RETURN_SOAK_PROCESSORS", "0")) or None
+HAS_OWN_FOLDERS = os.environ.get("RETURN_SOAK_OWN_FOLDERS") == "1"
 RUNNERS = 33
 #: Required by the platform: from this time after a restart on, a quarter of the
 #: requests must be served.
@@ -87,14 +91,16 @@
         self.fleet = fleet
         self.plan = plan
         self.rng = random.Random(f"return/{seed}")
+        #: When all were started for the last time, or the store was back after that.
+        self.returned_s = 0.0
 
     async def run(self):
-        """Run the scenario; return the time of the last restart."""
+        """Run the scenario; return the time of the last return."""
         await self._fail_and_restart()
         if self.plan.is_twice:
             await asyncio.sleep(self.rng.uniform(0.5, 8.0))
             await self._fail_and_restart()
-        return clocks.now_s()
+        return self.returned_s
 
     async def _fail_and_restart(self):
         """Kill all processes simultaneously, and restart them."""
@@ -108,6 +114,7 @@
         await asyncio.sleep(plan.off_s)
         if plan.store_outage_s:
             fleet.store.refuse_with = 503
+        self.returned_s = clocks.now_s()
         starts = [fleet.instances_on()]
         if plan.are_runners_lost:
             starts.append(fleet.runners_on())
@@ -119,6 +126,7 @@
         if plan.store_outage_s:
             await asyncio.sleep(plan.store_outage_s)
             fleet.store.refuse_with = 0
+            self.returned_s = clocks.now_s()
 
 
 @pytest.mark.parametrize("seed", range(FIRST, FIRST + SEEDS))
@@ -131,6 +139,8 @@
         runners=RUNNERS,
         max_concurrent_loads=plan.max_concurrent_loads,
         seed=seed,
+        processors=PROCESSORS,
+        has_own_folders=HAS_OWN_FOLDERS,
     )
     try:
         await fleet.start()
