Take answers to HEAD in without an error in the connection

Callers saw: nothing; found by reading the change. Each answer to HEAD ended in an error of its connection's protocol, after the answer had been read.

Cause: BoundedResponseHandler asks a response's body for its raw length, which the HTTP library's empty body does not have.

Evidence: test_answer_without_a_body[200-HEAD] and its three siblings failed before.

Change: the length that both kinds of body have; no response is decompressed.

--- a/src/violethatch/_bounded_responses.py
+++ b/src/violethatch/_bounded_responses.py
@@ -88,7 +88,7 @@
     def _check_bounds(self) -> None:
         """Close the connection if what was received exceeds the bounds."""
         payload = self._payload if self._has_head else None
-        body_bytes = payload.total_raw_bytes if payload is not None else 0
+        body_bytes = payload.total_bytes if payload is not None else 0
         max_bytes = _MAX_FRAMING_BYTES + (1 + _MAX_FRAMING_RATIO) * body_bytes
         if self._received_bytes <= max_bytes or self.transport is None:
             return
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -9,10 +9,13 @@
 import aiohttp
 import pytest
 
+from aiohttp import web
+
 from endless_servers import KINDS, endless
 from large_bodies import LargeBodiesSite, resident_mb
 from router_fakes import make_call
 from routing_samples import plain_server, runner
+from test_entry_checks import serving
 from test_instances import entry
 from test_platform_process import ID
 from test_platform_wire import CONFIG
@@ -125,6 +128,33 @@
             await closed(server)
 
 
+class TestKeptConnections:
+    @pytest.mark.parametrize("method", ["GET", "HEAD", "POST"])
+    @pytest.mark.parametrize("status", [200, 204, 304, 404])
+    async def test_answer_without_a_body(self, method, status):
+        """The empty body of an answer to HEAD has no raw length."""
+        errors = []
+        loop = asyncio.get_running_loop()
+        loop.set_exception_handler(lambda _loop, context: errors.append(context))
+        connections = set()
+
+        async def answer(request):
+            connections.add(request.transport)
+            return web.Response(status=status)
+
+        async with (
+            serving({"/one": answer}) as port,
+            make_session(is_kept=True) as session,
+        ):
+            for _ in range(3):
+                url = f"http://127.0.0.1:{port}/one"
+                async with session.request(method, url) as got:
+                    assert (got.status, await got.read()) == (status, b"")
+        assert errors == []
+        # The HTTP library closes some connections after an answer to HEAD.
+        assert len(connections) == 1 or method == "HEAD"
+
+
 class TestReportsAndOrders:
     @pytest.mark.parametrize("kind", KINDS)
     async def test_report(self, runners, kind):
