Close the connections of test_peer_wire's listeners

Cause: the tests' handlers left their writers open. They were closed by a garbage collection, which fails the test that runs then if the writer's loop is gone.

Evidence: with a collection after each test, three of the file's seven tests fail each time. Change: the listener closes each connection once its handler is done, and waits for the handlers. With a collection after each test: 7 passed. No check is changed.

--- a/tests/test_peer_wire.py
+++ b/tests/test_peer_wire.py
@@ -28,10 +28,18 @@
 
 @contextlib.asynccontextmanager
 async def listening(serve):
-    """Provide a listener's address."""
-    server = await asyncio.start_server(serve, "127.0.0.1", 0)
+    """Provide a listener's address; close its connections when they were served."""
+    serving = set()
+
+    async def serve_and_close(reader, writer):
+        serving.add(asyncio.current_task())
+        with contextlib.closing(writer):
+            await serve(reader, writer)
+
+    server = await asyncio.start_server(serve_and_close, "127.0.0.1", 0)
     yield f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
     server.close()
+    await asyncio.gather(*serving)
 
 
 class TestPeerChannel:
