Name the runner in each order, so that a successor at its address refuses it

Callers saw: a runner of another service, with room for 12 layers, was ordered to hold 38 and fell.

Cause: orders went to an address and named nobody. What is compared before, the layers of list and report, is alike for two empty runners.

Change: orders to load and to move carry Violethatch-Target-Instance, as requests do; another runner answers 421, which counts as a refusal. The emulator's runner does so.

--- a/src/violethatch/platform/_runners.py
+++ b/src/violethatch/platform/_runners.py
@@ -59,6 +59,7 @@
 _MS_PER_S = 1000.0
 #: The last of the priorities that the platform knows; 0 is the first.
 _LAST_PRIORITY = 9
+_JSON = "application/json"
 _REPORT_PATH = "/api/report"
 #: How long a report may take, in seconds: a slow way and back, and its work.
 _REPORT_S = 0.25
@@ -375,16 +376,19 @@
         sending: SendKind,
         request_id: str = "",
     ) -> OrderAnswer:
-        """Give an order; tell what came of it."""
+        """Give an order; tell what came of it.
+
+        It names its runner: after a crash, another one may be given the address before
+        the list drops the entry.
+        """
         url = f"http://{server.address}/api/order"
+        headers = {"Content-Type": _JSON, _headers.TARGET: server.id}
         try:
             async with (
                 self._gated(server, sending, request_id) as sent,
                 running_time.timeout(_ORDER_S),
                 self._kept.post(
-                    url,
-                    data=msgspec.json.encode(order),
-                    headers={"Content-Type": "application/json"},
+                    url, data=msgspec.json.encode(order), headers=headers
                 ) as answer,
             ):
                 self._hear(server, answer, sent, request_id)
--- a/src/violethatch_emulator/path_runner.py
+++ b/src/violethatch_emulator/path_runner.py
@@ -20,7 +20,9 @@
 
 _ID = "Violethatch-Attempt-Id"
 _NOT_RUN = "Violethatch-Not-Executed"
+_MISDIRECTED = 421
 _UNAVAILABLE = 503
+_TARGET = "Violethatch-Target-Instance"
 _PROMPT_PARTS = "Violethatch-Prompt-Prefix"
 #: How long a request with a deadly part runs before it ends the process, in seconds.
 _DEADLY_S = 0.05
@@ -137,7 +139,9 @@
         )
 
     async def _order(self, request: web.Request) -> web.Response:
-        """Carry an order out."""
+        """Carry an order out that names this runner, or none."""
+        if request.headers.get(_TARGET, self.server_id) != self.server_id:
+            return web.json_response({}, status=_MISDIRECTED)
         order = await request.json()
         self.orders.append(order)
         if order["op"] == "repath":
@@ -209,15 +213,17 @@
         self.seen.append(
             Seen(call_id, headers.get("Path", ""), headers, request.raw_path)
         )
-        expected = headers.get("Violethatch-Target-Instance", self.server_id)
+        expected = headers.get(_TARGET, self.server_id)
         if expected != self.server_id:
-            return web.Response(status=421, headers={_ID: call_id})
+            return web.Response(status=_MISDIRECTED, headers={_ID: call_id})
         if self.refuse_with:
             return web.Response(
                 status=self.refuse_with, headers={_ID: call_id, _NOT_RUN: "1"}
             )
         if self._weights is not None and not self._holds_part(headers.get("Path", "")):
-            return web.Response(status=421, headers={_ID: call_id, _NOT_RUN: "1"})
+            return web.Response(
+                status=_MISDIRECTED, headers={_ID: call_id, _NOT_RUN: "1"}
+            )
         return await self._stream(request, call_id)
 
     def _holds_part(self, path: str) -> bool:
