Let two tests bear a standstill of their own process

Cause: in the first the answer comes 0.6 s after the send, and the check that hands the call on may be later than that. In the second a play of a fixed length has no time left once the loop stood still, and divides by no requests.

Change: where another instance is there, the first send is never answered, so that only handing on ends the call. Requests come for 1.7 s after the servers are back in any case. Both checks are as they were.

--- a/tests/test_parts_that_end_servers.py
+++ b/tests/test_parts_that_end_servers.py
@@ -27,6 +27,8 @@
 SOUND_A_S = 60
 DEADLY_A_S = 12
 PLAYED_S = 4.5
+#: For how long requests come after servers are back that have all ended, in seconds.
+MEASURED_S = 1.7
 #: Ends that are enough to know the part, and how long knowing it may take, in seconds.
 ENDS = 5
 KNOWN_S = 1.0
@@ -314,6 +316,7 @@
         await asyncio.sleep(0.02)
     back_s = clocks.now_s() + 1.5
     await playing
+    await traffic.play(back_s + MEASURED_S - clocks.now_s())  # if the loop stood still
     held = [one for _, _, one in traffic.sound if getattr(one, "code", 0) == 1206]
     assert not held
     assert traffic.served_part(back_s) >= MIN_SERVED_PART
--- a/tests/test_plain_calls.py
+++ b/tests/test_plain_calls.py
@@ -288,9 +288,10 @@
         It is abandoned only if another instance can serve the call.
         """
         call, routing = call_without_response(
-            target_s=0.05, wait_s=1.0, kind=CallKind.SAFE
+            target_s=0.05, wait_s=5.0, kind=CallKind.SAFE
         )
-        routing.client.answers = [delayed_response(FakeAnswer(b"abc"), 0.6)]
+        late = delayed_response(FakeAnswer(b"abc"), 0.6)
+        routing.client.answers = [asyncio.Event() if has_peer else late]
         routing.forwarding = FakeForwarding(has_peer=has_peer)
         routing.link_watch.settled = link_check_results(False, True)
         responder = FakeResponder()
