End interim responses without number by their count

Callers of other requests would see: a server that sends interim responses without end holds the event loop of a router, although their bytes are bounded.

Cause: up to 1 MB of them was parsed head by head, each with a copy of what was left of the read.

Change: more than 100 interim responses before a response end the connection, and heads are searched for in one buffer.

--- a/src/violethatch/_bounded_responses.py
+++ b/src/violethatch/_bounded_responses.py
@@ -23,6 +23,8 @@
 #: Further bytes for each byte of the body.  Chunks of one byte take five, and a lot of
 #: time to parse.
 _MAX_FRAMING_RATIO = 1
+#: Interim responses that are accepted before a response; each takes time to parse.
+_MAX_INTERIM_RESPONSES = 100
 _HEAD_END = b"\r\n\r\n"
 _FINAL_STATUS = 200
 
@@ -38,6 +40,7 @@
         super().__init__(*args, **options)
         self._received_bytes = 0
         self._has_head = False
+        self._interim_responses = 0
         #: The last bytes of a head that is incomplete.
         self._head_rest = b""
 
@@ -45,6 +48,7 @@
         """Begin to read the response to the next request."""
         self._received_bytes = 0
         self._has_head = False
+        self._interim_responses = 0
         self._head_rest = b""
         super().set_response_params(**options)
 
@@ -62,7 +66,10 @@
     ) -> None:
         """Take a parsed head in."""
         message, _ = data
-        self._has_head = self._has_head or message.code >= _FINAL_STATUS
+        if message.code < _FINAL_STATUS:
+            self._interim_responses += 1
+        else:
+            self._has_head = True
         super().feed_data(data, size)
 
     def _parse_heads(self, data: bytes) -> None:
@@ -71,29 +78,37 @@
         Otherwise the parser would drop a whole response if bytes that are none follow
         it in the same read.
         """
-        start = 0
-        while not self._has_head and start < len(data):
-            rest = self._head_rest + data[start:]
-            found = rest.find(_HEAD_END)
+        rest_bytes = len(self._head_rest)
+        heads = self._head_rest + data
+        start = searched = 0
+        while not self._has_head and not self._is_flooded:
+            found = heads.find(_HEAD_END, searched)
             if found < 0:
-                self._head_rest = rest[1 - len(_HEAD_END) :]
+                self._head_rest = heads[searched:][1 - len(_HEAD_END) :]
                 break
-            end = start + found + len(_HEAD_END) - len(self._head_rest)
-            self._head_rest = b""
+            searched = found + len(_HEAD_END)
+            end = searched - rest_bytes
             super().data_received(data[start:end])
             start = end
-        if start < len(data):
+        if start < len(data) and not self._is_flooded:
             super().data_received(data[start:])
 
+    @property
+    def _is_flooded(self) -> bool:
+        """Whether there were too many interim responses."""
+        return self._interim_responses > _MAX_INTERIM_RESPONSES
+
     def _check_bounds(self) -> None:
         """Close the connection if what was received exceeds the bounds."""
         payload = self._payload if self._has_head else None
         body_bytes = payload.total_bytes if payload is not None else 0
         max_bytes = _MAX_FRAMING_BYTES + (1 + _MAX_FRAMING_RATIO) * body_bytes
-        if self._received_bytes <= max_bytes or self.transport is None:
+        is_within = self._received_bytes <= max_bytes and not self._is_flooded
+        if is_within or self.transport is None:
             return
         error = EndlessResponseError(
-            f"{self._received_bytes} bytes with a body of {body_bytes}"
+            f"{self._received_bytes} bytes with a body of {body_bytes}, "
+            f"after {self._interim_responses} interim responses"
         )
         self.set_exception(error)
         if payload is not None and not payload.is_eof():
