Let the store go only once the list of servers is known

Cause: an instance is ready once it has a desired state. The test let the store refuse then, which came before the list of servers was read; between the limit of readiness and the one of keys a call has no path and is refused as not run, as it should be.

Change: the test waits for a served request before the store refuses. The check is as it was.

--- a/tests/test_platform_process.py
+++ b/tests/test_platform_process.py
@@ -342,6 +342,7 @@
     async def test_keys_fail_closed_without_the_store(self, site):
         """A key that might have been removed is refused as not run."""
         await site.start()
+        await site.wait_status(200)  # the list of servers may come after readiness
         site.store.refuse_with = 503
         await site.wait_ready(503)
         # Callers are sent elsewhere somewhat before keys count no more.
