Suspend garbage collections in one place of the request memory tests

Two tests repeated the same set-up: collect once, suspend collections, resume them in any case. Both use a context manager now; their assertions are as they were, and all 21 tests of the file pass.

--- a/tests/test_request_memory.py
+++ b/tests/test_request_memory.py
@@ -4,6 +4,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import gc
 import json
 import random
@@ -206,6 +207,17 @@
         writer.close()
 
 
+@contextlib.contextmanager
+def without_collections():
+    """Collect garbage once, and not again before the end of the block."""
+    gc.collect()
+    gc.disable()
+    try:
+        yield
+    finally:
+        gc.enable()
+
+
 def admit(call):
     """Return a plain call as a desired state admits it."""
     state = desired_state(plain_route(max_attempts=2))
@@ -251,9 +263,7 @@
         call = make_call(path="/label/1", timeout_s=0.3)
         plain = PlainCall(routing, call, admit(call))
         seen = weakref.ref(plain)
-        gc.collect()
-        gc.disable()
-        try:
+        with without_collections():
             try:
                 await plain.serve(FakeResponder())
             except VioletHatchError as error:
@@ -263,8 +273,6 @@
                 await asyncio.sleep(0)
             client.sends.clear()
             assert seen() is None
-        finally:
-            gc.enable()
         assert routing.memory.in_use_bytes == 0
 
     async def test_answer_beyond_the_memory_is_passed_on_as_it_comes(self, rng):
@@ -320,9 +328,7 @@
         routing = make_routing(client, *servers, rng=rng)
         stream = StreamCall(routing, make_call(timeout_s=0.3), admitted())
         seen = weakref.ref(stream)
-        gc.collect()
-        gc.disable()
-        try:
+        with without_collections():
             try:
                 await stream.serve(FakeResponder())
             except VioletHatchError as error:
@@ -331,5 +337,3 @@
             await asyncio.sleep(0.05)
             client.sends.clear()
             assert seen() is None
-        finally:
-            gc.enable()
