--- a/src/violethatch_emulator/path_runner.py
+++ b/src/violethatch_emulator/path_runner.py
@@ -251,7 +251,7 @@
             await self._may_write.wait()
             await answer.prepare(request)
             await self._end_process_if_deadly(request, call_id)
-            for number in range(first, self.event_count + 1):
+            for number in range(first, self.count_events(request) + 1):
                 await self._hang(call_id, number)
                 await self._may_write.wait()
                 if self.cut_after is not None and number > self.cut_after:
@@ -270,6 +270,10 @@
             run.ended_s = clocks.now_s()
         return answer
 
+    def count_events(self, _request: web.Request) -> int:
+        """Return the number of events of a request's whole stream."""
+        return self.event_count
+
     async def _end_process_if_deadly(self, request: web.Request, call_id: str) -> None:
         """End the process if the prompt has a deadly part, and tell of it first."""
         shared = request.headers.get(_PROMPT_PARTS, "").split(",")[:-1]
