Log how busy the processors were while a process waited for its turn

What callers saw: refused connections for over 20 s after a return, with 120 instances that have a share of a processor each.

The line now has the processor time at each step, and the turn's outcome: whether a slot was held, how many there were, and the use of the processors during the wait, by the kernel's counters. Without counters the use is null. The truth of a slot is now a field, and the tests ask for it.

--- a/src/violethatch/_router.py
+++ b/src/violethatch/_router.py
@@ -6,6 +6,7 @@
 import asyncio
 import functools
 import random
+import time
 
 from collections.abc import Callable, Mapping, Sequence
 from typing import Any
@@ -562,8 +563,11 @@
 
     def record_start_step(self, step: Step) -> None:
         """Record that the process has completed a start-up step."""
-        if not self.start_times.note(step, now_s=clocks.now_s()):
+        if not self.start_times.note(
+            step, now_s=clocks.now_s(), processor_s=time.process_time()
+        ):
             return
+        turn = self.start_times.turn
         after_s = self.start_times.after_s()
         self.metrics.start_step_s.observe({"step": step.value}, after_s[step.value])
         if step not in LOGGED_STEPS:
@@ -572,6 +576,8 @@
             events.START_STEP,
             step=step.value,
             after_s=after_s,
+            processor_s=self.start_times.processor_s(),
+            turn=turn._asdict() if turn else None,
             waits_for=self.start_times.waits_for,
         )
 
--- a/src/violethatch/platform/__main__.py
+++ b/src/violethatch/platform/__main__.py
@@ -35,7 +35,7 @@
 
     began_s = clocks.now_s()
     slot = StartSlot()
-    slot.acquire()
+    turn = slot.acquire()
     turn_s = clocks.now_s()
     # The imports make some 70,000 objects, nearly all for good.  Without collections
     # between them a start runs a tenth fewer instructions, for 0.5 MB of memory; later
@@ -47,7 +47,13 @@
     gc.freeze()
     gc.enable()
     try:
-        run(settings_path(), began_s=began_s, turn_s=turn_s, on_imported=slot.release)
+        run(
+            settings_path(),
+            began_s=began_s,
+            turn_s=turn_s,
+            turn=turn,
+            on_imported=slot.release,
+        )
     except VioletHatchError as error:
         print(f"violethatch error {error.code}: {error.detail}", file=sys.stderr)
         return _BAD_SETTINGS
--- a/src/violethatch/platform/_process.py
+++ b/src/violethatch/platform/_process.py
@@ -6,6 +6,7 @@
 import asyncio
 import os
 import signal
+import time
 
 from collections.abc import Callable
 
@@ -20,6 +21,7 @@
 from ..event_loop import EventLoop
 from ..log_output import LogOutput
 from ..router_settings import RouterSettings, load_router_settings
+from ..start_slots import TurnWait
 from ..start_steps import Step, StepTimes
 from ._listener import CallersListener, ReadinessListener
 from ._parts import Parts, make_parts
@@ -57,6 +59,7 @@
     *,
     began_s: float,
     turn_s: float | None = None,
+    turn: TurnWait | None = None,
     on_imported: Callable[[], None] = lambda: None,
 ) -> None:
     """Run the router until it is asked to stop.
@@ -65,6 +68,7 @@
         path: The settings file.
         began_s: When the process began, in monotonic seconds.
         turn_s: When its imports began, if they had to wait for other processes.
+        turn: That wait.
         on_imported: Called when little processor time is left to do.
 
     Raises:
@@ -73,9 +77,9 @@
     """
     file_state = _file_state(path)
     settings = load_router_settings(path)
-    times = StepTimes(began_s=began_s)
+    times = StepTimes(began_s=began_s, turn=turn)
     times.note(Step.TURN, now_s=began_s if turn_s is None else turn_s)
-    times.note(Step.IMPORTED, now_s=clocks.now_s())
+    times.note(Step.IMPORTED, now_s=clocks.now_s(), processor_s=time.process_time())
     process = _Process(
         settings,
         path,
--- a/src/violethatch/start_slots.py
+++ b/src/violethatch/start_slots.py
@@ -23,9 +23,12 @@
 import zlib
 
 from collections.abc import Sequence
+from typing import NamedTuple
 
+from .processor_use import BusyMeter, ProcessorUse
 
-__all__ = ["MAX_WAIT_S", "STALL_S", "StartSlot"]
+
+__all__ = ["MAX_WAIT_S", "STALL_S", "StartSlot", "TurnWait"]
 
 #: How long to wait while no slot changes hands, in seconds: a holder may be frozen.
 STALL_S = 3.0
@@ -43,6 +46,21 @@
 _Endpoint = tuple[str, int]
 
 
+class TurnWait(NamedTuple):
+    """How a process got its turn.
+
+    Attributes:
+        has_slot: Whether it held a slot; it started without one otherwise.
+        slots: How many slots there were for all when its turn came.
+        processors_busy: The use of the processors while it waited, from 0 to 1; None
+            if that is not known.
+    """
+
+    has_slot: bool
+    slots: int
+    processors_busy: float | None
+
+
 class StartSlot:
     """One process's turn to start.
 
@@ -50,15 +68,23 @@
         host: The loopback address of the slots; one for the user and the processors if
             omitted.
         count: How many processes start at once; one a processor if omitted.
+        meter: Measures the use of the processors; by the kernel's counters if omitted.
     """
 
-    def __init__(self, *, host: str | None = None, count: int | None = None) -> None:
+    def __init__(
+        self,
+        *,
+        host: str | None = None,
+        count: int | None = None,
+        meter: BusyMeter | None = None,
+    ) -> None:
         self._host = host or _shared_host()
         self._count = count or len(os.sched_getaffinity(0))
+        self._meter = meter or ProcessorUse()
         self._held: socket.socket | None = None
 
-    def acquire(self) -> bool:
-        """Wait for a slot; return whether one is held.
+    def acquire(self) -> TurnWait:
+        """Wait for a slot; return how that went.
 
         Where there is no such address, or no slot changes hands for a while, the
         process starts without one.
@@ -68,16 +94,17 @@
             for number in range(self._count + _SPARE_SLOTS)
         ]
         waiter = _Waiter()
+        slots = self._count
         try:
-            for count in range(self._count, len(endpoints) + 1):
-                self._held = waiter.acquire(endpoints[:count])
+            for slots in range(self._count, len(endpoints) + 1):
+                self._held = waiter.acquire(endpoints[:slots])
                 if self._held is not None:
-                    return True
+                    break
         except OSError:
             pass  # sockets can't be had here
         finally:
             waiter.close()
-        return False
+        return TurnWait(self._held is not None, slots, self._meter.busy_fraction())
 
     def release(self) -> None:
         """Let the next process start."""
--- a/src/violethatch/start_steps.py
+++ b/src/violethatch/start_steps.py
@@ -15,7 +15,7 @@
 from collections.abc import Mapping
 from typing import NamedTuple
 
-from .start_slots import MAX_WAIT_S
+from .start_slots import MAX_WAIT_S, TurnWait
 
 
 __all__ = ["LOGGED_STEPS", "START_STEPS", "Step", "StepSpec", "StepTimes"]
@@ -65,19 +65,29 @@
 
     Args:
         began_s: When the process began, in monotonic seconds.
+        turn: Its wait for a turn, if it took one.
 
     .. versionadded:: 26.5.0
     """
 
-    def __init__(self, *, began_s: float) -> None:
+    def __init__(self, *, began_s: float, turn: TurnWait | None = None) -> None:
         self._began_s = began_s
+        self.turn = turn
         self._after_s: dict[Step, float] = {}
+        self._processor_s: dict[Step, float] = {}
 
-    def note(self, step: Step, *, now_s: float) -> bool:
-        """Note that a step is reached; tell whether that is new."""
+    def note(self, step: Step, *, now_s: float, processor_s: float = 0.0) -> bool:
+        """Note that a step is reached; tell whether that is new.
+
+        Args:
+            step: The step.
+            now_s: The current monotonic time, in seconds.
+            processor_s: The processor time that the process has used, in seconds.
+        """
         if step in self._after_s:
             return False
         self._after_s[step] = now_s - self._began_s
+        self._processor_s[step] = processor_s
         return True
 
     @property
@@ -91,3 +101,7 @@
     def after_s(self) -> dict[str, float]:
         """Return how long after the beginning each reached step was, in seconds."""
         return {step.value: round(at_s, 3) for step, at_s in self._after_s.items()}
+
+    def processor_s(self) -> dict[str, float]:
+        """Return the processor time used up to each reached step, in seconds."""
+        return {step.value: round(s, 3) for step, s in self._processor_s.items()}
--- a/tests/test_start_slots.py
+++ b/tests/test_start_slots.py
@@ -24,7 +24,7 @@
 import sys, time
 from violethatch.start_slots import StartSlot
 slot = StartSlot(host=sys.argv[1], count=1)
-print(slot.acquire(), flush=True)
+print(slot.acquire().has_slot, flush=True)
 time.sleep(60)
 """
 
@@ -49,18 +49,18 @@
         """More processes than slots and a spare one have none."""
         monkeypatch.setattr(start_slots, "STALL_S", 0.2)
         slots = [StartSlot(host=host, count=2) for _ in range(4)]
-        assert [one.acquire() for one in slots[:2]] == [True, True]
+        assert [one.acquire().has_slot for one in slots[:2]] == [True, True]
         began_s = time.monotonic()
-        assert slots[2].acquire()
-        assert not slots[3].acquire()
+        assert slots[2].acquire().has_slot
+        assert not slots[3].acquire().has_slot
         assert time.monotonic() - began_s >= 0.6
 
     def test_released_slot_is_taken(self, host):
         """A slot is free once its holder listens."""
         first, second = (StartSlot(host=host, count=1) for _ in range(2))
-        assert first.acquire()
+        assert first.acquire().has_slot
         first.release()
-        assert second.acquire()
+        assert second.acquire().has_slot
 
     async def test_slot_of_a_killed_process_is_free(self, host):
         """Guards against a start that waits for a process that is gone."""
@@ -68,7 +68,7 @@
         process.kill()
         await process.wait()
         began_s = time.monotonic()
-        assert StartSlot(host=host, count=1).acquire()
+        assert StartSlot(host=host, count=1).acquire().has_slot
         assert time.monotonic() - began_s < start_slots.STALL_S
 
     async def test_holder_that_stands_still_is_not_waited_for(self, host, monkeypatch):
@@ -79,12 +79,12 @@
         try:
             began_s = time.monotonic()
             beside = StartSlot(host=host, count=1)
-            assert beside.acquire()
+            assert beside.acquire().has_slot
             assert 0.3 <= time.monotonic() - began_s < 2.0
             # Turns go on beside it.
-            assert not StartSlot(host=host, count=1).acquire()
+            assert not StartSlot(host=host, count=1).acquire().has_slot
             beside.release()
-            assert StartSlot(host=host, count=1).acquire()
+            assert StartSlot(host=host, count=1).acquire().has_slot
         finally:
             process.kill()
             await process.wait()
@@ -92,7 +92,7 @@
     def test_address_that_is_not_there(self):
         """A process starts at once where there is no such address."""
         began_s = time.monotonic()
-        assert not StartSlot(host="192.0.2.1", count=2).acquire()
+        assert not StartSlot(host="192.0.2.1", count=2).acquire().has_slot
         assert time.monotonic() - began_s < 1.0
 
     def test_holder_that_does_not_listen(self, host, monkeypatch):
@@ -101,7 +101,7 @@
         with socket.socket() as other:
             other.bind((host, 7301))
             used_s = time.process_time()
-            assert StartSlot(host=host, count=1).acquire()
+            assert StartSlot(host=host, count=1).acquire().has_slot
             assert time.process_time() - used_s < 0.1
 
     async def test_slot_of_a_killed_process_is_taken_by_one(self, host):
--- a/tests/test_start_steps.py
+++ b/tests/test_start_steps.py
@@ -16,6 +16,13 @@
         assert not times.note(Step.IMPORTED, now_s=107.0)
         assert times.after_s() == {"imported": 0.5}
 
+    def test_processor_time_of_each_step(self):
+        """A start that waits is told from one that has little of a processor."""
+        times = StepTimes(began_s=0.0)
+        times.note(Step.TURN, now_s=5.0)
+        times.note(Step.IMPORTED, now_s=9.0, processor_s=0.42)
+        assert times.processor_s() == {"turn": 0.0, "imported": 0.42}
+
     def test_first_missing_step_is_waited_for(self):
         """Steps may be reached in another order; the first one that lacks counts."""
         times = StepTimes(began_s=0.0)
