--- a/tests/return_play.py
+++ b/tests/return_play.py
@@ -28,6 +28,7 @@
 from test_platform_wire import CONFIG, ENGINE
 from test_router_settings import FIELDS
 from violethatch import clocks
+from violethatch.processor_use import ProcessorUse
 from violethatch_emulator.store import StoreStandIn
 
 
@@ -179,6 +180,8 @@
         self.ready_names = set()
         #: The most that a process of runners was busy, of a processor.
         self.runners_busy = 0.0
+        #: By second, how busy the processors were.
+        self.processors_busy = []
         self.tasks = []
         self.first_ready_s = {}
 
@@ -393,8 +396,10 @@
                 helper.tell(sorted(self.ready_names))
 
     async def _note_memory(self):
-        """Note the memory of the instances."""
+        """Note the memory of the instances, and how busy all processors are."""
+        use = ProcessorUse()
         while True:
+            self.processors_busy.append((clocks.now_s(), use.busy_fraction() or 0.0))
             for one in self.instances:
                 one.note_memory()
             await asyncio.sleep(MEMORY_LOOK_S)
@@ -434,13 +439,14 @@
         await self.http.close()
 
 
-def print_attempts(attempts, began_s, recovery_s):
+def print_attempts(attempts, began_s, recovery_s, processors_busy):
     """Print what was sent and served by second, and what the rule counts."""
     by_second = collections.defaultdict(list)
     for one in attempts:
         by_second[int((one[0] - began_s) // 1)].append(one)
     recovered_s = None
-    print("second: sent, served, first event within 0.6 s, last statuses")
+    busy = {int((at_s - began_s) // 1): share for at_s, share in processors_busy}
+    print("second: sent, served, first event within 0.6 s, last statuses, busy")
     for second in sorted(by_second):
         calls = by_second[second]
         served = [one for one in calls if one[4][-1] == 200]
@@ -451,7 +457,10 @@
             elif recovered_s is None:
                 recovered_s = second
         statuses = dict(collections.Counter(str(one[4][-1]) for one in calls))
-        print(f"{second:4d}: {len(calls)}, {len(served)}, {len(prompt)}, {statuses}")
+        print(
+            f"{second:4d}: {len(calls)}, {len(served)}, {len(prompt)}, {statuses},"
+            f" {busy.get(second, 0.0):.2f}"
+        )
     late = [one for one in attempts if one[0] >= began_s + recovery_s]
     served = sum(one[4][-1] == 200 for one in late)
     prompt = sum(
@@ -524,7 +533,7 @@
             f"busy at most, of a processor: callers {busy:.2f},"
             f" runners {play.runners_busy:.2f}"
         )
-        print_attempts(attempts, began_s, figures.recovery_s)
+        print_attempts(attempts, began_s, figures.recovery_s, play.processors_busy)
         play.report_ready("return", began_s)
         print_starts(play)
     finally:
