Reproduce turns beside idle processors, and full processors that are taken for lost links

Failing on the code as it is, and listed:

- a loop that is held for 0.05 s in each of its turns counts its links to all servers as lost;

--- a/tests/return_play.py
+++ b/tests/return_play.py
@@ -552,6 +552,7 @@
     store_away_s: float = 0.0,
     processors: int | None = None,
     every: int = 1,
+    rate: float = 1.0,
     seed: int = 0,
     after_s: float = 24.0,
     twice: bool = False,
@@ -570,6 +571,7 @@
         store_away_s: How long the store refuses calls after the return.
         processors: How many processors the instances share.
         every: Play one of so many instances, with as much less traffic.
+        rate: A factor of the callers' rate.
         seed: The seed of the callers.
         after_s: How long the play goes on after the return.
         twice: Let a second loss of power follow.
@@ -580,7 +582,7 @@
     figures = figures._replace(
         instances=figures.instances[::every],
         traffic=tuple(
-            one._replace(requests_per_s=one.requests_per_s / every)
+            one._replace(requests_per_s=one.requests_per_s * rate / every)
             for one in figures.traffic
         ),
     )
--- a/tests/test_forwarding_choice.py
+++ b/tests/test_forwarding_choice.py
@@ -4,6 +4,7 @@
 from __future__ import annotations
 
 import heapq
+import math
 import random
 import statistics
 
@@ -12,9 +13,14 @@
 import pytest
 
 from violethatch.forwarding import PeerChoice
+from violethatch.forwarding import _forwarding as forwarding_module
 from violethatch.instances import InstanceEntry
 
 
+#: Instances that are asked for one call at the most.
+MAX_ASKED = forwarding_module._MAX_ASKED
+
+
 def entry(number, zone):
     """Return an instance's entry."""
     return InstanceEntry(f"i{number}", zone, f"10.0.0.{number}:1", "t", 1000.0, 0.0)
@@ -100,7 +106,9 @@
         assert made._loads == {}
 
 
-def replay(instances, cut_part, *, rate_per_s, lasts_s, for_s, seed):
+def replay(
+    instances, cut_part, *, rate_per_s, lasts_s, for_s, seed, max_asked=math.inf
+):
     """Return instances asked a call, and calls by serving instance.
 
     A part of the instances loses its links at 0; each is asked for *rate_per_s* calls,
@@ -134,7 +142,7 @@
         while True:
             others = [one for one in entries if one.id != own]
             peer = view.choose(others, "model", avoided=tried, now_s=now_s)
-            if peer is None:
+            if peer is None or len(tried) >= max_asked:
                 break
             tried.add(peer.id)
             view.note_load(peer.id, in_flight[peer.id], now_s=now_s)
@@ -151,6 +159,23 @@
     return asked, [served[one] for one in sound]
 
 
+@pytest.mark.parametrize("seed", range(1, 4))
+@pytest.mark.parametrize(("instances", "for_s"), [(72, 6), (120, 4), (350, 2)])
+def test_calls_are_multiplied_where_no_instance_serves(instances, for_s, seed):
+    """Guards against processors kept full by requests that are handed around."""
+    asked, served = replay(
+        instances,
+        1.0,
+        rate_per_s=5.5,
+        lasts_s=2.0,
+        for_s=for_s,
+        seed=seed,
+        max_asked=MAX_ASKED,
+    )
+    assert served == []
+    assert statistics.mean(asked) <= 2.5
+
+
 @pytest.mark.parametrize("seed", range(1, 9))
 @pytest.mark.parametrize(
     ("instances", "cut_part"),
--- a/tests/test_server_links.py
+++ b/tests/test_server_links.py
@@ -9,7 +9,7 @@
 
 import pytest
 
-from violethatch import clocks
+from violethatch import clocks, running_time
 from violethatch.backends import BackendServer
 from violethatch.event_loop import EventLoop
 from violethatch.forwarding import (
@@ -104,18 +104,36 @@
         self.is_busy = False
         self.asked = []
         self.on_model_asked = lambda: None
+        #: How many turns of the loop an answer takes.
+        self.turns = 0
+        #: How long an answer is waited for, in seconds of running time.
+        self.limit_s = None
 
     async def reach(self, asked):
         self.asked.append(asked.id)
         if asked.service == "model":
             self.on_model_asked()
         await asyncio.sleep(0.001)
+        if self.limit_s is not None:
+            return await self._reach_in_turns()
         if self.is_cut or asked.id in self.dead:
             return ReachOutcome.SILENT
         if self.is_busy and asked.service == "labels":
             return ReachOutcome.CONNECTED
         return ReachOutcome.ANSWERED
 
+    async def _reach_in_turns(self):
+        """Answer after some turns of the loop, or be silent."""
+        try:
+            async with running_time.timeout(self.limit_s):
+                for _ in range(self.turns):
+                    await asyncio.sleep(0)
+                if self.is_cut:
+                    await asyncio.Event().wait()
+        except TimeoutError:
+            return ReachOutcome.SILENT
+        return ReachOutcome.ANSWERED
+
     def watch(self):
         """Return a watch over these servers that is active."""
         made = LinkWatch(
@@ -130,6 +148,13 @@
         return made
 
 
+async def keep_loop_busy(*, hold_s):
+    """Hold the loop in each of its turns, until cancelled."""
+    while True:
+        time.sleep(hold_s)
+        await asyncio.sleep(0)
+
+
 @pytest.fixture
 def network():
     """Provide servers that can all be reached."""
@@ -198,6 +223,31 @@
         with asyncio.Runner(loop_factory=loop_class) as runner:
             assert runner.run(work())
 
+    async def test_full_processor_is_taken_for_lost_links(self, network):
+        """Guards against requests handed on by instances that only lack a processor."""
+        watch = network.watch()
+        network.turns = 24
+        network.limit_s = 0.25
+        busy = asyncio.create_task(keep_loop_busy(hold_s=0.05))
+        try:
+            await watch.suspect(network.servers["model"][0])
+            assert not watch.is_lost("model")
+        finally:
+            busy.cancel()
+
+    async def test_links_that_are_lost_beside_a_full_processor(self, network):
+        """A loop that is late sees a loss all the same, after a longer check."""
+        watch = network.watch()
+        network.is_cut = True
+        network.limit_s = 0.25
+        busy = asyncio.create_task(keep_loop_busy(hold_s=0.05))
+        try:
+            async with asyncio.timeout(10):
+                await watch.suspect(network.servers["model"][0])
+            assert watch.is_lost("model")
+        finally:
+            busy.cancel()
+
     async def test_late_answer_beside_others_in_time(self, network):
         """Nothing is checked where a server of the service has answered meanwhile."""
         watch = network.watch()
--- a/tests/test_start_slots.py
+++ b/tests/test_start_slots.py
@@ -5,6 +5,7 @@
 
 import asyncio
 import os
+import pathlib
 import random
 import signal
 import socket
@@ -137,7 +138,20 @@
         assert len(os.listdir("/proc/self/fd")) == before
 
 
-async def start_router(folder, number, *, temporary):
+#: What a router process runs, and what lets it start without a turn.
+START = "import violethatch.platform.__main__ as program; program.main()"
+WITHOUT_TURNS = """
+from violethatch import start_slots
+start_slots.StartSlot.acquire = lambda _: start_slots.TurnWait(False, 0, None)
+"""
+#: Processes that each have a share of a processor.
+SHARING_PROCESSES = 8
+#: How much later than without turns the last process may listen: what two plays on two
+#: processors differ by.
+MAX_LATENESS = 1.25
+
+
+async def start_router(folder, number, *, temporary, program=START):
     """Start a router process with a temporary folder; return it."""
     temporary.mkdir(exist_ok=True)
     *ports, store = free_ports(5)
@@ -147,7 +161,7 @@
     )
     return await asyncio.create_subprocess_exec(
         sys.executable,
-        *("-m", "violethatch.platform"),
+        *("-c", program),
         env=os.environ | {"VIOLETHATCH_BOOT": str(settings), "TMPDIR": str(temporary)},
         stdout=asyncio.subprocess.PIPE,
     )
@@ -159,6 +173,61 @@
     return time.monotonic()
 
 
+async def last_ready_s(folder, *, processor, share, program):
+    """Return when the last of some processes that start at once listens, in seconds.
+
+    Args:
+        folder: Where settings are kept.
+        processor: The processor that they share.
+        share: The share of it that each may use.
+        program: The code that each runs.
+    """
+    folder.mkdir()
+    limits = await asyncio.create_subprocess_exec(
+        sys.executable,
+        str(pathlib.Path(__file__).parent / "processor_shares.py"),
+        stdin=asyncio.subprocess.PIPE,
+    )
+    all_processors = os.sched_getaffinity(0)
+    processes = []
+    os.sched_setaffinity(0, {processor})
+    try:
+        began_s = time.monotonic()
+        for number in range(SHARING_PROCESSES):
+            one = await start_router(folder, number, temporary=folder, program=program)
+            processes.append(one)
+            limits.stdin.write(f"[{one.pid}, {share}]\n".encode())
+    finally:
+        os.sched_setaffinity(0, all_processors)
+    try:
+        async with asyncio.timeout(90):
+            lines_s = await asyncio.gather(*(first_line_s(one) for one in processes))
+        return max(lines_s) - began_s
+    finally:
+        for one in (*processes, limits):
+            one.kill()
+            await one.wait()
+
+
+async def test_processes_with_shares_of_their_own_wait_in_turn(tmp_path):
+    """Guards against turns that leave processors idle while processes wait."""
+    with_turns, without = sorted(os.sched_getaffinity(0))[:2]
+    share = 0.8 / SHARING_PROCESSES
+    last_s, last_without_s = await asyncio.gather(
+        last_ready_s(
+            tmp_path / "turns", processor=with_turns, share=share, program=START
+        ),
+        last_ready_s(
+            tmp_path / "no-turns",
+            processor=without,
+            share=share,
+            program=f"{WITHOUT_TURNS}{START}",
+        ),
+    )
+    print(f"last ready after {last_s:.1f} s, {last_without_s:.1f} s without turns")
+    assert last_s <= MAX_LATENESS * last_without_s
+
+
 @pytest.mark.parametrize("has_own_folders", [False, True])
 async def test_processes_on_one_processor_start_in_turn(tmp_path, has_own_folders):
     """Guards against instances that all answer as late as the last one starts."""
