Let as many processes start at once as use the processors, by the share that each has

What callers saw: refused connections for more than 20 s after a return of 120 instances that have 0.084 of a processor each, on eight processors: 50 were ready after 24 s, and 159 of 332 requests from 15 s on were served. Without turns all of them were ready after 12.6 s.

Cause: a slot was a whole processor. A holder with a share of one leaves the rest of it idle for the 4 to 6 s that its start takes, while all others wait. And the wait was bounded by the time without a change of a slot only, so that slow holders made it as long as there are processes.

Change: the settings state the share ([limits] processor_share, from the machine's limits), and the slots are 1.5 times as many as use up the processors with it. Spare slots come with the whole time of waiting, twice as many each 3 s, and after 24 s none is needed. With whole processors the number of slots is as before.

Where the processors carry 1.5 to 3 times less than all shares, the last one may be later than without turns by one start.

--- a/src/violethatch/platform/_process.py
+++ b/src/violethatch/platform/_process.py
@@ -26,12 +26,11 @@
 from ._listener import CallersListener, ReadinessListener
 from ._parts import Parts, make_parts
 from ._sessions import make_session
+from ._start_share import SETTINGS_VARIABLE
 
 
 #: What changes when a file does: its time of change, its size and its number.
 _FileState = tuple[int, int, int]
-#: Where the platform says the path of the settings file.
-_SETTINGS_VARIABLE = "VIOLETHATCH_BOOT"
 #: How often to look whether the settings file has changed, in seconds; half of
 #: the bound on a desired state, which is the nearest the platform states.
 _FILE_LOOK_S = 1.0
@@ -47,9 +46,9 @@
     Raises:
         SettingsError: The platform doesn't say where.
     """
-    path = os.environ.get(_SETTINGS_VARIABLE)
+    path = os.environ.get(SETTINGS_VARIABLE)
     if not path:
-        msg = f"{_SETTINGS_VARIABLE} is not set"
+        msg = f"{SETTINGS_VARIABLE} is not set"
         raise SettingsError(msg)
     return path
 
--- a/src/violethatch/router_settings.py
+++ b/src/violethatch/router_settings.py
@@ -107,6 +107,9 @@
     descriptors: PositiveInt = 1024
     #: The rate of the machine's link: the best ones read the store for others.
     link_mbps: Positive = 1000.0
+    #: The part of a processor that the process may use: as many may start at once as
+    #: use all processors.
+    processor_share: Positive = 1.0
     requests: PositiveInt = 400
     #: Memory for the bodies of requests and answers, in MB; 0 for what *memory_mb*
     #: leaves.
--- a/src/violethatch/start_slots.py
+++ b/src/violethatch/start_slots.py
@@ -4,7 +4,8 @@
 Load pattern: after a loss of power dozens of instances start together on a few shared
 processors, and each needs most of a second of processor time before it can answer.
 Sharing the processors evenly, all of them are ready as late as the last one could be.
-One after another, the first answers at once.
+One after another, the first answers at once.  Processes that may use a share of a
+processor each leave the rest of it idle: as many start at once as use all of it.
 
 A slot is a listening socket on a loopback address.  The kernel closes it when its
 holder ends, which resets the connections of those that wait for it.  Processes of one
@@ -22,20 +23,25 @@
 import time
 import zlib
 
-from collections.abc import Sequence
 from typing import NamedTuple
 
 from .processor_use import BusyMeter, ProcessorUse
 
 
-__all__ = ["MAX_WAIT_S", "STALL_S", "StartSlot", "TurnWait"]
+__all__ = ["MAX_WAIT_S", "STALL_S", "StartSlot", "TurnWait", "slot_count"]
 
-#: How long to wait while no slot changes hands, in seconds: a holder may be frozen.
+#: After each such time of waiting there are twice as many spare slots, in seconds:
+#: holders may be frozen, or slow.
 STALL_S = 3.0
-#: Slots beyond the processors', one for each stall: turns go on beside frozen holders.
-_SPARE_SLOTS = 1
-#: How long to wait while no slot changes hands, until a process starts without one.
-MAX_WAIT_S = STALL_S * (1 + _SPARE_SLOTS)
+#: How long a process waits at the most, in seconds.
+MAX_WAIT_S = 8 * STALL_S
+#: How many times the processes that use the processors up may start at once, where each
+#: has a share of a processor only.
+_OVERSUBSCRIPTION = 1.5
+#: How often a waiting process looks for spare slots, in seconds.
+_CHECK_S = 0.2
+#: The most slots.
+_MAX_SLOTS = 512
 #: The pause before a slot is tried again whose holder refuses connections, in seconds.
 _RETRY_S = 0.01
 #: The port of the first slot; outside the range that the kernel gives to callers.
@@ -51,9 +57,9 @@
 
     Attributes:
         has_slot: Whether it held a slot; it started without one otherwise.
-        slots: How many slots there were for all when its turn came.
-        processors_busy: The use of the processors while it waited, from 0 to 1; None
-            if that is not known.
+        slots: How many slots there were for it when its turn came.
+        processors_busy: The use of the processors by all during the wait, from 0 to 1;
+            None if that is not known.
     """
 
     has_slot: bool
@@ -61,6 +67,23 @@
     processors_busy: float | None
 
 
+def slot_count(*, processors: int, share: float) -> int:
+    """Return how many processes may start at once.
+
+    With a share of a processor each, so many use the processors up, and some more keep
+    them in use until the last ones are ready.
+
+    Args:
+        processors: The processors that they share.
+        share: The part of a processor that each may use at the most.
+
+    .. versionadded:: 26.9.0
+    """
+    if share >= 1.0:
+        return processors
+    return max(processors, min(int(_OVERSUBSCRIPTION * processors / share), _MAX_SLOTS))
+
+
 class StartSlot:
     """One process's turn to start.
 
@@ -86,24 +109,22 @@
     def acquire(self) -> TurnWait:
         """Wait for a slot; return how that went.
 
-        Where there is no such address, or no slot changes hands for a while, the
-        process starts without one.
+        Where there is no such address, or none is free for a long time, the process
+        starts without one.
         """
-        endpoints = [
-            (self._host, _FIRST_PORT + number)
-            for number in range(self._count + _SPARE_SLOTS)
-        ]
-        waiter = _Waiter()
+        waiter = _Waiter(self._host)
         slots = self._count
-        try:
-            for slots in range(self._count, len(endpoints) + 1):
-                self._held = waiter.acquire(endpoints[:slots])
+        began_s = time.monotonic()
+        while (waited_s := time.monotonic() - began_s) < MAX_WAIT_S:
+            slots = self._count + _spare_slots(waited_s)
+            try:
+                self._held = waiter.acquire(slots)
                 if self._held is not None:
                     break
-        except OSError:
-            pass  # sockets can't be had here
-        finally:
-            waiter.close()
+                waiter.await_release(_CHECK_S)
+            except OSError:
+                break  # sockets can't be had here
+        waiter.close()
         return TurnWait(self._held is not None, slots, self._meter.busy_fraction())
 
     def release(self) -> None:
@@ -113,54 +134,62 @@
             self._held = None
 
 
+def _spare_slots(waited_s: float) -> int:
+    """Return how many more slots there are for a process after some time."""
+    stalls = int(waited_s / STALL_S)
+    return min((1 << stalls) - 1, _MAX_SLOTS)
+
+
 class _Waiter:
-    """Waits for slots by connections to their holders, which are reset on release."""
+    """Waits for slots by connections to their holders, which are reset on release.
+
+    Args:
+        host: The address of the slots.
+    """
 
-    def __init__(self) -> None:
-        self._connections: dict[_Endpoint, socket.socket] = {}
+    def __init__(self, host: str) -> None:
+        self._host = host
+        #: By the slot's port.
+        self._connections: dict[int, socket.socket] = {}
 
-    def acquire(self, endpoints: Sequence[_Endpoint]) -> socket.socket | None:
-        """Return the first free slot; None if none changes hands for a while.
+    def acquire(self, slots: int) -> socket.socket | None:
+        """Return the first free slot, or None if all are held.
+
+        Args:
+            slots: How many there are.
 
         Raises:
             OSError: Sockets can't be had, or the address is not on this machine.
         """
-        changed_s = time.monotonic()
-        while time.monotonic() - changed_s < STALL_S:
-            for endpoint in endpoints:
-                if endpoint in self._connections:
-                    continue
-                slot = _bind(endpoint)
-                if slot is not None:
-                    return slot
-                self._connections[endpoint] = _connect(endpoint)
-            if self._await_release(changed_s + STALL_S - time.monotonic()):
-                changed_s = time.monotonic()
+        for port in range(_FIRST_PORT, _FIRST_PORT + slots):
+            if port in self._connections:
+                continue
+            slot = _bind((self._host, port))
+            if slot is not None:
+                return slot
+            self._connections[port] = _connect((self._host, port))
         return None
 
-    def _await_release(self, limit_s: float) -> bool:
-        """Wait for a release; forget the connections that have ended.
+    def await_release(self, limit_s: float) -> None:
+        """Wait for the release of a slot; forget the connections that have ended.
 
         Args:
             limit_s: How long to wait, in seconds.
-
-        Returns:
-            Whether a slot was released.
         """
         poll = select.poll()
-        endpoints = {}
-        for endpoint, connection in self._connections.items():
+        ports = {}
+        for port, connection in self._connections.items():
             poll.register(connection, 0)  # errors and hang-ups are always reported
-            endpoints[connection.fileno()] = endpoint
+            ports[connection.fileno()] = port
+        ended = poll.poll(limit_s * 1000)
         is_released = False
-        for file, _ in poll.poll(max(0.0, limit_s) * 1000):
-            connection = self._connections.pop(endpoints[file])
+        for file, _ in ended:
+            connection = self._connections.pop(ports[file])
             error = connection.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
             is_released |= error != errno.ECONNREFUSED
             connection.close()
-        if not is_released:
+        if ended and not is_released:
             time.sleep(_RETRY_S)  # its holder does not listen yet, or never will
-        return is_released
 
     def close(self) -> None:
         """Close all connections."""
--- a/tests/return_play.py
+++ b/tests/return_play.py
@@ -73,6 +73,7 @@
             "Platform.Address": store,
             "Limits.MemoryMb": str(self.size.memory_mb),
             "Limits.LinkMbps": str(self.size.link_mbps),
+            "Limits.CpuShare": str(self.size.processor_share),
         }
         template = (self.root / "deploy" / "router.ini").read_text()
         text = re.sub(r"\{\{(.*?)\}\}", lambda gap: fields[gap[1]], template)
--- a/tests/test_router_settings.py
+++ b/tests/test_router_settings.py
@@ -34,6 +34,7 @@
     "Limits.MemoryMb": "300",
     "Limits.MaxFds": "4100",
     "Limits.LinkMbps": "1000.0",
+    "Limits.CpuShare": "1.0",
 }
 
 
