Hand on one call a second after eight refusals in a row, and refuse the others at once

What callers saw: as before this, refusals after 2 to 3 more instances had refused the call too. With one call or two a second at each instance, the pause without refusals ended the bound after every second call: 1,074 refusals between instances in a second, 3.6 a forwarded call.

Change: refusals in a row count for 5 s. For 1 s after the last one calls are refused at once, then one call is handed to two instances.

--- a/src/violethatch/forwarding/_choice.py
+++ b/src/violethatch/forwarding/_choice.py
@@ -25,9 +25,12 @@
 MAX_SILENT_LIFE_S = 3.0
 #: Instances that are asked for one call at the most.
 _MAX_ASKED = 8
-#: The same after as many refusals in a row: likely no instance serves, and each call
-#: that is handed to others costs their processors as much as one of their own.
-_MAX_ASKED_IN_VAIN = 2
+#: The same after as many refusals in a row, for one call after each time without any:
+#: likely no instance serves, and a call that is handed to others costs their processors
+#: as much as one of their own.
+_MAX_ASKED_AFTER_REFUSALS = 2
+#: How long refusals in a row count, in seconds.
+_REFUSALS_LIFE_S = 5.0
 #: How long what an instance told of its load counts, in seconds.
 _LOAD_LIFE_S = 1.0
 #: By how many requests in progress an instance of another zone has to be emptier than
@@ -98,7 +101,7 @@
     def note_refused(self, peer_id: str, service: str, *, now_s: float) -> None:
         """Note that an instance can't serve a service now."""
         self._until_s[peer_id, service] = now_s + REFUSED_LIFE_S
-        if now_s - self._refused_s.get(service, now_s) >= REFUSED_LIFE_S:
+        if now_s - self._refused_s.get(service, now_s) >= _REFUSALS_LIFE_S:
             del self._refusals[service]
         self._refusals[service] += 1
         self._refused_s[service] = now_s
@@ -109,12 +112,10 @@
 
     def max_asked(self, service: str, *, now_s: float) -> int:
         """Return how many instances may be asked for a call of a service."""
-        is_recent = (
-            now_s - self._refused_s.get(service, -REFUSED_LIFE_S) < REFUSED_LIFE_S
-        )
-        if is_recent and self._refusals[service] >= _MAX_ASKED:
-            return _MAX_ASKED_IN_VAIN
-        return _MAX_ASKED
+        since_s = now_s - self._refused_s.get(service, -_REFUSALS_LIFE_S)
+        if self._refusals[service] < _MAX_ASKED or since_s >= _REFUSALS_LIFE_S:
+            return _MAX_ASKED
+        return 0 if since_s < REFUSED_LIFE_S else _MAX_ASKED_AFTER_REFUSALS
 
     def note_silent(self, peer_id: str, *, now_s: float) -> None:
         """Note that an instance gives no answer."""
--- a/tests/test_forwarding_choice.py
+++ b/tests/test_forwarding_choice.py
@@ -35,9 +35,10 @@
         for number in range(8):
             assert made.max_asked("model", now_s=1.0) == 8
             made.note_refused(f"i{number}", "model", now_s=1.0)
-        assert made.max_asked("model", now_s=1.5) == 2
+        assert made.max_asked("model", now_s=1.5) == 0
         assert made.max_asked("labels", now_s=1.5) == 8
-        assert made.max_asked("model", now_s=2.0) == 8
+        assert made.max_asked("model", now_s=2.0) == 2
+        assert made.max_asked("model", now_s=6.0) == 8
         made.note_taken("model")
         assert made.max_asked("model", now_s=1.5) == 8
 
