Leave runners, callers and store the processors that the played instances don't have

In plays with everything on the same eight processors the three processes of the runners, which need 0.3 to 0.5 of a processor each, got as little of full processors as each of 120 instances. Links that counted as lost were runners that lacked a processor.

--- a/tests/return_play.py
+++ b/tests/return_play.py
@@ -16,6 +16,7 @@
 import re
 import signal
 import sys
+import time
 
 from pathlib import Path
 
@@ -58,6 +59,7 @@
         self.starts = 0
         self.front = self.ready = 0
         self.peak_kb = 0
+        self.used_s = 0.0
 
     def write_settings(self, ports, store):
         """Fill the landing's own template."""
@@ -102,6 +104,17 @@
         if self.process is not None and self.process.returncode is None:
             self.process.send_signal(signal.SIGKILL)
 
+    def take_used_s(self):
+        """Return the processor time used since the last call, in seconds."""
+        try:
+            used_s = time.clock_gettime((~self.process.pid << 3) | 2)
+        except (AttributeError, OSError):
+            return 0.0
+        if used_s < self.used_s:
+            self.used_s = 0.0  # another process
+        used_s, self.used_s = used_s - self.used_s, used_s
+        return used_s
+
     def note_memory(self):
         """Note the most memory that the process had."""
         with contextlib.suppress(OSError):
@@ -159,7 +172,8 @@
         root: The folder of the landing, built by its deploy/build.sh.
         folder: Where settings and logs are kept.
         is_limited: Whether each instance has its share of a processor only.
-        processors: How many processors the instances have; all if omitted.
+        processors: How many processors the instances have, and nothing else; all if
+            omitted, with everything.
         seed: The seed of the callers.
     """
 
@@ -190,6 +204,12 @@
 
     async def start(self):
         """Start everything, and wait until calls are served."""
+        # What surrounds the instances has the processors that they leave free.
+        everything = sorted(os.sched_getaffinity(0))
+        self.instance_processors = everything[: self.processors]
+        os.sched_setaffinity(
+            0, everything[len(self.instance_processors) :] or everything
+        )
         self.http = aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=0))
         server = aiohttp.web.AppRunner(self.store.application(), access_log=None)
         await server.setup()
@@ -336,7 +356,7 @@
     async def start_instances(self):
         """Start all instances, as near to each other as can be."""
         everything = os.sched_getaffinity(0)
-        os.sched_setaffinity(0, sorted(everything)[: self.processors])
+        os.sched_setaffinity(0, self.instance_processors)
         try:
             began_s = clocks.now_s()
             for one in self.instances:
@@ -410,8 +430,13 @@
     async def _note_memory(self):
         """Note the memory of the instances, and how busy all processors are."""
         use = ProcessorUse()
+        last_s = time.process_time()
         while True:
-            self.processors_busy.append((clocks.now_s(), use.busy_fraction() or 0.0))
+            used_s = sum(one.take_used_s() for one in self.instances)
+            own_s, last_s = time.process_time() - last_s, time.process_time()
+            self.processors_busy.append(
+                (clocks.now_s(), use.busy_fraction() or 0.0, used_s, own_s)
+            )
             for one in self.instances:
                 one.note_memory()
             await asyncio.sleep(MEMORY_LOOK_S)
@@ -457,8 +482,11 @@
     for one in attempts:
         by_second[int((one[0] - began_s) // 1)].append(one)
     recovered_s = None
-    busy = {int((at_s - began_s) // 1): share for at_s, share in processors_busy}
-    print("second: sent, served, first event within 0.6 s, last statuses, busy")
+    busy = {int((at_s - began_s) // 1): used for at_s, *used in processors_busy}
+    print(
+        "second: sent, served, first event within 0.6 s, last statuses; use of all"
+        " processors, processors used by the instances, by this process"
+    )
     for second in sorted(by_second):
         calls = by_second[second]
         served = [one for one in calls if one[4][-1] == 200]
@@ -471,7 +499,7 @@
         statuses = dict(collections.Counter(str(one[4][-1]) for one in calls))
         print(
             f"{second:4d}: {len(calls)}, {len(served)}, {len(prompt)}, {statuses},"
-            f" {busy.get(second, 0.0):.2f}"
+            f" {[round(used, 2) for used in busy.get(second, ())]}"
         )
     late = [one for one in attempts if one[0] >= began_s + recovery_s]
     served = sum(one[4][-1] == 200 for one in late)
