--- a/tests/processor_shares.py
+++ b/tests/processor_shares.py
@@ -23,6 +23,11 @@
 CHECK_S = 0.002
 
 
+def processor_clock(pid):
+    """Return the kernel's clock of a process's processor time."""
+    return (~pid << 3) | 2
+
+
 class LimitedProcess:
     """A process and what is left of its share.
 
@@ -35,8 +40,7 @@
     def __init__(self, pid, share, *, now_s):
         self.pid = pid
         self.share = share
-        #: The kernel's clock of the process's processor time.
-        self._clock = (~pid << 3) | 2
+        self._clock = processor_clock(pid)
         self._used_s = 0.0
         self._left_s = share * INTERVAL_S
         self._refill_s = now_s + random.uniform(0.0, INTERVAL_S)
--- a/tests/return_play.py
+++ b/tests/return_play.py
@@ -25,6 +25,7 @@
 import uvloop
 
 from own_ports import free_ports
+from processor_shares import processor_clock
 from site_figures import load_figures
 from test_platform_wire import CONFIG, ENGINE
 from test_router_settings import FIELDS
@@ -36,8 +37,7 @@
 TESTS = Path(__file__).parent
 #: The interval and timeout of the load balancer's readiness probes, in seconds.
 PROBE_INTERVAL_S = 1.0
-#: Served before the fault, at least, for a play that counts.
-MIN_BEFORE = 0.25
+#: How long callers send before the loss of power, in seconds.
 BEFORE_S = 5.0
 #: How often memory is looked at, in seconds.
 MEMORY_LOOK_S = 1.0
@@ -107,7 +107,7 @@
     def take_used_s(self):
         """Return the processor time used since the last call, in seconds."""
         try:
-            used_s = time.clock_gettime((~self.process.pid << 3) | 2)
+            used_s = time.clock_gettime(processor_clock(self.process.pid))
         except (AttributeError, OSError):
             return 0.0
         if used_s < self.used_s:
@@ -144,10 +144,9 @@
 class Helper:
     """A process of the play that is told by lines and tells by lines."""
 
-    def __init__(self, module, processors=None):
+    def __init__(self, module):
         self.module = module
         self.process = None
-        self.processors = processors
 
     async def start(self):
         """Start the process."""
