Find a process's share of a processor outside platform/, and count slots in one place

platform/ translates the platform's names and decides nothing; reading the kernel's counters to tell whether a process is held to its share is neither. processor_share.py has it now, told the path of the settings. What remains of the platform there is the name of its variable, beside the package.

The program worked out the processors and the number of slots, and StartSlot the processors again: StartSlot takes the share. The bound on spare slots was never reached: MAX_WAIT_S ends the wait at 127 of them. Behaviour is unchanged; the tests keep what they assert.

Checked by test_processor_share.py, test_start_slots.py, test_start_imports.py and test_platform_process.py.

--- a/src/violethatch/platform/__main__.py
+++ b/src/violethatch/platform/__main__.py
@@ -31,13 +31,12 @@
     """Run the router; return the process's status."""
     # Most of a start's processor time goes into the imports below.
     from violethatch import clocks
-    from violethatch.platform._start_share import processor_share
-    from violethatch.start_slots import StartSlot, slot_count
+    from violethatch.platform import SETTINGS_VARIABLE
+    from violethatch.processor_share import processor_share
+    from violethatch.start_slots import StartSlot
 
     began_s = clocks.now_s()
-    processors = len(os.sched_getaffinity(0))
-    share = processor_share()
-    slot = StartSlot(count=slot_count(processors=processors, share=share))
+    slot = StartSlot(share=processor_share(os.environ.get(SETTINGS_VARIABLE, "")))
     turn = slot.acquire()
     turn_s = clocks.now_s()
     # The imports make some 70,000 objects, nearly all for good.  Without collections
--- a/src/violethatch/platform/_start_share.py
+++ b/src/violethatch/processor_share.py
@@ -3,6 +3,8 @@
 
 The settings state a share.  Processes that are not held to it use whole processors
 while they start, so that it counts only where the process was held up.
+
+.. versionadded:: 26.9.0
 """
 
 from __future__ import annotations
@@ -12,10 +14,8 @@
 import time
 
 
-__all__ = ["SETTINGS_VARIABLE", "is_held_up", "processor_share", "stated_share"]
+__all__ = ["is_held_up", "processor_share", "stated_share"]
 
-#: Where the platform says the path of the settings file.
-SETTINGS_VARIABLE = "VIOLETHATCH_BOOT"
 _WHOLE = 1.0
 #: The part of the time in which it didn't wait for a processor that a process didn't
 #: run, from which on it is held to a share.
@@ -31,20 +31,27 @@
 _TICK_S = 0.01
 
 
-def processor_share() -> float:
-    """Return the share of a processor that this process is held to, from 0 to 1."""
-    share = stated_share()
+def processor_share(settings: str) -> float:
+    """Return the share of a processor that this process is held to, from 0 to 1.
+
+    Args:
+        settings: The path of the settings file.
+    """
+    share = stated_share(settings)
     return share if share < _WHOLE and (_has_quota() or is_held_up()) else _WHOLE
 
 
-def stated_share() -> float:
+def stated_share(settings: str) -> float:
     """Return the share of a processor that the settings state, from 0 to 1.
 
     Settings are validated later: until then, what can't be read counts as a whole one.
+
+    Args:
+        settings: The path of the settings file.
     """
     parser = configparser.ConfigParser(interpolation=None)
     try:
-        parser.read(os.environ.get(SETTINGS_VARIABLE, ""), encoding="utf-8")
+        parser.read(settings, encoding="utf-8")
         share = parser.getfloat("limits", "processor_share")
     except (configparser.Error, OSError, ValueError):
         return _WHOLE
--- a/src/violethatch/start_slots.py
+++ b/src/violethatch/start_slots.py
@@ -40,7 +40,7 @@
 _OVERSUBSCRIPTION = 1.5
 #: How often a waiting process looks for spare slots, in seconds.
 _CHECK_S = 0.2
-#: The most slots.
+#: The most slots by shares; spare ones come beside.
 _MAX_SLOTS = 512
 #: The pause before a slot is tried again whose holder refuses connections, in seconds.
 _RETRY_S = 0.01
@@ -90,7 +90,9 @@
     Args:
         host: The loopback address of the slots; one for the user and the processors if
             omitted.
-        count: How many processes start at once; one a processor if omitted.
+        count: How many processes start at once; as many as use the processors up if
+            omitted.
+        share: The part of a processor that each may use at the most.
         meter: Measures the use of the processors; by the kernel's counters if omitted.
     """
 
@@ -99,10 +101,12 @@
         *,
         host: str | None = None,
         count: int | None = None,
+        share: float = 1.0,
         meter: BusyMeter | None = None,
     ) -> None:
         self._host = host or _shared_host()
-        self._count = count or len(os.sched_getaffinity(0))
+        processors = len(os.sched_getaffinity(0))
+        self._count = count or slot_count(processors=processors, share=share)
         self._meter = meter or ProcessorUse()
         self._held: socket.socket | None = None
 
@@ -136,8 +140,7 @@
 
 def _spare_slots(waited_s: float) -> int:
     """Return how many more slots there are for a process after some time."""
-    stalls = int(waited_s / STALL_S)
-    return min((1 << stalls) - 1, _MAX_SLOTS)
+    return (1 << int(waited_s / STALL_S)) - 1
 
 
 class _Waiter:
--- a/tests/test_start_share.py
+++ b/tests/test_processor_share.py
@@ -11,27 +11,19 @@
 
 import pytest
 
-from violethatch.platform import _start_share
+from violethatch.processor_share import stated_share
 
 
 LOOK = """
 import sys, time
-from violethatch.platform import _start_share
+from violethatch.processor_share import is_held_up
 until_s = time.process_time() + 0.1
 while time.process_time() < until_s:
     pass
-print(int(_start_share.is_held_up()))
+print(int(is_held_up()))
 """
 
 
-@pytest.fixture
-def settings(tmp_path, monkeypatch):
-    """Provide a settings file that the process is told of."""
-    path = tmp_path / "router.ini"
-    monkeypatch.setenv(_start_share.SETTINGS_VARIABLE, str(path))
-    return path
-
-
 @pytest.mark.parametrize(
     ("text", "share"),
     [
@@ -43,16 +35,16 @@
         ("no settings", 1.0),
     ],
 )
-def test_settings_that_are_not_valid(settings, text, share):
+def test_settings_that_are_not_valid(tmp_path, text, share):
     """Guards against a start that ends before its settings are validated."""
+    settings = tmp_path / "router.ini"
     settings.write_text(text)
-    assert _start_share.stated_share() == share
+    assert stated_share(str(settings)) == share
 
 
-def test_no_settings(monkeypatch):
+def test_no_settings():
     """A process that is told of no settings counts as whole."""
-    monkeypatch.delenv(_start_share.SETTINGS_VARIABLE, raising=False)
-    assert _start_share.stated_share() == 1.0
+    assert stated_share("") == 1.0
 
 
 async def look(*, share=None, processor=None):
