Tell in one place which refusals of other instances still count

Counting a refusal and bounding what is asked each compared the last one's time with its life, over two tables by service. One table and one lookup serve both; what they answer is unchanged.

Checked by tests/test_forwarding_choice.py and test_lost_links.py.

--- a/src/violethatch/forwarding/_choice.py
+++ b/src/violethatch/forwarding/_choice.py
@@ -69,8 +69,7 @@
         self._loads: dict[str, _Load] = {}
         #: By service, the refusals since an instance took a call, and the last one's
         #: time in monotonic seconds.
-        self._refusals: Counter[str] = Counter()
-        self._refused_s: dict[str, float] = {}
+        self._refusals: dict[str, tuple[int, float]] = {}
         self._own: Counter[str] = Counter()
 
     def choose(
@@ -101,21 +100,24 @@
     def note_refused(self, peer_id: str, service: str, *, now_s: float) -> None:
         """Note that an instance can't serve a service now."""
         self._until_s[peer_id, service] = now_s + REFUSED_LIFE_S
-        if now_s - self._refused_s.get(service, now_s) >= _REFUSALS_LIFE_S:
-            del self._refusals[service]
-        self._refusals[service] += 1
-        self._refused_s[service] = now_s
+        refusals, _ = self._refusals_in_row(service, now_s=now_s)
+        self._refusals[service] = (refusals + 1, now_s)
 
     def note_taken(self, service: str) -> None:
         """Note that an instance serves a call of a service."""
-        del self._refusals[service]
+        self._refusals.pop(service, None)
 
     def max_asked(self, service: str, *, now_s: float) -> int:
         """Return how many instances may be asked for a call of a service."""
-        since_s = now_s - self._refused_s.get(service, -_REFUSALS_LIFE_S)
-        if self._refusals[service] < _MAX_ASKED or since_s >= _REFUSALS_LIFE_S:
+        refusals, last_s = self._refusals_in_row(service, now_s=now_s)
+        if refusals < _MAX_ASKED:
             return _MAX_ASKED
-        return 0 if since_s < REFUSED_LIFE_S else _MAX_ASKED_AFTER_REFUSALS
+        return 0 if now_s - last_s < REFUSED_LIFE_S else _MAX_ASKED_AFTER_REFUSALS
+
+    def _refusals_in_row(self, service: str, *, now_s: float) -> tuple[int, float]:
+        """Return how many refusals in a row count, and the last one's time."""
+        refusals, last_s = self._refusals.get(service, (0, 0.0))
+        return (refusals, last_s) if now_s - last_s < _REFUSALS_LIFE_S else (0, 0.0)
 
     def note_silent(self, peer_id: str, *, now_s: float) -> None:
         """Note that an instance gives no answer."""
