Write once what the plays and tests of the return have in common

- The model's engine, the filled template, a send to a server: the plays and tests of this change had copies of what return_fleet, test_router_settings and test_endless_answers have.
- Reading lines and telling one's use stood in the process of the runners and in that of the callers, the start of the process that limits others in two tests.
- Gone: options and fields that nobody reads, a print, and meters in tests of turns, which the number of slots no longer depends on.

Assertions, bounds and parameters of the tests are as they were.

--- a/tests/processor_shares.py
+++ b/tests/processor_shares.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import json
 import os
 import random
@@ -90,5 +91,17 @@
                 del processes[process.pid]
 
 
+async def start_limiter():
+    """Return the process that limits others."""
+    return await asyncio.create_subprocess_exec(
+        sys.executable, __file__, stdin=asyncio.subprocess.PIPE
+    )
+
+
+def limit(limiter, pid, share):
+    """Have a process limited to a share of a processor."""
+    limiter.stdin.write(json.dumps([pid, share]).encode() + b"\n")
+
+
 if __name__ == "__main__":
     limit_processes(sys.stdin.fileno())
--- a/tests/return_callers.py
+++ b/tests/return_callers.py
@@ -13,12 +13,11 @@
 import json
 import math
 import random
-import sys
-import time
 
 import aiohttp
 import uvloop
 
+from play_process import input_lines, watch_use
 from violethatch import clocks
 
 
@@ -79,7 +78,7 @@
         connector = aiohttp.TCPConnector(limit=0)
         options = self.options
         pending = set()
-        self.watch = asyncio.create_task(self._watch_use())
+        self.watch = asyncio.create_task(watch_use(self.busy.append))
         async with aiohttp.ClientSession(connector=connector) as self.http:
             next_s = clocks.now_s()
             while True:
@@ -93,15 +92,6 @@
                 pending.add(call)
                 call.add_done_callback(pending.discard)
 
-    async def _watch_use(self):
-        """Note how busy this process is, each second."""
-        last = (clocks.now_s(), time.process_time())
-        while True:
-            await asyncio.sleep(1.0)
-            now = (clocks.now_s(), time.process_time())
-            self.busy.append((now[0], (now[1] - last[1]) / (now[0] - last[0])))
-            last = now
-
     async def _call(self):
         """Send a request, retry it once where it was not run, and record it."""
         client = self.rng.randrange(self.options["clients"])
@@ -119,8 +109,7 @@
             status, wait_s, first_s = await self._attempt(instance, is_stream, left_s)
             statuses.append(status)
         after_s = None if first_s is None else round(first_s - sent_s, 4)
-        took_s = round(clocks.now_s() - sent_s, 4)
-        self.attempts.append((sent_s, took_s, after_s, is_stream, statuses))
+        self.attempts.append((sent_s, after_s, statuses))
 
     async def _attempt(self, instance, is_stream, limit_s):
         """Return a status, the wait that was asked for, and the first event's time."""
@@ -179,14 +168,10 @@
 
 async def main():
     """Send requests until the input ends; write the attempts."""
-    loop = asyncio.get_running_loop()
-    reader = asyncio.StreamReader(limit=1 << 24)
-    await loop.connect_read_pipe(
-        lambda: asyncio.StreamReaderProtocol(reader), sys.stdin
-    )
-    callers = Callers(json.loads(await reader.readline()))
+    lines = input_lines()
+    callers = Callers(json.loads(await anext(lines)))
     task = None
-    while line := await reader.readline():
+    async for line in lines:
         callers.set_ready(json.loads(line))
         if task is None:
             task = asyncio.create_task(callers.run())
--- a/tests/return_fleet.py
+++ b/tests/return_fleet.py
@@ -51,6 +51,32 @@
 RETRYABLE = (REFUSED, 503)
 
 
+def model_engine(*, load_s, max_concurrent_loads, kinds, **changes):
+    """Return the engine of the model, as the desired state describes it.
+
+    Args:
+        load_s: How long the whole model takes to load at full rate, in seconds.
+        max_concurrent_loads: The number of loads that run at full rate.
+        kinds: The kinds of runners.
+        changes: What else differs.
+    """
+    engine = dict(
+        ENGINE,
+        Models=[{"Name": "m", "pace": 1.0, "load_s": load_s, "WarmS": 1.0}],
+        KvTokenBytes=720000,
+        step_ms=0.85,
+        per_seq_ms=0.00468,
+        context_per_k=0.00626,
+        read_per_s=321000.0,
+        usual={"prompt": 772, "answer": 138},
+        act_bytes=36000,
+        stride=2,
+        loads_at_once=max_concurrent_loads,
+        kinds=kinds,
+    )
+    return engine | changes
+
+
 class Attempt(NamedTuple):
     """A request of a caller, and its status."""
 
@@ -115,19 +141,8 @@
 
     def configure_site(self):
         """Write the desired state."""
-        engine = dict(
-            ENGINE,
-            Models=[{"Name": "m", "pace": 1.0, "load_s": LOAD_S, "WarmS": 1.0}],
-            KvTokenBytes=720000,
-            step_ms=0.85,
-            per_seq_ms=0.00468,
-            context_per_k=0.00626,
-            read_per_s=321000.0,
-            usual={"prompt": 772, "answer": 138},
-            act_bytes=36000,
-            stride=2,
-            loads_at_once=self.max_concurrent_loads,
-            kinds=KINDS,
+        engine = model_engine(
+            load_s=LOAD_S, max_concurrent_loads=self.max_concurrent_loads, kinds=KINDS
         )
         route = dict(CONFIG["Routes"][0], TrafficSplit=[], Service="model")
         state = dict(CONFIG, Version=1, Routes=[route])
--- a/tests/return_play.py
+++ b/tests/return_play.py
@@ -26,9 +26,10 @@
 
 from own_ports import free_ports
 from processor_shares import processor_clock
+from return_fleet import model_engine
 from site_figures import load_figures
-from test_platform_wire import CONFIG, ENGINE
-from test_router_settings import FIELDS
+from test_platform_wire import CONFIG
+from test_router_settings import filled_here
 from violethatch import clocks
 from violethatch.processor_use import ProcessorUse
 from violethatch_emulator.store import StoreStandIn
@@ -63,23 +64,17 @@
 
     def write_settings(self, ports, store):
         """Fill the landing's own template."""
-        self.front, self.ready, metrics, peers = ports
-        fields = FIELDS | {
+        self.front, self.ready, *_ = ports
+        changes = {
             "Node": self.name,
             "Zone": self.size.zone,
-            "Listen.Front": f"{self.host}:{self.front}",
-            "Listen.Ready": f"{self.host}:{self.ready}",
-            "Ip": self.host,
-            "InternalPorts.0": str(metrics),
-            "InternalPorts.1": str(peers),
-            "Platform.Address": store,
             "Limits.MemoryMb": str(self.size.memory_mb),
             "Limits.LinkMbps": str(self.size.link_mbps),
             "Limits.CpuShare": str(self.size.processor_share),
         }
-        template = (self.root / "deploy" / "router.ini").read_text()
-        text = re.sub(r"\{\{(.*?)\}\}", lambda gap: fields[gap[1]], template)
-        self.settings.write_text(text)
+        self.settings.write_text(
+            filled_here(ports, changes, store=store, host=self.host, root=self.root)
+        )
 
     async def start(self):
         """Start the process as it is deployed."""
@@ -178,7 +173,6 @@
 
     def __init__(self, figures, root, folder, *, is_limited, processors, seed):
         self.figures = figures
-        self.folder = folder
         self.is_limited = is_limited
         self.processors = processors
         self.rng = random.Random(seed)
@@ -277,20 +271,11 @@
     def put_state(self, version=1):
         """Write a desired state."""
         figures = self.figures
-        engine = dict(
-            ENGINE,
-            Slots=192,
-            Models=[{"Name": "m", "pace": 1.0, "load_s": figures.load_s, "WarmS": 1.0}],
-            KvTokenBytes=720000,
-            step_ms=0.85,
-            per_seq_ms=0.00468,
-            context_per_k=0.00626,
-            read_per_s=321000.0,
-            usual={"prompt": 772, "answer": 138},
-            act_bytes=36000,
-            stride=2,
-            loads_at_once=figures.max_concurrent_loads,
+        engine = model_engine(
+            load_s=figures.load_s,
+            max_concurrent_loads=figures.max_concurrent_loads,
             kinds=list(figures.kinds),
+            Slots=192,
         )
         route = dict(CONFIG["Routes"][0], TrafficSplit=[], Service="model")
         plain = {
@@ -326,7 +311,7 @@
             helper.tell(
                 {
                     "do": "start",
-                    "prefix": f"{'abcdefgh'[number]}",
+                    "prefix": "abcdefgh"[number],
                     "runners": [one for one in self.figures.runners if one[1] == zone],
                     "plain": [one for one in plain if one == zone],
                 }
@@ -379,7 +364,7 @@
         await self.kill_instances()
         if is_empty:
             for helper in self.runners.values():
-                helper.tell({"do": "end", "is_listed": False})
+                helper.tell({"do": "end"})
         await asyncio.sleep(off_s)
         if store_away_s:
             self.store.refuse_with = 503
@@ -460,7 +445,7 @@
             told = json.loads(await helper.process.stdout.read())
             attempts += told["attempts"]
             print("callers' errors:", told["errors"])
-            busy = max([busy, *(share for _, share in told["busy"])])
+            busy = max([busy, *told["busy"]])
         return attempts, busy
 
     async def stop(self):
@@ -488,22 +473,22 @@
     )
     for second in sorted(by_second):
         calls = by_second[second]
-        served = [one for one in calls if one[4][-1] == 200]
-        prompt = [one for one in served if one[2] is not None and one[2] <= 0.6]
+        served = [one for one in calls if one[2][-1] == 200]
+        prompt = [one for one in served if one[1] is not None and one[1] <= 0.6]
         if second >= 0:
             if len(served) < 0.95 * len(calls):
                 recovered_s = None
             elif recovered_s is None:
                 recovered_s = second
-        statuses = dict(collections.Counter(str(one[4][-1]) for one in calls))
+        statuses = dict(collections.Counter(str(one[2][-1]) for one in calls))
         print(
             f"{second:4d}: {len(calls)}, {len(served)}, {len(prompt)}, {statuses},"
             f" {[round(used, 2) for used in busy.get(second, ())]}"
         )
     late = [one for one in attempts if one[0] >= began_s + recovery_s]
-    served = sum(one[4][-1] == 200 for one in late)
+    served = sum(one[2][-1] == 200 for one in late)
     prompt = sum(
-        one[4][-1] == 200 and one[2] is not None and one[2] <= 0.6 for one in late
+        one[2][-1] == 200 and one[1] is not None and one[1] <= 0.6 for one in late
     )
     print(
         f"from {recovery_s:.0f} s on: {served} of {len(late)} served,"
--- a/tests/return_runners.py
+++ b/tests/return_runners.py
@@ -11,14 +11,12 @@
 import json
 import logging
 import random
-import sys
-import time
 
 import uvloop
 
 from aiohttp import web
 
-from violethatch import clocks
+from play_process import input_lines, watch_use
 from violethatch_emulator.path_runner import PathRunner
 from violethatch_emulator.weights import SharedWeights
 
@@ -28,8 +26,6 @@
 #: The work of a plain call, in seconds.
 PLAIN_WORK_S = 0.06
 EVENT_PAUSE_S = 0.025
-#: How often the progress of loads is brought up to date, in seconds.
-TICK_S = 0.02
 
 
 class SizedRunner(PathRunner):
@@ -40,31 +36,6 @@
         return int(request.headers["Violethatch-Token-Count"].rpartition(",")[2])
 
 
-class SpreadWeights(SharedWeights):
-    """A store of weights that runners of other processes load from as well."""
-
-    def __init__(self, **options):
-        super().__init__(**options)
-        self.running_elsewhere = 0
-
-    async def load(self, layers):
-        """Return once some layers are loaded."""
-        left_s = self.load_s * layers / self.layer_count
-        self.running += 1
-        _tell("loading", self.running)
-        last_s = clocks.now_s()
-        try:
-            while left_s > 0.0:
-                await asyncio.sleep(TICK_S)
-                now_s = clocks.now_s()
-                running = self.running + self.running_elsewhere
-                left_s -= (now_s - last_s) * min(1.0, self.at_once / running)
-                last_s = now_s
-        finally:
-            self.running -= 1
-            _tell("loading", self.running)
-
-
 class RunnerHost:
     """All runners and plain servers of a fleet."""
 
@@ -78,32 +49,19 @@
 
     async def run(self):
         """Carry commands out until the input ends."""
-        loop = asyncio.get_running_loop()
-        reader = asyncio.StreamReader(limit=1 << 24)
-        await loop.connect_read_pipe(
-            lambda: asyncio.StreamReaderProtocol(reader), sys.stdin
-        )
-        watch = asyncio.create_task(self._watch_use())
-        while line := await reader.readline():
+        watch = asyncio.create_task(watch_use(lambda use: _tell("busy", use)))
+        async for line in input_lines():
             command = json.loads(line)
             await getattr(self, f"do_{command.pop('do')}")(**command)
         watch.cancel()
 
-    async def _watch_use(self):
-        """Tell how busy this process is, each second."""
-        last = (clocks.now_s(), time.process_time())
-        while True:
-            await asyncio.sleep(1.0)
-            now = (clocks.now_s(), time.process_time())
-            _tell("busy", (now[1] - last[1]) / (now[0] - last[0]))
-            last = now
-
     async def do_weights(self, load_s, layer_count, at_once):
         """Set the rate of loads."""
         if self.weights is None:
-            self.weights = SpreadWeights(
+            self.weights = SharedWeights(
                 load_s=load_s, layer_count=layer_count, at_once=at_once
             )
+            self.weights.on_running = lambda running: _tell("loading", running)
         self.weights.load_s = load_s
 
     async def do_elsewhere(self, running):
@@ -118,8 +76,8 @@
         for zone in plain:
             await self._start_plain(zone)
 
-    async def do_end(self, is_listed):
-        """End all runners; their entries stay where *is_listed*."""
+    async def do_end(self):
+        """End all runners, and have their entries removed."""
         for name, runner in list(self.runners.items()):
             runner.end()
             listener = self.listeners.pop(name)
@@ -128,8 +86,7 @@
                 if connection.transport is not None:
                     connection.transport.abort()
             await listener.cleanup()
-            if not is_listed:
-                _tell(name, None)
+            _tell(name, None)
         self.runners = {}
 
     async def _start_runner(self, kind, zone):
--- a/tests/router_fakes.py
+++ b/tests/router_fakes.py
@@ -19,6 +19,7 @@
     ReachOutcome,
     Refusal,
     RunnerReport,
+    Send,
 )
 
 
@@ -213,6 +214,20 @@
     return call._replace(**changes)
 
 
+def send_to(server, *, method="POST", is_new=True):
+    """Return a send of a call to a server, over a new connection or a kept one."""
+    return Send(
+        call=make_call(method=method, headers=[("Violethatch-Attempt-Id", "c1")]),
+        server=server,
+        path=None,
+        deadline_s=1e9,
+        priority=1,
+        workspace=None,
+        last_event_id=None,
+        needs_new_connection=is_new,
+    )
+
+
 def admitted(*routes):
     """Return the sample call as a desired state admits it."""
     state = desired_state(*routes)
--- a/tests/test_cut_heads.py
+++ b/tests/test_cut_heads.py
@@ -11,7 +11,7 @@
 import aiohttp
 import pytest
 
-from router_fakes import make_call
+from router_fakes import send_to
 from routing_samples import plain_server, runner
 from test_instances import entry
 from test_platform_process import ID, Site
@@ -27,7 +27,7 @@
 from violethatch.platform._store import Store
 from violethatch.ports import AnswerLostError as WriteLostError
 from violethatch.router_settings import StoreSection
-from violethatch.upstream import AnswerLostError, OrderOutcome, ReachOutcome, Send
+from violethatch.upstream import AnswerLostError, OrderOutcome, ReachOutcome
 
 
 SIGNED = b"Violethatch-Attempt-Id: c1\r\nViolethatch-Response-Signature: s\r\n"
@@ -137,20 +137,6 @@
     return [head[:length] for length in range(len(head))]
 
 
-def send_to(server, *, method, is_new):
-    """Return a send of a call to a server."""
-    return Send(
-        call=make_call(headers=[(ID, "c1")])._replace(method=method),
-        server=server,
-        path=None,
-        deadline_s=1e9,
-        priority=1,
-        workspace=None,
-        last_event_id=None,
-        needs_new_connection=is_new,
-    )
-
-
 async def read_all(runners, send):
     """Send a call; return the answer's status and body."""
     answer = await runners.send(send)
@@ -187,7 +173,7 @@
                     is_new = not server.whole_answers
                     cut = send_to(target, method=method, is_new=is_new)
                     with pytest.raises(AnswerLostError):
-                        print(answer, await read_all(runners, cut))
+                        await read_all(runners, cut)
                 assert server.requests == 1
 
     @pytest.mark.parametrize("kind", HEADS)
@@ -228,15 +214,6 @@
                     )
 
 
-class CutHeadsSite(Site):
-    """A router process before a plain server and a runner that cut their heads."""
-
-    def list_only(self, name, address, **fields):
-        """List one server of a service, with its address."""
-        self.addresses[name] = address
-        self.list_server(name, **fields)
-
-
 ROUTES = [
     dict(CONFIG["Routes"][0], TrafficSplit=[], Service="model"),
     dict(
@@ -274,7 +251,7 @@
         self, tmp_path, path, method, is_reset
     ):
         """Guards against a 200 that is framed as whole, on every kind of route."""
-        site = CutHeadsSite(tmp_path)
+        site = Site(tmp_path)
         site.runners = {}
         head = HEADS["length_first"].replace(b"Violethatch-Attempt-Id: c1\r\n", b"")
         statuses = []
@@ -286,7 +263,8 @@
                     if path in ("/labels/1", "/print/1"):
                         fields = {"Service": "labels", "Kind": "", "layers": None}
                     name = f"s-{length}"
-                    site.list_only(name, at, **fields)
+                    site.addresses[name] = at
+                    site.list_server(name, **fields)
                     status = await self._status(site, path, method, server)
                     statuses.append(status)
                     site.store.remove("servers", name)
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -13,11 +13,10 @@
 
 from endless_servers import KINDS, endless
 from large_bodies import LargeBodiesSite, resident_mb
-from router_fakes import make_call
+from router_fakes import send_to
 from routing_samples import plain_server, runner
 from test_entry_checks import serving
 from test_instances import entry
-from test_platform_process import ID
 from test_platform_wire import CONFIG
 from violethatch._connection_choice import ConnectionChoice
 from violethatch._relay_http import RelayClient
@@ -32,7 +31,7 @@
 from violethatch.platform._store import Store
 from violethatch.ports import AnswerLostError as WriteLostError
 from violethatch.router_settings import StoreSection
-from violethatch.upstream import AnswerLostError, OrderOutcome, ReachOutcome, Send
+from violethatch.upstream import AnswerLostError, OrderOutcome, ReachOutcome
 
 
 #: Bytes beside a body that may be read, and what the sockets' buffers hold.
@@ -67,20 +66,6 @@
         yield ConnectionChoice(kept, fresh, max_idle_s=4.0)
 
 
-def send_to(server, *, is_new=True):
-    """Return a send of a call to a server."""
-    return Send(
-        call=make_call(headers=[(ID, "c1")]),
-        server=server,
-        path=None,
-        deadline_s=1e9,
-        priority=1,
-        workspace=None,
-        last_event_id=None,
-        needs_new_connection=is_new,
-    )
-
-
 async def closed(server):
     """Wait until a server's connections are closed."""
     async with asyncio.timeout(5):
--- a/tests/test_processor_share.py
+++ b/tests/test_processor_share.py
@@ -4,13 +4,12 @@
 from __future__ import annotations
 
 import asyncio
-import json
 import os
-import pathlib
 import sys
 
 import pytest
 
+from processor_shares import limit, start_limiter
 from violethatch.processor_share import stated_share
 
 
@@ -49,11 +48,7 @@
 
 async def look(*, share=None, processor=None):
     """Return whether a process is held up that may be limited, on a processor."""
-    limits = await asyncio.create_subprocess_exec(
-        sys.executable,
-        str(pathlib.Path(__file__).parent / "processor_shares.py"),
-        stdin=asyncio.subprocess.PIPE,
-    )
+    limiter = await start_limiter()
     all_processors = os.sched_getaffinity(0)
     if processor is not None:
         os.sched_setaffinity(0, {processor})
@@ -64,10 +59,10 @@
     finally:
         os.sched_setaffinity(0, all_processors)
     if share is not None:
-        limits.stdin.write(json.dumps([process.pid, share]).encode() + b"\n")
+        limit(limiter, process.pid, share)
     output, _ = await process.communicate()
-    limits.kill()
-    await limits.wait()
+    limiter.kill()
+    await limiter.wait()
     return output == b"1\n"
 
 
--- a/tests/test_router_settings.py
+++ b/tests/test_router_settings.py
@@ -38,14 +38,14 @@
 }
 
 
-def filled(**changes):
-    """Return the deployed template with its gaps filled."""
-    text = (ROOT / "deploy" / "router.ini").read_text()
+def filled(*, root=ROOT, **changes):
+    """Return the template that is deployed from *root* with its gaps filled."""
+    text = (root / "deploy" / "router.ini").read_text()
     fields = FIELDS | changes
     return re.sub(r"\{\{(.*?)\}\}", lambda gap: fields[gap[1]], text)
 
 
-def filled_here(ports, changes, *, store, host="127.0.0.1"):
+def filled_here(ports, changes, *, store, host="127.0.0.1", root=ROOT):
     """Return the template filled for an instance on this machine.
 
     Args:
@@ -53,6 +53,7 @@
         changes: What else it is filled with.
         store: The platform's address.
         host: The instance's address.
+        root: The folder that it is deployed from.
     """
     front, ready, metrics, peers = ports
     addresses = {
@@ -63,7 +64,7 @@
         "InternalPorts.1": str(peers),
         "Platform.Address": store,
     }
-    return filled(**(addresses | changes))
+    return filled(root=root, **(addresses | changes))
 
 
 class TestRouterSettings:
--- a/tests/test_start_slots.py
+++ b/tests/test_start_slots.py
@@ -5,7 +5,6 @@
 
 import asyncio
 import os
-import pathlib
 import random
 import signal
 import socket
@@ -16,6 +15,7 @@
 import pytest
 
 from own_ports import free_ports
+from processor_shares import limit, start_limiter
 from test_router_settings import filled_here
 from violethatch import start_slots
 from violethatch.start_slots import (
@@ -31,10 +31,7 @@
 HOLD = """
 import sys, time
 from violethatch.start_slots import StartSlot
-class Busy:
-    def busy_fraction(self):
-        return 1.0
-slot = StartSlot(host=sys.argv[1], count=1, meter=Busy())
+slot = StartSlot(host=sys.argv[1], count=1)
 print(slot.acquire().has_slot, flush=True)
 time.sleep(60)
 """
@@ -180,13 +177,13 @@
         process.send_signal(signal.SIGSTOP)
         try:
             began_s = time.monotonic()
-            beside = StartSlot(host=host, count=1, meter=BUSY)
+            beside = StartSlot(host=host, count=1)
             assert beside.acquire().has_slot
             assert 1.0 <= time.monotonic() - began_s < 2.0
             # Turns go on beside it.
             began_s = time.monotonic()
             threading.Timer(1.5, beside.release).start()
-            third = StartSlot(host=host, count=1, meter=BUSY)
+            third = StartSlot(host=host, count=1)
             assert third.acquire().slots == 2
             assert 1.5 <= time.monotonic() - began_s < 2.0
         finally:
@@ -205,7 +202,7 @@
         with socket.socket() as other:
             other.bind((host, 7301))
             used_s = time.process_time()
-            assert StartSlot(host=host, count=1, meter=BUSY).acquire().has_slot
+            assert StartSlot(host=host, count=1).acquire().has_slot
             assert time.process_time() - used_s < 0.1
 
     async def test_slot_of_a_killed_process_is_taken_by_one(self, host):
@@ -234,9 +231,9 @@
         """Guards against descriptors that a waiting process keeps."""
         monkeypatch.setattr(start_slots, "STALL_S", 0.2)
         before = len(os.listdir("/proc/self/fd"))
-        held = StartSlot(host=host, count=1, meter=BUSY)
+        held = StartSlot(host=host, count=1)
         held.acquire()
-        StartSlot(host=host, count=1, meter=BUSY).acquire()
+        StartSlot(host=host, count=1).acquire()
         held.release()
         assert len(os.listdir("/proc/self/fd")) == before
 
@@ -290,11 +287,7 @@
         program: The code that each runs.
     """
     folder.mkdir()
-    limits = await asyncio.create_subprocess_exec(
-        sys.executable,
-        str(pathlib.Path(__file__).parent / "processor_shares.py"),
-        stdin=asyncio.subprocess.PIPE,
-    )
+    limiter = await start_limiter()
     processes = []
     # Not the affinity of this process, which starts others at the same time.
     pinned = f"import os; os.sched_setaffinity(0, [{processor}])\n{program}"
@@ -304,13 +297,13 @@
             folder, number, temporary=folder, program=pinned, share=share
         )
         processes.append(one)
-        limits.stdin.write(f"[{one.pid}, {share}]\n".encode())
+        limit(limiter, one.pid, share)
     try:
         async with asyncio.timeout(90):
             lines_s = await asyncio.gather(*(first_line_s(one) for one in processes))
         return max(lines_s) - began_s
     finally:
-        for one in (*processes, limits):
+        for one in (*processes, limiter):
             one.kill()
             await one.wait()
 
