--- a/src/violethatch/platform/__init__.py
+++ b/src/violethatch/platform/__init__.py
@@ -13,10 +13,7 @@
 if TYPE_CHECKING:
     from ._process import run, settings_path
 
-__all__ = ["SETTINGS_VARIABLE", "run", "settings_path"]
-
-#: Where the platform says the path of the settings file.
-SETTINGS_VARIABLE = "VIOLETHATCH_BOOT"
+__all__ = ["run", "settings_path"]
 
 
 def __getattr__(name: str) -> Any:
--- a/src/violethatch/platform/__main__.py
+++ b/src/violethatch/platform/__main__.py
@@ -31,7 +31,7 @@
     """Run the router; return the process's status."""
     # Most of a start's processor time goes into the imports below.
     from violethatch import clocks
-    from violethatch.platform import SETTINGS_VARIABLE
+    from violethatch.platform._variables import SETTINGS_VARIABLE
     from violethatch.processor_share import processor_share
     from violethatch.start_slots import StartSlot
 
--- a/src/violethatch/platform/_process.py
+++ b/src/violethatch/platform/_process.py
@@ -23,10 +23,10 @@
 from ..router_settings import RouterSettings, load_router_settings
 from ..start_slots import TurnWait
 from ..start_steps import Step, StepTimes
-from . import SETTINGS_VARIABLE
 from ._listener import CallersListener, ReadinessListener
 from ._parts import Parts, make_parts
 from ._sessions import make_session
+from ._variables import SETTINGS_VARIABLE
 
 
 #: What changes when a file does: its time of change, its size and its number.
