Count lines by second in the play of a return, and let runners be processes of their own

What callers saw: service that returns and collapses at the next crest of the load. The play could not show which lines the instances wrote then, and three processes stood in for all runners, so that a lack of processors at the stand-ins could not be told from what the instances do.

Change: the play prints how many lines of nine events all instances wrote in each second; `--apart` starts a process for each runner, and `--stopped-runners` stops some of them for 6 s.

--- a/tests/return_play.py
+++ b/tests/return_play.py
@@ -19,6 +19,7 @@
 import time
 
 from pathlib import Path
+from typing import NamedTuple
 
 import aiohttp
 import defopt
@@ -40,6 +41,8 @@
 PROBE_INTERVAL_S = 1.0
 #: How long callers send before the loss of power, in seconds.
 BEFORE_S = 5.0
+#: How long runners are stopped, in seconds.
+STOPPED_S = 6.0
 #: How often memory is looked at, in seconds.
 MEMORY_LOOK_S = 1.0
 
@@ -158,6 +161,24 @@
         self.process.stdin.write(json.dumps(value).encode() + b"\n")
 
 
+class RunnerHost(NamedTuple):
+    """A process of runners.
+
+    Attributes:
+        prefix: What the names of its runners begin with.
+        zone: Its availability zone.
+        runners: The kinds and zones of its runners.
+        is_first: Whether it is the one that has the zone's plain servers.
+        helper: The process.
+    """
+
+    prefix: str
+    zone: str
+    runners: list
+    is_first: bool
+    helper: Helper
+
+
 class Play:
     """A deployment whose instances all lose power and return.
 
@@ -168,10 +189,13 @@
         is_limited: Whether each instance has its share of a processor only.
         processors: How many processors the instances have, and nothing else; all if
             omitted, with everything.
+        is_apart: Whether each runner is a process of its own.
         seed: The seed of the callers.
     """
 
-    def __init__(self, figures, root, folder, *, is_limited, processors, seed):
+    def __init__(
+        self, figures, root, folder, *, is_limited, processors, is_apart, seed
+    ):
         self.figures = figures
         self.is_limited = is_limited
         self.processors = processors
@@ -183,7 +207,20 @@
             for number, size in enumerate(figures.instances)
         ]
         self.shares = Helper("processor_shares")
-        self.runners = {one.zone: Helper("return_runners") for one in figures.traffic}
+        self.hosts = [
+            RunnerHost(
+                f"{zone_prefix}{number}",
+                zone,
+                share,
+                number == 0,
+                Helper("return_runners"),
+            )
+            for zone_prefix, zone in zip(
+                "abcdefgh", [one.zone for one in figures.traffic], strict=False
+            )
+            for number, share in enumerate(self._runner_shares(zone, is_apart))
+        ]
+        self.runners = [one.helper for one in self.hosts]
         self.callers = [Helper("return_callers") for _ in figures.traffic]
         self.ready_names = set()
         #: The most that a process of runners was busy, of a processor.
@@ -195,6 +232,11 @@
         self.tasks = []
         self.first_ready_s = {}
 
+    def _runner_shares(self, zone, is_apart):
+        """Return the runners of each process of a zone."""
+        runners = [one for one in self.figures.runners if one[1] == zone]
+        return [[one] for one in runners] if is_apart else [runners]
+
     async def start(self):
         """Start everything, and wait until calls are served."""
         # What surrounds the instances has the processors that they leave free.
@@ -211,7 +253,7 @@
         store = f"127.0.0.1:{server.addresses[0][1]}"
         self.put_state()
         await self.shares.start()
-        for helper in self.runners.values():
+        for helper in self.runners:
             await helper.start()
             self.tasks.append(asyncio.create_task(self._follow_runners(helper)))
         figures = self.figures
@@ -258,7 +300,7 @@
     def _set_load(self, load_s):
         """Set the time that loads take."""
         figures = self.figures
-        for helper in self.runners.values():
+        for helper in self.runners:
             helper.tell(
                 {
                     "do": "weights",
@@ -307,16 +349,31 @@
     def start_runners(self, *, with_plain=False):
         """Start the runners without layers."""
         plain = self.figures.plain_servers if with_plain else ()
-        for number, (zone, helper) in enumerate(self.runners.items()):
-            helper.tell(
+        for host in self.hosts:
+            host.helper.tell(
                 {
                     "do": "start",
-                    "prefix": "abcdefgh"[number],
-                    "runners": [one for one in self.figures.runners if one[1] == zone],
-                    "plain": [one for one in plain if one == zone],
+                    "prefix": host.prefix,
+                    "runners": host.runners,
+                    "plain": [
+                        one for one in plain if one == host.zone and host.is_first
+                    ],
                 }
             )
 
+    async def stop_runners(self, count, *, for_s):
+        """Stop some processes of runners for a while."""
+        stopped = self.rng.sample(
+            [one.helper.process for one in self.hosts if not one.is_first], count
+        )
+        for one in stopped:
+            one.send_signal(signal.SIGSTOP)
+        try:
+            await asyncio.sleep(for_s)
+        finally:
+            for one in stopped:
+                one.send_signal(signal.SIGCONT)
+
     async def _follow_runners(self, helper):
         """Write what servers tell into the store."""
         while line := await helper.process.stdout.readline():
@@ -333,7 +390,7 @@
     def _tell_loads(self, helper, running):
         """Tell the processes of runners how many loads the others have."""
         self.loads[helper] = running
-        for one in self.runners.values():
+        for one in self.runners:
             elsewhere = sum(self.loads.values()) - self.loads[one]
             one.tell({"do": "elsewhere", "running": elsewhere})
 
@@ -363,7 +420,7 @@
         """Kill all instances, and runners if these lose power too; start them again."""
         await self.kill_instances()
         if is_empty:
-            for helper in self.runners.values():
+            for helper in self.runners:
                 helper.tell({"do": "end"})
         await asyncio.sleep(off_s)
         if store_away_s:
@@ -454,7 +511,7 @@
             task.cancel()
         for one in self.instances:
             one.kill()
-        for helper in (self.shares, *self.runners.values(), *self.callers):
+        for helper in (self.shares, *self.runners, *self.callers):
             if helper.process is not None and helper.process.returncode is None:
                 helper.process.kill()
         await self.http.close()
@@ -496,6 +553,45 @@
     )
 
 
+#: The events whose lines are counted by second.
+COUNTED_EVENTS = {
+    2417: "reads repeated",
+    2405: "tables unreachable",
+    2208: "silences seen",
+    2230: "runs silent",
+    2107: "servers in trouble",
+    2109: "troubles heard",
+    2125: "links lost",
+    2206: "refused",
+    2226: "forwards refused",
+}
+
+
+def print_lines(play, began_s):
+    """Print how many lines of some events all instances wrote, by second."""
+    offset_s = began_s + time.time() - clocks.now_s()
+    by_second = collections.defaultdict(collections.Counter)
+    marks = {f'"number":{number},': number for number in COUNTED_EVENTS}
+    for one in play.instances:
+        for line in one.log.read_text(errors="replace").splitlines():
+            for mark, number in marks.items():
+                if mark not in line:
+                    continue
+                with contextlib.suppress(ValueError, KeyError):
+                    at_s = json.loads(line)["timestamp"] - offset_s
+                    by_second[int(at_s // 1)][number] += 1
+    print("lines by second:", ", ".join(COUNTED_EVENTS.values()))
+    for second in sorted(by_second):
+        if second >= 0:
+            counts = [by_second[second][number] for number in COUNTED_EVENTS]
+            print(f"{second:4d}: {counts}")
+    totals = [
+        sum(counts[number] for second, counts in by_second.items() if second >= 0)
+        for number in COUNTED_EVENTS
+    ]
+    print(f" all: {totals}")
+
+
 def print_starts(play):
     """Print the steps of the instances' last starts, and what they refused."""
     steps = collections.defaultdict(list)
@@ -535,9 +631,18 @@
     after_s,
     twice,
     off_s,
+    apart,
+    stopped_runners,
+    stopped_at_s,
 ):
     play = Play(
-        figures, root, folder, is_limited=limited, processors=processors, seed=seed
+        figures,
+        root,
+        folder,
+        is_limited=limited,
+        processors=processors,
+        is_apart=apart,
+        seed=seed,
     )
     try:
         await play.start()
@@ -551,6 +656,9 @@
             began_s = await play.lose_power(
                 off_s=off_s, is_empty=empty, store_away_s=store_away_s
             )
+        if stopped_runners:
+            await asyncio.sleep(max(0.0, began_s + stopped_at_s - clocks.now_s()))
+            await play.stop_runners(stopped_runners, for_s=STOPPED_S)
         await asyncio.sleep(max(0.0, began_s + after_s - clocks.now_s()))
         attempts, busy = await play.collect_attempts()
         print(
@@ -560,6 +668,7 @@
         print_attempts(attempts, began_s, figures.recovery_s, play.processors_busy)
         play.report_ready("return", began_s)
         print_starts(play)
+        print_lines(play, began_s)
     finally:
         await play.stop()
 
@@ -581,6 +690,9 @@
     after_s: float = 24.0,
     twice: bool = False,
     off_s: float | None = None,
+    apart: bool = False,
+    stopped_runners: int = 0,
+    stopped_at_s: float = 15.0,
 ) -> None:
     """Play a return.
 
@@ -600,6 +712,10 @@
         after_s: How long the play goes on after the return.
         twice: Let a second loss of power follow.
         off_s: How long the power is off; as the day has it if omitted.
+        apart: Let each runner be a process of its own.
+        stopped_runners: How many runners are stopped for a while after the return;
+            needs *apart*.
+        stopped_at_s: When they are stopped, in seconds after the return.
     """
     folder.mkdir(parents=True)
     figures = load_figures(site, day=day, is_small=small)
@@ -627,6 +743,9 @@
             after_s=after_s,
             twice=twice,
             off_s=figures.off_s if off_s is None else off_s,
+            apart=apart,
+            stopped_runners=stopped_runners,
+            stopped_at_s=stopped_at_s,
         )
     )
 
