Tell late reports from refused ones, and how long a lost read waited

What callers saw: service that returns and collapses at the next crest.

Checked by test_probes, test_retrying_reader, test_streams, test_own_standstills, test_cut_heads and test_platform_words.

--- a/src/violethatch/_probes.py
+++ b/src/violethatch/_probes.py
@@ -10,7 +10,7 @@
 
 from . import clocks, running_time
 from .backends import BackendServer
-from .upstream import KeptBackError, RunnerClient, RunnerReport
+from .upstream import KeptBackError, ReportLateError, RunnerClient, RunnerReport
 
 
 #: For how long a probe's result is reused, in seconds: many requests depend on the same
@@ -47,7 +47,10 @@
 
     Args:
         client: Sends the probes.
-        on_silent: Called with each runner that did not respond.
+        on_silent: Called with each runner that could not be connected to or whose
+            response was invalid.
+        on_late: Called with each runner that accepted a request and did not respond in
+            time.
         on_report: Called with each runner and its report.
     """
 
@@ -56,12 +59,14 @@
         client: RunnerClient,
         *,
         on_silent: Callable[[BackendServer], None] = lambda _server: None,
+        on_late: Callable[[BackendServer], None] = lambda _server: None,
         on_report: Callable[[BackendServer, RunnerReport], None] = (
             lambda _server, _report: None
         ),
     ) -> None:
         self._client = client
         self._on_silent = on_silent
+        self._on_late = on_late
         self._on_report = on_report
         self._results: dict[str, _ProbeResult] = {}
         self._tasks: dict[str, asyncio.Task[_ProbeResult]] = {}
@@ -118,17 +123,21 @@
     async def _send_probe(self, server: BackendServer) -> _ProbeResult:
         """Probe a server and store the result."""
         report: RunnerReport | None = None
-        was_sent = True
+        was_sent, is_late = True, False
         try:
             report = await self._client.report(server)
         except KeptBackError:
             was_sent = False
+        except ReportLateError:
+            is_late = True
         finally:
             self._tasks.pop(server.id, None)
         result = _ProbeResult(report, clocks.now_s(), was_sent)
         self._results[server.id] = result
         if report is not None:
             self._on_report(server, report)
+        elif is_late:
+            self._on_late(server)
         elif was_sent:
             self._on_silent(server)
         return result
--- a/src/violethatch/_retrying_reader.py
+++ b/src/violethatch/_retrying_reader.py
@@ -16,7 +16,7 @@
 from collections.abc import Callable, Coroutine
 from typing import Any
 
-from . import events
+from . import clocks, events
 from .errors import ReadLostError
 from .store_era import NO_ERA
 from .upstream import TableStore, TableView
@@ -47,10 +47,11 @@
         Raises:
             TableUnavailableError: The store refuses the read or does not respond.
         """
+        began_s = clocks.now_s()
         try:
             return await self._store.read_table(table)
         except ReadLostError as error:
-            self._handle_lost(table, error)
+            self._handle_lost(table, error, began_s=began_s)
             return await self._store.read_table(table)
 
     async def read_changes(
@@ -68,6 +69,7 @@
             HistoryGoneError: Changes since *after* are no longer available.
             TableUnavailableError: The store refuses the read or does not respond.
         """
+        began_s = clocks.now_s()
         read = self._store.read_changes(
             table, after=after, wait_s=wait_s, answer_s=answer_s, era=era
         )
@@ -76,7 +78,7 @@
                 return await self._cancel_if_other_lost(read)
             return await read
         except ReadLostError as error:
-            self._handle_lost(table, error)
+            self._handle_lost(table, error, began_s=began_s)
             return await self._store.read_changes(
                 table, after=after, wait_s=0.0, era=era
             )
@@ -103,10 +105,14 @@
         msg = "another read was lost"
         raise ReadLostError(msg)
 
-    def _handle_lost(self, table: str, error: ReadLostError) -> None:
+    def _handle_lost(self, table: str, error: ReadLostError, *, began_s: float) -> None:
         """Log the retry of a lost read and cancel the long polls."""
         events.log(
-            events.READ_REPEATED, table=table, source="store", reason=error.detail
+            events.READ_REPEATED,
+            table=table,
+            source="store",
+            reason=error.detail,
+            read_s=round(clocks.now_s() - began_s, 3),
         )
         self._notify_lost(table)
         self._read_lost.set()
--- a/src/violethatch/_routing.py
+++ b/src/violethatch/_routing.py
@@ -81,6 +81,7 @@
         self.probes = Probes(
             client,
             on_silent=self._handle_silent_server,
+            on_late=self._handle_late_server,
             on_report=self._handle_runner_report,
         )
         #: Returns a service's specification in the desired state, if it has one.
@@ -454,6 +455,12 @@
         """Put a server into cooldown after a probe without a response."""
         self.record_fault(server, ServerFault.SILENT, "", "gives no report")
 
+    def _handle_late_server(self, server: BackendServer) -> None:
+        """Put a server into cooldown that accepts requests without responding."""
+        self.record_fault(
+            server, ServerFault.SILENT, "", "takes requests, gives no report"
+        )
+
     def _handle_runner_report(
         self, server: BackendServer, report: RunnerReport
     ) -> None:
--- a/src/violethatch/platform/_runners.py
+++ b/src/violethatch/platform/_runners.py
@@ -39,6 +39,7 @@
     OrderOutcome,
     ReachOutcome,
     Refusal,
+    ReportLateError,
     RunnerReport,
     Send,
     SendKind,
@@ -306,17 +307,21 @@
         return True
 
     async def report(self, server: BackendServer) -> RunnerReport | None:
-        """Return a runner's report, or None if none came in time.
+        """Return a runner's report, or None if the request failed.
 
         Raises:
             KeptBackError: It was not asked.
+            ReportLateError: It took the request on a new connection, and gave no
+                report in time.
         """
         kept = asyncio.create_task(self._ask_report(self._kept, server))
+        kept.add_done_callback(_retrieve)
         if await running_time.wait((kept,), limit_s=_DOUBT_S):
             report = kept.result()
         else:
             # Neither is cancelled: what a probe leaves behind ends by its own limit.
             again = asyncio.create_task(self._ask_report(self._fresh, server))
+            again.add_done_callback(_retrieve)
             report = await _first_result((kept, again))
         return report
 
@@ -327,6 +332,7 @@
 
         Raises:
             KeptBackError: It was not asked.
+            ReportLateError: It took the request, and gave no report in time.
         """
         url = f"http://{server.address}{_REPORT_PATH}"
         try:
@@ -340,8 +346,12 @@
             if answer.status != _OK:
                 return None
             return _runner_report(decoded(self._report, body))
-        except (TimeoutError, *CALL_ERRORS):
-            return None  # the caller logs what it makes of that
+        except TimeoutError as error:
+            if not sent.was_written:
+                return None  # the caller logs what it makes of that
+            raise ReportLateError from error
+        except CALL_ERRORS:
+            return None
 
     async def repath(
         self, server: BackendServer, call_id: str, path: Path
@@ -409,25 +419,40 @@
 async def _first_result(
     asked: Collection[asyncio.Task[RunnerReport | None]],
 ) -> RunnerReport | None:
-    """Return the first report that comes, or None if all fail.
+    """Return the first report that comes, or what the last request came to.
 
     Raises:
         KeptBackError: None has come, and some were not asked.
+        ReportLateError: None has come to the last request, which was taken.
     """
+    *_, last = asked
     kept_back: KeptBackError | None = None
+    late: ReportLateError | None = None
     for next_done in asyncio.as_completed(asked):
         try:
             report = await next_done
         except KeptBackError as error:
             kept_back = error
             continue
+        except ReportLateError as error:
+            late = error
+            continue
         if report is not None:
             return report
     if kept_back is not None:
         raise kept_back
+    # A kept connection takes requests also after it has fallen silent.
+    if late is not None and last.exception() is not None:
+        raise late
     return None
 
 
+def _retrieve(asked: asyncio.Task[RunnerReport | None]) -> None:
+    """Mark the error of a request as seen that nobody waits for any more."""
+    if not asked.cancelled():
+        asked.exception()
+
+
 def _runner_report(report: Report) -> RunnerReport:
     """Return a report in the product's words.
 
--- a/src/violethatch/upstream.py
+++ b/src/violethatch/upstream.py
@@ -125,6 +125,13 @@
     REPORT = "report"
 
 
+class ReportLateError(Exception):
+    """The server accepted a request for its report and did not respond in time.
+
+    Its process may have stopped, or be as late as all others are at the moment.
+    """
+
+
 class KeptBackError(NotSentError):
     """Nothing was sent: the server is in back-off, unavailable or rate limited.
 
@@ -451,10 +458,12 @@
         """
 
     async def report(self, server: BackendServer) -> RunnerReport | None:
-        """Return a runner's report, or None on a timeout.
+        """Return a runner's report, or None if the request failed.
 
         Raises:
             KeptBackError: No request was sent.
+            ReportLateError: The runner accepted the request and did not respond in
+                time.
         """
 
     async def repath(
