Let the first read of a table wait for a slow store

What callers saw: nothing served for the first 10 to 15 s of a return of all instances; 1204, "an answer of the store".

Cause: the first read of each table had the time limit of any call, 0.8 s, and was sent anew without a pause when it was over. A store that 120 instances ask at once answers later than that; it worked on reads that nobody waited for any more, and got each of them again.

Change: the first read of a table waits 4 s for its answer, on a connection that came about within the usual limit, and is left to the follower's pause when that is over. Reads of a broken connection are repeated at once as before; polls and later whole reads are as they were.

--- a/src/violethatch/_retrying_reader.py
+++ b/src/violethatch/_retrying_reader.py
@@ -5,8 +5,12 @@
 delay.  A long poll is cancelled when a shorter read is lost, as its connection may have
 stalled at the same time.
 
-Load pattern: every open connection of every instance is lost at once.  Each read in
-flight is retried once.
+The first read of a table is different: its connection is new, and when all instances
+start at once, the store is slow rather than unresponsive.  It waits longer, and is not
+retried without delay after a timeout, since the store may still process it.
+
+Load patterns: every open connection of every instance is lost at once, and each read in
+flight is retried once; or 350 instances start at once and read three tables each.
 """
 
 from __future__ import annotations
@@ -24,6 +28,9 @@
 
 #: Reads with at least this wait are cancelled when another one is lost, in seconds.
 _MIN_LONG_POLL_S = 5.0
+#: For how long the first read of a table waits for a response, in seconds.  Connecting
+#: has a shorter timeout.
+_FIRST_READ_TIMEOUT_S = 4.0
 
 
 class RetryingReader:
@@ -40,6 +47,8 @@
         self._store = store
         self._notify_lost = on_read_lost
         self._read_lost = asyncio.Event()
+        #: Tables that were read before.
+        self._known: set[str] = set()
 
     async def read_table(self, table: str) -> TableView:
         """Return a complete table; see `TableSource.read_table`.
@@ -47,12 +56,18 @@
         Raises:
             TableUnavailableError: The store refuses the read or does not respond.
         """
+        is_first = table not in self._known
+        answer_s = _FIRST_READ_TIMEOUT_S if is_first else None
         began_s = clocks.now_s()
         try:
-            return await self._store.read_table(table)
+            view = await self._store.read_table(table, answer_s=answer_s)
         except ReadLostError as error:
             self._handle_lost(table, error, began_s=began_s)
-            return await self._store.read_table(table)
+            if is_first and error.is_timeout:
+                raise
+            view = await self._store.read_table(table, answer_s=answer_s)
+        self._known.add(table)
+        return view
 
     async def read_changes(
         self,
--- a/src/violethatch/errors.py
+++ b/src/violethatch/errors.py
@@ -307,11 +307,19 @@
 
 
 class ReadLostError(TableUnavailableError):
-    """A read's connection broke or fell silent; the table service may be well."""
+    """A read's connection broke or fell silent; the table service may be well.
+
+    Attributes:
+        is_timeout: Whether the connection was open and no response came in time.
+    """
 
     code = 1403
     title = "Read of a table lost"
 
+    def __init__(self, detail: str = "", *, is_timeout: bool = False) -> None:
+        super().__init__(detail)
+        self.is_timeout = is_timeout
+
 
 class ClaimRefusedError(VioletHatchError):
     """The claim that must come before a keyed call can't be made."""
--- a/src/violethatch/platform/_store.py
+++ b/src/violethatch/platform/_store.py
@@ -86,18 +86,27 @@
         self._base = f"http://{settings.address}/api"
         self._timeout_s = settings.call_timeout_s
 
-    async def read_table(self, table: str) -> TableView:
+    async def read_table(
+        self, table: str, *, answer_s: float | None = None
+    ) -> TableView:
         """Return a whole table, as of a moment not before the first page.
 
+        Args:
+            table: The table's name.
+            answer_s: How long each page's answer may take to begin, in seconds; as long
+                as any call's if omitted.
+
         Raises:
+            ReadLostError: The connection broke or fell silent.
             TableUnavailableError: The store refuses or is silent.
         """
         values: dict[str, bytes | None] = {}
         start = ""
         first: _Reply | None = None
+        answer_s = self._timeout_s if answer_s is None else answer_s
         while True:
             params = {"table": table} | ({"From": start} if start else {})
-            reply = await self._read("rows-get", params, self._timeout_s)
+            reply = await self._read("rows-get", params, answer_s)
             if reply.status != _OK:
                 raise self._unavailable("rows-get", f"status {reply.status}")
             # Changes go on from the first page, so that none falls between.
@@ -229,7 +238,8 @@
         except (TimeoutError, *CALL_ERRORS) as error:
             self._note_lost(call)
             msg = f"{call}: {error!r}"
-            raise ReadLostError(msg) from error
+            is_timeout = isinstance(error, TimeoutError)
+            raise ReadLostError(msg, is_timeout=is_timeout) from error
         if reply.status not in (_OK, _HISTORY_GONE):
             raise self._unavailable(call, f"status {reply.status}")
         if not reply.is_current:
--- a/src/violethatch/upstream.py
+++ b/src/violethatch/upstream.py
@@ -592,6 +592,21 @@
 class TableStore(TableSource, Protocol):
     """Reads the tables from the store itself."""
 
+    async def read_table(
+        self, table: str, *, answer_s: float | None = None
+    ) -> TableView:
+        """Return a full table.
+
+        Args:
+            table: The table's name.
+            answer_s: For how long to wait for the response to each page, in seconds;
+                the timeout of any call if omitted.
+
+        Raises:
+            ReadLostError: The connection broke or became unresponsive.
+            TableUnavailableError: The store refused the request or did not respond.
+        """
+
     async def read_changes(
         self,
         table: str,
--- a/tests/restorable_store.py
+++ b/tests/restorable_store.py
@@ -90,7 +90,7 @@
         self.changed.set()
         self.changed = asyncio.Event()
 
-    async def read_table(self, table):
+    async def read_table(self, table, *, answer_s=None):
         self._called()
         now_s = clocks.now_s()
         if now_s >= self.stale_until_s:
@@ -139,7 +139,7 @@
         self.store = store
         self.id = instance_id
 
-    async def read_table(self, table):
+    async def read_table(self, table, *, answer_s=None):
         await self._passed()
         view = await self.store.read_table(table)
         await self._passed()
--- a/tests/test_first_reads.py
+++ b/tests/test_first_reads.py
@@ -57,7 +57,7 @@
 
 def timeout_error():
     """Return the error of a read without an answer in time."""
-    return ReadLostError("rows-get: TimeoutError()")
+    return ReadLostError("rows-get: TimeoutError()", is_timeout=True)
 
 
 class Reads:
@@ -118,3 +118,34 @@
     store, took_s = virtual_time.run(lambda: start_all(instances, read_s), monkeypatch)
     assert max(store.reads.values()) <= 2
     assert took_s <= MAX_LATER * len(TABLES) * instances * read_s + 0.01
+
+
+class Store:
+    """Loses reads, and notes how long each would have been waited for."""
+
+    def __init__(self, error):
+        self.error = error
+        self.waits_s = []
+
+    async def read_table(self, table, *, answer_s=None):
+        self.waits_s.append(answer_s)
+        if self.error is not None:
+            raise self.error
+        return TableView({}, 7, 7.0)
+
+
+async def test_first_read_over_a_broken_connection_is_repeated_at_once():
+    """A broken connection is no slow store, and a later read no first one."""
+    store = Store(ReadLostError("rows-get: reset"))
+    reads = RetryingReader(store, on_read_lost=lambda _table: None)
+    with pytest.raises(ReadLostError):
+        await reads.read_table("op")
+    assert len(store.waits_s) == 2
+    store.error = timeout_error()
+    with pytest.raises(ReadLostError):
+        await reads.read_table("op")
+    assert len(store.waits_s) == 3
+    store.error = None
+    await reads.read_table("op")
+    await reads.read_table("op")
+    assert store.waits_s[-2:] == [store.waits_s[0], None]
--- a/tests/test_followers.py
+++ b/tests/test_followers.py
@@ -24,7 +24,7 @@
         self.steps = list(steps)
         self.asked = []
 
-    async def read_table(self, table):
+    async def read_table(self, table, *, answer_s=None):
         return await self._next(("table", table))
 
     async def read_changes(
--- a/tests/test_region_reads.py
+++ b/tests/test_region_reads.py
@@ -54,7 +54,7 @@
         self.store = store
         self.id = instance_id
 
-    async def read_table(self, _table):
+    async def read_table(self, _table, *, answer_s=None):
         await self._called()
         return self._view(self.store.version)
 
--- a/tests/test_retrying_reader.py
+++ b/tests/test_retrying_reader.py
@@ -23,7 +23,7 @@
         self.calls = []
         self.is_silent = True
 
-    async def read_table(self, table):
+    async def read_table(self, table, *, answer_s=None):
         return ANSWER
 
     async def read_changes(
--- a/tests/test_silent_reads.py
+++ b/tests/test_silent_reads.py
@@ -112,7 +112,7 @@
         super().__init__(store, instance_id)
         self._connections = Connections(network, connection_choice())
 
-    async def read_table(self, table):
+    async def read_table(self, table, *, answer_s=None):
         work = super().read_table(table)
         return self._required(
             await self._connections.call(work, limit_s=ANSWER_TIMEOUT_S)
