Don't take runners that are late for lost links while others respond

What callers saw: 503 with 1208, "no link to the service's servers", from 17 s after a return on, though each runner took connections.

Cause: a check of links asks two runners. One that took the connection and the request and had not answered after 0.25 s counted as silent, which a plain server does not. All 120 instances lost their links within two seconds, and handed calls to each other.

Change: such a runner is unclear. It counts as silent if no report and no event came from any runner of the service since the check began: behind links that hang nothing comes at all.

--- a/src/violethatch/_routing.py
+++ b/src/violethatch/_routing.py
@@ -465,6 +465,7 @@
         self, server: BackendServer, report: RunnerReport
     ) -> None:
         """Record a runner's reported slowness; log each change to or from slow."""
+        self.link_watch.note_answer(server.service)
         if 0 < report.started_ms < server.started_ms:
             return  # From an earlier process with this id.
         now_s = clocks.now_s()
--- a/src/violethatch/forwarding/_link_watch.py
+++ b/src/violethatch/forwarding/_link_watch.py
@@ -202,11 +202,24 @@
             self._listed(service), suspect=suspect, zone=self._zone, rng=self._rng
         )
         check = await self._ask(asked)
+        if any(one.kind for one in asked):
+            check = self._with_late_runners(service, check, began_s=began_s)
         if check.unclear and not (check.answered or check.silent):
             await self._check_others(service)
         self._take(service, check, began_s=began_s)
         return self.is_lost(service)
 
+    def _with_late_runners(
+        self, service: str, check: LinkCheck, *, began_s: float
+    ) -> LinkCheck:
+        """Return a check in which late runners are silent if nothing came from others.
+
+        Runners respond within milliseconds whatever their load, unless all are late.
+        """
+        if self.links.has_answered(service, since_s=began_s):
+            return check
+        return check._replace(silent=check.silent + check.unclear, unclear=())
+
     async def _check_others(self, service: str) -> None:
         """Check the links to the other services' servers."""
         others = [one for one in self._services() if one != service]
--- a/src/violethatch/platform/_runners.py
+++ b/src/violethatch/platform/_runners.py
@@ -289,8 +289,8 @@
         except KeptBackError:
             return ReachOutcome.UNASKED
         except TimeoutError:
-            is_busy = not server.kind and sent.was_written
-            return ReachOutcome.CONNECTED if is_busy else ReachOutcome.SILENT
+            # A lost link takes no connection.
+            return ReachOutcome.CONNECTED if sent.was_written else ReachOutcome.SILENT
         except CALL_ERRORS:
             return ReachOutcome.SILENT
         return ReachOutcome.ANSWERED
--- a/tests/test_server_links.py
+++ b/tests/test_server_links.py
@@ -94,7 +94,10 @@
 
     def __init__(self):
         self.servers = {
-            "model": [server(f"m{n}", zone=f"z{n % 3}") for n in range(6)],
+            "model": [
+                server(f"m{n}", zone=f"z{n % 3}")._replace(kind="large")
+                for n in range(6)
+            ],
             "labels": [
                 server(f"l{n}", service="labels", zone=f"z{n % 3}") for n in range(3)
             ],
@@ -102,6 +105,7 @@
         self.dead = set()
         self.is_cut = False
         self.is_busy = False
+        self.are_runners_late = False
         self.asked = []
         self.on_model_asked = lambda: None
         #: How many turns of the loop an answer takes: to connect, write and read.
@@ -118,7 +122,8 @@
             return await self._reach_in_turns()
         if self.is_cut or asked.id in self.dead:
             return ReachOutcome.SILENT
-        if self.is_busy and asked.service == "labels":
+        is_late = self.is_busy and asked.service == "labels"
+        if is_late or (self.are_runners_late and asked.service == "model"):
             return ReachOutcome.CONNECTED
         return ReachOutcome.ANSWERED
 
@@ -205,6 +210,18 @@
         watch.suspect(network.servers["labels"][0])
         assert not await watch.settled("labels")
 
+    @pytest.mark.parametrize("has_events", [True, False])
+    async def test_late_runners_are_taken_for_lost_links(self, network, has_events):
+        """They aren't while events come from others of their service."""
+        watch = network.watch()
+        network.are_runners_late = True
+        check = watch.suspect(network.servers["model"][0])
+        if has_events:
+            await asyncio.sleep(0)
+            watch.note_answer("model")
+        await check
+        assert watch.is_lost("model") != has_events
+
     @pytest.mark.parametrize("loop_class", [EventLoop, asyncio.SelectorEventLoop])
     def test_busy_servers_beside_lost_links_are_sound_after_a_standstill(
         self, network, loop_class
