Search no path for another run where no retry is left

Cause: a silent stream that may have another run searched for a path each 0.2 to 1.6 s, and only then asked for a retry, at first in the own budget and then at six other instances. With hundreds of silent streams and an empty budget that is all that the processors did.

Change: for 0.2 s after no retry was to be had, a stream that needs one neither searches nor asks, unless the own budget has one again or one was granted.

--- a/src/violethatch/_retry_budgets.py
+++ b/src/violethatch/_retry_budgets.py
@@ -14,6 +14,9 @@
 #: How long a request waits for granted retries, in seconds: a few round trips, as
 #: concurrent requests may compete for the same grants.
 _GRANT_TIMEOUT_S = 0.15
+#: For how long retries count as exhausted after other instances granted none, in
+#: seconds, unless the own budget has some again.
+_EXHAUSTED_TTL_S = 0.2
 #: Reserve after the start, until the number of instances is known.
 _INITIAL_RESERVE = 1.0
 
@@ -36,6 +39,8 @@
         #: Requests retries for a service from other instances.
         self.request_retries: Callable[[str], Awaitable[bool]] = _grant_nothing
         self._budgets: dict[str, RetryShare] = {}
+        #: By service, until when its retries count as exhausted.
+        self._exhausted_until_s: dict[str, float] = {}
 
     def count_request(self, service: str) -> None:
         """Count a caller's request, which adds a fraction of a retry."""
@@ -53,9 +58,17 @@
                 break
         is_available = budget.withdraw(now_s=clocks.now_s())
         if not is_available:
+            self._exhausted_until_s[service] = clocks.now_s() + _EXHAUSTED_TTL_S
             events.log(events.RETRIES_SPENT, service=service)
         return is_available
 
+    def is_exhausted(self, service: str) -> bool:
+        """Return whether an attempt to acquire a retry just failed and would again."""
+        now_s = clocks.now_s()
+        if now_s >= self._exhausted_until_s.get(service, 0.0):
+            return False
+        return self.budget(service).available(now_s=now_s) < 1.0
+
     def return_retry(self, service: str) -> None:
         """Return a retry whose send was rejected before it started."""
         self.budget(service).own_budget.give_back()
--- a/src/violethatch/streams/_call.py
+++ b/src/violethatch/streams/_call.py
@@ -214,14 +214,16 @@
             return found
         if await self._routing.must_forward(self._call, self._service.name):
             return self._begin_forwarding(responder)
+        is_again = self.sends > 0 or bool(self._live)
+        retries = self._routing.retries
+        if is_again and retries.is_exhausted(self._service.name):
+            return Obstacle.NO_RETRY  # without the search for a path
         self._avoided |= self._live.suspects
         path = await self._next_path()
         if path is not None and await self._work.wait_for_probe():
             path = await self._next_path()
         if path is None:
             return Obstacle.NO_PATH
-        is_again = self.sends > 0 or bool(self._live)
-        retries = self._routing.retries
         if is_again and not await retries.acquire_retry(self._service.name):
             return Obstacle.NO_RETRY
         found = Obstacle.HELD if self._work.is_held else None
