Treat rows that are nested too deeply as malformed in every reader

What operators of systems like this saw: another writer left a deeply nested entry, and the processes that read the list ended again and again.

Cause: msgspec raises RecursionError for nesting without end, which is no ValueError. The readers of the product's own table and of the instance list, of a peer's writes and of an offered revision decoded without `_decoding.decoded`, so that their tasks met an unexpected error. The answers of the platform's store were safe by chance: RecursionError is a RuntimeError, which its calls expect.

Change: all of them use `decoded`.

--- a/src/violethatch/_config.py
+++ b/src/violethatch/_config.py
@@ -13,6 +13,7 @@
 import msgspec
 
 from . import events
+from ._decoding import decoded
 from .errors import ConfirmUnknownError, StalePlanError, TableUnavailableError
 from .ports import ABSENT, AnswerLostError, Put, Row, Table
 from .revisions import (
@@ -34,6 +35,7 @@
 #: They are only written together, so their versions are the same.
 HEAD_KEY = "config/head"
 MARK_KEY = "config/mark"
+_ANYTHING: msgspec.json.Decoder[Any] = msgspec.json.Decoder()
 _CONFIRM_TRIES = 5
 _CONFIRM_PAUSE_S = 0.2
 
@@ -93,8 +95,8 @@
     async def take_encoded(self, encoded: bytes) -> None:
         """Take a revision that a peer offers; ignore what is malformed."""
         try:
-            offered = parse_revision(msgspec.json.decode(encoded))
-        except msgspec.DecodeError as error:
+            offered = parse_revision(decoded(_ANYTHING, encoded))
+        except ValueError as error:
             events.log(events.TASK_FAILED, task="take_revision", error=str(error))
             return
         if document_digest(offered["document"]) != offered["digest"]:
--- a/src/violethatch/_peer_wire.py
+++ b/src/violethatch/_peer_wire.py
@@ -26,6 +26,7 @@
 import msgspec
 
 from ._claim_writer import WriteReply
+from ._decoding import decoded
 from .errors import PeerRefusedError
 from .gossip import Beat
 from .ports import Put
@@ -251,8 +252,8 @@
 def _convert(data: bytes, kind: type[T]) -> T:
     """Decode JSON into *kind*."""
     try:
-        return msgspec.json.decode(data, type=kind)
-    except msgspec.DecodeError as error:
+        return decoded(msgspec.json.Decoder(kind), data)
+    except ValueError as error:
         raise PeerRefusedError(str(error)) from error
 
 
--- a/src/violethatch/_platform.py
+++ b/src/violethatch/_platform.py
@@ -9,6 +9,7 @@
 import aiohttp
 import msgspec
 
+from ._decoding import decoded
 from ._metrics import Metrics
 from .errors import TableUnavailableError
 from .ports import AnswerLostError, ListedInstance, Put, Row
@@ -174,9 +175,8 @@
         except (aiohttp.ClientError, TimeoutError) as error:
             raise TableUnavailableError(_describe(error)) from error
         try:
-            decoded = msgspec.json.decode(data, type=dict[str, list[ListedInstance]])
-            self._listed = decoded["instances"]
-        except (msgspec.DecodeError, UnicodeDecodeError, KeyError) as error:
+            self._listed = decoded(_INSTANCES, data)["instances"]
+        except (ValueError, KeyError) as error:
             msg = f"the list is malformed: {error}"
             raise TableUnavailableError(msg) from error
         self._etag = answer.headers.get("ETag", "")
@@ -191,14 +191,18 @@
     value: dict[str, Any]
 
 
+_INSTANCES = msgspec.json.Decoder(dict[str, list[ListedInstance]])
+_ROW_LISTS = msgspec.json.Decoder(dict[str, list[_WireRow]])
+
+
 def _rows(data: bytes, name: str) -> list[Row] | None:
     """Decode a list of rows, None if it is malformed."""
     try:
-        decoded = msgspec.json.decode(data, type=dict[str, list[_WireRow]])
-    except (msgspec.DecodeError, UnicodeDecodeError):
+        lists = decoded(_ROW_LISTS, data)
+    except ValueError:
         return None
     return [
-        Row(row["key"], row["version"], row["value"]) for row in decoded.get(name, [])
+        Row(row["key"], row["version"], row["value"]) for row in lists.get(name, [])
     ]
 
 
--- a/src/violethatch/platform/_store.py
+++ b/src/violethatch/platform/_store.py
@@ -16,6 +16,7 @@
 from .._bounded_responses import read_at_most
 from .._call_errors import CALL_ERRORS, NOT_CONNECTED
 from .._connection_choice import ConnectionChoice
+from .._decoding import decoded
 from .._placement_lease import LeaseWrite
 from .._router_metrics import RouterMetrics
 from ..errors import ReadLostError, TableUnavailableError
@@ -271,7 +272,7 @@
             self._metrics.store_calls.inc({"call": call, "outcome": "answered"})
         era = _era(answer.headers.get(_ERA_HEADER))
         is_current = self.era.observe(era, source="store")
-        rows = self._rows.decode(body) if is_read else Rows()
+        rows = decoded(self._rows, body) if is_read else Rows()
         return _Reply(answer.status, rows, era, is_current)
 
     def _note_lost(self, call: str) -> None:
