Take no entry in whose numbers or address are out of range

What operators of systems like this saw: another writer left an entry with a number too large or a port out of range, and the machines that read the list ended or stopped following it.

Cause: `born` had no upper bound: one of 20 digits was taken in, and can't be told to others in MessagePack (OverflowError). An instance's entry had its address checked by nobody: with a port beyond 65535 datagrams went to another port, with one that is no number each of them met an error.

Change: `born` has the bound of whole numbers in a float, in entries and in reports. An instance's entry needs an IP number and a port as a server's does; the check is shared.

--- a/src/violethatch/_registration.py
+++ b/src/violethatch/_registration.py
@@ -12,7 +12,7 @@
 import msgspec
 
 from . import clocks, events
-from ._decoding import decoded
+from ._decoding import decoded, is_endpoint
 from .errors import TableUnavailableError
 from .freshness import StoreClock
 from .instances import ENTRY_LIFE_S, InstanceDirectory, InstanceEntry
@@ -168,7 +168,11 @@
     if value is None:
         return None
     try:
-        return decoded(_ENTRY, value)
+        entry = decoded(_ENTRY, value)
+        if not is_endpoint(entry.address):
+            msg = f"no address: {entry.address[:40]!r}"
+            raise ValueError(msg)
+        return entry
     except ValueError as error:
         events.log(events.STATE_REFUSED, row=instance_id, reason=str(error))
         return None
--- a/src/violethatch/platform/_wire.py
+++ b/src/violethatch/platform/_wire.py
@@ -4,15 +4,13 @@
 from __future__ import annotations
 
 import base64
-import functools
-import re
 
 from collections.abc import Iterable
 from typing import Annotated, Literal
 
 import msgspec
 
-from .._decoding import decoded
+from .._decoding import decoded, is_endpoint
 from ..backends import BackendServer
 from ..desired import DesiredState
 from ..layers import LayerRange
@@ -27,18 +25,14 @@
 _QUANTUM = 4
 #: How many characters are decoded in one step: half a millisecond.
 _BASE64_A_STEP = _QUANTUM * 2**15
-#: An IP number and a port.
-_ADDRESS = re.compile(r"(\d{1,3})\.(\d{1,3})\.(\d{1,3})\.(\d{1,3}):(\d{1,5})")
-_LAST_BYTE = 255
-_LAST_PORT = 65_535
-#: Addresses whose check is remembered, which halves the time to read a list of 790.
-_MOST_ADDRESSES = 4_096
 #: More layers, slots or versions than any runner has: another writer's number.
 MOST = 2**31
 #: A pace that no runner has, however slow.
 _MOST_PACE = 1e6
 Name = Annotated[str, msgspec.Meta(min_length=1)]
 Count = Annotated[int, msgspec.Meta(ge=0, lt=MOST)]
+#: In ms since 1970, as far as a float counts them.
+TimeMs = Annotated[int, msgspec.Meta(ge=0, lt=2**53)]
 Amount = Annotated[float, msgspec.Meta(ge=0.0)]
 
 
@@ -61,8 +55,8 @@
     state: Literal["ready", "draining"]
     kind: str = ""
     layers: LayersHeld | None = msgspec.field(name="layers", default=None)
-    # In ms since 1970; older servers don't tell it.
-    born: Annotated[int, msgspec.Meta(ge=0)] = msgspec.field(name="born", default=0)
+    # Older servers don't tell it.
+    born: TimeMs = msgspec.field(name="born", default=0)
 
 
 class Row(PascalBody):
@@ -125,7 +119,7 @@
     pace: Annotated[float, msgspec.Meta(ge=0.0, lt=_MOST_PACE)] = 1.0
     layers: LayersHeld | None = None
     stalled: list[Stalled] = []
-    born: Annotated[int, msgspec.Meta(ge=0)] = 0
+    born: TimeMs = 0
 
 
 class Stalled(msgspec.Struct):
@@ -170,7 +164,7 @@
             ValueError: It can't be understood.
         """
         server = decoded(self._server, value)
-        if not _is_address(server.address):
+        if not is_endpoint(server.address):
             msg = f"no address: {server.address[:40]!r}"
             raise ValueError(msg)
         layers = server.layers
@@ -201,13 +195,3 @@
         msg = f"layers {layers.first} to {layers.end}"
         raise ValueError(msg)
     return LayerRange(layers.first, layers.end)
-
-
-@functools.lru_cache(maxsize=_MOST_ADDRESSES)
-def _is_address(address: str) -> bool:
-    """Tell whether an address is an IP number and a port."""
-    match = _ADDRESS.fullmatch(address)
-    if match is None:
-        return False
-    *numbers, port = (int(part) for part in match.groups())
-    return max(numbers) <= _LAST_BYTE and 0 < port <= _LAST_PORT
--- a/tests/test_foreign_entries.py
+++ b/tests/test_foreign_entries.py
@@ -20,6 +20,7 @@
 from violethatch import clocks
 from violethatch._peer_datagrams import PeerDatagrams
 from violethatch._peer_links import PeerLinks
+from violethatch._registration import _entry
 from violethatch._router import Router
 from violethatch.backends import BackendTable
 from violethatch.instances import InstanceDirectory
@@ -113,7 +114,36 @@
     {"born": "today"},
     {"born": -1},
     {"born": 1.5},
+    {"born": 2**53},
+    {"born": 2**63},
+    {"born": 10**20},
+    {"born": 10**309},
+    {"layers": {"From": 0, "TargetVersion": 4, "Version": 10**40}},
+    {"layers": {"From": -(2**63) - 1, "TargetVersion": 4}},
+    {"Address": "10.1.0.2:65536"},
+    {"Address": "10.1.0.2:99999"},
+    {"Address": "10.1.0.2:-1"},
+    {"Address": "10.1.0.2:100000000000000000000"},
+    {"Address": "10.1.0.2:80x"},
+    {"Address": "10.1.0.2:80:81"},
+    {"Address": ""},
 ]
+#: Values beside the good fields, in a field that is read and in one that isn't.
+ODD_VALUES = [
+    b"1e400",
+    b"1" + b"0" * 40,
+    b"1" + b"0" * 5000,
+    b"9223372036854775808",
+    b"-9223372036854775809",
+    *(b"[" * depth + b"]" * depth for depth in (500, 2_000, 100_000)),
+]
+
+
+def with_odd(name, value):
+    """Return a good entry with an odd value in one field, as bytes."""
+    fields = {key: json.dumps(one).encode() for key, one in GOOD.items()}
+    fields[name] = value
+    return b"{%s}" % b",".join(b'"%s":%s' % (k.encode(), v) for k, v in fields.items())
 
 
 class TestEntries:
@@ -135,6 +165,23 @@
         path = made.routing.path(admitted().service)
         assert path.server_ids == {"b"}
 
+    @pytest.mark.parametrize("name", ["Slots", "born", "Version", "Note"])
+    @pytest.mark.parametrize("value", ODD_VALUES, ids=lambda value: str(value[:20]))
+    def test_odd_value_ends_the_reader(self, name, value):
+        """Whatever it is, the other entries are in force, and it may be corrected."""
+        made = router()
+        rows = {"a": with_odd(name, value), "b": good(5)}
+        made.apply_server_list(TableView(rows, 2, 0.0), True)
+        usable = made.routing.backends.usable("model")
+        assert "b" in [one.id for one in usable]
+        assert [one.address for one in usable if one.id == "b"] == ["10.1.0.5:8000"]
+        for one in usable:
+            msgspec.msgpack.encode(one)  # what is taken in can be told
+        made.apply_server_list(TableView({"a": good(3)}, 3, 0.0), False)
+        assert len(made.routing.backends.usable("model")) == 2
+        made.apply_server_list(TableView({"a": None}, 4, 0.0), False)
+        assert [one.id for one in made.routing.backends.usable("model")] == ["b"]
+
     def test_next_good_entry_brings_it_back(self):
         """The runner itself writes again within a heartbeat."""
         made = router()
@@ -188,6 +235,31 @@
         assert not made.freshness.is_fresh(now_s=clocks.now_s())
 
 
+ODD_ENDPOINTS = [
+    "",
+    "10.1.0.2",
+    "10.1.0.2:0",
+    "10.1.0.2:65536",
+    "10.1.0.2:99999",
+    "10.1.0.2:-1",
+    "10.1.0.2:80x",
+    "10.1.0.2:80:81",
+]
+
+
+class TestInstanceRows:
+    @pytest.mark.parametrize("address", ODD_ENDPOINTS)
+    def test_entry_at_no_address_is_asked(self, address):
+        """No datagram and no read goes to a port that is another one's or none."""
+        row = msgspec.json.encode(instance_entry("i2")._replace(address=address))
+        assert _entry("i2", row) is None
+
+    @pytest.mark.parametrize("value", [DEEP, b"1e400", b"[]", b"[1e400]"])
+    def test_bytes_that_are_no_entry(self, value):
+        """The others of the same answer count."""
+        assert _entry("i2", value) is None
+
+
 def joined():
     """Return a router's datagrams."""
     made = router()
--- a/tests/test_instances.py
+++ b/tests/test_instances.py
@@ -4,6 +4,7 @@
 from __future__ import annotations
 
 import collections
+import zlib
 
 import pytest
 
@@ -22,8 +23,9 @@
 
 
 def entry(name, *, zone="z1", link_mbps=20.0, written_s=0.0):
-    """Return an instance's entry."""
-    return InstanceEntry(name, zone, f"10.0.0.1:{name}", "t", link_mbps, written_s)
+    """Return an instance's entry, with a port of its own."""
+    port = 1024 + zlib.crc32(name.encode()) % 60_000
+    return InstanceEntry(name, zone, f"10.0.0.1:{port}", "t", link_mbps, written_s)
 
 
 def directories(entries):
