Compare a late report with three others at least

What callers saw: streams that were moved off sound runners at a crest of the load.

Cause: the majority of one or two other reports is a single early one.

Change: fewer than three other reports are no majority.

Result: test_one_early_report_of_few_is_taken_for_the_usual failed before; the times at which stopped runners are left are as they were (test_late_runners).

--- a/src/violethatch/report_times.py
+++ b/src/violethatch/report_times.py
@@ -26,6 +26,8 @@
 _COMPARED_S = 1.0
 #: How many times longer than the others' an overdue report takes.
 _OVERDUE_FACTOR = 4.0
+#: With fewer other reports there is no majority: a single early one is chance.
+_MIN_COMPARED = 3
 #: The first and the longest pause between checks that decided nothing, in seconds.
 _FIRST_PAUSE_S = 0.5
 _MAX_PAUSE_S = 2.0
@@ -122,7 +124,9 @@
                 or other_id in controls
             )
         )
-        return times_s[len(times_s) // 2] if times_s else math.inf
+        if len(times_s) < _MIN_COMPARED:
+            return math.inf
+        return times_s[len(times_s) // 2]
 
     def _longest_s(self, server_ids: Collection[str], *, now_s: float) -> float:
         """Return the time within which all of some runners responded; else infinity."""
--- a/tests/test_report_times.py
+++ b/tests/test_report_times.py
@@ -43,6 +43,14 @@
         assert not times.is_overdue("a", limit_s=LIMIT_S, now_s=0.1)
         assert times.is_overdue("a", limit_s=LIMIT_S, now_s=0.13)
 
+    def test_one_early_report_of_few_is_taken_for_the_usual(self):
+        """Two other reports are no majority, unless they are the controls."""
+        times = sent("a", "b", "c")
+        for other in "bc":
+            times.record_response(other, now_s=0.003)
+        assert not times.is_overdue("a", limit_s=LIMIT_S, now_s=0.3)
+        assert times.is_overdue("a", limit_s=LIMIT_S, now_s=0.3, controls=("b", "c"))
+
     def test_only_runner(self):
         """Without others there is no comparison."""
         assert not sent("a").is_overdue("a", limit_s=LIMIT_S, now_s=1.0)
