--- a/src/violethatch/streams/_path_probe.py
+++ b/src/violethatch/streams/_path_probe.py
@@ -72,6 +72,9 @@
         Args:
             servers: The runners to probe; the first one is always among them.
             path_ids: The ids of all runners of the path.
+
+        Returns:
+            The results, of no runner if a check just before has decided nothing.
         """
         pauses = self._probes.pauses
         if pauses.is_paused(now_s=clocks.now_s()):
@@ -93,6 +96,16 @@
             found = await self._probes.probe(sample, timeout_s=0.0)
         if not self._is_comparable(found, sample, controls):
             return self._undecided(sample, found)
+        return await self._compare(servers, controls, limit_s=limit_s)
+
+    async def _compare(
+        self,
+        servers: Sequence[BackendServer],
+        controls: Sequence[BackendServer],
+        *,
+        limit_s: float,
+    ) -> PathResults:
+        """Probe all runners; return those that are late in comparison with others."""
         for _ in range(_MAX_WAITS):
             found = await self._probes.probe(servers, timeout_s=limit_s)
             overdue = self._overdue(found, controls, limit_s=limit_s)
