Begin the streams of a play once the servers are known

Trace: the router's line 2206 for it, code 1201, "servers: an answer of the store", with the desired state proven 0.024 s before. Readiness rests on the desired state; the first stream came before the list of servers was read, and was refused, unrun. No stream was cut.

The test is of streams that were accepted. It waits for the line of the listed servers (2105) before it sends the first one; what it asks of the streams is unchanged.

--- a/tests/test_whole_answers.py
+++ b/tests/test_whole_answers.py
@@ -39,6 +39,9 @@
 RETRY_SLACK = float(FIELDS["Bounds.RetrySlack"])
 ALL_WHOLE = {STREAM_PATH: STREAMS, FINAL_PATH: STREAMS}
 
+#: The line that tells of listed servers.
+SERVER_FOUND = 2105
+
 
 class Play:
     """Streams that are under way at a fleet of one router while something happens."""
@@ -59,6 +62,7 @@
         """Run the streams while something happens; return what was whole."""
         try:
             await self.fleet.start()
+            await self._until_servers_are_known()
             streams = [
                 asyncio.create_task(self._stream(path, number))
                 for path in ALL_WHOLE
@@ -74,6 +78,12 @@
         finally:
             await self.fleet.stop()
 
+    async def _until_servers_are_known(self):
+        """Wait for the list of servers, which readiness doesn't rest on."""
+        async with asyncio.timeout(CALLER_WAITS_S):
+            while not self.fleet.instances[0].lines(SERVER_FOUND):
+                await asyncio.sleep(0.02)
+
     async def _stream(self, path, number):
         """Read one stream to its end, and count it if it is whole."""
         body = b""
