Keep one generator for checks an instance, and read no clock again for each event

The probes of an instance hold one generator, apart from the other choices as before. The links are told the time that the run has read.

--- a/src/violethatch/_probes.py
+++ b/src/violethatch/_probes.py
@@ -4,6 +4,7 @@
 from __future__ import annotations
 
 import asyncio
+import random
 
 from collections.abc import Callable, Iterable
 from typing import NamedTuple
@@ -61,6 +62,7 @@
         on_late: Called with each runner that accepted a request and did not respond in
             time, unless other runners are as late.
         on_report: Called with each runner and its report.
+        rng: Selects the runners that a check probes.
     """
 
     def __init__(
@@ -72,7 +74,9 @@
         on_report: Callable[[BackendServer, RunnerReport], None] = (
             lambda _server, _report: None
         ),
+        rng: random.Random | None = None,
     ) -> None:
+        self.rng = rng or random.Random()
         self._client = client
         self._on_silent = on_silent
         self._on_late = on_late
--- a/src/violethatch/_routing.py
+++ b/src/violethatch/_routing.py
@@ -83,6 +83,8 @@
             on_silent=self._handle_silent_server,
             on_late=self._handle_late_server,
             on_report=self._handle_runner_report,
+            # A separate generator, so that checks don't change other random choices.
+            rng=random.Random(settings.instance.id),
         )
         #: Returns a service's specification in the desired state, if it has one.
         self.find_service: Callable[[str], ServiceSpec | None] = lambda _name: None
--- a/src/violethatch/streams/_check.py
+++ b/src/violethatch/streams/_check.py
@@ -5,7 +5,6 @@
 
 import asyncio
 import collections
-import random
 
 from collections.abc import Iterable, Mapping
 from typing import NamedTuple
@@ -87,8 +86,7 @@
         self._call_id = call_id
         self._work = work
         self._progress = routing.silence_detector
-        # A separate generator, so that checks don't change other random choices.
-        self._probe = PathProbe(routing, service, random.Random(call_id))
+        self._probe = PathProbe(routing, service)
 
     async def verdict(self, silence: Silence) -> Verdict:
         """Return whom a silence is due to."""
--- a/src/violethatch/streams/_path_probe.py
+++ b/src/violethatch/streams/_path_probe.py
@@ -3,8 +3,6 @@
 
 from __future__ import annotations
 
-import random
-
 from collections.abc import Sequence
 from typing import NamedTuple
 
@@ -53,16 +51,13 @@
     Args:
         routing: Shared by all calls.
         service: The stream's.
-        rng: Selects runners.
     """
 
-    def __init__(
-        self, routing: Routing, service: ServiceSpec, rng: random.Random
-    ) -> None:
+    def __init__(self, routing: Routing, service: ServiceSpec) -> None:
         self._routing = routing
         self._probes = routing.probes
         self._service = service
-        self._rng = rng
+        self._rng = routing.probes.rng
 
     async def probe(
         self, servers: Sequence[BackendServer], *, path_ids: frozenset[str]
--- a/src/violethatch/streams/_run.py
+++ b/src/violethatch/streams/_run.py
@@ -209,7 +209,7 @@
     def _note_event(self) -> None:
         """Note that the path's runners work."""
         now_s = clocks.now_s()
-        self._routing.link_watch.note_answer(self._service.name)
+        self._routing.link_watch.links.note_answer(self._service.name, now_s=now_s)
         self.has_begun = True
         self._end_silence("goes_on")
         ids = self.path.server_ids
