Say once when a request for a report is recent

Three methods compared its age with the same limit, one of them by a second lookup, and a missing response was None in the table and infinity where it was compared. The request tells both itself; the time of one without a response is infinite. Behaviour is unchanged; a comment on the smoothed time of reports says what it is.

--- a/src/violethatch/platform/_runners.py
+++ b/src/violethatch/platform/_runners.py
@@ -169,8 +169,8 @@
         self._kept = kept
         self._fresh = fresh
         self._report = msgspec.json.Decoder(Report)
-        #: How long reports take at present, in seconds; as long as they may where
-        #: there is none.
+        #: The smoothed time that reports take, in seconds; one that does not come in
+        #: time counts with its limit.
         self._usual_report_s = 0.0
         self.gate: FlowControl = NoFlowControl()
 
--- a/src/violethatch/report_times.py
+++ b/src/violethatch/report_times.py
@@ -34,10 +34,19 @@
 
 
 class _Request(NamedTuple):
-    """A request for a report; `took_s` is None while there is no response."""
+    """A request for a report; `took_s` is infinite while there is no response."""
 
     sent_s: float
-    took_s: float | None = None
+    took_s: float = math.inf
+
+    @property
+    def has_response(self) -> bool:
+        """Whether the report has been received."""
+        return self.took_s < math.inf
+
+    def is_recent(self, now_s: float) -> bool:
+        """Return whether the request is compared with others."""
+        return now_s - self.sent_s < _COMPARED_S
 
 
 class ReportTimes:
@@ -63,11 +72,7 @@
     def has_responded(self, server_id: str, *, now_s: float) -> bool:
         """Return whether a runner's latest request is recent and has a response."""
         request = self._requests.get(server_id)
-        return (
-            request is not None
-            and request.took_s is not None
-            and self._is_recent(server_id, now_s)
-        )
+        return request is not None and request.has_response and request.is_recent(now_s)
 
     def is_overdue(
         self,
@@ -89,7 +94,7 @@
             controls: Unrelated runners whose reports were requested for comparison.
         """
         request = self._requests.get(server_id)
-        if request is None or request.took_s is not None:
+        if request is None or request.has_response:
             return False
         waited_s = now_s - request.sent_s
         if waited_s < limit_s:
@@ -114,12 +119,12 @@
         except those of controls.
         """
         times_s = sorted(
-            math.inf if request.took_s is None else request.took_s
+            request.took_s
             for other_id, request in self._requests.items()
             if other_id != server_id
-            and now_s - request.sent_s < _COMPARED_S
+            and request.is_recent(now_s)
             and (
-                request.took_s is not None
+                request.has_response
                 or now_s - request.sent_s >= limit_s
                 or other_id in controls
             )
@@ -133,16 +138,11 @@
         times_s = [
             request.took_s
             for request in map(self._requests.get, server_ids)
-            if request is not None and now_s - request.sent_s < _COMPARED_S
+            if request is not None and request.is_recent(now_s)
         ]
         if not times_s or len(times_s) < len(server_ids):
             return math.inf
-        return max(math.inf if one is None else one for one in times_s)
-
-    def _is_recent(self, server_id: str, now_s: float) -> bool:
-        """Return whether a runner's latest request is compared."""
-        request = self._requests.get(server_id)
-        return request is not None and now_s - request.sent_s < _COMPARED_S
+        return max(times_s)
 
 
 class CheckPauses:
