Mark errors that nobody waits for as seen in one place

The requests for reports had a copy of what the checks of runs do with a failure that nobody waits for, and letting go of the next bytes had it inline. `_background.retrieve_error` serves the three.

--- a/src/violethatch/_background.py
+++ b/src/violethatch/_background.py
@@ -74,3 +74,9 @@
                 await asyncio.sleep(pause_s * random.uniform(*_PAUSE_FACTORS))
             else:
                 return
+
+
+def retrieve_error(future: asyncio.Future[Any]) -> None:
+    """Mark the error of a future as seen that nobody waits for any more."""
+    if not future.cancelled():
+        future.exception()
--- a/src/violethatch/platform/_runners.py
+++ b/src/violethatch/platform/_runners.py
@@ -17,6 +17,7 @@
 from multidict import CIMultiDict
 
 from .. import clocks, events, running_time
+from .._background import retrieve_error
 from .._bodies import BodyPayload
 from .._bounded_responses import EndlessResponseError, read_at_most
 from .._call_errors import CALL_ERRORS
@@ -324,13 +325,13 @@
         """
         doubt_s = max(_DOUBT_S, _DOUBT_FACTOR * self._usual_report_s)
         kept = asyncio.create_task(self._ask_report(self._kept, server))
-        kept.add_done_callback(_retrieve)
+        kept.add_done_callback(retrieve_error)
         if await running_time.wait((kept,), limit_s=doubt_s):
             report = kept.result()
         else:
             # Neither is cancelled: what a probe leaves behind ends by its own limit.
             again = asyncio.create_task(self._ask_report(self._fresh, server))
-            again.add_done_callback(_retrieve)
+            again.add_done_callback(retrieve_error)
             report = await _first_result((kept, again))
         return report
 
@@ -463,12 +464,6 @@
     return None
 
 
-def _retrieve(asked: asyncio.Task[RunnerReport | None]) -> None:
-    """Mark the error of a request as seen that nobody waits for any more."""
-    if not asked.cancelled():
-        asked.exception()
-
-
 def _runner_report(report: Report) -> RunnerReport:
     """Return a report in the product's words.
 
--- a/src/violethatch/streams/_run.py
+++ b/src/violethatch/streams/_run.py
@@ -13,6 +13,7 @@
 from typing import Any
 
 from .. import clocks, events, running_time
+from .._background import retrieve_error
 from .._routing import Routing
 from ..desired import ServiceSpec
 from ..paths import Path
@@ -270,7 +271,7 @@
         checking = self._checking
         if checking is None:
             checking = self._checking = asyncio.create_task(check)
-            checking.add_done_callback(_see)
+            checking.add_done_callback(retrieve_error)
         else:
             check.close()
         left_s = clocks.left_s(self._deadline_s)
@@ -440,18 +441,12 @@
             self._progress.stream_started(path.server_ids, now_s=self._event_s)
 
 
-def _see(checking: asyncio.Task[None]) -> None:
-    """Take note of a check's failure that nobody waits for any more."""
-    if not checking.cancelled():
-        checking.exception()
-
-
 def _let_go(coming: asyncio.Future[Any]) -> None:
     """Let go of what is no longer waited for, also if it has failed meanwhile."""
-    if not coming.done():
+    if coming.done():
+        retrieve_error(coming)  # a run that is given up on is logged
+    else:
         coming.cancel()
-    elif not coming.cancelled():
-        coming.exception()  # it counts as seen; a run that is given up on is logged
 
 
 def _abandon(opening: asyncio.Future[Answer]) -> None:
