Serve the streams of both replays from one place, and share the client of runners in tests

test_late_runners had written again what test_silent_runs_replay does to serve streams while something happens, with its answers; both use tests/stream_replay.py. The fixture of a client of servers stood in three files and is conftest's. test_nested_answers takes the nested bytes from test_foreign_entries. Seeds, times, bounds and assertions are as they were.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -8,6 +8,8 @@
 
 import pytest
 
+from violethatch.platform._runners import Runners
+from violethatch.platform._sessions import make_session
 from violethatch_emulator import Cluster, RunnerPlan
 from violethatch_emulator.callers import standard_intent
 
@@ -63,6 +65,15 @@
         yield Bench(cluster)
 
 
+@pytest.fixture
+async def runners():
+    """Provide a client of runners."""
+    kept, fresh = make_session(is_kept=True), make_session(is_kept=False)
+    yield Runners(kept, fresh)
+    await kept.close()
+    await fresh.close()
+
+
 def known_red():
     """Return the lines of tests that are known to fail, by the test's id."""
     if not KNOWN_RED.exists():
--- a/tests/test_busy_runners.py
+++ b/tests/test_busy_runners.py
@@ -8,8 +8,6 @@
 import pytest
 
 from routing_samples import runner
-from violethatch.platform._runners import Runners
-from violethatch.platform._sessions import make_session
 from violethatch.upstream import ReachOutcome, ReportLateError
 
 
@@ -38,15 +36,6 @@
     server.close()
 
 
-@pytest.fixture
-async def runners():
-    """Provide a client of runners."""
-    kept, fresh = make_session(is_kept=True), make_session(is_kept=False)
-    yield Runners(kept, fresh)
-    await kept.close()
-    await fresh.close()
-
-
 async def test_busy_runners_are_taken_for_lost_links(runners, listener):
     """A link that takes connections is not lost, whatever the runner does."""
     server = runner("a", 0, 80, address=listener.address)
--- a/tests/test_late_runners.py
+++ b/tests/test_late_runners.py
@@ -16,26 +16,18 @@
 import virtual_time
 
 from router_fakes import (
-    FakeAnswer,
     FakeClient,
-    FakeResponder,
-    admitted,
     events,
-    make_call,
     report,
 )
-from router_fakes import settings as router_settings
-from routing_samples import call_route, runner
+from routing_samples import runner
+from stream_replay import ReplayedAnswer, serve_streams
 from violethatch import clocks
-from violethatch._routing import Routing
-from violethatch.streams import StreamCall
 from violethatch.upstream import OrderAnswer, OrderOutcome, ReportLateError
 
 
 EVENT_COUNT = 100
 EVENT_S = 0.04
-#: When something happens, in seconds after the last stream began.
-DISTURBED_AT_S = 1.0
 LATE_FOR_S = 2.0
 #: How long a report takes at runners that are not late, in seconds.
 REPORT_S = 0.003
@@ -114,15 +106,11 @@
         return OrderAnswer(OrderOutcome.DONE)
 
 
-class Answer(FakeAnswer):
+class Answer(ReplayedAnswer):
     """Events that come while no runner of their path has stopped."""
 
     def __init__(self, fleet, send):
-        super().__init__()
-        self.fleet = fleet
-        self.call_id = send.call.id
-        self.path = send.path
-        self.first = (send.last_event_id or 0) + 1
+        super().__init__(fleet, send)
         self.changed = asyncio.Event()
         fleet.answers.append(self)
 
@@ -140,22 +128,9 @@
 async def play(disturb, *, streams, seed):
     """Serve streams while something happens; return the fleet and the responders."""
     fleet = Fleet(seed)
-    routing = Routing(router_settings(), fleet, random.Random(seed))
-    policy = type(router_settings().policy)()
-    routing.apply_settings(routing.settings._replace(policy=policy))
-    routing.backends.apply_changes(RUNNERS.values(), [], now_s=clocks.now_s())
-    allowed = admitted(call_route(is_resumable=True))
-    got, calls = [], []
-    for number in range(streams):
-        responder = FakeResponder()
-        call = make_call(id=f"c{number}", timeout_s=30.0)
-        got.append(responder)
-        stream = StreamCall(routing, call, allowed)
-        calls.append(asyncio.create_task(stream.serve(responder)))
-        await asyncio.sleep(0.01)
-    await asyncio.sleep(DISTURBED_AT_S)
-    disturb(fleet)
-    await asyncio.gather(*calls)
+    got = await serve_streams(
+        fleet, RUNNERS.values(), disturb, streams=streams, timeout_s=30.0, seed=seed
+    )
     return fleet, got
 
 
--- a/tests/test_nested_answers.py
+++ b/tests/test_nested_answers.py
@@ -8,6 +8,7 @@
 from aiohttp import ClientSession, web
 from aiohttp.test_utils import TestServer
 
+from test_foreign_entries import DEEP
 from violethatch._connection_choice import ConnectionChoice
 from violethatch._peer_wire import read_puts
 from violethatch._platform import _rows
@@ -17,9 +18,6 @@
 from violethatch.router_settings import StoreSection
 
 
-DEEP = b'{"x":' + b"[" * 100_000 + b"]" * 100_000 + b"}"
-
-
 class TestAnswers:
     """Whole answers that another writer has spoilt."""
 
--- a/tests/test_platform_words.py
+++ b/tests/test_platform_words.py
@@ -16,8 +16,6 @@
 from routing_samples import runner
 from violethatch.layers import LayerRange
 from violethatch.paths import Path, Stage
-from violethatch.platform._runners import Runners
-from violethatch.platform._sessions import make_session
 from violethatch.upstream import AnswerLostError, Send
 
 
@@ -75,14 +73,10 @@
 
 
 @pytest.fixture
-async def runners():
+async def runners(runners):
     """Provide the client of servers, and what it heard."""
-    kept, fresh = make_session(is_kept=True), make_session(is_kept=False)
-    made = Runners(kept, fresh)
-    made.gate = Heard()
-    yield made
-    await kept.close()
-    await fresh.close()
+    runners.gate = Heard()
+    return runners
 
 
 async def ask(runners, server, how):
--- a/tests/test_reused_addresses.py
+++ b/tests/test_reused_addresses.py
@@ -10,21 +10,10 @@
 from routing_samples import runner
 from violethatch.layers import LayerRange
 from violethatch.paths import Path, Stage
-from violethatch.platform._runners import Runners
-from violethatch.platform._sessions import make_session
 from violethatch.upstream import OrderOutcome
 from violethatch_emulator.path_runner import PathRunner
 
 
-@pytest.fixture
-async def runners():
-    """Provide a client of runners."""
-    kept, fresh = make_session(is_kept=True), make_session(is_kept=False)
-    yield Runners(kept, fresh)
-    await kept.close()
-    await fresh.close()
-
-
 @pytest.fixture
 async def successor():
     """Provide the runner `b`, at whose address the runner `a` was before."""
--- a/tests/test_silent_runs_replay.py
+++ b/tests/test_silent_runs_replay.py
@@ -9,34 +9,26 @@
 
 import asyncio
 import collections
-import random
 
 import pytest
 
 import virtual_time
 
 from router_fakes import (
-    FakeAnswer,
     FakeClient,
-    FakeResponder,
-    admitted,
     broken_connection,
     events,
-    make_call,
     report,
 )
-from router_fakes import settings as router_settings
-from routing_samples import call_route, runner
+from routing_samples import runner
+from stream_replay import ReplayedAnswer, deployed_policy, serve_streams
 from violethatch import clocks
-from violethatch._routing import Routing
-from violethatch.streams import StreamCall
 from violethatch.upstream import OrderAnswer, OrderOutcome
 
 
 STREAMS = 40
 EVENT_COUNT = 40
 EVENT_S = 0.05
-STALLS_AT_S = 1.0
 PATHS = (("a1", "a2", "a3"), ("b1", "b2", "b3"))
 RUNNERS = {
     name: runner(name, 27 * part, min(80, 27 * part + 27), kind="large")
@@ -92,16 +84,9 @@
         return OrderAnswer(OrderOutcome.DONE)
 
 
-class StallingAnswer(FakeAnswer):
+class StallingAnswer(ReplayedAnswer):
     """Events that come while no runner of their path stands still."""
 
-    def __init__(self, fleet, send):
-        super().__init__()
-        self.fleet = fleet
-        self.call_id = send.call.id
-        self.path = send.path
-        self.first = (send.last_event_id or 0) + 1
-
     async def parts(self):
         for number in range(self.first, EVENT_COUNT + 1):
             await asyncio.sleep(EVENT_S)
@@ -118,29 +103,17 @@
 async def play(disturb, *, is_resumable):
     """Serve streams while something stands still; return what came of them."""
     fleet = Fleet()
-    routing = Routing(router_settings(), fleet, random.Random(1))
-    routing.apply_settings(routing.settings._replace(policy=_deployed_policy()))
-    routing.backends.apply_changes(RUNNERS.values(), [], now_s=clocks.now_s())
-    allowed = admitted(call_route(is_resumable=is_resumable))
-    got, calls = [], []
-    for number in range(STREAMS):
-        responder = FakeResponder()
-        call = make_call(id=f"c{number}", timeout_s=20.0)
-        stream = StreamCall(routing, call, allowed)
-        got.append(responder)
-        calls.append(asyncio.create_task(stream.serve(responder)))
-        await asyncio.sleep(0.01)
-    await asyncio.sleep(STALLS_AT_S)
-    disturb(fleet)
-    await asyncio.gather(*calls)
+    got = await serve_streams(
+        fleet,
+        RUNNERS.values(),
+        disturb,
+        streams=STREAMS,
+        timeout_s=20.0,
+        is_resumable=is_resumable,
+    )
     return fleet, got
 
 
-def _deployed_policy():
-    """Return the policy's defaults, and no retries that other instances would add."""
-    return type(router_settings().policy)()
-
-
 def check(fleet, got):
     """Check that all streams are whole, and were not run too often."""
     whole = events(*range(1, EVENT_COUNT + 1))
@@ -197,7 +170,7 @@
     fleet, got, took_s = virtual_time.run(replay, monkeypatch)
     assert {one.end for one in got} <= {"whole", "cut"}
     on_ended = sum(path.server_ids >= FIRST for path in fleet.first_paths.values())
-    retries = _deployed_policy().retry_reserve
+    retries = deployed_policy().retry_reserve
     whole = sum(one.end == "whole" for one in got)
     assert whole >= STREAMS - on_ended + min(retries, on_ended)
     assert max(fleet.runs.values()) <= 2
