--- a/review/7/case.py
+++ b/review/7/case.py
@@ -12,6 +12,7 @@
 import json
 import os
 import pathlib
+import random
 import re
 import signal
 import socket
@@ -40,6 +41,7 @@
 #: What the check grants beyond the rule's bounds, for this process's own delays.
 SLACK_S = 0.05
 ID = "Violethatch-Attempt-Id"
+PORTS = (12_000, 31_000)
 FIELDS = {
     "Node": "edge-1",
     "Zone": "a",
@@ -82,6 +84,7 @@
     "Tenants": [{"Name": "t", "ApiKeys": ["k"]}],
 }
 lines: list[str] = []
+taken_ports: set[int] = set()
 began_s = time.monotonic()
 
 
@@ -91,13 +94,18 @@
 
 
 def free_ports(count):
-    """Return free ports, kept apart by being bound at once."""
-    held = [socket.socket() for _ in range(count)]
-    for one in held:
-        one.bind(("127.0.0.1", 0))
-    ports = [one.getsockname()[1] for one in held]
-    for one in held:
-        one.close()
+    """Return free ports outside the range that the system gives to callers."""
+    ports = []
+    while len(ports) < count:
+        port = random.randrange(*PORTS)
+        with socket.socket() as one:
+            try:
+                one.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        if port not in taken_ports:
+            taken_ports.add(port)
+            ports.append(port)
     return ports
 
 
