--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,5 +1,5 @@
 # SPDX-License-Identifier: MIT
-"""Streams whose answers lack a length, while the processes that pass them on are killed."""
+"""Streams whose answers lack a length, through a process that is killed."""
 
 from __future__ import annotations
 
--- a/review/small_site.py
+++ b/review/small_site.py
@@ -217,7 +217,9 @@
     def _transact(self, body):
         expected = body.get("ExpectedRevision", [])
         named = [self._row(row["table"], row["Key"]) for row in expected]
-        if any(row["ver"] != now["ver"] for row, now in zip(expected, named)):
+        if any(
+            row["ver"] != now["ver"] for row, now in zip(expected, named, strict=True)
+        ):
             return self._told(412, named)
         for row in body.get("put", []):
             self._write(row["table"], row["Key"], row["Value"])
@@ -339,8 +341,10 @@
                 *self._command, cwd=ROOT, env=environment, stdout=log, stderr=log
             )
         async with asyncio.timeout(30):
-            while not await self.is_ready():
+            is_ready = False
+            while not is_ready:
                 await asyncio.sleep(0.1)
+                is_ready = await self.is_ready()
 
     async def is_ready(self):
         """Ask as the platform's balancer does."""
@@ -414,12 +418,12 @@
     length = head.headers.get("content-length")
     answer.is_framed = chunked or length is not None
     if chunked:
-        while size := int((await reader.readline() or b"x").split(b";")[0], 16):
+        while size := int((await reader.readuntil(b"\n")).split(b";")[0], 16):
             answer.body += await reader.readexactly(size)
             await reader.readexactly(2)
             if on_body:
                 on_body(answer)
-        await reader.readline()
+        await reader.readuntil(b"\n")
     elif length is not None:
         answer.body = await reader.readexactly(int(length))
     else:
