--- a/review/small_site.py
+++ b/review/small_site.py
@@ -321,10 +321,12 @@
         role = tomllib.loads((ROOT / "deploy/system.toml").read_text())["roles"]
         self._command = role["router"]["run"].split(" ")
         template = (ROOT / role["router"]["template"]).read_text()
+
+        def value(gap):
+            return str(fields.get(gap[1], ""))
+
         self._settings = Path(folder) / f"{name}.ini"
-        self._settings.write_text(
-            re.sub(r"\{\{([\w.]+)\}\}", lambda gap: str(fields[gap[1]]), template)
-        )
+        self._settings.write_text(re.sub(r"\{\{([\w.]+)\}\}", value, template))
         self._log = Path(folder) / f"{name}.log"
         self.process = None
 
