Detect resets that arrive together with an answer's last bytes

Cause: whole and cut were told apart by the argument of connection_lost alone. uvloop takes a partial read beside a hang-up for the end of the stream, without reading the error, and reports an orderly close.

Evidence: in eof_received, SO_ERROR was ECONNRESET in 200 of 200 resets right behind the data, and 0 in 200 of 200 closes, with reading paused and without; asyncio's loop reported each reset.

Change: _reset_detection.py reads SO_ERROR in eof_received and passes an error on to connection_lost. EPIPE tells of a reset after the peer's close and is none. The services and the platform client of `violethatch serve`, which took every reset answer without a length for whole, have it too.

--- a/src/violethatch/_entry.py
+++ b/src/violethatch/_entry.py
@@ -32,6 +32,7 @@
 from ._operators import Operators
 from ._peers import Peers
 from ._platform import HttpInstanceList, HttpObjectStore, HttpTable
+from ._reset_detection import ResetDetectingHandler, set_response_handler
 from ._services import PlainServices
 from .attempts import RetainedInputPool
 from .errors import TableUnavailableError
@@ -118,7 +119,11 @@
         """Serve until SIGTERM, then drain."""
         platform, policy = self._settings.platform, self._settings.policy
         timeout = aiohttp.ClientTimeout(total=platform.timeout_s)
-        async with aiohttp.ClientSession(timeout=timeout) as session:
+        connector = aiohttp.TCPConnector()
+        set_response_handler(connector, ResetDetectingHandler)
+        async with aiohttp.ClientSession(
+            connector=connector, timeout=timeout
+        ) as session:
             self._build(session)
             await self._fleet.start()
             await self._services.start()
--- a/src/violethatch/platform/_sessions.py
+++ b/src/violethatch/platform/_sessions.py
@@ -7,7 +7,7 @@
 import functools
 import socket
 
-from typing import Any, cast
+from typing import Any
 
 import aiohttp
 
@@ -15,6 +15,7 @@
 
 from .. import running_time
 from .._bounded_responses import BoundedResponseHandler
+from .._reset_detection import ResetDetectingHandler, set_response_handler
 from .._send_checks import CheckedRequest
 
 
@@ -38,15 +39,8 @@
 _READ_BUFFER_BYTES = 65_536
 
 
-class _Connection(BoundedResponseHandler):
-    """Tells an answer without a length that was reset from one that is whole."""
-
-    def connection_lost(self, exc: BaseException | None) -> None:
-        """Spoil the answer under way if the connection broke."""
-        payload = self._payload
-        if exc is not None and payload is not None and not payload.is_eof():
-            payload.set_exception(aiohttp.ClientPayloadError("connection reset"))
-        super().connection_lost(exc)
+class _Connection(BoundedResponseHandler, ResetDetectingHandler):
+    """Fails responses that exceed their bounds, and those that are reset."""
 
 
 class _Connector(aiohttp.TCPConnector):
@@ -97,11 +91,7 @@
     connector = _Connector(
         limit=0, use_dns_cache=False, socket_factory=_make_socket, **options
     )
-    loop = asyncio.get_running_loop()
-    connector._factory = cast(
-        "functools.partial[ResponseHandler]",
-        functools.partial(_Connection, loop=loop),
-    )
+    set_response_handler(connector, _Connection)
     session = aiohttp.ClientSession(
         connector=connector,
         request_class=CheckedRequest,
