--- a/src/violethatch_emulator/path_runner.py
+++ b/src/violethatch_emulator/path_runner.py
@@ -49,6 +49,12 @@
     is_whole: bool = False
 
 
+class _Unframed(web.StreamResponse):
+    """An answer that ends with its connection."""
+
+    _length_check = False
+
+
 class PathRunner:
     """Answers with events; follows orders; can pause, hang, cut, refuse and leave.
 
@@ -90,6 +96,8 @@
         self.refuse_with = 0
         #: The figure of a rest that refusals ask for, or an empty text.
         self.asks_rest = ""
+        #: Whether streams come in chunks; else they end with their connection.
+        self.is_framed = True
         #: Whether all answers say that it leaves.
         self.is_leaving = False
         #: Streams stand still after this event, waiting for `stalled_at`.
@@ -239,13 +247,16 @@
         """Give the events after the one that the caller has."""
         run = Run(call_id, started_s=clocks.now_s())
         self.runs.append(run)
-        answer = web.StreamResponse(
+        kind = web.StreamResponse if self.is_framed else _Unframed
+        answer = kind(
             headers={
                 _ID: call_id,
                 "Violethatch-Response-Signature": f"by-{self.server_id}",
                 "Content-Type": "text/event-stream",
             }
         )
+        if not self.is_framed:
+            answer.force_close()
         first = int(request.headers.get("Last-Event-Id", 0)) + 1
         try:
             await self._may_write.wait()
