Accept no answers that are not proper HTTP

Bodies in codings other than chunks were passed on as whole.

Cause: the HTTP library parses responses leniently, and nothing looked at what it had parsed.

Change: _proper_responses.py decides for each head, wherever answers are read, whether it is proper. At any other the connection is closed and the response is lost: 502, or sent again where the route allows.

All statuses from 200 to 599 and rare but proper heads pass.

--- a/src/violethatch/_reset_detection.py
+++ b/src/violethatch/_reset_detection.py
@@ -9,7 +9,6 @@
 from __future__ import annotations
 
 import errno
-import functools
 import socket
 
 from typing import Any
@@ -47,10 +46,3 @@
         if error is not None and payload is not None and not payload.is_eof():
             payload.set_exception(aiohttp.ClientPayloadError("connection reset"))
         super().connection_lost(error)
-
-
-def set_response_handler(
-    connector: aiohttp.BaseConnector, handler: type[ResponseHandler]
-) -> None:
-    """Have a connector's connections handled by a class of our own."""
-    connector._factory = functools.partial(handler, loop=connector._loop)
--- /dev/null
+++ b/src/violethatch/_response_handlers.py
@@ -0,0 +1,24 @@
+# SPDX-License-Identifier: MIT
+"""The checks of responses that every client's connection makes."""
+
+from __future__ import annotations
+
+import functools
+
+import aiohttp
+
+from aiohttp.client_proto import ResponseHandler
+
+from ._proper_responses import ProperResponseHandler
+from ._reset_detection import ResetDetectingHandler
+
+
+class SoundResponseHandler(ProperResponseHandler, ResetDetectingHandler):
+    """A client's connection that fails improper responses and those that are reset."""
+
+
+def set_response_handler(
+    connector: aiohttp.BaseConnector, handler: type[ResponseHandler]
+) -> None:
+    """Have a connector's connections handled by a class of our own."""
+    connector._factory = functools.partial(handler, loop=connector._loop)
--- a/src/violethatch/_services.py
+++ b/src/violethatch/_services.py
@@ -14,7 +14,7 @@
 
 from . import clocks, events
 from ._keyed import Answer
-from ._reset_detection import ResetDetectingHandler, set_response_handler
+from ._response_handlers import SoundResponseHandler, set_response_handler
 from ._send_checks import CheckedRequest, send_check
 from .errors import (
     Ran,
@@ -75,7 +75,7 @@
         # A connection kept open may be closed by the server just as a call is
         # sent on it, and then nobody knows whether the call ran.
         connector = aiohttp.TCPConnector(limit=0, force_close=True)
-        set_response_handler(connector, ResetDetectingHandler)
+        set_response_handler(connector, SoundResponseHandler)
         self._session = aiohttp.ClientSession(
             connector=connector,
             timeout=self._timeout,
--- a/src/violethatch/platform/_runners.py
+++ b/src/violethatch/platform/_runners.py
@@ -22,6 +22,7 @@
 from .._bounded_responses import EndlessResponseError, read_at_most
 from .._call_errors import CALL_ERRORS
 from .._decoding import decoded
+from .._proper_responses import ImproperResponseError
 from .._send_checks import send_check
 from .._serving import host_and_port
 from ..backends import BackendServer
@@ -136,6 +137,8 @@
                 yield part
         except EndlessResponseError as error:
             raise AnswerTooLongError(str(error)) from error
+        except ImproperResponseError as error:
+            raise AnswerLostError(repr(error)) from error
         except (aiohttp.ClientError, OSError) as error:
             msg = f"the answer broke off: {error!r}"
             raise ConnectionBrokenError(msg) from error
--- a/src/violethatch/platform/_sessions.py
+++ b/src/violethatch/platform/_sessions.py
@@ -15,7 +15,9 @@
 
 from .. import running_time
 from .._bounded_responses import BoundedResponseHandler
-from .._reset_detection import ResetDetectingHandler, set_response_handler
+from .._proper_responses import ProperResponseHandler
+from .._reset_detection import ResetDetectingHandler
+from .._response_handlers import set_response_handler
 from .._send_checks import CheckedRequest
 
 
@@ -39,8 +41,8 @@
 _READ_BUFFER_BYTES = 65_536
 
 
-class _Connection(BoundedResponseHandler, ResetDetectingHandler):
-    """Fails responses that exceed their bounds, and those that are reset."""
+class _Connection(ProperResponseHandler, BoundedResponseHandler, ResetDetectingHandler):
+    """Fails responses that are not proper, exceed their bounds or are reset."""
 
 
 class _Connector(aiohttp.TCPConnector):
--- a/tests/raw_server.py
+++ b/tests/raw_server.py
@@ -92,7 +92,10 @@
         _, has_length, rest = head.lower().partition(b"content-length:")
         length = int(rest.split(b"\r\n")[0]) if has_length else 0
         while len(body) < length:
-            body += taken.recv(65_536)
+            more = taken.recv(65_536)
+            if not more:
+                return b""
+            body += more
         return head
 
     def _answer(self, taken, answer, head):
