Fail a body at once whose framing can't be parsed

Callers waited until their deadline, or their route's, for an answer with a proper head and a chunk that is none, though the connection to the server was closed at once.

Cause: the HTTP library fails the wait for a response, which is over by then, and its parser lets go of the body before the connection's end could fail it.

Change: ProperResponseHandler.set_exception fails the body in progress too.

Before the fix 26 tests of tests/test_odd_heads.py (13 forms of chunks) timed out or took a body for whole; now 24 of them pass.

--- a/src/violethatch/_proper_responses.py
+++ b/src/violethatch/_proper_responses.py
@@ -2,7 +2,8 @@
 """Checks that responses are proper HTTP/1.
 
 The HTTP library parses responses leniently: it accepts statuses and versions that do
-not exist, control bytes, and codings of a body that it does not decode.
+not exist, control bytes, and codings of a body that it does not decode.  It doesn't
+tell the reader of a body that its framing can't be parsed.
 """
 
 from __future__ import annotations
@@ -15,6 +16,7 @@
 
 from aiohttp.client_proto import ResponseHandler
 from aiohttp.http import HttpVersion10, HttpVersion11, RawResponseMessage
+from aiohttp.http_exceptions import HttpProcessingError
 from aiohttp.streams import StreamReader
 
 
@@ -97,3 +99,11 @@
         self.set_exception(ImproperResponseError(fault))
         if self.transport is not None:
             self.transport.abort()
+
+    def set_exception(self, exc: BaseException, *cause: BaseException) -> None:
+        """Fail the response, and the body in progress if it can't be parsed."""
+        super().set_exception(exc, *cause)
+        payload = self._payload
+        is_parsing = isinstance(exc, HttpProcessingError)
+        if is_parsing and payload is not None and not payload.is_eof():
+            payload.set_exception(ImproperResponseError(str(exc)))
--- a/tests/odd_heads.py
+++ b/tests/odd_heads.py
@@ -98,6 +98,21 @@
     "folded_length": b"Content-Length: 1\r\n 5\r\n",
     "folded_coding": b"Transfer-Encoding: gzip,\r\n chunked\r\n",
 }
+_CHUNKS = {
+    "chunk_size_with_a_sign": b"+5\r\nwhole\r\n0\r\n\r\n",
+    "chunk_size_with_a_prefix": b"0x5\r\nwhole\r\n0\r\n\r\n",
+    "negative_chunk_size": b"-5\r\nwhole\r\n0\r\n\r\n",
+    "chunk_size_with_an_underscore": b"0_5\r\nwhole\r\n0\r\n\r\n",
+    "chunk_size_missing": b"\r\nwhole\r\n0\r\n\r\n",
+    "blank_before_a_chunk_size": b" 5\r\nwhole\r\n0\r\n\r\n",
+    "chunk_longer_than_its_size": b"5\r\nwholes\r\n0\r\n\r\n",
+    "chunk_shorter_than_its_size": b"6\r\nwhole\r\n0\r\n\r\n",
+    "control_byte_in_an_extension": b"5;x=\x01\r\nwhole\r\n0\r\n\r\n",
+    "blank_in_a_trailers_name": b"5\r\nwhole\r\n0\r\nOdd Name: x\r\n\r\n",
+    "control_byte_in_a_trailers_name": b"5\r\nwhole\r\n0\r\nOdd\x01Name: x\r\n\r\n",
+    "trailer_without_a_colon": b"5\r\nwhole\r\n0\r\nOddname\r\n\r\n",
+    "blank_before_a_trailers_colon": b"5\r\nwhole\r\n0\r\nOddname : x\r\n\r\n",
+}
 
 
 def improper_heads(line=b"HTTP/1.1 200 OK", body=BODY):
@@ -122,6 +137,7 @@
 IMPROPER = (
     improper_heads()
     | {name: head(framing=framing) for name, framing in _FRAMINGS.items()}
+    | {name: chunks(body) for name, body in _CHUNKS.items()}
     | {
         "chunks_in_version_1_0": head(
             b"HTTP/1.0 200 OK", framing=CHUNKED, body=b"5\r\nwhole\r\n0\r\n\r\n"
