--- a/tests/test_admission_failures.py
+++ b/tests/test_admission_failures.py
@@ -10,6 +10,7 @@
 
 import asyncio
 import itertools
+import math
 import random
 
 from typing import NamedTuple
@@ -25,6 +26,7 @@
 from violethatch._peer_datagrams import LoadDatagram
 from violethatch._peer_links import PeerLinks
 from violethatch._router import Router
+from violethatch.backends import StoreOutage
 from violethatch.capacity import Targets, estimate_capacity
 from violethatch.desired import ServiceSpec
 from violethatch.errors import VioletHatchError
@@ -482,7 +484,8 @@
                 instance.datagrams.directory.take(
                     fleet.entries, is_whole=True, is_restored=True
                 )
-                instance.router.handle_store_recovery()
+                outage = StoreOutage(-math.inf, clocks.now_s())
+                instance.router.handle_store_recovery(outage)
                 view = TableView(RUNNERS, 1, 0.0, is_restored=True)
                 instance.router.apply_server_list(view, True)
                 instance.router.apply_desired_state(
