Refuse late calls in a planned stop by the age of those in flight

Cause: only the durations of recent answers counted, not that calls had been running for seconds.

Change: the age of the oldest call in flight on the route counts too, from 3 s after the request to stop on, and before that where no answer is known.

--- a/src/violethatch/_router.py
+++ b/src/violethatch/_router.py
@@ -623,6 +623,7 @@
             is_stream=is_stream,
             now_s=now_s,
             recent_s=self._response_times.recent_s(admitted.route.name),
+            oldest_s=self._response_times.oldest_s(admitted.route.name, now_s=now_s),
             limit_s=call.deadline_within_s(admitted.route.timeout_s) - now_s,
         )
         if refusal is not None:
@@ -650,12 +651,14 @@
         """Serve a call according to its route's kind, and log the outcome."""
         local_call = self._make_local_call(call, admitted, runs=runs, on_send=on_send)
         served_by = None
-        try:
-            status = await local_call.serve(responder)
-        except MustForwardError:
-            forwarded_call = self._make_forwarded_call(call, admitted, local_call)
-            status = await forwarded_call.serve(responder)
-            served_by = forwarded_call.served_by
+        route = admitted.route.name
+        with self._response_times.track(route, began_s=call.received_s):
+            try:
+                status = await local_call.serve(responder)
+            except MustForwardError:
+                forwarded_call = self._make_forwarded_call(call, admitted, local_call)
+                status = await forwarded_call.serve(responder)
+                served_by = forwarded_call.served_by
         duration_s = clocks.now_s() - call.received_s
         if _OK <= status < _MULTIPLE_CHOICES:
             self.record_start_step(Step.FIRST_ANSWER)
--- a/src/violethatch/draining.py
+++ b/src/violethatch/draining.py
@@ -66,6 +66,7 @@
         is_stream: bool,
         now_s: float,
         recent_s: Sequence[float] = (),
+        oldest_s: float = 0.0,
         limit_s: float = math.inf,
     ) -> str | None:
         """Return why a new call is rejected, or None if it is accepted.
@@ -74,6 +75,7 @@
             is_stream: Whether its response is streamed.
             now_s: The current monotonic time, in seconds.
             recent_s: Durations of recent responses of its route, in seconds.
+            oldest_s: For how long the oldest call of its route is in flight.
             limit_s: Max duration of the call, in seconds.
 
         .. versionadded:: 26.6.0
@@ -88,9 +90,12 @@
             accept_s = min(_STREAM_ACCEPT_S, accept_s)
         if elapsed_s >= accept_s:
             return f"the instance stops since {elapsed_s:.1f} s"
-        quantile = 1.0 if elapsed_s >= _MAX_ONLY_AFTER_S else _RECENT_QUANTILE
+        is_late = elapsed_s >= _MAX_ONLY_AFTER_S
+        expected_s = _quantile(recent_s, 1.0 if is_late else _RECENT_QUANTILE)
+        if is_late or not recent_s:
+            expected_s = max(expected_s, oldest_s)
         remaining_s = self.left_s(now_s=now_s)
-        expected_s = min(limit_s, _quantile(recent_s, quantile))
+        expected_s = min(limit_s, expected_s)
         if expected_s > remaining_s:
             return f"it may take {expected_s:.1f} s, and {remaining_s:.1f} s are left"
         return None
--- a/tests/test_draining.py
+++ b/tests/test_draining.py
@@ -4,6 +4,7 @@
 from __future__ import annotations
 
 import collections
+import contextlib
 import random
 
 import pytest
@@ -107,7 +108,54 @@
         assert plan.refusal(**call, now_s=3.4)
 
 
+class TestCallsInFlight:
+    """Stops among calls of which none has been answered yet."""
+
+    @pytest.mark.parametrize("took_s", [4.0, 6.0])
+    def test_late_call_is_taken_while_older_ones_still_run(self, took_s):
+        """Nothing excuses the cut of a call that came 3 s after the request."""
+        times = AnswerTimes()
+        plan = StopPlan(grace_s=GRACE_S)
+        plan.request_stop(now_s=0.0)
+        cut = []
+        calls = contextlib.ExitStack()
+        for number in range(int((GRACE_S + 0.5) * 25)):
+            now_s = -0.5 + number / 25
+            if now_s - took_s >= -0.5:
+                times.record("label", took_s)
+            refusal = plan.refusal(
+                is_stream=False,
+                now_s=now_s,
+                recent_s=times.recent_s("label"),
+                oldest_s=times.oldest_s("label", now_s=now_s),
+            )
+            if now_s < 0 or refusal is None:
+                calls.enter_context(times.track("label", began_s=now_s))
+                if now_s >= 0 and now_s + took_s > LEAVES_S:
+                    cut.append(now_s)
+        assert max(cut, default=0.0) < 3.5
+
+    def test_one_call_that_is_stuck_stops_others(self):
+        """While callers still come, what is usual decides."""
+        plan = StopPlan(grace_s=GRACE_S)
+        plan.request_stop(now_s=0.0)
+        call = {"is_stream": False, "oldest_s": 60.0}
+        assert plan.refusal(**call, now_s=1.0, recent_s=[0.1] * 40) is None
+        assert plan.refusal(**call, now_s=1.0)
+        assert plan.refusal(**call, now_s=3.2, recent_s=[0.1] * 40)
+
+
 class TestAnswerTimes:
+    def test_oldest_call_in_flight_is_known(self):
+        times = AnswerTimes()
+        assert times.oldest_s("used", now_s=5.0) == 0.0
+        with times.track("used", began_s=1.0):
+            with times.track("used", began_s=2.0):
+                assert times.oldest_s("used", now_s=5.0) == 4.0
+                assert times.oldest_s("other", now_s=5.0) == 0.0
+            assert times.oldest_s("used", now_s=5.0) == 4.0
+        assert times.oldest_s("used", now_s=5.0) == 0.0
+
     def test_routes_are_told_apart(self):
         """Guards against short answers that are refused for another route's length."""
         times = AnswerTimes()
