Tests: wait until all instances know a limit

The datagrams of the limit had 0.05 s to arrive; now the test waits until all know it, for the second that the module states, and fails after it.

--- a/tests/test_limit_link.py
+++ b/tests/test_limit_link.py
@@ -98,6 +98,13 @@
             for own in self.entries.values()
         ]
 
+    async def notify(self, limit_per_s):
+        """Have one receive a limit; wait until all know it."""
+        self.all[0].receive(limit_per_s)
+        async with asyncio.timeout(NOTIFIED_WITHIN_S):
+            while any(one.limit_per_s() != limit_per_s for one in self.all):
+                await asyncio.sleep(0.01)
+
     def issuer(self):
         """Return the issuer that all instances agree on."""
         (issuer_id,) = {member.issuer_id() for member in self.all}
@@ -282,8 +289,7 @@
     async def test_starting_or_leaving_instance_is_no_issuer(self, why):
         """Other lists don't contain it yet, or no longer; it forwards requests."""
         members = Members(9)
-        members.all[0].receive(50.0)
-        await asyncio.sleep(0.05)
+        await members.notify(50.0)
         issuer = members.issuer()
         if why == "started":
             issuer.link._started_s = clocks.now_s()
@@ -301,8 +307,7 @@
         members = Members(9)
         for member in members.all:
             member.link._started_s = clocks.now_s()
-        members.all[0].receive(50.0)
-        await asyncio.sleep(0.05)
+        await members.notify(50.0)
         for number in range(30):
             await asyncio.gather(*(member.request() for member in members.all))
             if number == 10:
@@ -315,8 +320,7 @@
         members = Members(9)
         issuer = members.issuer()
         issuer.link._started_s = clocks.now_s()
-        members.all[0].receive(50.0)
-        await asyncio.sleep(0.05)
+        await members.notify(50.0)
         assert issuer.issuer_id() != issuer.own.id
         issuer.link._started_s -= 2 * WINDOW_S
         assert issuer.issuer_id() != issuer.own.id
@@ -327,8 +331,7 @@
     async def test_different_lists(self):
         """Some don't list the issuer yet: the instance they use forwards to it."""
         members = Members(9)
-        members.all[0].receive(50.0)
-        await asyncio.sleep(0.05)
+        await members.notify(50.0)
         issuer = members.issuer()
         partial_list = dict(members.entries)
         del partial_list[issuer.own.id]
