Name the outage of the store in plain terms, and log its age

An instance that finds a restored store records the outage by the new clock. The rest is names and comments.

--- a/src/violethatch/_followers.py
+++ b/src/violethatch/_followers.py
@@ -30,6 +30,8 @@
 #: after changes.  A store that forgot its history was read 1,400 times in 2 s by six
 #: instances, since it did not wait with its answers.
 _IDLE_PAUSES = 2.0
+#: The longest time since a failed read that is logged, in seconds.
+_MAX_LOGGED_S = 3600.0
 
 
 class TableFollower:
@@ -82,11 +84,12 @@
         self._pause_s = 0.0
         #: When the latest read was begun, in monotonic seconds.
         self._read_began_s = 0.0
-        #: When the latest read of the store itself was begun that came to nothing, in
-        #: monotonic seconds.  Other instances may not know yet that it has recovered.
+        #: When the latest failed read of the store itself began, in monotonic seconds.
+        #: A read through other instances also fails after the store has recovered.
         self._unavailable_s = -math.inf
-        #: When the store was last unavailable to other instances, by its own clock.
-        self._told_unavailable_s: float | None = None
+        #: When the store was last unavailable according to other instances, by its own
+        #: clock.
+        self._reported_unavailable_s: float | None = None
 
     def state(self) -> TableState:
         """Return what this instance's view of the table rests on."""
@@ -123,10 +126,10 @@
             await asyncio.sleep(pause_s * self._rng.uniform(*_PAUSE_PARTS))
 
     def _retry_pause_s(self) -> float:
-        """Return how long to wait after a read that came to nothing, in seconds.
+        """Return how long to wait after a failed read, in seconds.
 
-        The pause is counted from the beginning of the read, which may have taken its
-        time, but for a pause before the first retry.
+        The interval is measured from the beginning of the read, which may have timed
+        out, but is not shorter than the first pause.
         """
         first_s = self.settings.retry_pause_s
         longest_s = max(first_s, _LONGEST_PAUSE_S)
@@ -265,41 +268,48 @@
 
         It may have been unavailable only to the instance that reads it for this one.
         """
-        ends_s = self._take_told_outage(view)
+        now_s = clocks.now_s()
+        unavailable_s = self._take_reported_outage(view)
         if view.is_restored:
-            ends_s.append(self._read_began_s)
+            unavailable_s = self._read_began_s
+        is_back = self._is_unavailable or view.is_restored
         if self._is_unavailable:
-            ends_s.append(self._unavailable_s)
             self._is_unavailable = False
-            events.log(events.TABLE_REACHABLE, table=self.table)
-        elif view.is_restored and not view.is_relayed:
-            self._record_outage(self._read_began_s)
-        if not ends_s:
+            if unavailable_s is None or unavailable_s < self._unavailable_s:
+                unavailable_s = self._unavailable_s
+            events.log(
+                events.TABLE_REACHABLE,
+                table=self.table,
+                unavailable_ago_s=round(min(now_s - unavailable_s, _MAX_LOGGED_S), 3),
+            )
+        if unavailable_s is None:
             return
+        if is_back and not view.is_relayed:
+            self._record_outage(unavailable_s)
         # A restored store may lack entries, however new the last proof is.
-        age_s = self._freshness.age_s(now_s=clocks.now_s())
-        proven_s = -math.inf if view.is_restored else clocks.now_s() - age_s
-        self._on_recovery(StoreOutage(proven_s, max(ends_s)))
+        age_s = self._freshness.age_s(now_s=now_s)
+        proven_s = -math.inf if view.is_restored else now_s - age_s
+        self._on_recovery(StoreOutage(proven_s, unavailable_s))
 
-    def _take_told_outage(self, view: TableView) -> list[float]:
-        """Return when an outage that another instance tells of ended at the earliest.
+    def _take_reported_outage(self, view: TableView) -> float | None:
+        """Return when the store was unavailable, if another instance reports an outage.
 
-        The time is in monotonic seconds; there is none if no outage is new.
+        The time is in monotonic seconds; each outage is returned once.
         """
-        told_s = view.unavailable_s
-        if told_s is None or told_s == self._told_unavailable_s:
-            return []
-        self._told_unavailable_s = told_s
+        reported_s = view.unavailable_s
+        if reported_s is None or reported_s == self._reported_unavailable_s:
+            return None
+        self._reported_unavailable_s = reported_s
         if not self._clock.is_known:
-            return []
-        end_s = self._clock.earliest_local_s(told_s)
-        if end_s > clocks.now_s():
-            return []  # told by the clock of another era
-        if end_s > self._unavailable_s:
-            self._cache.record_outage(told_s)
-        return [end_s]
+            return None
+        unavailable_s = self._clock.earliest_local_s(reported_s)
+        if unavailable_s > clocks.now_s():
+            return None  # a time of another era's clock
+        if unavailable_s > self._unavailable_s:
+            self._cache.record_outage(reported_s)
+        return unavailable_s
 
     def _record_outage(self, unavailable_s: float) -> None:
         """Keep for other instances when the store was unavailable."""
-        if self._clock.is_known:
+        if self._clock.is_known and unavailable_s > -math.inf:
             self._cache.record_outage(self._clock.latest_store_s(unavailable_s))
--- a/src/violethatch/_relay_http.py
+++ b/src/violethatch/_relay_http.py
@@ -232,14 +232,14 @@
         raise NoUpdateError(msg)
     if answer.status == _UNAVAILABLE:
         msg = "the store refuses it"
-        told = answer.headers.get(_OUTAGE_HEADER)
-        raise PeerRefusedError(msg, unavailable_s=_finite(told))
+        unavailable_s = _parse_time(answer.headers.get(_OUTAGE_HEADER))
+        raise PeerRefusedError(msg, unavailable_s=unavailable_s)
     if answer.status != _OK:
         msg = f"status {answer.status}"
         raise PeerSilentError(msg)
 
 
-def _finite(text: str | None) -> float | None:
+def _parse_time(text: str | None) -> float | None:
     """Return the time that a header holds, or None if it holds none."""
     try:
         time_s = float(text or "")
--- a/src/violethatch/relayed_tables.py
+++ b/src/violethatch/relayed_tables.py
@@ -101,10 +101,10 @@
         self._known: dict[str, ProofTime] = {}
         self._sources: dict[str, str] = {}
         self._store_rests_until_s = 0.0
-        #: By table, when the store was last unavailable to another instance, by its
-        #: own clock.
-        self._told_outage_s: dict[str, float] = {}
-        self._era.on_restore(self._told_outage_s.clear)
+        #: By table, when the store was last unavailable according to other instances,
+        #: by its own clock.
+        self._reported_outage_s: dict[str, float] = {}
+        self._era.on_restore(self._reported_outage_s.clear)
         #: Unproven tables whose changes were read from the store once.
         self._confirmed: set[str] = set()
 
@@ -227,7 +227,7 @@
                 )
             except PeerRefusedError as error:
                 is_refused = True
-                self._note_outage(table, error)
+                self._record_outage(table, error)
                 self._directory.note_refused(source.id, now_s=clocks.now_s())
                 self._note_source(table, "another", f"{source.id}: {error}")
             except NoUpdateError as error:
@@ -260,21 +260,21 @@
             raise error
         return view
 
-    def _note_outage(self, table: str, error: PeerRefusedError) -> None:
-        """Remember when the store was unavailable to another instance."""
+    def _record_outage(self, table: str, error: PeerRefusedError) -> None:
+        """Record when the store was unavailable to another instance."""
         if error.unavailable_s is not None:
-            known_s = self._told_outage_s.get(table, error.unavailable_s)
-            self._told_outage_s[table] = max(known_s, error.unavailable_s)
+            known_s = self._reported_outage_s.get(table, error.unavailable_s)
+            self._reported_outage_s[table] = max(known_s, error.unavailable_s)
 
     def _local_outage_s(self, table: str) -> float | None:
         """Return when the store was unavailable to another instance, if that is known.
 
         The time is in monotonic seconds.
         """
-        told_s = self._told_outage_s.get(table)
-        if told_s is None or self._clock is None or not self._clock.is_known:
+        reported_s = self._reported_outage_s.get(table)
+        if reported_s is None or self._clock is None or not self._clock.is_known:
             return None
-        outage_s = self._clock.earliest_local_s(told_s)
+        outage_s = self._clock.earliest_local_s(reported_s)
         return outage_s if outage_s <= clocks.now_s() else None
 
     def _patience_s(self, table: str, attempt: int, wait_s: float) -> float:
