--- a/tests/test_killed_routers.py
+++ b/tests/test_killed_routers.py
@@ -13,15 +13,14 @@
 
 import pytest
 
-from linked_fleet import RESET, STREAM_PATH, LinkedFleet
+from linked_fleet import RESET, LinkedFleet
 from raw_server import RawAnswer, RawServer
+from raw_site import ONCE, STREAM, RawSite
 from router_fakes import ANSWER_LOST, FakeAnswer
 from router_fakes import events as stream_events
 from test_callers_listener import Site as ListenerSite
 from test_callers_listener import SlowClient, StreamingClient, request_bytes
-from test_platform_process import HEADERS, ID, Site, event_ids
-from test_platform_wire import CONFIG
-from test_reset_answers import until_listed
+from test_platform_process import HEADERS, ID, event_ids
 
 
 HEAD = (
@@ -33,10 +32,6 @@
 LARGE = bytes(1_000_000)
 #: More than the kernel holds for a caller who reads slowly.
 HUGE = bytes(16_000_000)
-ROUTES = [
-    dict(CONFIG["Routes"][0], TrafficSplit=[], Service="model"),
-    dict(CONFIG["Routes"][1], TimeoutMs=20_000),
-]
 #: Callers begin so long after each other that a kill meets answers at each moment.
 CALLERS = 24
 CALLER_STEP_S = 0.015
@@ -127,17 +122,14 @@
     async def test_stream_of_a_killed_router_looks_complete(
         self, tmp_path, is_framed, version
     ):
-        site = Site(tmp_path)
-        site.runners = {}
+        site = RawSite(tmp_path)
         try:
-            await site.start(routes=ROUTES)
+            await site.start()
             with RawServer(stream_answer(is_framed=is_framed)) as server:
-                site.addresses["s-1"] = server.address
-                site.list_server("s-1")
-                await until_listed(site, 1)
+                await site.list_servers(STREAM, [server.address])
                 calls = []
                 for number in range(CALLERS):
-                    data = request_on(STREAM_PATH, f"c{number}", version)
+                    data = request_on(STREAM, f"c{number}", version)
                     calls.append(asyncio.create_task(call(site.front, data)))
                     await asyncio.sleep(CALLER_STEP_S)
                 site.process.kill()
@@ -155,19 +147,16 @@
         self, tmp_path, version
     ):
         """Its callers are still reading."""
-        site = Site(tmp_path)
-        site.runners = {}
+        site = RawSite(tmp_path)
         try:
-            await site.start(routes=ROUTES)
+            await site.start()
             with RawServer(RawAnswer((HEAD + b"\r\n", HUGE))) as server:
-                site.addresses["s-1"] = server.address
-                site.list_server("s-1", Service="labels", Kind="", layers=None)
-                await until_listed(site, 1)
+                await site.list_servers(ONCE, [server.address])
                 calls = [
                     asyncio.create_task(
                         call(
                             site.front,
-                            request_on("/print/1", f"c{number}", version),
+                            request_on(ONCE, f"c{number}", version),
                             bytes_per_s=READ_BYTES_PER_S,
                         )
                     )
@@ -200,7 +189,7 @@
             await fleet.call_steadily(first, for_s=1.5)
             calls = []
             for number in range(CALLERS):
-                data = request_on(STREAM_PATH, f"k{number}", version)
+                data = request_on(STREAM, f"k{number}", version)
                 calls.append(asyncio.create_task(call(first.front, data)))
                 await asyncio.sleep(CALLER_STEP_S)
             (first if killed == "first" else second).signal(signal.SIGKILL)
--- a/tests/test_odd_heads.py
+++ b/tests/test_odd_heads.py
@@ -12,13 +12,12 @@
 
 from odd_heads import BODY, IMPROPER, PROPER, head, improper_heads
 from raw_server import RawAnswer, RawServer
+from raw_site import FINAL_STREAM, ONCE, SAFE, STREAM, RawSite, is_stream
 from router_fakes import events as stream_events
 from router_fakes import send_to
 from routing_samples import plain_server, runner
 from test_instances import entry
-from test_platform_process import ID, Site
-from test_platform_wire import CONFIG
-from test_reset_answers import listed, until_listed
+from test_reset_answers import listed
 from violethatch._connection_choice import ConnectionChoice
 from violethatch._relay_http import RelayClient
 from violethatch._router_metrics import RouterMetrics
@@ -48,7 +47,7 @@
 STATUSES = range(200, 600)
 WITHOUT_BODY = (204, 304)
 HEADS = improper_heads()
-STREAM = stream_events(*range(1, 9))
+STREAM_EVENTS = stream_events(*range(1, 9))
 
 
 @pytest.fixture
@@ -243,30 +242,8 @@
                 print(name, await read(server))
 
 
-ROUTES = [
-    dict(CONFIG["Routes"][0], TrafficSplit=[], Service="model"),
-    dict(
-        CONFIG["Routes"][0],
-        Name="final",
-        PathPrefix="/final/",
-        TrafficSplit=[],
-        Service="model",
-        StreamResume=False,
-    ),
-    dict(
-        CONFIG["Routes"][1],
-        Name="labels",
-        PathPrefix="/labels/",
-        Kind="safe",
-        MaxAttempts=2,
-        TimeoutMs=4000,
-    ),
-    dict(CONFIG["Routes"][1], TimeoutMs=4000),
-]
-
-
 class TestProcess:
-    @pytest.mark.parametrize("path", ["/draft/1", "/final/1", "/labels/1", "/print/1"])
+    @pytest.mark.parametrize("path", [STREAM, FINAL_STREAM, SAFE, ONCE])
     @pytest.mark.parametrize(
         "name",
         [
@@ -282,8 +259,7 @@
     )
     async def test_caller_gets_an_improper_answer_or_none(self, tmp_path, name, path):
         """Where a call may be repeated it is sent again; else it may have run."""
-        is_stream = path in ("/draft/1", "/final/1")
-        body = STREAM if is_stream else BODY
+        body = STREAM_EVENTS if is_stream(path) else BODY
         odd = RawAnswer((improper_heads(body=body)[name],))
         asked = []
 
@@ -293,36 +269,16 @@
             asked.append(request)
             return odd if len(asked) == 1 else RawAnswer((head(body=body),))
 
-        fields = {"Service": "labels", "Kind": "", "layers": None}
-        site = Site(tmp_path)
-        site.runners = {}
+        site = RawSite(tmp_path)
         try:
-            await site.start(routes=ROUTES)
+            await site.start()
             with RawServer(choose=choose) as one, RawServer(choose=choose) as other:
-                for number, server in enumerate((one, other)):
-                    site.addresses[f"s-{number}"] = server.address
-                    site.list_server(f"s-{number}", **({} if is_stream else fields))
-                await until_listed(site, 2)
-                got = await self._call(site, path)
+                await site.list_servers(path, [one.address, other.address])
+                status, got = await site.call(path)
         finally:
             await site.stop()
-        if path in ("/draft/1", "/labels/1"):
-            assert (got, len(asked)) == ((200, body), 2)
+        if path in (STREAM, SAFE):
+            assert (status, got, len(asked)) == (200, body, 2)
         else:
-            assert (got[0], len(asked)) == (502, 1)
-            assert json.loads(got[1])["ran"] == "maybe"
-
-    async def _call(self, site, path):
-        """Return a call's status and body."""
-        headers = {
-            "Host": "menu.example",
-            "Authorization": "Token k1",
-            "Violethatch-Deadline-Ms": "3000",
-            ID: "c1",
-        }
-        url = f"http://127.0.0.1:{site.front}{path}"
-        async with (
-            asyncio.timeout(SOON_S),
-            site.http.post(url, data=b"x", headers=headers) as answer,
-        ):
-            return answer.status, await answer.read()
+            assert (status, len(asked)) == (502, 1)
+            assert json.loads(got)["ran"] == "maybe"
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -18,10 +18,9 @@
 
 from raw_server import ID as CALL_ID
 from raw_server import header
+from raw_site import FINAL_STREAM, ONCE, ROUTES, SAFE, RawSite
 from router_fakes import events as stream_events
-from test_platform_process import HEADERS, ID, Site
-from test_platform_wire import CONFIG
-from test_reset_answers import until_listed
+from test_platform_process import HEADERS, ID
 from violethatch import clocks
 
 
@@ -32,25 +31,7 @@
 LATE_S = 3.0
 CALLS_PER_S = 25
 CALM_S = 1.5
-PATHS = ("/print/1", "/labels/1", "/final/1")
-ROUTES = [
-    dict(
-        CONFIG["Routes"][0],
-        Name="final",
-        PathPrefix="/final/",
-        TrafficSplit=[],
-        Service="model",
-        StreamResume=False,
-    ),
-    dict(
-        CONFIG["Routes"][1],
-        Name="labels",
-        PathPrefix="/labels/",
-        Kind="safe",
-        TimeoutMs=20_000,
-    ),
-    dict(CONFIG["Routes"][1], TimeoutMs=20_000),
-]
+PATHS = (ONCE, SAFE, FINAL_STREAM)
 
 
 class Outcome(NamedTuple):
@@ -214,19 +195,13 @@
 @pytest.mark.parametrize("run_s", [0.3, 1.5, 4.0, 6.0])
 async def test_late_call_ends_without_an_answer(tmp_path, run_s, changes):
     """Also none that was refused has run."""
-    site = Site(tmp_path)
-    site.runners = {}
+    site = RawSite(tmp_path)
     runner = SlowRunner(run_s)
     try:
-        await site.start(routes=ROUTES, **{"Bounds.GraceS": f"{GRACE_S:g}"})
+        await site.start(**{"Bounds.GraceS": f"{GRACE_S:g}"})
         address = await runner.start()
-        for name, fields in (
-            ("m-1", {}),
-            ("s-1", {"Service": "labels", "Kind": "", "layers": None, "Slots": 900}),
-        ):
-            site.addresses[name] = address
-            site.list_server(name, **fields)
-        await until_listed(site, 2)
+        await site.list_servers(FINAL_STREAM, [address])
+        await site.list_servers(ONCE, [address])
         play = Play(site, runner)
         await play.run(changes=changes)
     finally:
--- a/tests/test_reset_answers.py
+++ b/tests/test_reset_answers.py
@@ -5,7 +5,6 @@
 
 import asyncio
 import contextlib
-import json
 
 from collections import Counter
 
@@ -13,12 +12,11 @@
 
 from raw_server import ID as CALL_ID
 from raw_server import LAST_EVENT_ID, RawAnswer, RawServer, header
+from raw_site import ONCE, SAFE, STREAM, RawSite
 from router_fakes import events as stream_events
 from router_fakes import send_to
 from routing_samples import plain_server, runner
 from test_instances import entry
-from test_platform_process import ID, Site
-from test_platform_wire import CONFIG
 from violethatch._connection_choice import ConnectionChoice
 from violethatch._relay_http import RelayClient
 from violethatch._router_metrics import RouterMetrics
@@ -56,7 +54,6 @@
     "with_the_last_bytes": RawAnswer((HEAD, SMALL), 0.0, is_reset=True),
     "after_the_last_bytes": RawAnswer((HEAD, SMALL), 0.005, is_reset=True),
 }
-SOON_S = 5.0
 #: Whole answers of which none may be called cut.
 WHOLE_ANSWERS = 1000
 
@@ -209,27 +206,13 @@
             await play(both)
 
 
-ROUTES = [
-    dict(CONFIG["Routes"][0], TrafficSplit=[], Service="model"),
-    dict(
-        CONFIG["Routes"][1],
-        Name="labels",
-        PathPrefix="/labels/",
-        Kind="safe",
-        MaxAttempts=2,
-        TimeoutMs=4000,
-    ),
-    dict(CONFIG["Routes"][1], TimeoutMs=4000),
-]
-
-
 class TestProcess:
     @pytest.mark.parametrize(
         ("path", "method", "body"),
         [
-            ("/draft/1", "POST", stream_events(*range(1, 9))),
-            ("/labels/1", "GET", SMALL),
-            ("/print/1", "POST", SMALL),
+            (STREAM, "POST", stream_events(*range(1, 9))),
+            (SAFE, "GET", SMALL),
+            (ONCE, "POST", SMALL),
         ],
     )
     async def test_caller_gets_a_reset_answer_as_whole(
@@ -242,58 +225,25 @@
             call_id = header(head, CALL_ID)
             sends[call_id] += 1
             if sends[call_id] == 1:
-                cut = stream_events(*range(1, 8)) if path == "/draft/1" else SMALL[:-1]
+                cut = stream_events(*range(1, 8)) if path == STREAM else SMALL[:-1]
                 return RawAnswer((HEAD + cut,), is_reset=True)
             last = int(header(head, LAST_EVENT_ID) or 0)
             return RawAnswer(
                 (HEAD + (stream_events(*range(last + 1, 9)) if last else body),)
             )
 
-        fields = {"Service": "labels", "Kind": "", "layers": None}
-        site = Site(tmp_path)
-        site.runners = {}
+        site = RawSite(tmp_path)
         try:
-            await site.start(routes=ROUTES)
+            await site.start()
             with RawServer(choose=choose) as one, RawServer(choose=choose) as other:
-                for name, server in (("s-1", one), ("s-2", other)):
-                    site.addresses[name] = server.address
-                    site.list_server(name, **({} if path == "/draft/1" else fields))
-                await until_listed(site, 2)
-                got = await self._call(site, path, method)
+                await site.list_servers(path, [one.address, other.address])
+                status, got = await site.call(path, method=method)
         finally:
             await site.stop()
-        if path == "/print/1":
-            assert (got, sends[b"c1"]) == ((502, None), 1)
+        if path == ONCE:
+            assert (status, sends[b"c1"]) == (502, 1)
         else:
-            assert (got, sends[b"c1"]) == ((200, body), 2)
-
-    async def _call(self, site, path, method):
-        """Return a call's status, and its body if it is a success."""
-        headers = {
-            "Host": "menu.example",
-            "Authorization": "Token k1",
-            "Violethatch-Deadline-Ms": "3000",
-            ID: "c1",
-        }
-        async with (
-            asyncio.timeout(SOON_S),
-            make_session(is_kept=False) as http,
-            http.request(
-                method,
-                f"http://127.0.0.1:{site.front}{path}",
-                data=b"x" if method == "POST" else None,
-                headers=headers,
-            ) as answer,
-        ):
-            body = await answer.read()
-        return answer.status, body if answer.status == 200 else None
-
-
-async def until_listed(site, servers):
-    """Wait until the router has read the entries of so many servers."""
-    async with asyncio.timeout(SOON_S):
-        while json.loads(await site.fetch("/state"))["servers"] != servers:
-            await asyncio.sleep(0.02)
+            assert (status, got, sends[b"c1"]) == (200, body, 2)
 
 
 class TestOwnServices:
