Tests: leave the affinity of the test's process alone

Cause: eight coroutines read, set and put back the affinity of the test's process at the same time.

Change: the started process sets its own.

--- a/tests/test_processor_share.py
+++ b/tests/test_processor_share.py
@@ -49,15 +49,13 @@
 async def look(*, share=None, processor=None):
     """Return whether a process is held up that may be limited, on a processor."""
     limiter = await start_limiter()
-    all_processors = os.sched_getaffinity(0)
+    program = LOOK
     if processor is not None:
-        os.sched_setaffinity(0, {processor})
-    try:
-        process = await asyncio.create_subprocess_exec(
-            sys.executable, "-c", LOOK, stdout=asyncio.subprocess.PIPE
-        )
-    finally:
-        os.sched_setaffinity(0, all_processors)
+        # Not the affinity of this process, which starts others at the same time.
+        program = f"import os; os.sched_setaffinity(0, [{processor}])\n{LOOK}"
+    process = await asyncio.create_subprocess_exec(
+        sys.executable, "-c", program, stdout=asyncio.subprocess.PIPE
+    )
     if share is not None:
         limit(limiter, process.pid, share)
     output, _ = await process.communicate()
@@ -76,4 +74,6 @@
     """Guards against a share that is stated, not enforced: all would start late."""
     processor = max(os.sched_getaffinity(0))
     looks = [look(processor=processor) for _ in range(8)]
+    all_processors = os.sched_getaffinity(0)
     assert await asyncio.gather(*looks) == [False] * 8
+    assert os.sched_getaffinity(0) == all_processors
