--- a/src/violethatch/_entry.py
+++ b/src/violethatch/_entry.py
@@ -32,7 +32,7 @@
 from ._operators import Operators
 from ._peers import Peers
 from ._platform import HttpInstanceList, HttpObjectStore, HttpTable
-from ._response_handlers import SoundResponseHandler, set_response_handler
+from ._response_handlers import check_responses
 from ._services import PlainServices
 from .attempts import RetainedInputPool
 from .errors import TableUnavailableError
@@ -120,7 +120,7 @@
         platform, policy = self._settings.platform, self._settings.policy
         timeout = aiohttp.ClientTimeout(total=platform.timeout_s)
         connector = aiohttp.TCPConnector()
-        set_response_handler(connector, SoundResponseHandler)
+        check_responses(connector)
         async with aiohttp.ClientSession(
             connector=connector, timeout=timeout
         ) as session:
--- a/src/violethatch/_followers.py
+++ b/src/violethatch/_followers.py
@@ -30,8 +30,6 @@
 #: after changes.  A store that forgot its history was read 1,400 times in 2 s by six
 #: instances, since it did not wait with its answers.
 _IDLE_PAUSES = 2.0
-#: The longest time since a failed read that is logged, in seconds.
-_MAX_LOGGED_S = 3600.0
 
 
 class TableFollower:
@@ -98,7 +96,7 @@
             self._era,
             self._version,
             self._proof_source,
-            None if age_s == float("inf") else round(age_s, 3),
+            _logged_s(age_s),
         )
 
     async def run(self) -> None:
@@ -260,7 +258,7 @@
             table=self.table,
             reason=error.detail,
             read_s=round(clocks.now_s() - self._read_began_s, 3),
-            proof_age_s=round(age_s, 3) if age_s != float("inf") else None,
+            proof_age_s=_logged_s(age_s),
         )
 
     def _note_back(self, view: TableView) -> None:
@@ -280,7 +278,7 @@
             events.log(
                 events.TABLE_REACHABLE,
                 table=self.table,
-                unavailable_ago_s=round(min(now_s - unavailable_s, _MAX_LOGGED_S), 3),
+                unavailable_ago_s=_logged_s(now_s - unavailable_s),
             )
         if unavailable_s is None:
             return
@@ -300,16 +298,18 @@
         if reported_s is None or reported_s == self._reported_unavailable_s:
             return None
         self._reported_unavailable_s = reported_s
-        if not self._clock.is_known:
-            return None
-        unavailable_s = self._clock.earliest_local_s(reported_s)
-        if unavailable_s > clocks.now_s():
-            return None  # a time of another era's clock
-        if unavailable_s > self._unavailable_s:
+        unavailable_s = self._clock.past_local_s(reported_s)
+        if unavailable_s is not None and unavailable_s > self._unavailable_s:
             self._cache.record_outage(reported_s)
         return unavailable_s
 
     def _record_outage(self, unavailable_s: float) -> None:
         """Keep for other instances when the store was unavailable."""
-        if self._clock.is_known and unavailable_s > -math.inf:
-            self._cache.record_outage(self._clock.latest_store_s(unavailable_s))
+        store_s = self._clock.latest_store_s(unavailable_s)
+        if store_s is not None and store_s > -math.inf:
+            self._cache.record_outage(store_s)
+
+
+def _logged_s(age_s: float) -> float | None:
+    """Return an age as it is logged, in seconds; None if it is infinite."""
+    return None if age_s == math.inf else round(age_s, 3)
--- a/src/violethatch/_response_handlers.py
+++ b/src/violethatch/_response_handlers.py
@@ -20,8 +20,7 @@
     """Fails responses that are not proper, exceed their bounds or are reset."""
 
 
-def set_response_handler(
-    connector: aiohttp.BaseConnector, handler: type[ResponseHandler]
-) -> None:
-    """Have a connector's connections handled by a class of our own."""
+def check_responses(connector: aiohttp.BaseConnector) -> None:
+    """Have all connections of a connector check their responses."""
+    handler: type[ResponseHandler] = SoundResponseHandler
     connector._factory = functools.partial(handler, loop=connector._loop)
--- a/src/violethatch/_services.py
+++ b/src/violethatch/_services.py
@@ -15,7 +15,7 @@
 from . import clocks, events
 from ._bounded_responses import MAX_BODY_BYTES, read_at_most
 from ._keyed import Answer
-from ._response_handlers import SoundResponseHandler, set_response_handler
+from ._response_handlers import check_responses
 from ._send_checks import CheckedRequest, send_check
 from .errors import (
     Ran,
@@ -76,7 +76,7 @@
         # A connection kept open may be closed by the server just as a call is
         # sent on it, and then nobody knows whether the call ran.
         connector = aiohttp.TCPConnector(limit=0, force_close=True)
-        set_response_handler(connector, SoundResponseHandler)
+        check_responses(connector)
         self._session = aiohttp.ClientSession(
             connector=connector,
             timeout=self._timeout,
--- a/src/violethatch/freshness.py
+++ b/src/violethatch/freshness.py
@@ -47,14 +47,22 @@
 
     def now_s(self) -> float | None:
         """Return about what the store's clock shows now; None if unknown."""
-        return None if self._offset_s is None else clocks.now_s() - self._offset_s
+        return self.latest_store_s(clocks.now_s())
 
-    def latest_store_s(self, local_s: float) -> float:
-        """Return a time of the store that is not before the local time *local_s*."""
+    def latest_store_s(self, local_s: float) -> float | None:
+        """Return a time of the store that is not before *local_s*; None if unknown."""
+        return None if self._offset_s is None else local_s - self._offset_s
+
+    def past_local_s(self, store_s: float) -> float | None:
+        """Return a local time that is not after the store's time *store_s*.
+
+        There is none while the offset is unknown, or if it would be in the future: the
+        time is then one of another era's clock.
+        """
         if self._offset_s is None:
-            msg = "no call was observed yet"
-            raise ValueError(msg)
-        return local_s - self._offset_s
+            return None
+        local_s = self.earliest_local_s(store_s)
+        return local_s if local_s <= clocks.now_s() else None
 
     def earliest_local_s(self, store_s: float) -> float:
         """Return a local time that is not after the store's time *store_s*."""
--- a/src/violethatch/platform/_sessions.py
+++ b/src/violethatch/platform/_sessions.py
@@ -14,7 +14,7 @@
 from aiohttp.client_proto import ResponseHandler
 
 from .. import running_time
-from .._response_handlers import SoundResponseHandler, set_response_handler
+from .._response_handlers import check_responses
 from .._send_checks import CheckedRequest
 
 
@@ -86,7 +86,7 @@
     connector = _Connector(
         limit=0, use_dns_cache=False, socket_factory=_make_socket, **options
     )
-    set_response_handler(connector, SoundResponseHandler)
+    check_responses(connector)
     session = aiohttp.ClientSession(
         connector=connector,
         request_class=CheckedRequest,
--- a/src/violethatch/relayed_tables.py
+++ b/src/violethatch/relayed_tables.py
@@ -272,10 +272,9 @@
         The time is in monotonic seconds.
         """
         reported_s = self._reported_outage_s.get(table)
-        if reported_s is None or self._clock is None or not self._clock.is_known:
+        if reported_s is None or self._clock is None:
             return None
-        outage_s = self._clock.earliest_local_s(reported_s)
-        return outage_s if outage_s <= clocks.now_s() else None
+        return self._clock.past_local_s(reported_s)
 
     def _patience_s(self, table: str, attempt: int, wait_s: float) -> float:
         """Return how long another instance may wait for its next proof, in seconds.
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -24,7 +24,7 @@
 from violethatch._metrics import Metrics
 from violethatch._platform import HttpInstanceList, HttpObjectStore, HttpTable
 from violethatch._relay_http import RelayClient
-from violethatch._response_handlers import SoundResponseHandler, set_response_handler
+from violethatch._response_handlers import check_responses
 from violethatch._router_metrics import RouterMetrics
 from violethatch._services import Call, PlainServices
 from violethatch.errors import ServiceLostError, TableUnavailableError
@@ -251,7 +251,7 @@
     @pytest.mark.parametrize("kind", [kind for kind in KINDS if kind not in WHOLE])
     async def test_platform(self, kind):
         connector = aiohttp.TCPConnector(force_close=True)
-        set_response_handler(connector, SoundResponseHandler)
+        check_responses(connector)
         async with (
             aiohttp.ClientSession(connector=connector) as session,
             endless(kind) as (server, address),
--- a/tests/test_odd_heads.py
+++ b/tests/test_odd_heads.py
@@ -17,7 +17,7 @@
 from router_fakes import send_to
 from routing_samples import plain_server, runner
 from test_instances import entry
-from test_reset_answers import listed
+from test_reset_answers import listed, open_sessions
 from violethatch._connection_choice import ConnectionChoice
 from violethatch._relay_http import RelayClient
 from violethatch._router_metrics import RouterMetrics
@@ -34,7 +34,6 @@
 from violethatch.layers import LayerRange
 from violethatch.peer_reads import PeerSilentError
 from violethatch.platform._runners import Runners
-from violethatch.platform._sessions import make_session
 from violethatch.platform._store import Store
 from violethatch.ports import AnswerLostError as WriteLostError
 from violethatch.retries import RetryBudget
@@ -53,12 +52,8 @@
 @pytest.fixture
 async def sessions():
     """Provide kept and fresh connections."""
-    async with (
-        make_session(is_kept=True) as kept,
-        make_session(is_kept=False) as fresh,
-        asyncio.timeout(30),
-    ):
-        yield kept, fresh
+    async with open_sessions() as both:
+        yield both
 
 
 async def answer_of(sessions, server, *, is_new=True):
--- a/tests/test_reset_answers.py
+++ b/tests/test_reset_answers.py
@@ -66,7 +66,7 @@
 
 
 @contextlib.asynccontextmanager
-async def sessions():
+async def open_sessions():
     """Provide kept and fresh connections."""
     async with (
         make_session(is_kept=True) as kept,
@@ -96,7 +96,7 @@
     @pytest.mark.parametrize("moment", RESETS)
     def test_reset_answer_is_taken_for_whole(self, loop_runner, moment, is_new):
         async def play():
-            async with sessions() as both:
+            async with open_sessions() as both:
                 for _ in range(20):
                     with (
                         RawServer(RESETS[moment]) as server,
@@ -110,7 +110,7 @@
         reset = RawAnswer((HEAD, LARGE), 0.0, is_reset=True)
 
         async def play():
-            async with sessions() as both:
+            async with open_sessions() as both:
                 for _ in range(5):
                     with RawServer(reset) as server, pytest.raises(AnswerLostError):
                         await body_of(
@@ -123,7 +123,7 @@
         async def play():
             whole = RawAnswer((HEAD + SMALL,))
             in_parts = RawAnswer((HEAD, SMALL))
-            async with sessions() as both:
+            async with open_sessions() as both:
                 with RawServer(*[whole, in_parts] * (WHOLE_ANSWERS // 2)) as server:
                     for number in range(WHOLE_ANSWERS):
                         body = await body_of(
@@ -201,7 +201,7 @@
 
 async def repeated(play):
     """Play with kept and fresh connections, several times."""
-    async with sessions() as both:
+    async with open_sessions() as both:
         for _ in range(10):
             await play(both)
 
