--- a/src/violethatch/events.py
+++ b/src/violethatch/events.py
@@ -131,6 +131,9 @@
 FORWARD_SILENT = Event(
     2240, "forward_silent", "An instance says nothing of a forwarded request."
 )
+FORWARD_UNSERVED = Event(
+    2243, "forward_unserved", "No other instance serves a request."
+)
 
 REVISION_APPLIED = Event(2401, "revision_applied", "A configuration is in force.")
 REVISION_ACCEPTED = Event(2402, "revision_accepted", "A confirmed plan was stored.")
--- a/src/violethatch/forwarding/_choice.py
+++ b/src/violethatch/forwarding/_choice.py
@@ -50,6 +50,22 @@
     told_s: float
 
 
+class PeerKnowledge(NamedTuple):
+    """Which other instances are left out for a service, and why.
+
+    Attributes:
+        peers: All other instances.
+        refused: Those that could not serve it.
+        silent: Those that give no answer.
+        refusals: Refusals since an instance took a call.
+    """
+
+    peers: int
+    refused: int
+    silent: int
+    refusals: int
+
+
 class PeerChoice:
     """What one instance knows of others that might serve its calls.
 
@@ -97,6 +113,19 @@
         self._rng.shuffle(able)
         return min(able, key=lambda one: self._cost(one, known.get(one.id), usual))
 
+    def knowledge(
+        self, peers: Iterable[InstanceEntry], service: str, *, now_s: float
+    ) -> PeerKnowledge:
+        """Return which instances are left out for a service, for a log line."""
+        ids = {one.id for one in peers}
+        refusals, _ = self._refusals_in_row(service, now_s=now_s)
+        return PeerKnowledge(
+            peers=len(ids),
+            refused=len(ids & self._barred(service, now_s=now_s)),
+            silent=len(ids & self._barred("", now_s=now_s)),
+            refusals=refusals,
+        )
+
     def note_refused(self, peer_id: str, service: str, *, now_s: float) -> None:
         """Note that an instance can't serve a service now."""
         self._until_s[peer_id, service] = now_s + REFUSED_LIFE_S
@@ -153,10 +182,14 @@
 
     def _unable(self, service: str, *, now_s: float) -> set[str]:
         """Return the instances that are known to be unable to serve a service."""
+        return self._barred(service, now_s=now_s) | self._barred("", now_s=now_s)
+
+    def _barred(self, service: str, *, now_s: float) -> set[str]:
+        """Return the instances that are not asked for a service, by its name alone."""
         return {
             peer_id
             for (peer_id, known), until_s in self._until_s.items()
-            if now_s < until_s and known in ("", service)
+            if now_s < until_s and known == service
         }
 
     def _fresh_loads(self, *, now_s: float) -> dict[str, _Load]:
--- a/src/violethatch/forwarding/_forwarding.py
+++ b/src/violethatch/forwarding/_forwarding.py
@@ -3,7 +3,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Sequence
+from collections import Counter
+from collections.abc import Callable, Iterable, Sequence
 from typing import Protocol, cast
 
 from .. import clocks, events
@@ -115,7 +116,7 @@
             VioletHatchError: No instance serves it, for this reason.
             AnswerLostError: It was handed over, and its answer was lost.
         """
-        asked: set[str] = set()
+        asked: dict[str, InstanceEntry] = {}
         max_asked = self._choice.max_asked(service, now_s=clocks.now_s())
         while len(asked) < max_asked:
             now_s = clocks.now_s()
@@ -124,7 +125,7 @@
             )
             if peer is None or now_s >= deadline_s:
                 break
-            asked.add(peer.id)
+            asked[peer.id] = peer
             request = self._request(
                 call, deadline_s=deadline_s, runs=runs, last_event_id=last_event_id
             )
@@ -142,6 +143,7 @@
             if answer is not None:
                 self._choice.note_taken(service)
                 return peer.id, answer
+        self._log_unserved(call, service, asked.values())
         self.on_outcome("none")
         msg = (
             f"no server can be reached, nor an instance that could ({len(asked)} asked)"
@@ -249,6 +251,19 @@
         )
         return is_waited_for
 
+    def _log_unserved(
+        self, call: Call, service: str, asked: Iterable[InstanceEntry]
+    ) -> None:
+        """Log which instances were asked for a call, and why no others were."""
+        known = self._choice.knowledge(self._peers(), service, now_s=clocks.now_s())
+        events.log(
+            events.FORWARD_UNSERVED,
+            request_id=call.id,
+            service=service,
+            asked_by_zone=Counter(one.availability_zone for one in asked),
+            **known._asdict(),
+        )
+
     def _log_refused(
         self,
         peer: InstanceEntry,
@@ -262,6 +277,7 @@
             events.FORWARD_REFUSED,
             request_id=request.call_id,
             instance_id=peer.id,
+            availability_zone=peer.availability_zone,
             code=error.code if error is not None else None,
             reason=reason,
         )
