--- a/tests/test_forwarding_choice.py
+++ b/tests/test_forwarding_choice.py
@@ -115,15 +115,27 @@
         assert made._loads == {}
 
 
-def replay(instances, cut_part, *, rate_per_s, lasts_s, for_s, seed, is_bounded=False):
+def replay(
+    instances,
+    cut_part,
+    *,
+    rate_per_s,
+    lasts_s,
+    for_s,
+    seed,
+    is_bounded=False,
+    cut_zone=None,
+):
     """Return instances asked a call, and calls by serving instance.
 
-    A part of the instances loses its links at 0; each is asked for *rate_per_s* calls,
-    which last for *lasts_s* at whoever serves them.
+    A part of the instances, or a zone's, loses its links at 0; each is asked for
+    *rate_per_s* calls, which last for *lasts_s* at whoever serves them.
     """
     rng = random.Random(seed)
     entries = [entry(number, f"z{number % 3}") for number in range(instances)]
     cut = set(rng.sample([one.id for one in entries], round(instances * cut_part)))
+    if cut_zone is not None:
+        cut = {one.id for one in entries if one.availability_zone == cut_zone}
     views = {
         one.id: PeerChoice(one.availability_zone, rng=random.Random(f"{seed}{one.id}"))
         for one in entries
@@ -201,3 +213,20 @@
     assert max(served) <= 2.0 * statistics.mean(served)
     assert statistics.mean(asked) <= 2.5
     assert max(asked) <= instances - 1
+
+
+@pytest.mark.parametrize("rate_per_s", [0.5, 1.5, 5.5])
+@pytest.mark.parametrize("instances", [8, 72, 120, 350])
+def test_zone_without_links_is_asked_to_exhaustion(instances, rate_per_s):
+    """Guards against instances with links that are not asked, in other zones."""
+    asked, served = replay(
+        instances,
+        0.0,
+        rate_per_s=rate_per_s,
+        lasts_s=2.0,
+        for_s=6.0,
+        seed=1,
+        is_bounded=True,
+        cut_zone="z0",
+    )
+    assert sum(served) >= 0.99 * len(asked)
