Ask other zones after a refusal, and don't conclude from eight refusals that nobody serves

What callers saw: 503 with code 1208 at all instances of a zone whose links to the servers were lost, while the instances of two other zones had theirs.

Cause: instances are compared by load, those of the own zone first. One without links serves next to nothing and tells so as it refuses, which makes its whole zone look empty: all eight instances that are asked for a call were of it. After eight refusals in a row nobody was asked for a second, although a refusal says something of one instance only.

Change: after a refusal of a call, those of the zones that refused least come next, and after two an instance that took a call of late. Eight refusals in a row bound what is asked for a call to two instances, and never to none.

Failed before: test_zone_without_links_is_asked_to_exhaustion (nine rows) and test_instances_with_links_in_other_zones_are_not_asked (two).

--- a/src/violethatch/forwarding/_choice.py
+++ b/src/violethatch/forwarding/_choice.py
@@ -11,7 +11,7 @@
 import statistics
 
 from collections import Counter, defaultdict
-from collections.abc import Collection, Iterable, Mapping
+from collections.abc import Collection, Iterable, Mapping, Sequence
 from typing import NamedTuple
 
 from ..instances import InstanceEntry
@@ -25,9 +25,8 @@
 MAX_SILENT_LIFE_S = 3.0
 #: Instances that are asked for one call at the most.
 _MAX_ASKED = 8
-#: The same after as many refusals in a row, for one call after each time without any:
-#: likely no instance serves, and a call that is handed to others costs their processors
-#: as much as one of their own.
+#: The same after as many refusals in a row: few instances serve, if any, and a call
+#: that is handed to others costs their processors as much as one of their own.
 _MAX_ASKED_AFTER_REFUSALS = 2
 #: How long refusals in a row count, in seconds.
 _REFUSALS_LIFE_S = 5.0
@@ -36,6 +35,10 @@
 #: By how many requests in progress an instance of another zone has to be emptier than
 #: one of the own zone: the way to it is longer.
 _FAR_REQUESTS = 1
+#: After how many refusals of a call those come first that took another one of late, and
+#: for how long after that, in seconds.
+_STRANGERS = 2
+_TAKEN_LIFE_S = 5.0
 
 
 class _Load(NamedTuple):
@@ -83,6 +86,8 @@
         #: By instance, the silences since its last answer.
         self._silences: Counter[str] = Counter()
         self._loads: dict[str, _Load] = {}
+        #: By instance and service, when it last took a call.
+        self._taken_s: dict[tuple[str, str], float] = {}
         #: By service, the refusals since an instance took a call, and the last one's
         #: time in monotonic seconds.
         self._refusals: dict[str, tuple[int, float]] = {}
@@ -93,7 +98,7 @@
         peers: Iterable[InstanceEntry],
         service: str,
         *,
-        avoided: Collection[str] = (),
+        refused: Collection[InstanceEntry] = (),
         now_s: float,
     ) -> InstanceEntry | None:
         """Return the instance to ask next, or None if none may serve the service.
@@ -101,11 +106,13 @@
         Args:
             peers: All other instances.
             service: The call's service.
-            avoided: The ids of instances that were asked already.
+            refused: The instances that have refused the call.
             now_s: The current monotonic time, in seconds.
         """
-        barred = self._unable(service, now_s=now_s).union(avoided)
+        barred = self._unable(service, now_s=now_s).union(one.id for one in refused)
         able = [one for one in peers if one.id not in barred]
+        if refused:
+            able = self._likely(able, service, refused, now_s=now_s)
         if not able:
             return None
         known = self._fresh_loads(now_s=now_s)
@@ -113,40 +120,69 @@
         self._rng.shuffle(able)
         return min(able, key=lambda one: self._cost(one, known.get(one.id), usual))
 
+    def _likely(
+        self,
+        able: Sequence[InstanceEntry],
+        service: str,
+        refused: Collection[InstanceEntry],
+        *,
+        now_s: float,
+    ) -> Sequence[InstanceEntry]:
+        """Return those that likely serve a call that others have refused.
+
+        These are the ones of the zones that refused least, since a zone often loses its
+        links as a whole; and where few serve, the ones that took a call of late.
+        """
+        if len(refused) >= _STRANGERS or self._is_rarely_taken(service, now_s=now_s):
+            taken = [one for one in able if self._has_taken(one, service, now_s=now_s)]
+            if taken:
+                return taken
+        refusals = Counter(one.availability_zone for one in refused)
+        least = min((refusals[one.availability_zone] for one in able), default=0)
+        return [one for one in able if refusals[one.availability_zone] == least]
+
+    def _has_taken(self, peer: InstanceEntry, service: str, *, now_s: float) -> bool:
+        """Tell whether an instance took a call of a service of late."""
+        taken_s = self._taken_s.get((peer.id, service))
+        return taken_s is not None and now_s - taken_s < _TAKEN_LIFE_S
+
+    def _is_rarely_taken(self, service: str, *, now_s: float) -> bool:
+        """Tell whether as many have refused in a row as are asked for a call."""
+        return self._refusals_in_row(service, now_s=now_s) >= _MAX_ASKED
+
     def knowledge(
         self, peers: Iterable[InstanceEntry], service: str, *, now_s: float
     ) -> PeerKnowledge:
         """Return which instances are left out for a service, for a log line."""
         ids = {one.id for one in peers}
-        refusals, _ = self._refusals_in_row(service, now_s=now_s)
         return PeerKnowledge(
             peers=len(ids),
             refused=len(ids & self._barred(service, now_s=now_s)),
             silent=len(ids & self._barred("", now_s=now_s)),
-            refusals=refusals,
+            refusals=self._refusals_in_row(service, now_s=now_s),
         )
 
     def note_refused(self, peer_id: str, service: str, *, now_s: float) -> None:
         """Note that an instance can't serve a service now."""
         self._until_s[peer_id, service] = now_s + REFUSED_LIFE_S
-        refusals, _ = self._refusals_in_row(service, now_s=now_s)
+        refusals = self._refusals_in_row(service, now_s=now_s)
         self._refusals[service] = (refusals + 1, now_s)
 
-    def note_taken(self, service: str) -> None:
+    def note_taken(self, peer_id: str, service: str, *, now_s: float) -> None:
         """Note that an instance serves a call of a service."""
         self._refusals.pop(service, None)
+        self._taken_s[peer_id, service] = now_s
 
     def max_asked(self, service: str, *, now_s: float) -> int:
         """Return how many instances may be asked for a call of a service."""
-        refusals, last_s = self._refusals_in_row(service, now_s=now_s)
-        if refusals < _MAX_ASKED:
-            return _MAX_ASKED
-        return 0 if now_s - last_s < REFUSED_LIFE_S else _MAX_ASKED_AFTER_REFUSALS
+        if self._is_rarely_taken(service, now_s=now_s):
+            return _MAX_ASKED_AFTER_REFUSALS
+        return _MAX_ASKED
 
-    def _refusals_in_row(self, service: str, *, now_s: float) -> tuple[int, float]:
-        """Return how many refusals in a row count, and the last one's time."""
+    def _refusals_in_row(self, service: str, *, now_s: float) -> int:
+        """Return how many refusals in a row count."""
         refusals, last_s = self._refusals.get(service, (0, 0.0))
-        return (refusals, last_s) if now_s - last_s < _REFUSALS_LIFE_S else (0, 0.0)
+        return refusals if now_s - last_s < _REFUSALS_LIFE_S else 0
 
     def note_silent(self, peer_id: str, *, now_s: float) -> None:
         """Note that an instance gives no answer."""
@@ -179,6 +215,11 @@
             key: until_s for key, until_s in self._until_s.items() if until_s > now_s
         }
         self._loads = self._fresh_loads(now_s=now_s)
+        self._taken_s = {
+            key: taken_s
+            for key, taken_s in self._taken_s.items()
+            if now_s - taken_s < _TAKEN_LIFE_S
+        }
 
     def _unable(self, service: str, *, now_s: float) -> set[str]:
         """Return the instances that are known to be unable to serve a service."""
--- a/src/violethatch/forwarding/_forwarding.py
+++ b/src/violethatch/forwarding/_forwarding.py
@@ -121,7 +121,7 @@
         while len(asked) < max_asked:
             now_s = clocks.now_s()
             peer = self._choice.choose(
-                self._peers(), service, avoided=asked, now_s=now_s
+                self._peers(), service, refused=asked.values(), now_s=now_s
             )
             if peer is None or now_s >= deadline_s:
                 break
@@ -141,7 +141,7 @@
                     on_silent_body=on_silent_body,
                 )
             if answer is not None:
-                self._choice.note_taken(service)
+                self._choice.note_taken(peer.id, service, now_s=clocks.now_s())
                 return peer.id, answer
         self._log_unserved(call, service, asked.values())
         self.on_outcome("none")
