Announce lost links to the other instances

What callers saw: 503 with code 1208 at instances without links to the servers, while others had theirs; more often the longer it lasted, the more instances had lost their links, and the more of them there were.

Cause: each instance learnt alone, by the refusals of one instance after another, what all others knew of themselves, and forgot it after a second. Class: a conclusion about all others from the few that were asked.

What was told lapses, ends with the teller's process, and is not undone by a datagram that is late. A refusal with 1208 also tells what the refusing instance knows of others, for as long as that counts there, so that instances that datagrams don't reach learn it at once.

--- a/src/violethatch/_peer_datagrams.py
+++ b/src/violethatch/_peer_datagrams.py
@@ -23,6 +23,10 @@
 Count = Annotated[int, msgspec.Meta(ge=0, lt=2**31)]
 #: No start is reserved for later, in ms: three times the latest retry that is told.
 LONGEST_LEFT_MS = 9_000
+#: No word on links counts longer, in ms: at 1,000 instances they are told each 37 s.
+LONGEST_LINKS_LIFE_MS = 120_000
+#: The most services that one datagram names.
+MAX_LOST_SERVICES = 32
 LeftMs = Annotated[int, msgspec.Meta(ge=0, le=LONGEST_LEFT_MS)]
 #: A work's id; what is longer is not read, see `work_ids.check_work_id`.
 WorkId = Annotated[str, msgspec.Meta(max_length=32)]
@@ -176,6 +180,22 @@
     left_ms: LeftMs
 
 
+class LostLinksDatagram(msgspec.Struct, array_like=True, tag="n"):
+    """The services that the sender reaches no server of; the token is the receiver's.
+
+    Instances before 26.10.0 don't know it.
+    """
+
+    token: str
+    sender: str
+    #: The sender's process, and which of its changes this is.
+    lifetime: Count
+    number: Count
+    #: How long it counts without being sent again.
+    life_ms: Annotated[int, msgspec.Meta(ge=0, le=LONGEST_LINKS_LIFE_MS)]
+    services: Annotated[list[str], msgspec.Meta(max_length=MAX_LOST_SERVICES)]
+
+
 Datagram = (
     SightingsDatagram
     | LoadDatagram
@@ -190,6 +210,7 @@
     | ReservedDatagram
     | ClaimDatagram
     | ClaimedDatagram
+    | LostLinksDatagram
 )
 
 
--- a/src/violethatch/_peer_links.py
+++ b/src/violethatch/_peer_links.py
@@ -8,6 +8,7 @@
 from ._fault_report_link import FaultReportLink
 from ._limit_link import LimitLink
 from ._load_link import LoadLink
+from ._lost_links_link import LostLinksLink
 from ._peer_datagrams import PeerDatagrams
 from ._reservation_link import ReservationLink
 from ._retry_link import RetryLink
@@ -38,6 +39,12 @@
         self._returns = ReservationLink(datagrams, rng=rng)
         self.loads = LoadLink(datagrams, router.routing.loads)
         self.loads.on_tick = router.routing.admission.refresh
+        self.lost_links = LostLinksLink(
+            datagrams,
+            router.routing.link_watch,
+            router.routing.announced_links,
+            rng=rng,
+        )
         self.limits = LimitLink(
             datagrams,
             router.routing.flow_control.limits,
--- a/src/violethatch/_router.py
+++ b/src/violethatch/_router.py
@@ -178,7 +178,9 @@
             client,
             own_id=instance.id,
             peers=peers,
-            choice=PeerChoice(instance.availability_zone, rng=rng),
+            choice=PeerChoice(
+                instance.availability_zone, self.routing.announced_links, rng=rng
+            ),
             state_version=lambda: self.desired.version if self.desired else 0,
             retry_after_s=lambda: self.routing.retry_after_s(_LINK_LOSS_S),
             memory=self.routing.memory,
@@ -222,7 +224,7 @@
                 raise NotConfiguredError(msg, retry_after_s=OTHER_INSTANCE_RETRY_S)
             admitted = self._admit(call)
             if await self.routing.link_watch.settled(admitted.service.name):
-                raise LinksLostError(retry_after_s=OTHER_INSTANCE_RETRY_S)
+                raise self._links_lost(admitted.service.name)
             self.in_flight += 1
             try:
                 await self._serve_admitted(
@@ -241,6 +243,12 @@
             )
             raise
 
+    def _links_lost(self, service: str) -> LinksLostError:
+        """Return the refusal of a forwarded call, with who else would refuse it."""
+        forwarding = self.routing.forwarding
+        lost = forwarding.lost_peers(service) if forwarding is not None else {}
+        return LinksLostError(retry_after_s=OTHER_INSTANCE_RETRY_S, lost_peers=lost)
+
     def record_error(
         self, call_id: str, error: VioletHatchError, *, age_s: float
     ) -> None:
@@ -513,6 +521,7 @@
                 service: lost._asdict()
                 for service, lost in self.routing.link_watch.links.lost().items()
             },
+            "peers_without_links": self._peers_without_links(),
             "asked_rest_s": self.routing.flow_control.state(),
             "server_limits": {
                 server_id: limit._asdict()
@@ -529,6 +538,11 @@
             "load_age_s": self.routing.loads.others_age_s(now_s=now_s),
         }
 
+    def _peers_without_links(self) -> dict[str, int]:
+        """Return how many other instances have announced lost links, by service."""
+        forwarding = self.routing.forwarding
+        return forwarding.count_lost_peers() if forwarding is not None else {}
+
     def _memory_state(self) -> dict[str, int]:
         """Return the memory that requests hold, in bytes."""
         return {
@@ -551,6 +565,7 @@
         suspects = self.routing.suspects
         self.metrics.set_admission(self.routing.admission.states())
         self.metrics.set_lost_links(self.routing.link_watch.links.lost())
+        self.metrics.set_peers_without_links(self._peers_without_links())
         self.metrics.servers_in_backoff.set({}, len(self.routing.flow_control.state()))
         self.metrics.set_limits(self.routing.flow_control.limits.state())
         self.metrics.set_suspects(len(suspects), len(suspects.held(now_s=now_s)))
--- a/src/violethatch/_router_metrics.py
+++ b/src/violethatch/_router_metrics.py
@@ -137,6 +137,11 @@
             "1 for each service none of whose servers can be reached from here.",
             registry=self.registry,
         )
+        self.peers_without_links = Gauge(
+            "violethatch_router_peers_without_links",
+            "Other instances that have announced lost links, by service.",
+            registry=self.registry,
+        )
         self.limit_permits = Counter(
             "violethatch_router_limit_permits_total",
             "Answers to what was asked before sends to limited servers.",
@@ -342,6 +347,12 @@
         for service in services:
             self.lost_links.set({"service": service}, 1)
 
+    def set_peers_without_links(self, counts: Mapping[str, int]) -> None:
+        """Set the gauge of other instances without links; remove other services."""
+        self.peers_without_links.values.clear()
+        for service, count in counts.items():
+            self.peers_without_links.set({"service": service}, count)
+
     def count_permit(self, outcome: str) -> None:
         """Count the response to a permit request."""
         self.limit_permits.inc({"outcome": outcome})
--- a/src/violethatch/_routing.py
+++ b/src/violethatch/_routing.py
@@ -21,7 +21,7 @@
 from .desired import ServiceSpec
 from .entry_checks import entry_fault
 from .fault_reports import FaultReport, FaultReportReceiver, should_broadcast
-from .forwarding import Forwarding, LinkWatch
+from .forwarding import AnnouncedLinks, Forwarding, LinkWatch
 from .memory_budget import MemoryBudget
 from .path_shares import ZonePosition
 from .paths import Path
@@ -99,6 +99,8 @@
             rng=random.Random(settings.instance.id),
         )
         self.link_watch.on_return = self._end_cooldowns_since
+        #: What other instances have said of their links.
+        self.announced_links = AnnouncedLinks()
         #: Forwards calls to other instances, if there are any.
         self.forwarding: Forwarding | None = None
         self.flow_control = FlowController(self.backends, rng=rng)
--- a/src/violethatch/errors.py
+++ b/src/violethatch/errors.py
@@ -12,6 +12,7 @@
 
 import enum
 
+from collections.abc import Mapping
 from typing import ClassVar, TypedDict
 
 
@@ -225,13 +226,32 @@
 
 
 class LinksLostError(VioletHatchError):
-    """The instance reaches no server of the service, and no other that does."""
+    """The instance reaches no server of the service, and no other that does.
+
+    Args:
+        detail: What happened, for a person to read.
+        ran: Whether the request may have run; it has not if omitted.
+        retry_after_s: When it makes sense to come back, in seconds.
+        lost_peers: By id, for how long other instances are known to reach none of
+            them either, in seconds.
+    """
 
     code = 1208
     title = "No link to the service's servers"
     status = 503
     default_ran = Ran.NO
 
+    def __init__(
+        self,
+        detail: str = "",
+        *,
+        ran: Ran | None = None,
+        retry_after_s: float | None = None,
+        lost_peers: Mapping[str, float] | None = None,
+    ) -> None:
+        super().__init__(detail, ran=ran, retry_after_s=retry_after_s)
+        self.lost_peers = lost_peers or {}
+
 
 # 13xx: execution.
 
--- a/src/violethatch/events.py
+++ b/src/violethatch/events.py
@@ -71,6 +71,9 @@
 KEEPER_SILENT = Event(2124, "keeper_silent", "Who keeps a limit gives no answer.")
 LINKS_LOST = Event(2125, "links_lost", "No server of a service can be reached.")
 LINKS_BACK = Event(2126, "links_back", "A server of such a service answers again.")
+PEER_LINKS_CHANGED = Event(
+    2129, "peer_links_changed", "Other instances have lost links, or have them back."
+)
 LINKS_SOUND = Event(2127, "links_sound", "Others answer where one server is silent.")
 ENTRY_FAULTY = Event(
     2128, "entry_faulty", "A listed server can't be one of its service; it is not used."
--- a/src/violethatch/forwarding/__init__.py
+++ b/src/violethatch/forwarding/__init__.py
@@ -6,10 +6,12 @@
 
 from __future__ import annotations
 
+from ._announced_links import AnnouncedLinks, LinkAnnouncement
 from ._call import ForwardedCall, MustForwardError
 from ._choice import PeerChoice
 from ._client import ForwardClient
 from ._forwarding import Forwarding, PeerClient
+from ._link_announcer import LinkAnnouncer
 from ._link_watch import LinkWatch, ServerProbe
 from ._links import LinkCheck, LinkState, LostLinks, ServerLinks, servers_to_check
 from ._listener import ForwardListener, ForwardServer
@@ -18,11 +20,14 @@
 
 __all__ = (
     "FORWARD_PATH",
+    "AnnouncedLinks",
     "ForwardClient",
     "ForwardListener",
     "ForwardServer",
     "ForwardedCall",
     "Forwarding",
+    "LinkAnnouncement",
+    "LinkAnnouncer",
     "LinkCheck",
     "LinkState",
     "LinkWatch",
--- /dev/null
+++ b/src/violethatch/forwarding/_announced_links.py
@@ -0,0 +1,155 @@
+# SPDX-License-Identifier: MIT
+"""Which other instances have said that they reach no server of a service.
+
+Load pattern: up to all but one of hundreds of instances lose their links within some
+hundred ms, to one service or to all.  What they say comes late, in another order, not
+at all, or from some of them only; and they are killed and started again meanwhile.
+"""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Iterable, Mapping
+from typing import NamedTuple
+
+from ..instances import InstanceEntry
+
+
+#: How long what an instance says when it refuses a call counts, in seconds.
+HEARSAY_LIFE_S = 10.0
+
+
+class LinkAnnouncement(NamedTuple):
+    """What an instance says of its own links.
+
+    Attributes:
+        lifetime: The instance's process; each start has a number of its own.
+        number: Grows with each change; a late announcement has a lower one.
+        services: The services that it reaches no server of.
+        life_s: How long this counts without being said again, in seconds.
+    """
+
+    lifetime: int
+    number: int
+    services: frozenset[str]
+    life_s: float
+
+
+class _Announced(NamedTuple):
+    """The last announcement of an instance.
+
+    Attributes:
+        token: The instance's token, which a new start changes.
+        announcement: What it said.
+        until_s: Until when that counts, in monotonic seconds.
+    """
+
+    token: str
+    announcement: LinkAnnouncement
+    until_s: float
+
+
+class AnnouncedLinks:
+    """What other instances have said of their links to backend servers."""
+
+    def __init__(self) -> None:
+        self._announced: dict[str, _Announced] = {}
+        #: By instance and service, until when a refusal says that its links are lost.
+        self._heard_until_s: dict[tuple[str, str], float] = {}
+
+    def take(
+        self, peer: InstanceEntry, announcement: LinkAnnouncement, *, now_s: float
+    ) -> bool:
+        """Take an announcement in; tell whether it says anything new.
+
+        Args:
+            peer: The instance that sent it.
+            announcement: What it says.
+            now_s: The current monotonic time, in seconds.
+        """
+        current = self._current(peer, now_s=now_s)
+        known = current.announcement if current is not None else None
+        if known is not None and _is_late(known, announcement):
+            return False
+        until_s = now_s + announcement.life_s
+        self._announced[peer.id] = _Announced(peer.token, announcement, until_s)
+        before = known.services if known is not None else frozenset()
+        return announcement.services != before
+
+    def take_refusal(
+        self, lost: Mapping[str, float], service: str, *, now_s: float
+    ) -> None:
+        """Take in what an instance said of itself and of others as it refused a call.
+
+        Args:
+            lost: By id, for how long those count that reach no server of the service,
+                in seconds.  It never grows as it is passed on, so that it lapses.
+            service: The service.
+            now_s: The current monotonic time, in seconds.
+        """
+        for peer_id, left_s in lost.items():
+            known_s = self._heard_until_s.get((peer_id, service), 0.0)
+            until_s = now_s + min(left_s, HEARSAY_LIFE_S)
+            self._heard_until_s[peer_id, service] = max(known_s, until_s)
+
+    def take_answer(self, peer_id: str, service: str) -> None:
+        """Take in that an instance serves a call of a service."""
+        self._heard_until_s.pop((peer_id, service), None)
+
+    def lost(
+        self, peers: Iterable[InstanceEntry], service: str, *, now_s: float
+    ) -> dict[str, float]:
+        """Return the instances that reach no server of a service, by what was said.
+
+        Returns:
+            By id, for how long that counts, in seconds.
+        """
+        if not self._announced and not self._heard_until_s:
+            return {}
+        left_s = {one.id: self._lost_s(one, service, now_s=now_s) for one in peers}
+        return {peer_id: lost_s for peer_id, lost_s in left_s.items() if lost_s > 0}
+
+    def counts(self, peers: Iterable[InstanceEntry], *, now_s: float) -> dict[str, int]:
+        """Return, by service, how many instances have announced lost links."""
+        found: Counter[str] = Counter()
+        for peer in peers:
+            known = self._current(peer, now_s=now_s)
+            found.update(known.announcement.services if known is not None else ())
+        return dict(found)
+
+    def forget_old(self, *, now_s: float) -> None:
+        """Forget what no longer counts."""
+        self._heard_until_s = {
+            key: until_s
+            for key, until_s in self._heard_until_s.items()
+            if now_s < until_s
+        }
+        self._announced = {
+            peer_id: one
+            for peer_id, one in self._announced.items()
+            if now_s < one.until_s
+        }
+
+    def _lost_s(self, peer: InstanceEntry, service: str, *, now_s: float) -> float:
+        """Return for how long an instance counts as one without links, in seconds.
+
+        What it has announced itself goes before what was heard of it.
+        """
+        known = self._current(peer, now_s=now_s)
+        if known is None:
+            return self._heard_until_s.get((peer.id, service), 0.0) - now_s
+        is_lost = service in known.announcement.services
+        return known.until_s - now_s if is_lost else 0.0
+
+    def _current(self, peer: InstanceEntry, *, now_s: float) -> _Announced | None:
+        """Return what an instance has announced, if that counts."""
+        known = self._announced.get(peer.id)
+        if known is None or known.token != peer.token or now_s >= known.until_s:
+            return None
+        return known
+
+
+def _is_late(known: LinkAnnouncement, announcement: LinkAnnouncement) -> bool:
+    """Tell whether an announcement was sent before one that is known."""
+    is_same_start = known.lifetime == announcement.lifetime
+    return is_same_start and announcement.number < known.number
--- a/src/violethatch/forwarding/_choice.py
+++ b/src/violethatch/forwarding/_choice.py
@@ -15,6 +15,7 @@
 from typing import NamedTuple
 
 from ..instances import InstanceEntry
+from ._announced_links import HEARSAY_LIFE_S, AnnouncedLinks
 
 
 #: How long an instance that could not serve a service is not asked again, in seconds.
@@ -56,17 +57,31 @@
     told_s: float
 
 
+class _StrangerLoad(NamedTuple):
+    """How full an instance of a zone likely is that has told nothing of late.
+
+    Attributes:
+        others: The requests in progress that this instance hadn't handed to it.
+        way: What the way to its zone counts as, in requests.
+    """
+
+    others: float
+    way: int
+
+
 class PeerKnowledge(NamedTuple):
     """Which other instances are left out for a service, and why.
 
     Attributes:
         peers: All other instances.
+        lost: Those that reach none of its servers, by what was said.
         refused: Those that could not serve it.
         silent: Those that give no answer.
         refusals: Refusals since an instance took a call.
     """
 
     peers: int
+    lost: int
     refused: int
     silent: int
     refusals: int
@@ -77,11 +92,15 @@
 
     Args:
         zone: The instance's availability zone.
+        announced: What they have said of their links.
         rng: Chooses among equals.
     """
 
-    def __init__(self, zone: str, *, rng: random.Random) -> None:
+    def __init__(
+        self, zone: str, announced: AnnouncedLinks, *, rng: random.Random
+    ) -> None:
         self._zone = zone
+        self._announced = announced
         self._rng = rng
         #: By instance and service, until when it is not asked; all services where the
         #: service is an empty text.
@@ -113,28 +132,49 @@
             now_s: The current monotonic time, in seconds.
         """
         peers = list(peers)
-        barred = self._unable(service, now_s=now_s)
+        barred = self._unable(peers, service, now_s=now_s)
         barred.update(one.id for one in refused)
         able = [one for one in peers if one.id not in barred]
         likely = self._likely(able, service, refused, now_s=now_s) if refused else able
         if not likely:
             return None
         known = self._fresh_loads(now_s=now_s)
-        usual = _usual_loads(able, known)
-        way = _FAR_REQUESTS if self._has_share(peers, able) else 0
+        strangers = self._stranger_loads(peers, able, known)
         return min(
             self._rng.sample(likely, len(likely)),
-            key=lambda one: self._cost(one, known.get(one.id), usual, way=way),
+            key=lambda one: self._cost(one, known.get(one.id), strangers),
         )
 
-    def _has_share(
-        self, peers: Iterable[InstanceEntry], able: Sequence[InstanceEntry]
-    ) -> bool:
+    def _stranger_loads(
+        self,
+        peers: Iterable[InstanceEntry],
+        able: Sequence[InstanceEntry],
+        known: Mapping[str, _Load],
+    ) -> dict[str, _StrangerLoad]:
+        """Return, by zone, how full an instance likely is that has told nothing.
+
+        That is the mean of its zone's known loads, or of all where none of it is known:
+        such a zone is asked as if it were as near as the own one, to know it.
+        """
+        by_zone = Counter(one.availability_zone for one in peers)
+        usual = _usual_loads(able, known)
+        mean = statistics.fmean(usual.values()) if usual else 0.0
+        is_near_first = self._has_share(by_zone, able)
+        return {
+            zone: _StrangerLoad(
+                usual.get(zone, mean),
+                _FAR_REQUESTS
+                if is_near_first and zone != self._zone and (zone in usual or not usual)
+                else 0,
+            )
+            for zone in by_zone
+        }
+
+    def _has_share(self, by_zone: Counter[str], able: Sequence[InstanceEntry]) -> bool:
         """Tell whether as many of the own zone may serve as of all instances.
 
         Otherwise those few would get the calls of the whole zone.
         """
-        by_zone = Counter(one.availability_zone for one in peers)
         near = sum(one.availability_zone == self._zone for one in able)
         share = _LEAST_SHARE * len(able) / by_zone.total()
         return near >= share * by_zone[self._zone]
@@ -173,22 +213,62 @@
         self, peers: Iterable[InstanceEntry], service: str, *, now_s: float
     ) -> PeerKnowledge:
         """Return which instances are left out for a service, for a log line."""
+        peers = list(peers)
         ids = {one.id for one in peers}
         return PeerKnowledge(
             peers=len(ids),
+            lost=len(self._announced.lost(peers, service, now_s=now_s)),
             refused=len(ids & self._barred(service, now_s=now_s)),
             silent=len(ids & self._barred("", now_s=now_s)),
             refusals=self._refusals_in_row(service, now_s=now_s),
         )
 
+    def lost_peers(
+        self, peers: Iterable[InstanceEntry], service: str, *, now_s: float
+    ) -> dict[str, float]:
+        """Return the instances without links to a service's servers, by what was said.
+
+        Returns:
+            By id, for how long that counts, in seconds.
+        """
+        return self._announced.lost(peers, service, now_s=now_s)
+
+    def count_lost_peers(
+        self, peers: Iterable[InstanceEntry], *, now_s: float
+    ) -> dict[str, int]:
+        """Return how many instances have announced lost links, by service."""
+        return self._announced.counts(peers, now_s=now_s)
+
     def note_refused(self, peer_id: str, service: str, *, now_s: float) -> None:
         """Note that an instance can't serve a service now."""
         self._until_s[peer_id, service] = now_s + REFUSED_LIFE_S
         refusals = self._refusals_in_row(service, now_s=now_s)
         self._refusals[service] = (refusals + 1, now_s)
 
+    def note_lost_links(
+        self,
+        peer: InstanceEntry,
+        service: str,
+        others: Mapping[str, float],
+        *,
+        now_s: float,
+    ) -> None:
+        """Note that an instance reaches no server of a service.
+
+        Args:
+            peer: The instance, which has refused a call.
+            service: The service.
+            others: By id, for how long those count that reach none either by what it
+                knows, in seconds.
+            now_s: The current monotonic time, in seconds.
+        """
+        lost = {**others, peer.id: HEARSAY_LIFE_S}
+        self._announced.take_refusal(lost, service, now_s=now_s)
+        self.note_refused(peer.id, service, now_s=now_s)
+
     def note_taken(self, peer_id: str, service: str, *, now_s: float) -> None:
         """Note that an instance serves a call of a service."""
+        self._announced.take_answer(peer_id, service)
         self._refusals.pop(service, None)
         self._taken_s[peer_id, service] = now_s
 
@@ -234,15 +314,20 @@
             key: until_s for key, until_s in self._until_s.items() if until_s > now_s
         }
         self._loads = self._fresh_loads(now_s=now_s)
+        self._announced.forget_old(now_s=now_s)
         self._taken_s = {
             key: taken_s
             for key, taken_s in self._taken_s.items()
             if now_s - taken_s < _TAKEN_LIFE_S
         }
 
-    def _unable(self, service: str, *, now_s: float) -> set[str]:
+    def _unable(
+        self, peers: Iterable[InstanceEntry], service: str, *, now_s: float
+    ) -> set[str]:
         """Return the instances that are known to be unable to serve a service."""
-        return self._barred(service, now_s=now_s) | self._barred("", now_s=now_s)
+        lost = set(self._announced.lost(peers, service, now_s=now_s))
+        barred = self._barred(service, now_s=now_s) | self._barred("", now_s=now_s)
+        return lost | barred
 
     def _barred(self, service: str, *, now_s: float) -> set[str]:
         """Return the instances that are not asked for a service, by its name alone."""
@@ -264,9 +349,7 @@
         self,
         peer: InstanceEntry,
         load: _Load | None,
-        usual: Mapping[str, float],
-        *,
-        way: int,
+        strangers: Mapping[str, _StrangerLoad],
     ) -> tuple[float, float]:
         """Return how full an instance is, with the way to it, and when it told that.
 
@@ -275,16 +358,12 @@
         Args:
             peer: The instance.
             load: What it told of late, if anything.
-            usual: By zone, what its instances told of late.
-            way: What the way to another zone counts as, in requests.
+            strangers: By zone, how full one is likely that has told nothing.
         """
-        own = self._own[peer.id]
-        if not usual or peer.availability_zone in usual:
-            own += 0 if peer.availability_zone == self._zone else way
+        stranger = strangers[peer.availability_zone]
+        own = self._own.get(peer.id, 0) + stranger.way
         if load is None:
-            # A zone that nothing is known of is likely as full as the others.
-            mean = statistics.fmean(usual.values()) if usual else 0.0
-            return usual.get(peer.availability_zone, mean) + own, 0.0
+            return stranger.others + own, 0.0
         return load.others + own, load.told_s
 
 
--- a/src/violethatch/forwarding/_client.py
+++ b/src/violethatch/forwarding/_client.py
@@ -51,12 +51,14 @@
     Attributes:
         error: Its own error.
         in_flight: Requests in progress there.
+        lost: Other instances without links, see `Refusal`.
     """
 
-    def __init__(self, error: VioletHatchError, in_flight: int) -> None:
+    def __init__(self, error: VioletHatchError, refusal: Refusal) -> None:
         super().__init__(str(error))
         self.error = error
-        self.in_flight = in_flight
+        self.in_flight = refusal.in_flight
+        self.lost = refusal.lost
 
 
 class ForwardedAnswer:
@@ -94,7 +96,7 @@
         frame = await self._next()
         if frame.kind is FrameKind.REFUSAL:
             refusal = _understood(decoded_refusal, frame)
-            raise PeerRefusalError(_error_of(refusal), refusal.in_flight)
+            raise PeerRefusalError(_error_of(refusal), refusal)
         head = _understood(decoded_head, frame)
         self.status = head.status
         self.headers = head.headers
--- a/src/violethatch/forwarding/_forwarding.py
+++ b/src/violethatch/forwarding/_forwarding.py
@@ -22,7 +22,7 @@
 from ..upstream import AnswerLostError, Call
 from ._choice import PeerChoice
 from ._client import ForwardedAnswer, NotTakenError, PeerRefusalError
-from ._wire import ForwardedRequest
+from ._wire import ForwardedRequest, decoded_lost
 
 
 _MS_PER_S = 1000.0
@@ -150,6 +150,18 @@
         )
         raise LinksLostError(msg, retry_after_s=self._retry_after_s())
 
+    def lost_peers(self, service: str) -> dict[str, float]:
+        """Return the other instances that reach no server of a service either.
+
+        Returns:
+            By id, for how long that is known, in seconds.
+        """
+        return self._choice.lost_peers(self._peers(), service, now_s=clocks.now_s())
+
+    def count_lost_peers(self) -> dict[str, int]:
+        """Return how many other instances have announced lost links, by service."""
+        return self._choice.count_lost_peers(self._peers(), now_s=clocks.now_s())
+
     def has_peer(self, service: str) -> bool:
         """Tell whether an instance can be asked that may serve a service."""
         peer = self._choice.choose(self._peers(), service, now_s=clocks.now_s())
@@ -214,7 +226,7 @@
             self._log_refused(peer, request, error, error.detail)
             if not isinstance(error, _OF_THAT_INSTANCE) or error.ran is not Ran.NO:
                 raise error from None
-            self._choice.note_refused(peer.id, service, now_s=clocks.now_s())
+            self._note_refused(peer, service, refusal)
             return None
         except AnswerLostError as lost:
             self.note_lost(peer.id, request.call_id, str(lost))
@@ -230,6 +242,17 @@
         )
         return answer
 
+    def _note_refused(
+        self, peer: InstanceEntry, service: str, refusal: PeerRefusalError
+    ) -> None:
+        """Note that an instance can't serve a service now, and who else can't."""
+        now_s = clocks.now_s()
+        if not isinstance(refusal.error, LinksLostError):
+            self._choice.note_refused(peer.id, service, now_s=now_s)
+            return
+        others = decoded_lost(refusal.lost, (one.id for one in self._peers()))
+        self._choice.note_lost_links(peer, service, others, now_s=now_s)
+
     def _note_silent(
         self,
         peer: InstanceEntry,
--- a/src/violethatch/forwarding/_link_watch.py
+++ b/src/violethatch/forwarding/_link_watch.py
@@ -71,6 +71,8 @@
         self.on_return: Callable[[Sequence[str], float], None] = (
             lambda _server_ids, _since_s: None
         )
+        #: Told when links are lost or back.
+        self.on_change: Callable[[], None] = lambda: None
         #: Told of each check's outcome.
         self.on_check: Callable[[str], None] = lambda _outcome: None
         self._probe = probe
@@ -260,6 +262,8 @@
         """Take a check's outcome in, log it, and act on a changed belief."""
         before = self.links.lost().get(service)
         is_changed = self.links.note_check(service, check, began_s=began_s)
+        if is_changed:
+            self.on_change()
         self.on_check("answered" if check.answered else "silent")
         check_s = round(clocks.now_s() - began_s, 4)
         fields = {"service": service, **check._asdict(), "check_s": check_s}
@@ -293,6 +297,7 @@
                 servers = self._listed(service)
                 if not servers:
                     self.links.forget(service)
+                    self.on_change()
                     return
                 began_s = clocks.now_s()
                 check = await self._ask([self._rng.choice(servers)])
--- a/src/violethatch/forwarding/_listener.py
+++ b/src/violethatch/forwarding/_listener.py
@@ -17,6 +17,7 @@
 from ..errors import (
     AnswerCutError,
     BodyTooLargeError,
+    LinksLostError,
     OverloadedError,
     Ran,
     VioletHatchError,
@@ -30,6 +31,7 @@
     Refusal,
     alive_frame,
     decoded_request,
+    encoded_lost,
     frame,
     message_frame,
 )
@@ -278,6 +280,7 @@
             error.ran.value,
             error.retry_after_s,
             self._server.in_flight,
+            encoded_lost(error.lost_peers) if isinstance(error, LinksLostError) else (),
         )
         with contextlib.suppress(ConnectionError):  # the sender went away
             await self._response.write_eof(message_frame(FrameKind.REFUSAL, refusal))
--- a/src/violethatch/forwarding/_wire.py
+++ b/src/violethatch/forwarding/_wire.py
@@ -8,9 +8,11 @@
 from __future__ import annotations
 
 import enum
+import itertools
 import struct
+import zlib
 
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator, Mapping
 from typing import Annotated, NamedTuple
 
 import msgspec
@@ -25,6 +27,8 @@
 _SENDS = struct.Struct(">I")
 #: The largest frame that is read, in bytes: several times what a write passes on.
 _MAX_FRAME_BYTES = 64 * 1024 * 1024
+#: The most instances that a refusal tells of: they take 5 KB.
+_MAX_TOLD_LOST = 500
 Ms = Annotated[float, msgspec.Meta(ge=0, le=3_600_000)]
 
 
@@ -94,13 +98,60 @@
 
 
 class Refusal(msgspec.Struct, array_like=True, frozen=True):
-    """An instance's own error, by its code."""
+    """An instance's own error, by its code.
+
+    Attributes:
+        lost: Other instances without links to the call's service, each by its number
+            and for how long that counts, in ms; instances before 26.10.0 tell none.
+    """
 
     code: int
     detail: str
     ran: str
     retry_after_s: float | None
     in_flight: int
+    lost: tuple[tuple[int, int], ...] = ()
+
+
+def encoded_lost(lost: Mapping[str, float]) -> tuple[tuple[int, int], ...]:
+    """Return instances without links as a refusal tells them.
+
+    Args:
+        lost: By id, for how long that counts, in seconds.
+    """
+    return tuple(
+        (instance_number(peer_id), round(left_s * _MS_PER_S))
+        for peer_id, left_s in itertools.islice(lost.items(), _MAX_TOLD_LOST)
+    )
+
+
+def decoded_lost(
+    lost: Iterable[tuple[int, int]], peer_ids: Iterable[str]
+) -> dict[str, float]:
+    """Return the instances that a refusal tells of, and how long that counts.
+
+    Args:
+        lost: By number, for how long, in ms.
+        peer_ids: The ids of all that are known.
+
+    Returns:
+        By id, for how long, in seconds.
+    """
+    left_ms = dict(lost)
+    numbers = {peer_id: instance_number(peer_id) for peer_id in peer_ids}
+    return {
+        peer_id: left_ms[number] / _MS_PER_S
+        for peer_id, number in numbers.items()
+        if number in left_ms
+    }
+
+
+def instance_number(instance_id: str) -> int:
+    """Return the number that stands for an instance in a refusal.
+
+    Two ids with the same number (1 in 4 billion pairs) are both left out for a while.
+    """
+    return zlib.crc32(instance_id.encode())
 
 
 class Frame(NamedTuple):
--- a/src/violethatch/instances.py
+++ b/src/violethatch/instances.py
@@ -270,6 +270,11 @@
         """Return all other instances."""
         return [one for one in self._entries.values() if one.id != self.own.id]
 
+    def find(self, instance_id: str) -> InstanceEntry | None:
+        """Return another instance's entry, or None if it isn't known."""
+        entry = self._entries.get(instance_id)
+        return entry if instance_id != self.own.id else None
+
     def helpers(self, *, now_s: float) -> list[InstanceEntry]:
         """Return whom to ask when the store can't be, in the order to ask them.
 
--- a/src/violethatch/platform/_following.py
+++ b/src/violethatch/platform/_following.py
@@ -146,6 +146,7 @@
             BackgroundTask("held works", self._held.run),
             BackgroundTask("loads", self._links.loads.run),
             BackgroundTask("limits", self._links.limits.run),
+            BackgroundTask("lost links", self._links.lost_links.run),
         ]
 
     async def leave(self) -> None:
--- a/tests/test_forwarding_choice.py
+++ b/tests/test_forwarding_choice.py
@@ -11,7 +11,7 @@
 
 import pytest
 
-from violethatch.forwarding import PeerChoice
+from violethatch.forwarding import AnnouncedLinks, PeerChoice
 from violethatch.instances import InstanceEntry
 
 
@@ -25,7 +25,7 @@
 
 def choice(seed=1):
     """Return what an instance of the zone z1 knows at first."""
-    return PeerChoice("z1", rng=random.Random(seed))
+    return PeerChoice("z1", AnnouncedLinks(), rng=random.Random(seed))
 
 
 class TestBound:
@@ -136,7 +136,11 @@
     if cut_zone is not None:
         cut = {one.id for one in entries if one.availability_zone == cut_zone}
     views = {
-        one.id: PeerChoice(one.availability_zone, rng=random.Random(f"{seed}{one.id}"))
+        one.id: PeerChoice(
+            one.availability_zone,
+            AnnouncedLinks(),
+            rng=random.Random(f"{seed}{one.id}"),
+        )
         for one in entries
         if one.id in cut
     }
--- a/tests/test_silent_peers.py
+++ b/tests/test_silent_peers.py
@@ -11,7 +11,12 @@
 from test_forwarding_choice import entry
 from violethatch import clocks
 from violethatch._stream_output import StreamOutput
-from violethatch.forwarding import ForwardedCall, Forwarding, PeerChoice
+from violethatch.forwarding import (
+    AnnouncedLinks,
+    ForwardedCall,
+    Forwarding,
+    PeerChoice,
+)
 from violethatch.forwarding._client import NotTakenError
 from violethatch.memory_budget import MemoryBudget
 from violethatch.upstream import AnswerLostError
@@ -177,7 +182,7 @@
 
 async def forwarded(client):
     """Serve a stream through other instances; return the caller's end and the call."""
-    choice = PeerChoice("z1", rng=random.Random(1))
+    choice = PeerChoice("z1", AnnouncedLinks(), rng=random.Random(1))
     for peer, in_flight in ((SERVING, 0), (OTHER, 50)):
         choice.note_load(peer.id, in_flight, now_s=clocks.now_s())
     forwarding = Forwarding(
