Tie what was heard of an instance's links to its process

What was heard of an instance in another one's refusal counted for up to 10 s, also after the instance had started again with its links. It is kept with the instance's token now, as its own announcements are.

Failed before: test_hearsay_outlives_the_process_it_is_about.

--- a/src/violethatch/forwarding/_announced_links.py
+++ b/src/violethatch/forwarding/_announced_links.py
@@ -54,8 +54,9 @@
 
     def __init__(self) -> None:
         self._announced: dict[str, _Announced] = {}
-        #: By instance and service, until when a refusal says that its links are lost.
-        self._heard_until_s: dict[tuple[str, str], float] = {}
+        #: By instance, its token and service, until when a refusal says that its links
+        #: are lost.
+        self._heard_until_s: dict[tuple[str, str, str], float] = {}
 
     def take(
         self, peer: InstanceEntry, announcement: LinkAnnouncement, *, now_s: float
@@ -77,24 +78,25 @@
         return announcement.services != before
 
     def take_refusal(
-        self, lost: Mapping[str, float], service: str, *, now_s: float
+        self, lost: Mapping[InstanceEntry, float], service: str, *, now_s: float
     ) -> None:
         """Take in what an instance said of itself and of others as it refused a call.
 
         Args:
-            lost: By id, for how long those count that reach no server of the service,
-                in seconds.  It never grows as it is passed on, so that it lapses.
+            lost: For how long instances count as ones that reach no server of the
+                service, in seconds.  It never grows as it is passed on, so that it
+                lapses.
             service: The service.
             now_s: The current monotonic time, in seconds.
         """
-        for peer_id, left_s in lost.items():
-            known_s = self._heard_until_s.get((peer_id, service), 0.0)
+        for peer, left_s in lost.items():
+            key = (peer.id, peer.token, service)
             until_s = now_s + min(left_s, HEARSAY_LIFE_S)
-            self._heard_until_s[peer_id, service] = max(known_s, until_s)
+            self._heard_until_s[key] = max(until_s, self._heard_until_s.get(key, 0.0))
 
-    def take_answer(self, peer_id: str, service: str) -> None:
+    def take_answer(self, peer: InstanceEntry, service: str) -> None:
         """Take in that an instance serves a call of a service."""
-        self._heard_until_s.pop((peer_id, service), None)
+        self._heard_until_s.pop((peer.id, peer.token, service), None)
 
     def lost(
         self, peers: Iterable[InstanceEntry], service: str, *, now_s: float
@@ -137,7 +139,8 @@
         """
         known = self._current(peer, now_s=now_s)
         if known is None:
-            return self._heard_until_s.get((peer.id, service), 0.0) - now_s
+            key = (peer.id, peer.token, service)
+            return self._heard_until_s.get(key, 0.0) - now_s
         is_lost = service in known.announcement.services
         return known.until_s - now_s if is_lost else 0.0
 
--- a/src/violethatch/forwarding/_choice.py
+++ b/src/violethatch/forwarding/_choice.py
@@ -160,15 +160,13 @@
         usual = _usual_loads(able, known)
         mean = statistics.fmean(usual.values()) if usual else 0.0
         is_near_first = self._has_share(by_zone, able)
-        return {
-            zone: _StrangerLoad(
-                usual.get(zone, mean),
-                _FAR_REQUESTS
-                if is_near_first and zone != self._zone and (zone in usual or not usual)
-                else 0,
-            )
-            for zone in by_zone
-        }
+        loads = {}
+        for zone in by_zone:
+            is_known = zone in usual or not usual
+            is_far = is_near_first and zone != self._zone and is_known
+            way = _FAR_REQUESTS if is_far else 0
+            loads[zone] = _StrangerLoad(usual.get(zone, mean), way)
+        return loads
 
     def _has_share(self, by_zone: Counter[str], able: Sequence[InstanceEntry]) -> bool:
         """Tell whether as many of the own zone may serve as of all instances.
@@ -249,7 +247,7 @@
         self,
         peer: InstanceEntry,
         service: str,
-        others: Mapping[str, float],
+        others: Mapping[InstanceEntry, float],
         *,
         now_s: float,
     ) -> None:
@@ -258,19 +256,19 @@
         Args:
             peer: The instance, which has refused a call.
             service: The service.
-            others: By id, for how long those count that reach none either by what it
-                knows, in seconds.
+            others: For how long those count that reach none either by what it knows,
+                in seconds.
             now_s: The current monotonic time, in seconds.
         """
-        lost = {**others, peer.id: HEARSAY_LIFE_S}
+        lost = {**others, peer: HEARSAY_LIFE_S}
         self._announced.take_refusal(lost, service, now_s=now_s)
         self.note_refused(peer.id, service, now_s=now_s)
 
-    def note_taken(self, peer_id: str, service: str, *, now_s: float) -> None:
+    def note_taken(self, peer: InstanceEntry, service: str, *, now_s: float) -> None:
         """Note that an instance serves a call of a service."""
-        self._announced.take_answer(peer_id, service)
+        self._announced.take_answer(peer, service)
         self._refusals.pop(service, None)
-        self._taken_s[peer_id, service] = now_s
+        self._taken_s[peer.id, service] = now_s
 
     def max_asked(self, service: str, *, now_s: float) -> int:
         """Return how many instances may be asked for a call of a service."""
--- a/src/violethatch/forwarding/_forwarding.py
+++ b/src/violethatch/forwarding/_forwarding.py
@@ -141,7 +141,7 @@
                     on_silent_body=on_silent_body,
                 )
             if answer is not None:
-                self._choice.note_taken(peer.id, service, now_s=clocks.now_s())
+                self._choice.note_taken(peer, service, now_s=clocks.now_s())
                 return peer.id, answer
         self._log_unserved(call, service, asked.values())
         self.on_outcome("none")
@@ -250,7 +250,7 @@
         if not isinstance(refusal.error, LinksLostError):
             self._choice.note_refused(peer.id, service, now_s=now_s)
             return
-        others = decoded_lost(refusal.lost, (one.id for one in self._peers()))
+        others = decoded_lost(refusal.lost, self._peers())
         self._choice.note_lost_links(peer, service, others, now_s=now_s)
 
     def _note_silent(
--- a/src/violethatch/forwarding/_wire.py
+++ b/src/violethatch/forwarding/_wire.py
@@ -18,6 +18,7 @@
 import msgspec
 
 from .._decoding import decoded
+from ..instances import InstanceEntry
 
 
 #: Where instances take forwarded requests.
@@ -126,22 +127,24 @@
 
 
 def decoded_lost(
-    lost: Iterable[tuple[int, int]], peer_ids: Iterable[str]
-) -> dict[str, float]:
+    lost: Iterable[tuple[int, int]], peers: Iterable[InstanceEntry]
+) -> dict[InstanceEntry, float]:
     """Return the instances that a refusal tells of, and how long that counts.
 
     Args:
         lost: By number, for how long, in ms.
-        peer_ids: The ids of all that are known.
+        peers: All that are known.
 
     Returns:
-        By id, for how long, in seconds.
+        For how long, in seconds.
     """
     left_ms = dict(lost)
-    numbers = {peer_id: instance_number(peer_id) for peer_id in peer_ids}
+    if not left_ms:
+        return {}
+    numbers = {one: instance_number(one.id) for one in peers}
     return {
-        peer_id: left_ms[number] / _MS_PER_S
-        for peer_id, number in numbers.items()
+        one: left_ms[number] / _MS_PER_S
+        for one, number in numbers.items()
         if number in left_ms
     }
 
--- a/tests/forwarding_replay.py
+++ b/tests/forwarding_replay.py
@@ -15,6 +15,7 @@
 from typing import NamedTuple
 
 from violethatch.forwarding import AnnouncedLinks, LinkAnnouncer, PeerChoice
+from violethatch.forwarding._wire import decoded_lost, encoded_lost
 from violethatch.instances import InstanceEntry
 
 
@@ -210,7 +211,7 @@
             other = self.instances[peer.id]
             one.choice.note_load(peer.id, other.in_flight, now_s=now_s)
             if not other.is_cut:
-                one.choice.note_taken(peer.id, SERVICE, now_s=now_s)
+                one.choice.note_taken(peer, SERVICE, now_s=now_s)
                 one.choice.began(peer.id)
                 other.in_flight += 1
                 self._at(now_s + lasts_s, self._end, own, peer.id)
@@ -225,7 +226,8 @@
         if not other.knows:
             self._find(now_s, other.entry.id)
         lost = other.announced.lost(self.peers[other.entry.id], SERVICE, now_s=now_s)
-        one.choice.note_lost_links(other.entry, SERVICE, lost, now_s=now_s)
+        told = decoded_lost(encoded_lost(lost), self.peers[one.entry.id])
+        one.choice.note_lost_links(other.entry, SERVICE, told, now_s=now_s)
 
     def _end(self, now_s, own, peer_id):
         """Let a call end."""
--- a/tests/test_announced_links.py
+++ b/tests/test_announced_links.py
@@ -52,27 +52,33 @@
         """What an instance has said itself goes before what others heard."""
         links = AnnouncedLinks()
         links.take(NEAR, lost(), now_s=1.0)
-        links.take_refusal({"i1": 3.0, "i2": 3.0}, "model", now_s=1.5)
+        links.take_refusal({NEAR: 3.0, FAR: 3.0}, "model", now_s=1.5)
         assert links.lost(PEERS, "model", now_s=2.0) == {"i2": 2.5}
 
     def test_hearsay_is_renewed_by_being_passed_on(self):
         """Each passes on what is left of its time."""
         first, second = AnnouncedLinks(), AnnouncedLinks()
-        first.take_refusal({"i1": 60.0}, "model", now_s=0.0)
+        first.take_refusal({NEAR: 60.0}, "model", now_s=0.0)
         for now_s in (4.0, 8.0):
-            heard = first.lost(PEERS, "model", now_s=now_s)
-            second.take_refusal(heard, "model", now_s=now_s)
-            first.take_refusal(
-                second.lost(PEERS, "model", now_s=now_s), "model", now_s=now_s
-            )
+            for teller, hearer in ((first, second), (second, first)):
+                left_s = teller.lost(PEERS, "model", now_s=now_s)["i1"]
+                hearer.take_refusal({NEAR: left_s}, "model", now_s=now_s)
         assert first.lost(PEERS, "model", now_s=10.0) == {}
         assert second.lost(PEERS, "model", now_s=10.0) == {}
 
+    def test_hearsay_outlives_the_process_it_is_about(self):
+        """A new start may have its links."""
+        links = AnnouncedLinks()
+        links.take_refusal({NEAR: 3.0}, "model", now_s=1.0)
+        started = NEAR._replace(token="another")
+        assert links.lost([NEAR], "model", now_s=1.5) == {"i1": 2.5}
+        assert links.lost([started], "model", now_s=1.5) == {}
+
     def test_instance_that_serves_counts_as_one_without_links(self):
         """An answer ends what was heard."""
         links = AnnouncedLinks()
-        links.take_refusal({"i1": 3.0}, "model", now_s=1.0)
-        links.take_answer("i1", "model")
+        links.take_refusal({NEAR: 3.0}, "model", now_s=1.0)
+        links.take_answer(NEAR, "model")
         assert links.lost(PEERS, "model", now_s=1.5) == {}
 
 
--- a/tests/test_forwarding_choice.py
+++ b/tests/test_forwarding_choice.py
@@ -38,7 +38,7 @@
         assert made.max_asked("model", now_s=1.5) == 2
         assert made.max_asked("labels", now_s=1.5) == 8
         assert made.max_asked("model", now_s=6.0) == 8
-        made.note_taken("i9", "model", now_s=1.0)
+        made.note_taken(FAR, "model", now_s=1.0)
         assert made.max_asked("model", now_s=1.5) == 8
 
 
@@ -176,7 +176,7 @@
                 continue
             in_flight[peer.id] += 1
             served[peer.id] += 1
-            view.note_taken(peer.id, "model", now_s=now_s)
+            view.note_taken(peer, "model", now_s=now_s)
             view.began(peer.id)
             heapq.heappush(ends, (now_s + lasts_s, peer.id, own))
             break
