Follow an instance again as soon as its new process is known

What callers saw: nothing directly. After a return of all instances, tables were read past the instances that pass them on, at the moment when the store is busiest.

Cause: an instance that gave no answer counts as down for 5 s, by its id. The entry of its next process didn't end that.

Evidence: 24 processes killed and started again at once after 3 s. Readers and relays of the earlier processes are asked by the old entries, refuse the token or the connection, and are noted as down 113 times within 1.2 s; all 113 still counted so after the new process's entry had been read, for up to 4.6 s. Half without links: 84 of 84, up to 5.0 s.

Change: an entry with another token ends the belief that the instance is down.

Failed before: test_restarted_reader_counts_as_down.

--- a/src/violethatch/instances.py
+++ b/src/violethatch/instances.py
@@ -151,7 +151,14 @@
                 self._remove(instance_id)
             else:
                 self._removed.pop(instance_id, None)
-                self._entries[instance_id] = entry
+                self._add(entry)
+
+    def _add(self, entry: InstanceEntry) -> None:
+        """Add an entry; that of a new process is not down as its predecessor was."""
+        known = self._entries.get(entry.id)
+        if known is None or known.token != entry.token:
+            self._down_until_s.pop(entry.id, None)
+        self._entries[entry.id] = entry
 
     def _is_undone(self, entry: InstanceEntry | None) -> bool:
         """Return whether an entry is one that was removed, or an earlier one."""
--- a/tests/test_instances.py
+++ b/tests/test_instances.py
@@ -140,6 +140,18 @@
         assert list(after.values()).count(None) == 1
         assert sources(made, now_s=1.0 + DOWN_S) == before
 
+    def test_restarted_reader_counts_as_down(self):
+        """Guards against a new process that pays for its predecessor's silence."""
+        made = directories([entry(f"i{n}") for n in range(LEAST_MEMBERS)])
+        follower = next(one for one in made.values() if one.source(now_s=0.0))
+        reader = follower.source(now_s=0.0)
+        follower.note_down(reader.id, now_s=1.0)
+        follower.take({reader.id: reader._replace(written_s=1.0)}, is_whole=False)
+        assert follower.source(now_s=1.1) != reader
+        restarted = reader._replace(token="t2", written_s=1.1)
+        follower.take({reader.id: restarted}, is_whole=False)
+        assert follower.source(now_s=1.2) == restarted
+
     def test_gone_entry(self):
         """An entry that is taken away counts no more."""
         made = directories([entry(f"i{n}") for n in range(LEAST_MEMBERS)])
