Ask an instance nothing more by a token that it has refused

What callers saw: 502 and 503 after a return of all instances, where instances with links were there. A forwarded call asks eight at the most; up to six of the eight refused the token.

Cause: each start of a process has a new token, which others learn from the instances' table, up to 1.2 s later. A refused token (403) counted as a silence: 0.6 s for forwarded requests, doubled each time, and 5 s for tables. After it the same token was shown again.

Evidence: 24 processes killed and started again at once, half without links: 167 forwarded requests and 57 reads of tables refused with 403. Of the calls that no instance took, one showed the old token to six of the eight that it asked and another to two; the others did not listen yet.

Change: the directory keeps the token that an instance refused. Until its entry has another one it counts as down for tables and is not offered for forwarded calls. A refusal that comes after the new entry is not held against it. The client of forwarded requests raises an error of its own for it, a kind of NotTakenError.

test_wrong_token had wanted PeerSilentError with 403 in its text; it wants the kind of it that is raised now.

Tests of what is new: test_refused_token_is_shown_until_the_entry_is_new, test_late_refusal_of_an_earlier_token, test_reader_that_has_started_again_is_left_for_long, test_refused_token_is_not_told.

--- a/src/violethatch/_relay_http.py
+++ b/src/violethatch/_relay_http.py
@@ -33,6 +33,7 @@
     PeerLostError,
     PeerRefusedError,
     PeerSilentError,
+    PeerTokenRefusedError,
 )
 from .store_era import NO_ERA
 from .table_cache import TableCache
@@ -48,7 +49,8 @@
 _NO_UPDATE = 204
 _UNAVAILABLE = 503
 _BAD_REQUEST = 400
-_FORBIDDEN = 403
+#: The status of a request that shows another token than the instance's.
+TOKEN_REFUSED = 403
 #: The longest wait for an update that is granted, in seconds.
 _MOST_WAIT_S = 5.0
 #: From this size on bodies are compressed, in bytes; below, a packet holds them.
@@ -112,7 +114,7 @@
         """Answer one request, if it shows the token."""
         shown = request.headers.get(TOKEN_HEADER, "")
         if not hmac.compare_digest(shown.encode(), self._token.encode()):
-            return Response(status=_FORBIDDEN)
+            return Response(status=TOKEN_REFUSED)
         handle = self._handlers.get(request.path, self._answer)
         return await handle(request)
 
@@ -170,6 +172,7 @@
         Raises:
             NoUpdateError: There was none in time.
             PeerRefusedError: The store refuses it.
+            PeerTokenRefusedError: It has started again since its entry was written.
             PeerLostError: The connection broke or fell silent.
             PeerSilentError: It gave no answer.
         """
@@ -197,6 +200,7 @@
         Raises:
             NoUpdateError: It says that there is none.
             PeerRefusedError: The store refuses it.
+            PeerTokenRefusedError: It has started again since its entry was written.
             PeerSilentError: It is a refusal.
         """
         async with self._connections.session.get(
@@ -225,6 +229,7 @@
     Raises:
         NoUpdateError: It says that there is none.
         PeerRefusedError: The store refuses it.
+        PeerTokenRefusedError: It has started again since its entry was written.
         PeerSilentError: It is a refusal.
     """
     if answer.status == _NO_UPDATE:
@@ -234,8 +239,10 @@
         msg = "the store refuses it"
         unavailable_s = _parse_time(answer.headers.get(_OUTAGE_HEADER))
         raise PeerRefusedError(msg, unavailable_s=unavailable_s)
+    msg = f"status {answer.status}"
+    if answer.status == TOKEN_REFUSED:
+        raise PeerTokenRefusedError(msg)
     if answer.status != _OK:
-        msg = f"status {answer.status}"
         raise PeerSilentError(msg)
 
 
--- a/src/violethatch/forwarding/_client.py
+++ b/src/violethatch/forwarding/_client.py
@@ -12,7 +12,7 @@
 
 from .. import running_time
 from .._call_errors import CALL_ERRORS, NOT_CONNECTED
-from .._relay_http import TOKEN_HEADER
+from .._relay_http import TOKEN_HEADER, TOKEN_REFUSED
 from ..errors import Ran, VioletHatchError
 from ..instances import InstanceEntry
 from ..upstream import AnswerLostError, Headers, ServerLoad
@@ -45,6 +45,10 @@
     """The instance could not be reached: it has not got the request."""
 
 
+class TokenRefusedError(NotTakenError):
+    """Another process than the entry's has the instance's address by now."""
+
+
 class PeerRefusalError(Exception):
     """The instance gives no answer of a server's.
 
@@ -157,13 +161,19 @@
     Args:
         kept: The session whose connections are used again.
         fresh: The session that opens one for each request.
+        on_token_refused: Called with an instance that refuses its entry's token.
     """
 
     def __init__(
-        self, kept: aiohttp.ClientSession, fresh: aiohttp.ClientSession
+        self,
+        kept: aiohttp.ClientSession,
+        fresh: aiohttp.ClientSession,
+        *,
+        on_token_refused: Callable[[InstanceEntry], None] = lambda _peer: None,
     ) -> None:
         self._kept = kept
         self._fresh = fresh
+        self._on_token_refused = on_token_refused
 
     async def send(
         self,
@@ -183,6 +193,7 @@
             on_silent: Called when the instance says nothing; tells whether to wait on.
 
         Raises:
+            TokenRefusedError: The instance has started again since.
             NotTakenError: The instance has not got it.
             PeerRefusalError: It gives no answer of a server's.
             AnswerLostError: The request may have run.
@@ -205,7 +216,10 @@
         if response.status != _OK:
             response.close()
             msg = f"status {response.status}"
-            raise NotTakenError(msg)
+            if response.status != TOKEN_REFUSED:
+                raise NotTakenError(msg)
+            self._on_token_refused(peer)
+            raise TokenRefusedError(msg)
         answer = ForwardedAnswer(response, on_silent=on_silent)
         try:
             await answer.open()
--- a/src/violethatch/instances.py
+++ b/src/violethatch/instances.py
@@ -111,6 +111,8 @@
         self._removed: dict[str, InstanceEntry] = {}
         self._undone: set[str] = set()
         self._down_until_s: dict[str, float] = {}
+        #: By instance, the token that it refused.
+        self._refused_tokens: dict[str, str] = {}
         self._refused_until_s: dict[str, float] = {}
         self._ranks_known: _Ranks | None = None
         #: The own place, and the revision that it is of.
@@ -158,6 +160,7 @@
         known = self._entries.get(entry.id)
         if known is None or known.token != entry.token:
             self._down_until_s.pop(entry.id, None)
+            self._refused_tokens.pop(entry.id, None)
         self._entries[entry.id] = entry
 
     def _is_undone(self, entry: InstanceEntry | None) -> bool:
@@ -172,6 +175,7 @@
         entry = self._entries.pop(instance_id, None)
         if entry is None:
             return
+        self._refused_tokens.pop(instance_id, None)
         self._removed[instance_id] = entry
         while len(self._removed) > _MAX_REMOVED:
             del self._removed[next(iter(self._removed))]
@@ -192,6 +196,13 @@
         """Note that an instance gave no answer."""
         self._down_until_s[instance_id] = now_s + DOWN_S
 
+    def note_token_refused(self, peer: InstanceEntry) -> None:
+        """Note that another process has an instance's address by now.
+
+        Nothing is asked there until the entry of that process is known.
+        """
+        self._refused_tokens[peer.id] = peer.token
+
     def note_refused(self, instance_id: str, *, now_s: float) -> None:
         """Note that an instance has said that the store refuses it."""
         self._refused_until_s[instance_id] = now_s + REFUSED_S
@@ -282,6 +293,10 @@
         entry = self._entries.get(instance_id)
         return entry if instance_id != self.own.id else None
 
+    def askable(self) -> list[InstanceEntry]:
+        """Return the other instances that have not refused the token known here."""
+        return [one for one in self.others() if not self._is_token_refused(one.id)]
+
     def helpers(self, *, now_s: float) -> list[InstanceEntry]:
         """Return whom to ask when the store can't be, in the order to ask them.
 
@@ -340,8 +355,16 @@
 
     def _is_up(self, instance_id: str, now_s: float) -> bool:
         """Tell whether an instance is not thought to be down."""
+        if self._is_token_refused(instance_id):
+            return False
         return now_s >= self._down_until_s.get(instance_id, 0.0)
 
+    def _is_token_refused(self, instance_id: str) -> bool:
+        """Tell whether an instance has refused the token that its entry tells."""
+        entry = self._entries.get(instance_id)
+        refused = self._refused_tokens.get(instance_id)
+        return entry is not None and entry.token == refused
+
     def _is_refused(self, instance_id: str, now_s: float) -> bool:
         """Tell whether the store was refused to an instance a moment ago."""
         return now_s < self._refused_until_s.get(instance_id, 0.0)
--- a/src/violethatch/peer_reads.py
+++ b/src/violethatch/peer_reads.py
@@ -43,6 +43,13 @@
         self.unavailable_s = unavailable_s
 
 
+class PeerTokenRefusedError(PeerSilentError):
+    """Another process than the entry's has an instance's address by now.
+
+    .. versionadded:: 26.12.0
+    """
+
+
 class PeerLostError(PeerSilentError):
     """The connection to another instance broke or fell silent; it may be well.
 
@@ -83,6 +90,7 @@
         Raises:
             NoUpdateError: There was none in time.
             PeerRefusedError: The store refuses it.
+            PeerTokenRefusedError: It has started again since its entry was written.
             PeerLostError: The connection broke or fell silent.
             PeerSilentError: It gave no answer.
         """
--- a/src/violethatch/platform/_parts.py
+++ b/src/violethatch/platform/_parts.py
@@ -70,7 +70,9 @@
     directory = InstanceDirectory(_own_entry(settings))
     if settings.listen.peers is not None:
         router.enable_forwarding(
-            ForwardClient(kept, fresh), peers=directory.others, rng=rng
+            ForwardClient(kept, fresh, on_token_refused=directory.note_token_refused),
+            peers=directory.askable,
+            rng=rng,
         )
     duty = PlacementController(
         router.routing,
--- a/src/violethatch/relayed_tables.py
+++ b/src/violethatch/relayed_tables.py
@@ -25,6 +25,7 @@
     PeerReads,
     PeerRefusedError,
     PeerSilentError,
+    PeerTokenRefusedError,
 )
 from .read_waits import ReadWaits
 from .store_era import NO_ERA, Position, ProofTime, StoreEra
@@ -295,7 +296,7 @@
 
     def _leave(self, source: InstanceEntry, table: str, error: PeerSilentError) -> None:
         """Follow another instance, or none, for a while."""
-        self._directory.note_down(source.id, now_s=clocks.now_s())
+        self._note_silent(source, error)
         self._note_source(table, "another", f"{source.id}: {error}")
 
     async def _read_store(
@@ -355,11 +356,17 @@
 
     def _note_unhelpful(self, helper: InstanceEntry, error: PeerSilentError) -> None:
         """Ask another instance next time."""
-        now_s = clocks.now_s()
         if isinstance(error, PeerRefusedError):
-            self._directory.note_refused(helper.id, now_s=now_s)
+            self._directory.note_refused(helper.id, now_s=clocks.now_s())
+        else:
+            self._note_silent(helper, error)
+
+    def _note_silent(self, peer: InstanceEntry, error: PeerSilentError) -> None:
+        """Note that an instance gave no answer, or not to this token."""
+        if isinstance(error, PeerTokenRefusedError):
+            self._directory.note_token_refused(peer)
         else:
-            self._directory.note_down(helper.id, now_s=now_s)
+            self._directory.note_down(peer.id, now_s=clocks.now_s())
 
     async def _ask(
         self,
--- a/tests/test_forward_listener.py
+++ b/tests/test_forward_listener.py
@@ -21,7 +21,7 @@
 from violethatch._relay_http import RelayListener
 from violethatch.errors import Ran
 from violethatch.forwarding import FORWARD_PATH, ForwardClient, ForwardListener
-from violethatch.forwarding._client import PeerRefusalError
+from violethatch.forwarding._client import PeerRefusalError, TokenRefusedError
 from violethatch.forwarding._wire import ForwardedRequest
 from violethatch.instances import InstanceEntry
 from violethatch.upstream import AnswerLostError
@@ -41,9 +41,9 @@
         relay = RelayListener({}, token=TOKEN, handlers=handlers)
         await relay.start(self.address)
 
-    async def forward(self, session, call_id, *, path, runs=0):
+    async def forward(self, session, call_id, *, path, runs=0, token=TOKEN, **options):
         """Hand a request over; return the answer once its head is there."""
-        entry = InstanceEntry("i2", "z1", self.address, TOKEN, 1000.0, 0.0)
+        entry = InstanceEntry("i2", "z1", self.address, token, 1000.0, 0.0)
         request = ForwardedRequest(
             call_id=call_id,
             method="POST",
@@ -60,7 +60,7 @@
             runs=runs,
             sender="i1",
         )
-        client = ForwardClient(session, session)
+        client = ForwardClient(session, session, **options)
         return await client.send(
             entry, request, is_repeatable=True, on_silent=lambda: False
         )
@@ -90,6 +90,16 @@
     return site
 
 
+async def test_refused_token_is_not_told(session):
+    """Guards against a sender that goes on showing the token of an earlier process."""
+    site = await serving(StreamingClient(0.1))
+    refused = []
+    options = {"token": "earlier", "on_token_refused": refused.append}
+    with pytest.raises(TokenRefusedError):
+        await site.forward(session, "c1", path="/draft/1", **options)
+    assert [one.token for one in refused] == ["earlier"]
+
+
 async def test_forwarded_stream_cut_by_a_stop_has_a_line(lines, session):
     """The process ended under it, without a line at the instance that cut it."""
     site = await serving(StreamingClient(30.0))
--- a/tests/test_instances.py
+++ b/tests/test_instances.py
@@ -152,6 +152,30 @@
         follower.take({reader.id: restarted}, is_whole=False)
         assert follower.source(now_s=1.2) == restarted
 
+    def test_refused_token_is_shown_until_the_entry_is_new(self):
+        """Guards against calls that are handed to a process that is gone."""
+        made = directories([entry(f"i{n}") for n in range(LEAST_MEMBERS)])
+        follower = next(one for one in made.values() if one.source(now_s=0.0))
+        reader = follower.source(now_s=0.0)
+        follower.note_token_refused(reader)
+        assert reader not in follower.askable()
+        assert follower.source(now_s=2 * DOWN_S) != reader
+        renewed = reader._replace(written_s=1.0)
+        follower.take({reader.id: renewed}, is_whole=False)
+        assert renewed not in follower.askable()
+        restarted = reader._replace(token="t2")
+        follower.take({reader.id: restarted}, is_whole=False)
+        assert restarted in follower.askable()
+        assert follower.source(now_s=2 * DOWN_S) == restarted
+
+    def test_late_refusal_of_an_earlier_token(self):
+        """Guards against a new process that is left for its predecessor's token."""
+        made = directories([entry("i1"), entry("i2")])["i1"]
+        (old,) = made.others()
+        made.take({"i2": old._replace(token="t2")}, is_whole=False)
+        made.note_token_refused(old)
+        assert len(made.askable()) == 1
+
     def test_gone_entry(self):
         """An entry that is taken away counts no more."""
         made = directories([entry(f"i{n}") for n in range(LEAST_MEMBERS)])
--- a/tests/test_relayed_tables.py
+++ b/tests/test_relayed_tables.py
@@ -12,7 +12,7 @@
 from own_ports import free_ports
 from test_followers import ScriptedSource
 from test_instances import directories, entry
-from violethatch import _relay_http
+from violethatch import _relay_http, clocks
 from violethatch._connection_choice import ConnectionChoice
 from violethatch._relay_http import RelayClient, RelayListener
 from violethatch.errors import ReadLostError, TableUnavailableError
@@ -22,6 +22,7 @@
     PeerLostError,
     PeerRefusedError,
     PeerSilentError,
+    PeerTokenRefusedError,
 )
 from violethatch.relayed_tables import RelayedTables
 from violethatch.store_era import NO_ERA
@@ -204,6 +205,19 @@
         assert (await tables.read_changes("op", after=5, wait_s=0.0)).version == 7
         assert peers.waits[-1] == (1.0, True)
 
+    async def test_reader_that_has_started_again_is_left_for_long(self):
+        """Guards against a refused token that is taken for a silent instance."""
+        directory, reader = follower_of(count=LEAST_REGION)
+        peers = ScriptedPeers(
+            *[PeerLostError("reset"), PeerTokenRefusedError("status 403")], view(7)
+        )
+        tables = RelayedTables(ScriptedSource(), peers, directory)
+        await tables.read_changes("op", after=5, wait_s=2.4)
+        assert reader not in {one.id for one in directory.askable()}
+        old = next(one for one in directory.others() if one.id == reader)
+        directory.take({reader: old._replace(token="t2")}, is_whole=False)
+        assert directory.source(now_s=clocks.now_s()).id == reader
+
     async def test_second_reader_is_asked_before_the_store(self):
         """A reader that is cut off costs its followers no call of the store."""
         directory, reader = follower_of(count=LEAST_REGION)
@@ -409,5 +423,5 @@
 
     async def test_wrong_token(self):
         """Only who reads the store gets an answer."""
-        with pytest.raises(PeerSilentError, match="403"):
+        with pytest.raises(PeerTokenRefusedError, match="403"):
             await self.ask(TableCache(), token="guessed")
