Write a new process's entry again soon after a refused write

What callers saw: nothing measured yet. For seconds after its start an instance got no datagram and no forwarded call of any other one, and its datagrams' receivers lacked it as a neighbour.

Cause: a write of the own entry that comes to nothing is repeated after 3 s, then 6 s and 12 s, drawn out by up to 1.3. That suits an entry that is renewed each 10 minutes. Until the first one is written, the others have the token of the instance's earlier process.

Change: before the first entry is written the waits begin at 0.4 s and double up to the same 30 s. In 30 s without any answer an instance makes seven writes instead of four.

Failed before: test_new_process_is_unknown_for_seconds_after_one_refusal, test_store_that_refuses_is_pressed.

--- a/src/violethatch/_registration.py
+++ b/src/violethatch/_registration.py
@@ -29,8 +29,10 @@
 #: How often to look whether the store's clock is known yet, in seconds.
 _CLOCK_LOOK_S = 0.1
 #: How long to wait after a write that came to nothing, in seconds; each further one
-#: doubles it, so that many instances don't press a store that refuses them.
+#: doubles it, so that many instances don't press a store that refuses them.  The first
+#: entry is due sooner: until it is there, others show an earlier process's token.
 _RETRY_S = 3.0
+_FIRST_RETRY_S = 0.4
 _LONGEST_RETRY_S = 30.0
 #: The entries a second that all instances together write again after the store has lost
 #: them, and the shortest time over which they are spread, in seconds.
@@ -67,7 +69,7 @@
         self._clock = clock
         self._held = held
         self._rng = rng
-        self._retry_s = _RETRY_S
+        self._retry_s = _FIRST_RETRY_S
         self._written: InstanceEntry | None = None
         #: Set when the store has lost the entry.
         self._is_lost = asyncio.Event()
--- a/tests/test_registration.py
+++ b/tests/test_registration.py
@@ -102,6 +102,35 @@
         assert sorted(one.id for one in directory.others()) == ["i3"]
 
 
+class TestRefusedWrites:
+    def made(self):
+        """Return a registration whose store refuses writes."""
+        store = FakeStore()
+        store.is_away = True
+        made = registration(store, InstanceDirectory(entry("i1")), store_s=50.0)
+        return made, store
+
+    async def test_new_process_is_unknown_for_seconds_after_one_refusal(self):
+        """Guards against an earlier process's token that others show for seconds."""
+        made, store = self.made()
+        task = asyncio.create_task(made.run())
+        await asyncio.sleep(0.1)
+        store.is_away = False
+        await asyncio.sleep(1.0)
+        task.cancel()
+        assert len(store.writes) == 1
+
+    async def test_store_that_refuses_is_pressed(self):
+        """Each wait is twice the one before; a known entry waits longer at once."""
+        made, store = self.made()
+        waits_s = [await made._step() for _ in range(9)]
+        assert waits_s == [0.4, 0.8, 1.6, 3.2, 6.4, 12.8, 25.6, 30.0, 30.0]
+        store.is_away = False
+        await made._step()
+        store.is_away = True
+        assert await made._step() == 3.0
+
+
 class TestRestoredStore:
     def made(self):
         """Return a registration that has written its entry, and what it is."""
