--- a/tests/test_region_reads.py
+++ b/tests/test_region_reads.py
@@ -25,7 +25,8 @@
 #: How late a change may be, in seconds, and what a busy machine may add.
 BOUND_S = 2.0
 SLACK_S = 0.4
-COUNT = 40
+#: The zone of each instance.
+ZONES = [f"z{n % 5}" for n in range(40)]
 TIMEOUT_S = 0.8
 CONNECT_TIMEOUT_S = 0.6
 
@@ -118,12 +119,12 @@
 
 
 class Region:
-    """Instances of five zones that follow one table."""
+    """Instances of some zones that follow one table."""
 
-    def __init__(self):
+    def __init__(self, zones=ZONES):
         self.store = Store()
         self.directories = directories(
-            [entry(f"i{n}", zone=f"z{n % 5}") for n in range(COUNT)]
+            [entry(f"i{n}", zone=zone) for n, zone in enumerate(zones)]
         )
         self.caches = {name: TableCache() for name in self.directories}
         self.freshness = {name: Freshness(limit_s=10.0) for name in self.directories}
@@ -135,6 +136,21 @@
         }
         self._tasks = [asyncio.create_task(self._follow(n)) for n in self.directories]
 
+    def readers_and_substitutes(self):
+        """Return those who read for all, and those who stand in for them."""
+        now_s = clocks.now_s()
+        directory = next(iter(self.directories.values()))
+        first = set(directory._region_readers(now_s=now_s))
+        for one in first:
+            directory.note_refused(one, now_s=now_s)
+        ids = set(first)
+        while not first & (more := set(directory._region_readers(now_s=now_s))):
+            ids |= more
+            for one in more:
+                directory.note_refused(one, now_s=now_s)
+        directory._refused_until_s.clear()
+        return ids
+
     def store_reads(self, name):
         """Return an instance's way to the store."""
         return Reads(self.store, name)
@@ -255,3 +271,30 @@
         region.store.refused.clear()
         region.store.write()
         await region.all_know(2.0 + SLACK_S)
+
+
+class TestZonesRefused:
+    @pytest.fixture
+    async def large_zones(self):
+        """Provide a region of three zones whose instances have all read the table."""
+        made = Region(["a"] * 45 + ["b"] * 35 + ["c"] * 40)
+        await made.all_know(10.0)
+        await asyncio.sleep(1.0)
+        yield made
+        await made.stop()
+
+    async def test_refused_substitutes_are_not_taken_for_all(self, large_zones):
+        """Guards against a served zone that learns nothing, as others are refused."""
+        refused = {
+            name
+            for name, one in large_zones.directories.items()
+            if one.own.availability_zone != "c"
+        }
+        assert large_zones.readers_and_substitutes() <= refused
+        large_zones.store.refused |= refused
+        # A first try of each instance takes as long.
+        await asyncio.sleep(3.0)
+        large_zones.store.write()
+        async with asyncio.timeout(BOUND_S + SLACK_S):
+            while large_zones.behind() - refused:
+                await asyncio.sleep(0.01)
