--- a/tests/test_load_sums.py
+++ b/tests/test_load_sums.py
@@ -3,6 +3,8 @@
 
 from __future__ import annotations
 
+import random
+
 import pytest
 
 from hypothesis import given, settings
@@ -15,6 +17,7 @@
     EMPTY_LOAD,
     FAN_OUT,
     INITIAL_SUSPECTED_S,
+    MAX_SUSPECTED_S,
     REPORT_TTL_S,
     UNLISTED_TTL_S,
     WORKSPACES_TTL_S,
@@ -166,6 +169,18 @@
             fleet.known_streams(instance_id) for instance_id in fleet.running()
         } == {fleet.expected_streams()}
 
+    @pytest.mark.parametrize("zone_sizes", [(24, 24, 24), (45, 35, 40)])
+    def test_sums_exclude_survivors_while_many_dead_are_retried(self, zone_sizes):
+        """Guards against leaving a neighbour that answers for those that don't."""
+        fleet = Fleet(zone_sizes)
+        fleet.tick(40)
+        crashed = round(0.85 * len(fleet.sums))
+        fleet.crashed = set(random.Random(0).sample(list(fleet.sums), crashed))
+        fleet.tick(round(MAX_SUSPECTED_S / TICK_S))
+        assert {
+            fleet.known_streams(instance_id) for instance_id in fleet.running()
+        } == {fleet.expected_streams()}
+
     def test_partitioned_instances_sum_their_own_side(self):
         """Zones that can't reach each other have their own load only."""
         fleet = Fleet([3, 3], loss=lambda sender, to: sender[0] != to[0])
