--- a/tests/test_earlier_instances.py
+++ b/tests/test_earlier_instances.py
@@ -10,6 +10,7 @@
 import msgspec
 import pytest
 
+from forwarding_replay import Network, Replay
 from test_instances import entry
 from violethatch import _peer_datagrams, events
 from violethatch._peer_datagrams import (
@@ -140,3 +141,25 @@
         datagrams.datagram_received(msgspec.msgpack.encode(row), None)
         assert taken == []
         assert lines == [events.DATAGRAM_LOST]
+
+
+class TestLinksThatComeBack:
+    def test_earlier_instances_are_left_out_for_long(self):
+        """They announce nothing, so that a refusal must not outlive their loss."""
+        zones, heals_s, known_s = (24, 24, 24), 5.0, 2.0
+        replay = Replay(zones, seed=0)
+        ids = sorted(replay.instances)
+        earlier = set(ids[::2])
+        replay.network = Network(
+            is_blocked=lambda sender, _receiver: sender.id in earlier
+        )
+        outcome = replay.play(
+            set(ids),
+            rate_per_s=1.0,
+            lasts_s=1.0,
+            for_s=heals_s + known_s + 3.0,
+            healed=earlier,
+            heals_s=heals_s,
+        )
+        later = [peer for at_s, _, peer in outcome.calls if at_s >= heals_s + known_s]
+        assert sum(peer is not None for peer in later) >= 0.95 * len(later)
