Ask instances of earlier versions again a second after a refusal

Where all links were lost, instances of an earlier version were not asked for 5 to 10 s after their links were back: what a refusal tells counted for 10 s, and they don't announce the return.

Change: a refusal says whether its sender announces its links, by telling of others at all; one that doesn't counts for 1 s as before. In the replay, instances of the earlier version tell and hear nothing of links; the test had brought them about by datagrams that get lost.

--- a/src/violethatch/_peer_datagrams.py
+++ b/src/violethatch/_peer_datagrams.py
@@ -183,7 +183,7 @@
 class LostLinksDatagram(msgspec.Struct, array_like=True, tag="n"):
     """The services that the sender reaches no server of; the token is the receiver's.
 
-    Instances before 26.10.0 don't know it.
+    Instances before 26.13.0 don't know it.
     """
 
     token: str
--- a/src/violethatch/forwarding/_forwarding.py
+++ b/src/violethatch/forwarding/_forwarding.py
@@ -247,7 +247,7 @@
     ) -> None:
         """Note that an instance can't serve a service now, and who else can't."""
         now_s = clocks.now_s()
-        if not isinstance(refusal.error, LinksLostError):
+        if refusal.lost is None:
             self._choice.note_refused(peer.id, service, now_s=now_s)
             return
         others = decoded_lost(refusal.lost, self._peers())
--- a/src/violethatch/forwarding/_listener.py
+++ b/src/violethatch/forwarding/_listener.py
@@ -280,7 +280,7 @@
             error.ran.value,
             error.retry_after_s,
             self._server.in_flight,
-            encoded_lost(error.lost_peers) if isinstance(error, LinksLostError) else (),
+            _lost_peers(error),
         )
         with contextlib.suppress(ConnectionError):  # the sender went away
             await self._response.write_eof(message_frame(FrameKind.REFUSAL, refusal))
@@ -301,6 +301,13 @@
         await self._response.write(data)
 
 
+def _lost_peers(error: VioletHatchError) -> tuple[tuple[int, int], ...] | None:
+    """Return the other instances without links, if that is why there is no answer."""
+    if not isinstance(error, LinksLostError):
+        return None
+    return encoded_lost(error.lost_peers)
+
+
 def _note_left(call: Call) -> None:
     """Log that the sender ended its connection, as it does when its caller leaves."""
     events.log(
--- a/src/violethatch/forwarding/_wire.py
+++ b/src/violethatch/forwarding/_wire.py
@@ -102,8 +102,9 @@
     """An instance's own error, by its code.
 
     Attributes:
-        lost: Other instances without links to the call's service, each by its number
-            and for how long that counts, in ms; instances before 26.10.0 tell none.
+        lost: With lost links, the other instances without links to the call's service,
+            each by its number and for how long that counts, in ms.  Instances before
+            26.13.0, which don't tell when their links are back, don't tell this either.
     """
 
     code: int
@@ -111,7 +112,7 @@
     ran: str
     retry_after_s: float | None
     in_flight: int
-    lost: tuple[tuple[int, int], ...] = ()
+    lost: tuple[tuple[int, int], ...] | None = None
 
 
 def encoded_lost(lost: Mapping[str, float]) -> tuple[tuple[int, int], ...]:
--- a/src/violethatch/peer_reads.py
+++ b/src/violethatch/peer_reads.py
@@ -46,7 +46,7 @@
 class PeerTokenRefusedError(PeerSilentError):
     """Another process than the entry's has an instance's address by now.
 
-    .. versionadded:: 26.12.0
+    .. versionadded:: 26.13.0
     """
 
 
--- a/tests/forwarding_replay.py
+++ b/tests/forwarding_replay.py
@@ -54,6 +54,8 @@
             rng=random.Random(f"{seed}{entry.id}"),
         )
         self.announcer = LinkAnnouncer(random.Random(entry.id).randrange(2**31))
+        #: Whether it tells nothing of links, as instances before 26.13.0.
+        self.is_earlier = False
         self.is_cut = False
         self.knows = False
         self.in_flight = 0
@@ -182,6 +184,8 @@
 
     def _announce(self, now_s, one):
         """Let an instance tell what is due."""
+        if one.is_earlier:
+            return
         peers = self.peers[one.entry.id]
         message = one.announcer.announcement(instances=len(peers))
         for peer in one.announcer.select(peers, now_s=now_s):
@@ -192,7 +196,9 @@
                 self._at(arrives_s, self._hear, peer.id, one.entry, message)
 
     def _hear(self, now_s, own, sender, message):
-        """Let an instance take an announcement in."""
+        """Let an instance take an announcement in, if it is of this version."""
+        if self.instances[own].is_earlier:
+            return
         self.instances[own].announced.take(sender, message, now_s=now_s)
 
     def _call(self, now_s, own, lasts_s):
@@ -225,6 +231,9 @@
         """Let an instance without links refuse another one's call."""
         if not other.knows:
             self._find(now_s, other.entry.id)
+        if other.is_earlier:
+            one.choice.note_refused(other.entry.id, SERVICE, now_s=now_s)
+            return
         lost = other.announced.lost(self.peers[other.entry.id], SERVICE, now_s=now_s)
         told = decoded_lost(encoded_lost(lost), self.peers[one.entry.id])
         one.choice.note_lost_links(other.entry, SERVICE, told, now_s=now_s)
--- a/tests/test_earlier_instances.py
+++ b/tests/test_earlier_instances.py
@@ -10,7 +10,7 @@
 import msgspec
 import pytest
 
-from forwarding_replay import Network, Replay
+from forwarding_replay import Replay
 from test_instances import entry
 from violethatch import _peer_datagrams, events
 from violethatch._peer_datagrams import (
@@ -29,7 +29,7 @@
 
 
 class EarlierRefusal(msgspec.Struct, array_like=True, frozen=True):
-    """A refusal as instances before 26.10.0 send it."""
+    """A refusal as instances before 26.13.0 send it."""
 
     code: int
     detail: str
@@ -44,10 +44,9 @@
 
 class TestRefusal:
     def test_earlier_refusal_is_not_understood(self):
-        """It tells of no other instance, and the rest is the same."""
+        """It says that its sender announces nothing, and the rest is the same."""
         refusal = decoded_refusal(msgspec.msgpack.encode(EARLIER))
-        assert refusal == Refusal(1208, "no link", "no", 0.5, 7, ())
-        assert decoded_lost(refusal.lost, PEERS) == {}
+        assert refusal == Refusal(1208, "no link", "no", 0.5, 7, None)
 
     @pytest.mark.parametrize("lost", [{}, {"i1": 2.5, "i2": 0.0}])
     def test_earlier_instance_does_not_understand_a_refusal(self, lost):
@@ -150,9 +149,8 @@
         replay = Replay(zones, seed=0)
         ids = sorted(replay.instances)
         earlier = set(ids[::2])
-        replay.network = Network(
-            is_blocked=lambda sender, _receiver: sender.id in earlier
-        )
+        for instance_id in earlier:
+            replay.instances[instance_id].is_earlier = True
         outcome = replay.play(
             set(ids),
             rate_per_s=1.0,
