--- a/tests/test_fault_reports.py
+++ b/tests/test_fault_reports.py
@@ -6,12 +6,15 @@
 import asyncio
 import random
 
+from types import SimpleNamespace
+
 import pytest
 
 from own_ports import free_ports
 from test_instances import entry
 from violethatch import _fault_report_link, clocks
 from violethatch._fault_report_link import FaultReportLink
+from violethatch._health_checks import HealthCheckLoop
 from violethatch._peer_datagrams import PeerDatagrams
 from violethatch.fault_reports import FaultReport, FaultReportReceiver, should_broadcast
 from violethatch.instances import InstanceDirectory
@@ -158,3 +161,43 @@
             while not other.in_cooldown(now_s=clocks.now_s()):
                 await asyncio.sleep(0.01)
         assert other.in_cooldown(now_s=clocks.now_s()) == {"b"}
+
+
+#: How long a replay lasts and its step, in seconds.
+REPLAY_S = 20.0
+STEP_S = 0.01
+#: Between two calls of an instance that meet a server out of its reach, in seconds.
+CALL_PAUSE_S = 0.5
+CHECK_PAUSE_S = 0.2
+#: For which part of the time a server in reach may be left out.
+MAX_EXCLUDED = 0.25
+
+
+@pytest.mark.parametrize("instances", [8, 72, 120, 350])
+def test_two_instances_exclude_a_server_that_all_others_reach(instances):
+    """Two lose their link to it, and not those to the other servers of its service."""
+    rng = random.Random(instances)
+    health = RunnerHealth()
+    receiver = FaultReportReceiver(health, rng=rng)
+    routing = SimpleNamespace(instance_count=lambda: instances)
+    checks = HealthCheckLoop(routing, rng=rng)
+    reporters = {"i1": RunnerHealth(), "i2": RunnerHealth()}
+    excluded_s = 0.0
+    for step in range(round(REPLAY_S / STEP_S)):
+        now_s = step * STEP_S
+        for reporter, own in reporters.items():
+            if step % round(CALL_PAUSE_S / STEP_S):
+                continue
+            cooldown_s = own.record_fault("a", ServerFault.SILENT, now_s=now_s)
+            if cooldown_s is not None:
+                report = FaultReport("a", ServerFault.SILENT, cooldown_s)
+                receiver.receive(report, reporter=reporter, now_s=now_s)
+        if not step % round(CHECK_PAUSE_S / STEP_S):
+            left_s = health.silent_cooldowns_s(now_s=now_s).get("a")
+            if left_s is None:
+                checks._probed_at_s.clear()
+            elif checks._is_due("a", left_s, now_s):
+                health.record_success("a")
+                checks._probed_at_s.clear()
+        excluded_s += STEP_S * ("a" in health.excluded(now_s=now_s))
+    assert excluded_s <= MAX_EXCLUDED * REPLAY_S
