Ask an instance that was silent once where no other may serve

Cause: a connection that doesn't come about within 0.25 s leaves an instance out for 0.6 s; with all others known to be without links, nobody was left.

Change: a call that nobody else may serve is handed to an instance that has been silent once in a row. The second silence in a row leaves it out as before.

Failed before: test_instance_that_alone_may_serve_is_left_out_for_one_silence.

--- a/src/violethatch/forwarding/_choice.py
+++ b/src/violethatch/forwarding/_choice.py
@@ -24,6 +24,8 @@
 #: Each further silence doubles it.
 SILENT_LIFE_S = 0.6
 MAX_SILENT_LIFE_S = 3.0
+#: How many silences in a row are not held against an instance that alone may serve.
+_FORGIVEN_SILENCES = 1
 #: Instances that are asked for one call at the most.
 _MAX_ASKED = 8
 #: The same after as many refusals in a row: few instances serve, if any, and a call
@@ -145,6 +147,30 @@
             key=lambda one: self._cost(one, known.get(one.id), strangers),
         )
 
+    def last_resort(
+        self, peers: Iterable[InstanceEntry], service: str, *, now_s: float
+    ) -> InstanceEntry | None:
+        """Return an instance that was silent once, to ask where no other may serve.
+
+        One silence is often that of a busy machine.
+
+        Args:
+            peers: All other instances.
+            service: The call's service.
+            now_s: The current monotonic time, in seconds.
+        """
+        peers = list(peers)
+        unable = self._barred(service, now_s=now_s)
+        unable.update(self._announced.lost(peers, service, now_s=now_s))
+        able = [
+            one
+            for one in peers
+            if one.id not in unable and self._silences[one.id] <= _FORGIVEN_SILENCES
+        ]
+        return min(
+            able, key=lambda one: self._until_s.get((one.id, ""), 0.0), default=None
+        )
+
     def _stranger_loads(
         self,
         peers: Iterable[InstanceEntry],
--- a/src/violethatch/forwarding/_forwarding.py
+++ b/src/violethatch/forwarding/_forwarding.py
@@ -4,7 +4,7 @@
 from __future__ import annotations
 
 from collections import Counter
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Callable, Collection, Iterable, Sequence
 from typing import Protocol, cast
 
 from .. import clocks, events
@@ -120,9 +120,7 @@
         max_asked = self._choice.max_asked(service, now_s=clocks.now_s())
         while len(asked) < max_asked:
             now_s = clocks.now_s()
-            peer = self._choice.choose(
-                self._peers(), service, refused=asked.values(), now_s=now_s
-            )
+            peer = self._next_peer(service, asked.values(), now_s=now_s)
             if peer is None or now_s >= deadline_s:
                 break
             asked[peer.id] = peer
@@ -187,6 +185,16 @@
             reason=reason,
         )
 
+    def _next_peer(
+        self, service: str, asked: Collection[InstanceEntry], *, now_s: float
+    ) -> InstanceEntry | None:
+        """Return the instance to ask next, or None if none may serve."""
+        peers = self._peers()
+        peer = self._choice.choose(peers, service, refused=asked, now_s=now_s)
+        if peer is None and not asked:
+            return self._choice.last_resort(peers, service, now_s=now_s)
+        return peer
+
     async def _ask(
         self,
         peer: InstanceEntry,
--- a/tests/test_forwarding_choice.py
+++ b/tests/test_forwarding_choice.py
@@ -100,6 +100,17 @@
         made.note_silent(NEAR.id, now_s=now_s)
         assert made.choose([NEAR], "model", now_s=now_s + 0.61) == NEAR
 
+    def test_instance_that_alone_may_serve_is_left_out_for_one_silence(self):
+        """A call that would be refused is handed to it once more."""
+        made = choice()
+        made.note_lost_links(FAR, "model", {}, now_s=1.0)
+        assert made.last_resort([FAR], "model", now_s=1.1) is None
+        made.note_silent(NEAR.id, now_s=1.0)
+        assert made.choose([NEAR, FAR], "model", now_s=1.1) is None
+        assert made.last_resort([NEAR, FAR], "model", now_s=1.1) == NEAR
+        made.note_silent(NEAR.id, now_s=1.7)
+        assert made.last_resort([NEAR, FAR], "model", now_s=1.8) is None
+
     def test_instance_that_was_asked_is_not_asked_again(self):
         """A call is never handed to the same instance twice in one round."""
         assert choice().choose([NEAR], "model", refused={NEAR}, now_s=1.0) is None
