--- a/tests/test_lost_links_link.py
+++ b/tests/test_lost_links_link.py
@@ -123,6 +123,21 @@
             task.cancel()
 
 
+@in_virtual_time
+async def test_new_process_is_forgotten_as_its_entry_comes():
+    """Guards against an announcement that came before its sender's new entry."""
+    net = {}
+    other = Instance(directories([entry("i0"), entry("i1")])["i0"], net)
+    started = entry("i1")._replace(token="another")
+    back = Instance(directories([entry("i0"), started])["i1"], net)
+    task = asyncio.create_task(back.link.run())
+    back.note(LinkCheck(silent=("a", "b")))
+    await asyncio.sleep(0.7)
+    other.directory.take({"i1": started}, is_whole=False)
+    assert other.lost() == ["i1"]
+    task.cancel()
+
+
 def test_stranger_is_believed():
     """What an instance says counts only if its entry is known."""
     instance = fleet(2)[0]
