Read the instances' table sooner once an instance has refused its token

What callers saw: 503, and 502 for calls that had run, in the first seconds after a return of all instances: those without links showed tokens of former processes to the others.

Cause: an instance reads the instances' table at its start and again 1.2 s later, and pauses for 1.2 s after each change that it reads itself. A refused token, the sign that an entry is old, did not shorten that.

Change: a refused token that the directory doesn't have a successor of ends the pause, after a time that is drawn from 0.4 s, and from more with over 120 instances, so that a round of reads by all of them comes to 300 a second.

Failed before: test_pause_outlasts_what_is_known_to_be_old (new method).

--- a/src/violethatch/_followers.py
+++ b/src/violethatch/_followers.py
@@ -4,6 +4,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import math
 import random
 
@@ -88,6 +89,32 @@
         #: When the store was last unavailable according to other instances, by its own
         #: clock.
         self._reported_unavailable_s: float | None = None
+        #: Set to end the pause before the next read.
+        self._is_due = asyncio.Event()
+        self._due_timer: asyncio.TimerHandle | None = None
+
+    def read_soon(self, *, within_s: float) -> None:
+        """End the pause before the next read, at some moment within a time.
+
+        Args:
+            within_s: Over how long the reads of many instances are spread, in seconds.
+        """
+        if self._due_timer is None:
+            delay_s = self._rng.uniform(0.0, within_s)
+            loop = asyncio.get_running_loop()
+            self._due_timer = loop.call_later(delay_s, self._end_pause)
+
+    def _end_pause(self) -> None:
+        """End the pause before the next read, if there is one."""
+        self._due_timer = None
+        self._is_due.set()
+
+    async def _pause(self, pause_s: float) -> None:
+        """Wait before the next read, unless it is due sooner."""
+        self._is_due.clear()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(pause_s):
+                await self._is_due.wait()
 
     def state(self) -> TableState:
         """Return what this instance's view of the table rests on."""
@@ -157,11 +184,11 @@
         await self._take_in(view, is_whole=is_whole)
         if is_whole and self._first_pause_s:
             pause_s, self._first_pause_s = self._first_pause_s, 0.0
-            await asyncio.sleep(pause_s)
+            await self._pause(pause_s)
         if view.is_relayed or is_whole:
             return
         if view.values:
-            await asyncio.sleep(self.settings.change_pause_s)
+            await self._pause(self.settings.change_pause_s)
         elif is_waiting:
             # A store may answer at once that there is nothing, time after time.
             rest_s = sent_s + self._idle_pause_s - clocks.now_s()
--- a/src/violethatch/instances.py
+++ b/src/violethatch/instances.py
@@ -113,6 +113,8 @@
         self._down_until_s: dict[str, float] = {}
         #: By instance, the token that it refused.
         self._refused_tokens: dict[str, str] = {}
+        #: Called when an instance has refused the token that its entry tells.
+        self.on_token_refused: Callable[[], None] = lambda: None
         self._refused_until_s: dict[str, float] = {}
         self._ranks_known: _Ranks | None = None
         #: The own place, and the revision that it is of.
@@ -202,6 +204,8 @@
         Nothing is asked there until the entry of that process is known.
         """
         self._refused_tokens[peer.id] = peer.token
+        if self._is_token_refused(peer.id):
+            self.on_token_refused()
 
     def note_refused(self, instance_id: str, *, now_s: float) -> None:
         """Note that an instance has said that the store refuses it."""
--- a/src/violethatch/platform/_following.py
+++ b/src/violethatch/platform/_following.py
@@ -37,6 +37,10 @@
 #: How long after its first read of that table an instance reads it again, in
 #: seconds: when all start at once, the second read finds all.
 _INSTANCES_PAUSE_S = 1.2
+#: The reads a second by which all instances together read that table sooner once tokens
+#: are refused, and the shortest time over which they are spread, in seconds.
+_EARLY_READS_A_S = 300.0
+_MIN_EARLY_SPREAD_S = 0.4
 #: The part of the bound on changes for which an instance waits after its first read
 #: of the other tables, so as to follow others then: that took an instance 13 calls
 #: of the store at its start, and takes 5.
@@ -104,6 +108,7 @@
         self._links = PeerLinks(self._datagrams, router, rng=rng)
         self._followers = self._make_followers()
         self._instances_follower = self._make_instances_follower()
+        directory.on_token_refused = self._read_instances_soon
         desired, servers = self._followers
         router.desired_table = desired.state
         router.routing.list_state = servers.state
@@ -173,6 +178,11 @@
             return 0.0
         return self._settings.bounds.change_s * _FIRST_PAUSE_PART
 
+    def _read_instances_soon(self) -> None:
+        """Read the instances' table sooner: an instance has started again."""
+        spread_s = max(_MIN_EARLY_SPREAD_S, len(self._directory) / _EARLY_READS_A_S)
+        self._instances_follower.read_soon(within_s=spread_s)
+
     def _make_followers(self) -> list[TableFollower]:
         """Return the followers of the platform's own tables."""
         return [
--- a/tests/test_followers.py
+++ b/tests/test_followers.py
@@ -103,6 +103,19 @@
         ]
         assert returned == []
 
+    async def test_pause_outlasts_what_is_known_to_be_old(self):
+        """Guards against a pause in which each question shows a former token."""
+        source = ScriptedSource(view(5, a=b"1"), view(6, a=b"2"))
+        follower = made_follower(source, first_pause_s=5.0)
+        task = asyncio.create_task(follower.run())
+        await asyncio.sleep(0.05)
+        assert len(source.asked) == 1
+        for _ in range(3):
+            follower.read_soon(within_s=0.02)
+        await asyncio.sleep(0.1)
+        assert len(source.asked) == 3
+        task.cancel()
+
     async def test_lost_history_reads_the_table_anew(self):
         """After a 410 nothing in between is missed."""
         source = ScriptedSource(
--- a/tests/test_instances.py
+++ b/tests/test_instances.py
@@ -171,10 +171,15 @@
     def test_late_refusal_of_an_earlier_token(self):
         """Guards against a new process that is left for its predecessor's token."""
         made = directories([entry("i1"), entry("i2")])["i1"]
+        refused = []
+        made.on_token_refused = lambda: refused.append(1)
         (old,) = made.others()
         made.take({"i2": old._replace(token="t2")}, is_whole=False)
         made.note_token_refused(old)
         assert len(made.askable()) == 1
+        assert refused == []
+        made.note_token_refused(old._replace(token="t2"))
+        assert refused == [1]
 
     def test_gone_entry(self):
         """An entry that is taken away counts no more."""
