Keep an announcement of lost links that comes before its sender's new entry

What callers saw: after a return, calls handed to instances without links, which refused them. Cause: an announcement was kept under the token that its sender's entry told when it came. That of a new process comes up to 1.2 s before its entry and was forgotten as the entry came; the next one is a renewal, 2 s later and more by the number of instances.

Change: an announcement names the process by its token's number, and counts once the known entry is of that process. The number of a process was drawn before; the wire is unchanged.

--- a/src/violethatch/_lost_links_link.py
+++ b/src/violethatch/_lost_links_link.py
@@ -4,11 +4,16 @@
 from __future__ import annotations
 
 import asyncio
-import random
 
 from . import clocks, events
 from ._peer_datagrams import MAX_LOST_SERVICES, LostLinksDatagram, PeerDatagrams
-from .forwarding import AnnouncedLinks, LinkAnnouncement, LinkAnnouncer, LinkWatch
+from .forwarding import (
+    AnnouncedLinks,
+    LinkAnnouncement,
+    LinkAnnouncer,
+    LinkWatch,
+    lifetime_of,
+)
 
 
 #: How often it is looked whom to tell, in seconds, until all know.
@@ -16,7 +21,6 @@
 #: For how long changes at other instances are collected into one log line, in seconds.
 _LOG_DELAY_S = 0.25
 _MS_PER_S = 1000
-_MAX_LIFETIME = 2**31
 
 
 class LostLinksLink:
@@ -26,7 +30,6 @@
         datagrams: The transport.
         watch: Knows this instance's links.
         announced: Is updated with the others'.
-        rng: Numbers this process.
     """
 
     def __init__(
@@ -34,13 +37,11 @@
         datagrams: PeerDatagrams,
         watch: LinkWatch,
         announced: AnnouncedLinks,
-        *,
-        rng: random.Random,
     ) -> None:
         self._datagrams = datagrams
         self._watch = watch
         self._announced = announced
-        self._announcer = LinkAnnouncer(rng.randrange(_MAX_LIFETIME))
+        self._announcer = LinkAnnouncer(lifetime_of(datagrams.directory.own))
         self._has_changed = asyncio.Event()
         self._log_timer: asyncio.TimerHandle | None = None
         watch.on_change = self._has_changed.set
--- a/src/violethatch/_peer_links.py
+++ b/src/violethatch/_peer_links.py
@@ -43,7 +43,6 @@
             datagrams,
             router.routing.link_watch,
             router.routing.announced_links,
-            rng=rng,
         )
         self.limits = LimitLink(
             datagrams,
--- a/src/violethatch/forwarding/__init__.py
+++ b/src/violethatch/forwarding/__init__.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from ._announced_links import AnnouncedLinks, LinkAnnouncement
+from ._announced_links import AnnouncedLinks, LinkAnnouncement, lifetime_of
 from ._call import ForwardedCall, MustForwardError
 from ._choice import PeerChoice
 from ._client import ForwardClient
@@ -37,5 +37,6 @@
     "PeerClient",
     "ServerLinks",
     "ServerProbe",
+    "lifetime_of",
     "servers_to_check",
 )
--- a/src/violethatch/forwarding/_announced_links.py
+++ b/src/violethatch/forwarding/_announced_links.py
@@ -8,6 +8,9 @@
 
 from __future__ import annotations
 
+import functools
+import zlib
+
 from collections import Counter
 from collections.abc import Iterable, Mapping
 from typing import NamedTuple
@@ -17,6 +20,9 @@
 
 #: How long what an instance says when it refuses a call counts, in seconds.
 HEARSAY_LIFE_S = 10.0
+_MAX_LIFETIME = 2**31
+#: The number of cached lifetimes, which are used for each forwarded call.
+_LIFETIME_CACHE_SIZE = 4096
 
 
 class LinkAnnouncement(NamedTuple):
@@ -39,16 +45,25 @@
     """The last announcement of an instance.
 
     Attributes:
-        token: The instance's token, which a new start changes.
         announcement: What it said.
         until_s: Until when that counts, in monotonic seconds.
     """
 
-    token: str
     announcement: LinkAnnouncement
     until_s: float
 
 
+def lifetime_of(entry: InstanceEntry) -> int:
+    """Return the number of the process that wrote an entry."""
+    return _lifetime(entry.token)
+
+
+@functools.lru_cache(maxsize=_LIFETIME_CACHE_SIZE)
+def _lifetime(token: str) -> int:
+    """Return the number of the process that has a token."""
+    return zlib.crc32(token.encode()) % _MAX_LIFETIME
+
+
 class AnnouncedLinks:
     """What other instances have said of their links to backend servers."""
 
@@ -68,12 +83,13 @@
             announcement: What it says.
             now_s: The current monotonic time, in seconds.
         """
+        former = self._announced.get(peer.id)
+        if former is not None and _is_late(former.announcement, announcement):
+            return False
         current = self._current(peer, now_s=now_s)
         known = current.announcement if current is not None else None
-        if known is not None and _is_late(known, announcement):
-            return False
         until_s = now_s + announcement.life_s
-        self._announced[peer.id] = _Announced(peer.token, announcement, until_s)
+        self._announced[peer.id] = _Announced(announcement, until_s)
         before = known.services if known is not None else frozenset()
         return announcement.services != before
 
@@ -145,11 +161,14 @@
         return known.until_s - now_s if is_lost else 0.0
 
     def _current(self, peer: InstanceEntry, *, now_s: float) -> _Announced | None:
-        """Return what an instance has announced, if that counts."""
+        """Return what an instance has announced, if that counts.
+
+        What a new process announces counts once its entry is known.
+        """
         known = self._announced.get(peer.id)
-        if known is None or known.token != peer.token or now_s >= known.until_s:
+        if known is None or now_s >= known.until_s:
             return None
-        return known
+        return known if known.announcement.lifetime == lifetime_of(peer) else None
 
 
 def _is_late(known: LinkAnnouncement, announcement: LinkAnnouncement) -> bool:
