Forget what was noted of an instance's former process

What callers saw: after a return, instances with links that were not asked for up to 3 s. Cause: silences, refusals and loads were kept by the instance's id, also those of its former process; and a refused token, which shows that there is a new one, counted as a silence.

Change: what was noted of an instance ends with its token, and a refused token is no silence: the directory doesn't offer the instance until its new entry is known.

--- a/src/violethatch/forwarding/_choice.py
+++ b/src/violethatch/forwarding/_choice.py
@@ -116,6 +116,8 @@
         #: time in monotonic seconds.
         self._refusals: dict[str, tuple[int, float]] = {}
         self._own: Counter[str] = Counter()
+        #: By instance, the token of the process that all this is about.
+        self._tokens: dict[str, str] = {}
 
     def choose(
         self,
@@ -134,6 +136,7 @@
             now_s: The current monotonic time, in seconds.
         """
         peers = list(peers)
+        self._forget_former(peers)
         barred = self._unable(peers, service, now_s=now_s)
         barred.update(one.id for one in refused)
         able = [one for one in peers if one.id not in barred]
@@ -345,6 +348,18 @@
             if now_s - taken_s < _TAKEN_LIFE_S
         }
 
+    def _forget_former(self, peers: Iterable[InstanceEntry]) -> None:
+        """Forget what was noted of instances that have started again since."""
+        for one in peers:
+            if self._tokens.setdefault(one.id, one.token) == one.token:
+                continue
+            self._tokens[one.id] = one.token
+            self._silences.pop(one.id, None)
+            self._loads.pop(one.id, None)
+            for notes in (self._until_s, self._taken_s):
+                for key in [key for key in notes if key[0] == one.id]:
+                    del notes[key]
+
     def _unable(
         self, peers: Iterable[InstanceEntry], service: str, *, now_s: float
     ) -> set[str]:
--- a/src/violethatch/forwarding/_forwarding.py
+++ b/src/violethatch/forwarding/_forwarding.py
@@ -21,7 +21,12 @@
 from ..memory_budget import MemoryBudget
 from ..upstream import AnswerLostError, Call
 from ._choice import PeerChoice
-from ._client import ForwardedAnswer, NotTakenError, PeerRefusalError
+from ._client import (
+    ForwardedAnswer,
+    NotTakenError,
+    PeerRefusalError,
+    TokenRefusedError,
+)
 from ._wire import ForwardedRequest, decoded_lost
 
 
@@ -225,7 +230,8 @@
                 peer, request, is_repeatable=is_repeatable, on_silent=on_silent
             )
         except NotTakenError as reason:
-            self._choice.note_silent(peer.id, now_s=clocks.now_s())
+            if not isinstance(reason, TokenRefusedError):
+                self._choice.note_silent(peer.id, now_s=clocks.now_s())
             self._log_refused(peer, request, None, str(reason))
             return None
         except PeerRefusalError as refusal:
