Write at most five lines a second of lost datagrams

A line tells how many were left out since the last one.

Failed before: test_lost_datagrams_fill_the_log.

--- a/src/violethatch/_peer_datagrams.py
+++ b/src/violethatch/_peer_datagrams.py
@@ -196,6 +196,9 @@
     services: Annotated[list[str], msgspec.Meta(max_length=MAX_LOST_SERVICES)]
 
 
+#: How many lines of lost datagrams are written in a second.
+_MAX_LINES_PER_S = 5
+
 Datagram = (
     SightingsDatagram
     | LoadDatagram
@@ -264,6 +267,9 @@
         self._transport: asyncio.DatagramTransport | None = None
         self._decoder = msgspec.msgpack.Decoder(Datagram)
         self._takers: dict[type[Datagram], Callable[[Any], None]] = {}
+        self._lines = SendAllowance(most_a_second=_MAX_LINES_PER_S)
+        #: Lost datagrams without a line since the last one that has a line.
+        self._lost_unlogged = 0
 
     @property
     def is_open(self) -> bool:
@@ -295,7 +301,7 @@
         try:
             self._transport.sendto(body, host_and_port(peer.address))
         except (OSError, ValueError) as error:
-            events.log(events.DATAGRAM_LOST, instance_id=peer.id, reason=str(error))
+            self._log_lost(str(error), instance_id=peer.id)
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Keep the transport."""
@@ -307,7 +313,7 @@
 
     def error_received(self, exc: Exception) -> None:
         """Go on: the datagram is lost, as others are."""
-        events.log(events.DATAGRAM_LOST, reason=repr(exc))
+        self._log_lost(repr(exc))
 
     def datagram_received(self, data: bytes, _address: Any) -> None:
         """Take another instance's datagram in."""
@@ -318,7 +324,17 @@
             if take is not None:
                 take(message)
         except ValueError as error:
-            events.log(events.DATAGRAM_LOST, reason=str(error))
+            self._log_lost(str(error))
+
+    def _log_lost(self, reason: str, **fields: str) -> None:
+        """Log a lost datagram; after a return of all instances most are lost."""
+        if not self._lines.take():
+            self._lost_unlogged += 1
+            return
+        events.log(
+            events.DATAGRAM_LOST, reason=reason, unlogged=self._lost_unlogged, **fields
+        )
+        self._lost_unlogged = 0
 
     def _check(self, message: Datagram) -> None:
         """Check who sent a datagram.
--- a/tests/test_peer_datagrams.py
+++ b/tests/test_peer_datagrams.py
@@ -7,6 +7,7 @@
 import pytest
 
 from test_instances import entry
+from violethatch import clocks, events
 from violethatch._peer_datagrams import PeerDatagrams, SightingsDatagram
 from violethatch.instances import InstanceDirectory
 
@@ -54,6 +55,21 @@
         datagrams.datagram_received(message("own"), None)
         assert len(calls) == 2
 
+    def test_lost_datagrams_fill_the_log(self, monkeypatch):
+        """Guards against a line each, where all instances have started again."""
+        lines, now_s = [], [5.0]
+        monkeypatch.setattr(
+            events, "log", lambda _event, **fields: lines.append(fields)
+        )
+        monkeypatch.setattr(clocks, "now_s", lambda: now_s[0])
+        datagrams, _ = receiver()
+        for _ in range(1000):
+            datagrams.datagram_received(message("other"), None)
+        assert len(lines) == 5
+        now_s[0] += 1.0
+        datagrams.datagram_received(message("other"), None)
+        assert lines[-1] == {"reason": "wrong token", "unlogged": 995}
+
     def test_nothing_is_sent_before_the_start(self):
         """Without a socket a datagram is lost."""
         datagrams, _ = receiver()
