Play a return at which a part of the instances has no links to the servers

What callers saw at such a return wasn't known: the play of a return had links between all instances and all servers, and tests lose links of instances that run.

Such an instance has its own connections to the servers' address fail: tables are handed from instance to instance, so that other addresses in what the store answers would reach those with links too. No process is added. The store has an address of its own for it.

What was sent and served is printed by second for callers of instances without links and for others, and so are the lines, with 1208, 2225, 2226 and 2243 beside those that were counted.

--- a/tests/return_callers.py
+++ b/tests/return_callers.py
@@ -99,6 +99,7 @@
         limit_s = STREAM_LIMIT_S if is_stream else PLAIN_LIMIT_S
         sent_s = clocks.now_s()
         instance = self.select(client)
+        name = instance["name"]
         status, wait_s, first_s = await self._attempt(instance, is_stream, limit_s)
         statuses = [status]
         if status in RETRYABLE:
@@ -109,7 +110,7 @@
             status, wait_s, first_s = await self._attempt(instance, is_stream, left_s)
             statuses.append(status)
         after_s = None if first_s is None else round(first_s - sent_s, 4)
-        self.attempts.append((sent_s, after_s, statuses))
+        self.attempts.append((sent_s, after_s, statuses, name))
 
     async def _attempt(self, instance, is_stream, limit_s):
         """Return a status, the wait that was asked for, and the first event's time."""
--- a/tests/return_play.py
+++ b/tests/return_play.py
@@ -19,7 +19,7 @@
 import time
 
 from pathlib import Path
-from typing import NamedTuple
+from typing import Literal, NamedTuple
 
 import aiohttp
 import defopt
@@ -28,6 +28,7 @@
 from own_ports import free_ports
 from processor_shares import processor_clock
 from return_fleet import model_engine
+from return_without_links import REFUSED
 from site_figures import load_figures
 from test_platform_wire import CONFIG
 from test_router_settings import filled_here
@@ -37,6 +38,7 @@
 
 
 TESTS = Path(__file__).parent
+STORE_HOST = "127.0.0.2"
 #: The interval and timeout of the load balancer's readiness probes, in seconds.
 PROBE_INTERVAL_S = 1.0
 #: How long callers send before the loss of power, in seconds.
@@ -60,6 +62,8 @@
         self.folder = folder / f"{self.name}-tmp"
         self.folder.mkdir()
         self.process = None
+        #: How links to the servers are lost, and until when; None where they are not.
+        self.lost_links = None
         self.starts = 0
         self.front = self.ready = 0
         self.peak_kb = 0
@@ -85,7 +89,7 @@
         with self.log.open("ab") as log:
             self.process = await asyncio.create_subprocess_exec(
                 sys.executable,
-                *("-OO", "-m", "violethatch.platform"),
+                *("-OO", *self._program()),
                 cwd=self.root,
                 env={
                     "PATH": os.environ["PATH"],
@@ -97,6 +101,13 @@
                 stderr=log,
             )
 
+    def _program(self):
+        """Return the arguments that name the program."""
+        if self.lost_links is None:
+            return "-m", "violethatch.platform"
+        way, until_s = self.lost_links
+        return str(TESTS / "return_without_links.py"), way, str(until_s)
+
     def kill(self):
         """End the process at once."""
         if self.process is not None and self.process.returncode is None:
@@ -179,6 +190,29 @@
     helper: Helper
 
 
+class LostLinks(NamedTuple):
+    """Which instances return without links to the servers.
+
+    Attributes:
+        part: How many of all.
+        is_zone_wise: Whether they are of as few zones as can be.
+        way: How connections to the servers fail.
+        back_s: How long after the return the links are back.
+    """
+
+    part: float
+    is_zone_wise: bool
+    way: str
+    back_s: float
+
+    def choose(self, instances, rng):
+        """Return the instances without links."""
+        count = round(self.part * len(instances))
+        if self.is_zone_wise:
+            return sorted(instances, key=lambda one: one.size.zone)[:count]
+        return rng.sample(instances, count)
+
+
 class Play:
     """A deployment whose instances all lose power and return.
 
@@ -190,11 +224,21 @@
         processors: How many processors the instances have, and nothing else; all if
             omitted, with everything.
         is_apart: Whether each runner is a process of its own.
+        lost_links: Which instances return without links.
         seed: The seed of the callers.
     """
 
     def __init__(
-        self, figures, root, folder, *, is_limited, processors, is_apart, seed
+        self,
+        figures,
+        root,
+        folder,
+        *,
+        is_limited,
+        processors,
+        is_apart,
+        lost_links,
+        seed,
     ):
         self.figures = figures
         self.is_limited = is_limited
@@ -206,6 +250,10 @@
             RouterProcess(number, size, root, folder)
             for number, size in enumerate(figures.instances)
         ]
+        self.lost_links = lost_links
+        self.without_links = lost_links.choose(
+            self.instances, random.Random(f"links {seed}")
+        )
         self.shares = Helper("processor_shares")
         self.hosts = [
             RunnerHost(
@@ -248,9 +296,9 @@
         self.http = aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=0))
         server = aiohttp.web.AppRunner(self.store.application(), access_log=None)
         await server.setup()
-        site = aiohttp.web.TCPSite(server, "127.0.0.1", 0, backlog=1024)
+        site = aiohttp.web.TCPSite(server, STORE_HOST, 0, backlog=1024)
         await site.start()
-        store = f"127.0.0.1:{server.addresses[0][1]}"
+        store = f"{STORE_HOST}:{server.addresses[0][1]}"
         self.put_state()
         await self.shares.start()
         for helper in self.runners:
@@ -427,6 +475,8 @@
             self.store.refuse_with = 503
         self.first_ready_s = {}
         began_s = clocks.now_s()
+        for one in self.without_links:
+            one.lost_links = self.lost_links.way, began_s + self.lost_links.back_s
         if is_empty:
             self.start_runners()
         await self.start_instances()
@@ -553,6 +603,35 @@
     )
 
 
+def print_by_links(attempts, began_s, recovery_s, without_links):
+    """Print what was served of calls to instances without links, and to others."""
+    names = {one.name for one in without_links}
+    groups = {
+        "without links": [one for one in attempts if one[3] in names],
+        "with links": [one for one in attempts if one[3] not in names],
+    }
+    for what, calls in groups.items():
+        late = [one for one in calls if one[0] >= began_s + recovery_s]
+        sent, first, served = _served(late)
+        print(
+            f"{what}, from {recovery_s:.0f} s on: {served} of {sent} served,"
+            f" {first} at the first try"
+        )
+    print(f"second: sent, first tries served, served; {' and '.join(groups)}")
+    for second in sorted({int((one[0] - began_s) // 1) for one in attempts}):
+        told = [
+            _served([one for one in calls if (one[0] - began_s) // 1 == second])
+            for calls in groups.values()
+        ]
+        print(f"{second:4d}: {told}")
+
+
+def _served(attempts):
+    """Return how many were sent, served at the first try, and served at all."""
+    first = sum(one[2][0] == 200 for one in attempts)
+    return len(attempts), first, sum(one[2][-1] == 200 for one in attempts)
+
+
 #: The events whose lines are counted by second.
 COUNTED_EVENTS = {
     2417: "reads repeated",
@@ -563,31 +642,41 @@
     2109: "troubles heard",
     2125: "links lost",
     2206: "refused",
+    2225: "forwarded",
     2226: "forwards refused",
+    2243: "forwards that none serves",
 }
+REFUSED_EVENT = 2206
+#: The code of a refusal for want of links.
+NO_LINK = 1208
 
 
-def print_lines(play, began_s):
-    """Print how many lines of some events all instances wrote, by second."""
+def print_lines(what, instances, began_s):
+    """Print how many lines of some events instances wrote, by second."""
     offset_s = began_s + time.time() - clocks.now_s()
     by_second = collections.defaultdict(collections.Counter)
     marks = {f'"number":{number},': number for number in COUNTED_EVENTS}
-    for one in play.instances:
+    for one in instances:
         for line in one.log.read_text(errors="replace").splitlines():
             for mark, number in marks.items():
                 if mark not in line:
                     continue
                 with contextlib.suppress(ValueError, KeyError):
-                    at_s = json.loads(line)["timestamp"] - offset_s
-                    by_second[int(at_s // 1)][number] += 1
-    print("lines by second:", ", ".join(COUNTED_EVENTS.values()))
+                    told = json.loads(line)
+                    counts = by_second[int((told["timestamp"] - offset_s) // 1)]
+                    counts[number] += 1
+                    counts[NO_LINK] += number == REFUSED_EVENT and (
+                        told["code"] == NO_LINK
+                    )
+    columns = {**COUNTED_EVENTS, NO_LINK: "refused for want of links"}
+    print(f"lines by second, {what}:", ", ".join(columns.values()))
     for second in sorted(by_second):
         if second >= 0:
-            counts = [by_second[second][number] for number in COUNTED_EVENTS]
+            counts = [by_second[second][number] for number in columns]
             print(f"{second:4d}: {counts}")
     totals = [
         sum(counts[number] for second, counts in by_second.items() if second >= 0)
-        for number in COUNTED_EVENTS
+        for number in columns
     ]
     print(f" all: {totals}")
 
@@ -632,6 +721,7 @@
     twice,
     off_s,
     apart,
+    lost_links,
     stopped_runners,
     stopped_at_s,
 ):
@@ -642,6 +732,7 @@
         is_limited=limited,
         processors=processors,
         is_apart=apart,
+        lost_links=lost_links,
         seed=seed,
     )
     try:
@@ -668,7 +759,10 @@
         print_attempts(attempts, began_s, figures.recovery_s, play.processors_busy)
         play.report_ready("return", began_s)
         print_starts(play)
-        print_lines(play, began_s)
+        print_by_links(attempts, began_s, figures.recovery_s, play.without_links)
+        print_lines("without links", play.without_links, began_s)
+        others = [one for one in play.instances if one not in play.without_links]
+        print_lines("with links", others, began_s)
     finally:
         await play.stop()
 
@@ -693,6 +787,10 @@
     apart: bool = False,
     stopped_runners: int = 0,
     stopped_at_s: float = 15.0,
+    without_links: float = 0.0,
+    zone_wise: bool = False,
+    links_lost: Literal["refused", "dropped"] = REFUSED,
+    links_back_s: float = 60.0,
 ) -> None:
     """Play a return.
 
@@ -716,6 +814,12 @@
         stopped_runners: How many runners are stopped for a while after the return;
             needs *apart*.
         stopped_at_s: When they are stopped, in seconds after the return.
+        without_links: The part of the instances that return without links to the
+            servers.
+        zone_wise: Let whole zones be without links.
+        links_lost: Whether their connections to servers are refused, or don't come
+            about.
+        links_back_s: When the links are back, in seconds after the return.
     """
     folder.mkdir(parents=True)
     figures = load_figures(site, day=day, is_small=small)
@@ -744,6 +848,7 @@
             twice=twice,
             off_s=figures.off_s if off_s is None else off_s,
             apart=apart,
+            lost_links=LostLinks(without_links, zone_wise, links_lost, links_back_s),
             stopped_runners=stopped_runners,
             stopped_at_s=stopped_at_s,
         )
