Count refused datagrams and heard announcements in the play of a return

Instances announce their lost links by datagrams, and refuse those with the token of an earlier process (2110).

--- a/tests/return_play.py
+++ b/tests/return_play.py
@@ -38,6 +38,7 @@
 
 
 TESTS = Path(__file__).parent
+#: Links to it are not lost with those to the servers.
 STORE_HOST = "127.0.0.2"
 #: The interval and timeout of the load balancer's readiness probes, in seconds.
 PROBE_INTERVAL_S = 1.0
@@ -640,7 +641,9 @@
     2230: "runs silent",
     2107: "servers in trouble",
     2109: "troubles heard",
+    2110: "datagrams refused",
     2125: "links lost",
+    2129: "lost links heard",
     2206: "refused",
     2225: "forwarded",
     2226: "forwards refused",
