Ask another instance where the one that was asked reaches no server of a plain service

What callers saw: 503 with code 1303 for calls of instances without links: the instance that they were handed to could connect to none of the servers that it chose, and nobody else was asked.

Cause: 1303 was taken for the service's state, while it is that of one instance's links: while one server is in reach, its links don't count as lost. Nothing has run (ran=no), as with 1208.

Failed before: test_instance_that_reaches_no_server_answers_for_all.

--- a/src/violethatch/forwarding/_forwarding.py
+++ b/src/violethatch/forwarding/_forwarding.py
@@ -14,6 +14,7 @@
     LinksLostError,
     NotConfiguredError,
     Ran,
+    ServiceUnreachableError,
     UnprovenStateError,
     VioletHatchError,
 )
@@ -36,6 +37,7 @@
     DrainingError,
     LinksLostError,
     NotConfiguredError,
+    ServiceUnreachableError,
     UnprovenStateError,
 )
 
--- a/tests/test_silent_peers.py
+++ b/tests/test_silent_peers.py
@@ -11,13 +11,15 @@
 from test_forwarding_choice import entry
 from violethatch import clocks
 from violethatch._stream_output import StreamOutput
+from violethatch.errors import ServiceUnreachableError
 from violethatch.forwarding import (
     AnnouncedLinks,
     ForwardedCall,
     Forwarding,
     PeerChoice,
 )
-from violethatch.forwarding._client import NotTakenError
+from violethatch.forwarding._client import NotTakenError, PeerRefusalError
+from violethatch.forwarding._wire import Refusal
 from violethatch.memory_budget import MemoryBudget
 from violethatch.upstream import AnswerLostError
 
@@ -180,6 +182,30 @@
     assert call.served_by == SERVING.id
 
 
+class UnreachingClient:
+    """The first instance that is asked reaches no server; the second one serves."""
+
+    def __init__(self):
+        self.asked = []
+
+    async def send(self, peer, _request, **_options):
+        self.asked.append(peer.id)
+        if len(self.asked) > 1:
+            return TakenAnswer(events(1, 2, 3, 4))
+        error = ServiceUnreachableError()
+        refusal = Refusal(error.code, error.detail, error.ran.value, 1.0, 0)
+        raise PeerRefusalError(error, refusal)
+
+
+async def test_instance_that_reaches_no_server_answers_for_all():
+    """Its links to some servers may be lost; another instance has its own."""
+    client = UnreachingClient()
+    responder, call = await forwarded(client)
+    assert client.asked == [SERVING.id, OTHER.id]
+    assert responder.end == "whole"
+    assert call.served_by == OTHER.id
+
+
 async def forwarded(client):
     """Serve a stream through other instances; return the caller's end and the call."""
     choice = PeerChoice("z1", AnnouncedLinks(), rng=random.Random(1))
