Don't lose an early read of the instances' table that falls due during a read

A token that was refused while the table was being read ended no pause: the pause after the read forgot that it was to be ended. It is forgotten when the read begins now, and the wait after a read without changes ends as well.

Failed before: test_token_that_is_refused_during_a_read_changes_nothing.

--- a/src/violethatch/_followers.py
+++ b/src/violethatch/_followers.py
@@ -111,7 +111,6 @@
 
     async def _pause(self, pause_s: float) -> None:
         """Wait before the next read, unless it is due sooner."""
-        self._is_due.clear()
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(pause_s):
                 await self._is_due.wait()
@@ -172,6 +171,7 @@
     async def _read_once(self) -> None:
         """Read the table or its next changes, and take them in."""
         sent_s = self._read_began_s = clocks.now_s()
+        self._is_due.clear()
         is_waiting = self._version is not None and not self._is_unavailable
         view = await self._read()
         is_whole = self._version is None or view.is_whole
@@ -192,7 +192,7 @@
         elif is_waiting:
             # A store may answer at once that there is nothing, time after time.
             rest_s = sent_s + self._idle_pause_s - clocks.now_s()
-            await asyncio.sleep(max(0.0, rest_s))
+            await self._pause(max(0.0, rest_s))
 
     async def _read(self) -> TableView:
         """Read the table, or its next changes if it is known.
--- a/tests/test_followers.py
+++ b/tests/test_followers.py
@@ -116,6 +116,23 @@
         assert len(source.asked) == 3
         task.cancel()
 
+    async def test_token_that_is_refused_during_a_read_changes_nothing(self):
+        """The pause after that read is over as soon as one that it began in."""
+        source = ScriptedSource(view(5, a=b"1"), view(6, a=b"2"))
+        follower = made_follower(source, first_pause_s=5.0)
+        take = follower._take
+
+        async def take_slowly(table, is_whole):
+            take(table, is_whole)
+            follower.read_soon(within_s=0.0)
+            await asyncio.sleep(0.02)
+
+        follower._take = take_slowly
+        task = asyncio.create_task(follower.run())
+        await asyncio.sleep(0.1)
+        assert len(source.asked) >= 2
+        task.cancel()
+
     async def test_lost_history_reads_the_table_anew(self):
         """After a 410 nothing in between is missed."""
         source = ScriptedSource(
