--- a/src/violethatch/forwarding/_announced_links.py
+++ b/src/violethatch/forwarding/_announced_links.py
@@ -21,7 +21,7 @@
 #: How long what an instance says when it refuses a call counts, in seconds.
 HEARSAY_LIFE_S = 10.0
 _MAX_LIFETIME = 2**31
-#: The number of cached lifetimes, which are used for each forwarded call.
+#: The number of cached lifetimes: they are looked up for each forwarded call.
 _LIFETIME_CACHE_SIZE = 4096
 
 
--- a/src/violethatch/forwarding/_link_announcer.py
+++ b/src/violethatch/forwarding/_link_announcer.py
@@ -22,14 +22,14 @@
 #: The least time between two announcements to an instance, in seconds: links that come
 #: and go must not fill the links between instances.
 LEAST_PAUSE_S = 0.1
-#: The shortest interval at which lost links are announced anew, in seconds.
+#: The shortest and the longest interval at which lost links are announced anew, in
+#: seconds; the longest bounds how long an announcement counts.
 MIN_RENEWAL_S = 2.0
+MAX_RENEWAL_S = 30.0
 #: The rate of these announcements, of the 4 KB per second for all control traffic.
 MAX_BYTES_PER_S = 3000
 #: The size of an announcement with its headers, in bytes.
 ANNOUNCEMENT_BYTES = 110
-#: The longest one, which bounds how long an announcement counts.
-MAX_RENEWAL_S = 30.0
 #: How many renewals in a row may be lost.
 LOST_RENEWALS = 2
 #: How often links that are back are told: until what was told before has lapsed.
