Tests: let the other instance's stand-in return its entry, as what it stands in for does

test_failure_of_the_other_instance_ends_no_kept_run and test_failure_and_kept_run_are_not_mixed failed in a whole run: what hands calls over returns the instance's entry since the last change of it.

--- a/tests/test_runs_beside.py
+++ b/tests/test_runs_beside.py
@@ -17,6 +17,7 @@
     report,
 )
 from routing_samples import runner
+from test_instances import entry
 from violethatch import clocks
 from violethatch.forwarding import ForwardedCall
 from violethatch.streams import StreamCall
@@ -29,6 +30,9 @@
 SPARE = runner("spare", 30, 80, kind="small")
 
 
+OTHER = entry("other")
+
+
 class OtherInstance:
     """Takes calls, and answers them from a script."""
 
@@ -41,7 +45,7 @@
         answer = self.answers.pop(0)
         if isinstance(answer, asyncio.Event):
             await answer.wait()
-        return "other", answer
+        return OTHER, answer
 
     def began(self, _peer_id):
         """Count nothing."""
