Leave the wait after a read without changes as it was

Why the other way of waiting changes that is not traced; the early read of the instances' table only needs the pauses after changes and after the first read.

--- a/src/violethatch/_followers.py
+++ b/src/violethatch/_followers.py
@@ -192,7 +192,7 @@
         elif is_waiting:
             # A store may answer at once that there is nothing, time after time.
             rest_s = sent_s + self._idle_pause_s - clocks.now_s()
-            await self._pause(max(0.0, rest_s))
+            await asyncio.sleep(max(0.0, rest_s))
 
     async def _read(self) -> TableView:
         """Read the table, or its next changes if it is known.
