--- a/src/violethatch/_lost_links_link.py
+++ b/src/violethatch/_lost_links_link.py
@@ -62,7 +62,7 @@
     def _tell(self) -> None:
         """Announce to all instances that are due."""
         directory = self._datagrams.directory
-        others = list(directory.others())
+        others = directory.others()
         due = self._announcer.select(others, now_s=clocks.now_s())
         message = self._announcer.announcement(instances=len(others))
         services = sorted(message.services)[:MAX_LOST_SERVICES]
@@ -106,7 +106,7 @@
         """Log how many other instances have lost their links to each service."""
         self._log_timer = None
         self._announced.forget_old(now_s=clocks.now_s())
-        others = list(self._datagrams.directory.others())
+        others = self._datagrams.directory.others()
         events.log(
             events.PEER_LINKS_CHANGED,
             lost=self._announced.counts(others, now_s=clocks.now_s()),
